--- /dev/null
+++ b/src/settings/common/settings-store.ts
@@ -0,0 +1,161 @@
+/** Accepted settings in the table service: one transaction accepts a change and writes its audit row. */
+import {fail, ok, type Outcome} from '../../base/common/outcome.js';
+import type {ObjectStore} from '../../platform/common/object-store.js';
+import type {RowWrite, TableFailure, TableService} from '../../platform/common/table-service.js';
+import {changeSchema, type Change} from './change.js';
+import {snapshotSchema, type SettingsSnapshot} from './settings-tree.js';
+
+const headKey = 'settings/head';
+const changePrefix = 'settings/change/';
+const changeIdPrefix = 'settings/change-id/';
+const snapshotKey = 'settings/snapshot';
+const snapshotObjectPrefix = 'settings/snapshot/';
+const revisionDigits = 12;
+
+/** Changes read in one call. */
+export const changePage = 200;
+
+/** The newest accepted revision, with the version its row has. */
+export type Head = {readonly revision: number; readonly version: number};
+
+/** A call that the store did not answer. */
+export type StoreFailure = {readonly code: 'storeUnavailable'; readonly message: string; readonly mayHaveTakenEffect: boolean};
+
+/** How a try to append a change ended. */
+export type AppendResult = 'appended' | 'conflict';
+
+function changeKey(revision: number): string {
+	return `${changePrefix}${String(revision).padStart(revisionDigits, '0')}`;
+}
+
+function storeFailure(failure: TableFailure): StoreFailure {
+	return failure.code === 'unavailable'
+		? {code: 'storeUnavailable', message: failure.message, mayHaveTakenEffect: failure.mayHaveTakenEffect}
+		: {code: 'storeUnavailable', message: `unexpected conflict on ${failure.keys.join(', ')}`, mayHaveTakenEffect: false};
+}
+
+/** Reads and appends accepted changes. */
+export class SettingsStore {
+	static create(table: TableService, objects: ObjectStore): SettingsStore {
+		return new SettingsStore(table, objects);
+	}
+
+	private constructor(private readonly table: TableService, private readonly objects: ObjectStore) {}
+
+	/** @returns the newest accepted revision. */
+	async readHead(): Promise<Outcome<Head, StoreFailure>> {
+		const rows = await this.table.read([headKey]);
+		if (!rows.ok) {
+			return fail(storeFailure(rows.error));
+		}
+
+		const [row] = rows.value;
+		return ok(row ? {revision: Number(row.value), version: row.version} : {revision: 0, version: 0});
+	}
+
+	/**
+	Finds the revision under which a change id took effect.
+	@param changeId - the editor's id.
+	@returns the revision, or nothing if it did not.
+	*/
+	async readChangeId(changeId: string): Promise<Outcome<number | undefined, StoreFailure>> {
+		const rows = await this.table.read([`${changeIdPrefix}${changeId}`]);
+		if (!rows.ok) {
+			return fail(storeFailure(rows.error));
+		}
+
+		return ok(rows.value.length > 0 ? Number(rows.value[0].value) : undefined);
+	}
+
+	/**
+	Reads accepted changes in order.
+	@param afterRevision - the last one known.
+	@param limit - most changes wanted.
+	@returns the next changes; fewer than asked for means there are no more, or that older ones were archived.
+	*/
+	async readChanges(afterRevision: number, limit = changePage): Promise<Outcome<Change[], StoreFailure>> {
+		const rows = await this.table.scan({prefix: changePrefix, after: changeKey(afterRevision), limit});
+		return rows.ok
+			? ok(rows.value.map(row => changeSchema.parse(JSON.parse(row.value))))
+			: fail(storeFailure(rows.error));
+	}
+
+	/**
+	Reads one accepted change.
+	@param revision - its revision.
+	*/
+	async readChange(revision: number): Promise<Change | undefined> {
+		const rows = await this.table.read([changeKey(revision)]);
+		return rows.ok && rows.value.length > 0 ? changeSchema.parse(JSON.parse(rows.value[0].value)) : undefined;
+	}
+
+	/**
+	Appends a change after the head it was checked against.
+	@param change - the change, with the revision after the head's.
+	@param head - the head it was checked against.
+	@returns whether it was appended; after a failure it may have been.
+	*/
+	async append(change: Change, head: Head): Promise<Outcome<AppendResult, StoreFailure>> {
+		const key = changeKey(change.revision);
+		const idKey = `${changeIdPrefix}${change.changeId}`;
+		const writes: RowWrite[] = [
+			{key: headKey, value: String(change.revision)},
+			{key, value: JSON.stringify(change)},
+			{key: idKey, value: String(change.revision)},
+		];
+		const done = await this.table.transact({
+			conditions: [{key: headKey, version: head.version}, {key, version: 0}, {key: idKey, version: 0}],
+			writes,
+		});
+		if (done.ok) {
+			return ok('appended');
+		}
+
+		return done.error.code === 'conflict' ? ok('conflict') : fail(storeFailure(done.error));
+	}
+
+	/** @returns the newest snapshot, or nothing where there is none. */
+	async readSnapshot(): Promise<Outcome<SettingsSnapshot | undefined, StoreFailure>> {
+		const rows = await this.table.read([snapshotKey]);
+		if (!rows.ok) {
+			return fail(storeFailure(rows.error));
+		}
+
+		if (rows.value.length === 0) {
+			return ok(undefined);
+		}
+
+		const text = await this.objects.get(rows.value[0].value);
+		if (!text.ok) {
+			return fail({code: 'storeUnavailable', message: text.error.message, mayHaveTakenEffect: false});
+		}
+
+		return ok(text.value === undefined ? undefined : snapshotSchema.parse(JSON.parse(text.value)));
+	}
+
+	/**
+	Keeps a snapshot, the object first and then the row that names it, so that a reader never finds a name without its object.
+	@param snapshot - everything at a revision.
+	*/
+	async writeSnapshot(snapshot: SettingsSnapshot): Promise<void> {
+		const name = `${snapshotObjectPrefix}${snapshot.revision}`;
+		const rows = await this.table.read([snapshotKey]);
+		if (!rows.ok) {
+			return;
+		}
+
+		const isNewer = rows.value.length === 0 || revisionOfName(rows.value[0].value) < snapshot.revision;
+		const written = isNewer ? await this.objects.put(name, JSON.stringify(snapshot)) : undefined;
+		if (written?.ok) {
+			// A lost answer does no harm: the next snapshot names itself.
+			await this.table.transact({
+				conditions: [{key: snapshotKey, version: rows.value[0]?.version ?? 0}],
+				writes: [{key: snapshotKey, value: name}],
+			});
+		}
+	}
+}
+
+function revisionOfName(name: string): number {
+	return Number(name.slice(snapshotObjectPrefix.length));
+}
--- /dev/null
+++ b/src/settings/common/settings-tree.ts
@@ -0,0 +1,204 @@
+/** The settings in force on one host: nodes by path, and what each place inherits. */
+import {z} from 'zod';
+import {
+	policyDefaults, policyFields, type EffectivePolicy, type NodeFields, type OperatorNode, type PipelineNode,
+	type Policy, type PoolNode, type StageNode, type WorkspaceNode,
+} from './schema.js';
+import {fleetPath} from './node-path.js';
+import type {Change} from './change.js';
+
+/** A node's own fields and the revision that last wrote them. */
+export type SettingsNode = {readonly fields: NodeFields; readonly revision: number};
+
+export const snapshotSchema = z.strictObject({
+	revision: z.number().int().positive(),
+	nodes: z.array(z.strictObject({
+		path: z.string(),
+		fields: z.record(z.string(), z.unknown()),
+		revision: z.number().int().positive(),
+	})),
+});
+/** Everything, as sent to a host that starts. */
+export type SettingsSnapshot = z.infer<typeof snapshotSchema>;
+
+/** A field's value with the node it came from; `default` names the built-in ones. */
+export type EffectiveField = {readonly field: string; readonly value: unknown; readonly from: string};
+
+/** Holds the nodes of one revision; the revision only rises. */
+export class SettingsTree {
+	static create(): SettingsTree {
+		return new SettingsTree();
+	}
+
+	private nodes = new Map<string, SettingsNode>();
+	private currentRevision = 0;
+
+	get revision(): number {
+		return this.currentRevision;
+	}
+
+	get paths(): string[] {
+		return [...this.nodes.keys()];
+	}
+
+	/**
+	Finds a node.
+	@param path - where.
+	@returns its own fields and revision.
+	*/
+	get(path: string): SettingsNode | undefined {
+		return this.nodes.get(path);
+	}
+
+	/**
+	Takes over everything, if it is newer.
+	@param snapshot - all nodes of a revision.
+	@returns whether it was newer and is now in force.
+	*/
+	restore(snapshot: SettingsSnapshot): boolean {
+		if (snapshot.revision <= this.currentRevision) {
+			return false;
+		}
+
+		this.nodes = new Map(snapshot.nodes.map(({path, fields, revision}) => [path, {fields, revision}]));
+		this.currentRevision = snapshot.revision;
+		return true;
+	}
+
+	/**
+	Takes over the next change.
+	@param change - an accepted change.
+	@returns whether it was the next one and is now in force.
+	*/
+	apply(change: Change): boolean {
+		if (change.revision !== this.currentRevision + 1) {
+			return false;
+		}
+
+		for (const edit of change.edits) {
+			if (edit.after === undefined) {
+				this.nodes.delete(edit.path);
+			} else {
+				this.nodes.set(edit.path, {fields: edit.after, revision: change.revision});
+			}
+		}
+
+		this.currentRevision = change.revision;
+		return true;
+	}
+
+	/** @returns everything, for a host that starts. */
+	snapshot(): SettingsSnapshot {
+		return {
+			revision: this.currentRevision,
+			nodes: [...this.nodes].map(([path, node]) => ({path, fields: node.fields, revision: node.revision})),
+		};
+	}
+
+	pool(name: string): PoolNode | undefined {
+		return this.fieldsAt<PoolNode>(`/pools/${name}`);
+	}
+
+	operator(name: string): OperatorNode | undefined {
+		return this.fieldsAt<OperatorNode>(`/operators/${name}`);
+	}
+
+	workspace(name: string): WorkspaceNode | undefined {
+		return this.fieldsAt<WorkspaceNode>(`/workspaces/${name}`);
+	}
+
+	/**
+	Finds a pipeline as a workspace sees it.
+	@param workspace - its name.
+	@param pipeline - its name.
+	@returns the stages in order, or nothing where the pipeline is not declared.
+	*/
+	stagesOf(workspace: string, pipeline: string): string[] | undefined {
+		const own = this.fieldsAt<PipelineNode>(`/workspaces/${workspace}/pipelines/${pipeline}`);
+		const shared = this.fieldsAt<PipelineNode>(`/pipelines/${pipeline}`);
+		return own?.order ?? shared?.order;
+	}
+
+	stageKind(workspace: string, pipeline: string, stage: string): StageNode['kind'] {
+		const tail = `/pipelines/${pipeline}/stages/${stage}`;
+		const own = this.fieldsAt<StageNode>(`/workspaces/${workspace}${tail}`);
+		return own?.kind ?? this.fieldsAt<StageNode>(tail)?.kind;
+	}
+
+	hasService(workspace: string, service: string): boolean {
+		return this.nodes.has(`/services/${service}`) || this.nodes.has(`/workspaces/${workspace}/services/${service}`);
+	}
+
+	/**
+	Gives the policy of a place after inheritance.
+	@param path - a node's path, whether or not the node exists.
+	@returns every policy field that has a value.
+	*/
+	policyAt(path: string): EffectivePolicy {
+		const policy: EffectivePolicy = {...policyDefaults};
+		for (const from of lineage(path).toReversed()) {
+			Object.assign(policy, this.policyOf(from));
+		}
+
+		return policy;
+	}
+
+	/**
+	Tells where each value of a place comes from.
+	@param path - a node's path.
+	@returns the fields in order of their names.
+	*/
+	explain(path: string): EffectiveField[] {
+		const fields = new Map<string, EffectiveField>();
+		for (const [field, value] of Object.entries(policyDefaults)) {
+			fields.set(field, {field, value, from: 'default'});
+		}
+
+		for (const from of lineage(path).toReversed()) {
+			for (const [field, value] of Object.entries(this.policyOf(from))) {
+				fields.set(field, {field, value, from});
+			}
+		}
+
+		return [...fields.values()].toSorted((a, b) => a.field.localeCompare(b.field));
+	}
+
+	private policyOf(path: string): Policy {
+		const fields = this.fieldsAt<NodeFields>(path) ?? {};
+		return Object.fromEntries(Object.entries(fields).filter(([key]) => Object.hasOwn(policyFields, key)));
+	}
+
+	private fieldsAt<T>(path: string): T | undefined {
+		// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion -- nodes are checked against their schema before a change is accepted
+		return this.nodes.get(path)?.fields as T | undefined;
+	}
+}
+
+/**
+Lists the nodes a place inherits from, nearest first: deeper before higher and,
+at one depth, the workspace's own node before the fleet's.
+@param path - a node's path.
+@returns the paths.
+*/
+export function lineage(path: string): string[] {
+	const parts = path.split('/').filter(part => part !== '');
+	const isInWorkspace = parts[0] === 'workspaces' && parts.length >= 2;
+	const prefix = isInWorkspace ? `/${parts.slice(0, 2).join('/')}` : '';
+	const tail = isInWorkspace ? parts.slice(2) : parts;
+	const result: string[] = [];
+	for (let {length} = tail; length > 0; length -= 2) {
+		const rest = `/${tail.slice(0, length).join('/')}`;
+		if (isInWorkspace) {
+			result.push(`${prefix}${rest}`);
+		}
+
+		result.push(rest);
+	}
+
+	if (isInWorkspace) {
+		result.push(prefix);
+	}
+
+	result.push(fleetPath);
+	return result;
+}
