--- /dev/null
+++ b/src/request/common/gate-machine.ts
@@ -0,0 +1,442 @@
+/** The gate of one upstream at its agent: admits, queues, starts, cancels and ends dispatches. */
+import {extendDigest} from '../../base/common/hash.js';
+import {FairQueue, type WorkQueue} from '../../routing/common/fair-queue.js';
+import {
+	endStates, refusalReasons, type DispatchMessage, type EndState, type Message, type RefusalReason, type StartedMessage, type UpstreamLoad,
+} from '../../wire/common/messages.js';
+
+/** Ids of ended dispatches that are remembered, so that a doubled one is not run. */
+const rememberedIds = 20_000;
+/** Ended results of work that may not be repeated, kept for an entry that lost its connection. */
+const keptResultMs = 60_000;
+/** How long work whose entry is gone runs on, in case the entry comes back. */
+const orphanGraceMs = 1500;
+
+/** Limits of a gate. */
+export type GateLimits = {readonly slots: number; readonly maxQueue: number};
+
+/** Something to be done for a dispatch. */
+export type GateAction
+	= | {readonly type: 'send'; readonly connectionId: number; readonly message: Message}
+		| {readonly type: 'start'; readonly dispatch: DispatchMessage}
+		| {readonly type: 'abort'; readonly dispatchId: string}
+	/** The upstream's stream may go on, or shall wait. */
+		| {readonly type: 'flow'; readonly dispatchId: string; readonly isOpen: boolean};
+
+/** How a call to the upstream ended. */
+export type CallEnd = {
+	/** `notRun` only where nothing was written to the upstream, or it said itself that it did not start. */
+	readonly state: EndState | 'notRun';
+	readonly reason?: string;
+};
+
+type Job = {
+	readonly dispatch: DispatchMessage;
+	connectionId: number | undefined;
+	readonly arrivedMs: number;
+	readonly startByMs: number;
+	startedMs: number | undefined;
+	orphanedMs: number | undefined;
+	isAborted: boolean;
+	credit: number;
+	units: number;
+	digest: number;
+	/** Everything sent, for work that may not be repeated. */
+	readonly sent: Message[];
+	endedMs: number | undefined;
+	// What the queue orders by.
+	readonly workspace: string;
+	readonly weight: number;
+	readonly rank: number;
+	readonly dueMs: number;
+};
+
+const inTimeRank = 1000;
+
+/** Decides for every dispatch at one upstream; time comes with each call. */
+export class GateMachine {
+	/**
+	Makes a gate.
+	@param limits - slots and queue length.
+	@param queue - the order of waiting work.
+	*/
+	static create(limits: GateLimits, queue: WorkQueue<GateJob> = FairQueue.create<GateJob>()): GateMachine {
+		return new GateMachine(limits, queue);
+	}
+
+	private readonly jobs = new Map<string, Job>();
+	private readonly ended = new Map<string, Job | undefined>();
+	private running = 0;
+	private isLeavingNow = false;
+	private actions: GateAction[] = [];
+	private upstreamModels: UpstreamLoad['models'] = [];
+	private serviceMs = 0;
+
+	private constructor(private limits: GateLimits, private readonly queue: WorkQueue<GateJob>) {}
+
+	get isLeaving(): boolean {
+		return this.isLeavingNow;
+	}
+
+	/** Nothing runs and nothing waits. */
+	get isIdle(): boolean {
+		return this.jobs.size === 0;
+	}
+
+	get load(): UpstreamLoad {
+		return {
+			running: this.running, queued: this.queue.size, slots: this.limits.slots, serviceMs: this.serviceMs, models: this.upstreamModels,
+		};
+	}
+
+	/** Dispatches that have neither ended nor been refused. */
+	get openDispatchIds(): string[] {
+		return [...this.jobs.keys()];
+	}
+
+	setLimits(limits: GateLimits, nowMs: number): GateAction[] {
+		return this.act(nowMs, () => {
+			this.limits = limits;
+		});
+	}
+
+	setModels(models: UpstreamLoad['models']): void {
+		this.upstreamModels = models;
+	}
+
+	/** From now on no new work is taken; what waits is given back, what runs ends. */
+	leave(nowMs: number): GateAction[] {
+		return this.act(nowMs, () => {
+			this.isLeavingNow = true;
+			for (const job of this.queue.items()) {
+				this.queue.remove(job);
+				this.refuseJob(job, refusalReasons.leaving, nowMs);
+			}
+		});
+	}
+
+	/**
+	A dispatch came.
+	@param connectionId - the connection it came on.
+	@param dispatch - the message.
+	@param isStale - whether it may have waited unread while this process slept.
+	@param nowMs - the time.
+	*/
+	dispatch(connectionId: number, dispatch: DispatchMessage, isStale: boolean, nowMs: number): GateAction[] {
+		return this.act(nowMs, () => {
+			const {dispatchId} = dispatch;
+			if (this.jobs.has(dispatchId) || this.ended.has(dispatchId)) {
+				// Doubled on its way; the first one counts.
+				return;
+			}
+
+			const reason = this.refusalOf(dispatch, isStale);
+			if (reason) {
+				this.remember(dispatchId, undefined);
+				this.send(connectionId, {
+					type: 'refused', dispatchId, reason, load: this.load,
+				});
+				return;
+			}
+
+			const job = makeJob(connectionId, dispatch, nowMs);
+			this.jobs.set(dispatchId, job);
+			this.queue.push(job);
+		});
+	}
+
+	/**
+	An entry gives up a dispatch. What may not be repeated is taken back only before its start.
+	@param dispatchId - which.
+	@param nowMs - the time.
+	*/
+	cancel(dispatchId: string, nowMs: number): GateAction[] {
+		return this.act(nowMs, () => {
+			const job = this.jobs.get(dispatchId);
+			if (job?.startedMs === undefined) {
+				if (job) {
+					this.queue.remove(job);
+					this.refuseJob(job, refusalReasons.cancelled, nowMs);
+				}
+			} else if (job.dispatch.isRepeatable) {
+				this.abort(job);
+			}
+		});
+	}
+
+	credit(dispatchId: string, chunks: number, nowMs: number): GateAction[] {
+		return this.act(nowMs, () => {
+			const job = this.jobs.get(dispatchId);
+			if (job) {
+				const wasOut = job.credit <= 0;
+				job.credit += chunks;
+				if (wasOut && job.credit > 0) {
+					this.actions.push({type: 'flow', dispatchId, isOpen: true});
+				}
+			}
+		});
+	}
+
+	/**
+	An entry that was cut off asks what became of a dispatch.
+	@param connectionId - its new connection.
+	@param dispatchId - which.
+	@param nowMs - the time.
+	*/
+	query(connectionId: number, dispatchId: string, nowMs: number): GateAction[] {
+		return this.act(nowMs, () => {
+			const job = this.jobs.get(dispatchId) ?? this.ended.get(dispatchId);
+			if (job) {
+				job.connectionId = connectionId;
+				job.orphanedMs = undefined;
+				for (const message of job.sent) {
+					this.send(connectionId, message);
+				}
+			} else {
+				// Remembered from now on, so that it is not run should it still arrive.
+				this.remember(dispatchId, undefined);
+				this.send(connectionId, {type: 'refused', dispatchId, reason: refusalReasons.neverSeen});
+			}
+		});
+	}
+
+	/**
+	A connection was lost: what waits is dropped, what runs is an orphan.
+	@param connectionId - which.
+	@param nowMs - the time.
+	*/
+	connectionLost(connectionId: number, nowMs: number): GateAction[] {
+		return this.act(nowMs, () => {
+			for (const job of this.jobs.values()) {
+				if (job.connectionId !== connectionId) {
+					continue;
+				}
+
+				job.connectionId = undefined;
+				job.orphanedMs = nowMs;
+				if (job.startedMs === undefined) {
+					this.queue.remove(job);
+					this.refuseJob(job, refusalReasons.cancelled, nowMs);
+				}
+			}
+		});
+	}
+
+	/**
+	The upstream has taken the call.
+	@param dispatchId - which.
+	@param http - status and headers of a plain service's answer.
+	@param nowMs - the time.
+	*/
+	callStarted(dispatchId: string, http: StartedMessage['http'], nowMs: number): GateAction[] {
+		return this.act(nowMs, () => {
+			const job = this.jobs.get(dispatchId);
+			if (job?.startedMs !== undefined) {
+				this.tell(job, {
+					type: 'started', dispatchId, queueMs: job.startedMs - job.arrivedMs, ...(http && {http}),
+				});
+			}
+		});
+	}
+
+	/**
+	The upstream gave a piece of its answer.
+	@param dispatchId - which.
+	@param units - tokens, or 1 for a piece of bytes.
+	@param data - the piece.
+	@param nowMs - the time.
+	*/
+	callPiece(dispatchId: string, units: number, data: Uint8Array, nowMs: number): GateAction[] {
+		return this.act(nowMs, () => {
+			const job = this.jobs.get(dispatchId);
+			if (!job || job.isAborted) {
+				return;
+			}
+
+			this.tell(job, {
+				type: 'chunk', dispatchId, sequence: job.units, units, data,
+			});
+			job.units += units;
+			job.digest = extendDigest(job.digest, data);
+			job.credit--;
+			if (job.credit === 0) {
+				this.actions.push({type: 'flow', dispatchId, isOpen: false});
+			}
+		});
+	}
+
+	/**
+	The call to the upstream has ended.
+	@param dispatchId - which.
+	@param end - how.
+	@param nowMs - the time.
+	*/
+	callEnded(dispatchId: string, end: CallEnd, nowMs: number): GateAction[] {
+		return this.act(nowMs, () => {
+			const job = this.jobs.get(dispatchId);
+			if (job?.startedMs === undefined) {
+				return;
+			}
+
+			this.running--;
+			if (end.state === 'notRun' && job.units === resumeOffsetOf(job.dispatch)) {
+				this.refuseJob(job, refusalReasons.unreachable, nowMs);
+				return;
+			}
+
+			const runMs = nowMs - job.startedMs;
+			if (end.state === endStates.completed) {
+				this.serviceMs += 0.2 * (runMs - this.serviceMs);
+			}
+
+			this.jobs.delete(dispatchId);
+			job.endedMs = nowMs;
+			this.tell(job, {
+				type: 'end',
+				dispatchId,
+				state: end.state === 'notRun' ? endStates.failed : end.state,
+				units: job.units,
+				digest: job.digest,
+				runMs,
+				...(end.reason !== undefined && {reason: end.reason.slice(0, 500)}),
+				load: this.load,
+			});
+			this.remember(dispatchId, job.dispatch.isRepeatable ? undefined : job);
+		});
+	}
+
+	/** Time has passed: drops what can no longer start, ends orphans, forgets old results. */
+	tick(nowMs: number): GateAction[] {
+		return this.act(nowMs, () => {
+			for (const job of this.queue.items()) {
+				if (nowMs >= job.startByMs) {
+					this.queue.remove(job);
+					this.refuseJob(job, refusalReasons.outOfTime, nowMs);
+				}
+			}
+
+			for (const job of this.jobs.values()) {
+				const isOrphan = job.orphanedMs !== undefined && nowMs - job.orphanedMs >= orphanGraceMs;
+				if (isOrphan && job.dispatch.isRepeatable) {
+					this.abort(job);
+				}
+			}
+
+			for (const [dispatchId, job] of this.ended) {
+				if (job?.endedMs !== undefined && nowMs - job.endedMs > keptResultMs) {
+					this.ended.set(dispatchId, undefined);
+				}
+			}
+		});
+	}
+
+	private act(nowMs: number, run: () => void): GateAction[] {
+		this.actions = [];
+		run();
+		this.startNext(nowMs);
+		return this.actions;
+	}
+
+	private startNext(nowMs: number): void {
+		while (this.running < this.limits.slots) {
+			const job = this.queue.pop();
+			if (!job) {
+				return;
+			}
+
+			if (nowMs >= job.startByMs) {
+				this.refuseJob(job, refusalReasons.outOfTime, nowMs);
+				continue;
+			}
+
+			job.startedMs = nowMs;
+			this.running++;
+			this.actions.push({type: 'start', dispatch: job.dispatch});
+		}
+	}
+
+	private refusalOf(dispatch: DispatchMessage, isStale: boolean): RefusalReason | undefined {
+		if (this.isLeavingNow) {
+			return refusalReasons.leaving;
+		}
+
+		if (isStale) {
+			return refusalReasons.stale;
+		}
+
+		if (dispatch.startWithinMs <= 0) {
+			return refusalReasons.outOfTime;
+		}
+
+		return this.queue.size >= this.limits.maxQueue && this.running >= this.limits.slots ? refusalReasons.queueFull : undefined;
+	}
+
+	private refuseJob(job: Job, reason: RefusalReason, nowMs: number): void {
+		const {dispatchId} = job.dispatch;
+		this.jobs.delete(dispatchId);
+		job.endedMs = nowMs;
+		this.tell(job, {
+			type: 'refused', dispatchId, reason, load: this.load,
+		});
+		this.remember(dispatchId, job.dispatch.isRepeatable ? undefined : job);
+	}
+
+	private abort(job: Job): void {
+		if (!job.isAborted) {
+			job.isAborted = true;
+			this.actions.push({type: 'abort', dispatchId: job.dispatch.dispatchId});
+		}
+	}
+
+	private tell(job: Job, message: Message): void {
+		if (!job.dispatch.isRepeatable) {
+			job.sent.push(message);
+		}
+
+		if (job.connectionId !== undefined) {
+			this.send(job.connectionId, message);
+		}
+	}
+
+	private send(connectionId: number, message: Message): void {
+		this.actions.push({type: 'send', connectionId, message});
+	}
+
+	private remember(dispatchId: string, job: Job | undefined): void {
+		this.ended.set(dispatchId, job);
+		if (this.ended.size > rememberedIds) {
+			const [oldest] = this.ended.keys();
+			this.ended.delete(oldest);
+		}
+	}
+}
+
+/** What waits in a gate's queue. */
+export type GateJob = Job;
+
+function makeJob(connectionId: number, dispatch: DispatchMessage, nowMs: number): Job {
+	const isInTime = dispatch.dueInMs > 0;
+	return {
+		dispatch,
+		connectionId,
+		arrivedMs: nowMs,
+		startByMs: nowMs + dispatch.startWithinMs,
+		startedMs: undefined,
+		orphanedMs: undefined,
+		isAborted: false,
+		credit: dispatch.creditChunks,
+		units: resumeOffsetOf(dispatch),
+		digest: 0,
+		sent: [],
+		endedMs: undefined,
+		workspace: dispatch.workspace,
+		weight: dispatch.weight,
+		// Work in time before late work, later stages before first ones: they have been paid for.
+		rank: (isInTime ? inTimeRank : 0) + dispatch.stageIndex,
+		dueMs: nowMs + dispatch.dueInMs,
+	};
+}
+
+function resumeOffsetOf(dispatch: DispatchMessage): number {
+	return dispatch.call.kind === 'generate' ? dispatch.call.resumeOffset : 0;
+}
--- /dev/null
+++ b/src/request/common/request-machine.ts
@@ -0,0 +1,385 @@
+/** The life of one request at its entry: events and time in, actions out; nothing else decides. */
+import {extendDigest} from '../../base/common/hash.js';
+import type {RequestAction, RequestEvent} from './request-events.js';
+import {
+	attemptStates, failureCodes, outcomes, type FailureCode, type RequestOutcome, type RequestPlan, type RequestResult,
+} from './request-plan.js';
+import type {RequestRouter} from './request-router.js';
+import {StageRun} from './stage-run.js';
+
+/** How long after the deadline agents may take to prove that they started nothing. */
+export const proofGraceMs = 150;
+/** How long the fate of work that may not be repeated is followed after its caller was told `unknown`. */
+export const settleMs = 60_000;
+
+const retryAfterMs = 500;
+
+type Phase = 'new' | 'claiming' | 'running' | 'proving' | 'settling' | 'closed';
+
+type Ending = {
+	readonly outcome: RequestOutcome;
+	readonly message: string;
+	readonly nowMs: number;
+	readonly code?: FailureCode;
+	/** The run of the last stage, where the request completed. */
+	readonly last?: StageRun;
+};
+
+/** Drives one request. */
+export class RequestMachine {
+	/**
+	Makes the machine; nothing happens before the `start` event.
+	@param plan - what to do.
+	@param router - decisions about upstreams.
+	*/
+	static create(plan: RequestPlan, router: RequestRouter): RequestMachine {
+		return new RequestMachine(plan, router);
+	}
+
+	private phase: Phase = 'new';
+	private readonly runs: StageRun[] = [];
+	private actions: RequestAction[] = [];
+	private proveByMs = Infinity;
+	private settleByMs = Infinity;
+
+	private constructor(readonly plan: RequestPlan, private readonly router: RequestRouter) {}
+
+	get isClosed(): boolean {
+		return this.phase === 'closed';
+	}
+
+	/** Time at which the machine wants a tick; Infinity if none. */
+	get wakeAtMs(): number {
+		switch (this.phase) {
+			case 'claiming': {
+				return this.plan.deadlineMs;
+			}
+
+			case 'running': {
+				const run = this.current;
+				const ownMs = run && !run.hasStarted && this.runs.length === 1 ? this.plan.deadlineMs : this.plan.giveUpMs;
+				return Math.min(ownMs, run?.wakeAtMs ?? Infinity);
+			}
+
+			case 'proving': {
+				return this.proveByMs;
+			}
+
+			case 'settling': {
+				return this.settleByMs;
+			}
+
+			default: {
+				return Infinity;
+			}
+		}
+	}
+
+	/**
+	Takes an event.
+	@param event - what happened.
+	@param nowMs - the time.
+	@returns what to do now, in order.
+	*/
+	handle(event: RequestEvent, nowMs: number): RequestAction[] {
+		this.actions = [];
+		if (!this.isClosed) {
+			this.accept(event, nowMs);
+			this.advance(nowMs);
+		}
+
+		return this.actions;
+	}
+
+	private get current(): StageRun | undefined {
+		return this.runs.at(-1);
+	}
+
+	private get mayHaveRun(): boolean {
+		return this.runs.some(run => run.mayHaveRun);
+	}
+
+	private accept(event: RequestEvent, nowMs: number): void {
+		switch (event.type) {
+			case 'start': {
+				this.start(nowMs);
+				break;
+			}
+
+			case 'claimed': {
+				if (this.phase === 'claiming') {
+					this.beginFirst(nowMs);
+				}
+
+				break;
+			}
+
+			case 'claimRefused': {
+				this.finishWith(event.code, event.message, nowMs);
+				break;
+			}
+
+			case 'callerGone': {
+				this.callerGone(nowMs);
+				break;
+			}
+
+			case 'tick': {
+				this.tick(nowMs);
+				break;
+			}
+
+			default: {
+				this.acceptForStage(event, nowMs);
+			}
+		}
+	}
+
+	private acceptForStage(event: RequestEvent, nowMs: number): void {
+		const run = this.current;
+		switch (event.type) {
+			case 'notSent': {
+				run?.notSent(event.dispatchId, nowMs);
+				break;
+			}
+
+			case 'refused': {
+				run?.refused(event, nowMs);
+				break;
+			}
+
+			case 'started': {
+				run?.started(event, nowMs);
+				break;
+			}
+
+			case 'chunk': {
+				run?.chunk(event, nowMs);
+				break;
+			}
+
+			case 'end': {
+				run?.ended(event, nowMs);
+				break;
+			}
+
+			case 'connectionLost': {
+				run?.connectionLost(event.upstreamId, nowMs);
+				break;
+			}
+
+			case 'reconnected': {
+				run?.reconnected(event.upstreamId);
+				break;
+			}
+
+			case 'incarnationGone': {
+				run?.incarnationGone(event.upstreamId, nowMs);
+				break;
+			}
+
+			case 'candidatesChanged': {
+				run?.candidatesChanged(nowMs);
+				break;
+			}
+
+			default: {
+				break;
+			}
+		}
+	}
+
+	private start(nowMs: number): void {
+		if (nowMs + this.router.optimisticMs(this.plan.stages) > this.plan.deadlineMs) {
+			this.finishWith(failureCodes.deadlineUnreachable, 'the stages take longer than the deadline leaves', nowMs);
+		} else if (this.plan.needsClaim) {
+			this.phase = 'claiming';
+			this.actions.push({type: 'claim'});
+		} else {
+			this.beginFirst(nowMs);
+		}
+	}
+
+	private beginFirst(nowMs: number): void {
+		this.phase = 'running';
+		this.beginStage(0, this.plan.input, nowMs);
+	}
+
+	private beginStage(index: number, input: Uint8Array, nowMs: number): void {
+		const {plan, router} = this;
+		const remainingMs = router.optimisticMs(plan.stages.slice(index));
+		// What has started may end late; what has not is never started past its deadline.
+		const latestMs = index === 0 ? plan.deadlineMs : plan.giveUpMs;
+		const run = StageRun.create({
+			plan,
+			router,
+			input,
+			stage: plan.stages[index],
+			startByMs: latestMs - remainingMs,
+			isLast: index === plan.stages.length - 1,
+			startMs: nowMs,
+			emit: action => {
+				this.actions.push(action);
+			},
+		});
+		this.runs.push(run);
+		if (nowMs > latestMs - remainingMs) {
+			this.finishWith(failureCodes.deadlineExceeded, `stage "${run.stage.name}" can no longer end in time`, nowMs);
+		} else {
+			run.begin(nowMs);
+		}
+	}
+
+	private tick(nowMs: number): void {
+		if (this.phase === 'settling' && nowMs >= this.settleByMs) {
+			this.settle(nowMs);
+		} else if (this.phase === 'proving' && nowMs >= this.proveByMs) {
+			this.finishWith(failureCodes.deadlineExceeded, 'the deadline has passed', nowMs);
+		} else if (this.phase === 'claiming' && nowMs >= this.plan.deadlineMs) {
+			this.finishWith(failureCodes.deadlineExceeded, 'the deadline passed before the request was registered', nowMs);
+		} else if (this.phase === 'running') {
+			this.tickRunning(nowMs);
+		}
+	}
+
+	private tickRunning(nowMs: number): void {
+		const run = this.current!;
+		run.tick(nowMs);
+		if (run.status.type === 'done' || run.status.type === 'failed') {
+			return;
+		}
+
+		const isUnstarted = this.runs.length === 1 && !run.hasStarted;
+		if (nowMs >= this.plan.giveUpMs) {
+			this.finishWith(failureCodes.deadlineExceeded, 'the deadline and the time allowed past it are over', nowMs);
+		} else if (isUnstarted && nowMs >= this.plan.deadlineMs) {
+			this.prove(nowMs);
+		}
+	}
+
+	/** Past the deadline nothing is known to have started: ask the agents to confirm it. */
+	private prove(nowMs: number): void {
+		this.phase = 'proving';
+		this.proveByMs = nowMs + proofGraceMs;
+		this.current!.cancelLive();
+	}
+
+	private advance(nowMs: number): void {
+		if (this.phase === 'settling') {
+			if (!this.runs.some(run => run.hasLive)) {
+				this.settle(nowMs);
+			}
+
+			return;
+		}
+
+		while (this.phase === 'running' || this.phase === 'proving') {
+			const run = this.current!;
+			if (run.status.type === 'failed') {
+				this.finishWith(run.status.code, run.status.message, nowMs);
+			} else if (run.status.type !== 'done') {
+				if (this.phase === 'proving' && !run.hasLive) {
+					this.finishWith(failureCodes.deadlineExceeded, 'the deadline has passed', nowMs);
+				}
+
+				return;
+			} else if (this.runs.length < this.plan.stages.length) {
+				this.phase = 'running';
+				this.beginStage(this.runs.length, run.body, nowMs);
+			} else {
+				this.complete(run, nowMs);
+			}
+		}
+	}
+
+	private complete(run: StageRun, nowMs: number): void {
+		this.finish(this.resultOf({
+			outcome: outcomes.completed, message: 'completed', nowMs, last: run,
+		}));
+		this.close();
+	}
+
+	private finishWith(code: FailureCode, message: string, nowMs: number): void {
+		if (this.phase === 'settling' || this.phase === 'closed') {
+			return;
+		}
+
+		if (this.plan.isRepeatable) {
+			for (const run of this.runs) {
+				run.abandon(nowMs);
+			}
+		}
+
+		this.finish(this.resultOf({
+			outcome: this.failedOutcome(), message, nowMs, code,
+		}));
+		if (this.runs.some(run => run.hasLive)) {
+			// Not repeatable and still running somewhere: cancelling takes back only what has not started.
+			this.phase = 'settling';
+			this.settleByMs = nowMs + settleMs;
+			this.current!.stopRecovery();
+			this.current!.cancelLive();
+		} else {
+			this.close();
+		}
+	}
+
+	private failedOutcome(): RequestOutcome {
+		if (!this.mayHaveRun) {
+			return outcomes.refused;
+		}
+
+		const isUnsettled = this.runs.some(run => run.attempts.some(attempt => attempt.isLive || attempt.state === attemptStates.unknown));
+		return !this.plan.isRepeatable && isUnsettled ? outcomes.unknown : outcomes.failed;
+	}
+
+	private callerGone(nowMs: number): void {
+		if (this.plan.isRepeatable || !this.mayHaveRun) {
+			this.finishWith(failureCodes.callerGone, 'the caller went away', nowMs);
+		}
+		// Work that may not be repeated goes on, so that a repeat of the request learns its end.
+	}
+
+	private settle(nowMs: number): void {
+		for (const run of this.runs) {
+			run.abandon(nowMs);
+		}
+
+		const run = this.current!;
+		const isComplete = run.status.type === 'done' && this.runs.length === this.plan.stages.length;
+		this.actions.push({type: 'settle', outcome: isComplete ? outcomes.completed : this.failedOutcome()});
+		this.close();
+	}
+
+	private finish(result: RequestResult): void {
+		this.actions.push({type: 'finish', result});
+	}
+
+	private close(): void {
+		this.phase = 'closed';
+		this.actions.push({type: 'close'});
+	}
+
+	private resultOf({outcome, message, nowMs, code, last}: Ending): RequestResult {
+		const body = last?.body ?? new Uint8Array(0);
+		const isNotRun = outcome === outcomes.refused;
+		return {
+			outcome,
+			isNotRun,
+			...(code && {code}),
+			message,
+			...(isNotRun && isWorthRetrying(code) && {retryAfterMs}),
+			isLate: nowMs > this.plan.deadlineMs,
+			tookMs: nowMs - this.plan.startMs,
+			units: last?.unitCount ?? 0,
+			digest: extendDigest(0, body),
+			body,
+			...(last?.http && {http: last.http}),
+			stages: this.runs.map(run => run.trace()),
+		};
+	}
+}
+
+function isWorthRetrying(code: FailureCode | undefined): boolean {
+	return code !== failureCodes.duplicateRequest && code !== failureCodes.callerGone;
+}
--- /dev/null
+++ b/src/request/common/request-plan.ts
@@ -0,0 +1,111 @@
+/** What one request is to do, and how it ended. */
+import type {EffectivePolicy, StageKind} from '../../settings/common/schema.js';
+import type {Header, HttpCall} from '../../wire/common/messages.js';
+
+/** One stage of a request, with everything inherited. */
+export type StagePlan = {
+	readonly name: string;
+	readonly index: number;
+	readonly kind: StageKind | 'http';
+	readonly pool: string;
+	/** Calls one upstream of the pool runs at once where it does not say. */
+	readonly slots: number;
+	/** Names the stage in estimates and budgets. */
+	readonly key: string;
+	readonly policy: EffectivePolicy;
+};
+
+/** Everything the request machine needs to know at the start. */
+export type RequestPlan = {
+	readonly requestId: string;
+	readonly workspace: string;
+	/** The pipeline, or the service of a plain call. */
+	readonly pipeline: string;
+	readonly stages: readonly StagePlan[];
+	readonly policy: EffectivePolicy;
+	readonly isRepeatable: boolean;
+	readonly needsClaim: boolean;
+	/** Whether units of the last stage go to the caller as they come. */
+	readonly isStreaming: boolean;
+	readonly startMs: number;
+	readonly deadlineMs: number;
+	/** Latest time of a final answer. */
+	readonly giveUpMs: number;
+	readonly input: Uint8Array;
+	readonly http?: HttpCall;
+	readonly prefixHash: number;
+	readonly seed: number;
+};
+
+/** How a request ended, as told to its caller. */
+export const outcomes = {
+	completed: 'completed', refused: 'refused', failed: 'failed', unknown: 'unknown',
+} as const;
+export type RequestOutcome = typeof outcomes[keyof typeof outcomes];
+
+/** Why a request did not complete; stable, and listed in docs/API.md. */
+export const failureCodes = {
+	deadlineUnreachable: 'deadlineUnreachable',
+	deadlineExceeded: 'deadlineExceeded',
+	noUpstream: 'noUpstream',
+	overloaded: 'overloaded',
+	storeUnavailable: 'storeUnavailable',
+	duplicateRequest: 'duplicateRequest',
+	attemptsExhausted: 'attemptsExhausted',
+	upstreamFailed: 'upstreamFailed',
+	upstreamRejected: 'upstreamRejected',
+	resultUnknown: 'resultUnknown',
+	callerGone: 'callerGone',
+	stopping: 'stopping',
+} as const;
+export type FailureCode = typeof failureCodes[keyof typeof failureCodes];
+
+/** How one attempt ended. */
+export const attemptStates = {
+	sent: 'sent', started: 'started', notRun: 'notRun', completed: 'completed', failed: 'failed', unknown: 'unknown',
+} as const;
+export type AttemptState = typeof attemptStates[keyof typeof attemptStates];
+
+/** One attempt, as explained to operators. */
+export type AttemptTrace = {
+	readonly upstreamId: string;
+	readonly state: AttemptState;
+	readonly reason: string;
+	readonly kind: 'first' | 'retry' | 'hedge' | 'resume';
+	readonly sentAtMs: number;
+	readonly queueMs: number;
+	readonly runMs: number;
+	readonly units: number;
+	readonly candidates: ReadonlyArray<{readonly upstreamId: string; readonly scoreMs: number}>;
+};
+
+/** One stage, as explained to operators. */
+export type StageTrace = {
+	readonly stage: string;
+	readonly heldMs: number;
+	readonly tookMs: number;
+	readonly attempts: readonly AttemptTrace[];
+	/** Upstream time that went into the answer. */
+	readonly usefulMs: number;
+	/** Upstream time that did not: failed, lost, cancelled. */
+	readonly wastedMs: number;
+};
+
+/** The end of a request. */
+export type RequestResult = {
+	readonly outcome: RequestOutcome;
+	/** True only where every attempt is known not to have run. */
+	readonly isNotRun: boolean;
+	readonly code?: FailureCode;
+	readonly message: string;
+	readonly retryAfterMs?: number;
+	readonly isLate: boolean;
+	readonly tookMs: number;
+	/** Units and chained digest of the whole answer. */
+	readonly units: number;
+	readonly digest: number;
+	/** The answer; already delivered where the request was streaming. */
+	readonly body: Uint8Array;
+	readonly http?: {readonly status: number; readonly headers: readonly Header[]};
+	readonly stages: readonly StageTrace[];
+};
--- /dev/null
+++ b/src/request/common/request-router.ts
@@ -0,0 +1,33 @@
+/** What the request machine asks of routing; one implementation in the entry, small ones in tests. */
+import type {Choice} from '../../routing/common/chooser.js';
+import type {Attempt} from './attempt.js';
+import type {StagePlan} from './request-plan.js';
+
+/** Decisions about upstreams, and what is learnt from attempts. */
+export type RequestRouter = {
+	/**
+	Chooses an upstream.
+	@param stage - the stage to run.
+	@param excluded - upstreams not to choose.
+	@param prefixHash - the shared part of the input.
+	@param nowMs - the time.
+	@returns the choice, or nothing where no upstream may be chosen.
+	*/
+	choose(stage: StagePlan, excluded: ReadonlySet<string>, prefixHash: number, nowMs: number): Choice | undefined;
+	/** @returns whether a retry of this stage is within the budget; it is then paid for. */
+	mayRetry(stage: StagePlan): boolean;
+	/** @returns after how long an attempt is hedged, or nothing where it is not. */
+	hedgeDelayMs(stage: StagePlan): number | undefined;
+	/** @returns whether a hedge of this stage is within the budget; it is then paid for. */
+	mayHedge(stage: StagePlan): boolean;
+	/** @returns the time that even a lucky run of these stages takes. */
+	optimisticMs(stages: readonly StagePlan[]): number;
+	/** An attempt was sent. */
+	didDispatch(stage: StagePlan, attempt: Attempt, prefixHash: number, nowMs: number): void;
+	/** An attempt has ended; called once for each that was sent. */
+	didEnd(stage: StagePlan, attempt: Attempt, nowMs: number): void;
+	/** A stage was completed. */
+	didComplete(stage: StagePlan, tookMs: number): void;
+	/** @returns an id that no other dispatch has. */
+	newDispatchId(): string;
+};
--- /dev/null
+++ b/src/request/common/stage-run.ts
@@ -0,0 +1,533 @@
+/** The run of one stage: attempts, hedges, resumption, and its single result. */
+import {
+	refusalReasons, type ChunkMessage, type EndMessage, type RefusedMessage, type StartedMessage, type UpstreamCall,
+} from '../../wire/common/messages.js';
+import {Attempt, creditWindow} from './attempt.js';
+import type {RequestAction} from './request-events.js';
+import {
+	attemptStates, failureCodes, type AttemptState, type AttemptTrace, type FailureCode, type RequestPlan, type StagePlan, type StageTrace,
+} from './request-plan.js';
+import type {RequestRouter} from './request-router.js';
+
+const holdRetryMs = 20;
+const maxAnswerBytes = 32 * 1024 * 1024;
+
+/** Where a stage stands. */
+export type StageStatus
+	= | {readonly type: 'holding'}
+		| {readonly type: 'running'}
+		| {readonly type: 'done'}
+		| {readonly type: 'failed'; readonly code: FailureCode; readonly message: string};
+
+/** What a stage run needs. */
+export type StageRunOptions = {
+	readonly plan: RequestPlan;
+	readonly stage: StagePlan;
+	readonly input: Uint8Array;
+	readonly router: RequestRouter;
+	/** Latest time at which the stage may start on an upstream. */
+	readonly startByMs: number;
+	readonly isLast: boolean;
+	readonly emit: (action: RequestAction) => void;
+	readonly startMs: number;
+};
+
+/** Runs one stage to one result, whatever its attempts do. */
+export class StageRun {
+	static create(options: StageRunOptions): StageRun {
+		return new StageRun(options);
+	}
+
+	status: StageStatus = {type: 'holding'};
+	readonly attempts: Attempt[] = [];
+	private readonly byId = new Map<string, Attempt>();
+	/** The attempt whose units count, once one has delivered. */
+	private leader: Attempt | undefined;
+	private pieces: Uint8Array[] = [];
+	private sizeBytes = 0;
+	private units = 0;
+	private heldMs = 0;
+	private holdingSinceMs: number;
+	private retryAtMs = Infinity;
+	private endMs = 0;
+	private isRecoveryOver = false;
+
+	private constructor(private readonly options: StageRunOptions) {
+		this.holdingSinceMs = options.startMs;
+	}
+
+	get stage(): StagePlan {
+		return this.options.stage;
+	}
+
+	get body(): Uint8Array {
+		return concat(this.pieces);
+	}
+
+	get unitCount(): number {
+		return this.units;
+	}
+
+	get http(): Attempt['http'] {
+		return this.leader?.http;
+	}
+
+	get hasLive(): boolean {
+		return this.attempts.some(attempt => attempt.isLive);
+	}
+
+	/** Whether any attempt may have run. */
+	get mayHaveRun(): boolean {
+		return this.attempts.some(attempt => attempt.mayHaveRun);
+	}
+
+	/** Whether any attempt is known to have started. */
+	get hasStarted(): boolean {
+		return this.attempts.some(attempt => attempt.state !== attemptStates.sent && attempt.state !== attemptStates.notRun);
+	}
+
+	/** Next time at which a tick has something to do. */
+	get wakeAtMs(): number {
+		if (this.status.type === 'holding') {
+			return Math.min(this.retryAtMs, this.holdUntilMs);
+		}
+
+		let wakeMs = Infinity;
+		for (const attempt of this.attempts) {
+			if (attempt.isLive) {
+				wakeMs = Math.min(wakeMs, this.timeoutAtMs(attempt), this.hedgeAtMs(attempt));
+			}
+		}
+
+		return wakeMs;
+	}
+
+	begin(nowMs: number): void {
+		this.dispatch('first', nowMs);
+	}
+
+	tick(nowMs: number): void {
+		if (this.status.type === 'holding') {
+			this.tryAgain(nowMs);
+			return;
+		}
+
+		for (const attempt of this.attempts.filter(item => item.isLive)) {
+			if (nowMs >= this.timeoutAtMs(attempt)) {
+				this.cancel(attempt);
+				this.end(attempt, attemptStates.unknown, 'timeout', nowMs);
+				this.recover(failureCodes.upstreamFailed, 'the upstream fell silent', nowMs);
+			} else if (nowMs >= this.hedgeAtMs(attempt)) {
+				this.hedge(nowMs);
+			}
+		}
+	}
+
+	candidatesChanged(nowMs: number): void {
+		if (this.status.type === 'holding') {
+			this.tryAgain(nowMs);
+		}
+	}
+
+	notSent(dispatchId: string, nowMs: number): void {
+		const attempt = this.live(dispatchId);
+		if (attempt) {
+			this.end(attempt, attemptStates.notRun, 'notSent', nowMs);
+			this.recover(failureCodes.noUpstream, 'the connection was lost before sending', nowMs);
+		}
+	}
+
+	refused(message: RefusedMessage, nowMs: number): void {
+		const attempt = this.live(message.dispatchId);
+		if (!attempt || attempt.state === attemptStates.started) {
+			return;
+		}
+
+		this.end(attempt, attemptStates.notRun, message.reason, nowMs);
+		if (message.reason === refusalReasons.outOfTime && nowMs >= this.options.startByMs) {
+			this.failUnlessLive(failureCodes.deadlineExceeded, 'no upstream could start the work in time');
+		} else {
+			this.recover(failureCodes.overloaded, `upstreams refused: ${message.reason}`, nowMs);
+		}
+	}
+
+	started(message: StartedMessage, nowMs: number): void {
+		const attempt = this.live(message.dispatchId);
+		if (attempt) {
+			attempt.state = attemptStates.started;
+			attempt.heardMs = nowMs;
+			attempt.queueMs = message.queueMs;
+			attempt.http = message.http ?? attempt.http;
+		}
+	}
+
+	chunk(message: ChunkMessage, nowMs: number): void {
+		const attempt = this.live(message.dispatchId);
+		if (!attempt || this.isOvertaken(attempt) || !attempt.take(message)) {
+			return;
+		}
+
+		attempt.heardMs = nowMs;
+		const chunks = attempt.takeCredit();
+		if (chunks > 0) {
+			const {upstreamId, dispatchId} = attempt.options;
+			this.options.emit({
+				type: 'credit', upstreamId, dispatchId, chunks,
+			});
+		}
+
+		if (this.isGenerating) {
+			this.follow(attempt, nowMs);
+			this.pieces.push(message.data);
+			this.units += message.units;
+			if (this.options.isLast && this.options.plan.isStreaming) {
+				this.options.emit({type: 'deliver', units: message.units, data: message.data});
+			}
+		}
+
+		this.sizeBytes += message.data.byteLength;
+		if (this.sizeBytes > maxAnswerBytes) {
+			this.cancel(attempt);
+			this.end(attempt, attemptStates.failed, 'answerTooLarge', nowMs);
+			this.failUnlessLive(failureCodes.upstreamFailed, `the answer is larger than ${maxAnswerBytes} bytes`);
+		}
+	}
+
+	ended(message: EndMessage, nowMs: number): void {
+		const attempt = this.live(message.dispatchId);
+		if (!attempt) {
+			return;
+		}
+
+		attempt.runMs = message.runMs;
+		if (message.state !== attemptStates.completed) {
+			this.end(attempt, message.state, message.reason ?? 'failed', nowMs);
+			this.recover(failureCodes.upstreamFailed, message.reason ?? 'the upstream failed', nowMs);
+		} else if (attempt.isWhole(message)) {
+			this.end(attempt, attemptStates.completed, '', nowMs);
+			this.complete(attempt, nowMs);
+		} else {
+			// The end mark names more than has come: the stream was cut on its way.
+			this.end(attempt, attemptStates.unknown, 'incomplete', nowMs);
+			this.recover(failureCodes.upstreamFailed, 'the answer came incomplete', nowMs);
+		}
+	}
+
+	connectionLost(upstreamId: string, nowMs: number): void {
+		if (!this.options.plan.isRepeatable) {
+			// The agent goes on; it is asked once it is back.
+			return;
+		}
+
+		this.loseAttempts(upstreamId, 'connectionLost', nowMs);
+	}
+
+	incarnationGone(upstreamId: string, nowMs: number): void {
+		this.loseAttempts(upstreamId, 'agentGone', nowMs);
+	}
+
+	reconnected(upstreamId: string): void {
+		for (const attempt of this.attempts) {
+			if (attempt.isLive && attempt.options.upstreamId === upstreamId) {
+				this.options.emit({type: 'query', upstreamId, dispatchId: attempt.options.dispatchId});
+			}
+		}
+	}
+
+	/**
+	Cancels what still runs, and counts it as unknown; used once the request's answer is settled.
+	@param nowMs - the time.
+	*/
+	abandon(nowMs: number): void {
+		for (const attempt of this.attempts) {
+			if (attempt.isLive) {
+				this.cancel(attempt);
+				this.end(attempt, attemptStates.unknown, 'abandoned', nowMs);
+			}
+		}
+	}
+
+	/** Asks agents to give up what they have not started. */
+	cancelLive(): void {
+		for (const attempt of this.attempts) {
+			if (attempt.isLive) {
+				this.cancel(attempt);
+			}
+		}
+	}
+
+	trace(): StageTrace {
+		const traces = this.attempts.map(attempt => attempt.trace());
+		const useful = new Set(this.attempts.filter(attempt => this.isUseful(attempt)));
+		const sum = (isUseful: boolean) => this.attempts
+			.filter(attempt => useful.has(attempt) === isUseful)
+			.reduce((total, attempt) => total + attempt.runMs, 0);
+		return {
+			stage: this.stage.name,
+			heldMs: this.heldMs,
+			tookMs: Math.max(0, this.endMs - this.options.startMs),
+			attempts: traces,
+			usefulMs: sum(true),
+			wastedMs: sum(false),
+		};
+	}
+
+	/** From now on a lost attempt is not made up for: the request's answer is settled. */
+	stopRecovery(): void {
+		this.isRecoveryOver = true;
+	}
+
+	private get isGenerating(): boolean {
+		return this.stage.kind === 'generate';
+	}
+
+	private get holdUntilMs(): number {
+		return Math.min(this.holdingSinceMs + this.stage.policy.holdMs, this.options.startByMs);
+	}
+
+	private isUseful(attempt: Attempt): boolean {
+		return this.status.type === 'done' && (attempt === this.leader || (this.isGenerating && attempt.pieces.length > 0));
+	}
+
+	/** Another attempt's units count already. */
+	private isOvertaken(attempt: Attempt): boolean {
+		return this.isGenerating && this.leader !== undefined && this.leader !== attempt;
+	}
+
+	private live(dispatchId: string): Attempt | undefined {
+		const attempt = this.byId.get(dispatchId);
+		return attempt?.isLive ? attempt : undefined;
+	}
+
+	private timeoutAtMs(attempt: Attempt): number {
+		const isTimed = attempt.state === attemptStates.started && this.options.plan.isRepeatable;
+		return isTimed ? attempt.heardMs + this.stage.policy.timeoutMs : Infinity;
+	}
+
+	private hedgeAtMs(attempt: Attempt): number {
+		const isAlone = this.attempts.every(other => other === attempt || !other.isLive);
+		const mayHedge = isAlone && !this.leader && this.options.plan.isRepeatable
+			&& attempt.options.kind !== 'hedge' && this.attempts.length < this.stage.policy.maxAttempts;
+		const delayMs = mayHedge ? this.options.router.hedgeDelayMs(this.stage) : undefined;
+		return delayMs === undefined ? Infinity : attempt.options.sentAtMs + delayMs;
+	}
+
+	private hedge(nowMs: number): void {
+		if (this.options.router.mayHedge(this.stage)) {
+			this.dispatch('hedge', nowMs);
+		}
+	}
+
+	private follow(attempt: Attempt, nowMs: number): void {
+		if (this.leader === attempt) {
+			return;
+		}
+
+		this.leader = attempt;
+		this.dropOthers(attempt, nowMs);
+	}
+
+	private dropOthers(kept: Attempt, nowMs: number): void {
+		for (const other of this.attempts) {
+			if (other !== kept && other.isLive) {
+				this.cancel(other);
+				this.end(other, attemptStates.unknown, 'lostRace', nowMs);
+			}
+		}
+	}
+
+	private complete(attempt: Attempt, nowMs: number): void {
+		this.dropOthers(attempt, nowMs);
+		if (!this.isGenerating) {
+			this.pieces = [...attempt.pieces];
+			this.units = attempt.units;
+		}
+
+		this.leader = attempt;
+		this.endMs = nowMs;
+		this.status = {type: 'done'};
+		this.options.router.didComplete(this.stage, nowMs - this.options.startMs);
+	}
+
+	private loseAttempts(upstreamId: string, reason: string, nowMs: number): void {
+		let isLost = false;
+		for (const attempt of this.attempts) {
+			if (attempt.isLive && attempt.options.upstreamId === upstreamId) {
+				this.end(attempt, attemptStates.unknown, reason, nowMs);
+				isLost = true;
+			}
+		}
+
+		if (isLost) {
+			this.recover(failureCodes.resultUnknown, 'the upstream\'s agent was lost', nowMs);
+		}
+	}
+
+	/** After an attempt ended without the result: another one, if it may be. */
+	private recover(code: FailureCode, message: string, nowMs: number): void {
+		if (this.status.type !== 'running' || this.hasLive) {
+			return;
+		}
+
+		const last = this.attempts.at(-1)!;
+		const isFree = last.state === attemptStates.notRun;
+		if (this.leader && !this.leader.isLive) {
+			this.leader = undefined;
+		}
+
+		if (this.isRecoveryOver) {
+			this.fail(code, message);
+		} else if (!isFree && !this.options.plan.isRepeatable) {
+			const isUnknown = this.attempts.some(attempt => attempt.state === attemptStates.unknown);
+			this.fail(isUnknown ? failureCodes.resultUnknown : code, message);
+		} else if (this.attempts.length >= this.stage.policy.maxAttempts) {
+			this.fail(isFree ? failureCodes.overloaded : failureCodes.attemptsExhausted, message);
+		} else if (nowMs >= this.options.startByMs) {
+			this.fail(failureCodes.deadlineExceeded, message);
+		} else if (isFree || this.options.router.mayRetry(this.stage)) {
+			this.dispatch(this.units > 0 ? 'resume' : 'retry', nowMs);
+		} else {
+			this.fail(failureCodes.attemptsExhausted, `${message}; the retry budget is spent`);
+		}
+	}
+
+	private tryAgain(nowMs: number): void {
+		if (nowMs >= this.holdUntilMs) {
+			this.heldMs += nowMs - this.holdingSinceMs;
+			const isOutOfTime = nowMs >= this.options.startByMs;
+			this.fail(isOutOfTime ? failureCodes.deadlineExceeded : failureCodes.noUpstream, 'no upstream became available');
+		} else {
+			this.dispatch(this.attempts.length === 0 ? 'first' : 'retry', nowMs);
+		}
+	}
+
+	private dispatch(kind: AttemptTrace['kind'], nowMs: number): void {
+		const {plan, router} = this.options;
+		const tried = new Set(this.attempts.map(attempt => attempt.options.upstreamId));
+		const choice = router.choose(this.stage, tried, plan.prefixHash, nowMs)
+			// Trying the same one again beats not trying, unless a hedge was wanted.
+			?? (kind === 'hedge' || tried.size === 0 ? undefined : router.choose(this.stage, new Set(), plan.prefixHash, nowMs));
+		if (!choice) {
+			this.hold(kind, nowMs);
+			return;
+		}
+
+		this.leaveHold(nowMs);
+		const attempt = Attempt.create({
+			dispatchId: router.newDispatchId(),
+			upstreamId: choice.chosen.upstreamId,
+			kind,
+			sentAtMs: nowMs,
+			offset: this.isGenerating ? this.units : 0,
+			candidates: choice.scored.map(({candidate, scoreMs}) => ({upstreamId: candidate.upstreamId, scoreMs})),
+		});
+		this.attempts.push(attempt);
+		this.byId.set(attempt.options.dispatchId, attempt);
+		router.didDispatch(this.stage, attempt, plan.prefixHash, nowMs);
+		this.options.emit(this.dispatchAction(attempt, nowMs));
+	}
+
+	private hold(kind: AttemptTrace['kind'], nowMs: number): void {
+		if (kind === 'hedge') {
+			return;
+		}
+
+		if (this.status.type !== 'holding') {
+			this.status = {type: 'holding'};
+			this.holdingSinceMs = nowMs;
+		}
+
+		this.retryAtMs = nowMs + holdRetryMs;
+	}
+
+	private leaveHold(nowMs: number): void {
+		if (this.status.type === 'holding') {
+			this.heldMs += nowMs - this.holdingSinceMs;
+			this.status = {type: 'running'};
+		}
+	}
+
+	private dispatchAction(attempt: Attempt, nowMs: number): RequestAction {
+		const {plan, startByMs} = this.options;
+		return {
+			type: 'dispatch',
+			upstreamId: attempt.options.upstreamId,
+			message: {
+				type: 'dispatch',
+				dispatchId: attempt.options.dispatchId,
+				requestId: plan.requestId,
+				workspace: plan.workspace,
+				pipeline: plan.pipeline,
+				stage: this.stage.name,
+				stageIndex: this.stage.index,
+				startWithinMs: Math.max(0, startByMs - nowMs),
+				dueInMs: Math.max(0, plan.deadlineMs - nowMs),
+				isRepeatable: plan.isRepeatable,
+				weight: plan.policy.fairShare,
+				creditChunks: creditWindow,
+				call: this.callOf(attempt),
+			},
+		};
+	}
+
+	private callOf(attempt: Attempt): UpstreamCall {
+		const {plan, input} = this.options;
+		const {policy} = this.stage;
+		if (this.stage.kind === 'http' && plan.http) {
+			return plan.http;
+		}
+
+		if (this.stage.kind === 'run') {
+			return {kind: 'run', input};
+		}
+
+		return {
+			kind: 'generate',
+			model: policy.model ?? '',
+			...(policy.adapter !== undefined && {adapter: policy.adapter}),
+			...(policy.version !== undefined && {version: policy.version}),
+			prompt: input,
+			maxTokens: policy.maxTokens,
+			seed: plan.seed,
+			resumeOffset: attempt.options.offset,
+		};
+	}
+
+	private cancel(attempt: Attempt): void {
+		if (!attempt.isCancelled) {
+			attempt.isCancelled = true;
+			const {upstreamId, dispatchId} = attempt.options;
+			this.options.emit({type: 'cancel', upstreamId, dispatchId});
+		}
+	}
+
+	private end(attempt: Attempt, state: AttemptState, reason: string, nowMs: number): void {
+		if (attempt.state === attemptStates.started && attempt.runMs === 0) {
+			attempt.runMs = Math.max(0, nowMs - attempt.options.sentAtMs - attempt.queueMs);
+		}
+
+		attempt.finish(state, reason);
+		this.options.router.didEnd(this.stage, attempt, nowMs);
+	}
+
+	private failUnlessLive(code: FailureCode, message: string): void {
+		if (this.status.type === 'running' && !this.hasLive) {
+			this.fail(code, message);
+		}
+	}
+
+	private fail(code: FailureCode, message: string): void {
+		this.status = {type: 'failed', code, message};
+	}
+}
+
+function concat(pieces: readonly Uint8Array[]): Uint8Array {
+	const whole = new Uint8Array(pieces.reduce((sum, piece) => sum + piece.byteLength, 0));
+	let offset = 0;
+	for (const piece of pieces) {
+		whole.set(piece, offset);
+		offset += piece.byteLength;
+	}
+
+	return whole;
+}
--- /dev/null
+++ b/src/routing/common/decayed-histogram.ts
@@ -0,0 +1,71 @@
+/** Streaming quantiles that forget: logarithmic buckets whose counts decay. */
+
+const bucketsPerDoubling = 4;
+const bucketCount = 80;
+/** Counts are halved when they reach this, so the recent past weighs most. */
+const halveAt = 400;
+
+/** A histogram of durations from below a millisecond to about a quarter of an hour. */
+export class DecayedHistogram {
+	static create(): DecayedHistogram {
+		return new DecayedHistogram();
+	}
+
+	private readonly counts = new Float64Array(bucketCount);
+	private total = 0;
+
+	/** Samples that still weigh. */
+	get weight(): number {
+		return this.total;
+	}
+
+	/**
+	Adds a sample.
+	@param valueMs - a duration.
+	*/
+	record(valueMs: number): void {
+		this.counts[bucketOf(valueMs)]++;
+		this.total++;
+		if (this.total >= halveAt) {
+			this.halve();
+		}
+	}
+
+	/**
+	Gives the duration below which a share of the samples lies.
+	@param share - in [0, 1].
+	@returns the duration in milliseconds, or nothing where there are no samples.
+	*/
+	quantile(share: number): number | undefined {
+		if (this.total === 0) {
+			return undefined;
+		}
+
+		let left = share * this.total;
+		for (let bucket = 0; bucket < bucketCount; bucket++) {
+			left -= this.counts[bucket];
+			if (left <= 0 && this.counts[bucket] > 0) {
+				return valueOf(bucket);
+			}
+		}
+
+		return valueOf(bucketCount - 1);
+	}
+
+	private halve(): void {
+		this.total = 0;
+		for (let bucket = 0; bucket < bucketCount; bucket++) {
+			this.counts[bucket] = Math.floor(this.counts[bucket] / 2);
+			this.total += this.counts[bucket];
+		}
+	}
+}
+
+function bucketOf(valueMs: number): number {
+	const bucket = Math.floor(Math.log2(Math.max(valueMs, 1)) * bucketsPerDoubling);
+	return Math.min(bucketCount - 1, bucket);
+}
+
+function valueOf(bucket: number): number {
+	return 2 ** ((bucket + 0.5) / bucketsPerDoubling);
+}
--- /dev/null
+++ b/src/routing/common/fair-queue.ts
@@ -0,0 +1,144 @@
+/** Order of waiting work: classes first, then fair shares of workspaces, then the earliest due. */
+
+/** What the queue needs to know of an item. */
+export type QueueItem = {
+	readonly workspace: string;
+	readonly weight: number;
+	/** Higher goes first. */
+	readonly rank: number;
+	readonly dueMs: number;
+};
+
+/** Holds waiting work and gives the next. */
+export type WorkQueue<T extends QueueItem> = {
+	readonly size: number;
+	push(item: T): void;
+	/** @returns the next item, taken out, or nothing. */
+	pop(): T | undefined;
+	/** Takes an item out wherever it stands. */
+	remove(item: T): boolean;
+	items(): Iterable<T>;
+};
+
+type Flow<T> = {readonly items: T[]; startTag: number};
+
+/**
+Start-time fair queueing: each workspace's work advances its own tag by one call
+over its weight, and the lowest tag is served. Within a workspace the highest
+rank goes first, then the earliest due.
+*/
+export class FairQueue<T extends QueueItem> implements WorkQueue<T> {
+	static create<T extends QueueItem>(): FairQueue<T> {
+		return new FairQueue<T>();
+	}
+
+	private readonly flows = new Map<string, Flow<T>>();
+	private virtualTime = 0;
+	private count = 0;
+
+	get size(): number {
+		return this.count;
+	}
+
+	push(item: T): void {
+		const flow = this.flows.get(item.workspace) ?? {items: [], startTag: this.virtualTime};
+		if (flow.items.length === 0) {
+			flow.startTag = Math.max(flow.startTag, this.virtualTime);
+		}
+
+		const at = flow.items.findIndex(other => comesBefore(item, other));
+		flow.items.splice(at === -1 ? flow.items.length : at, 0, item);
+		this.flows.set(item.workspace, flow);
+		this.count++;
+	}
+
+	pop(): T | undefined {
+		let next: Flow<T> | undefined;
+		for (const flow of this.flows.values()) {
+			if (flow.items.length > 0 && (!next || isServedBefore(flow, next))) {
+				next = flow;
+			}
+		}
+
+		const item = next?.items.shift();
+		if (next && item) {
+			this.virtualTime = next.startTag;
+			next.startTag += 1 / item.weight;
+			this.count--;
+			this.dropIdleFlows();
+		}
+
+		return item;
+	}
+
+	remove(item: T): boolean {
+		const flow = this.flows.get(item.workspace);
+		const at = flow?.items.indexOf(item) ?? -1;
+		if (!flow || at === -1) {
+			return false;
+		}
+
+		flow.items.splice(at, 1);
+		this.count--;
+		return true;
+	}
+
+	* items(): Iterable<T> {
+		for (const flow of this.flows.values()) {
+			yield * flow.items;
+		}
+	}
+
+	/** An idle flow whose tag time has passed has no claim left to remember. */
+	private dropIdleFlows(): void {
+		for (const [workspace, flow] of this.flows) {
+			if (flow.items.length === 0 && flow.startTag <= this.virtualTime) {
+				this.flows.delete(workspace);
+			}
+		}
+	}
+}
+
+function comesBefore(item: QueueItem, other: QueueItem): boolean {
+	return item.rank === other.rank ? item.dueMs < other.dueMs : item.rank > other.rank;
+}
+
+function isServedBefore<T extends QueueItem>(flow: Flow<T>, other: Flow<T>): boolean {
+	const [first] = flow.items;
+	const [second] = other.items;
+	return first.rank === second.rank ? flow.startTag < other.startTag : first.rank > second.rank;
+}
+
+/** Baseline: first come, first served. */
+export class ArrivalQueue<T extends QueueItem> implements WorkQueue<T> {
+	static create<T extends QueueItem>(): ArrivalQueue<T> {
+		return new ArrivalQueue<T>();
+	}
+
+	private readonly waiting: T[] = [];
+
+	get size(): number {
+		return this.waiting.length;
+	}
+
+	push(item: T): void {
+		this.waiting.push(item);
+	}
+
+	pop(): T | undefined {
+		return this.waiting.shift();
+	}
+
+	remove(item: T): boolean {
+		const at = this.waiting.indexOf(item);
+		if (at !== -1) {
+			this.waiting.splice(at, 1);
+		}
+
+		return at !== -1;
+	}
+
+	items(): Iterable<T> {
+		return this.waiting;
+	}
+}
--- /dev/null
+++ b/src/routing/common/score-chooser.ts
@@ -0,0 +1,104 @@
+/** The product's chooser: the lowest predicted time among a few sampled candidates. */
+import type {Random} from '../../base/common/random.js';
+import type {
+	Candidate, Choice, ChoiceNeed, ScoredCandidate, UpstreamChooser,
+} from './chooser.js';
+import type {PrefixIndex} from './prefix-index.js';
+
+/** Weights of a score. */
+export type ScoreOptions = {
+	/** Candidates sampled for each choice; smaller pools are weighed whole. */
+	readonly sampleSize: number;
+	/** Added for an upstream in another hall. */
+	readonly otherHallMs: number;
+	/** Share of the answer time a prefix in the upstream's cache saves. */
+	readonly prefixSavingShare: number;
+	/** Added where model or adapter is not loaded, so that it is the last resort. */
+	readonly notLoadedMs: number;
+	/** Time over which a new upstream's score falls to its own. */
+	readonly warmUpMs: number;
+};
+
+export const defaultScoreOptions: ScoreOptions = {
+	sampleSize: 5, otherHallMs: 0.5, prefixSavingShare: 0.3, notLoadedMs: 60_000, warmUpMs: 5000,
+};
+
+/** Scores by predicted wait and answer time, less what a cached prefix saves. */
+export class ScoreChooser implements UpstreamChooser {
+	static create(random: Random, prefixes: PrefixIndex, options = defaultScoreOptions): ScoreChooser {
+		return new ScoreChooser(random, prefixes, options);
+	}
+
+	private constructor(
+		private readonly random: Random,
+		private readonly prefixes: PrefixIndex,
+		private readonly options: ScoreOptions,
+	) {}
+
+	choose(candidates: readonly Candidate[], need: ChoiceNeed, nowMs: number): Choice {
+		const scored = this.sample(candidates, need.prefixHash).map(candidate => ({
+			candidate, scoreMs: this.score(candidate, need, nowMs),
+		}));
+		let [best] = scored;
+		for (const item of scored) {
+			if (item.scoreMs < best.scoreMs) {
+				best = item;
+			}
+		}
+
+		return {chosen: best.candidate, scored};
+	}
+
+	/** A few at random, with the ones that may have the prefix. */
+	private sample(candidates: readonly Candidate[], prefixHash: number): Candidate[] {
+		const {sampleSize} = this.options;
+		const start = this.random.int(candidates.length);
+		if (candidates.length <= sampleSize) {
+			return candidates.map((_, index) => candidates[(start + index) % candidates.length]);
+		}
+
+		const sampled = new Set<Candidate>();
+		const holder = this.prefixes.likelyHolder(prefixHash);
+		const warm = holder === undefined ? undefined : candidates.find(candidate => candidate.upstreamId === holder);
+		if (warm) {
+			sampled.add(warm);
+		}
+
+		while (sampled.size < sampleSize) {
+			sampled.add(candidates[this.random.int(candidates.length)]);
+		}
+
+		return [...sampled];
+	}
+
+	private score(candidate: Candidate, need: ChoiceNeed, nowMs: number): ScoredCandidate['scoreMs'] {
+		const {stats} = candidate;
+		const slots = Math.max(1, stats.load?.slots ?? need.slots);
+		const answerMs = stats.answerMs ?? need.expectedMs;
+		const outstanding = stats.outstanding(nowMs);
+		const waitMs = (Math.max(0, outstanding + 1 - slots) / slots) * answerMs;
+		// Below its slots an upstream still slows down a little with each call it batches.
+		const sharedMs = (Math.min(outstanding, slots) / slots) * answerMs * 0.5;
+		const savedMs = this.prefixes.holds(candidate.upstreamId, need.prefixHash, nowMs) * answerMs * this.options.prefixSavingShare;
+		const hallMs = candidate.hall === need.hall ? 0 : this.options.otherHallMs;
+		const errorFactor = 1 + (4 * stats.errorShare);
+		return ((waitMs + sharedMs + answerMs - savedMs) * errorFactor * this.warmUpFactor(candidate, nowMs))
+			+ hallMs + this.notLoadedMs(candidate, need);
+	}
+
+	private warmUpFactor(candidate: Candidate, nowMs: number): number {
+		const ageMs = nowMs - candidate.joinedMs;
+		return ageMs >= this.options.warmUpMs ? 1 : 1 + ((1 - (ageMs / this.options.warmUpMs)) * 0.5);
+	}
+
+	private notLoadedMs(candidate: Candidate, need: ChoiceNeed): number {
+		const models = candidate.stats.load?.models ?? [];
+		if (need.model === undefined || models.length === 0) {
+			return 0;
+		}
+
+		const isLoaded = models.some(loaded => loaded.model === need.model
+			&& (need.adapter === undefined || loaded.adapters.includes(need.adapter)));
+		return isLoaded ? 0 : this.options.notLoadedMs;
+	}
+}
--- /dev/null
+++ b/src/routing/common/upstream-stats.ts
@@ -0,0 +1,70 @@
+/** What an entry knows of one upstream: its own work there, aged reports, answer times, errors. */
+import type {UpstreamLoad} from '../../wire/common/messages.js';
+
+const smoothing = 0.2;
+const reportHalfLifeMs = 1000;
+
+/** Learns from replies first and from reports second. */
+export class UpstreamStats {
+	static create(): UpstreamStats {
+		return new UpstreamStats();
+	}
+
+	/** Calls of this entry that have not ended. */
+	inFlight = 0;
+	/** Smoothed answer time as seen from here, without the wait in the agent's queue. */
+	answerMs: number | undefined;
+	/** Smoothed share of calls that failed. */
+	errorShare = 0;
+	/** Failures since the last success. */
+	consecutiveFailures = 0;
+	private report: UpstreamLoad | undefined;
+	private reportAtMs = 0;
+	/** This entry's own work when the report came. */
+	private inFlightAtReport = 0;
+
+	/** What the upstream carries, as last reported. */
+	get load(): UpstreamLoad | undefined {
+		return this.report;
+	}
+
+	/**
+	A report or a reply told the load.
+	@param load - as told.
+	@param nowMs - the time.
+	*/
+	observeLoad(load: UpstreamLoad, nowMs: number): void {
+		this.report = load;
+		this.reportAtMs = nowMs;
+		this.inFlightAtReport = this.inFlight;
+	}
+
+	/**
+	A call ended.
+	@param runMs - its time on the upstream.
+	@param isFailure - whether the upstream failed.
+	*/
+	observeEnd(runMs: number, isFailure: boolean): void {
+		this.errorShare += smoothing * ((isFailure ? 1 : 0) - this.errorShare);
+		this.consecutiveFailures = isFailure ? this.consecutiveFailures + 1 : 0;
+		if (!isFailure) {
+			this.answerMs = this.answerMs === undefined ? runMs : this.answerMs + (smoothing * (runMs - this.answerMs));
+		}
+	}
+
+	/**
+	Estimates the calls at the upstream now: the report's, as far as it still holds,
+	moved on by what this entry did since; never less than its own.
+	@param nowMs - the time.
+	@returns calls running or waiting.
+	*/
+	outstanding(nowMs: number): number {
+		if (!this.report) {
+			return this.inFlight;
+		}
+
+		const trust = 2 ** (-(nowMs - this.reportAtMs) / reportHalfLifeMs);
+		const reported = this.report.running + this.report.queued - this.inFlightAtReport;
+		return this.inFlight + Math.max(0, reported * trust);
+	}
+}
--- a/src/wire/common/messages.ts
+++ b/src/wire/common/messages.ts
@@ -86,9 +86,9 @@
 	stage: name,
 	stageIndex: count,
 	/** Time within which the work must start, counted from receipt. */
-	timeLeftMs: ms,
-	/** The request's deadline has passed; work in time goes first. */
-	isLate: z.boolean(),
+	startWithinMs: ms,
+	/** Time until the request's deadline; 0 once it has passed. Work in time goes first. */
+	dueInMs: ms,
 	isRepeatable: z.boolean(),
 	/** Share of the upstream this workspace gets against others. */
 	weight: z.number().positive(),
--- a/xo.config.js
+++ b/xo.config.js
@@ -52,6 +52,8 @@
 			'@typescript-eslint/prefer-promise-reject-errors': 'off',
 			// XO's own rules pull an empty constructor body both ways; `{}` stays.
 			'@stylistic/curly-newline': ['error', {consistent: true}],
+			// A default branch is how these switches say `all others`.
+			'@typescript-eslint/switch-exhaustiveness-check': ['error', {considerDefaultExhaustiveForUnions: true}],
 			// Waits in order are the point where they stand: retry loops and pumps.
 			'no-await-in-loop': 'off',
 		},
