--- /dev/null
+++ b/examples/local-fleet.ts
@@ -0,0 +1,243 @@
+/** A whole fleet on embedded stand-ins in one process: for the quickstart, tests and benches. */
+import {randomBytes} from 'node:crypto';
+import {type Disposable, DisposableStore} from '../src/base/common/disposable.js';
+import type {EntryHostSettings} from '../src/daemon/common/host-settings.js';
+import {startDaemon, type Daemon} from '../src/daemon/node/daemon.js';
+import type {HostSecrets} from '../src/daemon/node/load-host-settings.js';
+import type {ListedHost} from '../src/platform/common/host-list.js';
+import type {LoadedModel} from '../src/wire/common/messages.js';
+import {defaultPace, type EnginePace} from '../src/standins/common/engine-state.js';
+import {EngineServer} from '../src/standins/node/engine-server.js';
+import {PlatformServer} from '../src/standins/node/platform-server.js';
+import {ServiceServer} from '../src/standins/node/service-server.js';
+
+const address = '127.0.0.1';
+const halls = ['hall-a', 'hall-b', 'hall-c'] as const;
+
+/** A pool of upstreams to start. */
+export type PoolSpec = {
+	readonly pool: string;
+	readonly kind: 'engine' | 'worker' | 'service';
+	readonly count: number;
+	readonly serviceMs?: number;
+	readonly slots?: number;
+	readonly isReporting?: boolean;
+};
+
+/** What to start. */
+export type FleetSpec = {
+	readonly entries: number;
+	readonly pools: readonly PoolSpec[];
+	readonly models: readonly LoadedModel[];
+	readonly pace?: EnginePace;
+	readonly logLevel?: 'debug' | 'info' | 'warn' | 'error';
+	readonly stopGraceMs?: number;
+};
+
+/** One started upstream with the agent beside it. */
+export type FleetUpstream = {
+	readonly upstreamId: string;
+	readonly pool: string;
+	readonly hostId: string;
+	readonly engine?: EngineServer;
+	readonly service?: ServiceServer;
+	daemon: Daemon;
+};
+
+const kaolackModels = [{model: 'sawmill-7b', version: 'v3', adapters: ['quotes', 'tallies']}];
+const kookpakketModels = [{model: 'kitchen-8b', version: 'v5', adapters: ['menus', 'allergies']}];
+
+const stagePools: readonly PoolSpec[] = [
+	{
+		pool: 'encoders', kind: 'worker', count: 3, serviceMs: 8, slots: 16,
+	},
+	{
+		pool: 'retrievers', kind: 'worker', count: 4, serviceMs: 25, slots: 8,
+	},
+	{
+		pool: 'rerankers', kind: 'worker', count: 3, serviceMs: 15, slots: 8,
+	},
+];
+
+function servicePools(quiet: string, reporting: readonly string[]): PoolSpec[] {
+	return [
+		{
+			pool: quiet, kind: 'service', count: 3, serviceMs: 10, slots: 8, isReporting: false,
+		},
+		...reporting.map(pool => ({
+			pool, kind: 'service' as const, count: 4, serviceMs: 10, slots: 8, isReporting: true,
+		})),
+	];
+}
+
+/** The venture's fleet at the size of today. */
+export const kaolackFleet: FleetSpec = {
+	entries: 2,
+	models: kaolackModels,
+	pools: [{pool: 'models', kind: 'engine', count: 13}, ...stagePools, ...servicePools('stock', ['invoicing', 'yard-gate', 'ledger'])],
+};
+
+/** Kookpakket's fleet at the size of today. */
+export const kookpakketFleet: FleetSpec = {
+	entries: 2,
+	models: kookpakketModels,
+	pools: [{pool: 'models', kind: 'engine', count: 8}, ...stagePools, ...servicePools('orders', ['pantry', 'billing', 'partner-gateway'])],
+};
+
+/** A running fleet. */
+export class LocalFleet implements Disposable {
+	/**
+	Starts a fleet.
+	@param spec - what to start.
+	@returns the fleet, with every agent known to the platform's list.
+	*/
+	static async create(spec: FleetSpec): Promise<LocalFleet> {
+		const fleet = new LocalFleet(spec, await PlatformServer.create());
+		await fleet.startUpstreams();
+		for (let index = 0; index < spec.entries; index++) {
+			await fleet.startEntry(index);
+		}
+
+		return fleet;
+	}
+
+	readonly entries: Daemon[] = [];
+	readonly upstreams: FleetUpstream[] = [];
+	private readonly owned = DisposableStore.create();
+	private readonly secrets: HostSecrets;
+
+	private constructor(private readonly spec: FleetSpec, readonly platform: PlatformServer) {
+		this.owned.add(platform);
+		this.secrets = {
+			wireKeys: [{keyId: 'local', secret: randomBytes(24).toString('base64url')}],
+			platformToken: 'local',
+			bootstrapToken: 'demo-operator',
+			wireTls: undefined,
+			callersTls: undefined,
+		};
+	}
+
+	callersOrigin(index: number): string {
+		const {address: host, port} = this.entries[index].entry!.callers;
+		return `http://${host}:${port}`;
+	}
+
+	operatorsOrigin(index: number): string {
+		const {address: host, port} = this.entries[index].entry!.operators;
+		return `http://${host}:${port}`;
+	}
+
+	poolOf(pool: string): FleetUpstream[] {
+		return this.upstreams.filter(upstream => upstream.pool === pool);
+	}
+
+	/**
+	Starts one more entry host.
+	@param index - its number; its hall follows from it.
+	*/
+	async startEntry(index: number): Promise<Daemon> {
+		const hostId = `entry-${index}`;
+		const hall = halls[index % halls.length];
+		const daemon = await startDaemon({
+			secrets: this.secrets,
+			host: {
+				...this.commonSettings(hostId, hall),
+				role: 'entry',
+				callers: {address, port: 0},
+				operators: {address, port: 0},
+				stopGraceMs: this.spec.stopGraceMs ?? 100,
+				claimSpacingMs: 25,
+			},
+		});
+		this.entries[index] = daemon;
+		this.list({hostId, role: 'entry', hall}, daemon);
+		this.owned.add({
+			dispose() {
+				daemon.lifecycle.stopNow();
+			},
+		});
+		return daemon;
+	}
+
+	/**
+	Starts the agent beside an upstream again, as a new incarnation.
+	@param upstream - whose agent was stopped.
+	*/
+	async restartAgent(upstream: FleetUpstream): Promise<void> {
+		upstream.daemon = await this.startAgent(upstream, this.upstreams.indexOf(upstream));
+	}
+
+	dispose(): void {
+		this.owned.dispose();
+	}
+
+	private async startUpstreams(): Promise<void> {
+		for (const pool of this.spec.pools) {
+			for (let index = 0; index < pool.count; index++) {
+				await this.startUpstream(pool, index);
+			}
+		}
+	}
+
+	private async startUpstream(spec: PoolSpec, index: number): Promise<void> {
+		const upstreamId = `${spec.pool}-${index + 1}`;
+		const standin = spec.kind === 'engine'
+			? {engine: this.owned.add(await EngineServer.create({pace: this.spec.pace ?? defaultPace, models: structuredClone(this.spec.models)}))}
+			: {service: this.owned.add(await ServiceServer.create(serviceOptionsOf(spec)))};
+		const seed = {
+			upstreamId, pool: spec.pool, hostId: `host-${upstreamId}`, ...standin,
+		};
+		const daemon = await this.startAgent(seed, index);
+		this.upstreams.push({...seed, daemon});
+	}
+
+	private async startAgent(upstream: Omit<FleetUpstream, 'daemon'>, index: number): Promise<Daemon> {
+		const {upstreamId, pool, hostId, engine, service} = upstream;
+		const hall = halls[index % halls.length];
+		const daemon = await startDaemon({
+			secrets: this.secrets,
+			host: {
+				...this.commonSettings(hostId, hall),
+				role: 'agent',
+				upstream: {
+					upstreamId, pool, kind: this.spec.pools.find(item => item.pool === pool)!.kind, origin: (engine ?? service)!.origin,
+				},
+			},
+		});
+		this.list({
+			hostId, role: 'agent', hall, pool,
+		}, daemon);
+		this.owned.add({
+			dispose() {
+				daemon.lifecycle.stopNow();
+			},
+		});
+		return daemon;
+	}
+
+	private commonSettings(hostId: string, hall: string): Pick<EntryHostSettings, 'hostId' | 'hall' | 'wire' | 'platform' | 'logs'> {
+		return {
+			hostId,
+			hall,
+			wire: {address, port: 0, keys: []},
+			platform: {origin: this.platform.origin, token: {env: 'UNUSED'}, callTimeoutMs: 1000},
+			logs: {level: this.spec.logLevel ?? 'warn', format: 'text'},
+		};
+	}
+
+	private list({hostId, role, hall, pool}: Pick<ListedHost, 'hostId' | 'role' | 'hall' | 'pool'>, {wire: {port}}: Daemon): void {
+		const others = this.platform.hosts.filter(host => host.hostId !== hostId);
+		this.platform.hosts = [...others, {
+			hostId, role, address, port, hall, state: 'live', ...(pool !== undefined && {pool}),
+		}];
+	}
+}
+
+function serviceOptionsOf(spec: PoolSpec) {
+	return {
+		serviceMs: spec.serviceMs ?? 10,
+		slots: spec.slots ?? 8,
+		isReporting: spec.isReporting ?? true,
+		answer: (path: string, body: string) => (spec.kind === 'worker' ? {pool: spec.pool, of: body.slice(0, 400)} : {pool: spec.pool, path, isDone: true}),
+	};
+}
--- /dev/null
+++ b/src/agent/node/agent-service.ts
@@ -0,0 +1,343 @@
+/** The agent beside one upstream: its only gate. Joins wire, gate machine, driver and settings. */
+import {setRepeating, type Clock} from '../../base/common/clock.js';
+import {DisposableStore, type Disposable} from '../../base/common/disposable.js';
+import {messageOf} from '../../base/common/errors.js';
+import type {LifecycleManager} from '../../base/common/lifecycle.js';
+import type {Logger} from '../../base/common/logger.js';
+import type {Metrics} from '../../base/common/metrics.js';
+import type {GateAction, GateLimits, GateMachine} from '../../request/common/gate-machine.js';
+import type {SettingsService} from '../../settings/common/settings-service.js';
+import type {SettingsSync} from '../../settings/node/settings-sync.js';
+import {
+	serveStates, type DispatchMessage, type Identity, type Message, type OrderMessage,
+} from '../../wire/common/messages.js';
+import type {WireConnection} from '../../wire/node/wire-connection.js';
+import type {Endpoint, WireServer} from '../../wire/node/wire-server.js';
+import {PauseDetector} from '../common/pause-detector.js';
+import {OrderFence} from '../common/order-fence.js';
+import type {UpstreamDriver} from '../common/upstream-driver.js';
+import {CallRunner} from './call-runner.js';
+
+const tickMs = 20;
+const stateReadMs = 2000;
+const orphanRetryMs = 1000;
+/** How long a stopping agent goes on answering after its last work, so that every entry hears of it. */
+const announceMs = 300;
+/** How long a dispatch waits for the settings it was made with. */
+const settingsWaitMs = 300;
+
+export const defaultLimits: GateLimits = {slots: 8, maxQueue: 64};
+
+/** What an agent is made of. */
+export type AgentOptions = {
+	readonly identity: Identity;
+	readonly gate: GateMachine;
+	readonly driver: UpstreamDriver;
+	readonly server: WireServer;
+	readonly settings: SettingsService;
+	readonly sync: SettingsSync;
+	readonly clock: Clock;
+	readonly log: Logger;
+	readonly metrics: Metrics;
+	readonly lifecycle: LifecycleManager;
+};
+
+type Waiting = {readonly connectionId: number; readonly dispatch: DispatchMessage; readonly untilMs: number};
+
+/** Runs an agent. */
+export class AgentService implements Disposable {
+	static create(options: AgentOptions): AgentService {
+		return new AgentService(options);
+	}
+
+	private readonly connections = new Map<number, WireConnection>();
+	private readonly owned = DisposableStore.create();
+	private readonly runner: CallRunner;
+	private readonly pause: PauseDetector;
+	private readonly fence = OrderFence.create();
+	private waiting: Waiting[] = [];
+	private nextConnectionId = 1;
+	private engineSlots: number | undefined;
+
+	private constructor(private readonly options: AgentOptions) {
+		const {gate, driver, clock, settings, lifecycle, server} = options;
+		this.pause = PauseDetector.create(clock.nowMs());
+		this.runner = CallRunner.create(gate, driver, clock, actions => {
+			this.perform(actions);
+		});
+		this.owned.add(server.onDidConnect(connection => {
+			this.accept(connection);
+		}));
+		this.owned.add(settings.onDidChangeRevision(() => {
+			this.applySettings();
+		}));
+		this.owned.add(lifecycle.onWillStop(event => {
+			event.waitFor(this.drain());
+		}));
+		this.owned.add(setRepeating(clock, () => tickMs, () => {
+			this.tick();
+		}));
+		this.owned.add(setRepeating(clock, () => stateReadMs, async () => this.readState()));
+	}
+
+	/**
+	Makes the upstream free of work without an owner, then takes connections.
+	@param endpoint - where to listen.
+	@returns where it listens.
+	*/
+	async start(endpoint: Endpoint): Promise<Endpoint> {
+		await this.cancelOrphans();
+		await this.options.sync.poll();
+		await this.readState();
+		this.applySettings();
+		const bound = await this.options.server.listen(endpoint);
+		this.options.log.info('The agent takes work.', {upstream: this.options.identity.upstreamId, port: bound.port});
+		return bound;
+	}
+
+	dispose(): void {
+		this.owned.dispose();
+	}
+
+	private accept(connection: WireConnection): void {
+		const connectionId = this.nextConnectionId++;
+		this.connections.set(connectionId, connection);
+		this.pause.confirm(connectionId, this.pause.wakeCount);
+		connection.onDidClose(() => {
+			this.connections.delete(connectionId);
+			this.pause.forget(connectionId);
+			this.perform(this.options.gate.connectionLost(connectionId, this.now()));
+		});
+		// The sync listens first, so that settings in a message are known before it is decided on.
+		this.options.sync.attach(connection);
+		connection.onDidReceive(message => {
+			this.checkPause();
+			this.receive(connectionId, connection, message);
+		});
+		this.report(connection);
+	}
+
+	private receive(connectionId: number, connection: WireConnection, message: Message): void {
+		const {gate} = this.options;
+		switch (message.type) {
+			case 'dispatch': {
+				this.admit(connectionId, message);
+				break;
+			}
+
+			case 'cancel': {
+				this.waiting = this.waiting.filter(item => item.dispatch.dispatchId !== message.dispatchId || this.refuseWaiting(item));
+				this.perform(gate.cancel(message.dispatchId, this.now()));
+				break;
+			}
+
+			case 'credit': {
+				this.perform(gate.credit(message.dispatchId, message.chunks, this.now()));
+				break;
+			}
+
+			case 'query': {
+				this.perform(gate.query(connectionId, message.dispatchId, this.now()));
+				break;
+			}
+
+			case 'ping': {
+				connection.send({
+					type: 'pong', nonce: message.nonce, settingsRevision: this.revision, state: this.serveState, load: gate.load,
+				});
+				break;
+			}
+
+			case 'pong': {
+				this.pause.confirm(connectionId, message.nonce);
+				break;
+			}
+
+			case 'settingsReply': {
+				this.admitWaiting();
+				break;
+			}
+
+			case 'order': {
+				void this.order(connection, message);
+				break;
+			}
+
+			case 'drain': {
+				this.leaveByRequest(message.incarnation);
+				break;
+			}
+
+			default: {
+				break;
+			}
+		}
+	}
+
+	/** A dispatch made with newer settings than those in force here waits for them. */
+	private admit(connectionId: number, dispatch: DispatchMessage): void {
+		if (dispatch.settingsRevision > this.revision) {
+			this.waiting.push({connectionId, dispatch, untilMs: this.now() + Math.min(settingsWaitMs, dispatch.startWithinMs)});
+		} else {
+			this.perform(this.options.gate.dispatch(connectionId, dispatch, this.pause.isStale(connectionId), this.now()));
+		}
+	}
+
+	private admitWaiting(): void {
+		const {waiting} = this;
+		this.waiting = [];
+		for (const {connectionId, dispatch, untilMs} of waiting) {
+			if (dispatch.settingsRevision > this.revision) {
+				this.waiting.push({connectionId, dispatch, untilMs});
+			} else {
+				this.admit(connectionId, dispatch);
+			}
+		}
+	}
+
+	/** Returns false, so that a filter drops the item. */
+	private refuseWaiting({connectionId, dispatch}: Waiting): boolean {
+		this.perform(this.options.gate.dispatch(connectionId, dispatch, true, this.now()));
+		return false;
+	}
+
+	private perform(actions: readonly GateAction[]): void {
+		for (const action of actions) {
+			switch (action.type) {
+				case 'send': {
+					this.connections.get(action.connectionId)?.send(action.message);
+					break;
+				}
+
+				case 'start': {
+					this.runner.start(action.dispatch);
+					break;
+				}
+
+				case 'abort': {
+					this.runner.abort(action.dispatchId);
+					break;
+				}
+
+				case 'flow': {
+					this.runner.setFlow(action.dispatchId, action.isOpen);
+					break;
+				}
+			}
+		}
+	}
+
+	private tick(): void {
+		this.checkPause();
+		const nowMs = this.now();
+		this.waiting = this.waiting.filter(item => nowMs < item.untilMs || this.refuseWaiting(item));
+		this.perform(this.options.gate.tick(nowMs));
+	}
+
+	private checkPause(): void {
+		if (this.pause.tick(this.now())) {
+			this.options.log.warn('This process slept; connections are confirmed before work is taken.');
+			this.fence.suspect();
+			for (const connection of this.connections.values()) {
+				connection.send({type: 'ping', nonce: this.pause.wakeCount, settingsRevision: this.revision});
+			}
+		}
+	}
+
+	private applySettings(): void {
+		const {settings, identity, gate} = this.options;
+		const pool = settings.tree.pool(identity.pool ?? '');
+		const slots = this.engineSlots ?? pool?.slots ?? defaultLimits.slots;
+		this.perform(gate.setLimits({slots, maxQueue: pool?.maxQueue ?? defaultLimits.maxQueue}, this.now()));
+		if (pool?.leavingUpstreams?.includes(identity.upstreamId ?? '')) {
+			this.leave();
+		}
+	}
+
+	private leave(): void {
+		if (!this.options.gate.isLeaving) {
+			this.options.log.info('This upstream is leaving and takes no new work.');
+			this.perform(this.options.gate.leave(this.now()));
+			this.reportAll();
+		}
+	}
+
+	private leaveByRequest(incarnation: string): void {
+		if (incarnation === this.options.identity.incarnation) {
+			this.leave();
+		}
+	}
+
+	private async drain(): Promise<void> {
+		this.leave();
+		while (!this.options.gate.isIdle) {
+			await this.wait(tickMs);
+		}
+
+		await this.wait(announceMs);
+	}
+
+	private async order(connection: WireConnection, order: OrderMessage): Promise<void> {
+		const {driver, log} = this.options;
+		const reason = this.fence.check(order);
+		const end = reason === undefined ? await driver.order(order) : {isAccepted: false, reason};
+		await this.readState();
+		log.info('An order was carried out or refused.', {
+			kind: order.kind, model: order.model, epoch: order.epoch, sequence: order.sequence, isAccepted: end.isAccepted, reason: end.reason,
+		});
+		connection.send({
+			type: 'orderReply', orderId: order.orderId, ...end, models: [...this.options.gate.load.models],
+		});
+	}
+
+	private async cancelOrphans(): Promise<void> {
+		for (;;) {
+			try {
+				await this.options.driver.cancelOrphans();
+				return;
+			} catch (error) {
+				this.options.log.warn('The upstream can\'t be asked what it runs; trying again.', {reason: messageOf(error)});
+				await this.wait(orphanRetryMs);
+			}
+		}
+	}
+
+	private async readState(): Promise<void> {
+		const state = await this.options.driver.readState();
+		if (state) {
+			this.engineSlots = state.slots;
+			this.options.gate.setModels([...state.models]);
+			this.applySettings();
+		}
+	}
+
+	private report(connection: WireConnection): void {
+		connection.send({
+			type: 'report', settingsRevision: this.revision, state: this.serveState, load: this.options.gate.load,
+		});
+	}
+
+	private reportAll(): void {
+		for (const connection of this.connections.values()) {
+			this.report(connection);
+		}
+	}
+
+	private get serveState() {
+		return this.options.gate.isLeaving ? serveStates.leaving : serveStates.serving;
+	}
+
+	private get revision(): number {
+		return this.options.settings.tree.revision;
+	}
+
+	private now(): number {
+		return this.options.clock.nowMs();
+	}
+
+	private async wait(delayMs: number): Promise<void> {
+		return new Promise(resolve => {
+			this.options.clock.setTimer(delayMs, resolve);
+		});
+	}
+}
--- /dev/null
+++ b/src/agent/node/call-runner.ts
@@ -0,0 +1,90 @@
+/** Runs the calls that the gate starts, and reports them back to it. */
+import type {Clock} from '../../base/common/clock.js';
+import {messageOf} from '../../base/common/errors.js';
+import type {CallEnd, GateAction, GateMachine} from '../../request/common/gate-machine.js';
+import type {DispatchMessage} from '../../wire/common/messages.js';
+import type {CallSink, UpstreamDriver} from '../common/upstream-driver.js';
+
+type Call = {
+	readonly controller: AbortController;
+	isOpen: boolean;
+	/** Wakes the reader that waits for credit. */
+	wake: (() => void) | undefined;
+};
+
+/** Holds the calls in flight at the upstream. */
+export class CallRunner {
+	/**
+	Makes a runner.
+	@param gate - told of each call's progress.
+	@param driver - calls the upstream.
+	@param clock - the time.
+	@param perform - carries out what the gate says.
+	*/
+	static create(gate: GateMachine, driver: UpstreamDriver, clock: Clock, perform: (actions: readonly GateAction[]) => void): CallRunner {
+		return new CallRunner(gate, driver, clock, perform);
+	}
+
+	private readonly calls = new Map<string, Call>();
+
+	private constructor(
+		private readonly gate: GateMachine,
+		private readonly driver: UpstreamDriver,
+		private readonly clock: Clock,
+		private readonly perform: (actions: readonly GateAction[]) => void,
+	) {}
+
+	start(dispatch: DispatchMessage): void {
+		const call: Call = {controller: new AbortController(), isOpen: true, wake: undefined};
+		this.calls.set(dispatch.dispatchId, call);
+		void this.run(dispatch, call);
+	}
+
+	abort(dispatchId: string): void {
+		const call = this.calls.get(dispatchId);
+		call?.controller.abort();
+		call?.wake?.();
+	}
+
+	/** Lets the upstream's stream go on, or holds it. */
+	setFlow(dispatchId: string, isOpen: boolean): void {
+		const call = this.calls.get(dispatchId);
+		if (call) {
+			call.isOpen = isOpen;
+			if (isOpen) {
+				call.wake?.();
+			}
+		}
+	}
+
+	private async run(dispatch: DispatchMessage, call: Call): Promise<void> {
+		const {dispatchId} = dispatch;
+		let end: CallEnd;
+		try {
+			end = await this.driver.run(dispatch, this.sinkOf(dispatchId, call), call.controller.signal);
+		} catch (error) {
+			end = {state: dispatch.isRepeatable ? 'failed' : 'unknown', reason: messageOf(error)};
+		}
+
+		this.calls.delete(dispatchId);
+		this.perform(this.gate.callEnded(dispatchId, end, this.clock.nowMs()));
+	}
+
+	private sinkOf(dispatchId: string, call: Call): CallSink {
+		return {
+			started: http => {
+				this.perform(this.gate.callStarted(dispatchId, http, this.clock.nowMs()));
+			},
+			piece: (units, data) => {
+				this.perform(this.gate.callPiece(dispatchId, units, data, this.clock.nowMs()));
+			},
+			async ready() {
+				while (!call.isOpen && !call.controller.signal.aborted) {
+					await new Promise<void>(resolve => {
+						call.wake = resolve;
+					});
+				}
+			},
+		};
+	}
+}
--- /dev/null
+++ b/src/agent/node/http-driver.ts
@@ -0,0 +1,106 @@
+/** Drives workers and plain services: one HTTP call, its answer passed on as it comes. */
+import {Pool, type Dispatcher} from 'undici';
+import {z} from 'zod';
+import type {CallEnd} from '../../request/common/gate-machine.js';
+import type {DispatchMessage, Header} from '../../wire/common/messages.js';
+import type {
+	CallSink, OrderEnd, UpstreamDriver, UpstreamState,
+} from '../common/upstream-driver.js';
+import {endOfError} from './http-errors.js';
+
+const callTimeoutMs = 2000;
+const statusOk = 200;
+const firstErrorStatus = 400;
+
+/** Headers that speak of one connection, not of the answer. */
+const connectionHeaders = new Set(['connection', 'keep-alive', 'transfer-encoding', 'upgrade', 'te', 'trailer', 'proxy-authenticate', 'proxy-authorization']);
+
+const stateSchema = z.object({slots: z.number()});
+
+/** A worker or a plain service on its own host. */
+export class HttpDriver implements UpstreamDriver {
+	static create(origin: string): HttpDriver {
+		return new HttpDriver(new Pool(origin, {bodyTimeout: 0, headersTimeout: 0}));
+	}
+
+	private constructor(private readonly pool: Pool) {}
+
+	async run(dispatch: DispatchMessage, sink: CallSink, signal: AbortSignal): Promise<CallEnd> {
+		const {call} = dispatch;
+		if (call.kind === 'generate') {
+			return {state: 'notRun', reason: 'this upstream does not generate'};
+		}
+
+		try {
+			const response = await this.pool.request({...requestOf(dispatch), signal});
+			const {statusCode: status} = response;
+			if (call.kind === 'run' && status >= firstErrorStatus) {
+				await response.body.dump();
+				return {state: 'failed', reason: `status ${status}`};
+			}
+
+			// A plain service's answer is passed on whatever its status: it did run.
+			sink.started(call.kind === 'http' ? {status, headers: headersOf(response)} : undefined);
+			for await (const bytes of response.body) {
+				if (bytes instanceof Uint8Array) {
+					sink.piece(1, bytes);
+					await sink.ready();
+				}
+			}
+
+			return {state: 'completed'};
+		} catch (error) {
+			return endOfError(error, dispatch.isRepeatable);
+		}
+	}
+
+	async readState(): Promise<UpstreamState | undefined> {
+		try {
+			const response = await this.pool.request({method: 'GET', path: '/v1/state', signal: AbortSignal.timeout(callTimeoutMs)});
+			const state = stateSchema.safeParse(await response.body.json()).data;
+			return response.statusCode === statusOk && state ? {slots: state.slots, models: []} : undefined;
+		} catch {
+			return undefined;
+		}
+	}
+
+	async cancelOrphans(): Promise<void> {
+		// These upstreams have no call for it: a call ends with its connection, which died with the agent.
+	}
+
+	async order(): Promise<OrderEnd> {
+		return {isAccepted: false, reason: 'this upstream takes no orders'};
+	}
+
+	dispose(): void {
+		void this.pool.destroy();
+	}
+}
+
+function requestOf(dispatch: DispatchMessage): Dispatcher.RequestOptions {
+	const {call, requestId} = dispatch;
+	if (call.kind === 'http') {
+		const headers = call.headers.filter(header => !connectionHeaders.has(header.name));
+		return {
+
+			method: call.method,
+			path: call.path,
+			headers: [...headers.flatMap(({name, value}) => [name, value]), 'x-request-id', requestId],
+			body: call.body.byteLength > 0 ? call.body : null,
+		};
+	}
+
+	return {
+		method: 'POST',
+		path: '/v1/run',
+		headers: {'content-type': 'application/json', 'x-request-id': requestId},
+		body: call.kind === 'run' ? call.input : null,
+	};
+}
+
+function headersOf(response: Dispatcher.ResponseData): Header[] {
+	return Object.entries(response.headers).flatMap(([name, value]) => {
+		const values = Array.isArray(value) ? value : [value ?? ''];
+		return connectionHeaders.has(name) ? [] : values.map(item => ({name, value: item}));
+	});
+}
--- a/src/base/common/clock.ts
+++ b/src/base/common/clock.ts
@@ -1,4 +1,5 @@
 /** Time from outside, so that decisions can be replayed. */
+import type {InjectionToken} from 'tsyringe';
 import type {Disposable} from './disposable.js';
 
 /** A source of time and timers. */
@@ -16,6 +17,8 @@
 	setTimer(delayMs: number, run: () => void): Disposable;
 };
 
+export const clockToken: InjectionToken<Clock> = Symbol('Clock');
+
 /**
 Runs a function again and again, waiting after each run.
 @param clock - the time source.
--- a/src/base/common/random.ts
+++ b/src/base/common/random.ts
@@ -1,4 +1,5 @@
 /** Chance from outside: a seeded generator (pure-rand) behind a small interface. */
+import type {InjectionToken} from 'tsyringe';
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 import {uniformInt} from 'pure-rand/distribution/uniformInt';
 
@@ -15,6 +16,8 @@
 	int(limit: number): number;
 };
 
+export const randomToken: InjectionToken<Random> = Symbol('Random');
+
 /** A generator whose whole sequence follows from its seed. */
 export class SeededRandom implements Random {
 	static create(seed: number): SeededRandom {
--- /dev/null
+++ b/src/daemon/node/main.ts
@@ -0,0 +1,71 @@
+#!/usr/bin/env node
+/** The daemon's program: `pumicehatchd --settings FILE`. */
+import process from 'node:process';
+import sade from 'sade';
+import {formatProblem, messageOf} from '../../base/common/errors.js';
+import {startDaemon} from './daemon.js';
+import {loadHostSettings} from './load-host-settings.js';
+
+const exitCodes = {failed: 1, badSettings: 2, stoppedAtOnce: 3} as const;
+
+async function run(file: string, isCheckOnly: boolean): Promise<void> {
+	const loaded = loadHostSettings(file);
+	if (!loaded.ok) {
+		for (const problem of loaded.error) {
+			process.stderr.write(`${formatProblem(problem)}\n`);
+		}
+
+		process.exitCode = exitCodes.badSettings;
+		return;
+	}
+
+	if (isCheckOnly) {
+		process.stdout.write(`${file}: the settings are valid.\n`);
+		return;
+	}
+
+	const {lifecycle} = await startDaemon(loaded.value);
+	let signals = 0;
+	const stop = () => {
+		signals++;
+		if (signals === 1) {
+			void lifecycle.stop();
+		} else {
+			lifecycle.stopNow();
+			process.exitCode = exitCodes.stoppedAtOnce;
+		}
+	};
+
+	process.on('SIGTERM', stop);
+	process.on('SIGINT', stop);
+	lifecycle.onDidStop(() => {
+		// Streams that are still closing get a turn before the process ends.
+		setImmediate(() => {
+			process.exit();
+		});
+	});
+}
+
+type Flags = {settings?: string; check?: boolean};
+
+sade('pumicehatchd', true)
+	.version('0.1.0')
+	.describe('Runs one process of pumicehatch: an entry, or the agent beside an upstream.')
+	.option('-s, --settings', 'File with the settings of this host, in JSON with comments')
+	.option('--check', 'Check the settings and end')
+	.example('--settings /etc/pumicehatch/host.jsonc')
+	.action(async (flags: Flags) => {
+		if (typeof flags.settings !== 'string') {
+			process.stderr.write('pumicehatchd: --settings FILE is needed; see --help.\n');
+			process.exitCode = exitCodes.badSettings;
+			return;
+		}
+
+		try {
+			await run(flags.settings, flags.check === true);
+		} catch (error) {
+			process.stderr.write(`pumicehatchd: ${messageOf(error)}\n`);
+			process.exitCode = exitCodes.failed;
+		}
+	})
+	.parse(process.argv);
--- /dev/null
+++ b/src/entry/common/fleet-router.ts
@@ -0,0 +1,167 @@
+/** Routing of one entry: joins membership, statistics, estimates and budgets for the request machine. */
+import {type MemberTable, type Member} from '../../membership/common/member-table.js';
+import type {Attempt} from '../../request/common/attempt.js';
+import {attemptStates, type StagePlan} from '../../request/common/request-plan.js';
+import type {RequestRouter} from '../../request/common/request-router.js';
+import type {Candidate, Choice, UpstreamChooser} from '../../routing/common/chooser.js';
+import {OutlierDetector} from '../../routing/common/outlier-detector.js';
+import type {PrefixIndex} from '../../routing/common/prefix-index.js';
+import {RetryBudget} from '../../routing/common/retry-budget.js';
+import {StageEstimates} from '../../routing/common/stage-estimates.js';
+import {UpstreamStats} from '../../routing/common/upstream-stats.js';
+import type {UpstreamLoad} from '../../wire/common/messages.js';
+
+const defaultAnswerMs = 50;
+/** Upstream failures that say something about the upstream, not about the request. */
+const innocentReasons = new Set(['lostRace', 'abandoned']);
+
+/** What the router is made of; the policies may be exchanged for baselines. */
+export type FleetRouterOptions = {
+	readonly hall: string;
+	readonly members: MemberTable;
+	readonly chooser: UpstreamChooser;
+	readonly prefixes: PrefixIndex;
+	readonly newDispatchId: () => string;
+	/** Whether outliers are taken out and requests refused by predicted time. */
+	readonly isAdaptive: boolean;
+};
+
+/** Routes for one entry. */
+export class FleetRouter implements RequestRouter {
+	static create(options: FleetRouterOptions): FleetRouter {
+		return new FleetRouter(options);
+	}
+
+	readonly estimates = StageEstimates.create();
+	private readonly candidates = new Map<string, Candidate>();
+	private readonly outliers = OutlierDetector.create();
+	private readonly retryBudgets = new Map<string, RetryBudget>();
+	private readonly hedgeBudgets = new Map<string, RetryBudget>();
+
+	private constructor(private readonly options: FleetRouterOptions) {}
+
+	/**
+	An incarnation was met for the first time: what was known of the old one is forgotten.
+	@param member - the upstream.
+	*/
+	joined(member: Member): void {
+		this.candidates.set(member.upstreamId, {
+			upstreamId: member.upstreamId, hall: member.hall, stats: UpstreamStats.create(), joinedMs: member.joinedMs,
+		});
+		this.options.prefixes.forgetUpstream(member.upstreamId);
+	}
+
+	/**
+	A report or a reply told the load of an upstream.
+	@param upstreamId - which.
+	@param load - as told.
+	@param nowMs - the time.
+	*/
+	observeLoad(upstreamId: string, load: UpstreamLoad | undefined, nowMs: number): void {
+		if (load) {
+			this.candidates.get(upstreamId)?.stats.observeLoad(load, nowMs);
+		}
+	}
+
+	/** @returns what is known of an upstream. */
+	statsOf(upstreamId: string): UpstreamStats | undefined {
+		return this.candidates.get(upstreamId)?.stats;
+	}
+
+	isEjected(upstreamId: string, nowMs: number): boolean {
+		return this.outliers.isEjected(upstreamId, nowMs);
+	}
+
+	choose(stage: StagePlan, excluded: ReadonlySet<string>, prefixHash: number, nowMs: number): Choice | undefined {
+		const pool = this.poolCandidates(stage.pool, nowMs);
+		const usable = this.options.isAdaptive ? this.outliers.withoutEjected(pool, nowMs) : pool;
+		const left = excluded.size === 0 ? usable : usable.filter(candidate => !excluded.has(candidate.upstreamId));
+		if (left.length === 0) {
+			return undefined;
+		}
+
+		const {model, adapter} = stage.policy;
+		return this.options.chooser.choose(left, {
+			hall: this.options.hall,
+			...(stage.kind === 'generate' && {model, adapter}),
+			prefixHash: stage.kind === 'generate' ? prefixHash : 0,
+			expectedMs: this.estimates.typicalMs(stage.key) ?? defaultAnswerMs,
+			slots: stage.slots,
+		}, nowMs);
+	}
+
+	mayRetry(stage: StagePlan): boolean {
+		return this.budgetOf(this.retryBudgets, stage).tryWithdraw();
+	}
+
+	mayHedge(stage: StagePlan): boolean {
+		return this.budgetOf(this.hedgeBudgets, stage).tryWithdraw();
+	}
+
+	hedgeDelayMs(stage: StagePlan): number | undefined {
+		const {hedgeShare, attainmentWeight} = stage.policy;
+		// Worth its cost only where attainment counts for more than cost.
+		return hedgeShare > 0 && attainmentWeight > 0.5 ? this.estimates.slowMs(stage.key) : undefined;
+	}
+
+	optimisticMs(stages: readonly StagePlan[]): number {
+		return this.options.isAdaptive ? this.estimates.optimisticMs(stages.map(stage => stage.key)) : 0;
+	}
+
+	didDispatch(stage: StagePlan, attempt: Attempt, prefixHash: number, nowMs: number): void {
+		const {upstreamId, kind} = attempt.options;
+		const stats = this.candidates.get(upstreamId)?.stats;
+		if (stats) {
+			stats.inFlight++;
+		}
+
+		if (stage.kind === 'generate') {
+			this.options.prefixes.observe(upstreamId, prefixHash, nowMs);
+		}
+
+		if (kind === 'first') {
+			this.budgetOf(this.retryBudgets, stage).deposit(stage.policy.retryShare);
+			this.budgetOf(this.hedgeBudgets, stage).deposit(stage.policy.hedgeShare);
+		}
+	}
+
+	didEnd(stage: StagePlan, attempt: Attempt, nowMs: number): void {
+		const candidate = this.candidates.get(attempt.options.upstreamId);
+		if (!candidate || attempt.options.sentAtMs < candidate.joinedMs) {
+			return;
+		}
+
+		candidate.stats.inFlight = Math.max(0, candidate.stats.inFlight - 1);
+		const isFailure = attempt.state === attemptStates.failed || attempt.state === attemptStates.unknown;
+		if (innocentReasons.has(attempt.reason) || attempt.state === attemptStates.notRun) {
+			return;
+		}
+
+		candidate.stats.observeEnd(attempt.runMs, isFailure);
+		if (this.options.isAdaptive) {
+			this.outliers.observe(candidate, this.poolCandidates(stage.pool, nowMs), nowMs);
+		}
+	}
+
+	didComplete(stage: StagePlan, tookMs: number): void {
+		this.estimates.record(stage.key, tookMs);
+	}
+
+	newDispatchId(): string {
+		return this.options.newDispatchId();
+	}
+
+	private poolCandidates(pool: string, nowMs: number): Candidate[] {
+		return this.options.members.candidates(pool, nowMs).flatMap(member => this.candidates.get(member.upstreamId) ?? []);
+	}
+
+	private budgetOf(budgets: Map<string, RetryBudget>, stage: StagePlan): RetryBudget {
+		let budget = budgets.get(stage.key);
+		if (!budget) {
+			budget = RetryBudget.create();
+			budgets.set(stage.key, budget);
+		}
+
+		return budget;
+	}
+}
--- /dev/null
+++ b/src/entry/node/caller-request.ts
@@ -0,0 +1,106 @@
+/** Reads a caller's HTTP request into what it asks for. */
+import type {IncomingMessage} from 'node:http';
+import {fail, ok, type Outcome} from '../../base/common/outcome.js';
+import {readJsonc} from '../../base/common/jsonc.js';
+import {formatProblem} from '../../base/common/errors.js';
+import type {Header} from '../../wire/common/messages.js';
+import {problemOf, type Problem} from '../common/problems.js';
+import {headerOf} from './http-common.js';
+
+const mostDeadlineMs = 600_000;
+const longestKey = 128;
+
+/** Headers that are ours, or that speak of the caller's connection, and are not passed on to a service. */
+const ownHeaders = new Set([
+	'host',
+	'connection',
+	'keep-alive',
+	'transfer-encoding',
+	'upgrade',
+	'te',
+	'trailer',
+	'expect',
+	'content-length',
+	'authorization',
+	'proxy-authorization',
+	'proxy-connection',
+	'deadline-ms',
+	'idempotency-key',
+	'not-repeatable',
+	'explain',
+	'x-request-id',
+]);
+
+/** What the headers of a request say. */
+export type CallerHeaders = {
+	readonly requestId?: string;
+	readonly deadlineMs?: number;
+	readonly idempotencyKey?: string;
+	readonly isRepeatable: boolean;
+	readonly isStreaming: boolean;
+	readonly isExplained: boolean;
+};
+
+/**
+Reads the headers that callers may set.
+@param request - the request.
+@returns what they say, or the first that is wrong.
+*/
+export function readCallerHeaders(request: IncomingMessage): Outcome<CallerHeaders, Problem> {
+	const deadline = headerOf(request, 'deadline-ms');
+	const deadlineMs = deadline === undefined ? undefined : Number(deadline);
+	if (deadlineMs !== undefined && !(Number.isInteger(deadlineMs) && deadlineMs > 0 && deadlineMs <= mostDeadlineMs)) {
+		return fail(problemOf('badRequest', `expected whole milliseconds from 1 to ${mostDeadlineMs}`, {place: 'header Deadline-Ms'}));
+	}
+
+	for (const name of ['idempotency-key', 'x-request-id']) {
+		const value = headerOf(request, name);
+		if (value !== undefined && !isKey(value)) {
+			return fail(problemOf('badRequest', `expected 1 to ${longestKey} visible ASCII characters`, {place: `header ${name}`}));
+		}
+	}
+
+	const mark = headerOf(request, 'not-repeatable') ?? 'false';
+	if (mark !== 'true' && mark !== 'false') {
+		return fail(problemOf('badRequest', 'expected "true" or "false"', {place: 'header Not-Repeatable'}));
+	}
+
+	return ok({
+		requestId: headerOf(request, 'x-request-id'),
+		deadlineMs,
+		idempotencyKey: headerOf(request, 'idempotency-key'),
+		isRepeatable: mark === 'false',
+		isStreaming: (headerOf(request, 'accept') ?? '').includes('text/event-stream'),
+		isExplained: headerOf(request, 'explain') === 'true',
+	});
+}
+
+function isKey(value: string): boolean {
+	return value.length <= longestKey && /^[!-~]+$/v.test(value);
+}
+
+/**
+Checks that a body is JSON.
+@param body - its bytes.
+@returns nothing, or what is wrong and where.
+*/
+export function checkJsonBody(body: Uint8Array): Problem | undefined {
+	const document = readJsonc(body, 'body');
+	if (!document.ok) {
+		const detail = document.error.map(problem => formatProblem(problem)).join('; ') || 'the body is empty';
+		return problemOf('badRequest', detail, {place: 'body'});
+	}
+
+	return undefined;
+}
+
+/**
+Lists the headers that are passed on to a plain service.
+@param request - the request.
+*/
+export function passedHeaders(request: IncomingMessage): Header[] {
+	return Object.entries(request.headers).flatMap(([name, value]) => {
+		const values = Array.isArray(value) ? value : [value ?? ''];
+		return ownHeaders.has(name) ? [] : values.map(item => ({name, value: item}));
+	});
+}
--- /dev/null
+++ b/src/entry/node/entry-service.ts
@@ -0,0 +1,183 @@
+/** One entry host: callers' and operators' interfaces over the same requests, links and settings. */
+import type {Server} from 'node:http';
+import type {Clock} from '../../base/common/clock.js';
+import type {Disposable} from '../../base/common/disposable.js';
+import {lifecyclePhases, type LifecycleManager} from '../../base/common/lifecycle.js';
+import type {Logger} from '../../base/common/logger.js';
+import type {MemberTable} from '../../membership/common/member-table.js';
+import type {ClaimStore} from '../../request/common/claim-store.js';
+import type {SettingsService} from '../../settings/common/settings-service.js';
+import type {SettingsSync} from '../../settings/node/settings-sync.js';
+import type {Identity} from '../../wire/common/messages.js';
+import type {Endpoint, TlsMaterial, WireServer} from '../../wire/node/wire-server.js';
+import {type Accounting, type EntryReport} from '../common/accounting.js';
+import type {FleetRouter} from '../common/fleet-router.js';
+import type {EntryStatus, UpstreamStatus} from '../common/status.js';
+import {CallersApi} from './callers-api.js';
+import type {FleetLinks} from './fleet-links.js';
+import {listenHttp, makeHttpServer} from './http-common.js';
+import {OperatorsApi} from './operators-api.js';
+import type {PeerLinks} from './peer-links.js';
+import type {RequestRunner} from './request-runner.js';
+
+const drainCheckMs = 20;
+
+/** Where an entry listens. */
+export type EntryEndpoints = {readonly wire: Endpoint; readonly callers: Endpoint; readonly operators: Endpoint};
+
+/** What an entry is made of. */
+export type EntryOptions = {
+	readonly identity: Identity;
+	readonly settings: SettingsService;
+	readonly sync: SettingsSync;
+	readonly members: MemberTable;
+	readonly router: FleetRouter;
+	readonly links: FleetLinks;
+	readonly peers: PeerLinks;
+	readonly runner: RequestRunner;
+	readonly claims: ClaimStore;
+	readonly accounting: Accounting;
+	readonly server: WireServer;
+	readonly clock: Clock;
+	readonly log: Logger;
+	readonly lifecycle: LifecycleManager;
+	readonly tls: TlsMaterial | undefined;
+	readonly bootstrapTokenHash: string | undefined;
+	/** How long a stopping entry goes on serving, so that the balancer takes it out first. */
+	readonly stopGraceMs: number;
+	readonly leaseEpoch: () => number | undefined;
+};
+
+/** Runs an entry. */
+export class EntryService implements Disposable {
+	static create(options: EntryOptions): EntryService {
+		return new EntryService(options);
+	}
+
+	private readonly callersServer: Server;
+	private readonly operatorsServer: Server;
+	private isClosedToNew = false;
+
+	private constructor(private readonly options: EntryOptions) {
+		this.callersServer = makeHttpServer(options.tls);
+		this.operatorsServer = makeHttpServer(options.tls);
+		CallersApi.create({
+			...options,
+			incarnation: options.identity.incarnation,
+			notReadyReason: () => this.notReadyReason(),
+			isAnnounced: () => options.lifecycle.phase !== lifecyclePhases.running,
+		}).attachTo(this.callersServer);
+		OperatorsApi.create({
+			settings: options.settings,
+			bootstrapTokenHash: options.bootstrapTokenHash,
+			status: () => this.status(),
+			report: (): EntryReport => options.accounting.report(),
+			drain: upstreamId => this.drainUpstream(upstreamId),
+		}).attachTo(this.operatorsServer);
+		options.lifecycle.onWillStop(event => {
+			event.waitFor(this.drain());
+		});
+	}
+
+	/**
+	Takes over the settings there are, then listens.
+	@param endpoints - where to listen.
+	@returns where it listens.
+	*/
+	async start(endpoints: EntryEndpoints): Promise<EntryEndpoints> {
+		const {sync, links, peers, server, log} = this.options;
+		const wire = await server.listen(endpoints.wire);
+		await sync.poll();
+		await links.readList();
+		await peers.readList();
+		const callers = await listenHttp(this.callersServer, endpoints.callers);
+		const operators = await listenHttp(this.operatorsServer, endpoints.operators);
+		log.info('The entry takes requests.', {callers: callers.port, operators: operators.port});
+		return {wire, callers, operators};
+	}
+
+	status(): EntryStatus {
+		const {identity, settings, runner, members, sync, lifecycle} = this.options;
+		const leaseEpoch = this.options.leaseEpoch();
+		const notReadyReason = this.notReadyReason();
+		return {
+			hostId: identity.hostId,
+			hall: identity.hall,
+			incarnation: identity.incarnation,
+			phase: lifecycle.phase,
+			...(notReadyReason !== undefined && {notReadyReason}),
+			settingsRevision: settings.tree.revision,
+			requestsInFlight: runner.size,
+			droppedMessages: runner.droppedCount,
+			...(leaseEpoch !== undefined && {leaseEpoch}),
+			hosts: sync.board.all(),
+			upstreams: members.all().map(member => this.upstreamStatus(member.upstreamId)).filter(item => item !== undefined),
+		};
+	}
+
+	dispose(): void {
+		this.callersServer.close();
+		this.callersServer.closeAllConnections();
+		this.operatorsServer.close();
+		this.operatorsServer.closeAllConnections();
+	}
+
+	private upstreamStatus(upstreamId: string): UpstreamStatus | undefined {
+		const {members, router, clock} = this.options;
+		const member = members.all().find(item => item.upstreamId === upstreamId);
+		const stats = router.statsOf(upstreamId);
+		if (!member || !stats) {
+			return undefined;
+		}
+
+		const {pool, hall, hostId, incarnation} = member;
+		const nowMs = clock.nowMs();
+		return {
+			upstreamId,
+			pool,
+			hall,
+			hostId,
+			incarnation,
+			state: members.stateOf(upstreamId, nowMs),
+			isEjected: router.isEjected(upstreamId, nowMs),
+			inFlight: stats.inFlight,
+			...(stats.answerMs !== undefined && {answerMs: stats.answerMs}),
+			...(stats.load && {load: stats.load}),
+		};
+	}
+
+	private notReadyReason(): string | undefined {
+		if (this.isClosedToNew) {
+			return 'this host is stopping';
+		}
+
+		return this.options.settings.tree.revision === 0 ? 'no settings are known yet, neither from the store nor from a peer' : undefined;
+	}
+
+	private drainUpstream(upstreamId: string): boolean {
+		const member = this.options.members.all().find(item => item.upstreamId === upstreamId);
+		return member !== undefined && this.options.links.send(upstreamId, {type: 'drain', incarnation: member.incarnation});
+	}
+
+	/** Announces the stop while still serving, then ends what is in flight. */
+	private async drain(): Promise<void> {
+		const {log, runner, stopGraceMs} = this.options;
+		log.info('The entry is stopping and finishes what is in flight.', {inFlight: runner.size});
+		await this.wait(stopGraceMs);
+		this.isClosedToNew = true;
+		while (runner.size > 0) {
+			await this.wait(drainCheckMs);
+		}
+
+		// The last answers are on their way to the callers.
+		this.callersServer.close();
+		this.callersServer.closeIdleConnections();
+		await this.wait(drainCheckMs);
+	}
+
+	private async wait(delayMs: number): Promise<void> {
+		return new Promise(resolve => {
+			this.options.clock.setTimer(delayMs, resolve);
+		});
+	}
+}
--- a/src/request/common/request-machine.ts
+++ b/src/request/common/request-machine.ts
@@ -48,6 +48,11 @@
 		return this.phase === 'closed';
 	}
 
+	/** Ids of all its dispatches. */
+	get dispatchIds(): string[] {
+		return this.runs.flatMap(run => run.attempts.map(attempt => attempt.options.dispatchId));
+	}
+
 	/** Time at which the machine wants a tick; Infinity if none. */
 	get wakeAtMs(): number {
 		switch (this.phase) {
--- a/src/request/common/request-plan.ts
+++ b/src/request/common/request-plan.ts
@@ -24,6 +24,8 @@
 	readonly stages: readonly StagePlan[];
 	readonly policy: EffectivePolicy;
 	readonly isRepeatable: boolean;
+	/** Settings the plan was made of. */
+	readonly settingsRevision: number;
 	readonly needsClaim: boolean;
 	/** Whether units of the last stage go to the caller as they come. */
 	readonly isStreaming: boolean;
--- a/src/request/common/stage-run.ts
+++ b/src/request/common/stage-run.ts
@@ -463,6 +463,7 @@
 				startWithinMs: Math.max(0, startByMs - nowMs),
 				dueInMs: Math.max(0, plan.deadlineMs - nowMs),
 				isRepeatable: plan.isRepeatable,
+				settingsRevision: plan.settingsRevision,
 				weight: plan.policy.fairShare,
 				creditChunks: creditWindow,
 				call: this.callOf(attempt),
--- a/src/routing/common/outlier-detector.ts
+++ b/src/routing/common/outlier-detector.ts
@@ -35,7 +35,7 @@
 	@param nowMs - the time.
 	@returns those that may be chosen; never none where there were some.
 	*/
-	filter(candidates: readonly Candidate[], nowMs: number): readonly Candidate[] {
+	withoutEjected(candidates: readonly Candidate[], nowMs: number): readonly Candidate[] {
 		if (this.ejections.size === 0) {
 			return candidates;
 		}
--- /dev/null
+++ b/src/settings/node/settings-sync.ts
@@ -0,0 +1,137 @@
+/** Keeps the settings of a host up to date: polls the store's head, and exchanges revisions with peers. */
+import {setRepeating, type Clock} from '../../base/common/clock.js';
+import {DisposableStore, type Disposable} from '../../base/common/disposable.js';
+import {messageOf} from '../../base/common/errors.js';
+import type {Logger} from '../../base/common/logger.js';
+import {jitter, type Random} from '../../base/common/random.js';
+import type {Message} from '../../wire/common/messages.js';
+import type {WireConnection} from '../../wire/node/wire-connection.js';
+import {RevisionBoard} from '../common/revision-board.js';
+import type {SettingsService} from '../common/settings-service.js';
+
+/** What the sync needs. */
+export type SettingsSyncOptions = {
+	readonly settings: SettingsService;
+	readonly clock: Clock;
+	readonly random: Random;
+	readonly log: Logger;
+	/** Time between reads of the head, as long as peers are connected or not. */
+	readonly pollMs: (peerCount: number) => number;
+};
+
+/** Exchanges settings with the store and with peers. */
+export class SettingsSync implements Disposable {
+	static create(options: SettingsSyncOptions): SettingsSync {
+		return new SettingsSync(options);
+	}
+
+	readonly board = RevisionBoard.create();
+	private readonly peers = new Set<WireConnection>();
+	private readonly owned = DisposableStore.create();
+	private readonly asked = new Map<WireConnection, number>();
+	private isStoreDown = false;
+
+	private constructor(private readonly options: SettingsSyncOptions) {
+		const {settings, clock, random, pollMs} = options;
+		this.owned.add(settings.onDidChangeRevision(() => {
+			this.tellPeers();
+		}));
+		this.owned.add(setRepeating(clock, () => jitter(random, pollMs(this.peers.size)), async () => this.poll()));
+	}
+
+	/**
+	Exchanges with a peer from now on.
+	@param connection - an open connection.
+	*/
+	attach(connection: WireConnection): void {
+		this.peers.add(connection);
+		connection.onDidClose(() => {
+			this.peers.delete(connection);
+			this.asked.delete(connection);
+			if (connection.peer) {
+				this.board.lost(connection.peer.hostId);
+			}
+		});
+		connection.onDidReceive(message => {
+			this.receive(connection, message);
+		});
+		this.tell(connection);
+	}
+
+	/** Reads the store now. */
+	async poll(): Promise<void> {
+		const result = await this.options.settings.refresh();
+		if (result.ok === this.isStoreDown) {
+			this.isStoreDown = !result.ok;
+			const {log} = this.options;
+			if (result.ok) {
+				log.info('The settings store answers again.', {revision: result.value});
+			} else {
+				log.warn('The settings store does not answer; settings stay as they are.', {reason: result.error.message});
+			}
+		}
+	}
+
+	dispose(): void {
+		this.owned.dispose();
+	}
+
+	private receive(connection: WireConnection, message: Message): void {
+		const {settings} = this.options;
+		switch (message.type) {
+			case 'settingsRequest': {
+				connection.send(settings.replyTo(message.fromRevision));
+				break;
+			}
+
+			case 'settingsReply': {
+				this.asked.delete(connection);
+				this.learn(message);
+				break;
+			}
+
+			case 'ping':
+			case 'pong':
+			case 'report':
+			case 'dispatch': {
+				this.notice(connection, message.settingsRevision);
+				break;
+			}
+
+			default: {
+				break;
+			}
+		}
+	}
+
+	private learn(message: Extract<Message, {type: 'settingsReply'}>): void {
+		try {
+			this.options.settings.learn(message);
+		} catch (error) {
+			this.options.log.error('A peer sent settings that can\'t be read.', {reason: messageOf(error)});
+		}
+	}
+
+	/** Asks a peer that has more, once for each of its revisions. */
+	private notice(connection: WireConnection, revision: number): void {
+		const known = this.options.settings.tree.revision;
+		if (connection.peer) {
+			this.board.heard(connection.peer, revision, this.options.clock.nowMs());
+		}
+
+		if (revision > known && (this.asked.get(connection) ?? 0) < revision) {
+			this.asked.set(connection, revision);
+			connection.send({type: 'settingsRequest', fromRevision: known});
+		}
+	}
+
+	private tellPeers(): void {
+		for (const connection of this.peers) {
+			this.tell(connection);
+		}
+	}
+
+	private tell(connection: WireConnection): void {
+		connection.send({type: 'ping', nonce: 0, settingsRevision: this.options.settings.tree.revision});
+	}
+}
--- /dev/null
+++ b/src/standins/common/engine-state.ts
@@ -0,0 +1,135 @@
+/** Stand-in of a model engine: continuous batching, a prefix cache, models, fenced orders. */
+import {hashText} from '../../base/common/hash.js';
+import type {LoadedModel} from '../../wire/common/messages.js';
+
+const words = ['teak', 'plank', 'lot', 'dry', 'grade', 'cubic', 'yard', 'price', 'quote', 'sawn', 'beam', 'moist', 'stack', 'truck', 'gate', 'mill'];
+const prefixCharacters = 64;
+const cacheCapacity = 64;
+
+/** What an engine is asked to generate. */
+export type Generation = {
+	readonly id: string;
+	readonly model: string;
+	readonly prompt: string;
+	readonly maxTokens: number;
+	readonly seed: number;
+	readonly offset: number;
+};
+
+/** How fast the engine is. */
+export type EnginePace = {
+	readonly slots: number;
+	/** Time of one step of the batch, alone. */
+	readonly stepMs: number;
+	/** Added to a step by each further sequence of the batch, as a share. */
+	readonly batchShare: number;
+	/** Steps that reading a prompt takes where its prefix is not cached. */
+	readonly prefillSteps: number;
+};
+
+export const defaultPace: EnginePace = {
+	slots: 8, stepMs: 8, batchShare: 0.05, prefillSteps: 6,
+};
+
+/**
+Gives a token that follows from prompt, seed and position alone, so that any engine resumes where another stopped.
+@param generation - what is generated.
+@param index - the token's position.
+@returns its text.
+*/
+export function tokenAt(generation: Pick<Generation, 'prompt' | 'seed'>, index: number): string {
+	return `${words[hashText(generation.prompt, generation.seed + index) % words.length]} `;
+}
+
+/** A generation in the batch. */
+export type Sequence = {
+	readonly generation: Generation;
+	next: number;
+	prefillLeft: number;
+};
+
+/** The batch, the cache and the loaded models of one engine. */
+export class EngineState {
+	static create(pace: EnginePace, models: readonly LoadedModel[]): EngineState {
+		return new EngineState(pace, [...models]);
+	}
+
+	/** Highest fence seen; lower ones are refused where the engine checks. */
+	epoch = 0;
+	sequence = 0;
+	cacheHits = 0;
+	readonly batch = new Map<string, Sequence>();
+	private readonly waiting: Sequence[] = [];
+	private readonly cache = new Set<string>();
+
+	private constructor(readonly pace: EnginePace, readonly models: LoadedModel[]) {}
+
+	get queued(): number {
+		return this.waiting.length;
+	}
+
+	/** Time the next step of the batch takes. */
+	get stepMs(): number {
+		return this.pace.stepMs * (1 + (this.pace.batchShare * Math.max(0, this.batch.size - 1)));
+	}
+
+	add(generation: Generation): void {
+		const prefix = generation.prompt.slice(0, prefixCharacters);
+		const isCached = this.cache.has(prefix);
+		this.cacheHits += isCached ? 1 : 0;
+		this.keepPrefix(prefix);
+		this.waiting.push({
+			generation, next: generation.offset, prefillLeft: isCached ? 1 : this.pace.prefillSteps,
+		});
+		this.fill();
+	}
+
+	remove(id: string): void {
+		this.batch.delete(id);
+		const at = this.waiting.findIndex(sequence => sequence.generation.id === id);
+		if (at !== -1) {
+			this.waiting.splice(at, 1);
+		}
+
+		this.fill();
+	}
+
+	has(id: string): boolean {
+		return this.batch.has(id) || this.waiting.some(sequence => sequence.generation.id === id);
+	}
+
+	get ids(): string[] {
+		return [...this.batch.keys(), ...this.waiting.map(sequence => sequence.generation.id)];
+	}
+
+	/** @returns the sequences that gave a token in this step. */
+	step(): Sequence[] {
+		const given: Sequence[] = [];
+		for (const sequence of this.batch.values()) {
+			if (sequence.prefillLeft > 0) {
+				sequence.prefillLeft--;
+			} else {
+				sequence.next++;
+				given.push(sequence);
+			}
+		}
+
+		return given;
+	}
+
+	private fill(): void {
+		while (this.batch.size < this.pace.slots && this.waiting.length > 0) {
+			const sequence = this.waiting.shift()!;
+			this.batch.set(sequence.generation.id, sequence);
+		}
+	}
+
+	private keepPrefix(prefix: string): void {
+		this.cache.delete(prefix);
+		this.cache.add(prefix);
+		if (this.cache.size > cacheCapacity) {
+			const [oldest] = this.cache;
+			this.cache.delete(oldest);
+		}
+	}
+}
--- /dev/null
+++ b/src/standins/node/engine-server.ts
@@ -0,0 +1,210 @@
+/** Stand-in of a model engine over HTTP; the protocol is in docs/PLATFORM.md. */
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import {z} from 'zod';
+import type {Disposable} from '../../base/common/disposable.js';
+import type {LoadedModel} from '../../wire/common/messages.js';
+import {
+	defaultPace, EngineState, tokenAt, type EnginePace, type Sequence,
+} from '../common/engine-state.js';
+import {readJson, sendJson, StandinServer} from './standin-server.js';
+
+const generationSchema = z.object({
+	id: z.string(), model: z.string(), prompt: z.string(), maxTokens: z.number(), seed: z.number(), offset: z.number(),
+});
+const orderSchema = z.object({
+	epoch: z.number(), sequence: z.number(), kind: z.enum(['load', 'unload']), model: z.string(), adapter: z.string().optional(), version: z.string(),
+});
+type Order = z.infer<typeof orderSchema>;
+
+/** Faults to switch on. */
+export type EngineFaults = {
+	/** Steps take this many times as long. */
+	slowFactor: number;
+	/** Every generation fails at once. */
+	isFailing: boolean;
+	/** Streams are cut after this many tokens, without an end mark. */
+	cutAfterTokens: number;
+	/** Reported load is this old. */
+	reportLagMs: number;
+};
+
+/** How a stand-in engine is made. */
+export type EngineOptions = {
+	readonly pace?: EnginePace;
+	readonly models: readonly LoadedModel[];
+	/** Whether orders with a lower fence are refused. */
+	readonly isChecking?: boolean;
+	/** Time one load from the weight store takes. */
+	readonly loadMs?: number;
+};
+
+/** An engine on one loopback port. */
+export class EngineServer implements Disposable {
+	static async create(options: EngineOptions): Promise<EngineServer> {
+		const engine = new EngineServer(options);
+		engine.server = await StandinServer.create(async (request, response) => engine.handle(request, response));
+		return engine;
+	}
+
+	readonly faults: EngineFaults = {
+		slowFactor: 1, isFailing: false, cutAfterTokens: Infinity, reportLagMs: 0,
+	};
+
+	readonly state: EngineState;
+	/** Orders that took effect, in order. */
+	readonly orders: Order[] = [];
+	/** Ids of all generations that started. */
+	readonly startedIds: string[] = [];
+	tokenCount = 0;
+	private readonly streams = new Map<string, ServerResponse>();
+	private server: StandinServer | undefined;
+	private timer: NodeJS.Timeout | undefined;
+	private nextStepAtMs = 0;
+
+	private constructor(private readonly options: EngineOptions) {
+		this.state = EngineState.create(options.pace ?? defaultPace, options.models);
+	}
+
+	get origin(): string {
+		return this.server!.origin;
+	}
+
+	dispose(): void {
+		clearTimeout(this.timer);
+		this.server?.dispose();
+	}
+
+	private async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
+		const {method, url = ''} = request;
+		if (method === 'POST' && url === '/v1/generations') {
+			this.generate(generationSchema.parse(await readJson(request)), response);
+		} else if (method === 'GET' && url === '/v1/generations') {
+			sendJson(response, 200, {ids: this.state.ids});
+		} else if (method === 'DELETE' && url.startsWith('/v1/generations/')) {
+			this.end(decodeURIComponent(url.slice('/v1/generations/'.length)), true);
+			sendJson(response, 200, {});
+		} else if (method === 'GET' && url === '/v1/state') {
+			this.sendState(response);
+		} else if (method === 'POST' && url === '/v1/orders') {
+			await this.order(orderSchema.parse(await readJson(request)), response);
+		} else {
+			sendJson(response, 404, {message: 'no such call'});
+		}
+	}
+
+	private generate(generation: z.infer<typeof generationSchema>, response: ServerResponse): void {
+		if (!this.state.models.some(loaded => loaded.model === generation.model)) {
+			sendJson(response, 409, {message: `model ${generation.model} is not loaded`, isNotRun: true});
+			return;
+		}
+
+		this.startedIds.push(generation.id);
+		if (this.faults.isFailing) {
+			sendJson(response, 500, {message: 'engine fault'});
+			return;
+		}
+
+		response.writeHead(200, {'content-type': 'application/x-ndjson'});
+		response.flushHeaders();
+		this.streams.set(generation.id, response);
+		response.on('close', () => {
+			this.end(generation.id, true);
+		});
+		this.state.add(generation);
+		this.runSteps();
+	}
+
+	private runSteps(): void {
+		if (this.timer !== undefined || this.state.batch.size === 0) {
+			return;
+		}
+
+		const now = performance.now();
+		const stepMs = this.state.stepMs * this.faults.slowFactor;
+		// Steps keep their pace over time, although timers are coarse.
+		this.nextStepAtMs = Math.max(this.nextStepAtMs, now - stepMs) + stepMs;
+		this.timer = setTimeout(() => {
+			this.timer = undefined;
+			for (const sequence of this.state.step()) {
+				this.emit(sequence);
+			}
+
+			this.runSteps();
+		}, Math.max(0, this.nextStepAtMs - now));
+	}
+
+	private emit(sequence: Sequence): void {
+		const {generation, next} = sequence;
+		const stream = this.streams.get(generation.id);
+		this.tokenCount++;
+		if (next - generation.offset > this.faults.cutAfterTokens) {
+			this.end(generation.id, true);
+			return;
+		}
+
+		stream?.write(`${JSON.stringify({index: next - 1, text: tokenAt(generation, next - 1)})}\n`);
+		if (next >= generation.maxTokens) {
+			stream?.write(`${JSON.stringify({isEnd: true, count: next})}\n`);
+			this.end(generation.id, false);
+		}
+	}
+
+	private end(id: string, isCut: boolean): void {
+		const stream = this.streams.get(id);
+		this.streams.delete(id);
+		this.state.remove(id);
+		if (isCut) {
+			stream?.destroy();
+		} else {
+			stream?.end();
+		}
+	}
+
+	private sendState(response: ServerResponse): void {
+		const {state} = this;
+		const body = {
+			slots: state.pace.slots, running: state.batch.size, queued: state.queued, models: state.models, epoch: state.epoch, sequence: state.sequence,
+		};
+		setTimeout(() => {
+			sendJson(response, 200, body);
+		}, this.faults.reportLagMs);
+	}
+
+	private async order(order: Order, response: ServerResponse): Promise<void> {
+		const {state} = this;
+		const isOld = order.epoch < state.epoch || (order.epoch === state.epoch && order.sequence <= state.sequence);
+		if (this.options.isChecking !== false && isOld) {
+			sendJson(response, 409, {message: `fence ${order.epoch}/${order.sequence} is below ${state.epoch}/${state.sequence}`});
+			return;
+		}
+
+		state.epoch = order.epoch;
+		state.sequence = order.sequence;
+		await new Promise(resolve => {
+			setTimeout(resolve, order.kind === 'load' ? this.options.loadMs ?? 0 : 0);
+		});
+		this.orders.push(order);
+		applyOrder(state.models, order);
+		sendJson(response, 200, {models: state.models});
+	}
+}
+
+function applyOrder(models: LoadedModel[], order: Order): void {
+	const at = models.findIndex(loaded => loaded.model === order.model);
+	const adapters = new Set(at === -1 ? [] : models[at].adapters);
+	if (order.adapter !== undefined) {
+		if (order.kind === 'load') {
+			adapters.add(order.adapter);
+		} else {
+			adapters.delete(order.adapter);
+		}
+	}
+
+	if (at !== -1) {
+		models.splice(at, 1);
+	}
+
+	if (order.kind === 'load' || order.adapter !== undefined) {
+		models.push({model: order.model, version: order.version, adapters: [...adapters]});
+	}
+}
--- /dev/null
+++ b/src/wire/common/frame-codec.test.ts
@@ -0,0 +1,65 @@
+import t from 'tap';
+import {encodeFrame, FrameDecoder} from './frame-codec.js';
+import type {Message} from './messages.js';
+
+const chunk: Message = {
+	type: 'chunk', dispatchId: 'd1', sequence: 0, units: 2, data: new TextEncoder().encode('teak plank'),
+};
+
+function joined(...parts: Uint8Array[]): Uint8Array {
+	const whole = new Uint8Array(parts.reduce((sum, part) => sum + part.byteLength, 0));
+	let offset = 0;
+	for (const part of parts) {
+		whole.set(part, offset);
+		offset += part.byteLength;
+	}
+
+	return whole;
+}
+
+t.test('messages come out as they went in, however the bytes are cut', async t => {
+	const credit: Message = {type: 'credit', dispatchId: 'd1', chunks: 3};
+	const bytes = joined(encodeFrame(chunk), encodeFrame(credit), encodeFrame(chunk));
+	for (let size = 1; size <= bytes.byteLength; size++) {
+		const decoder = FrameDecoder.create();
+		const messages: Message[] = [];
+		for (let at = 0; at < bytes.byteLength; at += size) {
+			const read = decoder.push(bytes.slice(at, at + size));
+			messages.push(...(read.ok ? read.value : []));
+		}
+
+		t.strictSame(messages.map(message => message.type), ['chunk', 'credit', 'chunk']);
+	}
+});
+
+t.test('the data of two messages share no memory', async t => {
+	const decoder = FrameDecoder.create();
+	const read = decoder.push(joined(encodeFrame(chunk), encodeFrame(chunk)));
+	const [first, second] = read.ok ? read.value : [];
+	if (first.type !== 'chunk' || second.type !== 'chunk') {
+		t.fail('two chunks');
+		return;
+	}
+
+	first.data.fill(0);
+	t.equal(new TextDecoder().decode(second.data), 'teak plank');
+});
+
+t.test('bad frames give a typed problem', async t => {
+	const tooLong = new Uint8Array([0x7F, 0xFF, 0xFF, 0xFF]);
+	const notCbor = new Uint8Array([0, 0, 0, 2, 0xFF, 0xFF]);
+	const empty = new Uint8Array([0, 0, 0, 0]);
+	const codeOf = (bytes: Uint8Array) => {
+		const read = FrameDecoder.create(1024).push(bytes);
+		return read.ok ? 'none' : read.error.code;
+	};
+
+	t.equal(codeOf(tooLong), 'frameTooLarge');
+	t.equal(codeOf(notCbor), 'badEncoding');
+	t.equal(codeOf(empty), 'badEncoding');
+	const foreign = {...chunk, type: 'nothingKnown'} as unknown as Message;
+	t.equal(codeOf(encodeFrame(foreign)), 'badMessage');
+	t.equal(codeOf(encodeFrame({...chunk, units: -1})), 'badMessage');
+	t.equal(codeOf(encodeFrame({...chunk, extra: 1} as Message)), 'badMessage');
+	t.equal(codeOf(encodeFrame(chunk).slice(0, 10)), 'none', 'a cut frame waits for its rest');
+});
--- a/src/wire/common/messages.ts
+++ b/src/wire/common/messages.ts
@@ -90,6 +90,8 @@
 	/** Time until the request's deadline; 0 once it has passed. Work in time goes first. */
 	dueInMs: ms,
 	isRepeatable: z.boolean(),
+	/** What the sender has in force; a receiver that is behind catches up before it decides. */
+	settingsRevision: count,
 	/** Share of the upstream this workspace gets against others. */
 	weight: z.number().positive(),
 	/** Chunks the agent may send before it is granted more. */
--- a/xo.config.js
+++ b/xo.config.js
@@ -18,6 +18,7 @@
 		return [
 			{
 				files: [`src/${part}/**/*.ts`],
+				ignores: ['**/*.test.ts'],
 				rules: {'@typescript-eslint/no-restricted-imports': ['error', {patterns: banned}]},
 			},
 			{
@@ -41,12 +42,6 @@
 			'unicorn/no-null': 'off',
 			// Tsyringe needs this side-effect import once, before anything else.
 			'import-x/no-unassigned-import': ['error', {allow: ['reflect-metadata']}],
-			// Tap's `t.test` returns a promise that tap itself awaits.
-			'@typescript-eslint/no-floating-promises': ['error', {
-				allowForKnownSafeCalls: [{
-					from: 'package', name: ['test', 'teardown', 'default'], package: 'tap',
-				}],
-			}],
 			// These two rules can't see that the classes modern-errors makes are errors.
 			'@typescript-eslint/only-throw-error': 'off',
 			'@typescript-eslint/prefer-promise-reject-errors': 'off',
@@ -54,6 +49,8 @@
 			'@stylistic/curly-newline': ['error', {consistent: true}],
 			// A default branch is how these switches say `all others`.
 			'@typescript-eslint/switch-exhaustiveness-check': ['error', {considerDefaultExhaustiveForUnions: true}],
+			// It can't follow a private member used from a static method; the compiler checks the same.
+			'@typescript-eslint/no-unused-private-class-members': 'off',
 			// Waits in order are the point where they stand: retry loops and pumps.
 			'no-await-in-loop': 'off',
 		},
@@ -63,6 +60,15 @@
 		files: ['src/base/common/errors.ts'],
 		rules: {'@typescript-eslint/naming-convention': 'off'},
 	},
+	{
+		files: ['**/*.test.ts'],
+		rules: {
+			// Tap's `t.test` returns a promise that tap itself awaits.
+			'@typescript-eslint/no-floating-promises': 'off',
+			// Tests make ill-shaped values on purpose.
+			'@typescript-eslint/no-unsafe-type-assertion': 'off',
+		},
+	},
 	...layers.flatMap((_, level) => layerRule(level)),
 ];
 
