Measure attainment and cost against plain policies over loopback

Cause: no policy had a figure. Change: bench with open-loop load at both deployments' sizes, ten scenarios, and baselines (random, round robin, least in flight; all first come first served).

--- /dev/null
+++ b/bench/attainment.ts
@@ -0,0 +1,131 @@
+/** Attainment, latency and cost of a policy under a scenario, over real sockets on loopback. */
+import {readFileSync} from 'node:fs';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {request} from 'undici';
+import {z} from 'zod';
+import {LocalFleet} from '../examples/local-fleet.js';
+import {planEdits, readDeclaration, requestOf} from '../src/settings/common/plan.js';
+import type {Deployment} from './deployments.js';
+import {LoadRun} from './load.js';
+import type {Policy} from './policies.js';
+import type {Scenario} from './scenarios.js';
+
+const warmUpMs = 1500;
+
+/** One measured run. */
+export type AttainmentRun = {
+	readonly deployment: string;
+	readonly scenario: string;
+	readonly policy: string;
+	readonly attainment: number;
+	/** Lowest attainment of any workspace. */
+	readonly worstWorkspace: number;
+	readonly workspaces: Readonly<Record<string, number>>;
+	readonly kinds: Readonly<Record<string, number>>;
+	readonly p50Ms: number;
+	readonly p95Ms: number;
+	readonly p99Ms: number;
+	/** Upstream time for each attained request, and the share of it that came to nothing. */
+	readonly costMs: number;
+	readonly wastedShare: number;
+	/** Share of the time the one process was busy; above 0.9 the figures say little. */
+	readonly busyShare: number;
+};
+
+const reportSchema = z.object({stages: z.array(z.object({usefulMs: z.number(), wastedMs: z.number()}))});
+
+/** What a run is made of. */
+export type AttainmentOptions = {readonly deployment: Deployment; readonly scenario: Scenario; readonly policy: Policy; readonly durationMs: number; readonly seed: number};
+
+/**
+Measures one run.
+@param options - deployment, scenario, policy, length and seed.
+@returns the figures.
+*/
+export async function measureAttainment(options: AttainmentOptions): Promise<AttainmentRun> {
+	const {deployment, scenario, policy, durationMs, seed} = options;
+	const fleet = await LocalFleet.create({...deployment.spec, ...(policy.adjust && {adjust: policy.adjust})});
+	await apply(fleet, deployment.declaration);
+	const plan = {
+		origins: fleet.entries.map((_, index) => fleet.callersOrigin(index)),
+		workspaces: deployment.workspaces,
+		kinds: deployment.kinds(scenario.isSharingPrefixes === true),
+		deadlineMs: deployment.deadlineMs,
+	};
+	// A short load first, so that every policy has connections and estimates.
+	await new LoadRun({
+		...plan, rateAt: () => deployment.steadyRate, durationMs: warmUpMs, seed: seed + 1,
+	}).run();
+	const before = await costOf(fleet);
+	const startUtilization = performance.eventLoopUtilization();
+	const trouble = scenario.disturb(fleet, durationMs);
+	const result = await new LoadRun({
+		...plan, rateAt: atMs => deployment.steadyRate * scenario.factorAt(atMs / durationMs), durationMs, seed,
+	}).run();
+	await trouble;
+	const busyShare = performance.eventLoopUtilization(startUtilization).utilization;
+	const after = await costOf(fleet);
+	fleet.dispose();
+
+	const loads = [...result.workspaces].filter(([, load]) => load.requests > 0);
+	const requests = loads.reduce((sum, [, load]) => sum + load.requests, 0);
+	const attained = loads.reduce((sum, [, load]) => sum + load.attained, 0);
+	const workspaces = Object.fromEntries(loads.map(([name, load]) => [name, load.attained / load.requests]));
+	const usefulMs = after.usefulMs - before.usefulMs;
+	const wastedMs = after.wastedMs - before.wastedMs;
+	return {
+		deployment: deployment.name,
+		scenario: scenario.name,
+		policy: policy.name,
+		attainment: attained / requests,
+		worstWorkspace: Math.min(...Object.values(workspaces)),
+		workspaces,
+		kinds: Object.fromEntries(Array.from(result.byKind, ([name, load]) => [name, load.requests === 0 ? 1 : load.attained / load.requests])),
+		p50Ms: result.latency.getValueAtPercentile(50),
+		p95Ms: result.latency.getValueAtPercentile(95),
+		p99Ms: result.latency.getValueAtPercentile(99),
+		costMs: (usefulMs + wastedMs) / Math.max(1, attained),
+		wastedShare: wastedMs / Math.max(1, usefulMs + wastedMs),
+		busyShare,
+	};
+}
+
+async function apply(fleet: LocalFleet, declaration: string): Promise<void> {
+	const nodes = readDeclaration(readFileSync(declaration), declaration);
+	if (!nodes.ok) {
+		throw new Error(JSON.stringify(nodes.error));
+	}
+
+	await call(fleet.operatorsOrigin(0), '/v1/settings/changes', JSON.stringify(requestOf(planEdits(nodes.value, new Map()), 'bench', 'bench')));
+	for (;;) {
+		const statuses = await Promise.all(fleet.entries.map(async (_, index) => statusOf(fleet, index)));
+		if (statuses.every(status => status.settingsRevision > 0 && status.upstreams.length === fleet.upstreams.length)) {
+			return;
+		}
+
+		await sleep(20);
+	}
+}
+
+async function statusOf(fleet: LocalFleet, index: number) {
+	return z.object({settingsRevision: z.number(), upstreams: z.array(z.unknown())}).parse(await call(fleet.operatorsOrigin(index), '/v1/status'));
+}
+
+async function costOf(fleet: LocalFleet): Promise<{usefulMs: number; wastedMs: number}> {
+	const cost = {usefulMs: 0, wastedMs: 0};
+	for (const index of fleet.entries.keys()) {
+		for (const stage of reportSchema.parse(await call(fleet.operatorsOrigin(index), '/v1/report')).stages) {
+			cost.usefulMs += stage.usefulMs;
+			cost.wastedMs += stage.wastedMs;
+		}
+	}
+
+	return cost;
+}
+
+async function call(origin: string, path: string, body?: string): Promise<unknown> {
+	const response = await request(`${origin}${path}`, {
+		method: body === undefined ? 'GET' : 'POST', body, headers: {authorization: 'Bearer demo-operator', 'content-type': 'application/json'},
+	});
+	return response.body.json();
+}
--- /dev/null
+++ b/bench/policies.ts
@@ -0,0 +1,44 @@
+/** The policies that are measured against each other: the product's, and plain ones as baselines. */
+import {instanceCachingFactory, type DependencyContainer} from 'tsyringe';
+import {defaultLimits} from '../src/agent/node/agent-service.js';
+import {randomToken} from '../src/base/common/random.js';
+import {newId} from '../src/base/node/ids.js';
+import {identityToken} from '../src/daemon/node/compose-common.js';
+import {gateToken} from '../src/daemon/node/compose-agent.js';
+import {membersToken, prefixesToken, routerToken} from '../src/daemon/node/compose-entry.js';
+import {FleetRouter} from '../src/entry/common/fleet-router.js';
+import {GateMachine} from '../src/request/common/gate-machine.js';
+import {
+	LeastInFlightChooser, RandomChooser, RoundRobinChooser, type UpstreamChooser,
+} from '../src/routing/common/chooser.js';
+import {ArrivalQueue} from '../src/routing/common/fair-queue.js';
+
+/** A policy by name, and how it is put into a daemon. */
+export type Policy = {readonly name: string; readonly adjust?: (parts: DependencyContainer) => void};
+
+/** A baseline: a plain choice, first come first served, no ejection, no refusal by predicted time. */
+function plain(name: string, chooserOf: (parts: DependencyContainer) => UpstreamChooser): Policy {
+	return {
+		name,
+		adjust(parts) {
+			parts.register(gateToken, {useFactory: instanceCachingFactory(() => GateMachine.create(defaultLimits, ArrivalQueue.create()))});
+			parts.register(routerToken, {
+				useFactory: instanceCachingFactory(() => FleetRouter.create({
+					hall: parts.resolve(identityToken).hall,
+					members: parts.resolve(membersToken),
+					chooser: chooserOf(parts),
+					prefixes: parts.resolve(prefixesToken),
+					newDispatchId: newId,
+					isAdaptive: false,
+				})),
+			});
+		},
+	};
+}
+
+export const policies: readonly Policy[] = [
+	{name: 'pumicehatch'},
+	plain('random', parts => RandomChooser.create(parts.resolve(randomToken))),
+	plain('roundRobin', () => RoundRobinChooser.create()),
+	plain('leastInFlight', parts => LeastInFlightChooser.create(parts.resolve(randomToken))),
+];
--- a/examples/local-fleet.ts
+++ b/examples/local-fleet.ts
@@ -1,5 +1,6 @@
 /** A whole fleet on embedded stand-ins in one process: for the quickstart, tests and benches. */
 import {randomBytes} from 'node:crypto';
+import type {DependencyContainer} from 'tsyringe';
 import {type Disposable, DisposableStore} from '../src/base/common/disposable.js';
 import type {EntryHostSettings} from '../src/daemon/common/host-settings.js';
 import {startDaemon, type Daemon} from '../src/daemon/node/daemon.js';
@@ -32,6 +33,8 @@
 	readonly pace?: EnginePace;
 	readonly logLevel?: 'debug' | 'info' | 'warn' | 'error';
 	readonly stopGraceMs?: number;
+	/** Registers other parts in each daemon before it starts. */
+	readonly adjust?: (parts: DependencyContainer) => void;
 };
 
 /** One started upstream with the agent beside it. */
@@ -148,7 +151,7 @@
 				stopGraceMs: this.spec.stopGraceMs ?? 100,
 				claimSpacingMs: 25,
 			},
-		});
+		}, this.spec.adjust);
 		this.entries[index] = daemon;
 		this.list({hostId, role: 'entry', hall}, daemon);
 		this.owned.add({
@@ -203,7 +206,7 @@
 					upstreamId, pool, kind: this.spec.pools.find(item => item.pool === pool)!.kind, origin: (engine ?? service)!.origin,
 				},
 			},
-		});
+		}, this.spec.adjust);
 		this.list({
 			hostId, role: 'agent', hall, pool,
 		}, daemon);
--- a/src/daemon/node/daemon.ts
+++ b/src/daemon/node/daemon.ts
@@ -1,4 +1,5 @@
 /** One process of the system, whatever its role. */
+import type {DependencyContainer} from 'tsyringe';
 import type {LifecycleManager} from '../../base/common/lifecycle.js';
 import {loggerFactoryToken} from '../../base/common/logger.js';
 import type {EntryEndpoints} from '../../entry/node/entry-service.js';
@@ -20,12 +21,14 @@
 /**
 Starts a daemon.
 @param loaded - checked host settings and secrets.
+@param adjust - registers other parts before any is made: policies in benches, fakes in tests.
 @returns the daemon, listening.
 @throws UnavailableError when an address can't be had.
 */
-export async function startDaemon(loaded: LoadedHost): Promise<Daemon> {
+export async function startDaemon(loaded: LoadedHost, adjust?: (parts: DependencyContainer) => void): Promise<Daemon> {
 	const {host, secrets} = loaded;
 	const parts = host.role === 'entry' ? composeEntry(host, secrets) : composeAgent(host, secrets);
+	adjust?.(parts);
 	const lifecycle = parts.resolve(lifecycleToken);
 	const log = parts.resolve(loggerFactoryToken).for('daemon');
 	lifecycle.onDidStop(() => {
