Judge upstreams by slowness against the same stage, not by plain times

Cause: an engine that happened to get long answers looked slow, and was avoided; the others were crowded. Ruled out: prefix affinity (the bodies shared none). Change: each answer time is divided by what the stage usually takes; outliers are found by the same ratio.

--- a/src/cli/node/fleet-commands.ts
+++ b/src/cli/node/fleet-commands.ts
@@ -25,7 +25,7 @@
 		state: z.string(),
 		isEjected: z.boolean(),
 		inFlight: z.number(),
-		answerMs: z.number().optional(),
+		slowness: z.number().optional(),
 		load: z.looseObject({running: z.number(), queued: z.number(), slots: z.number()}).optional(),
 	})),
 });
@@ -66,7 +66,7 @@
 		formatTable(['HOST', 'ROLE', 'HALL', 'REVISION'], entry.hosts.map(host => [host.hostId, host.role, host.hall, host.revision])),
 		'',
 		formatTable(
-			['UPSTREAM', 'POOL', 'HALL', 'STATE', 'IN FLIGHT', 'RUNNING', 'QUEUED', 'SLOTS', 'ANSWER'],
+			['UPSTREAM', 'POOL', 'HALL', 'STATE', 'IN FLIGHT', 'RUNNING', 'QUEUED', 'SLOTS', 'SLOWNESS'],
 			entry.upstreams.map(item => [
 				item.upstreamId,
 				item.pool,
@@ -76,7 +76,7 @@
 				item.load?.running ?? '-',
 				item.load?.queued ?? '-',
 				item.load?.slots ?? '-',
-				formatMs(item.answerMs),
+				item.slowness?.toFixed(2) ?? '-',
 			]),
 		),
 	].join('\n'));
--- a/src/entry/common/fleet-router.ts
+++ b/src/entry/common/fleet-router.ts
@@ -32,7 +32,10 @@
 		return new FleetRouter(options);
 	}
 
+	/** From the first dispatch to the end of a stage, waits and retries included. */
 	readonly estimates = StageEstimates.create();
+	/** Time on the upstream alone. */
+	private readonly runTimes = StageEstimates.create();
 	private readonly candidates = new Map<string, Candidate>();
 	private readonly outliers = OutlierDetector.create();
 	private readonly retryBudgets = new Map<string, RetryBudget>();
@@ -85,7 +88,7 @@
 			hall: this.options.hall,
 			...(stage.kind === 'generate' && {model, adapter}),
 			prefixHash: stage.kind === 'generate' ? prefixHash : 0,
-			expectedMs: this.estimates.typicalMs(stage.key) ?? defaultAnswerMs,
+			expectedMs: this.runTimes.typicalMs(stage.key) ?? defaultAnswerMs,
 			slots: stage.slots,
 		}, nowMs);
 	}
@@ -137,7 +140,11 @@
 			return;
 		}
 
-		candidate.stats.observeEnd(attempt.runMs, isFailure);
+		if (!isFailure) {
+			this.runTimes.record(stage.key, attempt.runMs);
+		}
+
+		candidate.stats.observeEnd(attempt.runMs, this.runTimes.typicalMs(stage.key) ?? attempt.runMs, isFailure);
 		if (this.options.isAdaptive) {
 			this.outliers.observe(candidate, this.poolCandidates(stage.pool, nowMs), nowMs);
 		}
--- a/src/entry/common/status.ts
+++ b/src/entry/common/status.ts
@@ -13,7 +13,8 @@
 	readonly state: MemberState;
 	readonly isEjected: boolean;
 	readonly inFlight: number;
-	readonly answerMs?: number;
+	/** Answer time against what the same stages take elsewhere; 1 is usual. */
+	readonly slowness?: number;
 	readonly load?: UpstreamLoad;
 };
 
--- a/src/entry/node/entry-service.ts
+++ b/src/entry/node/entry-service.ts
@@ -144,7 +144,7 @@
 			state: members.stateOf(upstreamId, nowMs),
 			isEjected: router.isEjected(upstreamId, nowMs),
 			inFlight: stats.inFlight,
-			...(stats.answerMs !== undefined && {answerMs: stats.answerMs}),
+			...(stats.slowness !== undefined && {slowness: stats.slowness}),
 			...(stats.load && {load: stats.load}),
 		};
 	}
--- a/src/routing/common/chooser.ts
+++ b/src/routing/common/chooser.ts
@@ -19,7 +19,7 @@
 	readonly adapter?: string;
 	/** Hash of the part of the input that requests share; 0 where nothing is shared. */
 	readonly prefixHash: number;
-	/** Answer time to expect where an upstream has none of its own yet. */
+	/** Time the stage usually takes on an upstream. */
 	readonly expectedMs: number;
 	/** Calls an upstream runs at once where it does not say. */
 	readonly slots: number;
--- a/src/routing/common/outlier-detector.ts
+++ b/src/routing/common/outlier-detector.ts
@@ -5,7 +5,7 @@
 export type OutlierOptions = {
 	readonly consecutiveFailures: number;
 	readonly errorShare: number;
-	/** Times the median answer time of its peers. */
+	/** Times the median slowness of its peers. */
 	readonly slowFactor: number;
 	readonly baseEjectionMs: number;
 	readonly longestEjectionMs: number;
@@ -73,7 +73,7 @@
 		// What was measured before counts no longer when it comes back.
 		stats.errorShare = 0;
 		stats.consecutiveFailures = 0;
-		stats.answerMs = undefined;
+		stats.slowness = undefined;
 		return true;
 	}
 
@@ -84,10 +84,10 @@
 		}
 
 		const times = peers
-			.filter(peer => peer !== observed && peer.stats.answerMs !== undefined)
-			.map(peer => peer.stats.answerMs!)
+			.filter(peer => peer !== observed && peer.stats.slowness !== undefined)
+			.map(peer => peer.stats.slowness!)
 			.toSorted((a, b) => a - b);
 		const median = times.at(Math.floor(times.length / 2));
-		return times.length >= 2 && median !== undefined && (stats.answerMs ?? 0) > median * this.options.slowFactor;
+		return times.length >= 2 && median !== undefined && (stats.slowness ?? 0) > median * this.options.slowFactor;
 	}
 }
--- a/src/routing/common/score-chooser.ts
+++ b/src/routing/common/score-chooser.ts
@@ -74,7 +74,7 @@
 	private score(candidate: Candidate, need: ChoiceNeed, nowMs: number): ScoredCandidate['scoreMs'] {
 		const {stats} = candidate;
 		const slots = Math.max(1, stats.load?.slots ?? need.slots);
-		const answerMs = stats.answerMs ?? need.expectedMs;
+		const answerMs = need.expectedMs * (stats.slowness ?? 1);
 		const outstanding = stats.outstanding(nowMs);
 		const waitMs = (Math.max(0, outstanding + 1 - slots) / slots) * answerMs;
 		// Below its slots an upstream still slows down a little with each call it batches.
--- a/src/routing/common/upstream-stats.ts
+++ b/src/routing/common/upstream-stats.ts
@@ -12,8 +12,11 @@
 
 	/** Calls of this entry that have not ended. */
 	inFlight = 0;
-	/** Smoothed answer time as seen from here, without the wait in the agent's queue. */
-	answerMs: number | undefined;
+	/**
+	Smoothed answer time against what the same stage takes elsewhere: 1 is usual.
+	Plain times would make an upstream look slow that happened to get long work.
+	*/
+	slowness: number | undefined;
 	/** Smoothed share of calls that failed. */
 	errorShare = 0;
 	/** Failures since the last success. */
@@ -42,13 +45,15 @@
 	/**
 	A call ended.
 	@param runMs - its time on the upstream.
+	@param usualMs - what the same stage usually takes.
 	@param isFailure - whether the upstream failed.
 	*/
-	observeEnd(runMs: number, isFailure: boolean): void {
+	observeEnd(runMs: number, usualMs: number, isFailure: boolean): void {
 		this.errorShare += smoothing * ((isFailure ? 1 : 0) - this.errorShare);
 		this.consecutiveFailures = isFailure ? this.consecutiveFailures + 1 : 0;
 		if (!isFailure) {
-			this.answerMs = this.answerMs === undefined ? runMs : this.answerMs + (smoothing * (runMs - this.answerMs));
+			const ratio = runMs / Math.max(1, usualMs);
+			this.slowness = this.slowness === undefined ? ratio : this.slowness + (smoothing * (ratio - this.slowness));
 		}
 	}
 
