Count the shortest wait there is when a request is let in

Cause: under a burst a request was let in by the times of the past alone, queued, and came late; a quarter of the upstream time came to nothing. Change: the door adds the shortest predicted wait of each stage's pool (looked up at most every 25 ms); what an agent may still start counts run times without waits.

--- a/src/entry/common/fleet-router.ts
+++ b/src/entry/common/fleet-router.ts
@@ -12,6 +12,8 @@
 import type {UpstreamLoad} from '../../wire/common/messages.js';
 
 const defaultAnswerMs = 50;
+/** How long the shortest wait of a pool is taken as known. */
+const waitLifeMs = 25;
 /** Upstream failures that say something about the upstream, not about the request. */
 const innocentReasons = new Set(['lostRace', 'abandoned']);
 
@@ -36,6 +38,7 @@
 	readonly estimates = StageEstimates.create();
 	/** Time on the upstream alone. */
 	private readonly runTimes = StageEstimates.create();
+	private readonly waits = new Map<string, {readonly waitMs: number; readonly atMs: number}>();
 	private readonly candidates = new Map<string, Candidate>();
 	private readonly outliers = OutlierDetector.create();
 	private readonly retryBudgets = new Map<string, RetryBudget>();
@@ -107,8 +110,21 @@
 		return hedgeShare > 0 && attainmentWeight > 0.5 ? this.estimates.slowMs(stage.key) : undefined;
 	}
 
-	optimisticMs(stages: readonly StagePlan[]): number {
-		return this.options.isAdaptive ? this.estimates.optimisticMs(stages.map(stage => stage.key)) : 0;
+	optimisticRunMs(stages: readonly StagePlan[]): number {
+		return this.options.isAdaptive ? this.runTimes.optimisticMs(stages.map(stage => stage.key)) : 0;
+	}
+
+	optimisticFinishMs(stages: readonly StagePlan[], nowMs: number): number {
+		if (!this.options.isAdaptive) {
+			return 0;
+		}
+
+		let sumMs = this.optimisticRunMs(stages);
+		for (const stage of stages) {
+			sumMs += this.shortestWaitMs(stage, nowMs);
+		}
+
+		return sumMs;
 	}
 
 	didDispatch(stage: StagePlan, attempt: Attempt, prefixHash: number, nowMs: number): void {
@@ -158,6 +174,20 @@
 		return this.options.newDispatchId();
 	}
 
+	/** Looked up once in a while for each pool: a door must not cost more the larger the pool is. */
+	private shortestWaitMs(stage: StagePlan, nowMs: number): number {
+		const known = this.waits.get(stage.pool);
+		if (known && nowMs - known.atMs < waitLifeMs) {
+			return known.waitMs;
+		}
+
+		const typicalMs = this.runTimes.typicalMs(stage.key) ?? 0;
+		const waits = this.poolCandidates(stage.pool, nowMs).map(({stats}) => stats.waitTurns(stage.slots, nowMs) * typicalMs);
+		const waitMs = waits.length === 0 ? 0 : Math.min(...waits);
+		this.waits.set(stage.pool, {waitMs, atMs: nowMs});
+		return waitMs;
+	}
+
 	private poolCandidates(pool: string, nowMs: number): Candidate[] {
 		return this.options.members.candidates(pool, nowMs).flatMap(member => this.candidates.get(member.upstreamId) ?? []);
 	}
--- a/src/request/common/request-machine.ts
+++ b/src/request/common/request-machine.ts
@@ -195,7 +195,7 @@
 	}
 
 	private start(nowMs: number): void {
-		if (nowMs + this.router.optimisticMs(this.plan.stages) > this.plan.deadlineMs) {
+		if (nowMs + this.router.optimisticFinishMs(this.plan.stages, nowMs) > this.plan.deadlineMs) {
 			this.finishWith(failureCodes.deadlineUnreachable, 'the stages take longer than the deadline leaves', nowMs);
 		} else if (this.plan.needsClaim) {
 			this.phase = 'claiming';
@@ -212,7 +212,7 @@
 
 	private beginStage(index: number, input: Uint8Array, nowMs: number): void {
 		const {plan, router} = this;
-		const remainingMs = router.optimisticMs(plan.stages.slice(index));
+		const remainingMs = router.optimisticRunMs(plan.stages.slice(index));
 		// What has started may end late; what has not is never started past its deadline.
 		const latestMs = index === 0 ? plan.deadlineMs : plan.giveUpMs;
 		const run = StageRun.create({
--- a/src/request/common/request-router.ts
+++ b/src/request/common/request-router.ts
@@ -20,8 +20,10 @@
 	hedgeDelayMs(stage: StagePlan): number | undefined;
 	/** @returns whether a hedge of this stage is within the budget; it is then paid for. */
 	mayHedge(stage: StagePlan, nowMs: number): boolean;
-	/** @returns the time that even a lucky run of these stages takes. */
-	optimisticMs(stages: readonly StagePlan[]): number;
+	/** @returns the time that even a lucky run of these stages takes on the upstreams, without any wait. */
+	optimisticRunMs(stages: readonly StagePlan[]): number;
+	/** @returns the same with the shortest waits there are now. */
+	optimisticFinishMs(stages: readonly StagePlan[], nowMs: number): number;
 	/** An attempt was sent. */
 	didDispatch(stage: StagePlan, attempt: Attempt, prefixHash: number, nowMs: number): void;
 	/** An attempt has ended; called once for each that was sent. */
--- a/src/routing/common/score-chooser.ts
+++ b/src/routing/common/score-chooser.ts
@@ -76,7 +76,7 @@
 		const slots = Math.max(1, stats.load?.slots ?? need.slots);
 		const answerMs = need.expectedMs * (stats.slowness ?? 1);
 		const outstanding = stats.outstanding(nowMs);
-		const waitMs = (Math.max(0, outstanding + 1 - slots) / slots) * answerMs;
+		const waitMs = stats.waitTurns(need.slots, nowMs) * answerMs;
 		// Below its slots an upstream still slows down a little with each call it batches.
 		const sharedMs = (Math.min(outstanding, slots) / slots) * answerMs * 0.5;
 		const savedMs = this.prefixes.holds(candidate.upstreamId, need.prefixHash, nowMs) * answerMs * this.options.prefixSavingShare;
--- a/src/routing/common/upstream-stats.ts
+++ b/src/routing/common/upstream-stats.ts
@@ -57,6 +57,17 @@
 		}
 	}
 
+	/**
+	Estimates how many answer times a call sent now would wait.
+	@param usualSlots - calls run at once where the upstream does not say.
+	@param nowMs - the time.
+	@returns 0 while a slot is free.
+	*/
+	waitTurns(usualSlots: number, nowMs: number): number {
+		const slots = Math.max(1, this.report?.slots ?? usualSlots);
+		return Math.max(0, this.outstanding(nowMs) + 1 - slots) / slots;
+	}
+
 	/**
 	Estimates the calls at the upstream now: the report's, as far as it still holds,
 	moved on by what this entry did since; never less than its own.
