Keep a pool's candidates between its changes

Cause: each choice listed, joined and searched the whole pool, and each end sorted its answer times. Change: candidates, median slowness and ids are looked up again when a member changes, else every 100 ms; the chooser samples from them.

--- /dev/null
+++ b/bench/decisions.ts
@@ -0,0 +1,145 @@
+/** What one decision costs, and how it grows with the number of upstreams. */
+import {Bench} from 'tinybench';
+import {ManualClock} from '../src/base/common/clock.js';
+import {SeededRandom} from '../src/base/common/random.js';
+import {FleetRouter} from '../src/entry/common/fleet-router.js';
+import {planRequest} from '../src/entry/common/planner.js';
+import {MemberTable} from '../src/membership/common/member-table.js';
+import {GateMachine} from '../src/request/common/gate-machine.js';
+import {RequestMachine} from '../src/request/common/request-machine.js';
+import type {RequestPlan} from '../src/request/common/request-plan.js';
+import {PrefixIndex} from '../src/routing/common/prefix-index.js';
+import {ScoreChooser} from '../src/routing/common/score-chooser.js';
+import {encodeFrame, FrameDecoder} from '../src/wire/common/frame-codec.js';
+import type {DispatchMessage, Message} from '../src/wire/common/messages.js';
+import {makeTree} from './synthetic-settings.js';
+
+const digest = {tokens: 48, startMs: 1000};
+
+/** One measured decision. */
+export type DecisionFigure = {readonly name: string; readonly microseconds: number; readonly spreadShare: number};
+
+function makeRouter(upstreams: number, clock: ManualClock): FleetRouter {
+	const members = MemberTable.create({heartbeatTimeoutMs: Infinity, distrustShare: 0.5});
+	const random = SeededRandom.create(3);
+	const prefixes = PrefixIndex.create();
+	let serial = 0;
+	const router = FleetRouter.create({
+		hall: 'hall-a', members, prefixes, isAdaptive: true, chooser: ScoreChooser.create(random, prefixes), newDispatchId: () => `d${serial++}`,
+	});
+	for (let number = 0; number < upstreams; number++) {
+		const identity = {
+			upstreamId: `u${number}`, hostId: `h${number}`, pool: 'models', hall: `hall-${number % 6}`, incarnation: 'i', role: 'agent' as const,
+		};
+		members.connected(identity, clock.nowMs());
+		router.joined(members.all().at(-1)!);
+		router.observeLoad(identity.upstreamId, {
+			running: random.int(8), queued: 0, slots: 8, serviceMs: 20, models: [{model: 'm', version: 'v1', adapters: []}],
+		}, clock.nowMs());
+	}
+
+	return router;
+}
+
+function planOf(tree: ReturnType<typeof makeTree>, nowMs: number): RequestPlan {
+	const plan = planRequest(tree, {
+		requestId: 'r1', workspace: 'w0', target: 'p0', isRepeatable: true, hasKey: false, isStreaming: true, input: new TextEncoder().encode('x'.repeat(200)),
+	}, nowMs);
+	if (!plan.ok) {
+		throw new Error(plan.error.message);
+	}
+
+	return plan.value;
+}
+
+/** Runs a whole request of one generating stage through its machine, with a token in each chunk. */
+function runRequest(plan: RequestPlan, router: FleetRouter): void {
+	const machine = RequestMachine.create(plan, router);
+	const [action] = machine.handle({type: 'start'}, digest.startMs);
+	if (action.type !== 'dispatch') {
+		throw new Error(`expected a dispatch, got ${action.type}`);
+	}
+
+	const {dispatchId} = action.message;
+	const data = new Uint8Array(6);
+	machine.handle({type: 'started', dispatchId, queueMs: 0}, digest.startMs);
+	for (let sequence = 0; sequence < digest.tokens; sequence++) {
+		machine.handle({
+			type: 'chunk', dispatchId, sequence, units: 1, data,
+		}, digest.startMs);
+	}
+
+	machine.handle({
+		type: 'end', dispatchId, state: 'failed', units: digest.tokens, digest: 0, runMs: 10,
+	}, digest.startMs);
+	machine.handle({type: 'callerGone'}, digest.startMs);
+}
+
+function runGate(gate: GateMachine, dispatch: DispatchMessage, serial: number): void {
+	const dispatchId = `d${serial}`;
+	gate.dispatch(1, {...dispatch, dispatchId}, false, serial);
+	gate.callStarted(dispatchId, undefined, serial);
+	gate.callEnded(dispatchId, {state: 'completed'}, serial);
+}
+
+/**
+Measures each decision.
+@param timeMs - time spent on each.
+@returns the figures.
+*/
+export async function measureDecisions(timeMs: number): Promise<DecisionFigure[]> {
+	const clock = ManualClock.create(digest.startMs);
+	const bench = new Bench({time: timeMs, warmupTime: timeMs / 4});
+	const tree = makeTree(5);
+	const plan = planOf(tree, digest.startMs);
+	const stage = plan.stages.at(-1)!;
+	const excluded = new Set<string>();
+	for (const count of [8, 64, 730]) {
+		const router = makeRouter(count, clock);
+		bench.add(`choose one of ${count} upstreams`, () => {
+			router.choose(stage, excluded, 77, digest.startMs);
+		});
+	}
+
+	const router = makeRouter(64, clock);
+	const single: RequestPlan = {...plan, stages: [{...stage, index: 0}]};
+	let dispatch: DispatchMessage | undefined;
+	for (const action of RequestMachine.create(single, router).handle({type: 'start'}, digest.startMs)) {
+		dispatch = action.type === 'dispatch' ? action.message : dispatch;
+	}
+
+	const chunk: Message = {
+		type: 'chunk', dispatchId: 'abcdefghijklmnop', sequence: 17, units: 1, data: new Uint8Array(6),
+	};
+	const gate = GateMachine.create({slots: 8, maxQueue: 32});
+	let serial = 0;
+	bench.add('make a plan of four stages', () => {
+		planOf(tree, digest.startMs);
+	});
+	bench.add(`whole request machine, ${digest.tokens} chunks`, () => {
+		runRequest(single, router);
+	});
+	bench.add('whole dispatch through a gate', () => {
+		runGate(gate, dispatch!, serial++);
+	});
+	for (const [name, message] of [['dispatch', dispatch!], ['chunk', chunk]] as const) {
+		const frame = encodeFrame(message);
+		const decoder = FrameDecoder.create();
+		bench.add(`encode a ${name} frame`, () => {
+			encodeFrame(message);
+		});
+		bench.add(`decode and check a ${name} frame`, () => {
+			decoder.push(frame);
+		});
+	}
+
+	await bench.run();
+	return bench.tasks.map(task => {
+		const {result} = task;
+		if (!('latency' in result)) {
+			throw new Error(`${task.name} was not measured`);
+		}
+
+		return {name: task.name, microseconds: result.latency.p50 * 1000, spreadShare: result.latency.mad / result.latency.p50};
+	});
+}
--- a/src/entry/common/fleet-router.ts
+++ b/src/entry/common/fleet-router.ts
@@ -3,8 +3,10 @@
 import type {Attempt} from '../../request/common/attempt.js';
 import {attemptStates, type StagePlan} from '../../request/common/request-plan.js';
 import type {RequestRouter} from '../../request/common/request-router.js';
-import type {Candidate, Choice, UpstreamChooser} from '../../routing/common/chooser.js';
-import {OutlierDetector} from '../../routing/common/outlier-detector.js';
+import {
+	makeCandidateSet, type Candidate, type CandidateSet, type Choice, type UpstreamChooser,
+} from '../../routing/common/chooser.js';
+import {medianSlownessOf, OutlierDetector} from '../../routing/common/outlier-detector.js';
 import type {PrefixIndex} from '../../routing/common/prefix-index.js';
 import {RetryBudget} from '../../routing/common/retry-budget.js';
 import {StageEstimates} from '../../routing/common/stage-estimates.js';
@@ -14,6 +16,8 @@
 const defaultAnswerMs = 50;
 /** How long the shortest wait of a pool is taken as known. */
 const waitLifeMs = 25;
+/** How long the candidates of a pool are taken as known while no member changes. */
+const viewLifeMs = 100;
 /** Upstream failures that say something about the upstream, not about the request. */
 const innocentReasons = new Set(['lostRace', 'abandoned']);
 
@@ -28,6 +32,15 @@
 	readonly isAdaptive: boolean;
 };
 
+/** What is known of a pool for a short while. */
+type PoolView = {
+	readonly version: number;
+	readonly atMs: number;
+	readonly all: readonly Candidate[];
+	readonly usable: CandidateSet;
+	readonly medianSlowness: number | undefined;
+};
+
 /** Routes for one entry. */
 export class FleetRouter implements RequestRouter {
 	static create(options: FleetRouterOptions): FleetRouter {
@@ -38,6 +51,7 @@
 	readonly estimates = StageEstimates.create();
 	/** Time on the upstream alone. */
 	private readonly runTimes = StageEstimates.create();
+	private readonly views = new Map<string, PoolView>();
 	private readonly waits = new Map<string, {readonly waitMs: number; readonly atMs: number}>();
 	private readonly candidates = new Map<string, Candidate>();
 	private readonly outliers = OutlierDetector.create();
@@ -79,10 +93,9 @@
 	}
 
 	choose(stage: StagePlan, excluded: ReadonlySet<string>, prefixHash: number, nowMs: number): Choice | undefined {
-		const pool = this.poolCandidates(stage.pool, nowMs);
-		const usable = this.options.isAdaptive ? this.outliers.withoutEjected(pool, nowMs) : pool;
-		const left = excluded.size === 0 ? usable : usable.filter(candidate => !excluded.has(candidate.upstreamId));
-		if (left.length === 0) {
+		const {usable} = this.viewOf(stage.pool, nowMs);
+		const left = excluded.size === 0 ? usable : makeCandidateSet(usable.list.filter(candidate => !excluded.has(candidate.upstreamId)));
+		if (left.list.length === 0) {
 			return undefined;
 		}
 
@@ -162,7 +175,10 @@
 
 		candidate.stats.observeEnd(attempt.runMs, this.runTimes.typicalMs(stage.key) ?? attempt.runMs, isFailure);
 		if (this.options.isAdaptive) {
-			this.outliers.observe(candidate, this.poolCandidates(stage.pool, nowMs), nowMs);
+			const {all, medianSlowness} = this.viewOf(stage.pool, nowMs);
+			if (this.outliers.observe(candidate, all, medianSlowness, nowMs)) {
+				this.views.delete(stage.pool);
+			}
 		}
 	}
 
@@ -182,14 +198,27 @@
 		}
 
 		const typicalMs = this.runTimes.typicalMs(stage.key) ?? 0;
-		const waits = this.poolCandidates(stage.pool, nowMs).map(({stats}) => stats.waitTurns(stage.slots, nowMs) * typicalMs);
+		const waits = this.viewOf(stage.pool, nowMs).usable.list.map(({stats}) => stats.waitTurns(stage.slots, nowMs) * typicalMs);
 		const waitMs = waits.length === 0 ? 0 : Math.min(...waits);
 		this.waits.set(stage.pool, {waitMs, atMs: nowMs});
 		return waitMs;
 	}
 
-	private poolCandidates(pool: string, nowMs: number): Candidate[] {
-		return this.options.members.candidates(pool, nowMs).flatMap(member => this.candidates.get(member.upstreamId) ?? []);
+	/** What is known of a pool, looked up again when a member changes, and from time to time for silence. */
+	private viewOf(pool: string, nowMs: number): PoolView {
+		const {members, isAdaptive} = this.options;
+		const known = this.views.get(pool);
+		if (known?.version === members.version && nowMs - known.atMs < viewLifeMs) {
+			return known;
+		}
+
+		const all = members.candidates(pool, nowMs).flatMap(member => this.candidates.get(member.upstreamId) ?? []);
+		const usable = isAdaptive ? this.outliers.withoutEjected(all, nowMs) : all;
+		const view = {
+			version: members.version, atMs: nowMs, all, usable: makeCandidateSet(usable), medianSlowness: medianSlownessOf(all),
+		};
+		this.views.set(pool, view);
+		return view;
 	}
 
 	private budgetOf(budgets: Map<string, RetryBudget>, stage: StagePlan, nowMs: number): RetryBudget {
--- a/src/membership/common/member-table.ts
+++ b/src/membership/common/member-table.ts
@@ -49,9 +49,15 @@
 	private readonly pools = new Map<string, Set<string>>();
 	private readonly leavingHosts = new Set<string>();
 	private drained: ReadonlySet<string> = new Set();
+	private changes = 0;
 
 	private constructor(private readonly options: MemberOptions) {}
 
+	/** Rises whenever an upstream joins, leaves or is lost; silence alone does not count. */
+	get version(): number {
+		return this.changes;
+	}
+
 	/**
 	An agent's connection is ready.
 	@param identity - who is behind it.
@@ -64,6 +70,7 @@
 			return false;
 		}
 
+		this.changes++;
 		const known = this.entries.get(upstreamId);
 		if (known?.member.incarnation === incarnation) {
 			known.isConnected = true;
@@ -96,6 +103,7 @@
 		const entry = this.entries.get(upstreamId);
 		if (entry?.member.incarnation === incarnation) {
 			entry.isConnected = false;
+			this.changes++;
 		}
 	}
 
@@ -109,7 +117,10 @@
 		const entry = this.entries.get(upstreamId);
 		if (entry) {
 			entry.lastHeardMs = nowMs;
-			entry.isLeaving ||= state === serveStates.leaving;
+			if (state === serveStates.leaving && !entry.isLeaving) {
+				entry.isLeaving = true;
+				this.changes++;
+			}
 		}
 	}
 
@@ -122,7 +133,10 @@
 		if (state === listedStates.leaving) {
 			this.leavingHosts.add(hostId);
 			for (const entry of this.entries.values()) {
-				entry.isLeaving ||= entry.member.hostId === hostId;
+				if (entry.member.hostId === hostId && !entry.isLeaving) {
+					entry.isLeaving = true;
+					this.changes++;
+				}
 			}
 		} else {
 			this.leavingHosts.delete(hostId);
@@ -135,6 +149,7 @@
 	*/
 	drainedBySettings(upstreamIds: Iterable<string>): void {
 		this.drained = new Set(upstreamIds);
+		this.changes++;
 	}
 
 	/**
--- a/src/routing/common/chooser.ts
+++ b/src/routing/common/chooser.ts
@@ -11,6 +11,21 @@
 	readonly joinedMs: number;
 };
 
+/** Upstreams that may be chosen, found by position and by id. */
+export type CandidateSet = {
+	readonly list: readonly Candidate[];
+	get(upstreamId: string): Candidate | undefined;
+};
+
+/**
+Makes a set of a list.
+@param list - the candidates.
+*/
+export function makeCandidateSet(list: readonly Candidate[]): CandidateSet {
+	const byId = new Map(list.map(candidate => [candidate.upstreamId, candidate]));
+	return {list, get: upstreamId => byId.get(upstreamId)};
+}
+
 /** What the attempt needs. */
 export type ChoiceNeed = {
 	/** The entry's own hall. */
@@ -40,7 +55,7 @@
 	@param nowMs - the time.
 	@returns the choice.
 	*/
-	choose(candidates: readonly Candidate[], need: ChoiceNeed, nowMs: number): Choice;
+	choose(candidates: CandidateSet, need: ChoiceNeed, nowMs: number): Choice;
 };
 
 /** Baseline: any of them. */
@@ -51,7 +66,7 @@
 
 	private constructor(private readonly random: Random) {}
 
-	choose(candidates: readonly Candidate[]): Choice {
+	choose({list: candidates}: CandidateSet): Choice {
 		return {chosen: candidates[this.random.int(candidates.length)], scored: []};
 	}
 }
@@ -64,7 +79,7 @@
 
 	private next = 0;
 
-	choose(candidates: readonly Candidate[]): Choice {
+	choose({list: candidates}: CandidateSet): Choice {
 		this.next++;
 		return {chosen: candidates[this.next % candidates.length], scored: []};
 	}
@@ -78,7 +93,7 @@
 
 	private constructor(private readonly random: Random) {}
 
-	choose(candidates: readonly Candidate[]): Choice {
+	choose({list: candidates}: CandidateSet): Choice {
 		const offset = this.random.int(candidates.length);
 		let chosen = candidates[offset];
 		for (let index = 1; index < candidates.length; index++) {
--- a/src/routing/common/outlier-detector.ts
+++ b/src/routing/common/outlier-detector.ts
@@ -17,6 +17,8 @@
 	consecutiveFailures: 3, errorShare: 0.6, slowFactor: 4, baseEjectionMs: 2000, longestEjectionMs: 30_000, mostEjectedShare: 0.34,
 };
 
+const fewestKnown = 3;
+
 type Ejection = {untilMs: number; count: number};
 
 /** Keeps the ejected upstreams of all pools. */
@@ -53,12 +55,13 @@
 	Looks at an upstream after one of its calls ended.
 	@param observed - the upstream.
 	@param peers - all of its pool.
+	@param medianSlowness - of the pool, where enough is known.
 	@param nowMs - the time.
 	@returns whether it is now taken out.
 	*/
-	observe(observed: Candidate, peers: readonly Candidate[], nowMs: number): boolean {
+	observe(observed: Candidate, peers: readonly Candidate[], medianSlowness: number | undefined, nowMs: number): boolean {
 		const {stats, upstreamId} = observed;
-		if (this.isEjected(upstreamId, nowMs) || !this.isOutlier(observed, peers)) {
+		if (this.isEjected(upstreamId, nowMs) || !this.isOutlier(observed, medianSlowness)) {
 			return false;
 		}
 
@@ -77,17 +80,22 @@
 		return true;
 	}
 
-	private isOutlier(observed: Candidate, peers: readonly Candidate[]): boolean {
+	private isOutlier(observed: Candidate, medianSlowness: number | undefined): boolean {
 		const {stats} = observed;
 		if (stats.consecutiveFailures >= this.options.consecutiveFailures || stats.errorShare > this.options.errorShare) {
 			return true;
 		}
 
-		const times = peers
-			.filter(peer => peer !== observed && peer.stats.slowness !== undefined)
-			.map(peer => peer.stats.slowness!)
-			.toSorted((a, b) => a - b);
-		const median = times.at(Math.floor(times.length / 2));
-		return times.length >= 2 && median !== undefined && (stats.slowness ?? 0) > median * this.options.slowFactor;
+		return medianSlowness !== undefined && (stats.slowness ?? 0) > medianSlowness * this.options.slowFactor;
 	}
 }
+
+/**
+Gives the middle slowness of a pool.
+@param candidates - its upstreams.
+@returns nothing where fewer than three are known.
+*/
+export function medianSlownessOf(candidates: readonly Candidate[]): number | undefined {
+	const known = candidates.flatMap(candidate => candidate.stats.slowness ?? []).toSorted((a, b) => a - b);
+	return known.length < fewestKnown ? undefined : known[Math.floor((known.length - 1) / 2)];
+}
--- a/src/routing/common/score-chooser.ts
+++ b/src/routing/common/score-chooser.ts
@@ -1,7 +1,7 @@
 /** The product's chooser: the lowest predicted time among a few sampled candidates. */
 import type {Random} from '../../base/common/random.js';
 import type {
-	Candidate, Choice, ChoiceNeed, ScoredCandidate, UpstreamChooser,
+	Candidate, CandidateSet, Choice, ChoiceNeed, ScoredCandidate, UpstreamChooser,
 } from './chooser.js';
 import type {PrefixIndex} from './prefix-index.js';
 
@@ -35,7 +35,7 @@
 		private readonly options: ScoreOptions,
 	) {}
 
-	choose(candidates: readonly Candidate[], need: ChoiceNeed, nowMs: number): Choice {
+	choose(candidates: CandidateSet, need: ChoiceNeed, nowMs: number): Choice {
 		const scored = this.sample(candidates, need.prefixHash).map(candidate => ({
 			candidate, scoreMs: this.score(candidate, need, nowMs),
 		}));
@@ -50,8 +50,9 @@
 	}
 
 	/** A few at random, with the ones that may have the prefix. */
-	private sample(candidates: readonly Candidate[], prefixHash: number): Candidate[] {
+	private sample(set: CandidateSet, prefixHash: number): Candidate[] {
 		const {sampleSize} = this.options;
+		const {list: candidates} = set;
 		const start = this.random.int(candidates.length);
 		if (candidates.length <= sampleSize) {
 			return candidates.map((_, index) => candidates[(start + index) % candidates.length]);
@@ -59,7 +60,7 @@
 
 		const sampled = new Set<Candidate>();
 		const holder = this.prefixes.likelyHolder(prefixHash);
-		const warm = holder === undefined ? undefined : candidates.find(candidate => candidate.upstreamId === holder);
+		const warm = holder === undefined ? undefined : set.get(holder);
 		if (warm) {
 			sampled.add(warm);
 		}
