Keep what the settings say of a target until they change

Cause: each request walked the tree of settings for each of its stages. Change: policy and stages of a workspace's target are kept by revision.

--- a/bench/decisions.ts
+++ b/bench/decisions.ts
@@ -3,7 +3,7 @@
 import {ManualClock} from '../src/base/common/clock.js';
 import {SeededRandom} from '../src/base/common/random.js';
 import {FleetRouter} from '../src/entry/common/fleet-router.js';
-import {planRequest} from '../src/entry/common/planner.js';
+import {Planner} from '../src/entry/common/planner.js';
 import {MemberTable} from '../src/membership/common/member-table.js';
 import {GateMachine} from '../src/request/common/gate-machine.js';
 import {RequestMachine} from '../src/request/common/request-machine.js';
@@ -41,8 +41,8 @@
 	return router;
 }
 
-function planOf(tree: ReturnType<typeof makeTree>, nowMs: number): RequestPlan {
-	const plan = planRequest(tree, {
+function planOf(planner: Planner, nowMs: number): RequestPlan {
+	const plan = planner.plan({
 		requestId: 'r1', workspace: 'w0', target: 'p0', isRepeatable: true, hasKey: false, isStreaming: true, input: new TextEncoder().encode('x'.repeat(200)),
 	}, nowMs);
 	if (!plan.ok) {
@@ -90,8 +90,8 @@
 export async function measureDecisions(timeMs: number): Promise<DecisionFigure[]> {
 	const clock = ManualClock.create(digest.startMs);
 	const bench = new Bench({time: timeMs, warmupTime: timeMs / 4});
-	const tree = makeTree(5);
-	const plan = planOf(tree, digest.startMs);
+	const planner = Planner.create(makeTree(5));
+	const plan = planOf(planner, digest.startMs);
 	const stage = plan.stages.at(-1)!;
 	const excluded = new Set<string>();
 	for (const count of [8, 64, 730]) {
@@ -114,7 +114,7 @@
 	const gate = GateMachine.create({slots: 8, maxQueue: 32});
 	let serial = 0;
 	bench.add('make a plan of four stages', () => {
-		planOf(tree, digest.startMs);
+		planOf(planner, digest.startMs);
 	});
 	bench.add(`whole request machine, ${digest.tokens} chunks`, () => {
 		runRequest(single, router);
--- a/src/entry/common/planner.ts
+++ b/src/entry/common/planner.ts
@@ -7,6 +7,8 @@
 import type {HttpCall} from '../../wire/common/messages.js';
 
 const defaultSlots = 8;
+/** Targets kept between changes of the settings. */
+const mostTargets = 20_000;
 /** Start of the input by which requests are taken to share a prompt prefix. */
 const prefixBytes = 64;
 
@@ -28,14 +30,53 @@
 /** Why there is no plan. */
 export type PlanFailure = {readonly code: 'unknownWorkspace' | 'unknownPipeline' | 'unknownService' | 'disabled'; readonly message: string};
 
-/**
-Makes a plan.
-@param tree - the settings in force.
-@param ask - what is asked for.
-@param nowMs - the time of receipt; the deadline counts from here.
-@returns the plan, or why there is none.
-*/
-export function planRequest(tree: SettingsTree, ask: Ask, nowMs: number): Outcome<RequestPlan, PlanFailure> {
+/** What the settings say of one target of one workspace. */
+type Target = {readonly policy: EffectivePolicy; readonly stages: readonly StagePlan[]};
+
+/** Makes plans; what it reads of the settings is kept until they change. */
+export class Planner {
+	static create(tree: SettingsTree): Planner {
+		return new Planner(tree);
+	}
+
+	private readonly targets = new Map<string, Target>();
+	private revision = 0;
+
+	private constructor(private readonly tree: SettingsTree) {}
+
+	/**
+	Makes a plan.
+	@param ask - what is asked for.
+	@param nowMs - the time of receipt; the deadline counts from here.
+	@returns the plan, or why there is none.
+	*/
+	plan(ask: Ask, nowMs: number): Outcome<RequestPlan, PlanFailure> {
+		const target = this.targetOf(ask);
+		return target.ok ? ok(planOf(this.tree.revision, target.value, ask, nowMs)) : target;
+	}
+
+	private targetOf(ask: Ask): Outcome<Target, PlanFailure> {
+		if (this.revision !== this.tree.revision || this.targets.size > mostTargets) {
+			this.targets.clear();
+			this.revision = this.tree.revision;
+		}
+
+		const key = `${ask.workspace} ${ask.http?.method ?? ''} ${ask.target}`;
+		const known = this.targets.get(key);
+		if (known) {
+			return ok(known);
+		}
+
+		const target = readTarget(this.tree, ask);
+		if (target.ok) {
+			this.targets.set(key, target.value);
+		}
+
+		return target;
+	}
+}
+
+function readTarget(tree: SettingsTree, ask: Ask): Outcome<Target, PlanFailure> {
 	if (!tree.workspace(ask.workspace)) {
 		return fail({code: 'unknownWorkspace', message: `workspace "${ask.workspace}" is not declared`});
 	}
@@ -48,20 +89,22 @@
 		return stages;
 	}
 
-	if (!policy.isEnabled) {
-		return fail({code: 'disabled', message: `"${ask.target}" is disabled for this workspace`});
-	}
+	return policy.isEnabled
+		? ok({policy, stages: stages.value})
+		: fail({code: 'disabled', message: `"${ask.target}" is disabled for this workspace`});
+}
 
+function planOf(settingsRevision: number, {policy, stages}: Target, ask: Ask, nowMs: number): RequestPlan {
 	const deadlineMs = nowMs + (ask.deadlineMs ?? policy.deadlineMs);
 	const isRepeatable = ask.isRepeatable && policy.isRepeatable;
-	return ok({
+	return {
 		requestId: ask.requestId,
 		workspace: ask.workspace,
 		pipeline: ask.target,
-		stages: stages.value,
+		stages,
 		policy,
 		isRepeatable,
-		settingsRevision: tree.revision,
+		settingsRevision,
 		needsClaim: !isRepeatable || ask.hasKey,
 		isStreaming: ask.isStreaming,
 		startMs: nowMs,
@@ -71,7 +114,7 @@
 		...(ask.http && {http: ask.http}),
 		prefixHash: prefixHashOf(ask),
 		seed: hashText(ask.requestId),
-	});
+	};
 }
 
 function pipelineStages(tree: SettingsTree, ask: Ask, path: string): Outcome<StagePlan[], PlanFailure> {
--- a/src/entry/node/callers-api.ts
+++ b/src/entry/node/callers-api.ts
@@ -12,7 +12,7 @@
 import type {SettingsService} from '../../settings/common/settings-service.js';
 import type {HttpCall} from '../../wire/common/messages.js';
 import type {Accounting} from '../common/accounting.js';
-import {planRequest} from '../common/planner.js';
+import {Planner} from '../common/planner.js';
 import {problemOf, type Problem} from '../common/problems.js';
 import {AnswerWriter} from './answer-writer.js';
 import {
@@ -53,9 +53,11 @@
 	}
 
 	private readonly app = makeApp();
+	private readonly planner: Planner;
 	private readonly limiters = new Map<string, WorkspaceLimiter>();
 
 	private constructor(private readonly options: CallersApiOptions) {
+		this.planner = Planner.create(options.settings.tree);
 		this.app.get('/healthz', (_request, response) => {
 			sendJson(response, 200, {status: 'ok'});
 		});
@@ -93,7 +95,7 @@
 		}
 
 		const {headers, body, requestId} = parsed;
-		const plan = planRequest(this.options.settings.tree, {
+		const plan = this.planner.plan({
 			requestId,
 			workspace: target.workspace,
 			target: target.name,
