Meet bad input at every door; check only what a change bears on

Found and mended: a refused large body left a connection that hung the caller's next request (now closed, and not torn down under the answer); a path that is no UTF-8 was answered by the library in its own form.

--- a/bench/main.ts
+++ b/bench/main.ts
@@ -1,13 +1,24 @@
-/** `npm run bench`: figures on decisions, attainment and slopes; ratios are checked against bounds with `--check`. */
+/** `npm run bench`: figures on decisions, the hop, attainment and slopes, kept and written into the docs. */
 import process from 'node:process';
 import sade from 'sade';
 import {measureAttainment, type AttainmentRun} from './attainment.js';
+import {checkResults} from './check.js';
+import {measureDecisions} from './decisions.js';
 import {deployments} from './deployments.js';
+import {measureHop} from './hop.js';
 import {policies} from './policies.js';
+import {keepResults, readResults, writePage} from './report.js';
 import {scenarios} from './scenarios.js';
+import {measureSlopes} from './slopes.js';
+
+const decisionTimeMs = 500;
 
 type Flags = {
-	readonly only?: string;
+	readonly decisions?: boolean;
+	readonly attainment?: boolean;
+	readonly slopes?: boolean;
+	readonly check?: boolean;
+	readonly keep: boolean;
 	readonly scenario?: string;
 	readonly policy?: string;
 	readonly deployment?: string;
@@ -15,6 +26,10 @@
 	readonly rounds: number;
 };
 
+function say(line: string): void {
+	process.stdout.write(`${line}\n`);
+}
+
 function format(run: AttainmentRun): string {
 	const share = (value: number) => `${(value * 100).toFixed(1)}%`;
 	return [
@@ -32,7 +47,7 @@
 	].join(' ');
 }
 
-async function attainment(flags: Flags): Promise<AttainmentRun[]> {
+async function runAttainment(flags: Flags): Promise<void> {
 	const runs: AttainmentRun[] = [];
 	for (let round = 0; round < flags.rounds; round++) {
 		for (const deployment of deployments.filter(item => !flags.deployment || item.name === flags.deployment)) {
@@ -42,23 +57,80 @@
 						deployment, scenario, policy, durationMs: flags.seconds * 1000, seed: 100 + round,
 					});
 					runs.push(run);
-					process.stdout.write(`${format(run)}\n`);
+					say(format(run));
 				}
 			}
 		}
 	}
 
-	return runs;
+	if (flags.keep) {
+		// Other deployments, and other scenarios, keep what was measured of them before.
+		const isMeasured = (old: AttainmentRun) => runs.some(run => run.deployment === old.deployment && run.scenario === old.scenario && run.policy === old.policy);
+		keepResults('attainment', [...(readResults('attainment') ?? []).filter(old => !isMeasured(old)), ...runs]);
+	}
+}
+
+async function runDecisions(): Promise<void> {
+	const decisions = await measureDecisions(decisionTimeMs);
+	for (const item of decisions) {
+		say(`${item.name.padEnd(40)} ${item.microseconds.toFixed(1)} us`);
+	}
+
+	keepResults('decisions', decisions);
+	const hop = await measureHop();
+	say(`the hop adds ${(hop.throughMs - hop.directMs).toFixed(2)} ms, ${(hop.addedShare * 100).toFixed(1)}% of a 20 ms stage`);
+	keepResults('hop', hop);
+}
+
+async function runSlopes(): Promise<void> {
+	const slopes = await measureSlopes();
+	for (const item of slopes) {
+		say(`${item.what.padEnd(46)} ${item.at.padEnd(38)} ${item.value.toFixed(2)} ${item.unit}`);
+	}
+
+	keepResults('slopes', slopes);
+}
+
+async function run(flags: Flags): Promise<void> {
+	const isAll = !flags.decisions && !flags.attainment && !flags.slopes && !flags.check;
+	if (isAll || flags.decisions) {
+		await runDecisions();
+	}
+
+	if (isAll || flags.attainment) {
+		await runAttainment(flags);
+	}
+
+	if (isAll || flags.slopes) {
+		await runSlopes();
+	}
+
+	if (flags.check) {
+		const broken = checkResults();
+		for (const line of broken) {
+			say(`out of bounds: ${line}`);
+		}
+
+		say(broken.length === 0 ? 'Every bound holds.' : `${broken.length} bounds are broken.`);
+		process.exitCode = broken.length === 0 ? 0 : 1;
+	}
+
+	writePage();
 }
 
 sade('bench', true)
+	.describe('Measures, keeps the results in bench/results, and writes the tables of docs/MEASUREMENTS.md. Without a part, all are measured.')
+	.option('--decisions', 'Only decisions and the hop')
+	.option('--attainment', 'Only attainment, latency and cost')
+	.option('--slopes', 'Only slopes')
+	.option('--check', 'Only check the kept results against bench/bounds.jsonc')
+	.option('--keep', 'Keep attainment results (--no-keep for trials)', true)
 	.option('--scenario', 'Only scenarios whose names contain this')
 	.option('--policy', 'Only this policy')
 	.option('--deployment', 'Only this deployment')
-	.option('--seconds', 'Length of each run', 6)
-	.option('--rounds', 'Rounds, interleaved', 1)
+	.option('--seconds', 'Length of each attainment run', 8)
+	.option('--rounds', 'Rounds of attainment, interleaved', 2)
 	.action(async (flags: Flags) => {
-		await attainment(flags);
-		process.exitCode = 0;
+		await run(flags);
 	})
 	.parse(process.argv);
--- a/src/agent/node/agent-service.ts
+++ b/src/agent/node/agent-service.ts
@@ -21,6 +21,8 @@
 import {CallRunner} from './call-runner.js';
 
 const tickMs = 20;
+/** Still short enough that work which comes meanwhile is refused in time. */
+const idleTickMs = 50;
 const stateReadMs = 2000;
 const orphanRetryMs = 1000;
 /** How long a stopping agent goes on answering after its last work, so that every entry hears of it. */
@@ -77,7 +79,7 @@
 		this.owned.add(lifecycle.onWillStop(event => {
 			event.waitFor(this.drain());
 		}));
-		this.owned.add(setRepeating(clock, () => tickMs, () => {
+		this.owned.add(setRepeating(clock, () => gate.isIdle ? idleTickMs : tickMs, () => {
 			this.tick();
 		}));
 		this.owned.add(setRepeating(clock, () => stateReadMs, async () => this.readState()));
--- a/src/entry/node/callers-api.ts
+++ b/src/entry/node/callers-api.ts
@@ -19,7 +19,7 @@
 	checkJsonBody, passedHeaders, readCallerHeaders, type CallerHeaders,
 } from './caller-request.js';
 import {
-	hasToken, makeApp, readBody, sendJson, sendProblem,
+	attachApp, hasToken, makeApp, readBody, sendJson, sendProblem,
 } from './http-common.js';
 import type {RequestRunner} from './request-runner.js';
 
@@ -84,7 +84,7 @@
 	@param server - the server.
 	*/
 	attachTo(server: Server): void {
-		server.on('request', this.app.attach);
+		attachApp(server, this.app);
 	}
 
 	private async serve(request: IncomingMessage, response: ServerResponse, target: Target): Promise<void> {
--- a/src/entry/node/http-common.ts
+++ b/src/entry/node/http-common.ts
@@ -37,6 +37,30 @@
 		: createServer(serverOptions);
 }
 
+/**
+Answers a server's requests with an application, after checks that must come before its routes.
+@param server - the server.
+@param app - the application.
+*/
+export function attachApp(server: Server, app: App): void {
+	server.on('request', (request: IncomingMessage, response: ServerResponse) => {
+		if (isDecodable(request.url ?? '/')) {
+			app.attach(request as Parameters<App['attach']>[0], response as Parameters<App['attach']>[1]);
+		} else {
+			sendProblem(response, problemOf('badRequest', 'the path is not URL-encoded UTF-8', {place: 'path'}));
+		}
+	});
+}
+
+function isDecodable(url: string): boolean {
+	try {
+		decodeURIComponent(url.split('?', 1)[0]);
+		return true;
+	} catch {
+		return false;
+	}
+}
+
 /**
 Makes an application whose own errors are told as problems too.
 @returns the application.
@@ -81,7 +105,8 @@
 	const pieces: Uint8Array[] = [];
 	let sizeBytes = 0;
 	try {
-		for await (const piece of request) {
+		// A body that is cut off here must not take the answer's connection with it.
+		for await (const piece of request.iterator({destroyOnReturn: false})) {
 			if (piece instanceof Uint8Array) {
 				pieces.push(piece);
 				sizeBytes += piece.byteLength;
@@ -170,6 +195,8 @@
 	const {retryAfterMs, requestId} = problem;
 	response.writeHead(problem.status, {
 		'content-type': 'application/problem+json; charset=utf-8',
+		// The rest of such a body is not read, so the connection can't be used again.
+		...(problem.code === 'bodyTooLarge' && {connection: 'close'}),
 		...(requestId !== undefined && {'x-request-id': requestId}),
 		...(retryAfterMs !== undefined && {'retry-after': String(Math.ceil(retryAfterMs / 1000))}),
 	});
--- a/src/entry/node/operators-api.ts
+++ b/src/entry/node/operators-api.ts
@@ -12,7 +12,7 @@
 import {problemOf, type Problem} from '../common/problems.js';
 import type {EntryStatus} from '../common/status.js';
 import {
-	hasToken, makeApp, readBody, sendJson, sendProblem,
+	attachApp, hasToken, makeApp, readBody, sendJson, sendProblem,
 } from './http-common.js';
 
 const mostHistory = 1000;
@@ -74,7 +74,7 @@
 	@param server - the server.
 	*/
 	attachTo(server: Server): void {
-		server.on('request', this.app.attach);
+		attachApp(server, this.app);
 	}
 
 	private route(
--- a/src/settings/common/settings-service.ts
+++ b/src/settings/common/settings-service.ts
@@ -207,7 +207,7 @@
 		const candidate = SettingsTree.create();
 		candidate.restore(this.tree.snapshot());
 		candidate.apply(change);
-		const problems = checkTree(candidate);
+		const problems = checkTree(candidate, change.edits.map(edit => edit.path));
 		return problems.length > 0 ? {code: 'invalid', problems} : undefined;
 	}
 
--- a/src/settings/common/validate.ts
+++ b/src/settings/common/validate.ts
@@ -5,6 +5,7 @@
 import type {SettingsTree} from './settings-tree.js';
 
 const source = 'settings';
+const workspacesPrefix = '/workspaces/';
 
 function problem(code: string, path: string, message: string): InputProblem {
 	return {code, message, place: {source, path}};
@@ -35,11 +36,12 @@
 /**
 Checks that what nodes name exists: stages, pools, models, parents.
 @param tree - the whole tree as it would be.
+@param edited - paths that changed, where all else was checked before; nothing checks everything.
 @returns what is wrong.
 */
-export function checkTree(tree: SettingsTree): InputProblem[] {
+export function checkTree(tree: SettingsTree, edited?: readonly string[]): InputProblem[] {
 	const problems: InputProblem[] = [];
-	for (const path of tree.paths) {
+	for (const path of edited ? affectedPaths(tree, edited) : tree.paths) {
 		problems.push(...checkParent(tree, path));
 		const kind = kindOfPath(path);
 		if (kind === 'pipeline') {
@@ -52,6 +54,16 @@
 	return problems;
 }
 
+/** A workspace's settings bear on that workspace only; what stands above bears on all. */
+function affectedPaths(tree: SettingsTree, edited: readonly string[]): string[] {
+	const workspaces = new Set(edited.map(path => workspaceOf(path)));
+	return workspaces.has(undefined) ? tree.paths : tree.paths.filter(path => workspaces.has(workspaceOf(path)));
+}
+
+function workspaceOf(path: string): string | undefined {
+	return path.startsWith(workspacesPrefix) ? path.split('/', 3)[2] : undefined;
+}
+
 function checkParent(tree: SettingsTree, path: string): InputProblem[] {
 	const parts = path.split('/');
 	const parent = parts.slice(0, -2).join('/');
