--- a/src/entry/node/http-common.ts
+++ b/src/entry/node/http-common.ts
@@ -45,6 +45,7 @@
 export function attachApp(server: Server, app: App): void {
 	server.on('request', (request: IncomingMessage, response: ServerResponse) => {
 		if (isDecodable(request.url ?? '/')) {
+			// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion -- the library adds its own fields to the plain ones
 			app.attach(request as Parameters<App['attach']>[0], response as Parameters<App['attach']>[1]);
 		} else {
 			sendProblem(response, problemOf('badRequest', 'the path is not URL-encoded UTF-8', {place: 'path'}));
