Take the run of a stage apart

Change: attempts, the growing answer, the dispatch message, results and the handing on of events stand in files of their own.

--- /dev/null
+++ b/src/request/common/attempt-list.ts
@@ -0,0 +1,63 @@
+/** The attempts at one stage, by id and by state. */
+import type {Attempt} from './attempt.js';
+import {attemptStates} from './request-plan.js';
+
+/** Holds attempts in the order in which they were sent. */
+export class AttemptList {
+	static create(): AttemptList {
+		return new AttemptList();
+	}
+
+	readonly all: Attempt[] = [];
+	private readonly byId = new Map<string, Attempt>();
+
+	get count(): number {
+		return this.all.length;
+	}
+
+	get live(): Attempt[] {
+		return this.all.filter(attempt => attempt.isLive);
+	}
+
+	get hasLive(): boolean {
+		return this.all.some(attempt => attempt.isLive);
+	}
+
+	/** Whether any attempt may have run. */
+	get mayHaveRun(): boolean {
+		return this.all.some(attempt => attempt.mayHaveRun);
+	}
+
+	/** Whether any attempt is known to have started. */
+	get hasStarted(): boolean {
+		return this.all.some(attempt => attempt.state !== attemptStates.sent && attempt.state !== attemptStates.notRun);
+	}
+
+	/** Whether the end of any attempt is not known. */
+	get hasUnknown(): boolean {
+		return this.all.some(attempt => attempt.state === attemptStates.unknown);
+	}
+
+	/** Upstreams that were tried. */
+	get upstreamIds(): Set<string> {
+		return new Set(this.all.map(attempt => attempt.options.upstreamId));
+	}
+
+	get dispatchIds(): string[] {
+		return this.all.map(attempt => attempt.options.dispatchId);
+	}
+
+	add(attempt: Attempt): void {
+		this.all.push(attempt);
+		this.byId.set(attempt.options.dispatchId, attempt);
+	}
+
+	/**
+	Finds an attempt that has not ended.
+	@param dispatchId - its id.
+	*/
+	findLive(dispatchId: string): Attempt | undefined {
+		const attempt = this.byId.get(dispatchId);
+		return attempt?.isLive ? attempt : undefined;
+	}
+}
--- a/src/request/common/attempt.ts
+++ b/src/request/common/attempt.ts
@@ -1,6 +1,7 @@
 /** One attempt at one stage: what came from its upstream, checked piece by piece. */
 import {extendDigest} from '../../base/common/hash.js';
 import type {ChunkMessage, EndMessage, Header} from '../../wire/common/messages.js';
+import {StageAnswer} from './stage-answer.js';
 import {attemptStates, type AttemptState, type AttemptTrace} from './request-plan.js';
 
 /** Chunks an agent may send before the entry grants more. */
@@ -31,14 +32,13 @@
 	heardMs: number;
 	isCancelled = false;
 	http: {status: number; headers: readonly Header[]} | undefined;
-	readonly pieces: Uint8Array[] = [];
-	private nextUnit: number;
+	/** What came of this attempt alone. */
+	readonly answer = StageAnswer.create();
 	private digest = 0;
 	private sinceCredit = 0;
 
 	private constructor(readonly options: AttemptOptions) {
 		this.heardMs = options.sentAtMs;
-		this.nextUnit = options.offset;
 	}
 
 	get isLive(): boolean {
@@ -50,8 +50,9 @@
 		return this.state !== attemptStates.notRun;
 	}
 
+	/** Units from the start of the whole answer. */
 	get units(): number {
-		return this.nextUnit;
+		return this.options.offset + this.answer.units;
 	}
 
 	/**
@@ -60,14 +61,13 @@
 	@returns whether it was taken; others are late, doubled or out of order.
 	*/
 	take(chunk: ChunkMessage): boolean {
-		if (!this.isLive || chunk.sequence !== this.nextUnit) {
+		if (!this.isLive || chunk.sequence !== this.units) {
 			return false;
 		}
 
 		this.state = attemptStates.started;
-		this.nextUnit += chunk.units;
 		this.digest = extendDigest(this.digest, chunk.data);
-		this.pieces.push(chunk.data);
+		this.answer.add(chunk.units, chunk.data);
 		this.sinceCredit++;
 		return true;
 	}
@@ -92,7 +92,7 @@
 	@returns whether count and digest agree.
 	*/
 	isWhole(end: EndMessage): boolean {
-		return end.units === this.nextUnit && end.digest === this.digest;
+		return end.units === this.units && end.digest === this.digest;
 	}
 
 	/**
@@ -106,9 +106,9 @@
 	}
 
 	trace(): AttemptTrace {
-		const {upstreamId, kind, sentAtMs, candidates, offset} = this.options;
+		const {upstreamId, kind, sentAtMs, candidates} = this.options;
 		return {
-			upstreamId, kind, sentAtMs, candidates, state: this.state, reason: this.reason, queueMs: this.queueMs, runMs: this.runMs, units: this.nextUnit - offset,
+			upstreamId, kind, sentAtMs, candidates, state: this.state, reason: this.reason, queueMs: this.queueMs, runMs: this.runMs, units: this.answer.units,
 		};
 	}
 }
--- a/src/request/common/request-machine.ts
+++ b/src/request/common/request-machine.ts
@@ -1,10 +1,11 @@
 /** The life of one request at its entry: events and time in, actions out; nothing else decides. */
-import {extendDigest} from '../../base/common/hash.js';
 import type {RequestAction, RequestEvent} from './request-events.js';
 import {
-	attemptStates, failureCodes, outcomes, type FailureCode, type RequestOutcome, type RequestPlan, type RequestResult,
+	failureCodes, outcomes, type FailureCode, type RequestOutcome, type RequestPlan, type RequestResult,
 } from './request-plan.js';
 import type {RequestRouter} from './request-router.js';
+import {makeResult} from './request-result.js';
+import {applyToStage} from './stage-events.js';
 import {StageRun} from './stage-run.js';
 
 /** How long after the deadline agents may take to prove that they started nothing. */
@@ -12,19 +13,8 @@
 /** How long the fate of work that may not be repeated is followed after its caller was told `unknown`. */
 export const settleMs = 60_000;
 
-const retryAfterMs = 500;
-
 type Phase = 'new' | 'claiming' | 'running' | 'proving' | 'settling' | 'closed';
 
-type Ending = {
-	readonly outcome: RequestOutcome;
-	readonly message: string;
-	readonly nowMs: number;
-	readonly code?: FailureCode;
-	/** The run of the last stage, where the request completed. */
-	readonly last?: StageRun;
-};
-
 /** Drives one request. */
 export class RequestMachine {
 	/**
@@ -50,7 +40,7 @@
 
 	/** Ids of all its dispatches. */
 	get dispatchIds(): string[] {
-		return this.runs.flatMap(run => run.attempts.map(attempt => attempt.options.dispatchId));
+		return this.runs.flatMap(run => run.attempts.dispatchIds);
 	}
 
 	/** Time at which the machine wants a tick; Infinity if none. */
@@ -62,7 +52,7 @@
 
 			case 'running': {
 				const run = this.current;
-				const ownMs = run && !run.hasStarted && this.runs.length === 1 ? this.plan.deadlineMs : this.plan.giveUpMs;
+				const ownMs = run && !run.attempts.hasStarted && this.runs.length === 1 ? this.plan.deadlineMs : this.plan.giveUpMs;
 				return Math.min(ownMs, run?.wakeAtMs ?? Infinity);
 			}
 
@@ -101,7 +91,7 @@
 	}
 
 	private get mayHaveRun(): boolean {
-		return this.runs.some(run => run.mayHaveRun);
+		return this.runs.some(run => run.attempts.mayHaveRun);
 	}
 
 	private accept(event: RequestEvent, nowMs: number): void {
@@ -135,61 +125,9 @@
 			}
 
 			default: {
-				this.acceptForStage(event, nowMs);
-			}
-		}
-	}
-
-	private acceptForStage(event: RequestEvent, nowMs: number): void {
-		const run = this.current;
-		switch (event.type) {
-			case 'notSent': {
-				run?.notSent(event.dispatchId, nowMs);
-				break;
-			}
-
-			case 'refused': {
-				run?.refused(event, nowMs);
-				break;
-			}
-
-			case 'started': {
-				run?.started(event, nowMs);
-				break;
-			}
-
-			case 'chunk': {
-				run?.chunk(event, nowMs);
-				break;
-			}
-
-			case 'end': {
-				run?.ended(event, nowMs);
-				break;
-			}
-
-			case 'connectionLost': {
-				run?.connectionLost(event.upstreamId, nowMs);
-				break;
-			}
-
-			case 'reconnected': {
-				run?.reconnected(event.upstreamId);
-				break;
-			}
-
-			case 'incarnationGone': {
-				run?.incarnationGone(event.upstreamId, nowMs);
-				break;
-			}
-
-			case 'candidatesChanged': {
-				run?.candidatesChanged(nowMs);
-				break;
-			}
-
-			default: {
-				break;
+				if (this.current) {
+					applyToStage(this.current, event, nowMs);
+				}
 			}
 		}
 	}
@@ -254,7 +192,7 @@
 			return;
 		}
 
-		const isUnstarted = this.runs.length === 1 && !run.hasStarted;
+		const isUnstarted = this.runs.length === 1 && !run.attempts.hasStarted;
 		if (nowMs >= this.plan.giveUpMs) {
 			this.finishWith(failureCodes.deadlineExceeded, 'the deadline and the time allowed past it are over', nowMs);
 		} else if (isUnstarted && nowMs >= this.plan.deadlineMs) {
@@ -271,7 +209,7 @@
 
 	private advance(nowMs: number): void {
 		if (this.phase === 'settling') {
-			if (!this.runs.some(run => run.hasLive)) {
+			if (!this.runs.some(run => run.attempts.hasLive)) {
 				this.settle(nowMs);
 			}
 
@@ -283,7 +221,7 @@
 			if (run.status.type === 'failed') {
 				this.finishWith(run.status.code, run.status.message, nowMs);
 			} else if (run.status.type !== 'done') {
-				if (this.phase === 'proving' && !run.hasLive) {
+				if (this.phase === 'proving' && !run.attempts.hasLive) {
 					this.finishWith(failureCodes.deadlineExceeded, 'the deadline has passed', nowMs);
 				}
 
@@ -298,7 +236,7 @@
 	}
 
 	private complete(run: StageRun, nowMs: number): void {
-		this.finish(this.resultOf({
+		this.finish(makeResult(this.plan, this.runs, {
 			outcome: outcomes.completed, message: 'completed', nowMs, last: run,
 		}));
 		this.close();
@@ -315,10 +253,10 @@
 			}
 		}
 
-		this.finish(this.resultOf({
+		this.finish(makeResult(this.plan, this.runs, {
 			outcome: this.failedOutcome(), message, nowMs, code,
 		}));
-		if (this.runs.some(run => run.hasLive)) {
+		if (this.runs.some(run => run.attempts.hasLive)) {
 			// Not repeatable and still running somewhere: cancelling takes back only what has not started.
 			this.phase = 'settling';
 			this.settleByMs = nowMs + settleMs;
@@ -334,7 +272,7 @@
 			return outcomes.refused;
 		}
 
-		const isUnsettled = this.runs.some(run => run.attempts.some(attempt => attempt.isLive || attempt.state === attemptStates.unknown));
+		const isUnsettled = this.runs.some(run => run.attempts.hasLive || run.attempts.hasUnknown);
 		return !this.plan.isRepeatable && isUnsettled ? outcomes.unknown : outcomes.failed;
 	}
 
@@ -364,27 +302,4 @@
 		this.phase = 'closed';
 		this.actions.push({type: 'close'});
 	}
-
-	private resultOf({outcome, message, nowMs, code, last}: Ending): RequestResult {
-		const body = last?.body ?? new Uint8Array(0);
-		const isNotRun = outcome === outcomes.refused;
-		return {
-			outcome,
-			isNotRun,
-			...(code && {code}),
-			message,
-			...(isNotRun && isWorthRetrying(code) && {retryAfterMs}),
-			isLate: nowMs > this.plan.deadlineMs,
-			tookMs: nowMs - this.plan.startMs,
-			units: last?.unitCount ?? 0,
-			digest: extendDigest(0, body),
-			body,
-			...(last?.http && {http: last.http}),
-			stages: this.runs.map(run => run.trace()),
-		};
-	}
-}
-
-function isWorthRetrying(code: FailureCode | undefined): boolean {
-	return code !== failureCodes.duplicateRequest && code !== failureCodes.callerGone;
 }
--- /dev/null
+++ b/src/request/common/stage-dispatch.ts
@@ -0,0 +1,61 @@
+/** The message that sends an attempt to an agent. */
+import type {DispatchMessage, UpstreamCall} from '../../wire/common/messages.js';
+import {creditWindow, type Attempt} from './attempt.js';
+import type {RequestPlan, StagePlan} from './request-plan.js';
+
+/** What a dispatch is made of. */
+export type DispatchParts = {
+	readonly plan: RequestPlan;
+	readonly stage: StagePlan;
+	readonly input: Uint8Array;
+	readonly startByMs: number;
+};
+
+/**
+Makes the message of an attempt.
+@param parts - request, stage and input.
+@param attempt - the attempt.
+@param nowMs - the time; the message carries times left, not times.
+@returns the message.
+*/
+export function makeDispatch(parts: DispatchParts, attempt: Attempt, nowMs: number): DispatchMessage {
+	const {plan, stage, startByMs} = parts;
+	return {
+		type: 'dispatch',
+		dispatchId: attempt.options.dispatchId,
+		requestId: plan.requestId,
+		workspace: plan.workspace,
+		pipeline: plan.pipeline,
+		stage: stage.name,
+		stageIndex: stage.index,
+		startWithinMs: Math.max(0, startByMs - nowMs),
+		dueInMs: Math.max(0, plan.deadlineMs - nowMs),
+		isRepeatable: plan.isRepeatable,
+		settingsRevision: plan.settingsRevision,
+		weight: plan.policy.fairShare,
+		creditChunks: creditWindow,
+		call: callOf(parts, attempt),
+	};
+}
+
+function callOf({plan, stage, input}: DispatchParts, attempt: Attempt): UpstreamCall {
+	const {policy} = stage;
+	if (stage.kind === 'http' && plan.http) {
+		return plan.http;
+	}
+
+	if (stage.kind === 'run') {
+		return {kind: 'run', input};
+	}
+
+	return {
+		kind: 'generate',
+		model: policy.model ?? '',
+		...(policy.adapter !== undefined && {adapter: policy.adapter}),
+		...(policy.version !== undefined && {version: policy.version}),
+		prompt: input,
+		maxTokens: policy.maxTokens,
+		seed: plan.seed,
+		resumeOffset: attempt.options.offset,
+	};
+}
--- a/src/request/common/stage-run.ts
+++ b/src/request/common/stage-run.ts
@@ -1,16 +1,18 @@
 /** The run of one stage: attempts, hedges, resumption, and its single result. */
 import {
-	refusalReasons, type ChunkMessage, type EndMessage, type RefusedMessage, type StartedMessage, type UpstreamCall,
+	refusalReasons, type ChunkMessage, type EndMessage, type RefusedMessage, type StartedMessage,
 } from '../../wire/common/messages.js';
-import {Attempt, creditWindow} from './attempt.js';
+import {Attempt} from './attempt.js';
+import {AttemptList} from './attempt-list.js';
 import type {RequestAction} from './request-events.js';
 import {
 	attemptStates, failureCodes, type AttemptState, type AttemptTrace, type FailureCode, type RequestPlan, type StagePlan, type StageTrace,
 } from './request-plan.js';
 import type {RequestRouter} from './request-router.js';
+import {isTooLarge, StageAnswer} from './stage-answer.js';
+import {makeDispatch} from './stage-dispatch.js';
 
 const holdRetryMs = 20;
-const maxAnswerBytes = 32 * 1024 * 1024;
 
 /** Where a stage stands. */
 export type StageStatus
@@ -39,13 +41,11 @@
 	}
 
 	status: StageStatus = {type: 'holding'};
-	readonly attempts: Attempt[] = [];
-	private readonly byId = new Map<string, Attempt>();
+	readonly attempts = AttemptList.create();
 	/** The attempt whose units count, once one has delivered. */
 	private leader: Attempt | undefined;
-	private pieces: Uint8Array[] = [];
-	private sizeBytes = 0;
-	private units = 0;
+	private answer = StageAnswer.create();
+	private receivedBytes = 0;
 	private heldMs = 0;
 	private holdingSinceMs: number;
 	private retryAtMs = Infinity;
@@ -61,31 +61,17 @@
 	}
 
 	get body(): Uint8Array {
-		return concat(this.pieces);
+		return this.answer.body;
 	}
 
 	get unitCount(): number {
-		return this.units;
+		return this.answer.units;
 	}
 
 	get http(): Attempt['http'] {
 		return this.leader?.http;
 	}
 
-	get hasLive(): boolean {
-		return this.attempts.some(attempt => attempt.isLive);
-	}
-
-	/** Whether any attempt may have run. */
-	get mayHaveRun(): boolean {
-		return this.attempts.some(attempt => attempt.mayHaveRun);
-	}
-
-	/** Whether any attempt is known to have started. */
-	get hasStarted(): boolean {
-		return this.attempts.some(attempt => attempt.state !== attemptStates.sent && attempt.state !== attemptStates.notRun);
-	}
-
 	/** Next time at which a tick has something to do. */
 	get wakeAtMs(): number {
 		if (this.status.type === 'holding') {
@@ -93,10 +79,8 @@
 		}
 
 		let wakeMs = Infinity;
-		for (const attempt of this.attempts) {
-			if (attempt.isLive) {
-				wakeMs = Math.min(wakeMs, this.timeoutAtMs(attempt), this.hedgeAtMs(attempt));
-			}
+		for (const attempt of this.attempts.live) {
+			wakeMs = Math.min(wakeMs, this.timeoutAtMs(attempt), this.hedgeAtMs(attempt));
 		}
 
 		return wakeMs;
@@ -112,7 +96,7 @@
 			return;
 		}
 
-		for (const attempt of this.attempts.filter(item => item.isLive)) {
+		for (const attempt of this.attempts.live) {
 			if (nowMs >= this.timeoutAtMs(attempt)) {
 				this.cancel(attempt);
 				this.end(attempt, attemptStates.unknown, 'timeout', nowMs);
@@ -130,7 +114,7 @@
 	}
 
 	notSent(dispatchId: string, nowMs: number): void {
-		const attempt = this.live(dispatchId);
+		const attempt = this.attempts.findLive(dispatchId);
 		if (attempt) {
 			this.end(attempt, attemptStates.notRun, 'notSent', nowMs);
 			this.recover(failureCodes.noUpstream, 'the connection was lost before sending', nowMs);
@@ -138,7 +122,7 @@
 	}
 
 	refused(message: RefusedMessage, nowMs: number): void {
-		const attempt = this.live(message.dispatchId);
+		const attempt = this.attempts.findLive(message.dispatchId);
 		if (!attempt || attempt.state === attemptStates.started) {
 			return;
 		}
@@ -152,7 +136,7 @@
 	}
 
 	started(message: StartedMessage, nowMs: number): void {
-		const attempt = this.live(message.dispatchId);
+		const attempt = this.attempts.findLive(message.dispatchId);
 		if (attempt) {
 			attempt.state = attemptStates.started;
 			attempt.heardMs = nowMs;
@@ -162,7 +146,7 @@
 	}
 
 	chunk(message: ChunkMessage, nowMs: number): void {
-		const attempt = this.live(message.dispatchId);
+		const attempt = this.attempts.findLive(message.dispatchId);
 		if (!attempt || this.isOvertaken(attempt) || !attempt.take(message)) {
 			return;
 		}
@@ -178,23 +162,22 @@
 
 		if (this.isGenerating) {
 			this.follow(attempt, nowMs);
-			this.pieces.push(message.data);
-			this.units += message.units;
+			this.answer.add(message.units, message.data);
 			if (this.options.isLast && this.options.plan.isStreaming) {
 				this.options.emit({type: 'deliver', units: message.units, data: message.data});
 			}
 		}
 
-		this.sizeBytes += message.data.byteLength;
-		if (this.sizeBytes > maxAnswerBytes) {
+		this.receivedBytes += message.data.byteLength;
+		if (isTooLarge(this.receivedBytes)) {
 			this.cancel(attempt);
 			this.end(attempt, attemptStates.failed, 'answerTooLarge', nowMs);
-			this.failUnlessLive(failureCodes.upstreamFailed, `the answer is larger than ${maxAnswerBytes} bytes`);
+			this.failUnlessLive(failureCodes.upstreamFailed, 'the answer is too large');
 		}
 	}
 
 	ended(message: EndMessage, nowMs: number): void {
-		const attempt = this.live(message.dispatchId);
+		const attempt = this.attempts.findLive(message.dispatchId);
 		if (!attempt) {
 			return;
 		}
@@ -227,7 +210,7 @@
 	}
 
 	reconnected(upstreamId: string): void {
-		for (const attempt of this.attempts) {
+		for (const attempt of this.attempts.all) {
 			if (attempt.isLive && attempt.options.upstreamId === upstreamId) {
 				this.options.emit({type: 'query', upstreamId, dispatchId: attempt.options.dispatchId});
 			}
@@ -239,7 +222,7 @@
 	@param nowMs - the time.
 	*/
 	abandon(nowMs: number): void {
-		for (const attempt of this.attempts) {
+		for (const attempt of this.attempts.all) {
 			if (attempt.isLive) {
 				this.cancel(attempt);
 				this.end(attempt, attemptStates.unknown, 'abandoned', nowMs);
@@ -249,7 +232,7 @@
 
 	/** Asks agents to give up what they have not started. */
 	cancelLive(): void {
-		for (const attempt of this.attempts) {
+		for (const attempt of this.attempts.all) {
 			if (attempt.isLive) {
 				this.cancel(attempt);
 			}
@@ -257,9 +240,9 @@
 	}
 
 	trace(): StageTrace {
-		const traces = this.attempts.map(attempt => attempt.trace());
-		const useful = new Set(this.attempts.filter(attempt => this.isUseful(attempt)));
-		const sum = (isUseful: boolean) => this.attempts
+		const traces = this.attempts.all.map(attempt => attempt.trace());
+		const useful = new Set(this.attempts.all.filter(attempt => this.isUseful(attempt)));
+		const sum = (isUseful: boolean) => this.attempts.all
 			.filter(attempt => useful.has(attempt) === isUseful)
 			.reduce((total, attempt) => total + attempt.runMs, 0);
 		return {
@@ -286,7 +269,7 @@
 	}
 
 	private isUseful(attempt: Attempt): boolean {
-		return this.status.type === 'done' && (attempt === this.leader || (this.isGenerating && attempt.pieces.length > 0));
+		return this.status.type === 'done' && (attempt === this.leader || (this.isGenerating && attempt.answer.units > 0));
 	}
 
 	/** Another attempt's units count already. */
@@ -294,20 +277,15 @@
 		return this.isGenerating && this.leader !== undefined && this.leader !== attempt;
 	}
 
-	private live(dispatchId: string): Attempt | undefined {
-		const attempt = this.byId.get(dispatchId);
-		return attempt?.isLive ? attempt : undefined;
-	}
-
 	private timeoutAtMs(attempt: Attempt): number {
 		const isTimed = attempt.state === attemptStates.started && this.options.plan.isRepeatable;
 		return isTimed ? attempt.heardMs + this.stage.policy.timeoutMs : Infinity;
 	}
 
 	private hedgeAtMs(attempt: Attempt): number {
-		const isAlone = this.attempts.every(other => other === attempt || !other.isLive);
+		const isAlone = this.attempts.all.every(other => other === attempt || !other.isLive);
 		const mayHedge = isAlone && !this.leader && this.options.plan.isRepeatable
-			&& attempt.options.kind !== 'hedge' && this.attempts.length < this.stage.policy.maxAttempts;
+			&& attempt.options.kind !== 'hedge' && this.attempts.count < this.stage.policy.maxAttempts;
 		const delayMs = mayHedge ? this.options.router.hedgeDelayMs(this.stage) : undefined;
 		return delayMs === undefined ? Infinity : attempt.options.sentAtMs + delayMs;
 	}
@@ -328,7 +306,7 @@
 	}
 
 	private dropOthers(kept: Attempt, nowMs: number): void {
-		for (const other of this.attempts) {
+		for (const other of this.attempts.all) {
 			if (other !== kept && other.isLive) {
 				this.cancel(other);
 				this.end(other, attemptStates.unknown, 'lostRace', nowMs);
@@ -339,8 +317,7 @@
 	private complete(attempt: Attempt, nowMs: number): void {
 		this.dropOthers(attempt, nowMs);
 		if (!this.isGenerating) {
-			this.pieces = [...attempt.pieces];
-			this.units = attempt.units;
+			this.answer = attempt.answer;
 		}
 
 		this.leader = attempt;
@@ -351,7 +328,7 @@
 
 	private loseAttempts(upstreamId: string, reason: string, nowMs: number): void {
 		let isLost = false;
-		for (const attempt of this.attempts) {
+		for (const attempt of this.attempts.all) {
 			if (attempt.isLive && attempt.options.upstreamId === upstreamId) {
 				this.end(attempt, attemptStates.unknown, reason, nowMs);
 				isLost = true;
@@ -365,11 +342,11 @@
 
 	/** After an attempt ended without the result: another one, if it may be. */
 	private recover(code: FailureCode, message: string, nowMs: number): void {
-		if (this.status.type !== 'running' || this.hasLive) {
+		if (this.status.type !== 'running' || this.attempts.hasLive) {
 			return;
 		}
 
-		const last = this.attempts.at(-1)!;
+		const last = this.attempts.all.at(-1)!;
 		const isFree = last.state === attemptStates.notRun;
 		if (this.leader && !this.leader.isLive) {
 			this.leader = undefined;
@@ -378,14 +355,14 @@
 		if (this.isRecoveryOver) {
 			this.fail(code, message);
 		} else if (!isFree && !this.options.plan.isRepeatable) {
-			const isUnknown = this.attempts.some(attempt => attempt.state === attemptStates.unknown);
+			const isUnknown = this.attempts.hasUnknown;
 			this.fail(isUnknown ? failureCodes.resultUnknown : code, message);
-		} else if (this.attempts.length >= this.stage.policy.maxAttempts) {
+		} else if (this.attempts.count >= this.stage.policy.maxAttempts) {
 			this.fail(isFree ? failureCodes.overloaded : failureCodes.attemptsExhausted, message);
 		} else if (nowMs >= this.options.startByMs) {
 			this.fail(failureCodes.deadlineExceeded, message);
 		} else if (isFree || this.options.router.mayRetry(this.stage, nowMs)) {
-			this.dispatch(this.units > 0 ? 'resume' : 'retry', nowMs);
+			this.dispatch(this.answer.units > 0 ? 'resume' : 'retry', nowMs);
 		} else {
 			this.fail(failureCodes.attemptsExhausted, `${message}; the retry budget is spent`);
 		}
@@ -397,13 +374,13 @@
 			const isOutOfTime = nowMs >= this.options.startByMs;
 			this.fail(isOutOfTime ? failureCodes.deadlineExceeded : failureCodes.noUpstream, 'no upstream became available');
 		} else {
-			this.dispatch(this.attempts.length === 0 ? 'first' : 'retry', nowMs);
+			this.dispatch(this.attempts.count === 0 ? 'first' : 'retry', nowMs);
 		}
 	}
 
 	private dispatch(kind: AttemptTrace['kind'], nowMs: number): void {
 		const {plan, router} = this.options;
-		const tried = new Set(this.attempts.map(attempt => attempt.options.upstreamId));
+		const tried = this.attempts.upstreamIds;
 		const choice = router.choose(this.stage, tried, plan.prefixHash, nowMs)
 			// Trying the same one again beats not trying, unless a hedge was wanted.
 			?? (kind === 'hedge' || tried.size === 0 ? undefined : router.choose(this.stage, new Set(), plan.prefixHash, nowMs));
@@ -418,13 +395,12 @@
 			upstreamId: choice.chosen.upstreamId,
 			kind,
 			sentAtMs: nowMs,
-			offset: this.isGenerating ? this.units : 0,
+			offset: this.isGenerating ? this.answer.units : 0,
 			candidates: choice.scored.map(({candidate, scoreMs}) => ({upstreamId: candidate.upstreamId, scoreMs})),
 		});
-		this.attempts.push(attempt);
-		this.byId.set(attempt.options.dispatchId, attempt);
+		this.attempts.add(attempt);
 		router.didDispatch(this.stage, attempt, plan.prefixHash, nowMs);
-		this.options.emit(this.dispatchAction(attempt, nowMs));
+		this.options.emit({type: 'dispatch', upstreamId: attempt.options.upstreamId, message: makeDispatch(this.options, attempt, nowMs)});
 	}
 
 	private hold(kind: AttemptTrace['kind'], nowMs: number): void {
@@ -447,53 +423,6 @@
 		}
 	}
 
-	private dispatchAction(attempt: Attempt, nowMs: number): RequestAction {
-		const {plan, startByMs} = this.options;
-		return {
-			type: 'dispatch',
-			upstreamId: attempt.options.upstreamId,
-			message: {
-				type: 'dispatch',
-				dispatchId: attempt.options.dispatchId,
-				requestId: plan.requestId,
-				workspace: plan.workspace,
-				pipeline: plan.pipeline,
-				stage: this.stage.name,
-				stageIndex: this.stage.index,
-				startWithinMs: Math.max(0, startByMs - nowMs),
-				dueInMs: Math.max(0, plan.deadlineMs - nowMs),
-				isRepeatable: plan.isRepeatable,
-				settingsRevision: plan.settingsRevision,
-				weight: plan.policy.fairShare,
-				creditChunks: creditWindow,
-				call: this.callOf(attempt),
-			},
-		};
-	}
-
-	private callOf(attempt: Attempt): UpstreamCall {
-		const {plan, input} = this.options;
-		const {policy} = this.stage;
-		if (this.stage.kind === 'http' && plan.http) {
-			return plan.http;
-		}
-
-		if (this.stage.kind === 'run') {
-			return {kind: 'run', input};
-		}
-
-		return {
-			kind: 'generate',
-			model: policy.model ?? '',
-			...(policy.adapter !== undefined && {adapter: policy.adapter}),
-			...(policy.version !== undefined && {version: policy.version}),
-			prompt: input,
-			maxTokens: policy.maxTokens,
-			seed: plan.seed,
-			resumeOffset: attempt.options.offset,
-		};
-	}
-
 	private cancel(attempt: Attempt): void {
 		if (!attempt.isCancelled) {
 			attempt.isCancelled = true;
@@ -512,7 +441,7 @@
 	}
 
 	private failUnlessLive(code: FailureCode, message: string): void {
-		if (this.status.type === 'running' && !this.hasLive) {
+		if (this.status.type === 'running' && !this.attempts.hasLive) {
 			this.fail(code, message);
 		}
 	}
@@ -521,14 +450,3 @@
 		this.status = {type: 'failed', code, message};
 	}
 }
-
-function concat(pieces: readonly Uint8Array[]): Uint8Array {
-	const whole = new Uint8Array(pieces.reduce((sum, piece) => sum + piece.byteLength, 0));
-	let offset = 0;
-	for (const piece of pieces) {
-		whole.set(piece, offset);
-		offset += piece.byteLength;
-	}
-
-	return whole;
-}
--- a/test/request-fuzz.test.ts
+++ b/test/request-fuzz.test.ts
@@ -2,7 +2,7 @@
 import t from 'tap';
 import type {ChunkMessage} from '../src/wire/common/messages.js';
 import {Attempt} from '../src/request/common/attempt.js';
-import {StageRun} from '../src/request/common/stage-run.js';
+import {AttemptList} from '../src/request/common/attempt-list.js';
 import {requestProperty} from './request-fuzz.js';
 import type {Sabotage} from './request-world.js';
 
@@ -34,7 +34,7 @@
 });
 
 t.test('the fuzzer notices work that ran and was refused as not run', async t => {
-	t.intercept(StageRun.prototype, 'mayHaveRun', {get: () => false});
+	t.intercept(AttemptList.prototype, 'mayHaveRun', {get: () => false});
 	t.ok(await isCaught(/promise 3/v));
 });
 
