--- a/src/request/common/gate-machine.ts
+++ b/src/request/common/gate-machine.ts
@@ -4,11 +4,9 @@
 import {
 	endStates, refusalReasons, type DispatchMessage, type EndState, type Message, type RefusalReason, type StartedMessage, type UpstreamLoad,
 } from '../../wire/common/messages.js';
+import {EndedJobs} from './ended-jobs.js';
+import {makeJob, resumeOffsetOf, type GateJob} from './gate-job.js';
 
-/** Ids of ended dispatches that are remembered, so that a doubled one is not run. */
-const rememberedIds = 20_000;
-/** Ended results of work that may not be repeated, kept for an entry that lost its connection. */
-const keptResultMs = 60_000;
 /** How long work whose entry is gone runs on, in case the entry comes back. */
 const orphanGraceMs = 1500;
 
@@ -30,29 +28,6 @@
 	readonly reason?: string;
 };
 
-type Job = {
-	readonly dispatch: DispatchMessage;
-	connectionId: number | undefined;
-	readonly arrivedMs: number;
-	readonly startByMs: number;
-	startedMs: number | undefined;
-	orphanedMs: number | undefined;
-	isAborted: boolean;
-	credit: number;
-	units: number;
-	digest: number;
-	/** Everything sent, for work that may not be repeated. */
-	readonly sent: Message[];
-	endedMs: number | undefined;
-	// What the queue orders by.
-	readonly workspace: string;
-	readonly weight: number;
-	readonly rank: number;
-	readonly dueMs: number;
-};
-
-const inTimeRank = 1000;
-
 /** Decides for every dispatch at one upstream; time comes with each call. */
 export class GateMachine {
 	/**
@@ -64,8 +39,8 @@
 		return new GateMachine(limits, queue);
 	}
 
-	private readonly jobs = new Map<string, Job>();
-	private readonly ended = new Map<string, Job | undefined>();
+	private readonly jobs = new Map<string, GateJob>();
+	private readonly ended = EndedJobs.create();
 	private running = 0;
 	private isLeavingNow = false;
 	private actions: GateAction[] = [];
@@ -132,7 +107,7 @@
 
 			const reason = this.refusalOf(dispatch, isStale);
 			if (reason) {
-				this.remember(dispatchId, undefined);
+				this.ended.remember(dispatchId, undefined);
 				this.send(connectionId, {
 					type: 'refused', dispatchId, reason, load: this.load,
 				});
@@ -194,7 +169,7 @@
 				}
 			} else {
 				// Remembered from now on, so that it is not run should it still arrive.
-				this.remember(dispatchId, undefined);
+				this.ended.remember(dispatchId, undefined);
 				this.send(connectionId, {type: 'refused', dispatchId, reason: refusalReasons.neverSeen});
 			}
 		});
@@ -301,7 +276,7 @@
 				...(end.reason !== undefined && {reason: end.reason.slice(0, 500)}),
 				load: this.load,
 			});
-			this.remember(dispatchId, job.dispatch.isRepeatable ? undefined : job);
+			this.ended.remember(dispatchId, job);
 		});
 	}
 
@@ -322,11 +297,7 @@
 				}
 			}
 
-			for (const [dispatchId, job] of this.ended) {
-				if (job?.endedMs !== undefined && nowMs - job.endedMs > keptResultMs) {
-					this.ended.set(dispatchId, undefined);
-				}
-			}
+			this.ended.dropOldResults(nowMs);
 		});
 	}
 
@@ -371,24 +342,24 @@
 		return this.queue.size >= this.limits.maxQueue && this.running >= this.limits.slots ? refusalReasons.queueFull : undefined;
 	}
 
-	private refuseJob(job: Job, reason: RefusalReason, nowMs: number): void {
+	private refuseJob(job: GateJob, reason: RefusalReason, nowMs: number): void {
 		const {dispatchId} = job.dispatch;
 		this.jobs.delete(dispatchId);
 		job.endedMs = nowMs;
 		this.tell(job, {
 			type: 'refused', dispatchId, reason, load: this.load,
 		});
-		this.remember(dispatchId, job.dispatch.isRepeatable ? undefined : job);
+		this.ended.remember(dispatchId, job);
 	}
 
-	private abort(job: Job): void {
+	private abort(job: GateJob): void {
 		if (!job.isAborted) {
 			job.isAborted = true;
 			this.actions.push({type: 'abort', dispatchId: job.dispatch.dispatchId});
 		}
 	}
 
-	private tell(job: Job, message: Message): void {
+	private tell(job: GateJob, message: Message): void {
 		if (!job.dispatch.isRepeatable) {
 			job.sent.push(message);
 		}
@@ -401,42 +372,4 @@
 	private send(connectionId: number, message: Message): void {
 		this.actions.push({type: 'send', connectionId, message});
 	}
-
-	private remember(dispatchId: string, job: Job | undefined): void {
-		this.ended.set(dispatchId, job);
-		if (this.ended.size > rememberedIds) {
-			const [oldest] = this.ended.keys();
-			this.ended.delete(oldest);
-		}
-	}
-}
-
-/** What waits in a gate's queue. */
-export type GateJob = Job;
-
-function makeJob(connectionId: number, dispatch: DispatchMessage, nowMs: number): Job {
-	const isInTime = dispatch.dueInMs > 0;
-	return {
-		dispatch,
-		connectionId,
-		arrivedMs: nowMs,
-		startByMs: nowMs + dispatch.startWithinMs,
-		startedMs: undefined,
-		orphanedMs: undefined,
-		isAborted: false,
-		credit: dispatch.creditChunks,
-		units: resumeOffsetOf(dispatch),
-		digest: 0,
-		sent: [],
-		endedMs: undefined,
-		workspace: dispatch.workspace,
-		weight: dispatch.weight,
-		// Work in time before late work, later stages before first ones: they have been paid for.
-		rank: (isInTime ? inTimeRank : 0) + dispatch.stageIndex,
-		dueMs: nowMs + dispatch.dueInMs,
-	};
-}
-
-function resumeOffsetOf(dispatch: DispatchMessage): number {
-	return dispatch.call.kind === 'generate' ? dispatch.call.resumeOffset : 0;
 }
