Share a large fleet out among the entries, and ping as traffic allows

Cause: at 730 upstreams each entry would ping all of them twice a second: 323 KB/s and, by the measured slope, 5.6% of a core, against 16 KB/s and 1.3%. Change: an entry keeps at most about 96 links, in even slices of each pool by hash; pings slow down so that they stay within 10 KB/s, and silence is judged by that. Fleets of today are unchanged (38 and 33 agents, all connected).

--- a/src/entry/node/fleet-links.ts
+++ b/src/entry/node/fleet-links.ts
@@ -8,13 +8,23 @@
 import type {HostList, ListedHost} from '../../platform/common/host-list.js';
 import type {SettingsService} from '../../settings/common/settings-service.js';
 import type {SettingsSync} from '../../settings/node/settings-sync.js';
+import {subsetOf} from '../../routing/common/subset.js';
 import {roles, serveStates, type Message} from '../../wire/common/messages.js';
 import {WireClient, type WireClientOptions} from '../../wire/node/wire-client.js';
 import type {WireConnection} from '../../wire/node/wire-connection.js';
 import type {FleetRouter} from '../common/fleet-router.js';
 
 const listMs = 1000;
-const pingMs = 500;
+const shortestPingMs = 500;
+/** What pings and their answers may take of an entry's traffic; with more links, pings come more seldom. */
+const pingBytesPerSecond = 10_000;
+/** One ping with its answer, as measured (docs/CAPACITY.md). */
+const pingExchangeBytes = 221;
+/** Pings missed before an upstream counts as silent. */
+const missedPings = 3;
+/** Links an entry keeps; a larger fleet is shared out among the entries. */
+const mostLinks = 96;
+const fewestOfPool = 8;
 /** Silence after which a connection is given up. */
 const silenceMs = 4000;
 /** A host missing from the list this often in a row is let go, unless most are missing. */
@@ -64,7 +74,7 @@
 	private constructor(private readonly options: FleetLinksOptions) {
 		const {clock, random, settings} = options;
 		this.owned.add(setRepeating(clock, () => jitter(random, listMs), async () => this.readList()));
-		this.owned.add(setRepeating(clock, () => jitter(random, pingMs, 0.1), () => {
+		this.owned.add(setRepeating(clock, () => jitter(random, this.pingMs, 0.1), () => {
 			this.ping();
 		}));
 		this.owned.add(settings.onDidChangeRevision(() => {
@@ -120,13 +130,18 @@
 		}
 
 		const agents = hosts.value.filter(host => host.role === roles.agent);
-		const seen = new Set(agents.map(host => host.hostId));
-		for (const host of agents) {
+		const wanted = this.shareOf(hosts.value, agents);
+		const seen = new Set(wanted.map(host => host.hostId));
+		for (const host of wanted) {
 			this.options.members.listed(host.hostId, host.state);
 			this.ensureLink(host);
 		}
 
-		const missing = [...this.links.values()].filter(link => !seen.has(link.host.hostId));
+		this.options.members.setHeartbeatTimeout(missedPings * this.pingMs);
+
+		const listed = new Set(agents.map(host => host.hostId));
+		this.dropUnshared([...this.links.values()].filter(link => listed.has(link.host.hostId) && !seen.has(link.host.hostId)));
+		const missing = [...this.links.values()].filter(link => !listed.has(link.host.hostId));
 		if (missing.length <= this.links.size * distrustShare) {
 			this.dropMissing(missing);
 		}
@@ -140,6 +155,26 @@
 		}
 	}
 
+	private get pingMs(): number {
+		return Math.max(shortestPingMs, this.links.size * pingExchangeBytes * 1000 / pingBytesPerSecond);
+	}
+
+	/** The agents this entry connects to: all of a small fleet, an even share of a large one. */
+	private shareOf(hosts: readonly ListedHost[], agents: readonly ListedHost[]): ListedHost[] {
+		if (agents.length <= mostLinks) {
+			return [...agents];
+		}
+
+		const entryIds = hosts.filter(host => host.role === roles.entry).map(host => host.hostId).toSorted((a, b) => (a < b ? -1 : 1));
+		const position = Math.max(0, entryIds.indexOf(this.options.wire.identity.hostId));
+		const pools = new Set(agents.map(host => host.pool));
+		return [...pools].flatMap(name => {
+			const pool = agents.filter(host => host.pool === name);
+			const size = Math.max(fewestOfPool, Math.floor(mostLinks * pool.length / agents.length));
+			return subsetOf(pool, position, size);
+		});
+	}
+
 	private ensureLink(host: ListedHost): void {
 		const link = this.links.get(host.hostId);
 		const isSamePlace = link?.host.address === host.address && link.host.port === host.port;
@@ -160,6 +195,17 @@
 		});
 	}
 
+	/** Hosts that are now others' share are let go once nothing of ours runs there. */
+	private dropUnshared(links: readonly Link[]): void {
+		for (const link of links) {
+			const upstreamId = link.connection?.peer?.upstreamId;
+			if (upstreamId === undefined || this.options.router.statsOf(upstreamId)?.inFlight === 0) {
+				link.client.dispose();
+				this.links.delete(link.host.hostId);
+			}
+		}
+	}
+
 	private dropMissing(missing: readonly Link[]): void {
 		for (const link of missing) {
 			link.misses++;
@@ -260,7 +306,7 @@
 	private ping(): void {
 		const nowMs = this.now();
 		for (const link of this.links.values()) {
-			if (link.connection && nowMs - link.lastHeardMs > silenceMs) {
+			if (link.connection && nowMs - link.lastHeardMs > Math.max(silenceMs, missedPings * this.pingMs)) {
 				link.connection.close('silent');
 			} else {
 				link.connection?.send({type: 'ping', nonce: 0, settingsRevision: this.revision});
--- a/src/membership/common/member-table.ts
+++ b/src/membership/common/member-table.ts
@@ -51,13 +51,25 @@
 	private drained: ReadonlySet<string> = new Set();
 	private changes = 0;
 
-	private constructor(private readonly options: MemberOptions) {}
+	private heartbeatTimeoutMs: number;
+
+	private constructor(private readonly options: MemberOptions) {
+		this.heartbeatTimeoutMs = options.heartbeatTimeoutMs;
+	}
 
 	/** Rises whenever an upstream joins, leaves or is lost; silence alone does not count. */
 	get version(): number {
 		return this.changes;
 	}
 
+	/**
+	Pings come as often as the number of links allows; silence is judged by that.
+	@param timeoutMs - silence after which an upstream gets no new work; never less than the options say.
+	*/
+	setHeartbeatTimeout(timeoutMs: number): void {
+		this.heartbeatTimeoutMs = Math.max(timeoutMs, this.options.heartbeatTimeoutMs);
+	}
+
 	/**
 	An agent's connection is ready.
 	@param identity - who is behind it.
@@ -213,7 +225,7 @@
 	}
 
 	private isSilent(entry: Entry, nowMs: number): boolean {
-		return nowMs - entry.lastHeardMs > this.options.heartbeatTimeoutMs;
+		return nowMs - entry.lastHeardMs > this.heartbeatTimeoutMs;
 	}
 
 	private poolSet(pool: string): Set<string> {
