--- a/bench/slopes.ts
+++ b/bench/slopes.ts
@@ -112,7 +112,7 @@
 /** An idle fleet's processor time and memory against its number of links. */
 export async function measureIdleFleet(): Promise<SlopeFigure[]> {
 	const figures: SlopeFigure[] = [];
-	for (const [entries, count] of [[1, 8], [1, 32], [1, 96], [5, 96]]) {
+	for (const [entries, count] of [[2, 0], [34, 0], [1, 8], [1, 32], [1, 96], [5, 96]]) {
 		const beforeBytes = heapBytes();
 		const fleet = await LocalFleet.create({
 			entries,
--- a/src/daemon/node/compose-common.ts
+++ b/src/daemon/node/compose-common.ts
@@ -14,6 +14,7 @@
 import {SystemClock} from '../../base/node/system-clock.js';
 import {hostListToken} from '../../platform/common/host-list.js';
 import {objectStoreToken} from '../../platform/common/object-store.js';
+import {SharedHostList} from '../../platform/common/shared-host-list.js';
 import {tableServiceToken} from '../../platform/common/table-service.js';
 import {HttpHostList, HttpObjectStore, HttpTableService} from '../../platform/node/platform-client.js';
 import {settingsServiceToken, StoredSettingsService} from '../../settings/common/settings-service.js';
@@ -60,7 +61,7 @@
 	const platform = {origin: host.platform.origin, token: secrets.platformToken, callTimeoutMs: host.platform.callTimeoutMs};
 	register(tableServiceToken, () => HttpTableService.create(platform));
 	register(objectStoreToken, () => HttpObjectStore.create(platform));
-	register(hostListToken, () => HttpHostList.create(platform));
+	register(hostListToken, () => SharedHostList.create(HttpHostList.create(platform), parts.resolve(clockToken)));
 	register(settingsServiceToken, () => parts.resolve(lifecycleToken).register(StoredSettingsService.create(
 		SettingsStore.create(parts.resolve(tableServiceToken), parts.resolve(objectStoreToken)),
 		parts.resolve(clockToken),
