Do not retry posts that may have run; take strict JSON from callers

Cause: a post to a service was retried unless it was marked, though its protocol does not allow it; a pipeline's body could hold comments that workers can't read. Change: methods that are not idempotent are never retried after they may have run; the marks still decide on claims. Callers' bodies are plain JSON.

--- a/src/base/common/jsonc.ts
+++ b/src/base/common/jsonc.ts
@@ -54,9 +54,10 @@
 Reads a document.
 @param bytes - the text, as UTF-8 bytes or already decoded.
 @param source - the name of the input, for errors.
+@param isStrict - plain JSON: neither comments nor trailing commas.
 @returns the document, or everything wrong with it.
 */
-export function readJsonc(bytes: Uint8Array | string, source: string): Outcome<JsoncDocument, InputProblem[]> {
+export function readJsonc(bytes: Uint8Array | string, source: string, isStrict = false): Outcome<JsoncDocument, InputProblem[]> {
 	const text = decode(bytes);
 	if (text === undefined) {
 		return fail([{code: 'badEncoding', message: 'not UTF-8 text', place: {source}}]);
@@ -73,7 +74,7 @@
 	}
 
 	const errors: ParseError[] = [];
-	const root = parseTree(text, errors, {allowTrailingComma: true, allowEmptyContent: false});
+	const root = parseTree(text, errors, {allowTrailingComma: !isStrict, disallowComments: isStrict, allowEmptyContent: false});
 	if (errors.length > 0 || !root) {
 		return fail(errors.map(error => ({
 			code: 'badSyntax', message: spaced(printParseErrorCode(error.error)), place: lines.placeAt(error.offset),
--- a/src/entry/common/planner.ts
+++ b/src/entry/common/planner.ts
@@ -7,6 +7,8 @@
 import type {HttpCall} from '../../wire/common/messages.js';
 
 const defaultSlots = 8;
+/** Calls that the protocol allows to repeat (RFC 9110); others are not retried, marked or not. */
+const idempotentMethods = new Set(['GET', 'HEAD', 'OPTIONS', 'PUT', 'DELETE', 'TRACE']);
 /** Targets kept between changes of the settings. */
 const mostTargets = 20_000;
 /** Start of the input by which requests are taken to share a prompt prefix. */
@@ -96,7 +98,8 @@
 
 function planOf(settingsRevision: number, {policy, stages}: Target, ask: Ask, nowMs: number): RequestPlan {
 	const deadlineMs = nowMs + (ask.deadlineMs ?? policy.deadlineMs);
-	const isRepeatable = ask.isRepeatable && policy.isRepeatable;
+	const isMarked = !ask.isRepeatable || !policy.isRepeatable;
+	const isRepeatable = !isMarked && (ask.http === undefined || idempotentMethods.has(ask.http.method));
 	return {
 		requestId: ask.requestId,
 		workspace: ask.workspace,
@@ -105,7 +108,7 @@
 		policy,
 		isRepeatable,
 		settingsRevision,
-		needsClaim: !isRepeatable || ask.hasKey,
+		needsClaim: isMarked || ask.hasKey,
 		isStreaming: ask.isStreaming,
 		startMs: nowMs,
 		deadlineMs,
--- a/src/entry/node/caller-request.ts
+++ b/src/entry/node/caller-request.ts
@@ -85,7 +85,7 @@
 @returns nothing, or what is wrong and where.
 */
 export function checkJsonBody(body: Uint8Array): Problem | undefined {
-	const document = readJsonc(body, 'body');
+	const document = readJsonc(body, 'body', true);
 	if (!document.ok) {
 		const detail = document.error.map(problem => formatProblem(problem)).join('; ') || 'the body is empty';
 		return problemOf('badRequest', detail, {place: 'body'});
--- a/src/entry/node/callers-api.ts
+++ b/src/entry/node/callers-api.ts
@@ -112,7 +112,7 @@
 		}
 
 		const key = headers.idempotencyKey ?? headers.requestId;
-		if (!plan.value.isRepeatable && key === undefined) {
+		if (plan.value.needsClaim && key === undefined) {
 			sendProblem(response, problemOf('badRequest', 'a request that may not be repeated needs a key, so that a copy of it is recognised', {
 				place: 'header Idempotency-Key', requestId, outcome: outcomes.refused, notRun: true,
 			}));
--- a/test/doors.test.ts
+++ b/test/doors.test.ts
@@ -26,6 +26,7 @@
 		t.match(await refusal(quote, {body: '{"a": '}), {...bad, detail: /body:1:\d+: /v}, 'truncated');
 		t.match(await refusal(quote, {body: '['.repeat(50_000)}), {...bad, detail: /tooDeep/v}, 'deep');
 		t.match(await refusal(quote, {body: '{"a": 1, "a": 2}'}), {...bad, detail: /duplicateKey/v}, 'duplicate key');
+		t.match(await refusal(quote, {body: '{"a": 1 /* one */}'}), {...bad, detail: /badSyntax/v}, 'a comment');
 		t.match(await refusal(quote, {body: `"${'x'.repeat(5 * 1024 * 1024)}"`}), {status: 413, code: 'bodyTooLarge', notRun: true}, 'huge');
 		t.match(await refusal(quote, {body: '{}', headers: {'deadline-ms': 'soon'}}), {...bad, place: 'header Deadline-Ms'});
 		t.match(await refusal(quote, {body: '{}', headers: {'deadline-ms': '-5'}}), {...bad, place: 'header Deadline-Ms'});
--- a/test/fleet-requests.test.ts
+++ b/test/fleet-requests.test.ts
@@ -81,6 +81,21 @@
 		t.equal(stock().filter(item => item === body).length, 1);
 	});
 
+	await t.test('a post to a service is not retried once it may have run, marked or not', async t => {
+		const body = JSON.stringify({note: 'unmarked'});
+		for (const upstream of fleet.poolOf('stock')) {
+			upstream.service!.faults.isDroppingAnswers = true;
+		}
+
+		const answer = await call(first, 'services/stock/notes', {body});
+		for (const upstream of fleet.poolOf('stock')) {
+			upstream.service!.faults.isDroppingAnswers = false;
+		}
+
+		t.equal(answer.body.outcome, 'unknown');
+		t.equal(stock().filter(item => item === body).length, 1);
+	});
+
 	await t.test('with the store down, what must be registered is refused as not run, and the rest goes on', async t => {
 		fleet.platform.table.isDown = true;
 		const body = JSON.stringify({reserve: 'store-down'});
