Ask for a hedge once for each stage

Cause: found while splitting stage-run.ts: where the hedge budget was empty, the machine wanted a tick at a time already past, and its timer ran every millisecond until the attempt ended. Ruled out by the fuzzer only now that it looks for it. Change: a stage is hedged once, whether or not the budget allows it; hedges have no floor in their budget; the fuzzer counts machines that spin.

--- a/src/entry/common/fleet-router.ts
+++ b/src/entry/common/fleet-router.ts
@@ -224,7 +224,7 @@
 	private budgetOf(budgets: Map<string, RetryBudget>, stage: StagePlan, nowMs: number): RetryBudget {
 		let budget = budgets.get(stage.budgetKey);
 		if (!budget) {
-			budget = RetryBudget.create(nowMs);
+			budget = budgets === this.hedgeBudgets ? RetryBudget.create(nowMs, 0) : RetryBudget.create(nowMs);
 			budgets.set(stage.budgetKey, budget);
 		}
 
--- /dev/null
+++ b/src/request/common/request-machine.test.ts
@@ -0,0 +1,94 @@
+import t from 'tap';
+import {UpstreamStats} from '../../routing/common/upstream-stats.js';
+import {policyDefaults, type EffectivePolicy} from '../../settings/common/schema.js';
+import type {RequestAction} from './request-events.js';
+import {RequestMachine} from './request-machine.js';
+import type {RequestPlan} from './request-plan.js';
+import type {RequestRouter} from './request-router.js';
+
+const upstreams = ['u1', 'u2', 'u3'];
+
+function routerWith(changes: Partial<RequestRouter>): RequestRouter {
+	let serial = 0;
+	return {
+		choose(_stage, excluded) {
+			const upstreamId = upstreams.find(item => !excluded.has(item));
+			return upstreamId === undefined
+				? undefined
+				: {
+					chosen: {
+						upstreamId, hall: 'a', stats: UpstreamStats.create(), joinedMs: 0,
+					}, scored: [],
+				};
+		},
+		mayRetry: () => true,
+		hedgeDelayMs: () => undefined,
+		mayHedge: () => true,
+		optimisticRunMs: () => 0,
+		optimisticFinishMs: () => 0,
+		didDispatch: () => undefined,
+		didEnd: () => undefined,
+		didComplete: () => undefined,
+		newDispatchId: () => `d${serial++}`,
+		...changes,
+	};
+}
+
+function planWith(changes: Partial<RequestPlan> = {}): RequestPlan {
+	const policy: EffectivePolicy = {...policyDefaults};
+	return {
+		requestId: 'r', workspace: 'w', pipeline: 'p', policy, isRepeatable: true, settingsRevision: 1, needsClaim: false, isStreaming: false,
+		startMs: 0, deadlineMs: 1000, giveUpMs: 1500, input: new Uint8Array(0), prefixHash: 0, seed: 0,
+		stages: [{
+			name: 's', index: 0, kind: 'run', pool: 'q', slots: 1, key: 's', budgetKey: 's', policy,
+		}],
+		...changes,
+	};
+}
+
+const typesOf = (actions: readonly RequestAction[]) => actions.map(action => action.type);
+
+t.test('a hedge that the budget declines is not asked for again at once', async t => {
+	const machine = RequestMachine.create(planWith(), routerWith({hedgeDelayMs: () => 10, mayHedge: () => false}));
+	machine.handle({type: 'start'}, 0);
+	t.equal(machine.wakeAtMs, 10);
+	t.strictSame(typesOf(machine.handle({type: 'tick'}, 10)), []);
+	t.ok(machine.wakeAtMs > 10, 'the machine does not spin');
+});
+
+t.test('of a hedge and the attempt it hedges, the first to end counts, and the other is cancelled', async t => {
+	const machine = RequestMachine.create(planWith(), routerWith({hedgeDelayMs: () => 10}));
+	machine.handle({type: 'start'}, 0);
+	t.strictSame(typesOf(machine.handle({type: 'tick'}, 10)), ['dispatch']);
+	const ended = machine.handle({
+		type: 'end', dispatchId: 'd1', state: 'completed', units: 0, digest: 0, runMs: 5,
+	}, 20);
+	t.match(ended, [{type: 'cancel', dispatchId: 'd0'}, {type: 'finish', result: {outcome: 'completed'}}, {type: 'close'}]);
+});
+
+t.test('what was refused everywhere is refused as not run', async t => {
+	const machine = RequestMachine.create(planWith(), routerWith({}));
+	machine.handle({type: 'start'}, 0);
+	machine.handle({type: 'refused', dispatchId: 'd0', reason: 'queueFull'}, 1);
+	machine.handle({type: 'refused', dispatchId: 'd1', reason: 'queueFull'}, 2);
+	t.match(machine.handle({type: 'refused', dispatchId: 'd2', reason: 'queueFull'}, 3), [{type: 'finish', result: {outcome: 'refused', isNotRun: true, code: 'overloaded'}}, {type: 'close'}]);
+});
+
+t.test('work that may not be repeated is asked after, not sent again, when its connection comes back', async t => {
+	const machine = RequestMachine.create(planWith({isRepeatable: false}), routerWith({}));
+	machine.handle({type: 'start'}, 0);
+	machine.handle({type: 'started', dispatchId: 'd0', queueMs: 0}, 1);
+	t.strictSame(typesOf(machine.handle({type: 'connectionLost', upstreamId: 'u1'}, 2)), []);
+	t.strictSame(typesOf(machine.handle({type: 'reconnected', upstreamId: 'u1'}, 3)), ['query']);
+	t.match(machine.handle({type: 'incarnationGone', upstreamId: 'u1'}, 4), [{type: 'finish', result: {outcome: 'unknown', isNotRun: false}}, {type: 'close'}]);
+});
+
+t.test('late work that has started is answered whole and marked late', async t => {
+	const machine = RequestMachine.create(planWith(), routerWith({}));
+	machine.handle({type: 'start'}, 0);
+	machine.handle({type: 'started', dispatchId: 'd0', queueMs: 0}, 10);
+	t.strictSame(typesOf(machine.handle({type: 'tick'}, 1000)), []);
+	t.match(machine.handle({
+		type: 'end', dispatchId: 'd0', state: 'completed', units: 0, digest: 0, runMs: 5,
+	}, 1200), [{type: 'finish', result: {outcome: 'completed', isLate: true}}, {type: 'close'}]);
+});
--- a/src/request/common/stage-run.ts
+++ b/src/request/common/stage-run.ts
@@ -51,6 +51,7 @@
 	private retryAtMs = Infinity;
 	private endMs = 0;
 	private isRecoveryOver = false;
+	private isHedgeOver = false;
 
 	private constructor(private readonly options: StageRunOptions) {
 		this.holdingSinceMs = options.startMs;
@@ -284,13 +285,15 @@
 
 	private hedgeAtMs(attempt: Attempt): number {
 		const isAlone = this.attempts.all.every(other => other === attempt || !other.isLive);
-		const mayHedge = isAlone && !this.leader && this.options.plan.isRepeatable
-			&& attempt.options.kind !== 'hedge' && this.attempts.count < this.stage.policy.maxAttempts;
+		const mayHedge = isAlone && !this.isHedgeOver && !this.leader && this.options.plan.isRepeatable
+			&& this.attempts.count < this.stage.policy.maxAttempts;
 		const delayMs = mayHedge ? this.options.router.hedgeDelayMs(this.stage) : undefined;
 		return delayMs === undefined ? Infinity : attempt.options.sentAtMs + delayMs;
 	}
 
+	/** Once for a stage, whether or not the budget allows it. */
 	private hedge(nowMs: number): void {
+		this.isHedgeOver = true;
 		if (this.options.router.mayHedge(this.stage, nowMs)) {
 			this.dispatch('hedge', nowMs);
 		}
--- a/src/routing/common/retry-budget.ts
+++ b/src/routing/common/retry-budget.ts
@@ -3,17 +3,24 @@
 const mostTokens = 50;
 /** A quiet workspace may retry as well: this many a second, whatever its share gives. */
 const floorPerSecond = 1;
-const floorTokens = 5;
+const defaultFloorTokens = 5;
 
 /** A bucket that first attempts fill and retries drain. */
 export class RetryBudget {
-	static create(nowMs: number): RetryBudget {
-		return new RetryBudget(nowMs);
+	/**
+	Makes a budget.
+	@param nowMs - the time.
+	@param floorTokens - retries that time alone allows; 0 for hedges, which a quiet workspace can do without.
+	*/
+	static create(nowMs: number, floorTokens = defaultFloorTokens): RetryBudget {
+		return new RetryBudget(nowMs, floorTokens);
 	}
 
-	private tokens = floorTokens;
+	private tokens: number;
 
-	private constructor(private filledMs: number) {}
+	private constructor(private filledMs: number, private readonly floorTokens: number) {
+		this.tokens = floorTokens;
+	}
 
 	/**
 	A first attempt was sent.
@@ -42,8 +49,8 @@
 	private refill(nowMs: number): void {
 		const gained = ((nowMs - this.filledMs) / 1000) * floorPerSecond;
 		this.filledMs = nowMs;
-		if (this.tokens < floorTokens) {
-			this.tokens = Math.min(floorTokens, this.tokens + gained);
+		if (this.tokens < this.floorTokens) {
+			this.tokens = Math.min(this.floorTokens, this.tokens + gained);
 		}
 	}
 }
--- a/test/request-oracle.ts
+++ b/test/request-oracle.ts
@@ -30,6 +30,9 @@
 	/** Work that was running when a planned stop ended. */
 	readonly cutByStop: string[] = [];
 
+	/** Requests whose machine wanted a tick at a time that had passed, right after a tick. */
+	readonly spins: string[] = [];
+
 	/** Broken promises that can be seen at any time. */
 	breaches(marginMs: number): string[] {
 		const found: string[] = [];
@@ -45,6 +48,7 @@
 
 		found.push(
 			...this.leavingBreaches.map(breach => `promise 5: ${breach.dispatchId} was started at ${breach.upstreamId}, which was leaving`),
+			...this.spins.map(requestId => `the machine of ${requestId} spins`),
 			...this.cutByStop.map(dispatchId => `promise 6: a planned stop cut off ${dispatchId}`),
 		);
 		return found;
--- a/test/request-world.ts
+++ b/test/request-world.ts
@@ -470,6 +470,9 @@
 			for (const live of [...entry.live.values()]) {
 				if (live.machine.wakeAtMs <= this.now) {
 					this.feed(entry, live, {type: 'tick'});
+					if (!live.machine.isClosed && live.machine.wakeAtMs <= this.now) {
+						this.oracle.spins.push(live.caller.plan.requestId);
+					}
 				}
 			}
 		}
