--- a/src/agent/common/upstream-driver.ts
+++ b/src/agent/common/upstream-driver.ts
@@ -1,6 +1,6 @@
 /** How an agent calls its upstream: one driver for each kind. */
 import type {InjectionToken} from 'tsyringe';
-import type {CallEnd} from '../../request/common/gate-machine.js';
+import type {CallEnd} from '../../request/common/gate-actions.js';
 import type {
 	DispatchMessage, LoadedModel, OrderMessage, StartedMessage,
 } from '../../wire/common/messages.js';
--- a/src/agent/node/agent-service.ts
+++ b/src/agent/node/agent-service.ts
@@ -5,8 +5,8 @@
 import type {LifecycleManager} from '../../base/common/lifecycle.js';
 import type {Logger} from '../../base/common/logger.js';
 import type {Metrics} from '../../base/common/metrics.js';
-import type {GateAction, GateLimits, GateMachine} from '../../request/common/gate-machine.js';
-import {leaseKey, parseLease} from '../../placement/common/lease.js';
+import type {GateAction, GateLimits} from '../../request/common/gate-actions.js';
+import type {GateMachine} from '../../request/common/gate-machine.js';
 import type {TableService} from '../../platform/common/table-service.js';
 import type {SettingsService} from '../../settings/common/settings-service.js';
 import type {SettingsSync} from '../../settings/node/settings-sync.js';
@@ -16,9 +16,9 @@
 import type {WireConnection} from '../../wire/node/wire-connection.js';
 import type {Endpoint, WireServer} from '../../wire/node/wire-server.js';
 import {PauseDetector} from '../common/pause-detector.js';
-import {OrderFence} from '../common/order-fence.js';
 import type {UpstreamDriver} from '../common/upstream-driver.js';
 import {CallRunner} from './call-runner.js';
+import {OrderDesk} from './order-desk.js';
 
 const tickMs = 20;
 /** Still short enough that work which comes meanwhile is refused in time. */
@@ -59,7 +59,7 @@
 	private readonly owned = DisposableStore.create();
 	private readonly runner: CallRunner;
 	private readonly pause: PauseDetector;
-	private readonly fence = OrderFence.create();
+	private readonly orders: OrderDesk;
 	private waiting: Waiting[] = [];
 	private nextConnectionId = 1;
 	private engineSlots: number | undefined;
@@ -67,6 +67,7 @@
 	private constructor(private readonly options: AgentOptions) {
 		const {gate, driver, clock, settings, lifecycle, server} = options;
 		this.pause = PauseDetector.create(clock.nowMs());
+		this.orders = OrderDesk.create(driver, options.table, options.log);
 		this.runner = CallRunner.create(gate, driver, clock, actions => {
 			this.perform(actions);
 		});
@@ -164,7 +165,7 @@
 			}
 
 			case 'order': {
-				void this.order(connection, message);
+				void this.carryOut(connection, message);
 				break;
 			}
 
@@ -242,7 +243,7 @@
 	private checkPause(): void {
 		if (this.pause.tick(this.now())) {
 			this.options.log.warn('This process slept; connections are confirmed before work is taken.');
-			this.fence.suspect();
+			this.orders.suspect();
 			for (const connection of this.connections.values()) {
 				connection.send({type: 'ping', nonce: this.pause.wakeCount, settingsRevision: this.revision});
 			}
@@ -282,14 +283,9 @@
 		await this.wait(announceMs);
 	}
 
-	private async order(connection: WireConnection, order: OrderMessage): Promise<void> {
-		const {driver, log} = this.options;
-		const reason = this.fence.check(order);
-		const end = reason === undefined ? await driver.order(order) : {isAccepted: false, reason};
+	private async carryOut(connection: WireConnection, order: OrderMessage): Promise<void> {
+		const end = await this.orders.carryOut(order);
 		await this.readState();
-		log.info('An order was carried out or refused.', {
-			kind: order.kind, model: order.model, epoch: order.epoch, sequence: order.sequence, isAccepted: end.isAccepted, reason: end.reason,
-		});
 		connection.send({
 			type: 'orderReply', orderId: order.orderId, ...end, models: [...this.options.gate.load.models],
 		});
@@ -307,21 +303,8 @@
 		}
 	}
 
-	/** A new agent lets no order pass before it knows the lease's epoch. */
-	private async learnFence(): Promise<void> {
-		if (this.fence.isKnown) {
-			return;
-		}
-
-		const rows = await this.options.table.read([leaseKey]);
-		if (rows.ok) {
-			const [row] = rows.value;
-			this.fence.learn(row ? parseLease(row)?.epoch ?? 0 : 0);
-		}
-	}
-
 	private async readState(): Promise<void> {
-		await this.learnFence();
+		await this.orders.learnFence();
 		const state = await this.options.driver.readState();
 		if (state) {
 			this.engineSlots = state.slots;
--- a/src/agent/node/call-runner.ts
+++ b/src/agent/node/call-runner.ts
@@ -1,7 +1,8 @@
 /** Runs the calls that the gate starts, and reports them back to it. */
 import type {Clock} from '../../base/common/clock.js';
 import {messageOf} from '../../base/common/errors.js';
-import type {CallEnd, GateAction, GateMachine} from '../../request/common/gate-machine.js';
+import type {CallEnd, GateAction} from '../../request/common/gate-actions.js';
+import type {GateMachine} from '../../request/common/gate-machine.js';
 import type {DispatchMessage} from '../../wire/common/messages.js';
 import type {CallSink, UpstreamDriver} from '../common/upstream-driver.js';
 
--- a/src/agent/node/engine-driver.ts
+++ b/src/agent/node/engine-driver.ts
@@ -2,7 +2,7 @@
 import {Pool} from 'undici';
 import {z} from 'zod';
 import {messageOf} from '../../base/common/errors.js';
-import type {CallEnd} from '../../request/common/gate-machine.js';
+import type {CallEnd} from '../../request/common/gate-actions.js';
 import type {DispatchMessage, OrderMessage} from '../../wire/common/messages.js';
 import type {
 	CallSink, OrderEnd, UpstreamDriver, UpstreamState,
--- a/src/agent/node/http-driver.ts
+++ b/src/agent/node/http-driver.ts
@@ -1,7 +1,7 @@
 /** Drives workers and plain services: one HTTP call, its answer passed on as it comes. */
 import {Pool, type Dispatcher} from 'undici';
 import {z} from 'zod';
-import type {CallEnd} from '../../request/common/gate-machine.js';
+import type {CallEnd} from '../../request/common/gate-actions.js';
 import type {DispatchMessage, Header} from '../../wire/common/messages.js';
 import type {
 	CallSink, OrderEnd, UpstreamDriver, UpstreamState,
--- a/src/agent/node/http-errors.ts
+++ b/src/agent/node/http-errors.ts
@@ -1,6 +1,6 @@
 /** Reads what an error of the HTTP client proves about the call. */
 import {messageOf} from '../../base/common/errors.js';
-import type {CallEnd} from '../../request/common/gate-machine.js';
+import type {CallEnd} from '../../request/common/gate-actions.js';
 
 /** Errors raised before anything was written: no connection came about. */
 const notWrittenCodes = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'UND_ERR_CONNECT_TIMEOUT']);
--- a/src/daemon/node/compose-entry.ts
+++ b/src/daemon/node/compose-entry.ts
@@ -19,6 +19,7 @@
 import {LeaseKeeper} from '../../placement/common/lease.js';
 import {PlacementService} from '../../placement/common/placement-service.js';
 import {ClaimStore} from '../../request/common/claim-store.js';
+import {ClaimSweeper} from '../../request/common/claim-sweeper.js';
 import type {UpstreamChooser} from '../../routing/common/chooser.js';
 import {PrefixIndex} from '../../routing/common/prefix-index.js';
 import {ScoreChooser} from '../../routing/common/score-chooser.js';
@@ -100,6 +101,12 @@
 			log: parts.resolve(loggerFactoryToken).for('placement'),
 			newOrderId: newId,
 		}));
+		lifecycle.register(ClaimSweeper.create({
+			table: parts.resolve(tableServiceToken),
+			clock: parts.resolve(clockToken),
+			random: parts.resolve(randomToken),
+			isHolder: () => placement.leaseEpoch !== undefined,
+		}));
 		lifecycle.register(links.onDidReceive(({message}) => {
 			if (message.type === 'orderReply') {
 				placement.replied(message);
--- a/src/entry/node/answer-writer.ts
+++ b/src/entry/node/answer-writer.ts
@@ -1,6 +1,6 @@
 /** Writes the answer of one request to its caller: whole, streamed, or an error. */
 import type {ServerResponse} from 'node:http';
-import type {KeptAnswer} from '../../request/common/claim-store.js';
+import type {KeptAnswer} from '../../request/common/claim.js';
 import {outcomes, type RequestResult} from '../../request/common/request-plan.js';
 import {problemOfResult} from '../common/problems.js';
 import {sendJson, sendProblem} from './http-common.js';
--- a/src/entry/node/callers-api.ts
+++ b/src/entry/node/callers-api.ts
@@ -4,9 +4,8 @@
 import {hashText} from '../../base/common/hash.js';
 import type {Logger} from '../../base/common/logger.js';
 import {newId} from '../../base/node/ids.js';
-import {
-	claimKey, type Claim, type ClaimStore, type GrantedClaim,
-} from '../../request/common/claim-store.js';
+import {claimKey, type Claim} from '../../request/common/claim.js';
+import {type ClaimStore, type GrantedClaim} from '../../request/common/claim-store.js';
 import {outcomes, type RequestPlan, type RequestResult} from '../../request/common/request-plan.js';
 import {WorkspaceLimiter} from '../../routing/common/workspace-limiter.js';
 import type {SettingsService} from '../../settings/common/settings-service.js';
--- a/src/entry/node/fleet-links.ts
+++ b/src/entry/node/fleet-links.ts
@@ -8,23 +8,15 @@
 import type {HostList, ListedHost} from '../../platform/common/host-list.js';
 import type {SettingsService} from '../../settings/common/settings-service.js';
 import type {SettingsSync} from '../../settings/node/settings-sync.js';
-import {subsetOf} from '../../routing/common/subset.js';
 import {roles, serveStates, type Message} from '../../wire/common/messages.js';
 import {WireClient, type WireClientOptions} from '../../wire/node/wire-client.js';
 import type {WireConnection} from '../../wire/node/wire-connection.js';
 import type {FleetRouter} from '../common/fleet-router.js';
+import {pingIntervalMs, shareOf} from '../common/fleet-share.js';
 
 const listMs = 1000;
-const shortestPingMs = 500;
-/** What pings and their answers may take of an entry's traffic; with more links, pings come more seldom. */
-const pingBytesPerSecond = 10_000;
-/** One ping with its answer, as measured (docs/CAPACITY.md). */
-const pingExchangeBytes = 221;
 /** Pings missed before an upstream counts as silent. */
 const missedPings = 3;
-/** Links an entry keeps; a larger fleet is shared out among the entries. */
-const mostLinks = 96;
-const fewestOfPool = 8;
 /** Silence after which a connection is given up. */
 const silenceMs = 4000;
 /** A host missing from the list this often in a row is let go, unless most are missing. */
@@ -130,7 +122,7 @@
 		}
 
 		const agents = hosts.value.filter(host => host.role === roles.agent);
-		const wanted = this.shareOf(hosts.value, agents);
+		const wanted = shareOf(hosts.value, this.options.wire.identity.hostId);
 		const seen = new Set(wanted.map(host => host.hostId));
 		for (const host of wanted) {
 			this.options.members.listed(host.hostId, host.state);
@@ -156,23 +148,7 @@
 	}
 
 	private get pingMs(): number {
-		return Math.max(shortestPingMs, this.links.size * pingExchangeBytes * 1000 / pingBytesPerSecond);
-	}
-
-	/** The agents this entry connects to: all of a small fleet, an even share of a large one. */
-	private shareOf(hosts: readonly ListedHost[], agents: readonly ListedHost[]): ListedHost[] {
-		if (agents.length <= mostLinks) {
-			return [...agents];
-		}
-
-		const entryIds = hosts.filter(host => host.role === roles.entry).map(host => host.hostId).toSorted((a, b) => (a < b ? -1 : 1));
-		const position = Math.max(0, entryIds.indexOf(this.options.wire.identity.hostId));
-		const pools = new Set(agents.map(host => host.pool));
-		return [...pools].flatMap(name => {
-			const pool = agents.filter(host => host.pool === name);
-			const size = Math.max(fewestOfPool, Math.floor(mostLinks * pool.length / agents.length));
-			return subsetOf(pool, position, size);
-		});
+		return pingIntervalMs(this.links.size);
 	}
 
 	private ensureLink(host: ListedHost): void {
--- /dev/null
+++ b/src/request/common/claim-store.test.ts
@@ -0,0 +1,87 @@
+import t from 'tap';
+import {ManualClock} from '../../base/common/clock.js';
+import {SeededRandom} from '../../base/common/random.js';
+import {MemoryTable} from '../../standins/common/memory-table.js';
+import {claimKey, type Claim} from './claim.js';
+import {ClaimStore} from './claim-store.js';
+import {ClaimSweeper, keptClaimMs} from './claim-sweeper.js';
+
+const spacingMs = 25;
+
+function setUp() {
+	const clock = ManualClock.create();
+	const table = MemoryTable.create();
+	const storeOf = (writer: string) => ClaimStore.create({
+		table, clock, writer, spacingMs,
+	});
+	const claimOf = (writer: string, requestId: string): Claim => ({
+		writer, requestId, fingerprint: 1, state: 'claimed', claimedAtMs: clock.wallMs(), endsByMs: clock.wallMs() + 1000,
+	});
+	return {
+		clock, table, storeOf, claimOf,
+	};
+}
+
+/** Lets time and promises go on together. */
+async function pass(clock: ManualClock, byMs: number): Promise<void> {
+	for (let passedMs = 0; passedMs < byMs; passedMs += spacingMs) {
+		clock.advance(spacingMs);
+		await new Promise(resolve => {
+			setImmediate(resolve);
+		});
+	}
+}
+
+t.test('claims that come together share a transaction, and a taken one holds up no other', async t => {
+	const {clock, table, storeOf, claimOf} = setUp();
+	const store = storeOf('a');
+	await store.claim(claimKey('w', 'k0'), claimOf('a', 'r0'));
+	await pass(clock, 100);
+	const results = Promise.all(Array.from({length: 50}, async (_, number) => store.claim(claimKey('w', `k${number}`), claimOf('a', `again-${number}`))));
+	await pass(clock, 500);
+	const granted = (await results).filter(result => result.ok);
+	t.equal(granted.length, 49);
+	t.ok(table.writeCount <= 5, `${table.writeCount} transactions for 51 claims`);
+});
+
+t.test('of two entries that claim a key at once, one gets it and the other learns of it', async t => {
+	const {clock, storeOf, claimOf} = setUp();
+	const results = Promise.all(['a', 'b'].map(async writer => storeOf(writer).claim(claimKey('w', 'k'), claimOf(writer, `r-${writer}`))));
+	await pass(clock, 100);
+	const [first, second] = await results;
+	t.ok(first.ok);
+	t.match(second, {ok: false, error: {code: 'taken', claim: {requestId: 'r-a'}}});
+});
+
+t.test('a claim that landed although its answer was lost is given back when the request was refused', async t => {
+	const {clock, table, storeOf, claimOf} = setUp();
+	table.dieAfterWrite = true;
+	const lost = storeOf('a').claim(claimKey('w', 'k'), claimOf('a', 'r1'));
+	await pass(clock, 100);
+	t.match(await lost, {ok: false, error: {code: 'unavailable'}});
+	table.isDown = false;
+	await pass(clock, 3000);
+	const again = storeOf('b').claim(claimKey('w', 'k'), claimOf('b', 'r2'));
+	await pass(clock, 200);
+	t.equal((await again).ok, true, 'nothing ran under the key, so it is free');
+});
+
+t.test('old claims are forgotten, young ones are not', async t => {
+	const {clock, table, storeOf, claimOf} = setUp();
+	const store = storeOf('a');
+	const old = store.claim(claimKey('w', 'old'), claimOf('a', 'r1'));
+	await pass(clock, 100);
+	await old;
+	clock.advance(keptClaimMs + 2000);
+	const young = store.claim(claimKey('w', 'young'), claimOf('a', 'r2'));
+	await pass(clock, 100);
+	await young;
+	const sweeper = ClaimSweeper.create({
+		table, clock, random: SeededRandom.create(1), isHolder: () => true,
+	});
+	await sweeper.sweep();
+	const rows = await table.scan({prefix: 'claims/', limit: 10});
+	t.match(rows, {ok: true, value: [{key: claimKey('w', 'young')}]});
+	t.equal(rows.ok ? rows.value.length : 0, 1);
+	sweeper.dispose();
+});
--- a/src/request/common/claim-store.ts
+++ b/src/request/common/claim-store.ts
@@ -3,13 +3,15 @@
 Claims and outcomes of one entry are committed together, one transaction at a time,
 so that writes stay within the platform's budget.
 */
-import {z} from 'zod';
 import type {Clock} from '../../base/common/clock.js';
 import type {Disposable} from '../../base/common/disposable.js';
 import {fail, ok, type Outcome} from '../../base/common/outcome.js';
 import type {
 	Row, RowCondition, RowWrite, TableService,
 } from '../../platform/common/table-service.js';
+import {
+	isSameClaim, parseClaim, type Claim, type KeptAnswer,
+} from './claim.js';
 import {outcomes} from './request-plan.js';
 
 const mostInBatch = 200;
@@ -20,26 +22,6 @@
 const settleRetryMs = 200;
 const releaseCheckMs = 1000;
 
-const claimSchema = z.strictObject({
-	/** The incarnation that made the claim. */
-	writer: z.string(),
-	requestId: z.string(),
-	/** Hash of method, target and body: a key may not be used for another request. */
-	fingerprint: z.number(),
-	state: z.enum({
-		claimed: 'claimed', ...outcomes,
-	}),
-	claimedAtMs: z.number(),
-	/** When the request can no longer be running at its entry. */
-	endsByMs: z.number(),
-	answer: z.strictObject({
-		status: z.number(), contentType: z.string(), text: z.string(),
-	}).optional(),
-});
-/** What is known of a request that runs at most once. */
-export type Claim = z.infer<typeof claimSchema>;
-export type KeptAnswer = NonNullable<Claim['answer']>;
-
 /** Why a claim was not granted. */
 export type ClaimRefusal
 	/** The key was used before; this is what became of that request. */
@@ -66,15 +48,6 @@
 	readonly spacingMs: number;
 };
 
-/**
-Gives the row of a claim.
-@param workspace - the caller's.
-@param idempotencyKey - the caller's.
-*/
-export function claimKey(workspace: string, idempotencyKey: string): string {
-	return `claims/${workspace}/${idempotencyKey}`;
-}
-
 /** Makes and settles claims. */
 export class ClaimStore implements Disposable {
 	static create(options: ClaimStoreOptions): ClaimStore {
@@ -297,15 +270,3 @@
 		item.resolve(result);
 	}
 }
-
-function isSameClaim(left: Claim, right: Claim): boolean {
-	return left.writer === right.writer && left.requestId === right.requestId && left.claimedAtMs === right.claimedAtMs;
-}
-
-function parseClaim(row: Row): Claim | undefined {
-	try {
-		return claimSchema.safeParse(JSON.parse(row.value)).data;
-	} catch {
-		return undefined;
-	}
-}
--- /dev/null
+++ b/src/request/common/claim-sweeper.ts
@@ -0,0 +1,67 @@
+/** Forgets old claims, a page at a time, from whichever entry holds the placement lease. */
+import {setRepeating, type Clock} from '../../base/common/clock.js';
+import type {Disposable} from '../../base/common/disposable.js';
+import {jitter, type Random} from '../../base/common/random.js';
+import type {Row, TableService} from '../../platform/common/table-service.js';
+import {claimPrefix, parseClaim} from './claim.js';
+
+/** How long after its request's end a claim is kept, so that late copies find it. */
+export const keptClaimMs = 24 * 60 * 60 * 1000;
+const sweepMs = 5000;
+const pageRows = 200;
+
+/** What the sweeper needs. */
+export type ClaimSweeperOptions = {
+	readonly table: TableService;
+	readonly clock: Clock;
+	readonly random: Random;
+	/** Whether this process is the one to sweep. */
+	readonly isHolder: () => boolean;
+};
+
+/** Deletes claims that no copy of their request is expected for any more. */
+export class ClaimSweeper implements Disposable {
+	static create(options: ClaimSweeperOptions): ClaimSweeper {
+		return new ClaimSweeper(options);
+	}
+
+	private after: string | undefined;
+	private readonly timer: Disposable;
+
+	private constructor(private readonly options: ClaimSweeperOptions) {
+		this.timer = setRepeating(options.clock, () => jitter(options.random, sweepMs), async () => {
+			if (options.isHolder()) {
+				await this.sweep();
+			}
+		});
+	}
+
+	/** Looks at one page of claims, and deletes the old ones in one transaction. */
+	async sweep(): Promise<void> {
+		const {table} = this.options;
+		const rows = await table.scan({prefix: claimPrefix, limit: pageRows, ...(this.after !== undefined && {after: this.after})});
+		if (!rows.ok) {
+			return;
+		}
+
+		// After the last page it starts over.
+		this.after = rows.value.length === pageRows ? rows.value.at(-1)!.key : undefined;
+		const old = rows.value.filter(row => this.isOld(row));
+		if (old.length > 0) {
+			// A claim made anew meanwhile has another version; then none is deleted this time.
+			await table.transact({
+				conditions: old.map(({key, version}) => ({key, version})),
+				writes: old.map(({key}) => ({key})),
+			});
+		}
+	}
+
+	dispose(): void {
+		this.timer.dispose();
+	}
+
+	private isOld(row: Row): boolean {
+		const claim = parseClaim(row);
+		return claim !== undefined && this.options.clock.wallMs() > claim.endsByMs + keptClaimMs;
+	}
+}
--- a/src/request/common/gate-machine.ts
+++ b/src/request/common/gate-machine.ts
@@ -2,32 +2,15 @@
 import {extendDigest} from '../../base/common/hash.js';
 import {FairQueue, type WorkQueue} from '../../routing/common/fair-queue.js';
 import {
-	endStates, refusalReasons, type DispatchMessage, type EndState, type Message, type RefusalReason, type StartedMessage, type UpstreamLoad,
+	endStates, refusalReasons, type DispatchMessage, type Message, type RefusalReason, type StartedMessage, type UpstreamLoad,
 } from '../../wire/common/messages.js';
+import type {CallEnd, GateAction, GateLimits} from './gate-actions.js';
 import {EndedJobs} from './ended-jobs.js';
 import {makeJob, resumeOffsetOf, type GateJob} from './gate-job.js';
 
 /** How long work whose entry is gone runs on, in case the entry comes back. */
 const orphanGraceMs = 1500;
 
-/** Limits of a gate. */
-export type GateLimits = {readonly slots: number; readonly maxQueue: number};
-
-/** Something to be done for a dispatch. */
-export type GateAction
-	= | {readonly type: 'send'; readonly connectionId: number; readonly message: Message}
-		| {readonly type: 'start'; readonly dispatch: DispatchMessage}
-		| {readonly type: 'abort'; readonly dispatchId: string}
-	/** The upstream's stream may go on, or shall wait. */
-		| {readonly type: 'flow'; readonly dispatchId: string; readonly isOpen: boolean};
-
-/** How a call to the upstream ended. */
-export type CallEnd = {
-	/** `notRun` only where nothing was written to the upstream, or it said itself that it did not start. */
-	readonly state: EndState | 'notRun';
-	readonly reason?: string;
-};
-
 /** Decides for every dispatch at one upstream; time comes with each call. */
 export class GateMachine {
 	/**
--- a/src/request/common/stage-run.ts
+++ b/src/request/common/stage-run.ts
@@ -11,6 +11,7 @@
 import type {RequestRouter} from './request-router.js';
 import {isTooLarge, StageAnswer} from './stage-answer.js';
 import {makeDispatch} from './stage-dispatch.js';
+import {makeStageTrace} from './stage-trace.js';
 
 const holdRetryMs = 20;
 
@@ -241,19 +242,9 @@
 	}
 
 	trace(): StageTrace {
-		const traces = this.attempts.all.map(attempt => attempt.trace());
-		const useful = new Set(this.attempts.all.filter(attempt => this.isUseful(attempt)));
-		const sum = (isUseful: boolean) => this.attempts.all
-			.filter(attempt => useful.has(attempt) === isUseful)
-			.reduce((total, attempt) => total + attempt.runMs, 0);
-		return {
-			stage: this.stage.name,
-			heldMs: this.heldMs,
-			tookMs: Math.max(0, this.endMs - this.options.startMs),
-			attempts: traces,
-			usefulMs: sum(true),
-			wastedMs: sum(false),
-		};
+		return makeStageTrace({
+			stage: this.stage.name, heldMs: this.heldMs, tookMs: Math.max(0, this.endMs - this.options.startMs), attempts: this.attempts.all, isUseful: attempt => this.isUseful(attempt),
+		});
 	}
 
 	/** From now on a lost attempt is not made up for: the request's answer is settled. */
