Kill, freeze and stop daemons as processes of their own

Cause: the daemons had run only inside one process with their stand-ins. Change: a test starts an entry and an agent as programs: SIGSTOP while a reservation is on its way, SIGKILL, planned stops, wrong settings.

--- /dev/null
+++ b/test/daemon-process.test.ts
@@ -0,0 +1,148 @@
+import {spawn, type ChildProcess} from 'node:child_process';
+import {readFileSync} from 'node:fs';
+import process from 'node:process';
+import {fileURLToPath} from 'node:url';
+import t, {type Test} from 'tap';
+import {z} from 'zod';
+import {planEdits, readDeclaration, requestOf} from '../src/settings/common/plan.js';
+import {PlatformServer} from '../src/standins/node/platform-server.js';
+import {ServiceServer} from '../src/standins/node/service-server.js';
+import {call, until} from './fleet-harness.js';
+
+const program = fileURLToPath(new URL('../src/daemon/node/main.js', import.meta.url));
+const declarationFile = fileURLToPath(new URL('../../examples/kaolack.jsonc', import.meta.url));
+const lineSchema = z.looseObject({
+	message: z.string(), callers: z.number().optional(), operators: z.number().optional(), port: z.number().optional(),
+});
+
+process.env.TEST_WIRE_KEY = 'a-key-of-enough-characters';
+process.env.TEST_TOKEN = 'demo-operator';
+
+type Started = {readonly child: ChildProcess; readonly line: z.infer<typeof lineSchema>; readonly exit: Promise<number | string>};
+
+/** Starts a daemon as a process of its own, and waits for the log line that says that it is ready. */
+async function start(t: Test, settings: Record<string, unknown>, readyMessage: string): Promise<Started> {
+	const folder = t.testdir({host: JSON.stringify(settings)});
+	const child = spawn(process.execPath, [program, '--settings', `${folder}/host`], {
+		stdio: ['ignore', 'ignore', 'pipe'],
+	});
+	t.teardown(() => child.kill('SIGKILL'));
+	const exit = new Promise<number | string>(resolve => {
+		child.on('exit', (code, signal) => {
+			resolve(code ?? signal ?? 'none');
+		});
+	});
+	const line = await new Promise<z.infer<typeof lineSchema>>(resolve => {
+		let rest = '';
+		child.stderr.on('data', piece => {
+			const lines = `${rest}${String(piece)}`.split('\n');
+			rest = lines.pop() ?? '';
+			const ready = lines.map(text => lineSchema.parse(JSON.parse(text))).find(item => item.message === readyMessage);
+			if (ready) {
+				resolve(ready);
+			}
+		});
+	});
+	return {child, line, exit};
+}
+
+function settingsOf(platform: PlatformServer, hostId: string): Record<string, unknown> {
+	return {
+		hostId,
+		hall: 'hall-a',
+		wire: {address: '127.0.0.1', port: 0, keys: [{keyId: 'k', secret: {env: 'TEST_WIRE_KEY'}}]},
+		platform: {origin: platform.origin, token: {env: 'TEST_TOKEN'}},
+		logs: {level: 'info', format: 'json'},
+	};
+}
+
+t.test('daemons as processes of their own, killed, frozen and stopped', async t => {
+	const platform = await PlatformServer.create();
+	const service = await ServiceServer.create({
+		serviceMs: 20, slots: 4, isReporting: true, answer: (_path, body) => ({got: body}),
+	});
+	t.teardown(() => {
+		platform.dispose();
+		service.dispose();
+	});
+	const agentSettings = {
+		...settingsOf(platform, 'stock-host'), role: 'agent', upstream: {
+			upstreamId: 'stock-1', pool: 'stock', kind: 'service', origin: service.origin,
+		},
+	};
+	const startAgent = async () => {
+		const agent = await start(t, agentSettings, 'The agent takes work.');
+		platform.hosts = [{
+			hostId: 'stock-host', role: 'agent', address: '127.0.0.1', port: agent.line.port!, hall: 'hall-a', pool: 'stock', state: 'live',
+		}];
+		return agent;
+	};
+
+	let agent = await startAgent();
+	const entry = await start(t, {
+		...settingsOf(platform, 'entry-1'),
+		role: 'entry',
+		callers: {address: '127.0.0.1', port: 0},
+		operators: {address: '127.0.0.1', port: 0, bootstrapToken: {env: 'TEST_TOKEN'}},
+		stopGraceMs: 100,
+	}, 'The entry takes requests.');
+	const callers = `http://127.0.0.1:${entry.line.callers!}`;
+	const operators = `http://127.0.0.1:${entry.line.operators!}`;
+	const nodes = readDeclaration(readFileSync(declarationFile), declarationFile);
+	t.ok(nodes.ok);
+	const change = requestOf(planEdits(nodes.ok ? nodes.value : new Map(), new Map()), 'first', 'test');
+	t.equal((await call(operators, '/v1/settings/changes', {body: JSON.stringify(change), token: 'demo-operator'})).status, 200);
+	const isServing = async () => (await call(callers, 'services/stock/lots', {method: 'GET'})).status === 200;
+	const reserve = async (name: string, headers: Record<string, string> = {}) =>
+		call(callers, 'services/stock/reservations', {body: name, headers: {'idempotency-key': name, 'not-repeatable': 'true', ...headers}});
+	const ran = (name: string) => service.ran.filter(body => body === name).length;
+	await until(isServing);
+
+	await t.test('an agent that is frozen does not run, on waking, what it was sent meanwhile', async t => {
+		agent.child.kill('SIGSTOP');
+		const answer = await reserve('frozen', {'deadline-ms': '600'});
+		t.equal(answer.body.outcome, 'unknown', 'nobody can tell yet');
+		agent.child.kill('SIGCONT');
+		await until(isServing);
+		t.equal(ran('frozen'), 0);
+		await until(async () => (await reserve('frozen')).status === 200);
+		t.equal(ran('frozen'), 1, 'known as not run by then, it ran when sent again, once');
+	});
+
+	await t.test('an agent that is killed takes nothing with it that may be repeated', async t => {
+		const reading = call(callers, 'services/stock/lots', {method: 'GET', headers: {'deadline-ms': '20000'}});
+		agent.child.kill('SIGKILL');
+		await agent.exit;
+		agent = await startAgent();
+		await until(isServing);
+		const answer = await reading;
+		t.ok(answer.status === 200 || answer.body.outcome === 'refused' || answer.body.outcome === 'failed', 'an answer, or an honest error');
+		t.equal((await reserve('after-kill')).status, 200);
+		t.equal(ran('after-kill'), 1);
+	});
+
+	await t.test('a planned stop answers what is in flight, and ends with exit code 0', async t => {
+		const pending = Promise.all(Array.from({length: 20}, async (_, number) => reserve(`stop-${number}`)));
+		await until(() => ran('stop-0') === 1);
+		entry.child.kill('SIGTERM');
+		const answers = await pending;
+		t.ok(answers.every(answer => answer.status === 200));
+		t.equal(await entry.exit, 0);
+		agent.child.kill('SIGTERM');
+		t.equal(await agent.exit, 0);
+	});
+});
+
+t.test('wrong settings end the daemon with exit code 2 before anything starts', async t => {
+	const folder = t.testdir({host: '{"role": "entry", "zone": "a"}'});
+	const child = spawn(process.execPath, [program, '--settings', `${folder}/host`], {stdio: ['ignore', 'ignore', 'pipe']});
+	let text = '';
+	child.stderr.on('data', piece => {
+		text += String(piece);
+	});
+	const code = await new Promise(resolve => {
+		child.on('close', resolve);
+	});
+	t.equal(code, 2);
+	t.match(text, /host:1:\d+ \/zone: unknown field "zone" \(unknownField\)/v);
+});
