Let work that may not be repeated run on when nobody can grant it credit

Cause: reading the gate again: a call that waited for credit when its entry was lost would have waited for good, and kept a slot of the upstream. Change: such work gets all the credit it needs; its result is kept for a query.

--- a/src/request/common/gate-machine.ts
+++ b/src/request/common/gate-machine.ts
@@ -172,6 +172,10 @@
 
 				job.connectionId = undefined;
 				job.orphanedMs = nowMs;
+				if (!job.dispatch.isRepeatable && job.startedMs !== undefined) {
+					this.letRunOn(job);
+				}
+
 				if (job.startedMs === undefined) {
 					this.queue.remove(job);
 					this.refuseJob(job, refusalReasons.cancelled, nowMs);
@@ -335,6 +339,15 @@
 		this.ended.remember(dispatchId, job);
 	}
 
+	/** Nobody is left to grant credit; the result is kept here for an entry that comes back. */
+	private letRunOn(job: GateJob): void {
+		const wasHeld = job.credit <= 0;
+		job.credit = Infinity;
+		if (wasHeld) {
+			this.actions.push({type: 'flow', dispatchId: job.dispatch.dispatchId, isOpen: true});
+		}
+	}
+
 	private abort(job: GateJob): void {
 		if (!job.isAborted) {
 			job.isAborted = true;
