Pass priorities to engines; a weight store and a lagging list in the stand-in

Cause: three points of the platform had no stand-in, and engines honour priorities. Change: generations carry a priority (in time before late, resumed before new); the stand-in's list lags and its weight store serves two fetches at once.

--- a/examples/local-fleet.ts
+++ b/examples/local-fleet.ts
@@ -185,7 +185,7 @@
 	private async startUpstream(spec: PoolSpec, index: number): Promise<void> {
 		const upstreamId = `${spec.pool}-${index + 1}`;
 		const standin = spec.kind === 'engine'
-			? {engine: this.owned.add(await EngineServer.create({pace: this.spec.pace ?? defaultPace, models: structuredClone(this.spec.models)}))}
+			? {engine: this.owned.add(await EngineServer.create({pace: this.spec.pace ?? defaultPace, models: structuredClone(this.spec.models), weightOrigin: this.platform.origin}))}
 			: {service: this.owned.add(await ServiceServer.create(serviceOptionsOf(spec)))};
 		const seed = {
 			upstreamId, pool: spec.pool, hostId: `host-${upstreamId}`, ...standin,
--- a/src/agent/node/engine-driver.ts
+++ b/src/agent/node/engine-driver.ts
@@ -11,6 +11,7 @@
 
 const callTimeoutMs = 2000;
 const statusOk = 200;
+const inTimePriority = 2;
 const statusConflict = 409;
 
 const lineSchema = z.union([
@@ -106,6 +107,8 @@
 					maxTokens: call.maxTokens,
 					seed: call.seed,
 					offset: call.resumeOffset,
+					// Work that can still be in time, or that others have paid for, goes before the rest.
+					priority: (dispatch.dueInMs > 0 ? inTimePriority : 0) + (call.resumeOffset > 0 ? 1 : 0),
 				}),
 				signal,
 			});
--- a/src/standins/common/engine-state.ts
+++ b/src/standins/common/engine-state.ts
@@ -14,6 +14,8 @@
 	readonly maxTokens: number;
 	readonly seed: number;
 	readonly offset: number;
+	/** Higher goes first where generations wait. */
+	readonly priority: number;
 };
 
 /** How fast the engine is. */
@@ -81,6 +83,7 @@
 		this.waiting.push({
 			generation, next: generation.offset, prefillLeft: isCached ? 1 : this.pace.prefillSteps,
 		});
+		this.waiting.sort((a, b) => b.generation.priority - a.generation.priority);
 		this.fill();
 	}
 
--- a/src/standins/node/engine-server.ts
+++ b/src/standins/node/engine-server.ts
@@ -1,5 +1,6 @@
 /** Stand-in of a model engine over HTTP; the protocol is in docs/PLATFORM.md. */
 import type {IncomingMessage, ServerResponse} from 'node:http';
+import {request as httpRequest} from 'undici';
 import {z} from 'zod';
 import type {Disposable} from '../../base/common/disposable.js';
 import type {LoadedModel} from '../../wire/common/messages.js';
@@ -9,7 +10,7 @@
 import {readJson, sendJson, StandinServer} from './standin-server.js';
 
 const generationSchema = z.object({
-	id: z.string(), model: z.string(), prompt: z.string(), maxTokens: z.number(), seed: z.number(), offset: z.number(),
+	id: z.string(), model: z.string(), prompt: z.string(), maxTokens: z.number(), seed: z.number(), offset: z.number(), priority: z.number().default(0),
 });
 const orderSchema = z.object({
 	epoch: z.number(), sequence: z.number(), kind: z.enum(['load', 'unload']), model: z.string(), adapter: z.string().optional(), version: z.string(),
@@ -34,8 +35,8 @@
 	readonly models: readonly LoadedModel[];
 	/** Whether orders with a lower fence are refused. */
 	readonly isChecking?: boolean;
-	/** Time one load from the weight store takes. */
-	readonly loadMs?: number;
+	/** Where the weight store answers; none loads at once. */
+	readonly weightOrigin?: string;
 };
 
 /** An engine on one loopback port. */
@@ -180,9 +181,12 @@
 
 		state.epoch = order.epoch;
 		state.sequence = order.sequence;
-		await new Promise(resolve => {
-			setTimeout(resolve, order.kind === 'load' ? this.options.loadMs ?? 0 : 0);
-		});
+		const {weightOrigin} = this.options;
+		if (order.kind === 'load' && weightOrigin !== undefined) {
+			const fetched = await httpRequest(`${weightOrigin}/v1/weights/fetch`, {method: 'POST', body: JSON.stringify({model: order.model, version: order.version})});
+			await fetched.body.dump();
+		}
+
 		this.orders.push(order);
 		applyOrder(state.models, order);
 		sendJson(response, 200, {models: state.models});
--- a/src/standins/node/platform-server.ts
+++ b/src/standins/node/platform-server.ts
@@ -15,6 +15,9 @@
 });
 const objectSchema = z.object({name: z.string(), text: z.string().default('')});
 
+/** Fetches from the weight store at once. */
+const weightSlots = 2;
+
 /** The platform on one loopback port. */
 export class PlatformServer implements Disposable {
 	static async create(): Promise<PlatformServer> {
@@ -25,11 +28,25 @@
 
 	readonly table = MemoryTable.create();
 	readonly objects = MemoryObjects.create();
-	/** Hosts as the list names them; set by whoever starts them. */
-	hosts: ListedHost[] = [];
+	/** How old the host list is that callers get. */
+	hostListLagMs = 0;
+	/** Time one fetch from the weight store takes; more than two at once wait. */
+	weightMs = 0;
+	weightFetches = 0;
 	/** Added to every answer. */
 	delayMs = 0;
 	private server: StandinServer | undefined;
+	private readonly lists: Array<{readonly atMs: number; readonly hosts: ListedHost[]}> = [{atMs: 0, hosts: []}];
+	private readonly weightQueue: Array<Promise<void>> = Array.from({length: weightSlots}, async () => undefined);
+
+	/** Hosts as they are now; callers get the list as it was. */
+	get hosts(): ListedHost[] {
+		return this.lists.at(-1)!.hosts;
+	}
+
+	set hosts(hosts: ListedHost[]) {
+		this.lists.push({atMs: performance.now(), hosts});
+	}
 
 	get origin(): string {
 		return this.server!.origin;
@@ -77,6 +94,25 @@
 		}
 	}
 
+	private laggingHosts(): ListedHost[] {
+		const beforeMs = performance.now() - this.hostListLagMs;
+		return this.lists.findLast(list => list.atMs <= beforeMs)?.hosts ?? [];
+	}
+
+	/** The weight store serves a few fetches at once; the others wait their turn. */
+	private async fetchWeights(): Promise<void> {
+		this.weightFetches++;
+		const turn = this.weightQueue.shift();
+		const fetch = (async () => {
+			await turn;
+			await new Promise(resolve => {
+				setTimeout(resolve, this.weightMs);
+			});
+		})();
+		this.weightQueue.push(fetch);
+		await fetch;
+	}
+
 	private async handleOther(path: string, body: unknown, response: ServerResponse): Promise<void> {
 		switch (path) {
 			case '/v1/objects/get': {
@@ -93,7 +129,13 @@
 			}
 
 			case '/v1/hosts/list': {
-				sendJson(response, 200, {hosts: this.hosts});
+				sendJson(response, 200, {hosts: this.laggingHosts()});
+				break;
+			}
+
+			case '/v1/weights/fetch': {
+				await this.fetchWeights();
+				sendJson(response, 200, {});
 				break;
 			}
 
--- a/test/fleet-changes.test.ts
+++ b/test/fleet-changes.test.ts
@@ -42,6 +42,7 @@
 		fleet.dispose();
 	});
 	const [listed, named] = fleet.poolOf('encoders');
+	fleet.platform.hostListLagMs = 300;
 	fleet.platform.hosts = fleet.platform.hosts.map(host => host.hostId === listed.hostId ? {...host, state: 'leaving'} : host);
 	await until(async () => {
 		const states = await Promise.all([0, 1].map(async entry => statusOf(fleet, entry)));
@@ -132,10 +133,13 @@
 	};
 	t.equal((await call(fleet.operatorsOrigin(1), '/v1/settings/changes', {body: JSON.stringify(change), token: 'demo-operator'})).status, 200);
 	const engines = fleet.poolOf('models').map(upstream => upstream.engine!);
+	fleet.platform.weightMs = 50;
 	await until(() => engines.every(engine => engine.state.models.every(model => model.version === 'v4' && model.adapters.join(',') === 'quotes')));
 	for (const engine of engines) {
 		const fences = engine.orders.map(order => order.sequence);
 		t.strictSame(fences, fences.toSorted((a, b) => a - b));
 		t.equal(new Set(engine.orders.map(order => order.epoch)).size, 1);
 	}
+
+	t.equal(fleet.platform.weightFetches, engines.flatMap(engine => engine.orders).filter(order => order.kind === 'load').length, 'nothing was loaded twice');
 });
