--- a/src/daemon/node/load-host-settings.test.ts
+++ b/src/daemon/node/load-host-settings.test.ts
@@ -34,6 +34,9 @@
 	t.match(problemsOf(good.replace('"role": "agent"', '"role": "leader"')), /\/role: .*\(badValue\)/v);
 	t.match(problemsOf(good.replace('PUMICEHATCH_WIRE_KEY', 'PUMICEHATCH_UNSET_KEY')), /environment variable PUMICEHATCH_UNSET_KEY is not set \(badSecret\)/v);
 	t.match(problemsOf(good.replace('"env": "PUMICEHATCH_WIRE_KEY"', '"file": "/no/such/file"')), /\/wire\/keys\/0\/secret\/file: .*\(badSecret\)/v);
+	t.match(problemsOf(good.replace('"role": "agent",', '"role": "agent", "role": "entry",')), /\/role: .*\(duplicateKey\)/v);
+	t.match(problemsOf('['.repeat(10_000)), /\(tooDeep\)/v);
+	t.match(problemsOf('[]'), /\(badValue\)/v);
 	const missing = loadHostSettings('/no/such/host.jsonc');
 	t.match(missing, {ok: false, error: [{code: 'unreadable'}]});
 });
--- a/src/wire/common/frame-codec.test.ts
+++ b/src/wire/common/frame-codec.test.ts
@@ -62,4 +62,11 @@
 	t.equal(codeOf(encodeFrame({...chunk, units: -1})), 'badMessage');
 	t.equal(codeOf(encodeFrame({...chunk, extra: 1} as Message)), 'badMessage');
 	t.equal(codeOf(encodeFrame(chunk).slice(0, 10)), 'none', 'a cut frame waits for its rest');
+	const deep = new Uint8Array(50_004).fill(0x81);
+	new DataView(deep.buffer).setUint32(0, 50_000);
+	const read = FrameDecoder.create().push(deep);
+	t.equal(read.ok ? 'none' : read.error.code, 'badEncoding', 'nested beyond measure');
+	// A map that names "type" twice: the last one counts, and it is not one that is known.
+	const twice = new TextEncoder().encode('....\u00A2dtypedpingdtypedxxxx');
+	t.equal(codeOf(new Uint8Array([0, 0, 0, 21, 0xA2, ...twice.slice(6, 26)])), 'badMessage');
 });
--- a/test/doors.test.ts
+++ b/test/doors.test.ts
@@ -38,6 +38,7 @@
 		t.match(await refusal('pipelines/nothing/requests', {body: '{}'}), {status: 404, code: 'unknownPipeline', notRun: true});
 		t.match(await refusal('services/nothing/x', {body: '{}'}), {status: 404, code: 'unknownService', notRun: true});
 		t.match(await refusal('/v2/nothing', {}), {status: 404, code: 'notFound'});
+		t.match(await refusal(quote, {body: '{}', headers: {'x-long': 'x'.repeat(20_000)}}), {status: 431}, 'headers beyond their limit');
 		t.match(await refusal('/v1/workspaces/%ZZ/pipelines/quote/requests', {body: '{}'}), {type: 'application/problem+json; charset=utf-8'}, 'foreign bytes in the path');
 	});
 
