Hold still at a row that can't be read, and try again

Cause: reading the settings service again: a change row of a newer program would have thrown inside a repeated poll, left the shared refresh rejected for good, and ended the process. Change: unreadable rows end the list; a refresh is forgotten once it has ended.

--- /dev/null
+++ b/src/settings/common/settings-service.test.ts
@@ -0,0 +1,58 @@
+import t from 'tap';
+import {ManualClock} from '../../base/common/clock.js';
+import {MemoryObjects} from '../../standins/common/memory-objects.js';
+import {MemoryTable} from '../../standins/common/memory-table.js';
+import {StoredSettingsService} from './settings-service.js';
+import {SettingsStore} from './settings-store.js';
+
+function setUp() {
+	const table = MemoryTable.create();
+	const objects = MemoryObjects.create();
+	const hostOf = () => StoredSettingsService.create(SettingsStore.create(table, objects), ManualClock.create());
+	return {table, objects, hostOf};
+}
+
+const changeOf = (number: number, baseRevision: number) => ({changeId: `c${number}`, reason: '', edits: [{path: '/', baseRevision, after: {deadlineMs: 1000 + number}}]});
+
+t.test('a row that can\'t be read, as of a newer program, holds a host where it is and harms it no more', async t => {
+	const {table, hostOf} = setUp();
+	const host = hostOf();
+	await host.change(changeOf(1, 0), 'a');
+	await table.transact({conditions: [], writes: [{key: 'settings/head', value: '2'}, {key: 'settings/change/000000000002', value: '{"revision": 2, "novelty": true'}]});
+	const other = hostOf();
+	t.match(await other.refresh(), {ok: false, error: {code: 'storeUnavailable'}});
+	t.equal(other.tree.revision, 1);
+	t.match(await other.refresh(), {ok: false}, 'and may be tried again');
+});
+
+t.test('a host far behind starts from a snapshot and the changes after it', async t => {
+	const {table, hostOf} = setUp();
+	const host = hostOf();
+	for (let number = 1; number <= 300; number++) {
+		await host.change(changeOf(number, number - 1), 'a');
+	}
+
+	const fresh = hostOf();
+	const {readCount} = table;
+	t.match(await fresh.refresh(), {ok: true, value: 300});
+	t.match(fresh.tree.policyAt('/'), {deadlineMs: 1300});
+	t.ok(table.readCount - readCount < 10, `${table.readCount - readCount} reads`);
+});
+
+t.test('a peer a little behind gets changes, one far behind gets everything', async t => {
+	const {hostOf} = setUp();
+	const host = hostOf();
+	for (let number = 1; number <= 3; number++) {
+		await host.change(changeOf(number, number - 1), 'a');
+	}
+
+	t.equal(host.replyTo(1).changes?.length, 2);
+	const starting = hostOf();
+	await starting.refresh();
+	t.equal(host.replyTo(5).changes?.length, 0);
+	const late = setUp().hostOf();
+	late.learn(host.replyTo(0));
+	t.equal(late.tree.revision, 3);
+	late.learn(hostOf().replyTo(0));
+	t.equal(late.tree.revision, 3, 'a peer without settings takes nothing away');
+});
--- a/src/settings/common/settings-service.ts
+++ b/src/settings/common/settings-service.ts
@@ -77,10 +77,10 @@
 
 	async refresh(): Promise<Outcome<number, StoreFailure>> {
 		// One at a time: callers that come meanwhile share the answer.
-		this.refreshing ??= this.runRefresh();
-		const result = await this.refreshing;
-		this.refreshing = undefined;
-		return result;
+		this.refreshing ??= this.runRefresh().finally(() => {
+			this.refreshing = undefined;
+		});
+		return this.refreshing;
 	}
 
 	async change(request: ChangeRequest, author: string): Promise<Outcome<Acceptance, ChangeRefusal>> {
--- a/src/settings/common/settings-store.ts
+++ b/src/settings/common/settings-store.ts
@@ -1,4 +1,5 @@
 /** Accepted settings in the table service: one transaction accepts a change and writes its audit row. */
+import type {z} from 'zod';
 import {fail, ok, type Outcome} from '../../base/common/outcome.js';
 import type {ObjectStore} from '../../platform/common/object-store.js';
 import type {RowWrite, TableFailure, TableService} from '../../platform/common/table-service.js';
@@ -75,9 +76,14 @@
 	*/
 	async readChanges(afterRevision: number, limit = changePage): Promise<Outcome<Change[], StoreFailure>> {
 		const rows = await this.table.scan({prefix: changePrefix, after: changeKey(afterRevision), limit});
-		return rows.ok
-			? ok(rows.value.map(row => changeSchema.parse(JSON.parse(row.value))))
-			: fail(storeFailure(rows.error));
+		if (!rows.ok) {
+			return fail(storeFailure(rows.error));
+		}
+
+		const changes = rows.value.map(row => parseText(row.value, changeSchema));
+		// What can't be read ends the list: a host stays at the revision before it rather than skip one.
+		const firstBad = changes.indexOf(undefined);
+		return ok(changes.slice(0, firstBad === -1 ? changes.length : firstBad).filter(change => change !== undefined));
 	}
 
 	/**
@@ -86,7 +92,7 @@
 	*/
 	async readChange(revision: number): Promise<Change | undefined> {
 		const rows = await this.table.read([changeKey(revision)]);
-		return rows.ok && rows.value.length > 0 ? changeSchema.parse(JSON.parse(rows.value[0].value)) : undefined;
+		return rows.ok && rows.value.length > 0 ? parseText(rows.value[0].value, changeSchema) : undefined;
 	}
 
 	/**
@@ -130,7 +136,7 @@
 			return fail({code: 'storeUnavailable', message: text.error.message, mayHaveTakenEffect: false});
 		}
 
-		return ok(text.value === undefined ? undefined : snapshotSchema.parse(JSON.parse(text.value)));
+		return ok(text.value === undefined ? undefined : parseText(text.value, snapshotSchema));
 	}
 
 	/**
@@ -156,6 +162,15 @@
 	}
 }
 
+/** Reads what the store keeps; another version of this program may have written it. */
+function parseText<T>(text: string, schema: z.ZodType<T>): T | undefined {
+	try {
+		return schema.safeParse(JSON.parse(text)).data;
+	} catch {
+		return undefined;
+	}
+}
+
 function revisionOfName(name: string): number {
 	return Number(name.slice(snapshotObjectPrefix.length));
 }
