--- a/test/request-fuzz.ts
+++ b/test/request-fuzz.ts
@@ -1,47 +1,18 @@
 /** Commands of the request fuzzer, and the property they must not break. */
 import fc from 'fast-check';
+import {assertNone, commandsOf} from './world-commands.js';
 import {
 	callSteps, RequestWorld, settleMicrotasks, type Sabotage,
 } from './request-world.js';
 
 /** Time past its last moment within which every request must be answered. */
 const marginMs = 200;
-const closedModel = {};
-
-type Model = typeof closedModel;
-
-/** One thing that happens in the world. */
-class WorldCommand implements fc.AsyncCommand<Model, RequestWorld> {
-	constructor(private readonly text: string, private readonly act: (world: RequestWorld) => void) {}
-
-	check(): boolean {
-		return true;
-	}
-
-	async run(_model: Model, world: RequestWorld): Promise<void> {
-		this.act(world);
-		await settleMicrotasks();
-		assertNone(world.oracle.breaches(marginMs));
-	}
-
-	toString(): string {
-		return this.text;
-	}
-}
-
-function assertNone(breaches: readonly string[]): void {
-	if (breaches.length > 0) {
-		throw new Error(breaches.join('\n'));
-	}
-}
-
 const index = fc.nat(11);
 
-function command<T extends unknown[]>(name: string, values: fc.Arbitrary<T>, act: (world: RequestWorld, ...args: T) => void) {
-	return values.map(args => new WorldCommand(`${name}(${args.join(',')})`, world => {
-		act(world, ...args);
-	}));
-}
+const command = commandsOf<RequestWorld>(async world => {
+	await settleMicrotasks();
+	assertNone(world.oracle.breaches(marginMs));
+});
 
 const act = {
 	request: command('request', fc.tuple(index, fc.boolean(), fc.integer({min: 20, max: 1500}), fc.nat(5)), (world, ...args) => {
@@ -131,7 +102,7 @@
 export function requestProperty(size: number, sabotage?: Sabotage) {
 	return fc.asyncProperty(fc.commands(commands, {maxCommands: size, size: 'max'}), async run => {
 		const world = new RequestWorld(sabotage);
-		await fc.asyncModelRun(() => ({model: closedModel, real: world}), run);
+		await fc.asyncModelRun(() => ({model: {}, real: world}), run);
 		await world.settle();
 		assertNone([...world.oracle.breaches(marginMs), ...world.oracle.unended(), ...world.leaks()]);
 	});
--- a/test/settings-fuzz.ts
+++ b/test/settings-fuzz.ts
@@ -6,6 +6,7 @@
 import {SettingsStore} from '../src/settings/common/settings-store.js';
 import {MemoryObjects} from '../src/standins/common/memory-objects.js';
 import {MemoryTable} from '../src/standins/common/memory-table.js';
+import {assertNone, commandsOf} from './world-commands.js';
 
 const hostCount = 3;
 const paths = ['/', '/workspaces/a', '/workspaces/b', '/pools/p'] as const;
@@ -196,36 +197,11 @@
 	return left < right ? -1 : 1;
 }
 
-class SettingsCommand implements fc.AsyncCommand<Record<string, unknown>, SettingsWorld> {
-	constructor(private readonly text: string, private readonly act: (world: SettingsWorld) => Promise<void> | void) {}
-
-	check(): boolean {
-		return true;
-	}
-
-	async run(_model: Record<string, unknown>, world: SettingsWorld): Promise<void> {
-		await this.act(world);
-		assertNone(await world.breaches(false));
-	}
-
-	toString(): string {
-		return this.text;
-	}
-}
-
-function assertNone(breaches: readonly string[]): void {
-	if (breaches.length > 0) {
-		throw new Error(breaches.join('\n'));
-	}
-}
-
 const index = fc.nat(11);
 
-function command<T extends unknown[]>(name: string, values: fc.Arbitrary<T>, act: (world: SettingsWorld, ...args: T) => Promise<void> | void) {
-	return values.map(args => new SettingsCommand(`${name}(${args.join(',')})`, async world => {
-		await act(world, ...args);
-	}));
-}
+const command = commandsOf<SettingsWorld>(async world => {
+	assertNone(await world.breaches(false));
+});
 
 const commands = [
 	command('race', fc.tuple(index, index, index, index), async (world, ...args) => world.race(...args)),
--- /dev/null
+++ b/test/world-commands.ts
@@ -0,0 +1,48 @@
+/** Commands of the fuzzers: something happens in a world, then the world is checked. */
+import type fc from 'fast-check';
+
+/** The model is the world's own oracle, so fast-check's is empty. */
+type Model = Record<string, never>;
+
+/** One thing that happens. */
+class WorldCommand<World> implements fc.AsyncCommand<Model, World> {
+	constructor(private readonly text: string, private readonly act: (world: World) => Promise<void>) {}
+
+	check(): boolean {
+		return true;
+	}
+
+	async run(_model: Model, world: World): Promise<void> {
+		await this.act(world);
+	}
+
+	toString(): string {
+		return this.text;
+	}
+}
+
+/** What a command does with its values. */
+export type Act<World, T extends unknown[]> = (world: World, ...args: T) => Promise<void> | void;
+
+/**
+Fails the run where a promise is broken.
+@param breaches - what the oracle found.
+*/
+export function assertNone(breaches: readonly string[]): void {
+	if (breaches.length > 0) {
+		throw new Error(breaches.join('\n'));
+	}
+}
+
+/**
+Makes the function that makes commands of one kind of world.
+@param check - run after each command.
+@returns name, values and act in, an arbitrary command out.
+*/
+export function commandsOf<World>(check: (world: World) => Promise<void>) {
+	return <T extends unknown[]>(name: string, values: fc.Arbitrary<T>, act: Act<World, T>) =>
+		values.map(args => new WorldCommand<World>(`${name}(${args.join(',')})`, async world => {
+			await act(world, ...args);
+			await check(world);
+		}));
+}
