Keep a known outcome of a claim against a late write of unknown

Cause: a caller told unknown may be followed by the real outcome while the first write is still held up by the store; the later of the two writes won. Change: unknown is written over a claim that has no outcome only. Measured: the new test failed before and passes.

--- a/src/request/common/claim-store.test.ts
+++ b/src/request/common/claim-store.test.ts
@@ -66,6 +66,23 @@
 	t.equal((await again).ok, true, 'nothing ran under the key, so it is free');
 });
 
+t.test('an outcome that is known is not made unknown by a write that was held up', async t => {
+	const {clock, table, storeOf, claimOf} = setUp();
+	const store = storeOf('a');
+	const claimed = store.claim(claimKey('w', 'k'), claimOf('a', 'r1'));
+	await pass(clock, 100);
+	const granted = await claimed;
+	t.ok(granted.ok);
+	if (granted.ok) {
+		const settled = Promise.all([store.settle(granted.value, 'completed'), pass(clock, 500)]);
+		await settled;
+		await Promise.all([store.settle(granted.value, 'unknown'), pass(clock, 500)]);
+	}
+
+	const rows = await table.read([claimKey('w', 'k')]);
+	t.match(rows.ok ? rows.value[0].value : '', /"state":"completed"/v);
+});
+
 t.test('old claims are forgotten, young ones are not', async t => {
 	const {clock, table, storeOf, claimOf} = setUp();
 	const store = storeOf('a');
--- a/src/request/common/claim-store.ts
+++ b/src/request/common/claim-store.ts
@@ -134,6 +134,11 @@
 			const row = await this.readRow(granted.key);
 			const found = row.ok && row.value ? parseClaim(row.value) : undefined;
 			if (row.ok && row.value && found && isSameClaim(found, granted.claim)) {
+				if (state === outcomes.unknown && found.state !== 'claimed') {
+					// What is known already is not made unknown by a write that was held up.
+					return true;
+				}
+
 				const isWritten = row.value.value === value || await this.write(granted.key, value, row.value.version) === 'written';
 				if (isWritten) {
 					return true;
