Tell copies of a request apart when they claim in the same millisecond

Cause: found on the last read: a claim was recognised as one's own by process, request id and time. Change: each try to claim names itself with a part drawn for it.

--- a/src/entry/node/callers-api.ts
+++ b/src/entry/node/callers-api.ts
@@ -4,7 +4,7 @@
 import {hashText} from '../../base/common/hash.js';
 import type {Logger} from '../../base/common/logger.js';
 import {newId} from '../../base/node/ids.js';
-import {claimKey, type Claim} from '../../request/common/claim.js';
+import {claimKey, writerOf, type Claim} from '../../request/common/claim.js';
 import {type ClaimStore, type GrantedClaim} from '../../request/common/claim-store.js';
 import {outcomes, type RequestPlan, type RequestResult} from '../../request/common/request-plan.js';
 import {WorkspaceLimiter} from '../../routing/common/workspace-limiter.js';
@@ -215,7 +215,7 @@
 		const {http} = plan;
 		const target = http ? `${http.method} ${plan.pipeline}${http.path}` : plan.pipeline;
 		return {
-			writer: this.options.incarnation,
+			writer: writerOf(this.options.incarnation, newId()),
 			requestId: plan.requestId,
 			fingerprint: hashText(`${target}\n${new TextDecoder('latin1').decode(parsed.body)}`),
 			state: 'claimed',
--- a/src/request/common/claim-store.test.ts
+++ b/src/request/common/claim-store.test.ts
@@ -2,7 +2,7 @@
 import {ManualClock} from '../../base/common/clock.js';
 import {SeededRandom} from '../../base/common/random.js';
 import {MemoryTable} from '../../standins/common/memory-table.js';
-import {claimKey, type Claim} from './claim.js';
+import {claimKey, writerOf, type Claim} from './claim.js';
 import {ClaimStore} from './claim-store.js';
 import {ClaimSweeper, keptClaimMs} from './claim-sweeper.js';
 
@@ -53,6 +53,14 @@
 	t.match(second, {ok: false, error: {code: 'taken', claim: {requestId: 'r-a'}}});
 });
 
+t.test('of two copies of a request at one entry in the same millisecond, one gets the key', async t => {
+	const {clock, storeOf, claimOf} = setUp();
+	const store = storeOf('a');
+	const results = Promise.all(['t1', 't2'].map(async tryId => store.claim(claimKey('w', 'k'), claimOf(writerOf('a', tryId), 'same-id'))));
+	await pass(clock, 200);
+	t.equal((await results).filter(result => result.ok).length, 1);
+});
+
 t.test('a claim that landed although its answer was lost is given back when the request was refused', async t => {
 	const {clock, table, storeOf, claimOf} = setUp();
 	table.dieAfterWrite = true;
--- a/src/request/common/claim.ts
+++ b/src/request/common/claim.ts
@@ -7,7 +7,7 @@
 export const claimPrefix = 'claims/';
 
 const claimSchema = z.strictObject({
-	/** The incarnation that made the claim. */
+	/** Names the one try that made the claim: the incarnation, and a part drawn for each try. */
 	writer: z.string(),
 	requestId: z.string(),
 	/** Hash of method, target and body: a key may not be used for another request. */
@@ -56,3 +56,13 @@
 		return undefined;
 	}
 }
+
+/**
+Names one try to claim a key, so that copies of a request which agree in everything else,
+the millisecond included, are told apart.
+@param incarnation - the claiming process.
+@param tryId - drawn for this try.
+*/
+export function writerOf(incarnation: string, tryId: string): string {
+	return `${incarnation}/${tryId}`;
+}
--- a/test/fleet-requests.test.ts
+++ b/test/fleet-requests.test.ts
@@ -60,6 +60,13 @@
 		t.equal(other.body.code, 'idempotencyKeyReused');
 	});
 
+	await t.test('copies of one request, ids and all, that reach one entry at the same moment run once', async t => {
+		const body = JSON.stringify({reserve: 'copies'});
+		const headers = {'idempotency-key': 'copies', 'not-repeatable': 'true', 'x-request-id': 'copies'};
+		await Promise.all(Array.from({length: 20}, async () => call(first, 'services/stock/reservations', {body, headers})));
+		t.equal(stock().filter(item => item === body).length, 1);
+	});
+
 	await t.test('a reservation whose answer is lost is told as unknown, and never run again', async t => {
 		const body = JSON.stringify({reserve: 'lost-answer'});
 		const options = {body, headers: {'idempotency-key': 'lost-1', 'not-repeatable': 'true'}};
