Let one life of a request serve agents and upstreams without one

Cause: the users' new machines have no agent beside most upstreams, and a second life of a request beside the first would be a second proxy. Change: RequestMachine and StageRun take rules (attempt-rules.ts) that say how refusals count, whether an error answer is tried again, and whether a leaving caller cancels; work before a request is a phase of the machine; the runner moves to request/node behind an UpstreamLinks interface. The ports to the table service and object store move to src/store, so that 'platform' can mean the users' platform. New src/deployment holds whole declarations with a rising version and the list of servers.

--- a/examples/local-fleet.ts
+++ b/examples/local-fleet.ts
@@ -5,7 +5,7 @@
 import type {EntryHostSettings} from '../src/daemon/common/host-settings.js';
 import {startDaemon, type Daemon} from '../src/daemon/node/daemon.js';
 import type {HostSecrets} from '../src/daemon/node/load-host-settings.js';
-import type {ListedHost} from '../src/platform/common/host-list.js';
+import type {ListedHost} from '../src/store/common/host-list.js';
 import type {LoadedModel} from '../src/wire/common/messages.js';
 import {defaultPace, type EnginePace} from '../src/standins/common/engine-state.js';
 import {EngineServer} from '../src/standins/node/engine-server.js';
--- a/src/agent/node/agent-service.ts
+++ b/src/agent/node/agent-service.ts
@@ -7,7 +7,7 @@
 import type {Metrics} from '../../base/common/metrics.js';
 import type {GateAction, GateLimits} from '../../request/common/gate-actions.js';
 import type {GateMachine} from '../../request/common/gate-machine.js';
-import type {TableService} from '../../platform/common/table-service.js';
+import type {TableService} from '../../store/common/table-service.js';
 import type {SettingsService} from '../../settings/common/settings-service.js';
 import type {SettingsSync} from '../../settings/node/settings-sync.js';
 import {
--- a/src/agent/node/order-desk.ts
+++ b/src/agent/node/order-desk.ts
@@ -1,7 +1,7 @@
 /** Orders at an agent: let pass by their fence, handed to the engine, and written down. */
 import type {Logger} from '../../base/common/logger.js';
 import {leaseKey, parseLease} from '../../placement/common/lease.js';
-import type {TableService} from '../../platform/common/table-service.js';
+import type {TableService} from '../../store/common/table-service.js';
 import type {OrderMessage} from '../../wire/common/messages.js';
 import {OrderFence} from '../common/order-fence.js';
 import type {OrderEnd, UpstreamDriver} from '../common/upstream-driver.js';
--- a/src/daemon/node/compose-agent.ts
+++ b/src/daemon/node/compose-agent.ts
@@ -7,7 +7,7 @@
 import {clockToken} from '../../base/common/clock.js';
 import {loggerFactoryToken} from '../../base/common/logger.js';
 import {metricsToken} from '../../base/common/metrics.js';
-import {tableServiceToken} from '../../platform/common/table-service.js';
+import {tableServiceToken} from '../../store/common/table-service.js';
 import {GateMachine} from '../../request/common/gate-machine.js';
 import {poolKinds, type PoolKind} from '../../settings/common/schema.js';
 import {settingsServiceToken} from '../../settings/common/settings-service.js';
--- /dev/null
+++ b/src/deployment/common/deployment-index.ts
@@ -0,0 +1,68 @@
+/** A declaration prepared for look-ups: the route of a path, the workspace of a key, the pool of a name. */
+import type {Deployment, PoolDeclaration, Route, WorkspaceDeclaration} from './declaration.js';
+
+/** One version of the declaration, ready to be asked. */
+export class DeploymentIndex {
+	static create(deployment: Deployment): DeploymentIndex {
+		return new DeploymentIndex(deployment);
+	}
+
+	private readonly routesByHost = new Map<string, Route[]>();
+	private readonly poolsByName: ReadonlyMap<string, PoolDeclaration>;
+	private readonly workspacesByKey = new Map<string, WorkspaceDeclaration>();
+
+	private constructor(readonly deployment: Deployment) {
+		for (const route of deployment.routes) {
+			const hostName = route.hostName.toLowerCase();
+			const routes = this.routesByHost.get(hostName) ?? [];
+			routes.push(route);
+			this.routesByHost.set(hostName, routes);
+		}
+
+		for (const routes of this.routesByHost.values()) {
+			// The longest prefix is met first.
+			routes.sort((left, right) => right.pathPrefix.length - left.pathPrefix.length);
+		}
+
+		this.poolsByName = new Map(deployment.pools.map(pool => [pool.name, pool]));
+		for (const workspace of deployment.workspaces ?? []) {
+			for (const key of workspace.keys) {
+				this.workspacesByKey.set(key, workspace);
+			}
+		}
+	}
+
+	get version(): number {
+		return this.deployment.version;
+	}
+
+	/** Whether requests need a key at all. */
+	get hasKeys(): boolean {
+		return this.deployment.workspaces !== undefined;
+	}
+
+	/**
+	Finds the route with the longest prefix.
+	@param host - the request's host, a port behind it is not looked at.
+	@param path - the request's path; a query behind it is not looked at.
+	@returns the route, or nothing where there is none.
+	*/
+	route(host: string, path: string): Route | undefined {
+		const hostName = host.replace(/:\d*$/v, '').toLowerCase();
+		const [plainPath] = path.split('?', 1);
+		return this.routesByHost.get(hostName)?.find(route => plainPath.startsWith(route.pathPrefix));
+	}
+
+	pool(name: string): PoolDeclaration | undefined {
+		return this.poolsByName.get(name);
+	}
+
+	/**
+	Finds who holds a key.
+	@param key - as the caller sent it.
+	@returns the workspace, or nothing where no workspace holds the key.
+	*/
+	workspaceOf(key: string): WorkspaceDeclaration | undefined {
+		return this.workspacesByKey.get(key);
+	}
+}
--- /dev/null
+++ b/src/deployment/node/feed-follower.ts
@@ -0,0 +1,142 @@
+/** Follows one feed of the platform's store through outages, lost history and stale reads. */
+import type {Clock} from '../../base/common/clock.js';
+import type {Disposable} from '../../base/common/disposable.js';
+import {Emitter} from '../../base/common/emitter.js';
+import type {Logger} from '../../base/common/logger.js';
+import type {Outcome} from '../../base/common/outcome.js';
+import {jitter, type Random} from '../../base/common/random.js';
+import type {FeedChanges, FeedFailure, FeedSource} from '../common/feed.js';
+
+/**
+How long the store may hold a call. Short enough that a silent cut is noticed before its end counts
+(hosts are bound again three seconds after it), long enough that calls cost little.
+*/
+const holdMs = 2000;
+/** Longest wait for an answer beyond the time it may be held: many times the store's usual 4 ms. */
+const answerMs = 700;
+const firstRetryMs = 60;
+const longestRetryMs = 500;
+
+/** What a follower is made of. */
+export type FeedFollowerOptions<T> = {
+	readonly name: string;
+	readonly source: FeedSource<T>;
+	readonly clock: Clock;
+	readonly random: Random;
+	readonly log: Logger;
+	/** Takes everything; false means that it is older than what is known. */
+	readonly replaceAll: (all: FeedChanges<T>) => boolean;
+	readonly apply: (changes: FeedChanges<T>) => void;
+	/** The store answers again after it was away. */
+	readonly returned: () => void;
+};
+
+/** Reads on and on until disposed. */
+export class FeedFollower<T> implements Disposable {
+	static create<T>(options: FeedFollowerOptions<T>): FeedFollower<T> {
+		return new FeedFollower<T>(options);
+	}
+
+	private readonly controller = new AbortController();
+	private readonly didSync = Emitter.create<void>();
+	private revision: number | undefined;
+	private isStoreAway = false;
+	private retryMs = firstRetryMs;
+
+	private constructor(private readonly options: FeedFollowerOptions<T>) {}
+
+	/** Whether the last call failed. */
+	get isAway(): boolean {
+		return this.isStoreAway;
+	}
+
+	/** Whether everything was read at least once. */
+	get isSynced(): boolean {
+		return this.revision !== undefined;
+	}
+
+	/** Fires after each answer of the store. */
+	get onDidSync() {
+		return this.didSync.event;
+	}
+
+	start(): void {
+		void this.run();
+	}
+
+	dispose(): void {
+		this.controller.abort();
+		this.didSync.dispose();
+	}
+
+	private async run(): Promise<void> {
+		const {signal} = this.controller;
+		while (!signal.aborted) {
+			const read = await this.readNext();
+			if (signal.aborted) {
+				return;
+			}
+
+			if (read.ok) {
+				await this.take(read.value);
+			} else {
+				await this.fail(read.error);
+			}
+		}
+	}
+
+	private async readNext(): Promise<Outcome<FeedChanges<T>, FeedFailure>> {
+		const {source} = this.options;
+		const waitMs = this.revision === undefined ? 0 : holdMs;
+		const signal = AbortSignal.any([this.controller.signal, AbortSignal.timeout(waitMs + answerMs)]);
+		return this.revision === undefined
+			? source.readAll(signal)
+			: source.readChanges(this.revision, waitMs, signal);
+	}
+
+	private async take(changes: FeedChanges<T>): Promise<void> {
+		const {log, name, replaceAll, apply, returned} = this.options;
+		this.retryMs = firstRetryMs;
+		if (this.isStoreAway) {
+			this.isStoreAway = false;
+			log.info('The store answers again.', {feed: name, revision: changes.revision});
+			returned();
+		}
+
+		if (this.revision !== undefined) {
+			apply(changes);
+		} else if (!replaceAll(changes)) {
+			log.warn('The store gave a list older than the one known; it is read again.', {feed: name, revision: changes.revision});
+			await this.pause();
+			return;
+		}
+
+		this.revision = changes.revision;
+		this.didSync.fire();
+	}
+
+	private async fail(failure: FeedFailure): Promise<void> {
+		const {log, name} = this.options;
+		if (failure.code === 'historyGone') {
+			log.warn('The store has forgotten the changes since the last call; everything is read again.', {feed: name, revision: this.revision});
+			this.revision = undefined;
+			return;
+		}
+
+		if (!this.isStoreAway) {
+			this.isStoreAway = true;
+			log.warn('The store does not answer; what was last read stays in force.', {feed: name, reason: failure.message, revision: this.revision});
+		}
+
+		await this.pause();
+	}
+
+	private async pause(): Promise<void> {
+		const {clock, random} = this.options;
+		const delayMs = jitter(random, this.retryMs);
+		this.retryMs = Math.min(longestRetryMs, this.retryMs * 2);
+		await new Promise<void>(resolve => {
+			clock.setTimer(delayMs, resolve);
+		});
+	}
+}
--- /dev/null
+++ b/src/direct/common/direct-router.ts
@@ -0,0 +1,240 @@
+/** Routing for upstreams without an agent: joins the list of servers, signs of life, statistics and budgets. */
+import type {ServerRegistry} from '../../deployment/common/server-registry.js';
+import type {UpstreamServer} from '../../deployment/common/upstream-server.js';
+import type {Attempt} from '../../request/common/attempt.js';
+import {attemptStates, type StagePlan} from '../../request/common/request-plan.js';
+import type {RequestRouter} from '../../request/common/request-router.js';
+import {
+	makeCandidateSet, type Candidate, type Choice, type UpstreamChooser,
+} from '../../routing/common/chooser.js';
+import {medianSlownessOf, OutlierDetector, type OutlierOptions} from '../../routing/common/outlier-detector.js';
+import {rendezvousOrder} from '../../routing/common/rendezvous.js';
+import {ServerSigns} from '../../routing/common/server-signs.js';
+import {StageEstimates} from '../../routing/common/stage-estimates.js';
+import {UpstreamStats} from '../../routing/common/upstream-stats.js';
+import {WindowedBudget, type RepeatBounds} from '../../routing/common/windowed-budget.js';
+
+/** Expected answer time before anything was measured: the middle of what the first deployments' plain services take. */
+const defaultAnswerMs = 60;
+/** Time without any sign after which an upstream counts as silent, at least: several usual answer times. */
+const fewestSilentMs = 400;
+/** The same in usual answer times. */
+const silentAnswers = 6;
+/** First while without new work after a connection failed; a restarted server is listed anew sooner than this doubles. */
+const unreachableMs = 400;
+const longestUnreachableMs = 4000;
+/** Requests of this host that may wait for their first token at an engine before the next one in order is taken. */
+const mostWaitingForFirst = 2;
+/** A repeatable plain call is sent a second time after this share of its target, or when it is unusually slow. */
+const hedgeTargetShare = 0.5;
+const hedgeSlowFactor = 1.3;
+/** An error is often the request's own (some kinds fail one time in seven), so more of them are needed than by default. */
+const outlierOptions: OutlierOptions = {
+	consecutiveFailures: 6, errorShare: 0.5, slowFactor: 3, baseEjectionMs: 1500, longestEjectionMs: 6000, mostEjectedShare: 0.5,
+};
+
+/** Ends of attempts that say nothing about the upstream. */
+const innocentReasons = new Set(['lostRace', 'abandoned', 'cancelled']);
+
+/** What the router is made of. */
+export type DirectRouterOptions = {
+	readonly hall: string;
+	readonly registry: ServerRegistry;
+	readonly chooser: UpstreamChooser;
+	readonly bounds: RepeatBounds;
+	/** Hosts that share the budget of repeats. */
+	readonly hostCount: () => number;
+	readonly newDispatchId: () => string;
+};
+
+type Known = {readonly candidate: Candidate; readonly signs: ServerSigns};
+
+/** Chooses servers for one host. */
+export class DirectRouter implements RequestRouter {
+	static create(options: DirectRouterOptions): DirectRouter {
+		return new DirectRouter(options);
+	}
+
+	private readonly known = new Map<string, Known>();
+	private readonly budgets = new Map<string, WindowedBudget>();
+	private readonly answerTimes = StageEstimates.create();
+	private readonly outliers = OutlierDetector.create(outlierOptions);
+
+	private constructor(private readonly options: DirectRouterOptions) {
+		options.registry.onDidChange(({server, change}) => {
+			if (change === 'gone') {
+				this.known.delete(server.serverId);
+			}
+		});
+	}
+
+	choose(stage: StagePlan, excluded: ReadonlySet<string>, prefixHash: number, nowMs: number): Choice | undefined {
+		const candidates = this.usable(stage, excluded, nowMs);
+		if (candidates.length === 0) {
+			return undefined;
+		}
+
+		if (prefixHash !== 0) {
+			return this.chooseByPrefix(candidates, prefixHash);
+		}
+
+		return this.options.chooser.choose(makeCandidateSet(candidates), {
+			hall: this.options.hall,
+			prefixHash: 0,
+			expectedMs: this.answerTimes.typicalMs(stage.key) ?? defaultAnswerMs,
+			slots: stage.slots,
+		}, nowMs);
+	}
+
+	mayRetry(stage: StagePlan, nowMs: number): boolean {
+		return this.budgetOf(stage.pool).tryWithdraw(nowMs);
+	}
+
+	mayHedge(stage: StagePlan, nowMs: number): boolean {
+		return this.mayRetry(stage, nowMs);
+	}
+
+	hedgeDelayMs(stage: StagePlan): number | undefined {
+		const {targetMs} = stage;
+		if (targetMs === undefined) {
+			return undefined;
+		}
+
+		return Math.max(targetMs * hedgeTargetShare, (this.answerTimes.slowMs(stage.key) ?? 0) * hedgeSlowFactor);
+	}
+
+	/** Requests are not refused by predicted time here: the batches and the servers' own queues say when there is no room. */
+	optimisticRunMs(): number {
+		return 0;
+	}
+
+	optimisticFinishMs(): number {
+		return 0;
+	}
+
+	didDispatch(stage: StagePlan, attempt: Attempt, _prefixHash: number, nowMs: number): void {
+		const {upstreamId, dispatchId, kind} = attempt.options;
+		const known = this.knownOf(upstreamId, nowMs);
+		if (known) {
+			known.candidate.stats.inFlight++;
+			known.signs.sent(dispatchId, nowMs);
+		}
+
+		if (kind === 'first') {
+			this.budgetOf(stage.pool).countFirst(nowMs);
+		}
+	}
+
+	didEnd(stage: StagePlan, attempt: Attempt, nowMs: number): void {
+		const {upstreamId, dispatchId} = attempt.options;
+		const known = this.known.get(upstreamId);
+		if (!known) {
+			return;
+		}
+
+		const {candidate, signs} = known;
+		candidate.stats.inFlight--;
+		signs.forget(dispatchId);
+		if (innocentReasons.has(attempt.reason)) {
+			return;
+		}
+
+		if (attempt.reason === 'notSent' || attempt.reason === 'unreachable') {
+			signs.unreachable(nowMs, unreachableMs, longestUnreachableMs);
+			return;
+		}
+
+		const isFailure = attempt.state === attemptStates.failed || attempt.state === attemptStates.unknown;
+		const tookMs = attempt.queueMs > 0 ? attempt.queueMs : attempt.runMs;
+		if (attempt.state === attemptStates.completed) {
+			this.answerTimes.record(stage.key, tookMs);
+		}
+
+		if (attempt.state !== attemptStates.notRun) {
+			const usualMs = this.answerTimes.typicalMs(stage.key) ?? defaultAnswerMs;
+			candidate.stats.observeEnd(tookMs, usualMs, isFailure);
+			const peers = this.candidatesOf(stage.pool, nowMs);
+			this.outliers.observe(candidate, peers, medianSlownessOf(peers), nowMs);
+		}
+	}
+
+	didComplete(): void {
+		// Times are taken from each attempt: they say more about its server.
+	}
+
+	newDispatchId(): string {
+		return this.options.newDispatchId();
+	}
+
+	/**
+	Something came from a server.
+	@param serverId - which.
+	@param dispatchId - for which attempt.
+	@param nowMs - the time.
+	*/
+	heard(serverId: string, dispatchId: string, nowMs: number): void {
+		this.known.get(serverId)?.signs.heard(dispatchId, nowMs);
+	}
+
+	/** Servers of the pool that may be chosen; those in doubt only where there are no others. */
+	private usable(stage: StagePlan, excluded: ReadonlySet<string>, nowMs: number): readonly Candidate[] {
+		const all = this.candidatesOf(stage.pool, nowMs).filter(candidate => !excluded.has(candidate.upstreamId));
+		const sound = all.filter(candidate => !this.isInDoubt(candidate, stage, nowMs));
+		return sound.length > 0 ? this.outliers.withoutEjected(sound, nowMs) : all;
+	}
+
+	private isInDoubt(candidate: Candidate, stage: StagePlan, nowMs: number): boolean {
+		const {signs} = this.known.get(candidate.upstreamId)!;
+		const usualMs = this.answerTimes.typicalMs(stage.key) ?? defaultAnswerMs;
+		return signs.isAvoided(nowMs) || signs.silentMs(nowMs) > Math.max(fewestSilentMs, usualMs * silentAnswers);
+	}
+
+	/** The same first choice on every host; the next in order where too many wait for their first token. */
+	private chooseByPrefix(candidates: readonly Candidate[], prefixHash: number): Choice {
+		const ordered = rendezvousOrder(String(prefixHash), candidates, candidate => candidate.upstreamId);
+		const waitingAt = (candidate: Candidate) => this.known.get(candidate.upstreamId)!.signs.waiting;
+		const free = ordered.find(candidate => waitingAt(candidate) < mostWaitingForFirst);
+		let least = ordered[0];
+		for (const candidate of ordered) {
+			if (waitingAt(candidate) < waitingAt(least)) {
+				least = candidate;
+			}
+		}
+
+		return {chosen: free ?? least, scored: []};
+	}
+
+	private candidatesOf(pool: string, nowMs: number): readonly Candidate[] {
+		return this.options.registry.usable(pool).map(server => this.meet(server, nowMs).candidate);
+	}
+
+	private knownOf(serverId: string, nowMs: number): Known | undefined {
+		const server = this.options.registry.get(serverId);
+		return server && this.meet(server, nowMs);
+	}
+
+	private meet(server: UpstreamServer, nowMs: number): Known {
+		let known = this.known.get(server.serverId);
+		if (!known) {
+			known = {
+				candidate: {
+					upstreamId: server.serverId, hall: server.hall, stats: UpstreamStats.create(), joinedMs: nowMs,
+				},
+				signs: ServerSigns.create(),
+			};
+			this.known.set(server.serverId, known);
+		}
+
+		return known;
+	}
+
+	private budgetOf(pool: string): WindowedBudget {
+		let budget = this.budgets.get(pool);
+		if (!budget) {
+			budget = WindowedBudget.create(this.options.bounds, this.options.hostCount);
+			this.budgets.set(pool, budget);
+		}
+
+		return budget;
+	}
+}
--- a/src/entry/common/fleet-share.ts
+++ b/src/entry/common/fleet-share.ts
@@ -1,5 +1,5 @@
 /** How much of a fleet one entry connects to, and how often it pings: bounded, however large the fleet is. */
-import type {ListedHost} from '../../platform/common/host-list.js';
+import type {ListedHost} from '../../store/common/host-list.js';
 import {subsetOf} from '../../routing/common/subset.js';
 import {roles} from '../../wire/common/messages.js';
 
--- a/src/entry/common/planner.ts
+++ b/src/entry/common/planner.ts
@@ -1,6 +1,7 @@
 /** Makes the plan of a request out of the settings in force. */
 import {hashText} from '../../base/common/hash.js';
 import {fail, ok, type Outcome} from '../../base/common/outcome.js';
+import {agentRules} from '../../request/common/attempt-rules.js';
 import type {RequestPlan, StagePlan} from '../../request/common/request-plan.js';
 import type {EffectivePolicy} from '../../settings/common/schema.js';
 import type {SettingsTree} from '../../settings/common/settings-tree.js';
@@ -109,6 +110,8 @@
 		isRepeatable,
 		settingsRevision,
 		needsClaim: isMarked || ask.hasKey,
+		needsPreparation: false,
+		rules: agentRules,
 		isStreaming: ask.isStreaming,
 		startMs: nowMs,
 		deadlineMs,
--- a/src/entry/node/callers-api.ts
+++ b/src/entry/node/callers-api.ts
@@ -20,7 +20,7 @@
 import {
 	attachApp, hasToken, makeApp, readBody, sendJson, sendProblem,
 } from './http-common.js';
-import type {RequestRunner} from './request-runner.js';
+import type {RequestRunner} from '../../request/node/request-runner.js';
 
 /** Clocks of hosts may differ by this much when a claim's end is judged. */
 const clockMarginMs = 5000;
--- a/src/entry/node/entry-service.ts
+++ b/src/entry/node/entry-service.ts
@@ -19,7 +19,7 @@
 import {listenHttp, makeHttpServer} from './http-common.js';
 import {OperatorsApi} from './operators-api.js';
 import type {PeerLinks} from './peer-links.js';
-import type {RequestRunner} from './request-runner.js';
+import type {RequestRunner} from '../../request/node/request-runner.js';
 
 const drainCheckMs = 20;
 /** How long a stopping entry tries to write the outcomes of requests that run at most once. */
--- a/src/entry/node/fleet-links.ts
+++ b/src/entry/node/fleet-links.ts
@@ -5,7 +5,7 @@
 import type {Logger} from '../../base/common/logger.js';
 import {jitter, type Random} from '../../base/common/random.js';
 import type {MemberTable} from '../../membership/common/member-table.js';
-import type {HostList, ListedHost} from '../../platform/common/host-list.js';
+import type {HostList, ListedHost} from '../../store/common/host-list.js';
 import type {SettingsService} from '../../settings/common/settings-service.js';
 import type {SettingsSync} from '../../settings/node/settings-sync.js';
 import {roles, serveStates, type Message} from '../../wire/common/messages.js';
--- a/src/entry/node/peer-links.ts
+++ b/src/entry/node/peer-links.ts
@@ -2,7 +2,7 @@
 import {setRepeating, type Clock} from '../../base/common/clock.js';
 import {DisposableStore, type Disposable} from '../../base/common/disposable.js';
 import {jitter, type Random} from '../../base/common/random.js';
-import type {HostList} from '../../platform/common/host-list.js';
+import type {HostList} from '../../store/common/host-list.js';
 import type {SettingsService} from '../../settings/common/settings-service.js';
 import type {SettingsSync} from '../../settings/node/settings-sync.js';
 import {roles, serveStates} from '../../wire/common/messages.js';
--- a/src/placement/common/lease.ts
+++ b/src/placement/common/lease.ts
@@ -5,7 +5,7 @@
 */
 import {z} from 'zod';
 import type {Clock} from '../../base/common/clock.js';
-import type {Row, TableService} from '../../platform/common/table-service.js';
+import type {Row, TableService} from '../../store/common/table-service.js';
 
 export const leaseKey = 'placement/lease';
 
--- a/src/request/common/attempt.ts
+++ b/src/request/common/attempt.ts
@@ -1,8 +1,10 @@
 /** One attempt at one stage: what came from its upstream, checked piece by piece. */
 import {extendDigest} from '../../base/common/hash.js';
-import type {ChunkMessage, EndMessage, Header} from '../../wire/common/messages.js';
+import type {ChunkMessage, EndMessage} from '../../wire/common/messages.js';
 import {StageAnswer} from './stage-answer.js';
-import {attemptStates, type AttemptState, type AttemptTrace} from './request-plan.js';
+import {
+	attemptStates, type AttemptState, type AttemptTrace, type HttpHead,
+} from './request-plan.js';
 
 /** Chunks an agent may send before the entry grants more. */
 export const creditWindow = 64;
@@ -31,7 +33,7 @@
 	/** When the last sign of life came. */
 	heardMs: number;
 	isCancelled = false;
-	http: {status: number; headers: readonly Header[]} | undefined;
+	http: HttpHead | undefined;
 	/** What came of this attempt alone. */
 	readonly answer = StageAnswer.create();
 	private digest = 0;
--- a/src/request/common/claim-store.ts
+++ b/src/request/common/claim-store.ts
@@ -8,7 +8,7 @@
 import {fail, ok, type Outcome} from '../../base/common/outcome.js';
 import type {
 	Row, RowCondition, RowWrite, TableService,
-} from '../../platform/common/table-service.js';
+} from '../../store/common/table-service.js';
 import {
 	isSameClaim, parseClaim, type Claim, type KeptAnswer,
 } from './claim.js';
--- a/src/request/common/claim-sweeper.ts
+++ b/src/request/common/claim-sweeper.ts
@@ -2,7 +2,7 @@
 import {setRepeating, type Clock} from '../../base/common/clock.js';
 import type {Disposable} from '../../base/common/disposable.js';
 import {jitter, type Random} from '../../base/common/random.js';
-import type {Row, TableService} from '../../platform/common/table-service.js';
+import type {Row, TableService} from '../../store/common/table-service.js';
 import {claimPrefix, parseClaim} from './claim.js';
 
 /** How long after its request's end a claim is kept, so that late copies find it. */
--- a/src/request/common/claim.ts
+++ b/src/request/common/claim.ts
@@ -1,6 +1,6 @@
 /** The row that says a key is taken, by whom, and what became of the request. */
 import {z} from 'zod';
-import type {Row} from '../../platform/common/table-service.js';
+import type {Row} from '../../store/common/table-service.js';
 import {outcomes} from './request-plan.js';
 
 /** Where the rows of all claims start. */
--- a/src/request/common/request-events.ts
+++ b/src/request/common/request-events.ts
@@ -2,12 +2,17 @@
 import type {
 	ChunkMessage, DispatchMessage, EndMessage, RefusedMessage, StartedMessage,
 } from '../../wire/common/messages.js';
-import type {RequestOutcome, RequestResult} from './request-plan.js';
+import type {
+	HttpHead, PreparationFailure, RequestOutcome, RequestResult,
+} from './request-plan.js';
 
 /** Something that happened to a request. */
 export type RequestEvent
 	= | {readonly type: 'start'}
 		| {readonly type: 'claimed'}
+		/** The work before the request is done. */
+		| {readonly type: 'prepared'; readonly inputs: readonly string[]}
+		| {readonly type: 'preparationFailed'; readonly failure: PreparationFailure}
 		| {readonly type: 'claimRefused'; readonly code: 'storeUnavailable' | 'duplicateRequest'; readonly message: string}
 	/** The dispatch was never written to a connection. */
 		| {readonly type: 'notSent'; readonly dispatchId: string}
@@ -27,12 +32,13 @@
 /** Something to be done for a request. */
 export type RequestAction
 	= | {readonly type: 'claim'}
+		| {readonly type: 'prepare'; readonly isAgain: boolean}
 		| {readonly type: 'dispatch'; readonly upstreamId: string; readonly message: DispatchMessage}
 		| {readonly type: 'cancel'; readonly upstreamId: string; readonly dispatchId: string}
 		| {readonly type: 'query'; readonly upstreamId: string; readonly dispatchId: string}
 		| {readonly type: 'credit'; readonly upstreamId: string; readonly dispatchId: string; readonly chunks: number}
 	/** Units of the answer for a streaming caller. */
-		| {readonly type: 'deliver'; readonly units: number; readonly data: Uint8Array}
+		| {readonly type: 'deliver'; readonly units: number; readonly data: Uint8Array; readonly http?: HttpHead}
 	/** The caller's final answer; comes once. */
 		| {readonly type: 'finish'; readonly result: RequestResult}
 	/** What became of a request after its caller was told `unknown`; comes at most once. */
--- a/src/request/common/request-machine.test.ts
+++ b/src/request/common/request-machine.test.ts
@@ -1,6 +1,7 @@
 import t from 'tap';
 import {UpstreamStats} from '../../routing/common/upstream-stats.js';
 import {policyDefaults, type EffectivePolicy} from '../../settings/common/schema.js';
+import {agentRules} from './attempt-rules.js';
 import type {RequestAction} from './request-events.js';
 import {RequestMachine} from './request-machine.js';
 import type {RequestPlan} from './request-plan.js';
@@ -37,7 +38,7 @@
 function planWith(changes: Partial<RequestPlan> = {}): RequestPlan {
 	const policy: EffectivePolicy = {...policyDefaults};
 	return {
-		requestId: 'r', workspace: 'w', pipeline: 'p', policy, isRepeatable: true, settingsRevision: 1, needsClaim: false, isStreaming: false,
+		requestId: 'r', workspace: 'w', pipeline: 'p', policy, isRepeatable: true, settingsRevision: 1, needsClaim: false, needsPreparation: false, rules: agentRules, isStreaming: false,
 		startMs: 0, deadlineMs: 1000, giveUpMs: 1500, input: new Uint8Array(0), prefixHash: 0, seed: 0,
 		stages: [{
 			name: 's', index: 0, kind: 'run', pool: 'q', slots: 1, key: 's', budgetKey: 's', policy,
--- a/src/request/common/request-machine.ts
+++ b/src/request/common/request-machine.ts
@@ -13,7 +13,10 @@
 /** How long the fate of work that may not be repeated is followed after its caller was told `unknown`. */
 export const settleMs = 60_000;
 
-type Phase = 'new' | 'claiming' | 'running' | 'proving' | 'settling' | 'closed';
+/** How often results that were lost are made again for one request. */
+const mostPreparations = 3;
+
+type Phase = 'new' | 'claiming' | 'preparing' | 'running' | 'proving' | 'settling' | 'closed';
 
 /** Drives one request. */
 export class RequestMachine {
@@ -31,6 +34,9 @@
 	private actions: RequestAction[] = [];
 	private proveByMs = Infinity;
 	private settleByMs = Infinity;
+	/** What the first stage reads besides its input: results of the work before it. */
+	private inputs: readonly string[] = [];
+	private preparations = 0;
 
 	private constructor(readonly plan: RequestPlan, private readonly router: RequestRouter) {}
 
@@ -46,7 +52,8 @@
 	/** Time at which the machine wants a tick; Infinity if none. */
 	get wakeAtMs(): number {
 		switch (this.phase) {
-			case 'claiming': {
+			case 'claiming':
+			case 'preparing': {
 				return this.plan.deadlineMs;
 			}
 
@@ -103,12 +110,30 @@
 
 			case 'claimed': {
 				if (this.phase === 'claiming') {
+					this.prepareOrBegin(nowMs);
+				}
+
+				break;
+			}
+
+			case 'prepared': {
+				if (this.phase === 'preparing') {
+					this.inputs = event.inputs;
 					this.beginFirst(nowMs);
 				}
 
 				break;
 			}
 
+			case 'preparationFailed': {
+				if (this.phase === 'preparing') {
+					const {code, message, retryAfterMs} = event.failure;
+					this.finishWith(code, message, nowMs, retryAfterMs);
+				}
+
+				break;
+			}
+
 			case 'claimRefused': {
 				this.finishWith(event.code, event.message, nowMs);
 				break;
@@ -138,6 +163,16 @@
 		} else if (this.plan.needsClaim) {
 			this.phase = 'claiming';
 			this.actions.push({type: 'claim'});
+		} else {
+			this.prepareOrBegin(nowMs);
+		}
+	}
+
+	private prepareOrBegin(nowMs: number): void {
+		if (this.plan.needsPreparation) {
+			this.phase = 'preparing';
+			this.actions.push({type: 'prepare', isAgain: this.preparations > 0});
+			this.preparations++;
 		} else {
 			this.beginFirst(nowMs);
 		}
@@ -157,6 +192,7 @@
 			plan,
 			router,
 			input,
+			inputs: index === 0 ? this.inputs : [],
 			stage: plan.stages[index],
 			startByMs: latestMs - remainingMs,
 			isLast: index === plan.stages.length - 1,
@@ -180,6 +216,8 @@
 			this.finishWith(failureCodes.deadlineExceeded, 'the deadline has passed', nowMs);
 		} else if (this.phase === 'claiming' && nowMs >= this.plan.deadlineMs) {
 			this.finishWith(failureCodes.deadlineExceeded, 'the deadline passed before the request was registered', nowMs);
+		} else if (this.phase === 'preparing' && nowMs >= this.plan.deadlineMs) {
+			this.finishWith(failureCodes.preparationFailed, 'the work before the request took longer than the request may be held', nowMs);
 		} else if (this.phase === 'running') {
 			this.tickRunning(nowMs);
 		}
@@ -218,6 +256,11 @@
 
 		while (this.phase === 'running' || this.phase === 'proving') {
 			const run = this.current!;
+			if (run.status.type === 'inputsGone') {
+				this.prepareAgain(run, nowMs);
+				return;
+			}
+
 			if (run.status.type === 'failed') {
 				this.finishWith(run.status.code, run.status.message, nowMs);
 			} else if (run.status.type !== 'done') {
@@ -235,6 +278,16 @@
 		}
 	}
 
+	/** Results that the first stage was to read are lost, and it has not run: they are made again. */
+	private prepareAgain(run: StageRun, nowMs: number): void {
+		if (this.preparations >= mostPreparations) {
+			this.finishWith(failureCodes.preparationFailed, 'results of the work before the request were lost again and again', nowMs);
+		} else {
+			this.runs.splice(this.runs.indexOf(run), 1);
+			this.prepareOrBegin(nowMs);
+		}
+	}
+
 	private complete(run: StageRun, nowMs: number): void {
 		this.finish(makeResult(this.plan, this.runs, {
 			outcome: outcomes.completed, message: 'completed', nowMs, last: run,
@@ -242,7 +295,7 @@
 		this.close();
 	}
 
-	private finishWith(code: FailureCode, message: string, nowMs: number): void {
+	private finishWith(code: FailureCode, message: string, nowMs: number, retryAfterMs?: number): void {
 		if (this.phase === 'settling' || this.phase === 'closed') {
 			return;
 		}
@@ -254,7 +307,7 @@
 		}
 
 		this.finish(makeResult(this.plan, this.runs, {
-			outcome: this.failedOutcome(), message, nowMs, code,
+			outcome: this.failedOutcome(), message, nowMs, code, retryAfterMs,
 		}));
 		if (this.runs.some(run => run.attempts.hasLive)) {
 			// Not repeatable and still running somewhere: cancelling takes back only what has not started.
@@ -277,7 +330,7 @@
 	}
 
 	private callerGone(nowMs: number): void {
-		if (this.plan.isRepeatable || !this.mayHaveRun) {
+		if (this.plan.isRepeatable || !this.mayHaveRun || this.plan.rules.cancelsWithCaller) {
 			this.finishWith(failureCodes.callerGone, 'the caller went away', nowMs);
 		}
 		// Work that may not be repeated goes on, so that a repeat of the request learns its end.
--- a/src/request/common/request-plan.ts
+++ b/src/request/common/request-plan.ts
@@ -1,5 +1,6 @@
 /** What one request is to do, and how it ended. */
 import type {EffectivePolicy, StageKind} from '../../settings/common/schema.js';
+import type {AttemptRules} from './attempt-rules.js';
 import type {Header, HttpCall} from '../../wire/common/messages.js';
 
 /** One stage of a request, with everything inherited. */
@@ -15,8 +16,16 @@
 	/** Names the stage of this workspace in budgets. */
 	readonly budgetKey: string;
 	readonly policy: EffectivePolicy;
+	/** Time within which an answer is worth most, where the stage has a target of its own. */
+	readonly targetMs?: number;
 };
 
+/** Status and headers of an answer. */
+export type HttpHead = {readonly status: number; readonly headers: readonly Header[]};
+
+/** Why the work before a request could not be done. */
+export type PreparationFailure = {readonly code: FailureCode; readonly message: string; readonly retryAfterMs?: number};
+
 /** Everything the request machine needs to know at the start. */
 export type RequestPlan = {
 	readonly requestId: string;
@@ -29,6 +38,9 @@
 	/** Settings the plan was made of. */
 	readonly settingsRevision: number;
 	readonly needsClaim: boolean;
+	/** Whether work on other upstreams must be done before the first stage. */
+	readonly needsPreparation: boolean;
+	readonly rules: AttemptRules;
 	/** Whether units of the last stage go to the caller as they come. */
 	readonly isStreaming: boolean;
 	readonly startMs: number;
@@ -60,6 +72,8 @@
 	upstreamRejected: 'upstreamRejected',
 	resultUnknown: 'resultUnknown',
 	callerGone: 'callerGone',
+	/** The work before the request could not be done in time. */
+	preparationFailed: 'preparationFailed',
 	stopping: 'stopping',
 } as const;
 export type FailureCode = typeof failureCodes[keyof typeof failureCodes];
@@ -110,6 +124,6 @@
 	readonly digest: number;
 	/** The answer; already delivered where the request was streaming. */
 	readonly body: Uint8Array;
-	readonly http?: {readonly status: number; readonly headers: readonly Header[]};
+	readonly http?: HttpHead;
 	readonly stages: readonly StageTrace[];
 };
--- a/src/request/common/request-result.ts
+++ b/src/request/common/request-result.ts
@@ -5,7 +5,7 @@
 } from './request-plan.js';
 import type {StageRun} from './stage-run.js';
 
-const retryAfterMs = 500;
+const usualRetryAfterMs = 500;
 
 /** How a request ended. */
 export type Ending = {
@@ -13,6 +13,8 @@
 	readonly message: string;
 	readonly nowMs: number;
 	readonly code?: FailureCode;
+	/** When to come back, where the part that refused knows. */
+	readonly retryAfterMs?: number;
 	/** The run of the last stage, where the request completed. */
 	readonly last?: StageRun;
 };
@@ -25,7 +27,7 @@
 @returns the result.
 */
 export function makeResult(plan: RequestPlan, runs: readonly StageRun[], ending: Ending): RequestResult {
-	const {outcome, message, nowMs, code, last} = ending;
+	const {outcome, message, nowMs, code, last, retryAfterMs = usualRetryAfterMs} = ending;
 	const body = last?.body ?? new Uint8Array(0);
 	const isNotRun = outcome === outcomes.refused;
 	return {
--- a/src/request/common/stage-dispatch.ts
+++ b/src/request/common/stage-dispatch.ts
@@ -8,6 +8,8 @@
 	readonly plan: RequestPlan;
 	readonly stage: StagePlan;
 	readonly input: Uint8Array;
+	/** Results of the work before the request. */
+	readonly inputs?: readonly string[];
 	readonly startByMs: number;
 };
 
@@ -38,10 +40,10 @@
 	};
 }
 
-function callOf({plan, stage, input}: DispatchParts, attempt: Attempt): UpstreamCall {
+function callOf({plan, stage, input, inputs = []}: DispatchParts, attempt: Attempt): UpstreamCall {
 	const {policy} = stage;
 	if (stage.kind === 'http' && plan.http) {
-		return plan.http;
+		return inputs.length === 0 ? plan.http : {...plan.http, inputs: [...inputs]};
 	}
 
 	if (stage.kind === 'run') {
--- a/src/request/common/stage-run.ts
+++ b/src/request/common/stage-run.ts
@@ -14,11 +14,14 @@
 import {makeStageTrace} from './stage-trace.js';
 
 const holdRetryMs = 20;
+const firstServerError = 500;
 
 /** Where a stage stands. */
 export type StageStatus
 	= | {readonly type: 'holding'}
 		| {readonly type: 'running'}
+	/** Nothing ran: results the stage was to read are lost. */
+		| {readonly type: 'inputsGone'}
 		| {readonly type: 'done'}
 		| {readonly type: 'failed'; readonly code: FailureCode; readonly message: string};
 
@@ -27,6 +30,7 @@
 	readonly plan: RequestPlan;
 	readonly stage: StagePlan;
 	readonly input: Uint8Array;
+	readonly inputs?: readonly string[];
 	readonly router: RequestRouter;
 	/** Latest time at which the stage may start on an upstream. */
 	readonly startByMs: number;
@@ -53,6 +57,8 @@
 	private endMs = 0;
 	private isRecoveryOver = false;
 	private isHedgeOver = false;
+	/** A whole answer that tells an error. */
+	private errorAnswer: Attempt | undefined;
 
 	private constructor(private readonly options: StageRunOptions) {
 		this.holdingSinceMs = options.startMs;
@@ -130,7 +136,9 @@
 		}
 
 		this.end(attempt, attemptStates.notRun, message.reason, nowMs);
-		if (message.reason === refusalReasons.outOfTime && nowMs >= this.options.startByMs) {
+		if (message.reason === refusalReasons.inputsGone && !this.attempts.hasLive) {
+			this.status = {type: 'inputsGone'};
+		} else if (message.reason === refusalReasons.outOfTime && nowMs >= this.options.startByMs) {
 			this.failUnlessLive(failureCodes.deadlineExceeded, 'no upstream could start the work in time');
 		} else {
 			this.recover(failureCodes.overloaded, `upstreams refused: ${message.reason}`, nowMs);
@@ -162,11 +170,13 @@
 			});
 		}
 
-		if (this.isGenerating) {
+		if (this.isIncremental) {
 			this.follow(attempt, nowMs);
 			this.answer.add(message.units, message.data);
 			if (this.options.isLast && this.options.plan.isStreaming) {
-				this.options.emit({type: 'deliver', units: message.units, data: message.data});
+				this.options.emit({
+					type: 'deliver', units: message.units, data: message.data, ...(attempt.http && {http: attempt.http}),
+				});
 			}
 		}
 
@@ -189,8 +199,7 @@
 			this.end(attempt, message.state, message.reason ?? 'failed', nowMs);
 			this.recover(failureCodes.upstreamFailed, message.reason ?? 'the upstream failed', nowMs);
 		} else if (attempt.isWhole(message)) {
-			this.end(attempt, attemptStates.completed, '', nowMs);
-			this.complete(attempt, nowMs);
+			this.answered(attempt, nowMs);
 		} else {
 			// The end mark names more than has come: the stream was cut on its way.
 			this.end(attempt, attemptStates.unknown, 'incomplete', nowMs);
@@ -252,32 +261,45 @@
 		this.isRecoveryOver = true;
 	}
 
-	private get isGenerating(): boolean {
-		return this.stage.kind === 'generate';
+	/** Whether units count as they come, and another attempt may go on behind the last of them. */
+	private get isIncremental(): boolean {
+		return this.stage.kind === 'generate' || (this.stage.kind === 'http' && this.options.plan.isStreaming);
 	}
 
 	private get holdUntilMs(): number {
 		return Math.min(this.holdingSinceMs + this.stage.policy.holdMs, this.options.startByMs);
 	}
 
+	/** Attempts that count against the most there may be. */
+	private get countedAttempts(): number {
+		const {countsRefusals} = this.options.plan.rules;
+		return countsRefusals ? this.attempts.count : this.attempts.all.filter(attempt => attempt.mayHaveRun).length;
+	}
+
+	private get isOutOfAttempts(): boolean {
+		const refusals = this.attempts.all.filter(attempt => !attempt.mayHaveRun).length;
+		return this.countedAttempts >= this.stage.policy.maxAttempts || refusals >= this.options.plan.rules.mostRefusals;
+	}
+
 	private isUseful(attempt: Attempt): boolean {
-		return this.status.type === 'done' && (attempt === this.leader || (this.isGenerating && attempt.answer.units > 0));
+		return this.status.type === 'done' && (attempt === this.leader || (this.isIncremental && attempt.answer.units > 0));
 	}
 
 	/** Another attempt's units count already. */
 	private isOvertaken(attempt: Attempt): boolean {
-		return this.isGenerating && this.leader !== undefined && this.leader !== attempt;
+		return this.isIncremental && this.leader !== undefined && this.leader !== attempt;
 	}
 
 	private timeoutAtMs(attempt: Attempt): number {
-		const isTimed = attempt.state === attemptStates.started && this.options.plan.isRepeatable;
+		const {isRepeatable, rules} = this.options.plan;
+		const isTimed = isRepeatable && (rules.timesFromSend || attempt.state === attemptStates.started);
 		return isTimed ? attempt.heardMs + this.stage.policy.timeoutMs : Infinity;
 	}
 
 	private hedgeAtMs(attempt: Attempt): number {
 		const isAlone = this.attempts.all.every(other => other === attempt || !other.isLive);
 		const mayHedge = isAlone && !this.isHedgeOver && !this.leader && this.options.plan.isRepeatable
-			&& this.attempts.count < this.stage.policy.maxAttempts;
+			&& this.countedAttempts < this.stage.policy.maxAttempts;
 		const delayMs = mayHedge ? this.options.router.hedgeDelayMs(this.stage) : undefined;
 		return delayMs === undefined ? Infinity : attempt.options.sentAtMs + delayMs;
 	}
@@ -308,9 +330,23 @@
 		}
 	}
 
+	/** A whole answer came; one that tells an error is kept while another attempt may do better. */
+	private answered(attempt: Attempt, nowMs: number): void {
+		const isError = (attempt.http?.status ?? 0) >= firstServerError;
+		if (!isError || !this.options.plan.rules.retriesErrorAnswers || !this.options.plan.isRepeatable || this.leader) {
+			this.end(attempt, attemptStates.completed, '', nowMs);
+			this.complete(attempt, nowMs);
+			return;
+		}
+
+		this.errorAnswer = attempt;
+		this.end(attempt, attemptStates.failed, `status ${attempt.http?.status ?? 0}`, nowMs);
+		this.recover(failureCodes.upstreamFailed, 'the upstream answered with an error', nowMs);
+	}
+
 	private complete(attempt: Attempt, nowMs: number): void {
 		this.dropOthers(attempt, nowMs);
-		if (!this.isGenerating) {
+		if (!this.isIncremental) {
 			this.answer = attempt.answer;
 		}
 
@@ -341,24 +377,25 @@
 		}
 
 		const last = this.attempts.all.at(-1)!;
-		const isFree = last.state === attemptStates.notRun;
+		const isNotRun = last.state === attemptStates.notRun;
+		const isFree = isNotRun && !this.options.plan.rules.paysForRefusals;
 		if (this.leader && !this.leader.isLive) {
 			this.leader = undefined;
 		}
 
 		if (this.isRecoveryOver) {
 			this.fail(code, message);
-		} else if (!isFree && !this.options.plan.isRepeatable) {
+		} else if (!isNotRun && !this.options.plan.isRepeatable) {
 			const isUnknown = this.attempts.hasUnknown;
 			this.fail(isUnknown ? failureCodes.resultUnknown : code, message);
-		} else if (this.attempts.count >= this.stage.policy.maxAttempts) {
-			this.fail(isFree ? failureCodes.overloaded : failureCodes.attemptsExhausted, message);
+		} else if (this.isOutOfAttempts) {
+			this.fail(isNotRun ? failureCodes.overloaded : failureCodes.attemptsExhausted, message);
 		} else if (nowMs >= this.options.startByMs) {
 			this.fail(failureCodes.deadlineExceeded, message);
 		} else if (isFree || this.options.router.mayRetry(this.stage, nowMs)) {
 			this.dispatch(this.answer.units > 0 ? 'resume' : 'retry', nowMs);
 		} else {
-			this.fail(failureCodes.attemptsExhausted, `${message}; the retry budget is spent`);
+			this.fail(isNotRun ? failureCodes.overloaded : failureCodes.attemptsExhausted, `${message}; the retry budget is spent`);
 		}
 	}
 
@@ -389,7 +426,7 @@
 			upstreamId: choice.chosen.upstreamId,
 			kind,
 			sentAtMs: nowMs,
-			offset: this.isGenerating ? this.answer.units : 0,
+			offset: this.isIncremental ? this.answer.units : 0,
 			candidates: choice.scored.map(({candidate, scoreMs}) => ({upstreamId: candidate.upstreamId, scoreMs})),
 		});
 		this.attempts.add(attempt);
@@ -441,6 +478,14 @@
 	}
 
 	private fail(code: FailureCode, message: string): void {
+		if (this.errorAnswer && this.answer.units === 0) {
+			// The upstream's own error says more than ours.
+			this.leader = this.errorAnswer;
+			this.answer = this.errorAnswer.answer;
+			this.status = {type: 'done'};
+			return;
+		}
+
 		this.status = {type: 'failed', code, message};
 	}
 }
--- a/src/entry/node/request-runner.ts
+++ b/src/request/node/request-runner.ts
@@ -1,13 +1,15 @@
 /** Runs request machines: feeds them what happens, and carries out what they say. */
 import type {Clock} from '../../base/common/clock.js';
 import {DisposableStore, type Disposable} from '../../base/common/disposable.js';
-import type {Outcome} from '../../base/common/outcome.js';
-import type {ClaimRefusal, GrantedClaim} from '../../request/common/claim-store.js';
-import type {RequestAction, RequestEvent} from '../../request/common/request-events.js';
-import {RequestMachine} from '../../request/common/request-machine.js';
-import type {RequestOutcome, RequestPlan, RequestResult} from '../../request/common/request-plan.js';
-import type {FleetRouter} from '../common/fleet-router.js';
-import type {FleetLinks, UpstreamMessage} from './fleet-links.js';
+import {ok, type Outcome} from '../../base/common/outcome.js';
+import type {ClaimRefusal, GrantedClaim} from '../common/claim-store.js';
+import type {RequestAction, RequestEvent} from '../common/request-events.js';
+import {RequestMachine} from '../common/request-machine.js';
+import type {
+	HttpHead, PreparationFailure, RequestOutcome, RequestPlan, RequestResult,
+} from '../common/request-plan.js';
+import type {RequestRouter} from '../common/request-router.js';
+import type {UpstreamLinks, UpstreamMessage} from '../common/upstream-links.js';
 
 /** What a request's caller side does for it. */
 export type RequestHooks = {
@@ -16,10 +18,16 @@
 	/** A repeat of a key: the caller gets what is known of the first. */
 	taken(refusal: Extract<ClaimRefusal, {code: 'taken'}>): void;
 	/**
+	Does the work that must be done before the request itself can run.
+	@param isAgain - whether results made before are lost.
+	*/
+	prepare?(isAgain: boolean): Promise<Outcome<readonly string[], PreparationFailure>>;
+	/**
 	Units for a streaming caller.
+	@param http - status and headers of the upstream whose answer this is.
 	@returns ends when the caller can take more, or nothing if it can at once.
 	*/
-	deliver(units: number, data: Uint8Array): Promise<void> | undefined;
+	deliver(units: number, data: Uint8Array, http?: HttpHead): Promise<void> | undefined;
 	/** The final answer. */
 	finish(result: RequestResult): void;
 	/** What became of it after `unknown` was told. */
@@ -37,7 +45,7 @@
 
 /** Holds the requests of one entry. */
 export class RequestRunner implements Disposable {
-	static create(links: FleetLinks, router: FleetRouter, clock: Clock): RequestRunner {
+	static create(links: UpstreamLinks, router: RequestRouter, clock: Clock): RequestRunner {
 		return new RequestRunner(links, router, clock);
 	}
 
@@ -47,7 +55,7 @@
 	/** Chunks, ends and refusals of no current attempt. */
 	private dropped = 0;
 
-	private constructor(private readonly links: FleetLinks, private readonly router: FleetRouter, private readonly clock: Clock) {
+	private constructor(private readonly links: UpstreamLinks, private readonly router: RequestRouter, private readonly clock: Clock) {
 		this.owned.add(links.onDidReceive(received => {
 			this.receive(received);
 		}));
@@ -141,6 +149,11 @@
 				break;
 			}
 
+			case 'prepare': {
+				void this.prepare(running, action.isAgain);
+				break;
+			}
+
 			case 'dispatch': {
 				const {dispatchId} = action.message;
 				this.byDispatch.set(dispatchId, running);
@@ -166,7 +179,7 @@
 			}
 
 			case 'deliver': {
-				running.blocked = running.hooks.deliver(action.units, action.data) ?? running.blocked;
+				running.blocked = running.hooks.deliver(action.units, action.data, action.http) ?? running.blocked;
 				break;
 			}
 
@@ -199,6 +212,13 @@
 		}
 	}
 
+	private async prepare(running: Running, isAgain: boolean): Promise<void> {
+		const prepared = await running.hooks.prepare?.(isAgain) ?? ok([]);
+		this.feed(running, prepared.ok
+			? {type: 'prepared', inputs: prepared.value}
+			: {type: 'preparationFailed', failure: prepared.error});
+	}
+
 	/** A slow caller holds up its own stream only: the agent gets no credit until the caller has read. */
 	private async grant(running: Running, action: Extract<RequestAction, {type: 'credit'}>): Promise<void> {
 		await running.blocked;
--- a/src/settings/common/settings-store.ts
+++ b/src/settings/common/settings-store.ts
@@ -1,8 +1,8 @@
 /** Accepted settings in the table service: one transaction accepts a change and writes its audit row. */
 import type {z} from 'zod';
 import {fail, ok, type Outcome} from '../../base/common/outcome.js';
-import type {ObjectStore} from '../../platform/common/object-store.js';
-import type {RowWrite, TableFailure, TableService} from '../../platform/common/table-service.js';
+import type {ObjectStore} from '../../store/common/object-store.js';
+import type {RowWrite, TableFailure, TableService} from '../../store/common/table-service.js';
 import {changeSchema, type Change} from './change.js';
 import {snapshotSchema, type SettingsSnapshot} from './settings-tree.js';
 
--- a/src/standins/common/memory-objects.ts
+++ b/src/standins/common/memory-objects.ts
@@ -1,6 +1,6 @@
 /** Stand-in of the platform's object store. */
 import {fail, ok, type Outcome} from '../../base/common/outcome.js';
-import type {ObjectFailure, ObjectStore} from '../../platform/common/object-store.js';
+import type {ObjectFailure, ObjectStore} from '../../store/common/object-store.js';
 
 /** Texts in memory. */
 export class MemoryObjects implements ObjectStore {
--- a/src/standins/common/memory-table.ts
+++ b/src/standins/common/memory-table.ts
@@ -2,7 +2,7 @@
 import {fail, ok, type Outcome} from '../../base/common/outcome.js';
 import type {
 	Row, RowWrite, ScanRange, TableFailure, TableService, Transaction,
-} from '../../platform/common/table-service.js';
+} from '../../store/common/table-service.js';
 
 const down: TableFailure = {code: 'unavailable', message: 'the table service is down', mayHaveTakenEffect: false};
 const lost: TableFailure = {code: 'unavailable', message: 'the answer was lost', mayHaveTakenEffect: true};
--- a/src/standins/node/platform-server.ts
+++ b/src/standins/node/platform-server.ts
@@ -2,7 +2,7 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {z} from 'zod';
 import type {Disposable} from '../../base/common/disposable.js';
-import type {ListedHost} from '../../platform/common/host-list.js';
+import type {ListedHost} from '../../store/common/host-list.js';
 import {MemoryObjects} from '../common/memory-objects.js';
 import {MemoryTable} from '../common/memory-table.js';
 import {readJson, sendJson, StandinServer} from './standin-server.js';
--- a/src/wire/common/messages.ts
+++ b/src/wire/common/messages.ts
@@ -63,6 +63,8 @@
 	path: z.string().max(8192),
 	headers: z.array(header).max(200),
 	body: bytes,
+	/** Names of results the upstream reads first. */
+	inputs: z.array(z.string().max(256)).max(4096).optional(),
 });
 const callSchema = z.discriminatedUnion('kind', [generateCallSchema, runCallSchema, httpCallSchema]);
 export type UpstreamCall = z.infer<typeof callSchema>;
@@ -109,6 +111,10 @@
 export const refusalReasons = {
 	leaving: 'leaving', queueFull: 'queueFull', outOfTime: 'outOfTime', cancelled: 'cancelled',
 	stale: 'stale', unreachable: 'unreachable', notLoaded: 'notLoaded', neverSeen: 'neverSeen', badCall: 'badCall',
+	/** Another upstream has the address. */
+	replaced: 'replaced',
+	/** Results the call was to read are lost. */
+	inputsGone: 'inputsGone',
 } as const;
 export type RefusalReason = typeof refusalReasons[keyof typeof refusalReasons];
 
--- a/test/request-world.ts
+++ b/test/request-world.ts
@@ -3,6 +3,7 @@
 import {SeededRandom} from '../src/base/common/random.js';
 import {FleetRouter} from '../src/entry/common/fleet-router.js';
 import {MemberTable} from '../src/membership/common/member-table.js';
+import {agentRules} from '../src/request/common/attempt-rules.js';
 import {claimKey} from '../src/request/common/claim.js';
 import {ClaimStore, type GrantedClaim} from '../src/request/common/claim-store.js';
 import type {CallEnd, GateAction} from '../src/request/common/gate-actions.js';
@@ -408,6 +409,8 @@
 			isRepeatable,
 			settingsRevision: 1,
 			needsClaim: isOnce,
+			needsPreparation: false,
+			rules: agentRules,
 			isStreaming: !isOnce,
 			startMs: this.now,
 			deadlineMs: this.now + deadlineMs,
