Give results up once every step that reads them is done

Change: Preparation.takeSpent gives a step's results up as soon as nothing reads them any more; should a later result be lost, they are made again.

--- a/src/preparation/common/preparation.ts
+++ b/src/preparation/common/preparation.ts
@@ -6,6 +6,8 @@
 	readonly declared: PreparationStep;
 	readonly results: Array<ResultRef | undefined>;
 	readonly pending: Set<number>;
+	/** Whether its results were given up because every step that reads them is done. */
+	isSpent: boolean;
 };
 
 /** Follows the steps of one request; touches no upstream itself. */
@@ -26,6 +28,7 @@
 			declared: step,
 			results: Array.from({length: pieceCounts[index] ?? 1}, () => undefined),
 			pending: new Set<number>(),
+			isSpent: false,
 		}));
 	}
 
@@ -41,7 +44,23 @@
 
 	/** Every result that is kept somewhere. */
 	get allRefs(): ResultRef[] {
-		return this.steps.flatMap(step => present(step));
+		return this.steps.flatMap(step => step.isSpent ? [] : present(step));
+	}
+
+	/**
+	Gives up results that nothing will read any more: room for results bounds what a pool can do.
+	@returns the results.
+	*/
+	takeSpent(): ResultRef[] {
+		const spent: ResultRef[] = [];
+		for (const [index, step] of this.steps.entries()) {
+			if (!step.isSpent && !this.isNeeded(index) && isDone(step)) {
+				step.isSpent = true;
+				spent.push(...present(step));
+			}
+		}
+
+		return spent;
 	}
 
 	/** Steps that are still to come behind a step, the step itself included, on the longest way. */
@@ -56,6 +75,7 @@
 	@returns work; its pieces count as asked for from now on.
 	*/
 	advance(): StepWork[] {
+		this.renewSpent();
 		const works: StepWork[] = [];
 		for (const [index, step] of this.steps.entries()) {
 			const missing = step.results.flatMap((result, piece) => result || step.pending.has(piece) ? [] : [piece]);
@@ -119,6 +139,16 @@
 		return this.giveUp([...this.steps.keys()].filter(index => this.isLast(index)), isKept);
 	}
 
+	/** A result was lost behind a step whose own results are given up already: these are made again as well. */
+	private renewSpent(): void {
+		for (const [index, step] of [...this.steps.entries()].toReversed()) {
+			if (step.isSpent && this.isNeeded(index)) {
+				step.isSpent = false;
+				step.results.fill(undefined);
+			}
+		}
+	}
+
 	private giveUp(indexes: readonly number[], isKept: (serverId: string) => boolean): ResultRef[] {
 		const refs = indexes.flatMap(index => present(this.steps[index]));
 		const lost = refs.filter(ref => !isKept(ref.serverId));
--- a/src/preparation/node/preparer.ts
+++ b/src/preparation/node/preparer.ts
@@ -145,6 +145,8 @@
 				this.options.desk.release(pool, [outcome.ref]);
 				return;
 			}
+
+			this.forget(this.preparation.takeSpent());
 		} else {
 			this.preparation.failed(index, piece);
 			if (this.isOver) {
