--- a/scripts/run-tests.js
+++ b/scripts/run-tests.js
@@ -2,7 +2,7 @@
 import {spawn} from 'node:child_process';
 import process from 'node:process';
 
-const files = process.argv.length > 2 ? process.argv.slice(2) : ['dist/src/**/*.test.js', 'dist/test/**/*.test.js'];
+const files = process.argv.length > 2 ? process.argv.slice(2) : ['dist/src/**/*.test.js', 'dist/platform/**/*.test.js', 'dist/test/**/*.test.js'];
 const tap = spawn('npx', ['tap', 'run', '--disable-coverage', '--allow-empty-coverage', '--reporter=tap', '--jobs=4', '--timeout=120', ...files], {stdio: ['ignore', 'pipe', 'inherit']});
 let passed = 0;
 let failed = 0;
--- a/src/daemon/node/compose-direct-entry.ts
+++ b/src/daemon/node/compose-direct-entry.ts
@@ -68,9 +68,10 @@
 Puts an entry together.
 @param settings - of the host.
 @param ports - of the platform's adapter.
+@param writeLine - where log lines go; standard output unless given.
 @returns the entry, not started.
 */
-export function composeDirectEntry(settings: DirectEntrySettings, ports: PlatformPorts): DirectEntry {
+export function composeDirectEntry(settings: DirectEntrySettings, ports: PlatformPorts, writeLine?: (line: string) => void): DirectEntry {
 	const parts = container.createChildContainer();
 	const register = <T>(token: InjectionToken<T>, make: () => T) => {
 		parts.register(token, {useFactory: instanceCachingFactory(make)});
@@ -79,11 +80,11 @@
 	const get = <T>(token: InjectionToken<T>): T => parts.resolve(token);
 	const lifecycle = LifecycleManager.create();
 	const clock: Clock = SystemClock.create();
-	const output = BoundedOutput.create(clock);
+	const output = writeLine ? undefined : BoundedOutput.create(clock);
 	const loggers = ConsoleLoggers.create({
-		level: 'info', format: 'json', hostId: settings.hostId, write: line => {
-			output.write(line);
-		},
+		level: 'info', format: 'json', hostId: settings.hostId, write: writeLine ?? (line => {
+			output?.write(line);
+		}),
 	});
 	const metrics = lifecycle.register(TextMetrics.create());
 	const logOf = (part: string) => loggers.for(part);
--- /dev/null
+++ b/test/platform/direct-fleet.test.ts
@@ -0,0 +1,150 @@
+import t, {type Test} from 'tap';
+import {
+	ask, configOf, DirectFleet, readinessOf, streamCall, until, wholeStream,
+} from './direct-harness.js';
+
+async function makeFleet(t: Test): Promise<DirectFleet> {
+	const fleet = await DirectFleet.create();
+	t.teardown(() => {
+		fleet.dispose();
+	});
+	return fleet;
+}
+
+const stagedCall = (id: string) => streamCall('/staged/x', {id, headers: {'chunk-count': '2,1', 'chunk-key': 'k'}});
+
+t.test('steps before a request are batched, their results given up, and the model is told the last ones', async t => {
+	const fleet = await makeFleet(t);
+	const [stage] = await fleet.addServers('stage', 1, 15);
+	const [model] = await fleet.addServers('model', 1);
+	const entry = await fleet.addReadyEntry();
+	const answers = await Promise.all(['s1', 's2', 's3', 's4'].map(async id => ask(entry, stagedCall(id))));
+	for (const answer of answers) {
+		t.match(answer, {status: 200, text: wholeStream, isWhole: true});
+	}
+
+	t.ok(stage.stageCalls.length < 12, `${stage.stageCalls.length} calls for twelve pieces`);
+	t.ok(stage.stageCalls.every(call => call.length <= 4), 'no call is larger than a batch');
+	for (const {headers, id} of model.seen) {
+		t.match(headers['input-count'], /^127\.0\.0\.1:\d+\/stage-0-\d+$/v, id);
+	}
+
+	await until(() => stage.freed.length === 12);
+	t.equal(new Set(stage.freed).size, 12, 'each result is given up once');
+});
+
+t.test('two entries share one queue of a pool', async t => {
+	const fleet = await makeFleet(t);
+	const [stage] = await fleet.addServers('stage', 1, 40);
+	await fleet.addServers('model', 1);
+	const first = await fleet.addReadyEntry();
+	const second = await fleet.addReadyEntry();
+	await until(() => [first, second].every(({lines}) => lines.some(line => line.includes('A peer is connected.'))));
+	const answers = await Promise.all([first, second, first, second, first, second].map(async (entry, index) => ask(entry, stagedCall(`q${index}`))));
+	t.ok(answers.every(({status, text}) => status === 200 && text === wholeStream));
+	const isShared = stage.stageCalls.some(call => new Set(call.map(piece => Number(String(piece.instanceId).slice(1)) % 2)).size === 2);
+	t.ok(isShared, 'a call carries pieces of both');
+});
+
+t.test('results that are lost are made again', async t => {
+	const fleet = await makeFleet(t);
+	const [stage] = await fleet.addServers('stage', 1);
+	const [model] = await fleet.addServers('model', 1);
+	const entry = await fleet.addReadyEntry();
+	model.fault = 'inputsGone';
+	const asked = ask(entry, stagedCall('g1'));
+	await until(() => stage.stageCalls.flat().length > 3);
+	model.fault = 'none';
+	t.match(await asked, {status: 200, text: wholeStream});
+});
+
+t.test('a newer declaration is in force, an older one never; keys and routes go with it', async t => {
+	const fleet = await makeFleet(t);
+	await fleet.addServers('plain', 1);
+	const entry = await fleet.addReadyEntry();
+	t.equal((await ask(entry, {path: '/look/x', key: 'key-2'})).status, 200);
+	fleet.store.put('op', 'config', configOf(5, {tenantList: [{name: 'buyers', apiKeys: ['key-1']}]}));
+	await until(async () => (await ask(entry, {path: '/look/x', key: 'key-2'})).status === 401);
+	fleet.store.put('op', 'config', configOf(4));
+	fleet.store.put('op', 'config', 'not a config');
+	t.equal((await ask(entry, {path: '/look/x', key: 'key-2'})).status, 401);
+	t.equal((await ask(entry, {path: '/look/x', key: 'key-1'})).status, 200);
+});
+
+t.test('an entry without a declaration is not ready and says that it ran nothing', async t => {
+	const fleet = await makeFleet(t);
+	fleet.store.mode = 'busy';
+	const entry = await fleet.addEntry();
+	t.equal(await readinessOf(entry), 503);
+	const answer = await ask(entry, {path: '/look/x'});
+	t.equal(answer.status, 503);
+	t.ok(answer.headers['retry-after']);
+});
+
+t.test('an entry that starts while the store is away learns from a peer', async t => {
+	const fleet = await makeFleet(t);
+	await fleet.addServers('plain', 1);
+	await fleet.addReadyEntry();
+	fleet.store.mode = 'busy';
+	const fresh = await fleet.addEntry();
+	await until(async () => await readinessOf(fresh) === 200);
+	t.equal((await ask(fresh, {path: '/look/x'})).status, 200);
+});
+
+t.test('the last declaration stays in force while the store is away, and what changed is seen after', async t => {
+	const fleet = await makeFleet(t);
+	const [old] = await fleet.addServers('plain', 1);
+	const entry = await fleet.addReadyEntry();
+	for (const mode of ['busy', 'reset'] as const) {
+		fleet.store.mode = mode;
+		fleet.store.forgetHistory();
+		t.equal((await ask(entry, {path: '/look/x'})).status, 200);
+	}
+
+	const [fresh] = await fleet.addServers('plain', 1);
+	fleet.store.put('servers', old.serverId, old.entry('plain', 'draining'));
+	fleet.store.mode = 'sound';
+	await until(async () => (await ask(entry, {path: '/look/x'})).text.includes(fresh.serverId));
+});
+
+t.test('a server that leaves gets no new work', async t => {
+	const fleet = await makeFleet(t);
+	const [first, second] = await fleet.addServers('plain', 2);
+	const entry = await fleet.addReadyEntry();
+	fleet.store.put('servers', first.serverId, first.entry('plain', 'draining'));
+	await until(() => entry.lines.some(line => line.includes('"leaving"')));
+	fleet.store.put('servers', first.serverId, first.entry('plain'));
+	const before = first.seen.length;
+	for (let index = 0; index < 5; index++) {
+		await ask(entry, {path: '/look/x', id: `d${index}`});
+	}
+
+	t.equal(first.seen.length, before);
+	t.equal(second.seen.length, 5);
+});
+
+t.test('a planned stop finishes what is there and still takes requests for a while', async t => {
+	const fleet = await makeFleet(t);
+	await fleet.addServers('plain', 1, 150);
+	const entry = await fleet.addReadyEntry();
+	const early = ask(entry, {method: 'POST', path: '/book/x', id: 'e'});
+	const stopped = entry.entry.lifecycle.stop();
+	t.equal(await readinessOf(entry), 503);
+	const late = await ask(entry, {method: 'POST', path: '/book/x', id: 'l'});
+	t.equal(late.status, 200);
+	t.equal(late.headers.connection, 'close');
+	t.equal((await early).status, 200);
+	await stopped;
+	await t.rejects(ask(entry, {path: '/look/x'}));
+});
+
+t.test('another server at a known address is not taken for the one that was there', async t => {
+	const fleet = await makeFleet(t);
+	const [server] = await fleet.addServers('plain', 1);
+	const entry = await fleet.addReadyEntry();
+	fleet.store.put('servers', 'ghost', server.entry('plain'));
+	await until(() => entry.lines.some(line => line.includes('"ghost"')));
+	for (let index = 0; index < 6; index++) {
+		t.equal((await ask(entry, {method: 'POST', path: '/book/x', id: `g${index}`})).status, 200);
+	}
+});
--- /dev/null
+++ b/test/platform/direct-harness.ts
@@ -0,0 +1,194 @@
+/** Entries of the users' platform on loopback, before stand-ins of its store and servers: the same parts as in the real program. */
+import {request as httpRequest, type IncomingHttpHeaders} from 'node:http';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {PlatformCallers} from '../../platform/caller-headers.js';
+import {declarationDecoder} from '../../platform/declaration-rows.js';
+import {serverDecoder} from '../../platform/server-rows.js';
+import {PlatformStages} from '../../platform/stage-calls.js';
+import {StoreTable} from '../../platform/store-client.js';
+import {PlatformUpstreams} from '../../platform/upstream-headers.js';
+import {silentLoggers} from '../../src/base/common/logger.js';
+import {composeDirectEntry} from '../../src/daemon/node/compose-direct-entry.js';
+import type {DirectEntry} from '../../src/daemon/node/direct-entry.js';
+import type {Endpoint} from '../../src/wire/common/endpoint.js';
+import {ServerStandin} from './upstream-standins.js';
+import {StoreStandin} from './store-standin.js';
+
+const loopback = '127.0.0.1';
+const anyPort: Endpoint = {address: loopback, port: 0};
+
+/** A started entry. */
+export type RunningEntry = {readonly entry: DirectEntry; readonly callers: Endpoint; readonly readiness: Endpoint; readonly peers: Endpoint; readonly lines: string[]};
+
+/** An answer as a caller saw it. */
+export type CallerAnswer = {readonly status: number; readonly headers: IncomingHttpHeaders; readonly text: string; readonly isWhole: boolean};
+
+export type CallerCall = {
+	readonly method?: string; readonly path: string; readonly id?: string; readonly key?: string; readonly body?: string; readonly deadlineMs?: number;
+	readonly headers?: Record<string, string>;
+	/** Aborts the call. */
+	readonly signal?: AbortSignal;
+};
+
+const route = (name: string, pathPrefix: string, routeType: string, more: Record<string, unknown> = {}) => ({
+	name, hostname: 'site.example', pathPrefix, routeType, timeoutMs: 5000, goalMs: 500, prio: 1, backend: 'plain', maxAttempts: 2, isPublic: false, ...more,
+});
+
+/** A config with one route of each kind. */
+export function configOf(generationNum: number, changes: Record<string, unknown> = {}) {
+	return {
+		generationNum,
+		routes: [
+			route('look', '/look/', 'idempotent'),
+			route('book', '/book/', 'mutating', {maxAttempts: 1}),
+			route('open', '/open/', 'idempotent', {isPublic: true}),
+			route('chat', '/chat/', 'streaming', {backend: 'model', maxAttempts: 1}),
+			route('draft', '/draft/', 'streaming', {backend: 'model', canResume: true, isSticky: true}),
+			route('staged', '/staged/', 'streaming', {
+				backend: 'model', canResume: true, phases: [{backend: 'stage', sinceRev: [], byteCount: 1000}, {backend: 'stage', sinceRev: [0], byteCount: 1000}],
+			}),
+		],
+		backends: [
+			{name: 'plain', maxConns: 50},
+			{name: 'model', maxConns: 50, runtime: {slotCount: 8, kvCapacity: 10_000}},
+			{
+				name: 'stage', maxConns: 50, segments: {
+					slotCount: 1, queueName: 2, batchSize: 4, callMs: 20, itemMs: 2, headroomMb: 1, sessionTtlS: 4, linkMbps: 1000,
+				},
+			},
+		],
+		reqLimits: {
+			maxHeaderBytes: 16_384, maxBodyBytes: 100_000, headerTimeoutMs: 3000, idleTimeoutMs: 5000,
+		},
+		tenantList: [{name: 'buyers', apiKeys: ['key-1', 'key-2'], prio: 1}],
+		...changes,
+	};
+}
+
+/** Store, servers and entries of one test. */
+export class DirectFleet {
+	static async create(): Promise<DirectFleet> {
+		const fleet = new DirectFleet(await StoreStandin.create());
+		fleet.store.put('op', 'config', configOf(1));
+		return fleet;
+	}
+
+	readonly servers: ServerStandin[] = [];
+	private readonly entries: RunningEntry[] = [];
+
+	private constructor(readonly store: StoreStandin) {}
+
+	/** Starts servers of a pool and lists them. */
+	async addServers(pool: string, count: number, stepMs?: number): Promise<ServerStandin[]> {
+		const added: ServerStandin[] = [];
+		for (let index = 0; index < count; index++) {
+			const server = await ServerStandin.create(`${pool}-${this.servers.length}`, stepMs);
+			this.servers.push(server);
+			added.push(server);
+			this.store.put('servers', server.serverId, server.entry(pool));
+		}
+
+		return added;
+	}
+
+	/** Starts an entry, without waiting until it is ready. */
+	async addEntry(stopGraceMs = 4200): Promise<RunningEntry> {
+		const log = silentLoggers.for('store');
+		const lines: string[] = [];
+		const store = {address: loopback, port: this.store.port};
+		const entry = composeDirectEntry({
+			hostId: `entry-${this.entries.length}`,
+			hall: 'hall-a',
+			callers: anyPort,
+			readiness: anyPort,
+			peers: anyPort,
+			seeds: this.entries.map(running => running.peers),
+			repeats: {ratio: 0.2, slack: 60, windowMs: 10_000},
+			stopGraceMs,
+			wireSecret: 'a secret of the test',
+		}, {
+			callers: PlatformCallers.create(),
+			upstreams: PlatformUpstreams.create(),
+			batches: PlatformStages.create(),
+			declarations: StoreTable.create(store, 'op', declarationDecoder(log)),
+			servers: StoreTable.create(store, 'servers', serverDecoder(log)),
+		}, line => {
+			lines.push(line);
+		});
+		const running = {entry, lines, ...await entry.start()};
+		this.entries.push(running);
+		return running;
+	}
+
+	/** Starts an entry and waits until the balancer would use it. */
+	async addReadyEntry(): Promise<RunningEntry> {
+		const running = await this.addEntry();
+		await until(async () => await readinessOf(running) === 200 && this.servers.every(server => running.lines.some(line => line.includes(`"${server.serverId}"`))));
+		return running;
+	}
+
+	dispose(): void {
+		for (const {entry} of this.entries) {
+			entry.lifecycle.stopNow();
+		}
+
+		for (const server of this.servers) {
+			server.dispose();
+		}
+
+		this.store.dispose();
+	}
+}
+
+/** Asks an entry what the balancer asks. */
+export async function readinessOf({readiness}: RunningEntry): Promise<number> {
+	const response = await fetch(`http://${readiness.address}:${readiness.port}/v1/readyz`);
+	await response.text();
+	return response.status;
+}
+
+/** Waits until something holds; the test's own time limit ends it otherwise. */
+export async function until(isTrue: () => boolean | Promise<boolean>): Promise<void> {
+	while (!await isTrue()) {
+		await sleep(5);
+	}
+}
+
+/** Sends a caller's request and reads its answer as far as it comes. */
+export async function ask({callers}: RunningEntry, call: CallerCall): Promise<CallerAnswer> {
+	return new Promise((resolve, reject) => {
+		const request = httpRequest({
+			host: callers.address, port: callers.port, method: call.method ?? 'GET', path: call.path, agent: false, signal: call.signal,
+			headers: {
+				host: 'site.example', 'attempt-id': call.id ?? 'a1', 'deadline-ms': String(call.deadlineMs ?? 4000),
+				...(call.key !== '' && {authorization: `Bearer ${call.key ?? 'key-1'}`}), ...call.headers,
+			},
+		}, response => {
+			let text = '';
+			const end = () => {
+				resolve({
+					status: response.statusCode ?? 0, headers: response.headers, text, isWhole: response.complete,
+				});
+			};
+
+			response.setEncoding('utf8');
+			response.on('data', piece => {
+				text += piece;
+			});
+			response.on('error', () => undefined);
+			response.on('close', end);
+		});
+		request.on('error', reject);
+		request.end(call.body);
+	});
+}
+
+/** A request of a streaming route. */
+export function streamCall(path: string, more: Partial<CallerCall> = {}): CallerCall {
+	return {
+		method: 'POST', path, body: 'prompt', ...more, headers: {accept: 'text/event-stream', 'prompt-prefix': 'aa:10,bb:5', ...more.headers},
+	};
+}
+
+/** All five events of a stand-in's stream. */
+export const wholeStream = [1, 2, 3, 4, 5].map(index => `id: ${index}\ndata: event ${index}\n\n`).join('');
--- /dev/null
+++ b/test/platform/store-standin.ts
@@ -0,0 +1,127 @@
+/** Stand-in of the platform's store: rows with one rising revision, read whole or as they change. */
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import {StandinServer, sendJson} from '../../src/standins/node/standin-server.js';
+
+type Row = {readonly tableName: string; readonly tlsKey: string; readonly val?: string; readonly verNum: number; readonly isGone?: boolean};
+type Held = {readonly table: string; readonly since: number; readonly response: ServerResponse; readonly timer: NodeJS.Timeout};
+
+/** How the store behaves. */
+export type StoreMode = 'sound' | 'busy' | 'reset' | 'silent';
+
+/** Rows of the tables `op` and `servers`. */
+export class StoreStandin {
+	static async create(): Promise<StoreStandin> {
+		const store = new StoreStandin();
+		store.server = await StandinServer.create((request, response) => {
+			store.answer(request, response);
+		});
+		return store;
+	}
+
+	mode: StoreMode = 'sound';
+	callCount = 0;
+	private server!: StandinServer;
+	private readonly rows = new Map<string, Row>();
+	private readonly held = new Set<Held>();
+	private revision = 0;
+	private oldestKept = 0;
+
+	get port(): number {
+		return Number(new URL(this.server.origin).port);
+	}
+
+	put(table: string, key: string, value: unknown): void {
+		const val = Buffer.from(JSON.stringify(value)).toString('base64');
+		this.write({
+			tableName: table, tlsKey: key, val, verNum: this.nextRevision(),
+		});
+	}
+
+	remove(table: string, key: string): void {
+		this.write({
+			tableName: table, tlsKey: key, verNum: this.nextRevision(), isGone: true,
+		});
+	}
+
+	/** Forgets all changes so far; held calls are told so. */
+	forgetHistory(): void {
+		this.oldestKept = this.revision;
+		for (const held of this.held) {
+			this.release(held, 410, {});
+		}
+	}
+
+	dispose(): void {
+		for (const held of this.held) {
+			clearTimeout(held.timer);
+		}
+
+		this.server.dispose();
+	}
+
+	private nextRevision(): number {
+		this.revision++;
+		return this.revision;
+	}
+
+	private write(row: Row): void {
+		this.rows.set(`${row.tableName}/${row.tlsKey}`, row);
+		for (const held of this.held) {
+			if (held.table === row.tableName && this.mode === 'sound') {
+				this.release(held, 200, this.changes(held.table, held.since));
+			}
+		}
+	}
+
+	private release(held: Held, status: number, body: unknown): void {
+		clearTimeout(held.timer);
+		this.held.delete(held);
+		sendJson(held.response, status, body);
+	}
+
+	private changes(table: string, since: number) {
+		const rows = [...this.rows.values()].filter(row => row.tableName === table && row.verNum > since);
+		return {rows, verNum: this.revision, nowMs: 0};
+	}
+
+	private answer(request: IncomingMessage, response: ServerResponse): void {
+		this.callCount++;
+		if (this.mode === 'busy') {
+			sendJson(response, 503, {});
+		} else if (this.mode === 'reset') {
+			request.socket.destroy();
+		} else if (this.mode === 'sound') {
+			this.read(new URL(request.url ?? '/', 'http://store'), response);
+		}
+	}
+
+	private read(url: URL, response: ServerResponse): void {
+		const table = url.searchParams.get('tableName') ?? '';
+		if (url.pathname === '/v1/rows-get') {
+			const rows = [...this.rows.values()].filter(row => row.tableName === table && row.isGone !== true);
+			sendJson(response, 200, {
+				rows, hasMore: false, verNum: this.revision, nowMs: 0,
+			});
+			return;
+		}
+
+		const since = Number(url.searchParams.get('sinceRev'));
+		const now = this.changes(table, since);
+		if (since < this.oldestKept) {
+			sendJson(response, 410, {});
+		} else if (now.rows.length > 0) {
+			sendJson(response, 200, now);
+		} else {
+			const held: Held = {
+				table, since, response, timer: setTimeout(() => {
+					this.release(held, 200, this.changes(table, since));
+				}, Number(url.searchParams.get('waitMs'))),
+			};
+			this.held.add(held);
+			response.on('close', () => {
+				clearTimeout(held.timer);
+				this.held.delete(held);
+			});
+		}
+	}
+}
--- /dev/null
+++ b/test/platform/upstream-standins.ts
@@ -0,0 +1,166 @@
+/** Stand-ins of the platform's servers: plain services, model servers and stage servers, with faults to order. */
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {readBody, sendJson, StandinServer} from '../../src/standins/node/standin-server.js';
+
+/** A request as a server saw it. */
+export type SeenRequest = {readonly id: string; readonly method: string; readonly path: string; readonly headers: IncomingMessage['headers']; readonly body: string};
+
+/** What a server does with the next requests. */
+export type Fault
+	= | 'none'
+	/** Says that it did not run the request. */
+		| 'full'
+	/** Runs the request and answers with an error. */
+		| 'error'
+	/** Runs the request and cuts the connection. */
+		| 'reset'
+	/** Never answers. */
+		| 'silent'
+	/** Answers in the name of another request. */
+		| 'foreign'
+	/** Answers without a length and cuts the connection in the middle. */
+		| 'unframedReset'
+	/** Streams two events and cuts the connection inside the third. */
+		| 'cutStream'
+	/** Says that a result it was to read is lost. */
+		| 'inputsGone';
+
+const eventCount = 5;
+
+/** A server with an id that is new at each start. */
+export class ServerStandin {
+	/**
+	Starts a server.
+	@param serverId - its id.
+	@param stepMs - time of an event of a stream, or of an answer.
+	*/
+	static async create(serverId: string, stepMs = 2): Promise<ServerStandin> {
+		const standin = new ServerStandin(serverId, stepMs);
+		standin.server = await StandinServer.create(async (request, response) => standin.answer(request, response));
+		return standin;
+	}
+
+	fault: Fault = 'none';
+	readonly seen: SeenRequest[] = [];
+	/** Calls of stage work, each with its pieces. */
+	readonly stageCalls: Array<ReadonlyArray<Record<string, unknown>>> = [];
+	readonly freed: string[] = [];
+	/** Requests whose connection closed before their answer was whole. */
+	closedEarly = 0;
+	private server!: StandinServer;
+	private results = 0;
+
+	private constructor(readonly serverId: string, private readonly stepMs: number) {}
+
+	get address(): string {
+		return new URL(this.server.origin).host;
+	}
+
+	/** The entry that a server of this kind keeps in the store. */
+	entry(pool: string, phase: 'ready' | 'draining' = 'ready') {
+		return {
+			backend: pool, address: this.address, availZone: 'hall-a', generationNum: 'v1', slotCount: 4, phase, coldLeftMs: 0, callSeq: 1,
+		};
+	}
+
+	dispose(): void {
+		this.server.dispose();
+	}
+
+	private async answer(request: IncomingMessage, response: ServerResponse): Promise<void> {
+		const body = new TextDecoder().decode(await readBody(request));
+		const path = request.url ?? '';
+		if (request.headers['expect-instance'] !== this.serverId) {
+			response.writeHead(421, {'instance-id': this.serverId}).end();
+		} else if (path === '/v1/stage-run') {
+			await this.stageRun(body, response);
+		} else if (path === '/v1/stage-free') {
+			this.freed.push(...(JSON.parse(body) as {sessions: string[]}).sessions);
+			sendJson(response, 200, {});
+		} else {
+			await this.serve(request, response, body);
+		}
+	}
+
+	private async serve(request: IncomingMessage, response: ServerResponse, body: string): Promise<void> {
+		const id = String(request.headers['attempt-id'] ?? '');
+		if (this.fault === 'full' || this.fault === 'inputsGone') {
+			response.writeHead(this.fault === 'full' ? 503 : 409, {'not-executed': '1', 'attempt-id': id}).end();
+			return;
+		}
+
+		this.seen.push({
+			id, method: request.method ?? '', path: request.url ?? '', headers: request.headers, body,
+		});
+		response.on('close', () => {
+			this.closedEarly += response.writableFinished ? 0 : 1;
+		});
+		await sleep(this.stepMs);
+		const headers = {'attempt-id': this.fault === 'foreign' ? 'someone-else' : id, 'server-stamp': `stamp-${this.serverId}`};
+		switch (this.fault) {
+			case 'silent': {
+				break;
+			}
+
+			case 'reset': {
+				request.socket.resetAndDestroy();
+				break;
+			}
+
+			case 'error': {
+				response.writeHead(500, headers).end('failed');
+				break;
+			}
+
+			case 'unframedReset': {
+				request.socket.write(`HTTP/1.1 200 OK\r\nAttempt-Id: ${id}\r\nServer-Stamp: s\r\n\r\nhalf of it`);
+				await sleep(20);
+				request.socket.resetAndDestroy();
+				break;
+			}
+
+			default: {
+				await (request.headers.accept === 'text/event-stream' ? this.stream(request, response, headers) : response.writeHead(200, headers).end(`answer of ${this.serverId} to ${id}`));
+			}
+		}
+	}
+
+	private async stream(request: IncomingMessage, response: ServerResponse, headers: Record<string, string>): Promise<void> {
+		response.writeHead(200, {...headers, 'content-type': 'text/event-stream'});
+		const first = Number(request.headers['last-event-id'] ?? 0) + 1;
+		for (let index = first; index <= eventCount; index++) {
+			await sleep(this.stepMs);
+			if (this.fault === 'cutStream' && index === 3) {
+				response.write('id: 3\nda');
+				await sleep(this.stepMs);
+				request.socket.resetAndDestroy();
+				return;
+			}
+
+			response.write(`id: ${index}\ndata: event ${index}\n\n`);
+		}
+
+		response.end();
+	}
+
+	private async stageRun(body: string, response: ServerResponse): Promise<void> {
+		const {entries} = JSON.parse(body) as {entries: Array<Record<string, unknown>>};
+		if (this.fault === 'full') {
+			response.writeHead(503, {'not-executed': '1'}).end();
+			return;
+		}
+
+		this.stageCalls.push(entries);
+		await sleep(this.stepMs);
+		const answer = entries.map(() => {
+			if (this.fault === 'inputsGone') {
+				return {reason: 'gone'};
+			}
+
+			this.results++;
+			return {session: `${this.address}/${this.serverId}-${this.results}`};
+		});
+		sendJson(response, 200, {entries: answer});
+	}
+}
