Ask for nothing more once a piece was late at once

Change: the work before a request ends for good with its failure. Result: the new test fails without the change (stack overflow) and passes with it; 3 passed.

--- a/src/preparation/node/batch-desk.ts
+++ b/src/preparation/node/batch-desk.ts
@@ -16,6 +16,15 @@
 /** Takes the ends of the pieces of one work, as they come. */
 export type EndsTaker = (piece: number, outcome: PieceOutcome) => void;
 
+/** Takes work of requests and gives their results up. */
+export type WorkTaker = {
+	submit(work: BatchWork, taker: EndsTaker): void;
+	cancel(workId: string): void;
+	release(pool: string, refs: readonly ResultRef[]): void;
+	/** @returns time until work for a pool would have its turn; 0 where another host batches it. */
+	backlogMs(pool: string): number;
+};
+
 /** What the desk is made of. */
 export type BatchDeskOptions = {
 	readonly hostId: string;
@@ -32,7 +41,7 @@
 export const batchDeskToken: InjectionToken<BatchDesk> = Symbol('BatchDesk');
 
 /** Hands work to the hosts that batch it, and batches what is handed here. */
-export class BatchDesk implements Disposable {
+export class BatchDesk implements WorkTaker, Disposable {
 	static create(options: BatchDeskOptions): BatchDesk {
 		return new BatchDesk(options);
 	}
@@ -58,7 +67,6 @@
 		return this.askers.size === 0 && [...this.pools.values()].every(pool => pool.isIdle);
 	}
 
-	/** Time until work for a pool would have its turn; 0 where another host batches it. */
 	backlogMs(pool: string): number {
 		return this.pools.get(pool)?.backlogMs ?? 0;
 	}
--- /dev/null
+++ b/src/preparation/node/preparer.test.ts
@@ -0,0 +1,74 @@
+import t from 'tap';
+import {ManualClock} from '../../base/common/clock.js';
+import {silentLoggers} from '../../base/common/logger.js';
+import {routeKinds, type Route} from '../../deployment/common/declaration.js';
+import {DeploymentBoard} from '../../deployment/common/deployment-board.js';
+import {ServerRegistry} from '../../deployment/common/server-registry.js';
+import {pieceFailures, type BatchWork, type ResultRef} from '../common/work.js';
+import type {EndsTaker, WorkTaker} from './batch-desk.js';
+import {Preparer} from './preparer.js';
+
+const log = silentLoggers.for('test');
+const route: Route = {
+	name: 'r', hostName: 'h', pathPrefix: '/', kind: routeKinds.stream, timeoutMs: 5000, targetMs: 1000, rank: 0, targets: [{pool: 'model', weight: 1}],
+	maxAttempts: 1, steps: [{pool: 'a', after: [], resultBytes: 10}, {pool: 'b', after: [0], resultBytes: 10}], isPublic: false, hasAffinity: false, isResumable: false,
+};
+
+function makePreparer(submit: (work: BatchWork, taker: EndsTaker) => void, released: ResultRef[] = []): Preparer {
+	const desk: WorkTaker = {
+		submit,
+		cancel: () => undefined,
+		release(_pool, refs) {
+			released.push(...refs);
+		},
+		backlogMs: () => 700,
+	};
+	const registry = ServerRegistry.create(log);
+	registry.applyChanges(['a', 'b'].map(pool => ({
+		serverId: pool, pool, address: '127.0.0.1', port: 1, hall: 'x', slots: 1, isLeaving: false,
+	})), [], 1, 0);
+	return Preparer.create({
+		desk, board: DeploymentBoard.create(log), registry, clock: ManualClock.create(), log,
+	}, {
+		requestId: 'r', callerRequestId: 'r', route, pieceCounts: [2, 1], pieceKey: 'k', rank: 0, targetMs: 1000, deadlineMs: 5000, hall: '',
+	});
+}
+
+t.test('a piece whose time is over at once ends the work, and is not asked for again', async t => {
+	let asked = 0;
+	const preparer = makePreparer((work, taker) => {
+		asked++;
+		for (const piece of work.pieces) {
+			taker(piece, {ok: false, reason: pieceFailures.late});
+		}
+	});
+	const result = await preparer.run(false);
+	t.match(result, {ok: false, error: {code: 'preparationFailed', retryAfterMs: 700}});
+	t.equal(asked, 1);
+});
+
+t.test('results are given up when nothing reads them any more', async t => {
+	const released: ResultRef[] = [];
+	const preparer = makePreparer((work, taker) => {
+		for (const piece of work.pieces) {
+			taker(piece, {ok: true, ref: {handle: `${work.pool}${piece}`, serverId: work.pool}});
+		}
+	}, released);
+	t.same(await preparer.run(false), {ok: true, value: ['b0']});
+	t.same(released.map(({handle}) => handle), ['a0', 'a1']);
+	preparer.end();
+	t.same(released.map(({handle}) => handle), ['a0', 'a1', 'b0']);
+});
+
+t.test('results lost at the last moment are made again from the first step on', async t => {
+	const works: string[] = [];
+	const preparer = makePreparer((work, taker) => {
+		works.push(`${work.pool}:${work.pieces.join(',')}`);
+		for (const piece of work.pieces) {
+			taker(piece, {ok: true, ref: {handle: `${work.pool}${piece}#${works.length}`, serverId: work.pool}});
+		}
+	});
+	await preparer.run(false);
+	t.same(await preparer.run(true), {ok: true, value: ['b0#4']});
+	t.same(works, ['a:0,1', 'b:0', 'a:0,1', 'b:0']);
+});
--- a/src/preparation/node/preparer.ts
+++ b/src/preparation/node/preparer.ts
@@ -10,7 +10,7 @@
 import {
 	pieceFailures, type PieceOutcome, type ResultRef, type StepWork,
 } from '../common/work.js';
-import type {BatchDesk} from './batch-desk.js';
+import type {WorkTaker} from './batch-desk.js';
 
 /** Pieces of one request that may fail before the request is given up. */
 const mostFailures = 6;
@@ -35,7 +35,7 @@
 
 /** What preparers are made of. */
 export type PreparerOptions = {
-	readonly desk: BatchDesk;
+	readonly desk: WorkTaker;
 	readonly board: DeploymentBoard;
 	readonly registry: ServerRegistry;
 	readonly clock: Clock;
@@ -156,7 +156,9 @@
 			this.failed(index, outcome.reason);
 		}
 
-		this.advance();
+		if (!this.isOver) {
+			this.advance();
+		}
 	}
 
 	private failed(index: number, reason: string): void {
@@ -169,6 +171,8 @@
 		}
 
 		if (reason === pieceFailures.late || this.failures > mostFailures) {
+			// Nothing more is asked for: a piece that is late at once would be asked for for ever.
+			this.end();
 			this.finish(fail({
 				code: failureCodes.preparationFailed,
 				message: `work of step ${index} came to nothing: ${reason}`,
