Work on pieces where their inputs lie or their results are read

Change: a step prefers the hall of its inputs, a first step the hall of the model server that the shared part will most likely go to; a piece waits for an upstream there, the longer the more bytes would cross.

--- a/src/daemon/node/compose-direct-entry.ts
+++ b/src/daemon/node/compose-direct-entry.ts
@@ -214,7 +214,7 @@
 		runner: lifecycle.register(RequestRunner.create(get(linksToken), get(routerToken), clock)),
 		protocol: ports.callers,
 		makePreparer: ask => Preparer.create(preparerOptions(), ask),
-		hall: settings.hall,
+		likelyHall: (pool, prefixHash) => get(routerToken).likelyHall(pool, prefixHash),
 		clock,
 		random: get(randomToken),
 		log: logOf('requests'),
--- a/src/direct/common/direct-router.ts
+++ b/src/direct/common/direct-router.ts
@@ -166,6 +166,18 @@
 		return this.options.newDispatchId();
 	}
 
+	/**
+	Tells where a request with a shared part will most likely run.
+	@param pool - the pool.
+	@param prefixHash - the shared part; 0 is none.
+	@returns the data hall, or an empty text where it can't be told.
+	*/
+	likelyHall(pool: string, prefixHash: number): string {
+		const servers = this.options.registry.usable(pool);
+		const [first] = prefixHash === 0 ? [] : rendezvousOrder(String(prefixHash), servers, server => server.serverId);
+		return first?.hall ?? '';
+	}
+
 	/**
 	Something came from a server.
 	@param serverId - which.
--- a/src/direct/node/ingress.ts
+++ b/src/direct/node/ingress.ts
@@ -37,7 +37,8 @@
 	readonly runner: RequestRunner;
 	readonly protocol: CallerProtocol;
 	readonly makePreparer: (ask: PreparationAsk) => Preparer;
-	readonly hall: string;
+	/** Tells where a request with a shared part will most likely run. */
+	readonly likelyHall: (pool: string, prefixHash: number) => string;
 	readonly clock: Clock;
 	readonly random: Random;
 	readonly log: Logger;
@@ -193,7 +194,7 @@
 	// eslint-disable-next-line max-params
 	private start(request: IncomingMessage, response: ServerResponse, admitted: Admitted, body: Uint8Array, receivedMs: number): void {
 		const {index, route, workspace, ask} = admitted;
-		const {clock, random, links, runner, log, metrics, makePreparer, hall} = this.options;
+		const {clock, random, links, runner, log, metrics, makePreparer, likelyHall} = this.options;
 		const requestId = this.idFor(ask.requestId);
 		const pool = choosePool(route, random);
 		const needsPreparation = route.steps.length > 0 && ask.pieceCounts.some(count => count > 0);
@@ -214,7 +215,7 @@
 		const preparer = needsPreparation
 			? makePreparer({
 				requestId, callerRequestId: ask.requestId, route, pieceCounts: ask.pieceCounts, pieceKey: ask.pieceKey,
-				rank: workspace?.rank ?? route.rank, targetMs: receivedMs + route.targetMs, deadlineMs: plan.deadlineMs, hall,
+				rank: workspace?.rank ?? route.rank, targetMs: receivedMs + route.targetMs, deadlineMs: plan.deadlineMs, hall: likelyHall(pool, plan.prefixHash),
 			})
 			: undefined;
 		this.openIds.add(requestId);
--- a/src/preparation/common/batch-machine.ts
+++ b/src/preparation/common/batch-machine.ts
@@ -8,6 +8,15 @@
 
 /** How much later each step of rank counts: a request of the next rank goes first unless it has this much more time. */
 const rankPenaltyMs = 250;
+/**
+How long a piece waits for an upstream in its own hall, for each megabyte that its step would otherwise
+fetch from another one. Measured on the first sites, where a crossing megabyte costs what a request of the
+least kind earns in 50 ms.
+*/
+const patienceMsPerMegabyte = 60;
+/** About as long as a full call takes, after which each upstream has been free once. */
+const longestPatienceMs = 300;
+const bytesPerMegabyte = 1_000_000;
 /** Tries of one piece before it is given up. */
 const mostTries = 4;
 /** An upstream that is slower than this against its declared times gets work only when the others can't take all. */
@@ -26,7 +35,7 @@
 const giveUpMarginMs = 500;
 
 /** One piece on its way. */
-export type BatchPiece = {readonly work: BatchWork; readonly piece: number; tries: number};
+export type BatchPiece = {readonly work: BatchWork; readonly piece: number; readonly readyMs: number; tries: number};
 
 /** A call to one upstream. */
 export type BatchCall = {
@@ -75,9 +84,11 @@
 		return [...this.states.values()].filter(state => state.call).length;
 	}
 
-	add(work: BatchWork): void {
+	add(work: BatchWork, nowMs: number): void {
 		for (const piece of work.pieces) {
-			this.waiting.push({work, piece, tries: 0});
+			this.waiting.push({
+				work, piece, readyMs: nowMs, tries: 0,
+			});
 		}
 	}
 
@@ -105,13 +116,14 @@
 		const free = servers.filter(server => this.isFree(server, nowMs))
 			.toSorted((left, right) => this.slownessOf(left, nowMs) - this.slownessOf(right, nowMs));
 		const soundCount = servers.filter(server => this.slownessOf(server, nowMs) <= slowFactor && !this.isAvoided(server, nowMs)).length;
+		const halls = new Set(servers.filter(server => !this.isAvoided(server, nowMs)).map(server => server.hall));
 		for (const server of free) {
 			const isSlow = this.slownessOf(server, nowMs) > slowFactor;
 			if (isSlow && this.waiting.length <= soundCount * capacity.batchSize) {
 				continue;
 			}
 
-			const call = this.callTo(server, capacity, nowMs);
+			const call = this.callTo(server, capacity, halls, nowMs);
 			if (call) {
 				calls.push(call);
 			}
@@ -137,7 +149,8 @@
 		state.slowness = this.slownessOf(call.server, nowMs) * (1 - slownessWeight) + (ratio * slownessWeight);
 		state.measuredMs = nowMs;
 		const ends: PieceEnd[] = [];
-		for (const [index, {work, piece, tries}] of call.pieces.entries()) {
+		for (const [index, item] of call.pieces.entries()) {
+			const {work, piece, tries} = item;
 			const outcome = outcomes[index];
 			if (outcome.ok) {
 				state.kept.set(outcome.ref.handle, {bytes: work.resultBytes, untilMs: nowMs + capacity.resultTtlMs});
@@ -145,7 +158,7 @@
 
 			const mayRetry = !outcome.ok && (outcome.reason === pieceFailures.noRoom || outcome.reason === pieceFailures.failed);
 			if (mayRetry && tries < mostTries) {
-				this.waiting.push({work, piece, tries});
+				this.waiting.push(item);
 			} else {
 				ends.push({work, piece, outcome});
 			}
@@ -225,8 +238,8 @@
 		return servers.length === 0 ? Infinity : (calls / servers.length) * perCall;
 	}
 
-	private callTo(server: UpstreamServer, capacity: BatchCapacity, nowMs: number): BatchCall | undefined {
-		const pieces = this.take(server, capacity, nowMs);
+	private callTo(server: UpstreamServer, capacity: BatchCapacity, halls: ReadonlySet<string>, nowMs: number): BatchCall | undefined {
+		const pieces = this.take(server, capacity, halls, nowMs);
 		if (pieces.length === 0) {
 			return undefined;
 		}
@@ -241,12 +254,13 @@
 	}
 
 	/** The most urgent pieces that fit into one call and into the upstream's room. */
-	private take(server: UpstreamServer, capacity: BatchCapacity, nowMs: number): BatchPiece[] {
+	private take(server: UpstreamServer, capacity: BatchCapacity, halls: ReadonlySet<string>, nowMs: number): BatchPiece[] {
 		let roomBytes = (capacity.roomBytes * usedRoomShare) - this.keptBytes(server, nowMs);
 		const taken: BatchPiece[] = [];
 		const left: BatchPiece[] = [];
 		for (const item of this.waiting) {
-			if (taken.length < capacity.batchSize && item.work.resultBytes <= roomBytes) {
+			const mayGo = item.work.hall === server.hall || !halls.has(item.work.hall) || !isPatient(item, nowMs);
+			if (mayGo && taken.length < capacity.batchSize && item.work.resultBytes <= roomBytes) {
 				roomBytes -= item.work.resultBytes;
 				taken.push({...item, tries: item.tries + 1});
 			} else {
@@ -305,6 +319,13 @@
 	}
 }
 
+/** Whether a piece had better wait for an upstream in its own hall. */
+function isPatient({work, readyMs}: BatchPiece, nowMs: number): boolean {
+	const stepBytes = work.crossingBytes * work.pieces.length;
+	const patienceMs = Math.min(longestPatienceMs, (stepBytes / bytesPerMegabyte) * patienceMsPerMegabyte);
+	return nowMs < Math.min(readyMs + patienceMs, work.dueMs);
+}
+
 /** What can still be in time goes first, by the time it has left; what can't gives way but keeps its deadline. */
 function urgencyOf({work}: BatchPiece, nowMs: number): number {
 	const {dueMs, deadlineMs, rank} = work;
--- a/src/preparation/common/preparation.ts
+++ b/src/preparation/common/preparation.ts
@@ -93,6 +93,22 @@
 		return works;
 	}
 
+	/** Results that each piece of a step reads. */
+	inputRefs(index: number): ResultRef[] {
+		return this.steps[index].declared.after.flatMap(input => present(this.steps[input]));
+	}
+
+	/** Bytes that each piece of a step reads, about. */
+	inputBytes(index: number): number {
+		let sumBytes = 0;
+		for (const input of this.steps[index].declared.after) {
+			const {declared, results} = this.steps[input];
+			sumBytes += declared.resultBytes * results.length;
+		}
+
+		return sumBytes;
+	}
+
 	/**
 	A piece is done.
 	@param index - its step.
--- a/src/preparation/common/work.ts
+++ b/src/preparation/common/work.ts
@@ -44,6 +44,8 @@
 	readonly dueMs: number;
 	/** After this the request is over. */
 	readonly deadlineMs: number;
-	/** Where the results are wanted; empty where it does not matter. */
+	/** Data hall where the inputs lie or the results are wanted; empty where it does not matter. */
 	readonly hall: string;
+	/** Bytes that cross between halls if a piece is worked on in another one. */
+	readonly crossingBytes: number;
 };
--- a/src/preparation/node/batch-desk.ts
+++ b/src/preparation/node/batch-desk.ts
@@ -248,10 +248,10 @@
 
 function messageOfWork(work: BatchWork, nowMs: number): BatchWorkMessage {
 	const {
-		workId, pool, callerRequestId, pieceKey, step, pieces, inputs, resultBytes, rank, hall,
+		workId, pool, callerRequestId, pieceKey, step, pieces, inputs, resultBytes, rank, hall, crossingBytes,
 	} = work;
 	return {
-		type: 'batchWork', workId, pool, callerRequestId, pieceKey, step, pieces: [...pieces], resultBytes, rank, hall,
+		type: 'batchWork', workId, pool, callerRequestId, pieceKey, step, pieces: [...pieces], resultBytes, rank, hall, crossingBytes,
 		...(inputs && {inputs: [...inputs]}),
 		dueInMs: work.dueMs - nowMs,
 		deadlineInMs: Math.max(0, work.deadlineMs - nowMs),
--- a/src/preparation/node/batch-pool.ts
+++ b/src/preparation/node/batch-pool.ts
@@ -73,8 +73,9 @@
 	}
 
 	add(work: BatchWork): void {
-		this.machine.add(work);
-		this.options.budget.countFirst(this.options.clock.nowMs(), work.pieces.length);
+		const nowMs = this.options.clock.nowMs();
+		this.machine.add(work, nowMs);
+		this.options.budget.countFirst(nowMs, work.pieces.length);
 		this.pump();
 	}
 
--- a/src/preparation/node/preparer.ts
+++ b/src/preparation/node/preparer.ts
@@ -29,7 +29,7 @@
 	readonly rank: number;
 	readonly targetMs: number;
 	readonly deadlineMs: number;
-	/** Where the results are wanted. */
+	/** Data hall of the upstream that will read the results; empty where it is not known. */
 	readonly hall: string;
 };
 
@@ -118,7 +118,7 @@
 			rank: ask.rank,
 			dueMs: ask.targetMs - afterwardsMs - this.laterStepsMs(work.step),
 			deadlineMs: ask.deadlineMs,
-			hall: ask.hall,
+			...this.placeOf(work),
 		}, (piece, outcome) => {
 			open--;
 			if (open === 0) {
@@ -129,6 +129,24 @@
 		});
 	}
 
+	/** Where a step is best worked on: where what it reads lies, or else where what it makes is read. */
+	private placeOf({step: index, inputs}: StepWork): {readonly hall: string; readonly crossingBytes: number} {
+		const {steps} = this.ask.route;
+		if (!inputs) {
+			return {hall: this.ask.hall, crossingBytes: steps[index].resultBytes};
+		}
+
+		const refs = this.preparation.inputRefs(index);
+		const halls = refs.map(({serverId}) => this.options.registry.get(serverId)?.hall ?? '');
+		const counts = new Map<string, number>();
+		for (const hall of halls) {
+			counts.set(hall, (counts.get(hall) ?? 0) + 1);
+		}
+
+		const [[hall] = ['']] = [...counts].toSorted(([, left], [, right]) => right - left);
+		return {hall, crossingBytes: this.preparation.inputBytes(index)};
+	}
+
 	/** Time of a call of this step and of those behind it. */
 	private laterStepsMs(index: number): number {
 		const {ask, options} = this;
--- a/src/wire/common/messages.ts
+++ b/src/wire/common/messages.ts
@@ -240,6 +240,7 @@
 	dueInMs: z.number(),
 	deadlineInMs: ms,
 	hall: z.string().max(200),
+	crossingBytes: ms,
 });
 export type BatchWorkMessage = z.infer<typeof batchWorkSchema>;
 /** Ends of pieces; a piece without a handle names the reason. */
