--- a/src/preparation/common/batch-machine.ts
+++ b/src/preparation/common/batch-machine.ts
@@ -326,8 +326,8 @@
 	return nowMs < Math.min(readyMs + patienceMs, work.dueMs);
 }
 
-/** What can still be in time goes first, by the time it has left; what can't gives way but keeps its deadline. */
+/** What can still be in time goes first, by the time it has left; what can't gives way, but not until its caller has left. */
 function urgencyOf({work}: BatchPiece, nowMs: number): number {
-	const {dueMs, deadlineMs, rank} = work;
-	return (nowMs <= dueMs ? dueMs : deadlineMs) + (rank * rankPenaltyMs);
+	const {dueMs, lateDueMs, rank} = work;
+	return (nowMs <= dueMs ? dueMs : lateDueMs) + (rank * rankPenaltyMs);
 }
--- a/src/preparation/common/work.ts
+++ b/src/preparation/common/work.ts
@@ -42,6 +42,8 @@
 	readonly rank: number;
 	/** When the step should be done for the request to meet its target. */
 	readonly dueMs: number;
+	/** When it should be done once that is missed, so that the caller is still there. */
+	readonly lateDueMs: number;
 	/** After this the request is over. */
 	readonly deadlineMs: number;
 	/** Data hall where the inputs lie or the results are wanted; empty where it does not matter. */
--- a/src/preparation/node/batch-desk.ts
+++ b/src/preparation/node/batch-desk.ts
@@ -254,14 +254,15 @@
 		type: 'batchWork', workId, pool, callerRequestId, pieceKey, step, pieces: [...pieces], resultBytes, rank, hall, crossingBytes,
 		...(inputs && {inputs: [...inputs]}),
 		dueInMs: work.dueMs - nowMs,
+		lateDueInMs: work.lateDueMs - nowMs,
 		deadlineInMs: Math.max(0, work.deadlineMs - nowMs),
 	};
 }
 
 function workOfMessage(message: BatchWorkMessage, nowMs: number): BatchWork {
-	const {type, dueInMs, deadlineInMs, ...work} = message;
+	const {type, dueInMs, lateDueInMs, deadlineInMs, ...work} = message;
 	return {
-		...work, inputs: work.inputs, dueMs: nowMs + dueInMs, deadlineMs: nowMs + deadlineInMs,
+		...work, inputs: work.inputs, dueMs: nowMs + dueInMs, lateDueMs: nowMs + lateDueInMs, deadlineMs: nowMs + deadlineInMs,
 	};
 }
 
--- a/src/preparation/node/preparer.ts
+++ b/src/preparation/node/preparer.ts
@@ -16,6 +16,8 @@
 const mostFailures = 6;
 /** Time a request still needs once its work is done: reading the prompt and the first token. */
 const afterwardsMs = 250;
+/** A caller waits for its first event this many times the target before it leaves; kept one short of what the users say. */
+const patienceTargets = 3;
 const usualRetryAfterMs = 400;
 const longestRetryAfterMs = 2000;
 
@@ -106,6 +108,7 @@
 		const step = ask.route.steps[work.step];
 		this.works++;
 		const workId = `${ask.requestId}/${this.works}`;
+		const dueMs = ask.targetMs - afterwardsMs - this.laterStepsMs(work.step);
 		this.openWorks.add(workId);
 		let open = work.pieces.length;
 		this.options.desk.submit({
@@ -116,7 +119,8 @@
 			pieceKey: ask.pieceKey,
 			resultBytes: step.resultBytes,
 			rank: ask.rank,
-			dueMs: ask.targetMs - afterwardsMs - this.laterStepsMs(work.step),
+			dueMs,
+			lateDueMs: dueMs + ((patienceTargets - 1) * ask.route.targetMs),
 			deadlineMs: ask.deadlineMs,
 			...this.placeOf(work),
 		}, (piece, outcome) => {
--- a/src/wire/common/messages.ts
+++ b/src/wire/common/messages.ts
@@ -238,6 +238,7 @@
 	rank: count,
 	/** Times count from receipt; a time in the past is below 0. */
 	dueInMs: z.number(),
+	lateDueInMs: z.number(),
 	deadlineInMs: ms,
 	hall: z.string().max(200),
 	crossingBytes: ms,
