Choose engines by what all hosts have sent them

Change: EngineLoads reckons what each engine has still to read and keeps, from this host's sends and those that peers tell of every 10 ms; the engine with the soonest first token is taken, with a price on reading shared parts again.

--- a/src/daemon/node/compose-direct-entry.ts
+++ b/src/daemon/node/compose-direct-entry.ts
@@ -29,12 +29,14 @@
 import {DirectLinks} from '../../direct/node/direct-links.js';
 import {Ingress, ingressToken} from '../../direct/node/ingress.js';
 import {PeerMesh, peerMeshToken} from '../../peers/node/peer-mesh.js';
+import {PromptNews} from '../../direct/node/prompt-news.js';
 import {StateExchange} from '../../peers/node/state-exchange.js';
 import {batchProtocolToken, type BatchProtocol} from '../../preparation/common/batch-protocol.js';
 import {BatchDesk, batchDeskToken} from '../../preparation/node/batch-desk.js';
 import {BatchPool} from '../../preparation/node/batch-pool.js';
 import {Preparer} from '../../preparation/node/preparer.js';
 import {RequestRunner} from '../../request/node/request-runner.js';
+import {EngineLoads} from '../../routing/common/engine-loads.js';
 import {PrefixIndex} from '../../routing/common/prefix-index.js';
 import {ScoreChooser} from '../../routing/common/score-chooser.js';
 import {WindowedBudget} from '../../routing/common/windowed-budget.js';
@@ -55,6 +57,7 @@
 
 export const directEntryToken: InjectionToken<DirectEntry> = Symbol('DirectEntry');
 const routerToken: InjectionToken<DirectRouter> = Symbol('DirectRouter');
+const promptNewsToken: InjectionToken<PromptNews> = Symbol('PromptNews');
 const linksToken: InjectionToken<DirectLinks> = Symbol('DirectLinks');
 const declarationFeedToken: InjectionToken<FeedFollower<Deployment>> = Symbol('DeclarationFeed');
 const serverFeedToken: InjectionToken<FeedFollower<UpstreamServer>> = Symbol('ServerFeed');
@@ -159,6 +162,7 @@
 			},
 		}));
 	});
+	const engines = EngineLoads.create();
 	register(routerToken, () => DirectRouter.create({
 		hall: settings.hall,
 		registry: get(serverRegistryToken),
@@ -166,7 +170,14 @@
 		bounds: settings.repeats,
 		hostCount,
 		newDispatchId: newId,
+		engines,
+		assigned(serverId, prompt) {
+			get(promptNewsToken).add(serverId, prompt);
+		},
 	}));
+	register(promptNewsToken, () => lifecycle.register(PromptNews.create({
+		mesh: get(peerMeshToken), engines, clock,
+	})));
 	register(linksToken, () => lifecycle.register(DirectLinks.create({
 		registry: get(serverRegistryToken),
 		protocol: ports.upstreams,
@@ -214,7 +225,7 @@
 		runner: lifecycle.register(RequestRunner.create(get(linksToken), get(routerToken), clock)),
 		protocol: ports.callers,
 		makePreparer: ask => Preparer.create(preparerOptions(), ask),
-		likelyHall: (pool, prefixHash) => get(routerToken).likelyHall(pool, prefixHash),
+		likelyHall: (stage, nowMs) => get(routerToken).likelyHall(stage, nowMs),
 		clock,
 		random: get(randomToken),
 		log: logOf('requests'),
@@ -233,6 +244,8 @@
 	lifecycle.register(setRepeating(clock, () => sweepMs, () => {
 		get(serverRegistryToken).tick(clock.nowMs());
 	}));
+	// Made at once, so that peers' news are heard before the first request.
+	get(promptNewsToken);
 	return DirectEntry.create({
 		settings,
 		lifecycle,
--- a/src/direct/common/caller-protocol.ts
+++ b/src/direct/common/caller-protocol.ts
@@ -12,8 +12,8 @@
 	readonly key: string | undefined;
 	/** Headers that go on to the upstream as they came. */
 	readonly passedHeaders: readonly Header[];
-	/** Names of the parts of the prompt that other requests may have in common, first to last. */
-	readonly sharedParts: readonly string[];
+	/** Parts of the prompt, first to last; the last one is the request's own or its session's. */
+	readonly promptParts: ReadonlyArray<{readonly id: string; readonly tokens: number}>;
 	/** Pieces of each step of preparation. */
 	readonly pieceCounts: readonly number[];
 	/** What the first steps work on. */
--- a/src/direct/common/direct-plan.ts
+++ b/src/direct/common/direct-plan.ts
@@ -1,7 +1,7 @@
 /** The plan of a request that goes straight to upstreams: one stage, with the route's bounds. */
-import {hashText} from '../../base/common/hash.js';
 import type {Random} from '../../base/common/random.js';
 import {routeKinds, type Route} from '../../deployment/common/declaration.js';
+import {makePrompt} from '../../routing/common/engine-loads.js';
 import {directRules} from '../../request/common/attempt-rules.js';
 import type {RequestPlan} from '../../request/common/request-plan.js';
 import {policyDefaults, type EffectivePolicy} from '../../settings/common/schema.js';
@@ -25,7 +25,7 @@
 	readonly pool: string;
 	readonly engineSlots: number | undefined;
 	readonly http: HttpCall;
-	readonly sharedParts: readonly string[];
+	readonly promptParts: ReadonlyArray<{readonly id: string; readonly tokens: number}>;
 	readonly needsPreparation: boolean;
 	readonly remainingMs: number | undefined;
 };
@@ -80,6 +80,7 @@
 			budgetKey: ask.pool,
 			policy,
 			...(isRepeatable && !isStreaming && {targetMs: route.targetMs}),
+			...(ask.promptParts.length > 0 && {prompt: makePrompt(ask.promptParts)}),
 		}],
 		policy,
 		isRepeatable,
@@ -93,7 +94,7 @@
 		giveUpMs: deadlineMs,
 		input: new Uint8Array(0),
 		http: ask.http,
-		prefixHash: ask.sharedParts.length === 0 ? 0 : hashText(ask.sharedParts.join(',')),
+		prefixHash: 0,
 		seed: 0,
 	};
 }
--- a/src/direct/common/direct-router.ts
+++ b/src/direct/common/direct-router.ts
@@ -8,6 +8,7 @@
 	makeCandidateSet, type Candidate, type Choice, type UpstreamChooser,
 } from '../../routing/common/chooser.js';
 import {medianSlownessOf, OutlierDetector, type OutlierOptions} from '../../routing/common/outlier-detector.js';
+import type {EngineLoads, PromptPart} from '../../routing/common/engine-loads.js';
 import {rendezvousOrder} from '../../routing/common/rendezvous.js';
 import {ServerSigns} from '../../routing/common/server-signs.js';
 import {StageEstimates} from '../../routing/common/stage-estimates.js';
@@ -23,8 +24,8 @@
 /** First while without new work after a connection failed; a restarted server is listed anew sooner than this doubles. */
 const unreachableMs = 400;
 const longestUnreachableMs = 4000;
-/** Requests of this host that may wait for their first token at an engine before the next one in order is taken. */
-const mostWaitingForFirst = 2;
+/** Time to the first token besides reading the prompt: fetching results, one step, the way there and back. */
+const engineOverheadMs = 30;
 /** A repeatable plain call is sent a second time after this share of its target, or when it is unusually slow. */
 const hedgeTargetShare = 0.5;
 const hedgeSlowFactor = 1.3;
@@ -45,6 +46,9 @@
 	/** Hosts that share the budget of repeats. */
 	readonly hostCount: () => number;
 	readonly newDispatchId: () => string;
+	readonly engines: EngineLoads;
+	/** A prompt was sent to an engine: peers reckon with it too. */
+	readonly assigned: (serverId: string, prompt: readonly PromptPart[]) => void;
 };
 
 type Known = {readonly candidate: Candidate; readonly signs: ServerSigns};
@@ -56,6 +60,8 @@
 	}
 
 	private readonly known = new Map<string, Known>();
+	/** Time to the first token that was reckoned with at the send of an attempt, on an engine of usual speed. */
+	private readonly predicted = new Map<string, number>();
 	private readonly budgets = new Map<string, WindowedBudget>();
 	private readonly answerTimes = StageEstimates.create();
 	private readonly outliers = OutlierDetector.create(outlierOptions);
@@ -64,18 +70,20 @@
 		options.registry.onDidChange(({server, change}) => {
 			if (change === 'gone') {
 				this.known.delete(server.serverId);
+				options.engines.forget(server.serverId);
 			}
 		});
 	}
 
-	choose(stage: StagePlan, excluded: ReadonlySet<string>, prefixHash: number, nowMs: number): Choice | undefined {
+	choose(stage: StagePlan, excluded: ReadonlySet<string>, _prefixHash: number, nowMs: number): Choice | undefined {
 		const candidates = this.usable(stage, excluded, nowMs);
 		if (candidates.length === 0) {
 			return undefined;
 		}
 
-		if (prefixHash !== 0) {
-			return this.chooseByPrefix(candidates, prefixHash);
+		const byPrompt = this.chooseByPrompt(stage, candidates, nowMs);
+		if (byPrompt) {
+			return {chosen: byPrompt, scored: []};
 		}
 
 		return this.options.chooser.choose(makeCandidateSet(candidates), {
@@ -120,6 +128,13 @@
 			known.signs.sent(dispatchId, nowMs);
 		}
 
+		if (stage.prompt && known) {
+			const slowness = known.candidate.stats.slowness ?? 1;
+			this.predicted.set(dispatchId, this.options.engines.estimate(upstreamId, stage.prompt, slowness, nowMs).firstMs / slowness);
+			this.options.engines.assign(upstreamId, stage.prompt, slowness, nowMs);
+			this.options.assigned(upstreamId, stage.prompt);
+		}
+
 		if (kind === 'first') {
 			this.budgetOf(stage.pool).countFirst(nowMs);
 		}
@@ -128,6 +143,8 @@
 	didEnd(stage: StagePlan, attempt: Attempt, nowMs: number): void {
 		const {upstreamId, dispatchId} = attempt.options;
 		const known = this.known.get(upstreamId);
+		const predictedMs = this.predicted.get(dispatchId);
+		this.predicted.delete(dispatchId);
 		if (!known) {
 			return;
 		}
@@ -151,7 +168,7 @@
 		}
 
 		if (attempt.state !== attemptStates.notRun) {
-			const usualMs = this.answerTimes.typicalMs(stage.key) ?? defaultAnswerMs;
+			const usualMs = predictedMs === undefined ? this.answerTimes.typicalMs(stage.key) ?? defaultAnswerMs : predictedMs + engineOverheadMs;
 			candidate.stats.observeEnd(tookMs, usualMs, isFailure);
 			const peers = this.candidatesOf(stage.pool, nowMs);
 			this.outliers.observe(candidate, peers, medianSlownessOf(peers), nowMs);
@@ -167,15 +184,13 @@
 	}
 
 	/**
-	Tells where a request with a shared part will most likely run.
-	@param pool - the pool.
-	@param prefixHash - the shared part; 0 is none.
+	Tells where a request with a prompt will most likely run.
+	@param stage - its stage.
+	@param nowMs - the time.
 	@returns the data hall, or an empty text where it can't be told.
 	*/
-	likelyHall(pool: string, prefixHash: number): string {
-		const servers = this.options.registry.usable(pool);
-		const [first] = prefixHash === 0 ? [] : rendezvousOrder(String(prefixHash), servers, server => server.serverId);
-		return first?.hall ?? '';
+	likelyHall(stage: StagePlan, nowMs: number): string {
+		return this.chooseByPrompt(stage, this.usable(stage, new Set(), nowMs), nowMs)?.hall ?? '';
 	}
 
 	/**
@@ -201,19 +216,16 @@
 		return signs.isAvoided(nowMs) || signs.silentMs(nowMs) > Math.max(fewestSilentMs, usualMs * silentAnswers);
 	}
 
-	/** The same first choice on every host; the next in order where too many wait for their first token. */
-	private chooseByPrefix(candidates: readonly Candidate[], prefixHash: number): Choice {
-		const ordered = rendezvousOrder(String(prefixHash), candidates, candidate => candidate.upstreamId);
-		const waitingAt = (candidate: Candidate) => this.known.get(candidate.upstreamId)!.signs.waiting;
-		const free = ordered.find(candidate => waitingAt(candidate) < mostWaitingForFirst);
-		let least = ordered[0];
-		for (const candidate of ordered) {
-			if (waitingAt(candidate) < waitingAt(least)) {
-				least = candidate;
-			}
+	/** The engine that gives the first token soonest, with what it costs to read shared parts again. */
+	private chooseByPrompt({prompt}: StagePlan, candidates: readonly Candidate[], nowMs: number): Candidate | undefined {
+		if (!prompt) {
+			return undefined;
 		}
 
-		return {chosen: free ?? least, scored: []};
+		// What other requests may share comes before the last part.
+		const shared = prompt.at(-2) ?? prompt[0];
+		const ordered = rendezvousOrder(String(shared.key), candidates, candidate => candidate.upstreamId);
+		return this.options.engines.best(ordered, prompt, ({stats}) => stats.slowness ?? 1, nowMs);
 	}
 
 	private candidatesOf(pool: string, nowMs: number): readonly Candidate[] {
--- a/src/direct/node/ingress.ts
+++ b/src/direct/node/ingress.ts
@@ -14,6 +14,7 @@
 import type {DeploymentIndex} from '../../deployment/common/deployment-index.js';
 import {pairHeaders} from '../../deployment/common/hop-headers.js';
 import type {Preparer, PreparationAsk} from '../../preparation/node/preparer.js';
+import type {StagePlan} from '../../request/common/request-plan.js';
 import type {RequestRunner} from '../../request/node/request-runner.js';
 import type {Endpoint} from '../../wire/node/wire-server.js';
 import type {CallerAsk, CallerProtocol} from '../common/caller-protocol.js';
@@ -38,7 +39,7 @@
 	readonly protocol: CallerProtocol;
 	readonly makePreparer: (ask: PreparationAsk) => Preparer;
 	/** Tells where a request with a shared part will most likely run. */
-	readonly likelyHall: (pool: string, prefixHash: number) => string;
+	readonly likelyHall: (stage: StagePlan, nowMs: number) => string;
 	readonly clock: Clock;
 	readonly random: Random;
 	readonly log: Logger;
@@ -208,14 +209,14 @@
 			http: {
 				kind: 'http', method: request.method ?? 'GET', path: request.url ?? '/', headers: [...ask.passedHeaders], body,
 			},
-			sharedParts: route.hasAffinity ? ask.sharedParts : [],
+			promptParts: route.hasAffinity ? ask.promptParts : [],
 			needsPreparation,
 			remainingMs: ask.remainingMs,
 		}, receivedMs);
 		const preparer = needsPreparation
 			? makePreparer({
 				requestId, callerRequestId: ask.requestId, route, pieceCounts: ask.pieceCounts, pieceKey: ask.pieceKey,
-				rank: workspace?.rank ?? route.rank, targetMs: receivedMs + route.targetMs, deadlineMs: plan.deadlineMs, hall: likelyHall(pool, plan.prefixHash),
+				rank: workspace?.rank ?? route.rank, targetMs: receivedMs + route.targetMs, deadlineMs: plan.deadlineMs, hall: likelyHall(plan.stages[0], receivedMs),
 			})
 			: undefined;
 		this.openIds.add(requestId);
--- /dev/null
+++ b/src/direct/node/prompt-news.ts
@@ -0,0 +1,55 @@
+/** Tells peers which prompts this host sent to which engines, and takes in what they tell. */
+import type {Clock} from '../../base/common/clock.js';
+import type {Disposable} from '../../base/common/disposable.js';
+import type {PeerMesh} from '../../peers/node/peer-mesh.js';
+import type {EngineLoads, PromptPart} from '../../routing/common/engine-loads.js';
+import type {PromptsSentMessage} from '../../wire/common/messages.js';
+
+/** How long news are gathered: short against the time a prompt is read. */
+const gatherMs = 10;
+/** Peers know nothing of how slow this host finds an engine; they reckon with the usual. */
+const usualSlowness = 1;
+
+/** What the news are made of. */
+export type PromptNewsOptions = {readonly mesh: PeerMesh; readonly engines: EngineLoads; readonly clock: Clock};
+
+/** Exchanges sends of prompts. */
+export class PromptNews implements Disposable {
+	static create(options: PromptNewsOptions): PromptNews {
+		return new PromptNews(options);
+	}
+
+	private prompts: PromptsSentMessage['prompts'] = [];
+	private timer: Disposable | undefined;
+	private readonly listener: Disposable;
+
+	private constructor(private readonly options: PromptNewsOptions) {
+		const {mesh, engines, clock} = options;
+		this.listener = mesh.onDidReceive(({message}) => {
+			if (message.type === 'promptsSent') {
+				for (const {serverId, parts} of message.prompts) {
+					engines.assign(serverId, parts, usualSlowness, clock.nowMs());
+				}
+			}
+		});
+	}
+
+	/**
+	A prompt was sent.
+	@param serverId - the engine.
+	@param prompt - its parts.
+	*/
+	add(serverId: string, prompt: readonly PromptPart[]): void {
+		this.prompts.push({serverId, parts: [...prompt]});
+		this.timer ??= this.options.clock.setTimer(gatherMs, () => {
+			this.timer = undefined;
+			this.options.mesh.broadcast({type: 'promptsSent', prompts: this.prompts});
+			this.prompts = [];
+		});
+	}
+
+	dispose(): void {
+		this.listener.dispose();
+		this.timer?.dispose();
+	}
+}
--- a/src/peers/node/peer-mesh.ts
+++ b/src/peers/node/peer-mesh.ts
@@ -118,6 +118,13 @@
 		return false;
 	}
 
+	/** Sends to every peer. */
+	broadcast(message: Message): void {
+		for (const hostId of this.peers.keys()) {
+			this.send(hostId, message);
+		}
+	}
+
 	/** Tells all peers at once what this host has in force. */
 	announce(): void {
 		const beat = this.makeBeat();
--- a/src/request/common/request-plan.ts
+++ b/src/request/common/request-plan.ts
@@ -1,5 +1,6 @@
 /** What one request is to do, and how it ended. */
 import type {EffectivePolicy, StageKind} from '../../settings/common/schema.js';
+import type {PromptPart} from '../../routing/common/engine-loads.js';
 import type {AttemptRules} from './attempt-rules.js';
 import type {Header, HttpCall} from '../../wire/common/messages.js';
 
@@ -18,6 +19,8 @@
 	readonly policy: EffectivePolicy;
 	/** Time within which an answer is worth most, where the stage has a target of its own. */
 	readonly targetMs?: number;
+	/** Parts of the prompt a model engine reads, where it says them. */
+	readonly prompt?: readonly PromptPart[];
 };
 
 /** Status and headers of an answer. */
--- /dev/null
+++ b/src/routing/common/engine-loads.ts
@@ -0,0 +1,151 @@
+/**
+What each model engine has still to read and which parts of prompts it keeps, as far as sends tell: this
+host's own and those that peers tell of. An estimate that runs down by itself; nothing is asked of the engines.
+*/
+import {hashText} from '../../base/common/hash.js';
+
+/** A part of a prompt; its key covers the parts before it, since a part is kept only behind the same ones. */
+export type PromptPart = {readonly key: number; readonly tokens: number};
+
+/** Tokens of a prompt an engine reads in a millisecond: what the users' sheets say of all their engines. */
+const tokensPerMs = 61;
+/**
+What reading a shared part again counts for, in milliseconds a token: again 13,000 tokens cost a third of
+what the dearest requests earn, as much as a wait of 400 ms that makes one in three of them late.
+*/
+const rereadMsPerToken = 0.03;
+/** After this long a part counts as kept only by luck, and reading it again is not priced any more. */
+const keptMs = 60_000;
+const mostParts = 30_000;
+/** Between engines that are alike, all hosts take the same one for a new part. */
+const orderStepMs = 3;
+
+/**
+Makes the parts of a prompt.
+@param parts - names and sizes, in order.
+*/
+export function makePrompt(parts: ReadonlyArray<{readonly id: string; readonly tokens: number}>): PromptPart[] {
+	let key = 0;
+	return parts.map(({id, tokens}) => {
+		key = hashText(id, key);
+		return {key, tokens};
+	});
+}
+
+/** What sending a prompt to an engine would mean. */
+export type PromptEstimate = {
+	/** Until the first token, about. */
+	readonly firstMs: number;
+	/** The same with what reading shared parts again costs. */
+	readonly scoreMs: number;
+};
+
+/** Follows all engines of a deployment. */
+export class EngineLoads {
+	static create(): EngineLoads {
+		return new EngineLoads();
+	}
+
+	/** When each engine will have read what it was sent. */
+	private readonly busyUntilMs = new Map<string, number>();
+	/** Who keeps a part, and since when it was last used there; the parts used longest ago come first. */
+	private readonly keepers = new Map<number, Map<string, number>>();
+
+	/**
+	A prompt was sent to an engine, by this host or a peer.
+	@param serverId - the engine.
+	@param prompt - its parts.
+	@param slowness - of the engine; 1 is usual.
+	@param nowMs - the time.
+	*/
+	assign(serverId: string, prompt: readonly PromptPart[], slowness: number, nowMs: number): void {
+		const readMs = (this.unreadTokens(serverId, prompt, nowMs) / tokensPerMs) * slowness;
+		this.busyUntilMs.set(serverId, Math.max(nowMs, this.busyUntilMs.get(serverId) ?? 0) + readMs);
+		for (const {key} of prompt) {
+			const keepers = this.keepers.get(key) ?? new Map<string, number>();
+			keepers.set(serverId, nowMs);
+			this.keepers.delete(key);
+			this.keepers.set(key, keepers);
+		}
+
+		while (this.keepers.size > mostParts) {
+			const [oldest] = this.keepers.keys();
+			this.keepers.delete(oldest);
+		}
+	}
+
+	/**
+	Estimates what sending a prompt to an engine would mean.
+	@param serverId - the engine.
+	@param prompt - its parts.
+	@param slowness - of the engine.
+	@param nowMs - the time.
+	*/
+	estimate(serverId: string, prompt: readonly PromptPart[], slowness: number, nowMs: number): PromptEstimate {
+		const unread = this.unreadTokens(serverId, prompt, nowMs);
+		const waitMs = Math.max(0, (this.busyUntilMs.get(serverId) ?? 0) - nowMs);
+		const firstMs = waitMs + ((unread / tokensPerMs) * slowness);
+		return {firstMs, scoreMs: firstMs + (this.rereadTokens(serverId, prompt, nowMs) * rereadMsPerToken)};
+	}
+
+	/**
+	Orders engines for a prompt.
+	@param servers - the engines, in the order all hosts give them for this prompt.
+	@param prompt - its parts.
+	@param slownessOf - tells how slow an engine is.
+	@param nowMs - the time.
+	@returns the best one, or nothing where there are none.
+	*/
+	best<T extends {readonly upstreamId: string}>(servers: readonly T[], prompt: readonly PromptPart[], slownessOf: (server: T) => number, nowMs: number): T | undefined {
+		let best: T | undefined;
+		let bestMs = Infinity;
+		for (const [index, server] of servers.entries()) {
+			const scoreMs = this.estimate(server.upstreamId, prompt, slownessOf(server), nowMs).scoreMs + (index * orderStepMs);
+			if (scoreMs < bestMs) {
+				bestMs = scoreMs;
+				best = server;
+			}
+		}
+
+		return best;
+	}
+
+	/**
+	An engine is gone, and what it kept with it.
+	@param serverId - the engine.
+	*/
+	forget(serverId: string): void {
+		this.busyUntilMs.delete(serverId);
+		for (const keepers of this.keepers.values()) {
+			keepers.delete(serverId);
+		}
+	}
+
+	private isKept(serverId: string, {key}: PromptPart, nowMs: number): boolean {
+		const usedMs = this.keepers.get(key)?.get(serverId);
+		return usedMs !== undefined && nowMs - usedMs < keptMs;
+	}
+
+	/** Everything from the first part on that the engine does not keep. */
+	private unreadTokens(serverId: string, prompt: readonly PromptPart[], nowMs: number): number {
+		let sum = 0;
+		let isMissing = false;
+		for (const part of prompt) {
+			isMissing ||= !this.isKept(serverId, part, nowMs);
+			sum += isMissing ? part.tokens : 0;
+		}
+
+		return sum;
+	}
+
+	/** What another engine keeps and this one would read again. */
+	private rereadTokens(serverId: string, prompt: readonly PromptPart[], nowMs: number): number {
+		let sum = 0;
+		for (const part of prompt) {
+			const isKeptElsewhere = [...this.keepers.get(part.key)?.keys() ?? []].some(other => this.isKept(other, part, nowMs));
+			sum += isKeptElsewhere && !this.isKept(serverId, part, nowMs) ? part.tokens : 0;
+		}
+
+		return sum;
+	}
+}
--- a/src/wire/common/messages.ts
+++ b/src/wire/common/messages.ts
@@ -224,6 +224,13 @@
 /** What a peer has in force, as JSON texts. */
 const stateReplySchema = z.strictObject({type: z.literal('stateReply'), deployment: z.string().optional(), servers: z.string().optional()});
 
+/** Prompts that the sender has sent to model engines: what these still have to read, and what they will keep. */
+const promptsSentSchema = z.strictObject({
+	type: z.literal('promptsSent'),
+	prompts: z.array(z.strictObject({serverId: id, parts: z.array(z.strictObject({key: count, tokens: count})).max(64)})).max(10_000),
+});
+export type PromptsSentMessage = z.infer<typeof promptsSentSchema>;
+
 /** Pieces of one step of one request, for the batches of a pool that the receiver keeps. */
 const batchWorkSchema = z.strictObject({
 	type: z.literal('batchWork'),
@@ -282,6 +289,7 @@
 	peerBeatSchema,
 	stateRequestSchema,
 	stateReplySchema,
+	promptsSentSchema,
 	batchWorkSchema,
 	batchEndsSchema,
 	batchCancelSchema,
