Let work go first whose prompt takes long to read

Change: what a step is due by counts back from the first token that is reckoned with for this prompt.

--- a/src/daemon/node/compose-direct-entry.ts
+++ b/src/daemon/node/compose-direct-entry.ts
@@ -225,7 +225,7 @@
 		runner: lifecycle.register(RequestRunner.create(get(linksToken), get(routerToken), clock)),
 		protocol: ports.callers,
 		makePreparer: ask => Preparer.create(preparerOptions(), ask),
-		likelyHall: (stage, nowMs) => get(routerToken).likelyHall(stage, nowMs),
+		likelyPlace: (stage, nowMs) => get(routerToken).likelyPlace(stage, nowMs),
 		clock,
 		random: get(randomToken),
 		log: logOf('requests'),
--- a/src/direct/common/direct-router.ts
+++ b/src/direct/common/direct-router.ts
@@ -51,6 +51,9 @@
 	readonly assigned: (serverId: string, prompt: readonly PromptPart[]) => void;
 };
 
+/** Where a request will most likely run, and how soon its first token comes once it is sent. */
+export type LikelyPlace = {readonly hall: string; readonly firstMs: number};
+
 type Known = {readonly candidate: Candidate; readonly signs: ServerSigns};
 
 /** Chooses servers for one host. */
@@ -187,10 +190,16 @@
 	Tells where a request with a prompt will most likely run.
 	@param stage - its stage.
 	@param nowMs - the time.
-	@returns the data hall, or an empty text where it can't be told.
+	@returns the data hall, empty where it can't be told, and the time to the first token, about.
 	*/
-	likelyHall(stage: StagePlan, nowMs: number): string {
-		return this.chooseByPrompt(stage, this.usable(stage, new Set(), nowMs), nowMs)?.hall ?? '';
+	likelyPlace(stage: StagePlan, nowMs: number): LikelyPlace {
+		const candidate = this.chooseByPrompt(stage, this.usable(stage, new Set(), nowMs), nowMs);
+		if (!candidate || !stage.prompt) {
+			return {hall: '', firstMs: this.answerTimes.typicalMs(stage.key) ?? defaultAnswerMs};
+		}
+
+		const {firstMs} = this.options.engines.estimate(candidate.upstreamId, stage.prompt, candidate.stats.slowness ?? 1, nowMs);
+		return {hall: candidate.hall, firstMs: firstMs + engineOverheadMs};
 	}
 
 	/**
--- a/src/direct/node/ingress.ts
+++ b/src/direct/node/ingress.ts
@@ -19,6 +19,7 @@
 import type {Endpoint} from '../../wire/node/wire-server.js';
 import type {CallerAsk, CallerProtocol} from '../common/caller-protocol.js';
 import {choosePool, makeDirectPlan} from '../common/direct-plan.js';
+import type {LikelyPlace} from '../common/direct-router.js';
 import type {DirectLinks} from './direct-links.js';
 import {sendOwn} from './pass-through-writer.js';
 import {ServedRequest} from './served-request.js';
@@ -39,7 +40,7 @@
 	readonly protocol: CallerProtocol;
 	readonly makePreparer: (ask: PreparationAsk) => Preparer;
 	/** Tells where a request with a shared part will most likely run. */
-	readonly likelyHall: (stage: StagePlan, nowMs: number) => string;
+	readonly likelyPlace: (stage: StagePlan, nowMs: number) => LikelyPlace;
 	readonly clock: Clock;
 	readonly random: Random;
 	readonly log: Logger;
@@ -195,7 +196,7 @@
 	// eslint-disable-next-line max-params
 	private start(request: IncomingMessage, response: ServerResponse, admitted: Admitted, body: Uint8Array, receivedMs: number): void {
 		const {index, route, workspace, ask} = admitted;
-		const {clock, random, links, runner, log, metrics, makePreparer, likelyHall} = this.options;
+		const {clock, random, links, runner, log, metrics, makePreparer, likelyPlace} = this.options;
 		const requestId = this.idFor(ask.requestId);
 		const pool = choosePool(route, random);
 		const needsPreparation = route.steps.length > 0 && ask.pieceCounts.some(count => count > 0);
@@ -216,7 +217,7 @@
 		const preparer = needsPreparation
 			? makePreparer({
 				requestId, callerRequestId: ask.requestId, route, pieceCounts: ask.pieceCounts, pieceKey: ask.pieceKey,
-				rank: workspace?.rank ?? route.rank, targetMs: receivedMs + route.targetMs, deadlineMs: plan.deadlineMs, hall: likelyHall(plan.stages[0], receivedMs),
+				rank: workspace?.rank ?? route.rank, targetMs: receivedMs + route.targetMs, deadlineMs: plan.deadlineMs, ...placeOf(likelyPlace(plan.stages[0], receivedMs)),
 			})
 			: undefined;
 		this.openIds.add(requestId);
@@ -239,6 +240,10 @@
 	}
 }
 
+function placeOf({hall, firstMs}: LikelyPlace) {
+	return {hall, afterwardsMs: firstMs};
+}
+
 async function listen(server: Server, endpoint: Endpoint): Promise<Endpoint> {
 	return new Promise((resolve, reject) => {
 		server.once('error', error => {
--- a/src/preparation/node/preparer.test.ts
+++ b/src/preparation/node/preparer.test.ts
@@ -30,7 +30,7 @@
 	return Preparer.create({
 		desk, board: DeploymentBoard.create(log), registry, clock: ManualClock.create(), log,
 	}, {
-		requestId: 'r', callerRequestId: 'r', route, pieceCounts: [2, 1], pieceKey: 'k', rank: 0, targetMs: 1000, deadlineMs: 5000, hall: '',
+		requestId: 'r', callerRequestId: 'r', route, pieceCounts: [2, 1], pieceKey: 'k', rank: 0, targetMs: 1000, deadlineMs: 5000, hall: '', afterwardsMs: 100,
 	});
 }
 
--- a/src/preparation/node/preparer.ts
+++ b/src/preparation/node/preparer.ts
@@ -14,8 +14,6 @@
 
 /** Pieces of one request that may fail before the request is given up. */
 const mostFailures = 6;
-/** Time a request still needs once its work is done: reading the prompt and the first token. */
-const afterwardsMs = 250;
 /** A caller waits for its first event this many times the target before it leaves; kept one short of what the users say. */
 const patienceTargets = 3;
 const usualRetryAfterMs = 400;
@@ -33,6 +31,8 @@
 	readonly deadlineMs: number;
 	/** Data hall of the upstream that will read the results; empty where it is not known. */
 	readonly hall: string;
+	/** Time to the first token once the work is done, about. */
+	readonly afterwardsMs: number;
 };
 
 /** What preparers are made of. */
@@ -108,7 +108,7 @@
 		const step = ask.route.steps[work.step];
 		this.works++;
 		const workId = `${ask.requestId}/${this.works}`;
-		const dueMs = ask.targetMs - afterwardsMs - this.laterStepsMs(work.step);
+		const dueMs = ask.targetMs - ask.afterwardsMs - this.laterStepsMs(work.step);
 		this.openWorks.add(workId);
 		let open = work.pieces.length;
 		this.options.desk.submit({
