--- a/src/base/node/bounded-output.ts
+++ b/src/base/node/bounded-output.ts
@@ -53,7 +53,9 @@
 
 		this.tokens--;
 		if (this.dropped > 0) {
-			this.target.write(`${JSON.stringify({level: 'warn', part: 'logs', message: 'Lines were dropped.', count: this.dropped})}\n`);
+			this.target.write(`${JSON.stringify({
+				level: 'warn', part: 'logs', message: 'Lines were dropped.', count: this.dropped,
+			})}\n`);
 			this.dropped = 0;
 		}
 
--- a/src/daemon/node/compose-direct-entry.ts
+++ b/src/daemon/node/compose-direct-entry.ts
@@ -225,6 +225,7 @@
 		runner: lifecycle.register(RequestRunner.create(get(linksToken), get(routerToken), clock)),
 		protocol: ports.callers,
 		makePreparer: ask => Preparer.create(preparerOptions(), ask),
+		waits: get(batchDeskToken),
 		likelyPlace: (stage, nowMs) => get(routerToken).likelyPlace(stage, nowMs),
 		clock,
 		random: get(randomToken),
--- a/src/deployment/common/deployment-board.ts
+++ b/src/deployment/common/deployment-board.ts
@@ -49,7 +49,9 @@
 
 		const before = this.version;
 		this.index = DeploymentIndex.create(deployment);
-		this.log.info('A new version of the declaration is in force.', {version: deployment.version, before, source, routes: deployment.routes.length});
+		this.log.info('A new version of the declaration is in force.', {
+			version: deployment.version, before, source, routes: deployment.routes.length,
+		});
 		this.didChange.fire(this.index);
 		return true;
 	}
--- a/src/deployment/common/deployment-index.ts
+++ b/src/deployment/common/deployment-index.ts
@@ -1,5 +1,7 @@
 /** A declaration prepared for look-ups: the route of a path, the workspace of a key, the pool of a name. */
-import type {Deployment, PoolDeclaration, Route, WorkspaceDeclaration} from './declaration.js';
+import type {
+	Deployment, PoolDeclaration, Route, WorkspaceDeclaration,
+} from './declaration.js';
 
 /** One version of the declaration, ready to be asked. */
 export class DeploymentIndex {
--- a/src/deployment/common/server-registry.ts
+++ b/src/deployment/common/server-registry.ts
@@ -160,7 +160,9 @@
 		this.views = new Map();
 		if (!known || known.isLeaving !== isLeaving) {
 			const change = isLeaving ? 'leaving' : 'joined';
-			this.log.info('A server is listed.', {server: server.serverId, pool: server.pool, hall: server.hall, change, revision: this.listRevision});
+			this.log.info('A server is listed.', {
+				server: server.serverId, pool: server.pool, hall: server.hall, change, revision: this.listRevision,
+			});
 			this.didChange.fire({server, change});
 		}
 	}
@@ -179,7 +181,9 @@
 		if (server) {
 			this.servers.delete(serverId);
 			this.views = new Map();
-			this.log.info('A server is gone.', {server: serverId, pool: server.pool, reason, revision: this.listRevision});
+			this.log.info('A server is gone.', {
+				server: serverId, pool: server.pool, reason, revision: this.listRevision,
+			});
 			this.didChange.fire({server, change: 'gone'});
 		}
 	}
--- a/src/deployment/node/feed-follower.ts
+++ b/src/deployment/node/feed-follower.ts
@@ -77,11 +77,7 @@
 				return;
 			}
 
-			if (read.ok) {
-				await this.take(read.value);
-			} else {
-				await this.fail(read.error);
-			}
+			await (read.ok ? this.take(read.value) : this.fail(read.error));
 		}
 	}
 
--- a/src/direct/node/direct-links.ts
+++ b/src/direct/node/direct-links.ts
@@ -8,8 +8,8 @@
 import type {UpstreamLinks, UpstreamMessage} from '../../request/common/upstream-links.js';
 import {refusalReasons, type DispatchMessage, type Message} from '../../wire/common/messages.js';
 import type {UpstreamProtocol} from '../common/upstream-protocol.js';
-import {DirectCall} from './direct-call.js';
 import {LanePool} from '../../deployment/node/lane.js';
+import {DirectCall} from './direct-call.js';
 
 /** What the links need to know of a request besides its dispatches. */
 export type RequestFacts = {
@@ -155,7 +155,7 @@
 			emit: event => {
 				this.receive(server, event);
 			},
-			reached: eventId => {
+			reached(eventId) {
 				facts.resumeAfter = eventId;
 			},
 			ended: () => {
@@ -169,7 +169,7 @@
 		});
 		try {
 			lane.dispatch({
-				method: call.method as 'GET',
+				method: call.method,
 				path: call.path,
 				headers: headers.flatMap(({name, value}) => [name, value]),
 				body: call.body.byteLength > 0 ? call.body : null,
--- a/src/direct/node/ingress.ts
+++ b/src/direct/node/ingress.ts
@@ -13,6 +13,7 @@
 import type {DeploymentBoard} from '../../deployment/common/deployment-board.js';
 import type {DeploymentIndex} from '../../deployment/common/deployment-index.js';
 import {pairHeaders} from '../../deployment/common/hop-headers.js';
+import {admit, type PoolWaits} from '../../preparation/common/admission.js';
 import type {Preparer, PreparationAsk} from '../../preparation/node/preparer.js';
 import type {StagePlan} from '../../request/common/request-plan.js';
 import type {RequestRunner} from '../../request/node/request-runner.js';
@@ -41,6 +42,8 @@
 	readonly makePreparer: (ask: PreparationAsk) => Preparer;
 	/** Tells where a request with a shared part will most likely run. */
 	readonly likelyPlace: (stage: StagePlan, nowMs: number) => LikelyPlace;
+	/** Waits of the queues for steps. */
+	readonly waits: PoolWaits;
 	readonly clock: Clock;
 	readonly random: Random;
 	readonly log: Logger;
@@ -156,7 +159,9 @@
 		const ask = this.options.protocol.read(pairHeaders(request.rawHeaders), index?.hasKeys ?? true);
 		const {requestId} = ask;
 		if (!index) {
-			return {requestId, status: statuses.unavailable, reason: 'this host knows no declaration yet', retryAfterMs: comeBackMs};
+			return {
+				requestId, status: statuses.unavailable, reason: 'this host knows no declaration yet', retryAfterMs: comeBackMs,
+			};
 		}
 
 		if (headBytesOf(request) > index.deployment.limits.maxHeaderBytes) {
@@ -214,10 +219,27 @@
 			needsPreparation,
 			remainingMs: ask.remainingMs,
 		}, receivedMs);
+		const place = likelyPlace(plan.stages[0], receivedMs);
+		const rank = workspace?.rank ?? route.rank;
+		if (needsPreparation) {
+			const admission = admit({
+				index, route, pieceCounts: ask.pieceCounts, rank, afterwardsMs: place.firstMs, remainingMs: ask.remainingMs, chance: random.next(),
+			}, this.options.waits);
+			if (!admission.isAdmitted) {
+				const {predictedMs, retryAfterMs} = admission;
+				log.info('A request was refused at the door: its steps would wait too long.', {
+					request: ask.requestId, route: route.name, rank, predictedMs: Math.round(predictedMs), targetMs: route.targetMs, retryAfterMs: Math.round(retryAfterMs),
+				});
+				metrics.increment('requests.refusedAtDoor', 1, {route: route.name});
+				sendOwn(response, statuses.unavailable, 'Not run: the queues before it are too long', retryAfterMs);
+				return;
+			}
+		}
+
 		const preparer = needsPreparation
 			? makePreparer({
 				requestId, callerRequestId: ask.requestId, route, pieceCounts: ask.pieceCounts, pieceKey: ask.pieceKey,
-				rank: workspace?.rank ?? route.rank, targetMs: receivedMs + route.targetMs, deadlineMs: plan.deadlineMs, ...placeOf(likelyPlace(plan.stages[0], receivedMs)),
+				rank, targetMs: receivedMs + route.targetMs, deadlineMs: plan.deadlineMs, hall: place.hall, afterwardsMs: place.firstMs,
 			})
 			: undefined;
 		this.openIds.add(requestId);
@@ -240,10 +262,6 @@
 	}
 }
 
-function placeOf({hall, firstMs}: LikelyPlace) {
-	return {hall, afterwardsMs: firstMs};
-}
-
 async function listen(server: Server, endpoint: Endpoint): Promise<Endpoint> {
 	return new Promise((resolve, reject) => {
 		server.once('error', error => {
--- a/src/direct/node/served-request.ts
+++ b/src/direct/node/served-request.ts
@@ -53,7 +53,7 @@
 				this.preparedMs = clock.nowMs() - plan.startMs;
 				return prepared;
 			},
-			deliver: (_units, data, http) => {
+			deliver: async (_units, data, http) => {
 				if (this.firstMs === 0) {
 					this.firstMs = clock.nowMs() - plan.startMs;
 					// The upstream has read them before its first event.
--- a/src/entry/node/callers-api.ts
+++ b/src/entry/node/callers-api.ts
@@ -13,6 +13,7 @@
 import type {Accounting} from '../common/accounting.js';
 import {Planner} from '../common/planner.js';
 import {problemOf, type Problem} from '../common/problems.js';
+import type {RequestRunner} from '../../request/node/request-runner.js';
 import {AnswerWriter} from './answer-writer.js';
 import {
 	checkJsonBody, passedHeaders, readCallerHeaders, type CallerHeaders,
@@ -20,7 +21,6 @@
 import {
 	attachApp, hasToken, makeApp, readBody, sendJson, sendProblem,
 } from './http-common.js';
-import type {RequestRunner} from '../../request/node/request-runner.js';
 
 /** Clocks of hosts may differ by this much when a claim's end is judged. */
 const clockMarginMs = 5000;
--- a/src/entry/node/entry-service.ts
+++ b/src/entry/node/entry-service.ts
@@ -14,12 +14,12 @@
 import {type Accounting, type EntryReport} from '../common/accounting.js';
 import type {FleetRouter} from '../common/fleet-router.js';
 import type {EntryStatus, UpstreamStatus} from '../common/status.js';
+import type {RequestRunner} from '../../request/node/request-runner.js';
 import {CallersApi} from './callers-api.js';
 import type {FleetLinks} from './fleet-links.js';
 import {listenHttp, makeHttpServer} from './http-common.js';
 import {OperatorsApi} from './operators-api.js';
 import type {PeerLinks} from './peer-links.js';
-import type {RequestRunner} from '../../request/node/request-runner.js';
 
 const drainCheckMs = 20;
 /** How long a stopping entry tries to write the outcomes of requests that run at most once. */
--- a/src/peers/node/state-exchange.ts
+++ b/src/peers/node/state-exchange.ts
@@ -44,21 +44,34 @@
 
 	private receive(hostId: string, message: Message): void {
 		const {mesh, board, registry, isListAway} = this.options;
-		if (message.type === 'peerBeat') {
-			const wantsDeployment = message.deploymentVersion > board.version;
-			const wantsServers = isListAway() && message.listRevision > registry.revision;
-			if (wantsDeployment || wantsServers) {
-				mesh.send(hostId, {type: 'stateRequest', wantsDeployment, wantsServers});
+		switch (message.type) {
+			case 'peerBeat': {
+				const wantsDeployment = message.deploymentVersion > board.version;
+				const wantsServers = isListAway() && message.listRevision > registry.revision;
+				if (wantsDeployment || wantsServers) {
+					mesh.send(hostId, {type: 'stateRequest', wantsDeployment, wantsServers});
+				}
+
+				break;
+			}
+
+			case 'stateRequest': {
+				const deployment = message.wantsDeployment ? board.current?.deployment : undefined;
+				mesh.send(hostId, {
+					type: 'stateReply',
+					...(deployment && {deployment: JSON.stringify(deployment)}),
+					...(message.wantsServers && {servers: JSON.stringify(registry.snapshot())}),
+				});
+
+				break;
+			}
+
+			case 'stateReply': {
+				this.take(hostId, message.deployment, message.servers);
+
+				break;
 			}
-		} else if (message.type === 'stateRequest') {
-			const deployment = message.wantsDeployment ? board.current?.deployment : undefined;
-			mesh.send(hostId, {
-				type: 'stateReply',
-				...(deployment && {deployment: JSON.stringify(deployment)}),
-				...(message.wantsServers && {servers: JSON.stringify(registry.snapshot())}),
-			});
-		} else if (message.type === 'stateReply') {
-			this.take(hostId, message.deployment, message.servers);
+		// No default
 		}
 	}
 
--- a/src/preparation/common/batch-machine.ts
+++ b/src/preparation/common/batch-machine.ts
@@ -17,6 +17,12 @@
 /** About as long as a full call takes, after which each upstream has been free once. */
 const longestPatienceMs = 300;
 const bytesPerMegabyte = 1_000_000;
+/** Wait told where no upstream is sound: until one is back, about. */
+const noServerMs = 2000;
+/** Time to the due time of a usual piece; it places work that is only thought of in the queue. */
+const usualDueMs = 500;
+/** With all upstreams at work and nobody waiting, the first is free after this part of a call, divided by their number. */
+const turnShare = 0.5;
 /** Tries of one piece before it is given up. */
 const mostTries = 4;
 /** An upstream that is slower than this against its declared times gets work only when the others can't take all. */
@@ -51,6 +57,9 @@
 /** The end of a piece, for whoever asked for it. */
 export type PieceEnd = {readonly work: BatchWork; readonly piece: number; readonly outcome: PieceOutcome};
 
+/** How a pool stands: pieces that wait, calls at work, the longest wait, and the room that results take. */
+export type BatchStanding = {readonly waiting: number; readonly calls: number; readonly oldestMs: number; readonly keptBytes: number};
+
 /** How a call ended as a whole. */
 export type CallFailure = 'refused' | 'unreachable' | 'broken' | 'replaced';
 
@@ -146,7 +155,7 @@
 		state.failures = 0;
 		state.avoidedUntilMs = -Infinity;
 		const ratio = (nowMs - call.sentMs) / call.expectedMs;
-		state.slowness = this.slownessOf(call.server, nowMs) * (1 - slownessWeight) + (ratio * slownessWeight);
+		state.slowness = (this.slownessOf(call.server, nowMs) * (1 - slownessWeight)) + (ratio * slownessWeight);
 		state.measuredMs = nowMs;
 		const ends: PieceEnd[] = [];
 		for (const [index, item] of call.pieces.entries()) {
@@ -227,15 +236,46 @@
 	}
 
 	/**
-	Estimates when work added now would have its turn.
+	Tells how the pool stands, for logs.
+	@param nowMs - the time.
+	*/
+	describe(nowMs: number): BatchStanding {
+		let keptBytes = 0;
+		for (const state of this.states.values()) {
+			for (const {bytes, untilMs} of state.kept.values()) {
+				keptBytes += nowMs < untilMs ? bytes : 0;
+			}
+		}
+
+		const oldestMs = this.waiting.reduce((oldest, {readyMs}) => Math.max(oldest, nowMs - readyMs), 0);
+		return {
+			waiting: this.waiting.length, calls: this.callCount, oldestMs: Math.round(oldestMs), keptBytes,
+		};
+	}
+
+	/**
+	Estimates how long work added now would wait for its turn.
 	@param servers - upstreams that may get work.
 	@param capacity - of each.
-	@returns milliseconds until the queue of now is taken.
+	@param rank - of the work.
+	@param nowMs - the time.
+	@returns 0 while an upstream is free.
 	*/
-	backlogMs(servers: readonly UpstreamServer[], capacity: BatchCapacity): number {
-		const perCall = capacity.callMs + (capacity.batchSize * capacity.itemMs);
-		const calls = Math.ceil(this.waiting.length / capacity.batchSize);
-		return servers.length === 0 ? Infinity : (calls / servers.length) * perCall;
+	waitMs(servers: readonly UpstreamServer[], capacity: BatchCapacity, rank: number, nowMs: number): number {
+		const sound = servers.filter(server => !this.isAvoided(server, nowMs) && this.slownessOf(server, nowMs) <= slowFactor);
+		if (sound.length === 0) {
+			return noServerMs;
+		}
+
+		const free = sound.filter(server => this.stateOf(server).call === undefined).length;
+		const ownKey = nowMs + usualDueMs + (rank * rankPenaltyMs);
+		const ahead = this.waiting.filter(item => urgencyOf(item, nowMs) <= ownKey).length;
+		if (free > 0 && ahead === 0) {
+			return 0;
+		}
+
+		const fullCallMs = capacity.callMs + (capacity.batchSize * capacity.itemMs);
+		return (((ahead / capacity.batchSize) + turnShare) / sound.length) * fullCallMs;
 	}
 
 	private callTo(server: UpstreamServer, capacity: BatchCapacity, halls: ReadonlySet<string>, nowMs: number): BatchCall | undefined {
--- a/src/preparation/node/batch-desk.ts
+++ b/src/preparation/node/batch-desk.ts
@@ -4,13 +4,17 @@
 */
 import type {InjectionToken} from 'tsyringe';
 import {DisposableStore, type Disposable} from '../../base/common/disposable.js';
-import type {Clock} from '../../base/common/clock.js';
+import {setRepeating, type Clock} from '../../base/common/clock.js';
 import type {Logger} from '../../base/common/logger.js';
 import type {PeerMesh} from '../../peers/node/peer-mesh.js';
 import {rendezvousOwner} from '../../routing/common/rendezvous.js';
-import type {BatchEndsMessage, BatchWorkMessage, Message} from '../../wire/common/messages.js';
+import type {
+	BatchEndsMessage, BatchWaitsMessage, BatchWorkMessage, Message,
+} from '../../wire/common/messages.js';
 import type {PieceEnd} from '../common/batch-machine.js';
-import {pieceFailures, type BatchWork, type PieceFailure, type PieceOutcome, type ResultRef} from '../common/work.js';
+import {
+	pieceFailures, type BatchWork, type PieceFailure, type PieceOutcome, type ResultRef,
+} from '../common/work.js';
 import type {BatchPool} from './batch-pool.js';
 
 /** Takes the ends of the pieces of one work, as they come. */
@@ -21,8 +25,8 @@
 	submit(work: BatchWork, taker: EndsTaker): void;
 	cancel(workId: string): void;
 	release(pool: string, refs: readonly ResultRef[]): void;
-	/** @returns time until work for a pool would have its turn; 0 where another host batches it. */
-	backlogMs(pool: string): number;
+	/** @returns how long work of a rank would wait for a pool. */
+	waitMs(pool: string, rank: number): number;
 };
 
 /** What the desk is made of. */
@@ -36,6 +40,13 @@
 	readonly makePool: (pool: string, ended: (end: PieceEnd) => void) => BatchPool;
 };
 
+/** How often waits are told: several times in the length of one call. */
+const tellMs = 100;
+/** How long a wait that was told is believed. */
+const toldLifeMs = 500;
+/** Ranks told apart; higher ones count as the last. */
+const ranksTold = 4;
+
 type Asked = {readonly work: BatchWork; readonly taker: EndsTaker; readonly open: Set<number>; owner: string};
 
 export const batchDeskToken: InjectionToken<BatchDesk> = Symbol('BatchDesk');
@@ -52,8 +63,16 @@
 	private readonly pools = new Map<string, BatchPool>();
 	private readonly owned = DisposableStore.create();
 
+	/** Waits of pools that other hosts batch, as they told. */
+	private readonly told = new Map<string, {readonly waitMsByRank: readonly number[]; readonly atMs: number}>();
+	/** Pools whose wait was last told as more than none. */
+	private readonly waitingPools = new Set<string>();
+
 	private constructor(private readonly options: BatchDeskOptions) {
 		const {mesh} = options;
+		this.owned.add(setRepeating(options.clock, () => tellMs, () => {
+			this.tellWaits();
+		}));
 		this.owned.add(mesh.onDidReceive(({hostId, message}) => {
 			this.receive(hostId, message);
 		}));
@@ -67,8 +86,14 @@
 		return this.askers.size === 0 && [...this.pools.values()].every(pool => pool.isIdle);
 	}
 
-	backlogMs(pool: string): number {
-		return this.pools.get(pool)?.backlogMs ?? 0;
+	waitMs(pool: string, rank: number): number {
+		if (this.ownerOf(pool) === this.options.hostId) {
+			return this.pools.get(pool)?.waitMs(rank) ?? 0;
+		}
+
+		const told = this.told.get(pool);
+		const isFresh = told !== undefined && this.options.clock.nowMs() - told.atMs < toldLifeMs;
+		return isFresh ? told.waitMsByRank[Math.min(rank, ranksTold - 1)] ?? 0 : 0;
 	}
 
 	/**
@@ -126,6 +151,28 @@
 		}
 	}
 
+	/** Tells peers how long work would wait here; a pool without a queue is told of once. */
+	private tellWaits(): void {
+		const pools: BatchWaitsMessage['pools'] = [];
+		for (const [pool, batches] of this.pools) {
+			const waitMsByRank = Array.from({length: ranksTold}, (_, rank) => Math.round(batches.waitMs(rank)));
+			const hasWait = waitMsByRank.some(waitMs => waitMs > 0);
+			if (hasWait || this.waitingPools.has(pool)) {
+				pools.push({pool, waitMsByRank});
+			}
+
+			if (hasWait) {
+				this.waitingPools.add(pool);
+			} else {
+				this.waitingPools.delete(pool);
+			}
+		}
+
+		if (pools.length > 0) {
+			this.options.mesh.broadcast({type: 'batchWaits', pools});
+		}
+	}
+
 	private ownerOf(pool: string): string {
 		const {hostId, mesh, isLeaving} = this.options;
 		const peers = mesh.liveHosts;
@@ -170,6 +217,16 @@
 				break;
 			}
 
+			case 'batchWaits': {
+				for (const {pool, waitMsByRank} of message.pools) {
+					if (this.ownerOf(pool) === hostId) {
+						this.told.set(pool, {waitMsByRank, atMs: this.options.clock.nowMs()});
+					}
+				}
+
+				break;
+			}
+
 			case 'batchCancel': {
 				this.askers.delete(message.workId);
 				this.pools.get(message.pool)?.cancel(message.workId);
--- a/src/preparation/node/batch-pool.ts
+++ b/src/preparation/node/batch-pool.ts
@@ -21,6 +21,7 @@
 /** Connections to one upstream: one for the call at work, one for releases. */
 const mostLanes = 3;
 const releaseLimitMs = 1000;
+const tellMs = 1000;
 
 /** What a pool's batches are made of. */
 export type BatchPoolOptions = {
@@ -47,6 +48,7 @@
 	private readonly owned = DisposableStore.create();
 	private readonly controller = new AbortController();
 	private timer: Disposable | undefined;
+	private toldMs = -Infinity;
 	private releaseTimer: Disposable | undefined;
 
 	private constructor(private readonly options: BatchPoolOptions) {
@@ -66,10 +68,14 @@
 		return this.machine.waitingCount === 0 && this.machine.callCount === 0;
 	}
 
-	/** Time until work added now would have its turn. */
-	get backlogMs(): number {
+	/**
+	Estimates how long work added now would wait for its turn.
+	@param rank - of the work.
+	*/
+	waitMs(rank: number): number {
 		const {capacity} = this;
-		return capacity ? this.machine.backlogMs(this.options.registry.usable(this.options.pool), capacity) : Infinity;
+		const {registry, pool, clock} = this.options;
+		return capacity ? this.machine.waitMs(registry.usable(pool), capacity, rank, clock.nowMs()) : 0;
 	}
 
 	add(work: BatchWork): void {
@@ -120,6 +126,7 @@
 			}
 		}
 
+		this.tell(nowMs);
 		this.report(this.machine.sweep(serverId => registry.get(serverId) !== undefined, nowMs));
 		if (this.machine.waitingCount > 0) {
 			this.timer ??= clock.setTimer(tickMs, () => {
@@ -129,6 +136,15 @@
 		}
 	}
 
+	/** A queue that does not empty is told of now and then. */
+	private tell(nowMs: number): void {
+		if (this.machine.waitingCount > 0 && nowMs - this.toldMs >= tellMs) {
+			this.toldMs = nowMs;
+			const {pool, log, registry} = this.options;
+			log.info('Pieces wait for a pool.', {pool, servers: registry.usable(pool).length, ...this.machine.describe(nowMs)});
+		}
+	}
+
 	private async run(call: BatchCall, capacity: BatchCapacity): Promise<void> {
 		const {clock, protocol, registry, log, metrics, pool} = this.options;
 		const {server} = call;
@@ -197,7 +213,9 @@
 		const answer = await collectAnswer(lane, optionsOf(protocol.encodeRelease(handles, server.serverId)), signal);
 		if (!answer.ok && !this.controller.signal.aborted) {
 			// Nothing is lost: the upstream drops the results itself once their time is over.
-			log.debug('Results could not be released.', {pool, server: server.serverId, results: handles.length, reason: answer.error.message});
+			log.debug('Results could not be released.', {
+				pool, server: server.serverId, results: handles.length, reason: answer.error.message,
+			});
 		}
 	}
 
--- a/src/preparation/node/preparer.test.ts
+++ b/src/preparation/node/preparer.test.ts
@@ -21,7 +21,7 @@
 		release(_pool, refs) {
 			released.push(...refs);
 		},
-		backlogMs: () => 700,
+		waitMs: () => 700,
 	};
 	const registry = ServerRegistry.create(log);
 	registry.applyChanges(['a', 'b'].map(pool => ({
--- a/src/preparation/node/preparer.ts
+++ b/src/preparation/node/preparer.ts
@@ -57,6 +57,7 @@
 	private settle: ((result: Result) => void) | undefined;
 	private works = 0;
 	private failures = 0;
+	private failedMs = -1;
 	private isOver = false;
 
 	private constructor(private readonly options: PreparerOptions, private readonly ask: PreparationAsk) {
@@ -184,6 +185,13 @@
 	}
 
 	private failed(index: number, reason: string): void {
+		// Pieces of one step fail together: they count once.
+		const nowMs = this.options.clock.nowMs();
+		if (nowMs === this.failedMs) {
+			return;
+		}
+
+		this.failedMs = nowMs;
 		this.failures++;
 		this.options.log.warn('A piece of a request\'s work failed.', {
 			request: this.ask.callerRequestId, step: index, reason, failures: this.failures,
@@ -205,8 +213,8 @@
 
 	/** When the queue of now is worked off. */
 	private retryAfterMs(index: number): number {
-		const backlogMs = this.options.desk.backlogMs(this.ask.route.steps[index].pool);
-		return Math.min(longestRetryAfterMs, Math.max(usualRetryAfterMs, backlogMs));
+		const waitMs = this.options.desk.waitMs(this.ask.route.steps[index].pool, this.ask.rank);
+		return Math.min(longestRetryAfterMs, Math.max(usualRetryAfterMs, waitMs));
 	}
 
 	private isKept(serverId: string): boolean {
--- a/src/request/common/request-plan.ts
+++ b/src/request/common/request-plan.ts
@@ -1,8 +1,8 @@
 /** What one request is to do, and how it ended. */
 import type {EffectivePolicy, StageKind} from '../../settings/common/schema.js';
 import type {PromptPart} from '../../routing/common/engine-loads.js';
-import type {AttemptRules} from './attempt-rules.js';
 import type {Header, HttpCall} from '../../wire/common/messages.js';
+import type {AttemptRules} from './attempt-rules.js';
 
 /** One stage of a request, with everything inherited. */
 export type StagePlan = {
--- a/src/wire/common/messages.ts
+++ b/src/wire/common/messages.ts
@@ -260,6 +260,12 @@
 	})).max(4096),
 });
 export type BatchEndsMessage = z.infer<typeof batchEndsSchema>;
+/** How long work for pools that the sender batches would wait, by its rank. */
+const batchWaitsSchema = z.strictObject({
+	type: z.literal('batchWaits'),
+	pools: z.array(z.strictObject({pool: name, waitMsByRank: z.array(ms).max(16)})).max(1000),
+});
+export type BatchWaitsMessage = z.infer<typeof batchWaitsSchema>;
 const batchCancelSchema = z.strictObject({type: z.literal('batchCancel'), pool: name, workId: id});
 /** Results that are no longer needed. */
 const batchReleaseSchema = z.strictObject({
@@ -293,6 +299,7 @@
 	batchWorkSchema,
 	batchEndsSchema,
 	batchCancelSchema,
+	batchWaitsSchema,
 	batchReleaseSchema,
 ]);
 export type Message = z.infer<typeof messageSchema>;
--- a/src/wire/node/wire-server.ts
+++ b/src/wire/node/wire-server.ts
@@ -9,7 +9,6 @@
 import type {Endpoint} from '../common/endpoint.js';
 import {WireConnection, type WireOptions} from './wire-connection.js';
 
-
 export type {Endpoint} from '../common/endpoint.js';
 
 /** Certificate and key of a TLS server, with the authority that signed the peers' ones. */
--- a/test/platform/direct-harness.ts
+++ b/test/platform/direct-harness.ts
@@ -172,7 +172,7 @@
 			};
 
 			response.setEncoding('utf8');
-			response.on('data', piece => {
+			response.on('data', (piece: string) => {
 				text += piece;
 			});
 			response.on('error', () => undefined);
--- a/test/platform/store-standin.ts
+++ b/test/platform/store-standin.ts
@@ -1,4 +1,5 @@
 /** Stand-in of the platform's store: rows with one rising revision, read whole or as they change. */
+import {Buffer} from 'node:buffer';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {StandinServer, sendJson} from '../../src/standins/node/standin-server.js';
 
@@ -86,12 +87,25 @@
 
 	private answer(request: IncomingMessage, response: ServerResponse): void {
 		this.callCount++;
-		if (this.mode === 'busy') {
-			sendJson(response, 503, {});
-		} else if (this.mode === 'reset') {
-			request.socket.destroy();
-		} else if (this.mode === 'sound') {
-			this.read(new URL(request.url ?? '/', 'http://store'), response);
+		switch (this.mode) {
+			case 'busy': {
+				sendJson(response, 503, {});
+
+				break;
+			}
+
+			case 'reset': {
+				request.socket.destroy();
+
+				break;
+			}
+
+			case 'sound': {
+				this.read(new URL(request.url ?? '/', 'http://store'), response);
+
+				break;
+			}
+		// No default
 		}
 	}
 
--- a/xo.config.js
+++ b/xo.config.js
@@ -1,7 +1,10 @@
 // Lint and format rules: XO's own, plus the import layers of src/ (see docs/DESIGN.md).
 
 /** The parts of src/, lowest first: each may import only itself and parts before it. */
-const layers = [['base'], ['wire'], ['store'], ['settings'], ['deployment'], ['membership'], ['routing'], ['placement'], ['peers'], ['request'], ['preparation'], ['entry', 'agent', 'direct'], ['standins'], ['daemon', 'cli']];
+const layers = [
+	['base'], ['wire'], ['store'], ['settings'], ['deployment'], ['membership'], ['routing'], ['placement'], ['peers'],
+	['request'], ['preparation'], ['entry', 'agent', 'direct'], ['standins'], ['daemon', 'cli'],
+];
 
 function layerRule(level) {
 	const above = layers.slice(level + 1).flat();
