Tell waits by what a pool gets done; keep a step's pieces together; make last what only the request reads

Change: a batch takes whole steps; later steps keep their place in the queue; a step that only the request reads begins when the chain beside it has two steps left; waits are told by the pieces done in the last 1.5 s.

--- a/src/preparation/common/batch-machine.ts
+++ b/src/preparation/common/batch-machine.ts
@@ -4,6 +4,7 @@
 */
 import type {BatchCapacity} from '../../deployment/common/declaration.js';
 import type {UpstreamServer} from '../../deployment/common/upstream-server.js';
+import {Throughput} from './throughput.js';
 import {pieceFailures, type BatchWork, type PieceOutcome} from './work.js';
 
 /** How much later each step of rank counts: a request of the next rank goes first unless it has this much more time. */
@@ -81,6 +82,7 @@
 
 	private waiting: BatchPiece[] = [];
 	private readonly states = new Map<string, ServerState>();
+	private readonly throughput = Throughput.create();
 	private lastCallId = 0;
 
 	/** Pieces that wait for an upstream. */
@@ -94,6 +96,10 @@
 	}
 
 	add(work: BatchWork, nowMs: number): void {
+		if (this.waiting.length === 0) {
+			this.throughput.queueBegan(nowMs);
+		}
+
 		for (const piece of work.pieces) {
 			this.waiting.push({
 				work, piece, readyMs: nowMs, tries: 0,
@@ -152,6 +158,7 @@
 	answered(call: BatchCall, outcomes: readonly PieceOutcome[], capacity: BatchCapacity, nowMs: number): PieceEnd[] {
 		const state = this.stateOf(call.server);
 		this.endCall(state, call);
+		this.throughput.count(outcomes.filter(outcome => outcome.ok).length, nowMs);
 		state.failures = 0;
 		state.avoidedUntilMs = -Infinity;
 		const ratio = (nowMs - call.sentMs) / call.expectedMs;
@@ -275,7 +282,9 @@
 		}
 
 		const fullCallMs = capacity.callMs + (capacity.batchSize * capacity.itemMs);
-		return (((ahead / capacity.batchSize) + turnShare) / sound.length) * fullCallMs;
+		const bestPerMs = (sound.length * capacity.batchSize) / fullCallMs;
+		const perMs = Math.min(bestPerMs, this.throughput.perMs(nowMs) ?? bestPerMs);
+		return (ahead / perMs) + ((turnShare * fullCallMs) / sound.length);
 	}
 
 	private callTo(server: UpstreamServer, capacity: BatchCapacity, halls: ReadonlySet<string>, nowMs: number): BatchCall | undefined {
@@ -296,20 +305,22 @@
 	/** The most urgent pieces that fit into one call and into the upstream's room. */
 	private take(server: UpstreamServer, capacity: BatchCapacity, halls: ReadonlySet<string>, nowMs: number): BatchPiece[] {
 		let roomBytes = (capacity.roomBytes * usedRoomShare) - this.keptBytes(server, nowMs);
-		const taken: BatchPiece[] = [];
-		const left: BatchPiece[] = [];
-		for (const item of this.waiting) {
-			const mayGo = item.work.hall === server.hall || !halls.has(item.work.hall) || !isPatient(item, nowMs);
-			if (mayGo && taken.length < capacity.batchSize && item.work.resultBytes <= roomBytes) {
-				roomBytes -= item.work.resultBytes;
-				taken.push({...item, tries: item.tries + 1});
-			} else {
-				left.push(item);
+		const taken = new Set<BatchPiece>();
+		for (const items of groupByWork(this.waiting)) {
+			const [{work}] = items;
+			const mayGo = work.hall === server.hall || !halls.has(work.hall) || items.every(item => !isPatient(item, nowMs));
+			const fitting = Math.min(items.length, capacity.batchSize - taken.size, Math.floor(roomBytes / Math.max(1, work.resultBytes)));
+			// A step that is worked on in parts keeps room for results that nobody can read yet.
+			if (mayGo && fitting > 0 && (fitting === items.length || taken.size === 0)) {
+				roomBytes -= fitting * work.resultBytes;
+				for (const item of items.slice(0, fitting)) {
+					taken.add(item);
+				}
 			}
 		}
 
-		this.waiting = left;
-		return taken;
+		this.waiting = this.waiting.filter(item => !taken.has(item));
+		return [...taken].map(item => ({...item, tries: item.tries + 1}));
 	}
 
 	private keptBytes(server: UpstreamServer, nowMs: number): number {
@@ -359,6 +370,21 @@
 	}
 }
 
+/** Pieces of one work side by side, in the order in which the first of each comes. */
+function groupByWork(items: readonly BatchPiece[]): BatchPiece[][] {
+	const groups = new Map<string, BatchPiece[]>();
+	for (const item of items) {
+		const group = groups.get(item.work.workId);
+		if (group) {
+			group.push(item);
+		} else {
+			groups.set(item.work.workId, [item]);
+		}
+	}
+
+	return [...groups.values()];
+}
+
 /** Whether a piece had better wait for an upstream in its own hall. */
 function isPatient({work, readyMs}: BatchPiece, nowMs: number): boolean {
 	const stepBytes = work.crossingBytes * work.pieces.length;
@@ -366,8 +392,11 @@
 	return nowMs < Math.min(readyMs + patienceMs, work.dueMs);
 }
 
-/** What can still be in time goes first, by the time it has left; what can't gives way, but not until its caller has left. */
+/**
+What can still be in time goes first, by the time it has left. A first step that can't gives way, but not
+until its caller has left; a later one keeps its place, since its inputs take room that others wait for.
+*/
 function urgencyOf({work}: BatchPiece, nowMs: number): number {
-	const {dueMs, lateDueMs, rank} = work;
-	return (nowMs <= dueMs ? dueMs : lateDueMs) + (rank * rankPenaltyMs);
+	const {dueMs, lateDueMs, rank, inputs} = work;
+	return (nowMs <= dueMs || inputs ? dueMs : lateDueMs) + (rank * rankPenaltyMs);
 }
--- a/src/preparation/common/preparation.ts
+++ b/src/preparation/common/preparation.ts
@@ -2,6 +2,9 @@
 import type {PreparationStep} from '../../deployment/common/declaration.js';
 import type {ResultRef, StepWork} from './work.js';
 
+/** Steps that the longest other way may still have when a step beside it begins. */
+const headStartSteps = 2;
+
 type Step = {
 	readonly declared: PreparationStep;
 	readonly results: Array<ResultRef | undefined>;
@@ -79,7 +82,7 @@
 		const works: StepWork[] = [];
 		for (const [index, step] of this.steps.entries()) {
 			const missing = step.results.flatMap((result, piece) => result || step.pending.has(piece) ? [] : [piece]);
-			if (missing.length === 0 || !this.isNeeded(index) || !this.hasInputs(step)) {
+			if (missing.length === 0 || !this.isNeeded(index) || !this.hasInputs(step) || this.canWait(index)) {
 				continue;
 			}
 
@@ -185,6 +188,19 @@
 		return this.steps.every(({declared}) => !declared.after.includes(index));
 	}
 
+	/**
+	Whether a step that only the request itself reads would be done long before the others: its results
+	would take room meanwhile. It begins when the longest other way has as many steps left, and one more.
+	*/
+	private canWait(index: number): boolean {
+		if (!this.isLast(index) || this.steps[index].declared.after.length > 0) {
+			return false;
+		}
+
+		const others = this.steps.flatMap((step, other) => other !== index && !isDone(step) && this.hasInputs(step) ? [this.stepsLeft(other)] : []);
+		return Math.max(0, ...others) > headStartSteps;
+	}
+
 	/** Whether something still has to read this step's results. */
 	private isNeeded(index: number): boolean {
 		return this.isLast(index) || this.steps.some((other, otherIndex) =>
