--- a/src/preparation/node/batch-desk.ts
+++ b/src/preparation/node/batch-desk.ts
@@ -249,7 +249,11 @@
 		const {workId} = work;
 		const asker = this.askers.get(workId);
 		if (asker === undefined) {
-			this.tell(workId, piece, outcome);
+			if (!this.tell(workId, piece, outcome) && outcome.ok) {
+				// Its request has ended meanwhile: the result would only take room.
+				this.poolOf(work.pool).release([outcome.ref]);
+			}
+
 			return;
 		}
 
@@ -269,10 +273,11 @@
 		}
 	}
 
-	private tell(workId: string, piece: number, outcome: PieceOutcome): void {
+	/** @returns whether somebody still wanted to know. */
+	private tell(workId: string, piece: number, outcome: PieceOutcome): boolean {
 		const asked = this.asked.get(workId);
 		if (!asked?.open.delete(piece)) {
-			return;
+			return false;
 		}
 
 		if (asked.open.size === 0) {
@@ -280,6 +285,7 @@
 		}
 
 		asked.taker(piece, outcome);
+		return true;
 	}
 
 	private lost(hostId: string): void {
--- a/src/preparation/node/batch-pool.ts
+++ b/src/preparation/node/batch-pool.ts
@@ -191,10 +191,11 @@
 
 	private sendReleases(): void {
 		for (const [serverId, handles] of this.releases) {
-			this.machine.released(serverId, handles);
 			const server = this.options.registry.get(serverId);
 			if (server) {
 				void this.sendRelease(server, handles);
+			} else {
+				this.machine.released(serverId, handles);
 			}
 		}
 
@@ -211,7 +212,11 @@
 
 		const signal = AbortSignal.any([this.controller.signal, AbortSignal.timeout(releaseLimitMs)]);
 		const answer = await collectAnswer(lane, optionsOf(protocol.encodeRelease(handles, server.serverId)), signal);
-		if (!answer.ok && !this.controller.signal.aborted) {
+		if (answer.ok) {
+			// Only now is the room there: a call that came before would find none.
+			this.machine.released(server.serverId, handles);
+			this.pump();
+		} else if (!this.controller.signal.aborted) {
 			// Nothing is lost: the upstream drops the results itself once their time is over.
 			log.debug('Results could not be released.', {
 				pool, server: server.serverId, results: handles.length, reason: answer.error.message,
--- a/test/platform/direct-fleet.test.ts
+++ b/test/platform/direct-fleet.test.ts
@@ -148,3 +148,20 @@
 		t.equal((await ask(entry, {method: 'POST', path: '/book/x', id: `g${index}`})).status, 200);
 	}
 });
+
+t.test('results made for a request that has ended meanwhile are given up', async t => {
+	const fleet = await makeFleet(t);
+	const [stage] = await fleet.addServers('stage', 1, 80);
+	await fleet.addServers('model', 1);
+	const first = await fleet.addReadyEntry();
+	const second = await fleet.addReadyEntry();
+	await until(() => [first, second].every(({lines}) => lines.some(line => line.includes('A peer is connected.'))));
+	for (const [index, entry] of [first, second].entries()) {
+		const controller = new AbortController();
+		const asked = ask(entry, {...stagedCall(`x${index}`), signal: controller.signal});
+		await until(() => stage.stageCalls.length === index + 1);
+		controller.abort();
+		await t.rejects(asked);
+		await until(() => stage.freed.length === 2 * (index + 1));
+	}
+});
