Leave an upstream without room alone for a call's time

Change: room that something unknown takes counts as taken for 250 ms; finding no room uses up no try.

--- a/src/preparation/common/batch-machine.ts
+++ b/src/preparation/common/batch-machine.ts
@@ -37,6 +37,10 @@
 const longestAvoidMs = 2000;
 /** Share of an upstream's room for results that is used: its own count may be ahead of ours. */
 const usedRoomShare = 0.95;
+/** How long room that something unknown takes counts as taken before it is tried again: about a call. */
+const unknownRoomMs = 250;
+/** Stands for results that other hosts, or this one before a restart, had made. */
+const unknownResults = '';
 /** A call is given up after this many times its expected time, and a margin for the network. */
 const giveUpFactor = 6;
 const giveUpMarginMs = 500;
@@ -164,6 +168,7 @@
 		const ratio = (nowMs - call.sentMs) / call.expectedMs;
 		state.slowness = (this.slownessOf(call.server, nowMs) * (1 - slownessWeight)) + (ratio * slownessWeight);
 		state.measuredMs = nowMs;
+		this.learnRoom(state, call, outcomes, capacity, nowMs);
 		const ends: PieceEnd[] = [];
 		for (const [index, item] of call.pieces.entries()) {
 			const {work, piece, tries} = item;
@@ -172,9 +177,11 @@
 				state.kept.set(outcome.ref.handle, {bytes: work.resultBytes, untilMs: nowMs + capacity.resultTtlMs});
 			}
 
-			const mayRetry = !outcome.ok && (outcome.reason === pieceFailures.noRoom || outcome.reason === pieceFailures.failed);
+			const hadNoRoom = !outcome.ok && outcome.reason === pieceFailures.noRoom;
+			const mayRetry = hadNoRoom || (!outcome.ok && outcome.reason === pieceFailures.failed);
 			if (mayRetry && tries < mostTries) {
-				this.waiting.push(item);
+				// Finding no room has cost nothing but the way.
+				this.waiting.push(hadNoRoom ? {...item, tries: tries - 1} : item);
 			} else {
 				ends.push({work, piece, outcome});
 			}
@@ -242,6 +249,16 @@
 		return over.map(({work, piece}) => ({work, piece, outcome: {ok: false, reason: pieceFailures.late}}));
 	}
 
+	/**
+	Tells how much room of an upstream is taken, as far as is known here.
+	@param serverId - the upstream.
+	@param nowMs - the time.
+	*/
+	keptAt(serverId: string, nowMs: number): number {
+		const state = this.states.get(serverId);
+		return state ? sumOfKept(state, nowMs) : 0;
+	}
+
 	/**
 	Tells how the pool stands, for logs.
 	@param nowMs - the time.
@@ -249,9 +266,7 @@
 	describe(nowMs: number): BatchStanding {
 		let keptBytes = 0;
 		for (const state of this.states.values()) {
-			for (const {bytes, untilMs} of state.kept.values()) {
-				keptBytes += nowMs < untilMs ? bytes : 0;
-			}
+			keptBytes += sumOfKept(state, nowMs);
 		}
 
 		const oldestMs = this.waiting.reduce((oldest, {readyMs}) => Math.max(oldest, nowMs - readyMs), 0);
@@ -287,6 +302,21 @@
 		return (ahead / perMs) + ((turnShare * fullCallMs) / sound.length);
 	}
 
+	/** An upstream without room keeps results that this host knows nothing of: they count for a while. */
+	private learnRoom(state: ServerState, call: BatchCall, outcomes: readonly PieceOutcome[], capacity: BatchCapacity, nowMs: number): void {
+		if (!outcomes.some(outcome => !outcome.ok && outcome.reason === pieceFailures.noRoom)) {
+			return;
+		}
+
+		let newBytes = 0;
+		for (const [index, {work}] of call.pieces.entries()) {
+			newBytes += outcomes[index].ok ? work.resultBytes : 0;
+		}
+
+		const unknownBytes = (capacity.roomBytes * usedRoomShare) - sumOfKept(state, nowMs) - newBytes;
+		state.kept.set(unknownResults, {bytes: Math.max(0, unknownBytes), untilMs: nowMs + unknownRoomMs});
+	}
+
 	private callTo(server: UpstreamServer, capacity: BatchCapacity, halls: ReadonlySet<string>, nowMs: number): BatchCall | undefined {
 		const pieces = this.take(server, capacity, halls, nowMs);
 		if (pieces.length === 0) {
@@ -324,17 +354,7 @@
 	}
 
 	private keptBytes(server: UpstreamServer, nowMs: number): number {
-		let sumBytes = 0;
-		const {kept} = this.stateOf(server);
-		for (const [handle, {bytes, untilMs}] of kept) {
-			if (nowMs >= untilMs) {
-				kept.delete(handle);
-			} else {
-				sumBytes += bytes;
-			}
-		}
-
-		return sumBytes;
+		return sumOfKept(this.stateOf(server), nowMs);
 	}
 
 	private isFree(server: UpstreamServer, nowMs: number): boolean {
@@ -370,6 +390,20 @@
 	}
 }
 
+/** Results whose time is over are forgotten on the way. */
+function sumOfKept({kept}: ServerState, nowMs: number): number {
+	let sumBytes = 0;
+	for (const [handle, {bytes, untilMs}] of kept) {
+		if (nowMs >= untilMs) {
+			kept.delete(handle);
+		} else {
+			sumBytes += bytes;
+		}
+	}
+
+	return sumBytes;
+}
+
 /** Pieces of one work side by side, in the order in which the first of each comes. */
 function groupByWork(items: readonly BatchPiece[]): BatchPiece[][] {
 	const groups = new Map<string, BatchPiece[]>();
--- a/src/preparation/node/batch-pool.ts
+++ b/src/preparation/node/batch-pool.ts
@@ -12,7 +12,7 @@
 import type {WindowedBudget} from '../../routing/common/windowed-budget.js';
 import {BatchMachine, type BatchCall, type PieceEnd} from '../common/batch-machine.js';
 import type {BatchProtocol, EncodedCall} from '../common/batch-protocol.js';
-import type {BatchWork, ResultRef} from '../common/work.js';
+import {pieceFailures, type BatchWork, type PieceOutcome, type ResultRef} from '../common/work.js';
 
 /** How often a queue is looked at while it waits: a fraction of a call's time. */
 const tickMs = 25;
@@ -145,6 +145,17 @@
 		}
 	}
 
+	private tellNoRoom({server, pieces}: BatchCall, outcomes: readonly PieceOutcome[], capacity: BatchCapacity, nowMs: number): void {
+		const refused = outcomes.filter(outcome => !outcome.ok && outcome.reason === pieceFailures.noRoom).length;
+		if (refused > 0) {
+			const {pool, log, metrics} = this.options;
+			log.info('An upstream had no room for results.', {
+				pool, server: server.serverId, pieces: pieces.length, refused, knownBytes: this.machine.keptAt(server.serverId, nowMs), roomBytes: capacity.roomBytes,
+			});
+			metrics.increment('batch.noRoom', refused, {pool});
+		}
+	}
+
 	private async run(call: BatchCall, capacity: BatchCapacity): Promise<void> {
 		const {clock, protocol, registry, log, metrics, pool} = this.options;
 		const {server} = call;
@@ -165,6 +176,7 @@
 		if (decoded?.ok) {
 			metrics.timing('batch.call', nowMs - call.sentMs, {pool});
 			metrics.increment('batch.pieces', call.pieces.length, {pool});
+			this.tellNoRoom(call, decoded.value, capacity, nowMs);
 			this.report(this.machine.answered(call, decoded.value, capacity, nowMs));
 		} else {
 			const reason = decoded?.error ?? (answer.ok || answer.error.wasWritten ? 'broken' : 'unreachable');
