Pass an answer without a length on without one; count the route's rank beside the workspace's

(2) All workspaces have the same rank, which hid that quotes and reports go before checks. Change: (1) such an answer goes on without a length, ended by its connection; a new test fails without it.

--- a/src/deployment/common/hop-headers.ts
+++ b/src/deployment/common/hop-headers.ts
@@ -26,6 +26,14 @@
 	});
 }
 
+/**
+Tells whether an answer told neither its length nor its end, so that only the end of its connection does.
+@param head - its headers, names in small letters.
+*/
+export function isUnframed({headers}: {readonly headers: readonly Header[]}): boolean {
+	return !headers.some(({name}) => name === 'content-length' || name === 'transfer-encoding');
+}
+
 /**
 Pairs up a flat list of names and values.
 @param flat - name, value, name, value…
--- a/src/deployment/node/collect-answer.ts
+++ b/src/deployment/node/collect-answer.ts
@@ -2,7 +2,7 @@
 import type {Dispatcher} from 'undici';
 import {messageOf, UnavailableError} from '../../base/common/errors.js';
 import {fail, ok, type Outcome} from '../../base/common/outcome.js';
-import {pairHeaders} from '../common/hop-headers.js';
+import {isUnframed, pairHeaders} from '../common/hop-headers.js';
 import type {Lane} from './lane.js';
 
 const firstFinalStatus = 200;
@@ -73,8 +73,7 @@
 					}
 				},
 				onResponseEnd() {
-					const isFramed = headers.some(({name}) => name === 'content-length' || name === 'transfer-encoding');
-					if (!isFramed && lane.wasReset) {
+					if (isUnframed({headers}) && lane.wasReset) {
 						end(fail({wasWritten: true, message: 'the connection broke off before the answer was whole'}));
 					} else {
 						end(ok({status, headers, body: joined(pieces, sizeBytes)}));
--- a/src/direct/node/ingress.ts
+++ b/src/direct/node/ingress.ts
@@ -220,7 +220,8 @@
 			remainingMs: ask.remainingMs,
 		}, receivedMs);
 		const place = likelyPlace(plan.stages[0], receivedMs);
-		const rank = workspace?.rank ?? route.rank;
+		// The workspace's rank goes first; among equals the route's decides.
+		const rank = (workspace?.rank ?? 0) + route.rank;
 		if (needsPreparation) {
 			const admission = admit({
 				index, route, pieceCounts: ask.pieceCounts, rank, afterwardsMs: place.firstMs, remainingMs: ask.remainingMs, chance: random.next(),
--- a/src/direct/node/pass-through-writer.ts
+++ b/src/direct/node/pass-through-writer.ts
@@ -1,6 +1,6 @@
 /** Writes an upstream's answer to the caller as it is, or the product's own last word where there is none. */
 import type {ServerResponse} from 'node:http';
-import {endToEndHeaders} from '../../deployment/common/hop-headers.js';
+import {endToEndHeaders, isUnframed} from '../../deployment/common/hop-headers.js';
 import {
 	failureCodes, outcomes, type HttpHead, type RequestResult,
 } from '../../request/common/request-plan.js';
@@ -114,7 +114,11 @@
 		this.writtenStatus = status;
 		const kept = endToEndHeaders(headers).filter(({name}) => this.isHead || name !== 'content-length');
 		const flat = kept.flatMap(({name, value}) => [name, value]);
-		if (bodyBytes !== undefined && !this.isHead) {
+		if (isUnframed({headers})) {
+			// Only the end of its connection said that it was whole: nothing here may say more.
+			this.response.useChunkedEncodingByDefault = false;
+			this.response.shouldKeepAlive = false;
+		} else if (bodyBytes !== undefined && !this.isHead) {
 			flat.push('content-length', String(bodyBytes));
 		}
 
--- a/src/preparation/common/admission.ts
+++ b/src/preparation/common/admission.ts
@@ -7,8 +7,8 @@
 
 /** A request that is reckoned to be later than this part of its target is not begun: estimates are this unsure. */
 const lateTargets = 1.2;
-/** One that comes back after a refusal is taken as long as its caller will wait for it at all. */
-const patienceTargets = 3;
+/** One that comes back after a refusal is taken a little later: refused again it is lost. */
+const patienceTargets = 1.5;
 /** A caller that has less than this part of the route's time left has tried before. */
 const firstTryShare = 0.9;
 const shortestRetryAfterMs = 600;
--- a/src/preparation/common/batch-machine.ts
+++ b/src/preparation/common/batch-machine.ts
@@ -7,8 +7,11 @@
 import {Throughput} from './throughput.js';
 import {pieceFailures, type BatchWork, type PieceOutcome} from './work.js';
 
-/** How much later each step of rank counts: a request of the next rank goes first unless it has this much more time. */
-const rankPenaltyMs = 250;
+/**
+How much later each step of rank counts: a request of the better rank goes first unless it has this much more
+time. More than the first targets lie apart, so that in a shortage the least urgent kind waits first.
+*/
+const rankPenaltyMs = 200;
 /**
 How long a piece waits for an upstream in its own hall, for each megabyte that its step would otherwise
 fetch from another one. Measured on the first sites, where a crossing megabyte costs what a request of the
--- a/src/preparation/node/batch-desk.ts
+++ b/src/preparation/node/batch-desk.ts
@@ -45,7 +45,7 @@
 /** How long a wait that was told is believed. */
 const toldLifeMs = 500;
 /** Ranks told apart; higher ones count as the last. */
-const ranksTold = 4;
+const ranksTold = 6;
 
 type Asked = {readonly work: BatchWork; readonly taker: EndsTaker; readonly open: Set<number>; owner: string};
 
--- a/test/platform/direct-requests.test.ts
+++ b/test/platform/direct-requests.test.ts
@@ -105,6 +105,16 @@
 	t.equal((await ask(entry, {method: 'POST', path: '/book/x'})).status, 502);
 });
 
+t.test('an answer without a length is passed on without one: nobody knows that it is whole', async t => {
+	const {servers: [server], entry} = await start(t, 'plain', 1);
+	server.fault = 'unframedClose';
+	const {status, text, headers} = await ask(entry, {method: 'POST', path: '/book/x'});
+	t.match({status, text}, {status: 200, text: 'half of it'});
+	t.equal(headers['content-length'], undefined);
+	t.equal(headers['transfer-encoding'], undefined);
+	t.equal(headers.connection, 'close');
+});
+
 t.test('a stream passes event by event; a cut one breaks off after a whole event', async t => {
 	const {servers: [server], entry} = await start(t, 'model', 1);
 	t.match(await ask(entry, streamCall('/chat/x')), {status: 200, text: wholeStream, isWhole: true});
--- a/test/platform/upstream-standins.ts
+++ b/test/platform/upstream-standins.ts
@@ -21,6 +21,8 @@
 		| 'foreign'
 	/** Answers without a length and cuts the connection in the middle. */
 		| 'unframedReset'
+	/** Answers without a length and closes the connection in order in the middle. */
+		| 'unframedClose'
 	/** Streams two events and cuts the connection inside the third. */
 		| 'cutStream'
 	/** Says that a result it was to read is lost. */
@@ -113,10 +115,16 @@
 				break;
 			}
 
-			case 'unframedReset': {
+			case 'unframedReset':
+			case 'unframedClose': {
 				request.socket.write(`HTTP/1.1 200 OK\r\nAttempt-Id: ${id}\r\nServer-Stamp: s\r\n\r\nhalf of it`);
 				await sleep(20);
-				request.socket.resetAndDestroy();
+				if (this.fault === 'unframedReset') {
+					request.socket.resetAndDestroy();
+				} else {
+					request.socket.end();
+				}
+
 				break;
 			}
 
