--- /dev/null
+++ b/src/preparation/common/admission.test.ts
@@ -0,0 +1,40 @@
+import t from 'tap';
+import {routeKinds, type Deployment, type Route} from '../../deployment/common/declaration.js';
+import {DeploymentIndex} from '../../deployment/common/deployment-index.js';
+import {admit, type AdmissionAsk} from './admission.js';
+
+const route: Route = {
+	name: 'r', hostName: 'h', pathPrefix: '/', kind: routeKinds.stream, timeoutMs: 8000, targetMs: 1000, rank: 0, targets: [{pool: 'model', weight: 1}],
+	maxAttempts: 1, steps: [{pool: 'a', after: [], resultBytes: 1}, {pool: 'b', after: [0], resultBytes: 1}], isPublic: false, hasAffinity: false, isResumable: false,
+};
+const batch = {
+	slots: 1, batchSize: 10, callMs: 150, itemMs: 10, roomBytes: 1, resultTtlMs: 1,
+};
+const deployment: Deployment = {
+	version: 1, routes: [route], pools: ['a', 'b'].map(name => ({name, maxConnections: 1, batch})), limits: {
+		maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1,
+	},
+};
+const ask: AdmissionAsk = {
+	index: DeploymentIndex.create(deployment), route, pieceCounts: [1, 1], rank: 0, afterwardsMs: 100, remainingMs: 8000, chance: 0,
+};
+const waits = (waitMs: number) => ({waitMs: () => waitMs});
+
+t.test('steps, waits and the model add up', async t => {
+	t.same(admit(ask, waits(0)), {isAdmitted: true, predictedMs: 500});
+	t.same(admit({...ask, pieceCounts: [1, 0]}, waits(50)), {isAdmitted: true, predictedMs: 350}, 'a step without pieces is left out');
+});
+
+t.test('what would be late is refused with a time to come back that grows with the queue', async t => {
+	const short = admit(ask, waits(400));
+	const long = admit(ask, waits(900));
+	t.match([short, long], [{isAdmitted: false}, {isAdmitted: false}]);
+	if (!short.isAdmitted && !long.isAdmitted) {
+		t.ok(long.retryAfterMs > short.retryAfterMs && short.retryAfterMs >= 600);
+	}
+});
+
+t.test('one that comes back is taken a little later', async t => {
+	t.equal(admit({...ask, remainingMs: 6000}, waits(450)).isAdmitted, true);
+	t.equal(admit({...ask, remainingMs: 6000}, waits(1000)).isAdmitted, false);
+});
--- /dev/null
+++ b/src/preparation/common/batch-machine.test.ts
@@ -0,0 +1,134 @@
+import t from 'tap';
+import type {BatchCapacity} from '../../deployment/common/declaration.js';
+import type {UpstreamServer} from '../../deployment/common/upstream-server.js';
+import {BatchMachine, type BatchCall} from './batch-machine.js';
+import {pieceFailures, type BatchWork, type PieceOutcome} from './work.js';
+
+const capacity: BatchCapacity = {
+	slots: 1, batchSize: 4, callMs: 100, itemMs: 10, roomBytes: 1000, resultTtlMs: 4000,
+};
+
+function server(serverId: string, hall = 'a'): UpstreamServer {
+	return {
+		serverId, pool: 'p', address: '127.0.0.1', port: 1, hall, slots: 1, isLeaving: false,
+	};
+}
+
+function workOf(workId: string, pieceCount: number, changes: Partial<BatchWork> = {}): BatchWork {
+	return {
+		workId, pool: 'p', callerRequestId: workId, pieceKey: 'k', step: 0, pieces: Array.from({length: pieceCount}, (_, piece) => piece), inputs: undefined,
+		resultBytes: 10, rank: 0, dueMs: 500, lateDueMs: 2000, deadlineMs: 5000, hall: '', crossingBytes: 0, ...changes,
+	};
+}
+
+const namesOf = (call: BatchCall) => call.pieces.map(({work, piece}) => `${work.workId}${piece}`).join(' ');
+const allDone = (call: BatchCall): PieceOutcome[] => call.pieces.map((_, index) => ({ok: true, ref: {handle: `${call.callId}-${index}`, serverId: call.server.serverId}}));
+
+t.test('pieces of several requests go in one call, the most urgent first, each step whole', async t => {
+	const machine = BatchMachine.create();
+	machine.add(workOf('late', 2, {dueMs: 900}), 0);
+	machine.add(workOf('soon', 3, {dueMs: 300}), 0);
+	machine.add(workOf('one', 1, {dueMs: 950}), 0);
+	const [call, ...others] = machine.nextCalls([server('s')], capacity, 0);
+	t.equal(others.length, 0);
+	t.equal(namesOf(call), 'soon0 soon1 soon2 one0', 'a step that would be split waits, a smaller one takes the place');
+	t.equal(machine.nextCalls([server('s')], capacity, 1).length, 0, 'one call at a time');
+	machine.answered(call, allDone(call), capacity, 140);
+	t.equal(namesOf(machine.nextCalls([server('s')], capacity, 140)[0]), 'late0 late1');
+});
+
+t.test('a first step past its time gives way, but not for ever; a later step keeps its place', async t => {
+	const machine = BatchMachine.create();
+	machine.add(workOf('overdue', 4, {dueMs: 100, lateDueMs: 1500}), 0);
+	machine.add(workOf('fresh', 4, {dueMs: 1000}), 0);
+	t.equal(namesOf(machine.nextCalls([server('s')], capacity, 200)[0]).slice(0, 5), 'fresh');
+	const later = BatchMachine.create();
+	later.add(workOf('fresh', 4, {dueMs: 1000}), 0);
+	later.add(workOf('overdue', 4, {dueMs: 100, inputs: ['x']}), 0);
+	t.equal(namesOf(later.nextCalls([server('s')], capacity, 200)[0]).slice(0, 7), 'overdue');
+});
+
+t.test('rank goes before a little time', async t => {
+	const machine = BatchMachine.create();
+	machine.add(workOf('low', 4, {dueMs: 500, rank: 1}), 0);
+	machine.add(workOf('high', 4, {dueMs: 650}), 0);
+	t.equal(namesOf(machine.nextCalls([server('s')], capacity, 0)[0]).slice(0, 4), 'high');
+});
+
+t.test('room that results take bounds a call; released or expired results free it', async t => {
+	const machine = BatchMachine.create();
+	machine.add(workOf('a', 3, {resultBytes: 300}), 0);
+	const [call] = machine.nextCalls([server('s')], capacity, 0);
+	t.equal(call.pieces.length, 3);
+	machine.answered(call, allDone(call), capacity, 130);
+	machine.add(workOf('b', 1, {resultBytes: 300}), 130);
+	t.equal(machine.nextCalls([server('s')], capacity, 130).length, 0);
+	machine.released('s', ['1-0']);
+	t.equal(machine.nextCalls([server('s')], capacity, 140).length, 1);
+});
+
+t.test('an upstream without room is left alone for a while, and its pieces lose no try', async t => {
+	const machine = BatchMachine.create();
+	machine.add(workOf('a', 1), 0);
+	for (let round = 0; round < 8; round++) {
+		const nowMs = round * 300;
+		const [call] = machine.nextCalls([server('s')], capacity, nowMs);
+		t.same(machine.answered(call, [{ok: false, reason: pieceFailures.noRoom}], capacity, nowMs + 5), []);
+		t.equal(machine.nextCalls([server('s')], capacity, nowMs + 10).length, 0);
+	}
+});
+
+t.test('pieces of a call that fails wait again elsewhere, and end after a few tries', async t => {
+	const machine = BatchMachine.create();
+	machine.add(workOf('a', 2), 0);
+	const servers = [server('s'), server('r')];
+	const [first] = machine.nextCalls(servers, capacity, 0);
+	t.same(machine.failed(first, 'broken', 10), []);
+	const [second] = machine.nextCalls(servers, capacity, 10);
+	t.not(second.server.serverId, first.server.serverId);
+	machine.failed(second, 'broken', 20);
+	let ends = 0;
+	for (let nowMs = 3000; ends === 0 && nowMs < 60_000; nowMs += 3000) {
+		for (const call of machine.nextCalls(servers, {...capacity}, Math.min(nowMs, 4000 + (nowMs / 100)))) {
+			ends += machine.failed(call, 'broken', Math.min(nowMs, 4000 + (nowMs / 100))).length;
+		}
+	}
+
+	t.equal(ends, 2);
+});
+
+t.test('a piece waits a little for an upstream in the hall of its inputs, if there is one', async t => {
+	const machine = BatchMachine.create();
+	const work = workOf('a', 2, {hall: 'b', crossingBytes: 2_000_000});
+	machine.add(work, 0);
+	t.equal(machine.nextCalls([server('s', 'a'), server('busy', 'b')].slice(0, 1), capacity, 0).length, 1, 'no upstream there: no wait');
+	const patient = BatchMachine.create();
+	patient.add(workOf('x', 4, {hall: 'b'}), 0);
+	patient.nextCalls([server('there', 'b')], capacity, 0);
+	patient.add(work, 0);
+	const servers = [server('s', 'a'), server('there', 'b')];
+	t.equal(patient.nextCalls(servers, capacity, 50).length, 0);
+	t.equal(patient.nextCalls(servers, capacity, 260).length, 1, 'not longer than it is worth');
+});
+
+t.test('the wait that is told grows with the queue ahead and counts a slow upstream out', async t => {
+	const machine = BatchMachine.create();
+	const servers = [server('s')];
+	t.equal(machine.waitMs(servers, capacity, 0, 0), 0);
+	machine.add(workOf('a', 4), 0);
+	const [call] = machine.nextCalls(servers, capacity, 0);
+	const shortMs = machine.waitMs(servers, capacity, 0, 0);
+	machine.add(workOf('b', 8), 0);
+	const longMs = machine.waitMs(servers, capacity, 0, 0);
+	t.ok(longMs > shortMs && shortMs > 0);
+	machine.answered(call, allDone(call), capacity, 1500);
+	t.ok(machine.waitMs(servers, capacity, 0, 1500) > longMs, 'ten times slower than declared');
+});
+
+t.test('what waits past its deadline ends as late', async t => {
+	const machine = BatchMachine.create();
+	machine.add(workOf('a', 1, {deadlineMs: 100}), 0);
+	t.same(machine.sweep(() => true, 50), []);
+	t.match(machine.sweep(() => true, 100), [{piece: 0, outcome: {ok: false, reason: 'late'}}]);
+	t.equal(machine.waitingCount, 0);
+});
