--- a/src/daemon/node/compose-direct-entry.ts
+++ b/src/daemon/node/compose-direct-entry.ts
@@ -182,6 +182,7 @@
 		registry: get(serverRegistryToken),
 		protocol: ports.upstreams,
 		clock,
+		log: logOf('requests'),
 		mostLanes(pool) {
 			const most = get(deploymentBoardToken).current?.pool(pool)?.maxConnections ?? fewestLanes;
 			return Math.max(fewestLanes, Math.floor((most * usedConnectionShare) / hostCount()));
--- a/src/deployment/common/server-registry.ts
+++ b/src/deployment/common/server-registry.ts
@@ -158,7 +158,7 @@
 		const isLeaving = server.isLeaving || known?.isLeaving === true;
 		this.servers.set(server.serverId, {...server, isLeaving});
 		this.views = new Map();
-		if (!known || known.isLeaving !== isLeaving) {
+		if (known?.isLeaving !== isLeaving) {
 			const change = isLeaving ? 'leaving' : 'joined';
 			this.log.info('A server is listed.', {
 				server: server.serverId, pool: server.pool, hall: server.hall, change, revision: this.listRevision,
--- a/src/direct/node/direct-call.ts
+++ b/src/direct/node/direct-call.ts
@@ -2,11 +2,10 @@
 import type {Dispatcher} from 'undici';
 import {messageOf, UnavailableError} from '../../base/common/errors.js';
 import {extendDigest} from '../../base/common/hash.js';
-import {isUnframed} from '../../deployment/common/hop-headers.js';
+import {isUnframed, pairHeaders} from '../../deployment/common/hop-headers.js';
 import type {HttpHead} from '../../request/common/request-plan.js';
 import {refusalReasons, type DispatchMessage, type Message} from '../../wire/common/messages.js';
 import {EventSplitter} from '../common/event-splitter.js';
-import {pairHeaders} from '../../deployment/common/hop-headers.js';
 import type {UpstreamProtocol} from '../common/upstream-protocol.js';
 import type {Lane} from '../../deployment/node/lane.js';
 
--- a/src/direct/node/direct-links.ts
+++ b/src/direct/node/direct-links.ts
@@ -3,6 +3,7 @@
 import type {Disposable} from '../../base/common/disposable.js';
 import {Emitter} from '../../base/common/emitter.js';
 import {messageOf} from '../../base/common/errors.js';
+import type {Logger} from '../../base/common/logger.js';
 import type {ServerRegistry} from '../../deployment/common/server-registry.js';
 import type {UpstreamServer} from '../../deployment/common/upstream-server.js';
 import type {UpstreamLinks, UpstreamMessage} from '../../request/common/upstream-links.js';
@@ -26,6 +27,7 @@
 	readonly registry: ServerRegistry;
 	readonly protocol: UpstreamProtocol;
 	readonly clock: Clock;
+	readonly log: Logger;
 	/** Connections this host may have to one upstream of a pool. */
 	readonly mostLanes: (pool: string) => number;
 	/** Something came from a server. */
@@ -131,7 +133,7 @@
 	}
 
 	private dispatch(serverId: string, message: DispatchMessage): boolean {
-		const {clock, protocol, registry} = this.options;
+		const {clock, protocol, registry, log} = this.options;
 		const server = registry.get(serverId);
 		const facts = this.requests.get(message.requestId);
 		const {call} = message;
@@ -182,14 +184,11 @@
 			clock.setTimer(0, () => {
 				this.didReceive.fire({upstreamId: serverId, message: {type: 'refused', dispatchId, reason: refusalReasons.badCall}});
 			});
-			this.lastProblem = messageOf(error);
+			log.error('A call could not be written; nothing of it was sent.', {request: facts.callerRequestId, server: serverId, reason: messageOf(error)});
 			return true;
 		}
 	}
 
-	/** Why the client last refused to write a call. */
-	lastProblem = '';
-
 	private receive(server: UpstreamServer, message: Message): void {
 		if (message.type === 'refused' && message.reason === refusalReasons.replaced) {
 			this.options.registry.addressTaken(server.serverId);
--- a/src/preparation/common/batch-machine.ts
+++ b/src/preparation/common/batch-machine.ts
@@ -171,7 +171,7 @@
 		const ratio = (nowMs - call.sentMs) / call.expectedMs;
 		state.slowness = (this.slownessOf(call.server, nowMs) * (1 - slownessWeight)) + (ratio * slownessWeight);
 		state.measuredMs = nowMs;
-		this.learnRoom(state, call, outcomes, capacity, nowMs);
+		this.learnRoom(call, outcomes, capacity, nowMs);
 		const ends: PieceEnd[] = [];
 		for (const [index, item] of call.pieces.entries()) {
 			const {work, piece, tries} = item;
@@ -272,7 +272,11 @@
 			keptBytes += sumOfKept(state, nowMs);
 		}
 
-		const oldestMs = this.waiting.reduce((oldest, {readyMs}) => Math.max(oldest, nowMs - readyMs), 0);
+		let oldestMs = 0;
+		for (const {readyMs} of this.waiting) {
+			oldestMs = Math.max(oldestMs, nowMs - readyMs);
+		}
+
 		return {
 			waiting: this.waiting.length, calls: this.callCount, oldestMs: Math.round(oldestMs), keptBytes,
 		};
@@ -306,11 +310,12 @@
 	}
 
 	/** An upstream without room keeps results that this host knows nothing of: they count for a while. */
-	private learnRoom(state: ServerState, call: BatchCall, outcomes: readonly PieceOutcome[], capacity: BatchCapacity, nowMs: number): void {
+	private learnRoom(call: BatchCall, outcomes: readonly PieceOutcome[], capacity: BatchCapacity, nowMs: number): void {
 		if (!outcomes.some(outcome => !outcome.ok && outcome.reason === pieceFailures.noRoom)) {
 			return;
 		}
 
+		const state = this.stateOf(call.server);
 		let newBytes = 0;
 		for (const [index, {work}] of call.pieces.entries()) {
 			newBytes += outcomes[index].ok ? work.resultBytes : 0;
--- a/src/preparation/common/preparation.ts
+++ b/src/preparation/common/preparation.ts
@@ -81,7 +81,7 @@
 		this.renewSpent();
 		const works: StepWork[] = [];
 		for (const [index, step] of this.steps.entries()) {
-			const missing = step.results.flatMap((result, piece) => result || step.pending.has(piece) ? [] : [piece]);
+			const missing = step.results.flatMap((result, piece) => result !== undefined || step.pending.has(piece) ? [] : [piece]);
 			if (missing.length === 0 || !this.isNeeded(index) || !this.hasInputs(step) || this.canWait(index)) {
 				continue;
 			}
--- a/src/preparation/node/batch-pool.ts
+++ b/src/preparation/node/batch-pool.ts
@@ -12,7 +12,9 @@
 import type {WindowedBudget} from '../../routing/common/windowed-budget.js';
 import {BatchMachine, type BatchCall, type PieceEnd} from '../common/batch-machine.js';
 import type {BatchProtocol, EncodedCall} from '../common/batch-protocol.js';
-import {pieceFailures, type BatchWork, type PieceOutcome, type ResultRef} from '../common/work.js';
+import {
+	pieceFailures, type BatchWork, type PieceOutcome, type ResultRef,
+} from '../common/work.js';
 
 /** How often a queue is looked at while it waits: a fraction of a call's time. */
 const tickMs = 25;
--- a/src/standins/node/engine-server.ts
+++ b/src/standins/node/engine-server.ts
@@ -1,4 +1,4 @@
-/** Stand-in of a model engine over HTTP; the protocol is in docs/PLATFORM.md. */
+/** Stand-in of a model engine over HTTP; the protocol is in docs/SURROUNDINGS.md. */
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {request as httpRequest} from 'undici';
 import {z} from 'zod';
--- a/src/store/node/store-client.ts
+++ b/src/store/node/store-client.ts
@@ -1,4 +1,4 @@
-/** HTTP client of the platform's services; the protocol is in docs/PLATFORM.md. */
+/** HTTP client of the platform's services; the protocol is in docs/SURROUNDINGS.md. */
 import {request} from 'undici';
 import {z} from 'zod';
 import {messageOf} from '../../base/common/errors.js';
--- a/test/platform/upstream-standins.ts
+++ b/test/platform/upstream-standins.ts
@@ -1,6 +1,7 @@
 /** Stand-ins of the platform's servers: plain services, model servers and stage servers, with faults to order. */
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {setTimeout as sleep} from 'node:timers/promises';
+import {z} from 'zod';
 import {readBody, sendJson, StandinServer} from '../../src/standins/node/standin-server.js';
 
 /** A request as a server saw it. */
@@ -28,6 +29,8 @@
 	/** Says that a result it was to read is lost. */
 		| 'inputsGone';
 
+const freeSchema = z.object({sessions: z.array(z.string())});
+const runSchema = z.object({entries: z.array(z.record(z.string(), z.unknown()))});
 const eventCount = 5;
 
 /** A server with an id that is new at each start. */
@@ -78,7 +81,7 @@
 		} else if (path === '/v1/stage-run') {
 			await this.stageRun(body, response);
 		} else if (path === '/v1/stage-free') {
-			this.freed.push(...(JSON.parse(body) as {sessions: string[]}).sessions);
+			this.freed.push(...freeSchema.parse(JSON.parse(body)).sessions);
 			sendJson(response, 200, {});
 		} else {
 			await this.serve(request, response, body);
@@ -153,7 +156,7 @@
 	}
 
 	private async stageRun(body: string, response: ServerResponse): Promise<void> {
-		const {entries} = JSON.parse(body) as {entries: Array<Record<string, unknown>>};
+		const {entries} = runSchema.parse(JSON.parse(body));
 		if (this.fault === 'full') {
 			response.writeHead(503, {'not-executed': '1'}).end();
 			return;
--- a/test/request-world.ts
+++ b/test/request-world.ts
@@ -558,6 +558,10 @@
 				break;
 			}
 
+			case 'prepare': {
+				throw new Error('Plans of this world need no work before the request.');
+			}
+
 			case 'dispatch': {
 				const link = this.linkOf(entry, action.upstreamId);
 				if (link.isUp) {
--- a/xo.config.js
+++ b/xo.config.js
@@ -2,8 +2,20 @@
 
 /** The parts of src/, lowest first: each may import only itself and parts before it. */
 const layers = [
-	['base'], ['wire'], ['store'], ['settings'], ['deployment'], ['membership'], ['routing'], ['placement'], ['peers'],
-	['request'], ['preparation'], ['entry', 'agent', 'direct'], ['standins'], ['daemon', 'cli'],
+	['base'],
+	['wire'],
+	['store'],
+	['settings'],
+	['deployment'],
+	['membership'],
+	['routing'],
+	['placement'],
+	['peers'],
+	['request'],
+	['preparation'],
+	['entry', 'agent', 'direct'],
+	['standins'],
+	['daemon', 'cli'],
 ];
 
 function layerRule(level) {
