--- a/src/deployment/node/collect-answer.ts
+++ b/src/deployment/node/collect-answer.ts
@@ -2,7 +2,7 @@
 import type {Dispatcher} from 'undici';
 import {messageOf, UnavailableError} from '../../base/common/errors.js';
 import {fail, ok, type Outcome} from '../../base/common/outcome.js';
-import {isUnframed, pairHeaders} from '../common/hop-headers.js';
+import {pairHeaders} from '../common/hop-headers.js';
 import type {Lane} from './lane.js';
 
 const firstFinalStatus = 200;
@@ -73,7 +73,7 @@
 					}
 				},
 				onResponseEnd() {
-					if (isUnframed({headers}) && lane.wasReset) {
+					if (lane.isCutShort(headers)) {
 						end(fail({wasWritten: true, message: 'the connection broke off before the answer was whole'}));
 					} else {
 						end(ok({status, headers, body: joined(pieces, sizeBytes)}));
--- a/src/deployment/node/lane.ts
+++ b/src/deployment/node/lane.ts
@@ -3,6 +3,8 @@
 import {buildConnector, Client, type Dispatcher} from 'undici';
 import type {Clock} from '../../base/common/clock.js';
 import type {Disposable} from '../../base/common/disposable.js';
+import type {Header} from '../../wire/common/messages.js';
+import {isUnframed} from '../common/hop-headers.js';
 import type {UpstreamServer} from '../common/upstream-server.js';
 
 /** Longest time for a connection to come up: hosts are a few milliseconds apart, and a lost first packet is sent again only after a second. */
@@ -21,8 +23,9 @@
 		return new Lane(server, clock);
 	}
 
-	/** Whether the other side or the network broke the connection off. */
+	/** Whether the connection was broken off, by the other side or the network. */
 	wasReset = false;
+
 	isBusy = false;
 	isClosed = false;
 	/** Whether a connection has come up. */
@@ -63,6 +66,15 @@
 		return this.clock.nowMs() - this.restingSinceMs <= freshRestMs;
 	}
 
+	/**
+	Tells whether an answer that has come to its end on this connection may lack its rest.
+	@param headers - of the answer, names in small letters.
+	*/
+	isCutShort(headers: readonly Header[]): boolean {
+		// Lengths and chunks are checked by undici; without either, only an orderly close makes an answer whole.
+		return this.wasReset && isUnframed({headers});
+	}
+
 	dispatch(options: Dispatcher.DispatchOptions, handler: Dispatcher.DispatchHandler): void {
 		this.isBusy = true;
 		this.client.dispatch(options, handler);
@@ -87,6 +99,7 @@
 	private watch(socket: Socket): void {
 		this.wasConnected = true;
 		socket.setNoDelay(true);
+		// Before undici's own listener, which takes what has come by then for the whole answer.
 		socket.prependListener('error', () => {
 			this.wasReset = true;
 		});
--- a/src/direct/node/direct-call.ts
+++ b/src/direct/node/direct-call.ts
@@ -2,7 +2,7 @@
 import type {Dispatcher} from 'undici';
 import {messageOf, UnavailableError} from '../../base/common/errors.js';
 import {extendDigest} from '../../base/common/hash.js';
-import {isUnframed, pairHeaders} from '../../deployment/common/hop-headers.js';
+import {pairHeaders} from '../../deployment/common/hop-headers.js';
 import type {HttpHead} from '../../request/common/request-plan.js';
 import {refusalReasons, type DispatchMessage, type Message} from '../../wire/common/messages.js';
 import {EventSplitter} from '../common/event-splitter.js';
@@ -148,9 +148,8 @@
 		}
 	}
 
-	/** An answer without a length ends with its connection: only an orderly close makes it whole. */
 	private get isCutShort(): boolean {
-		return ((!this.head || isUnframed(this.head)) && this.options.lane.wasReset) || (this.splitter?.hasPartialEvent ?? false);
+		return this.options.lane.isCutShort(this.head?.headers ?? []) || (this.splitter?.hasPartialEvent ?? false);
 	}
 
 	private passOn(data: Uint8Array, units: number): void {
--- a/test/platform/direct-requests.test.ts
+++ b/test/platform/direct-requests.test.ts
@@ -99,10 +99,10 @@
 
 t.test('an answer that was cut is never passed on as whole', async t => {
 	const {servers: [server], entry} = await start(t, 'plain', 1);
-	server.fault = 'unframedReset';
-	t.equal((await ask(entry, {method: 'POST', path: '/book/x'})).status, 502);
-	server.fault = 'foreign';
-	t.equal((await ask(entry, {method: 'POST', path: '/book/x'})).status, 502);
+	for (const fault of ['unframedReset', 'chunkedReset', 'chunkedClose', 'foreign'] as const) {
+		server.fault = fault;
+		t.equal((await ask(entry, {method: 'POST', path: '/book/x'})).status, 502, fault);
+	}
 });
 
 t.test('an answer without a length is passed on without one: nobody knows that it is whole', async t => {
--- a/test/platform/upstream-standins.ts
+++ b/test/platform/upstream-standins.ts
@@ -24,6 +24,10 @@
 		| 'unframedReset'
 	/** Answers without a length and closes the connection in order in the middle. */
 		| 'unframedClose'
+	/** Answers in chunks and closes the connection in order before the last one. */
+		| 'chunkedClose'
+	/** The same with a reset. */
+		| 'chunkedReset'
 	/** Streams two events and cuts the connection inside the third. */
 		| 'cutStream'
 	/** Says that a result it was to read is lost. */
@@ -33,6 +37,19 @@
 const runSchema = z.object({entries: z.array(z.record(z.string(), z.unknown()))});
 const eventCount = 5;
 
+/** Half an answer, and the end of its connection. */
+async function breakOff(request: IncomingMessage, id: string, fault: Fault): Promise<void> {
+	const framing = fault.startsWith('chunked') ? 'Transfer-Encoding: chunked\r\nConnection: close\r\n' : '';
+	const body = framing === '' ? 'half of it' : 'a\r\nhalf of it\r\n';
+	request.socket.write(`HTTP/1.1 200 OK\r\nAttempt-Id: ${id}\r\nServer-Stamp: s\r\n${framing}\r\n${body}`);
+	await sleep(20);
+	if (fault.endsWith('Reset')) {
+		request.socket.resetAndDestroy();
+	} else {
+		request.socket.end();
+	}
+}
+
 /** A server with an id that is new at each start. */
 export class ServerStandin {
 	/**
@@ -119,15 +136,10 @@
 			}
 
 			case 'unframedReset':
-			case 'unframedClose': {
-				request.socket.write(`HTTP/1.1 200 OK\r\nAttempt-Id: ${id}\r\nServer-Stamp: s\r\n\r\nhalf of it`);
-				await sleep(20);
-				if (this.fault === 'unframedReset') {
-					request.socket.resetAndDestroy();
-				} else {
-					request.socket.end();
-				}
-
+			case 'unframedClose':
+			case 'chunkedReset':
+			case 'chunkedClose': {
+				await breakOff(request, id, this.fault);
 				break;
 			}
 
