--- a/src/preparation/common/batch-machine.test.ts
+++ b/src/preparation/common/batch-machine.test.ts
@@ -109,6 +109,11 @@
 	const servers = [server('s', 'a'), server('there', 'b')];
 	t.equal(patient.nextCalls(servers, capacity, 50).length, 0);
 	t.equal(patient.nextCalls(servers, capacity, 260).length, 1, 'not longer than it is worth');
+	const late = BatchMachine.create();
+	late.add(workOf('x', 4, {hall: 'b'}), 0);
+	late.nextCalls([server('there', 'b')], capacity, 0);
+	late.add({...work, dueMs: -100}, 0);
+	t.equal(late.nextCalls(servers, capacity, 50).length, 0, 'late as it is it waits as well');
 });
 
 t.test('the wait that is told grows with the queue ahead and counts a slow upstream out', async t => {
--- a/src/preparation/common/batch-machine.ts
+++ b/src/preparation/common/batch-machine.ts
@@ -431,7 +431,9 @@
 function isPatient({work, readyMs}: BatchPiece, nowMs: number): boolean {
 	const stepBytes = work.crossingBytes * work.pieces.length;
 	const patienceMs = Math.min(longestPatienceMs, (stepBytes / bytesPerMegabyte) * patienceMsPerMegabyte);
-	return nowMs < Math.min(readyMs + patienceMs, work.dueMs);
+	// What is late already loses nothing by waiting; what is still in time must not become late by it.
+	const untilMs = readyMs + patienceMs;
+	return nowMs < (readyMs < work.dueMs ? Math.min(untilMs, work.dueMs) : untilMs);
 }
 
 /**
--- a/src/routing/common/engine-loads.ts
+++ b/src/routing/common/engine-loads.ts
@@ -17,11 +17,8 @@
 /** After this long a part counts as kept only by luck, and reading it again is not priced any more. */
 const keptMs = 60_000;
 const mostParts = 30_000;
-/**
-Between engines that are nearly alike all hosts take the same one for a new part, and take it again after a
-restart, when they no longer know who keeps it. A tenth of the time a usual prompt takes to read.
-*/
-const orderStepMs = 20;
+/** Between engines that are alike, all hosts take the same one for a new part. 20 ms were tried, without a gain. */
+const orderStepMs = 3;
 
 /**
 Makes the parts of a prompt.
