Hand a pool's queue on when another host batches it; let finished work of peers go

And work of peers was never forgotten, so that a host was never idle and a stop waited out its whole grace. Change: when the peers change, or this host is about to stop, waiting pieces end as moved and are handed in again where the pool is batched now; a peer's work is forgotten with its last piece.

--- a/src/daemon/node/direct-entry.ts
+++ b/src/daemon/node/direct-entry.ts
@@ -88,6 +88,7 @@
 		const latestMs = startMs + settings.stopGraceMs - stopMarginMs;
 		log.info('The entry is stopping.', {open: ingress.openCount, graceMs: settings.stopGraceMs});
 		mesh.announce();
+		desk.handOver();
 		await this.until(() => clock.nowMs() >= startMs + announceMs);
 		ingress.closeIdle();
 		await this.until(() => clock.nowMs() >= latestMs || (ingress.openCount === 0 && desk.isIdle));
--- a/src/preparation/common/batch-machine.ts
+++ b/src/preparation/common/batch-machine.ts
@@ -122,6 +122,16 @@
 		this.waiting = this.waiting.filter(({work}) => work.workId !== workId);
 	}
 
+	/**
+	Gives away everything that waits, as when another host batches the pool from now on.
+	@returns the pieces, none of which has been begun.
+	*/
+	takeWaiting(): PieceEnd[] {
+		const moved = this.waiting.map(({work, piece}): PieceEnd => ({work, piece, outcome: {ok: false, reason: pieceFailures.moved}}));
+		this.waiting = [];
+		return moved;
+	}
+
 	/**
 	Gives the calls to make now.
 	@param servers - upstreams of the pool that may get work.
--- a/src/preparation/common/work.ts
+++ b/src/preparation/common/work.ts
@@ -12,6 +12,8 @@
 	/** The upstream has no room for another result. */
 	noRoom: 'noRoom',
 	failed: 'failed',
+	/** Not begun: another host batches the pool now. */
+	moved: 'moved',
 	/** Given up because the request has ended, or nobody could take it. */
 	abandoned: 'abandoned',
 } as const;
--- /dev/null
+++ b/src/preparation/node/batch-desk.test.ts
@@ -0,0 +1,101 @@
+import t from 'tap';
+import {ManualClock} from '../../base/common/clock.js';
+import {Emitter} from '../../base/common/emitter.js';
+import {silentLoggers} from '../../base/common/logger.js';
+import type {PeerMessage} from '../../peers/node/peer-mesh.js';
+import {rendezvousOwner} from '../../routing/common/rendezvous.js';
+import type {Message} from '../../wire/common/messages.js';
+import type {PieceEnd} from '../common/batch-machine.js';
+import {pieceFailures, type BatchWork, type PieceOutcome} from '../common/work.js';
+import {BatchDesk, type PeerLine, type PoolBatches} from './batch-desk.js';
+
+/** Hosts of one test, each with its desk; messages arrive at once. */
+class Hosts {
+	readonly desks = new Map<string, BatchDesk>();
+	/** Work in the hands of each host: `HOST/POOL`. */
+	readonly queues = new Map<string, PieceEnd[]>();
+	private readonly lines = new Map<string, {readonly receive: Emitter<PeerMessage>; readonly change: Emitter<void>}>();
+	private live: string[] = [];
+
+	add(hostId: string): BatchDesk {
+		const receive = Emitter.create<PeerMessage>();
+		const change = Emitter.create<void>();
+		const mesh: PeerLine = {
+			onDidReceive: receive.event,
+			onDidChange: change.event,
+			onDidLose: Emitter.create<string>().event,
+			liveHosts: [],
+			send: (to, message) => this.deliver(hostId, to, message),
+			broadcast: () => undefined,
+		};
+		Object.defineProperty(mesh, 'liveHosts', {get: () => this.live.filter(other => other !== hostId)});
+		this.lines.set(hostId, {receive, change});
+		const desk = BatchDesk.create({
+			hostId, mesh, clock: ManualClock.create(), log: silentLoggers.for('test'), isLeaving: () => !this.live.includes(hostId), makePool: (pool, ended) => this.makePool(hostId, pool, ended),
+		});
+		this.desks.set(hostId, desk);
+		this.setLive([...this.live, hostId]);
+		return desk;
+	}
+
+	setLive(live: string[]): void {
+		this.live = live;
+		for (const {change} of this.lines.values()) {
+			change.fire();
+		}
+	}
+
+	private deliver(from: string, to: string, message: Message): boolean {
+		this.lines.get(to)?.receive.fire({hostId: from, message});
+		return this.lines.has(to);
+	}
+
+	private makePool(hostId: string, _pool: string, ended: (end: PieceEnd) => void): PoolBatches {
+		const queue: PieceEnd[] = [];
+		this.queues.set(hostId, queue);
+		return {
+			get isIdle() {
+				return queue.length === 0;
+			},
+			add(work) {
+				queue.push(...work.pieces.map((piece): PieceEnd => ({work, piece, outcome: {ok: true, ref: {handle: `${hostId}${piece}`, serverId: 's'}}})));
+			},
+			cancel: () => undefined,
+			handOver() {
+				for (const {work, piece} of queue.splice(0)) {
+					ended({work, piece, outcome: {ok: false, reason: pieceFailures.moved}});
+				}
+			},
+			release: () => undefined,
+			waitMs: () => 0,
+			dispose: () => undefined,
+		};
+	}
+}
+
+const work: BatchWork = {
+	workId: 'w', pool: 'p', callerRequestId: 'r', pieceKey: 'k', step: 0, pieces: [0, 1], inputs: undefined, resultBytes: 1, rank: 0,
+	dueMs: 1, lateDueMs: 2, deadlineMs: 3, hall: '', crossingBytes: 0,
+};
+
+t.test('work that waits goes to the host that batches its pool now, and ends once', async t => {
+	const hosts = new Hosts();
+	const names = ['a', 'b'];
+	const owner = rendezvousOwner('p', names)!;
+	const other = names.find(name => name !== owner)!;
+	const asker = hosts.add(other);
+	const outcomes: PieceOutcome[] = [];
+	asker.submit(work, (_piece, outcome) => {
+		outcomes.push(outcome);
+	});
+	t.equal(hosts.queues.get(other)!.length, 2, 'alone it batches for itself');
+	hosts.add(owner);
+	t.equal(hosts.queues.get(other)!.length, 0);
+	t.equal(hosts.queues.get(owner)!.length, 2);
+	hosts.setLive([other]);
+	hosts.desks.get(owner)!.handOver();
+	t.equal(hosts.queues.get(owner)!.length, 0, 'a host that leaves hands its queue on');
+	t.equal(hosts.queues.get(other)!.length, 2);
+	t.ok(hosts.desks.get(owner)!.isIdle, 'and has nothing left in its hands');
+	t.same(outcomes, []);
+});
--- a/src/preparation/node/batch-desk.ts
+++ b/src/preparation/node/batch-desk.ts
@@ -29,15 +29,21 @@
 	waitMs(pool: string, rank: number): number;
 };
 
+/** What the desk needs of the connections to peers. */
+export type PeerLine = Pick<PeerMesh, 'onDidReceive' | 'onDidLose' | 'onDidChange' | 'liveHosts' | 'send' | 'broadcast'>;
+
+/** What the desk needs of the batches of one pool. */
+export type PoolBatches = Pick<BatchPool, 'isIdle' | 'add' | 'cancel' | 'handOver' | 'release' | 'waitMs' | 'dispose'>;
+
 /** What the desk is made of. */
 export type BatchDeskOptions = {
 	readonly hostId: string;
-	readonly mesh: PeerMesh;
+	readonly mesh: PeerLine;
 	readonly clock: Clock;
 	readonly log: Logger;
 	/** Whether this host is about to stop: others batch then. */
 	readonly isLeaving: () => boolean;
-	readonly makePool: (pool: string, ended: (end: PieceEnd) => void) => BatchPool;
+	readonly makePool: (pool: string, ended: (end: PieceEnd) => void) => PoolBatches;
 };
 
 /** How often waits are told: several times in the length of one call. */
@@ -47,6 +53,9 @@
 /** Ranks told apart; higher ones count as the last. */
 const ranksTold = 6;
 
+/** A peer whose work is in the hands of this host, and how many of its pieces have not ended. */
+type Asker = {readonly hostId: string; open: number};
+
 type Asked = {readonly work: BatchWork; readonly taker: EndsTaker; readonly open: Set<number>; owner: string};
 
 export const batchDeskToken: InjectionToken<BatchDesk> = Symbol('BatchDesk');
@@ -59,8 +68,8 @@
 
 	private readonly asked = new Map<string, Asked>();
 	/** Works of peers in the hands of this host, with the peer that asked. */
-	private readonly askers = new Map<string, string>();
-	private readonly pools = new Map<string, BatchPool>();
+	private readonly askers = new Map<string, Asker>();
+	private readonly pools = new Map<string, PoolBatches>();
 	private readonly owned = DisposableStore.create();
 
 	/** Waits of pools that other hosts batch, as they told. */
@@ -79,6 +88,9 @@
 		this.owned.add(mesh.onDidLose(hostId => {
 			this.lost(hostId);
 		}));
+		this.owned.add(mesh.onDidChange(() => {
+			this.handOver();
+		}));
 	}
 
 	/** Whether nothing of this host or of a peer is waiting or at work here. */
@@ -106,7 +118,7 @@
 			work, taker, open: new Set(work.pieces), owner: '',
 		};
 		this.asked.set(work.workId, asked);
-		this.place(asked);
+		this.place(asked, work.pieces);
 	}
 
 	/**
@@ -144,6 +156,18 @@
 		}
 	}
 
+	/**
+	Hands on what waits here for pools that another host batches now: two hosts that batch the same pool
+	know nothing of each other's results, and the older queue would find no room.
+	*/
+	handOver(): void {
+		for (const [name, pool] of this.pools) {
+			if (this.ownerOf(name) !== this.options.hostId) {
+				pool.handOver();
+			}
+		}
+	}
+
 	dispose(): void {
 		this.owned.dispose();
 		for (const pool of this.pools.values()) {
@@ -180,19 +204,19 @@
 		return rendezvousOwner(pool, hosts) ?? hostId;
 	}
 
-	private place(asked: Asked): void {
+	private place(asked: Asked, pieces: readonly number[]): void {
 		const {work} = asked;
 		const {hostId, mesh, clock} = this.options;
 		asked.owner = this.ownerOf(work.pool);
-		if (asked.owner !== hostId && mesh.send(asked.owner, messageOfWork({...work, pieces: [...asked.open]}, clock.nowMs()))) {
+		if (asked.owner !== hostId && mesh.send(asked.owner, messageOfWork({...work, pieces}, clock.nowMs()))) {
 			return;
 		}
 
 		asked.owner = hostId;
-		this.poolOf(work.pool).add({...work, pieces: [...asked.open]});
+		this.poolOf(work.pool).add({...work, pieces});
 	}
 
-	private poolOf(name: string): BatchPool {
+	private poolOf(name: string): PoolBatches {
 		let pool = this.pools.get(name);
 		if (!pool) {
 			pool = this.options.makePool(name, end => {
@@ -207,7 +231,9 @@
 	private receive(hostId: string, message: Message): void {
 		switch (message.type) {
 			case 'batchWork': {
-				this.askers.set(message.workId, hostId);
+				// Pieces of one work may come one after the other, as when they were handed on.
+				const known = this.askers.get(message.workId);
+				this.askers.set(message.workId, {hostId, open: (known?.open ?? 0) + message.pieces.length});
 				this.poolOf(message.pool).add(workOfMessage(message, this.options.clock.nowMs()));
 				break;
 			}
@@ -257,7 +283,12 @@
 			return;
 		}
 
-		this.options.mesh.send(asker, {
+		asker.open--;
+		if (asker.open <= 0) {
+			this.askers.delete(workId);
+		}
+
+		this.options.mesh.send(asker.hostId, {
 			type: 'batchEnds',
 			workId,
 			ends: [outcome.ok ? {piece, handle: outcome.ref.handle, serverId: outcome.ref.serverId} : {piece, reason: outcome.reason}],
@@ -276,10 +307,17 @@
 	/** @returns whether somebody still wanted to know. */
 	private tell(workId: string, piece: number, outcome: PieceOutcome): boolean {
 		const asked = this.asked.get(workId);
-		if (!asked?.open.delete(piece)) {
+		if (!asked?.open.has(piece)) {
 			return false;
 		}
 
+		if (!outcome.ok && outcome.reason === pieceFailures.moved) {
+			this.place(asked, [piece]);
+			return true;
+		}
+
+		asked.open.delete(piece);
+
 		if (asked.open.size === 0) {
 			this.asked.delete(workId);
 		}
@@ -290,7 +328,7 @@
 
 	private lost(hostId: string): void {
 		for (const [workId, asker] of this.askers) {
-			if (asker === hostId) {
+			if (asker.hostId === hostId) {
 				this.askers.delete(workId);
 				for (const pool of this.pools.values()) {
 					pool.cancel(workId);
@@ -303,7 +341,7 @@
 				this.options.log.warn('The host that batched a request\'s work is lost; the work is handed in again.', {
 					request: asked.work.callerRequestId, host: hostId, pool: asked.work.pool, pieces: asked.open.size,
 				});
-				this.place(asked);
+				this.place(asked, [...asked.open]);
 			}
 		}
 	}
--- a/src/preparation/node/batch-pool.ts
+++ b/src/preparation/node/batch-pool.ts
@@ -91,6 +91,11 @@
 		this.machine.cancel(workId);
 	}
 
+	/** Gives away what waits; each piece ends as moved. */
+	handOver(): void {
+		this.report(this.machine.takeWaiting());
+	}
+
 	release(refs: readonly ResultRef[]): void {
 		for (const {serverId, handle} of refs) {
 			const handles = this.releases.get(serverId) ?? [];
