Join pieces of bytes in one place

Cause: the loop that joins pieces stood three times (ingress, collect-answer, stage-answer), and once for two pieces (event-splitter). Change: base/common/bytes.ts has joinBytes; StageAnswer keeps no sum of its own, which only that loop read.

--- a/src/deployment/node/collect-answer.ts
+++ b/src/deployment/node/collect-answer.ts
@@ -1,5 +1,6 @@
 /** One call on a kept connection whose answer is read whole. */
 import type {Dispatcher} from 'undici';
+import {joinBytes} from '../../base/common/bytes.js';
 import {messageOf, UnavailableError} from '../../base/common/errors.js';
 import {fail, ok, type Outcome} from '../../base/common/outcome.js';
 import {pairHeaders} from '../common/hop-headers.js';
@@ -76,7 +77,7 @@
 					if (lane.isCutShort(headers)) {
 						end(fail({wasWritten: true, message: 'the connection broke off before the answer was whole'}));
 					} else {
-						end(ok({status, headers, body: joined(pieces, sizeBytes)}));
+						end(ok({status, headers, body: joinBytes(pieces)}));
 					}
 				},
 				onResponseError(_controller, error) {
@@ -89,14 +90,3 @@
 		}
 	});
 }
-
-function joined(pieces: readonly Uint8Array[], sizeBytes: number): Uint8Array {
-	const whole = new Uint8Array(sizeBytes);
-	let offset = 0;
-	for (const piece of pieces) {
-		whole.set(piece, offset);
-		offset += piece.byteLength;
-	}
-
-	return whole;
-}
--- a/src/direct/common/event-splitter.ts
+++ b/src/direct/common/event-splitter.ts
@@ -1,4 +1,5 @@
 /** Cuts an event stream (text/event-stream) into whole events, so that a cut stream never ends inside one. */
+import {joinBytes} from '../../base/common/bytes.js';
 
 const newline = 0x0A;
 const mostPendingBytes = 1024 * 1024;
@@ -30,7 +31,7 @@
 	@returns the events that are whole now, or nothing.
 	*/
 	push(bytes: Uint8Array): EventPiece | undefined {
-		const all = this.rest.byteLength === 0 ? bytes : joined(this.rest, bytes);
+		const all = this.rest.byteLength === 0 ? bytes : joinBytes([this.rest, bytes]);
 		let units = 0;
 		let endBytes = 0;
 		let lastStart = 0;
@@ -51,13 +52,6 @@
 	}
 }
 
-function joined(first: Uint8Array, second: Uint8Array): Uint8Array {
-	const both = new Uint8Array(first.byteLength + second.byteLength);
-	both.set(first);
-	both.set(second, first.byteLength);
-	return both;
-}
-
 function idOf(event: Uint8Array): string | undefined {
 	const [, id] = /^id: ?(?<id>[^\n]*)$/mv.exec(new TextDecoder().decode(event)) ?? [];
 	return id;
--- a/src/direct/node/ingress.ts
+++ b/src/direct/node/ingress.ts
@@ -3,6 +3,7 @@
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
 import type {InjectionToken} from 'tsyringe';
+import {joinBytes} from '../../base/common/bytes.js';
 import {setRepeating, type Clock} from '../../base/common/clock.js';
 import {DisposableStore, type Disposable} from '../../base/common/disposable.js';
 import {UnavailableError} from '../../base/common/errors.js';
@@ -300,7 +301,7 @@
 			}
 		});
 		request.on('end', () => {
-			resolve(pieces.length === 1 ? pieces[0] : joined(pieces, sizeBytes));
+			resolve(pieces.length === 1 ? pieces[0] : joinBytes(pieces));
 		});
 		request.on('close', () => {
 			resolve('gone');
@@ -310,14 +311,3 @@
 		});
 	});
 }
-
-function joined(pieces: readonly Uint8Array[], sizeBytes: number): Uint8Array {
-	const whole = new Uint8Array(sizeBytes);
-	let offset = 0;
-	for (const piece of pieces) {
-		whole.set(piece, offset);
-		offset += piece.byteLength;
-	}
-
-	return whole;
-}
--- a/src/request/common/stage-answer.ts
+++ b/src/request/common/stage-answer.ts
@@ -1,4 +1,5 @@
 /** The answer of one stage as it grows: pieces in order, and their units. */
+import {joinBytes} from '../../base/common/bytes.js';
 
 const maxAnswerBytes = 32 * 1024 * 1024;
 
@@ -9,7 +10,6 @@
 	}
 
 	private readonly pieces: Uint8Array[] = [];
-	private sizeBytes = 0;
 	private count = 0;
 
 	get units(): number {
@@ -18,14 +18,7 @@
 
 	/** The whole answer so far, in memory of its own. */
 	get body(): Uint8Array {
-		const whole = new Uint8Array(this.sizeBytes);
-		let offset = 0;
-		for (const piece of this.pieces) {
-			whole.set(piece, offset);
-			offset += piece.byteLength;
-		}
-
-		return whole;
+		return joinBytes(this.pieces);
 	}
 
 	/**
@@ -35,7 +28,6 @@
 	*/
 	add(units: number, data: Uint8Array): void {
 		this.pieces.push(data);
-		this.sizeBytes += data.byteLength;
 		this.count += units;
 	}
 }
