Put an entry that calls upstreams together part by part

Cause: composeDirectEntry was one function of some 180 lines; what belongs to which part could not be seen. Change: one function each for the base, peers, state, feeds, upstreams, preparation and the door, in the same file, with one Composition handed through; what runs from the start is made in the same order as before. Constants say what they bound; directEntryToken, which nothing read, is gone.

--- a/src/daemon/node/compose-direct-entry.ts
+++ b/src/daemon/node/compose-direct-entry.ts
@@ -9,7 +9,7 @@
 import {container, instanceCachingFactory, type InjectionToken} from 'tsyringe';
 import {clockToken, setRepeating, type Clock} from '../../base/common/clock.js';
 import {LifecycleManager} from '../../base/common/lifecycle.js';
-import {loggerFactoryToken} from '../../base/common/logger.js';
+import {loggerFactoryToken, type Logger} from '../../base/common/logger.js';
 import {metricsToken} from '../../base/common/metrics.js';
 import {randomToken, SeededRandom} from '../../base/common/random.js';
 import {BoundedOutput} from '../../base/node/bounded-output.js';
@@ -28,8 +28,8 @@
 import {upstreamProtocolToken, type UpstreamProtocol} from '../../direct/common/upstream-protocol.js';
 import {DirectLinks} from '../../direct/node/direct-links.js';
 import {Ingress, ingressToken} from '../../direct/node/ingress.js';
-import {PeerMesh, peerMeshToken} from '../../peers/node/peer-mesh.js';
 import {PromptNews} from '../../direct/node/prompt-news.js';
+import {PeerMesh, peerMeshToken} from '../../peers/node/peer-mesh.js';
 import {StateExchange} from '../../peers/node/state-exchange.js';
 import {batchProtocolToken, type BatchProtocol} from '../../preparation/common/batch-protocol.js';
 import {BatchDesk, batchDeskToken} from '../../preparation/node/batch-desk.js';
@@ -55,7 +55,7 @@
 	readonly servers: FeedSource<UpstreamServer>;
 };
 
-export const directEntryToken: InjectionToken<DirectEntry> = Symbol('DirectEntry');
+const enginesToken: InjectionToken<EngineLoads> = Symbol('EngineLoads');
 const routerToken: InjectionToken<DirectRouter> = Symbol('DirectRouter');
 const promptNewsToken: InjectionToken<PromptNews> = Symbol('PromptNews');
 const linksToken: InjectionToken<DirectLinks> = Symbol('DirectLinks');
@@ -64,9 +64,27 @@
 
 /** Part of an upstream's connections that all hosts together use; the rest is for hosts that have just come. */
 const usedConnectionShare = 0.8;
+/** Connections this host may always have to one upstream, however many hosts there are. */
 const fewestLanes = 4;
+/** How often the list of servers is looked through for times that are over. */
 const sweepMs = 200;
 
+/** What every part of the entry is put together with. */
+type Composition = {
+	readonly settings: DirectEntrySettings;
+	readonly ports: PlatformPorts;
+	readonly lifecycle: LifecycleManager;
+	readonly clock: Clock;
+	readonly metrics: TextMetrics;
+	readonly logOf: (part: string) => Logger;
+	/** Says how a part is made; it is made once, when something first asks for it. */
+	readonly register: <T>(token: InjectionToken<T>, make: () => T) => void;
+	readonly get: <T>(token: InjectionToken<T>) => T;
+	readonly isLeaving: () => boolean;
+	/** Hosts that serve, with this one. */
+	readonly hostCount: () => number;
+};
+
 /**
 Puts an entry together.
 @param settings - of the host.
@@ -75,6 +93,19 @@
 @returns the entry, not started.
 */
 export function composeDirectEntry(settings: DirectEntrySettings, ports: PlatformPorts, writeLine?: (line: string) => void): DirectEntry {
+	const composition = beginComposition(settings, ports, writeLine);
+	registerPeers(composition);
+	registerState(composition);
+	registerFeeds(composition);
+	registerUpstreams(composition);
+	registerPreparation(composition);
+	registerDoor(composition);
+	keepStateAlike(composition);
+	return makeEntry(composition);
+}
+
+/** The container, and the parts that stand below all others: clock, logs, metrics, the platform's ways of speaking. */
+function beginComposition(settings: DirectEntrySettings, ports: PlatformPorts, writeLine?: (line: string) => void): Composition {
 	const parts = container.createChildContainer();
 	const register = <T>(token: InjectionToken<T>, make: () => T) => {
 		parts.register(token, {useFactory: instanceCachingFactory(make)});
@@ -90,7 +121,6 @@
 		}),
 	});
 	const metrics = lifecycle.register(TextMetrics.create());
-	const logOf = (part: string) => loggers.for(part);
 	let isLeaving = false;
 	lifecycle.onWillStop(() => {
 		isLeaving = true;
@@ -104,8 +134,22 @@
 	register(callerProtocolToken, () => ports.callers);
 	register(upstreamProtocolToken, () => ports.upstreams);
 	register(batchProtocolToken, () => ports.batches);
-	register(deploymentBoardToken, () => DeploymentBoard.create(logOf('declaration')));
-	register(serverRegistryToken, () => ServerRegistry.create(logOf('servers')));
+	return {
+		settings,
+		ports,
+		lifecycle,
+		clock,
+		metrics,
+		logOf: part => loggers.for(part),
+		register,
+		get,
+		isLeaving: () => isLeaving,
+		hostCount: () => get(peerMeshToken).liveHosts.length + 1,
+	};
+}
+
+/** The connections to the other hosts. */
+function registerPeers({settings, lifecycle, clock, logOf, register, get, isLeaving}: Composition): void {
 	register(wireOptionsToken, (): WireClientOptions => ({
 		identity: {
 			hostId: settings.hostId, incarnation: newId(), role: 'entry', hall: settings.hall,
@@ -120,10 +164,24 @@
 		wire: get(wireOptionsToken),
 		clock,
 		log: logOf('peers'),
-		ownState: () => ({deploymentVersion: get(deploymentBoardToken).version, listRevision: get(serverRegistryToken).revision, isLeaving}),
+		ownState: () => ({deploymentVersion: get(deploymentBoardToken).version, listRevision: get(serverRegistryToken).revision, isLeaving: isLeaving()}),
 	})));
-	const hostCount = () => get(peerMeshToken).liveHosts.length + 1;
-	const makeBudget = () => WindowedBudget.create(settings.repeats, hostCount);
+}
+
+/** What this host knows: the declaration in force and the list of servers. */
+function registerState({logOf, register}: Composition): void {
+	register(deploymentBoardToken, () => DeploymentBoard.create(logOf('declaration')));
+	register(serverRegistryToken, () => ServerRegistry.create(logOf('servers')));
+}
+
+/** Where that comes from: the platform's store. */
+function registerFeeds({ports, lifecycle, clock, logOf, register, get}: Composition): void {
+	const offerAll = (declarations: readonly Deployment[]) => {
+		for (const declaration of declarations) {
+			get(deploymentBoardToken).offer(declaration, 'store');
+		}
+	};
+
 	register(declarationFeedToken, () => lifecycle.register(FeedFollower.create<Deployment>({
 		name: 'declaration',
 		source: ports.declarations,
@@ -139,12 +197,6 @@
 		},
 		returned: () => undefined,
 	})));
-	const offerAll = (declarations: readonly Deployment[]) => {
-		for (const declaration of declarations) {
-			get(deploymentBoardToken).offer(declaration, 'store');
-		}
-	};
-
 	register(serverFeedToken, () => {
 		const registry = get(serverRegistryToken);
 		return lifecycle.register(FeedFollower.create<UpstreamServer>({
@@ -162,7 +214,11 @@
 			},
 		}));
 	});
-	const engines = EngineLoads.create();
+}
+
+/** Which upstream serves a request, and the calls to it. */
+function registerUpstreams({settings, ports, lifecycle, clock, logOf, register, get, hostCount}: Composition): void {
+	register(enginesToken, () => EngineLoads.create());
 	register(routerToken, () => DirectRouter.create({
 		hall: settings.hall,
 		registry: get(serverRegistryToken),
@@ -170,13 +226,13 @@
 		bounds: settings.repeats,
 		hostCount,
 		newDispatchId: newId,
-		engines,
+		engines: get(enginesToken),
 		assigned(serverId, prompt) {
 			get(promptNewsToken).add(serverId, prompt);
 		},
 	}));
 	register(promptNewsToken, () => lifecycle.register(PromptNews.create({
-		mesh: get(peerMeshToken), engines, clock,
+		mesh: get(peerMeshToken), engines: get(enginesToken), clock,
 	})));
 	register(linksToken, () => lifecycle.register(DirectLinks.create({
 		registry: get(serverRegistryToken),
@@ -191,35 +247,43 @@
 			get(routerToken).heard(serverId, dispatchId, clock.nowMs());
 		},
 	})));
+}
+
+/** The batches for the work before requests. */
+function registerPreparation({settings, ports, lifecycle, clock, metrics, logOf, register, get, isLeaving, hostCount}: Composition): void {
 	register(batchDeskToken, () => lifecycle.register(BatchDesk.create({
 		hostId: settings.hostId,
 		mesh: get(peerMeshToken),
 		clock,
 		log: logOf('batches'),
-		isLeaving: () => isLeaving,
+		isLeaving,
 		makePool: (pool, ended) => BatchPool.create({
 			pool,
 			board: get(deploymentBoardToken),
 			registry: get(serverRegistryToken),
 			protocol: ports.batches,
-			budget: makeBudget(),
+			budget: WindowedBudget.create(settings.repeats, hostCount),
 			clock,
 			log: logOf('batches'),
 			metrics,
 			ended,
 		}),
 	})));
-	const preparerOptions = () => ({
-		desk: get(batchDeskToken), board: get(deploymentBoardToken), registry: get(serverRegistryToken), clock, log: logOf('preparation'),
-	});
+}
+
+/** Where callers and the balancer come. */
+function registerDoor({ports, lifecycle, clock, metrics, logOf, register, get, isLeaving}: Composition): void {
 	const notReadyReason = () => {
-		if (isLeaving) {
+		if (isLeaving()) {
 			return 'this host is about to stop';
 		}
 
 		return get(deploymentBoardToken).current && get(serverRegistryToken).size > 0 ? undefined : 'this host does not know the declaration and the servers yet';
 	};
 
+	const preparerOptions = () => ({
+		desk: get(batchDeskToken), board: get(deploymentBoardToken), registry: get(serverRegistryToken), clock, log: logOf('preparation'),
+	});
 	register(ingressToken, () => lifecycle.register(Ingress.create({
 		board: get(deploymentBoardToken),
 		links: get(linksToken),
@@ -233,8 +297,12 @@
 		log: logOf('requests'),
 		metrics,
 		notReadyReason,
-		isLeaving: () => isLeaving,
+		isLeaving,
 	})));
+}
+
+/** What goes on by itself from the start: hosts tell each other what they know, and what is out of date goes. */
+function keepStateAlike({lifecycle, clock, logOf, get}: Composition): void {
 	lifecycle.register(StateExchange.create({
 		mesh: get(peerMeshToken),
 		board: get(deploymentBoardToken),
@@ -248,6 +316,10 @@
 	}));
 	// Made at once, so that peers' news are heard before the first request.
 	get(promptNewsToken);
+}
+
+/** The entry itself; asking for its parts makes them. */
+function makeEntry({settings, lifecycle, clock, metrics, logOf, get}: Composition): DirectEntry {
 	return DirectEntry.create({
 		settings,
 		lifecycle,
