Split the door: what a request brings, and what is decided of it

Cause: Ingress.start did five things in one function and needed an exception from the linter for its parameters; two different functions were called admit. Change: a request that is here whole is one Arrival; planOf, admitSteps and preparerFor stand beside start; the check of the head is called recognize; the reading of head size and body is in read-request.ts.

--- a/src/direct/node/ingress.ts
+++ b/src/direct/node/ingress.ts
@@ -3,7 +3,6 @@
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
 import type {InjectionToken} from 'tsyringe';
-import {joinBytes} from '../../base/common/bytes.js';
 import {setRepeating, type Clock} from '../../base/common/clock.js';
 import {DisposableStore, type Disposable} from '../../base/common/disposable.js';
 import {UnavailableError} from '../../base/common/errors.js';
@@ -16,7 +15,7 @@
 import {pairHeaders} from '../../deployment/common/hop-headers.js';
 import {admit, type PoolWaits} from '../../preparation/common/admission.js';
 import type {Preparer, PreparationAsk} from '../../preparation/node/preparer.js';
-import type {StagePlan} from '../../request/common/request-plan.js';
+import type {RequestPlan, StagePlan} from '../../request/common/request-plan.js';
 import type {RequestRunner} from '../../request/node/request-runner.js';
 import type {Endpoint} from '../../wire/node/wire-server.js';
 import type {CallerAsk, CallerProtocol} from '../common/caller-protocol.js';
@@ -24,11 +23,14 @@
 import type {LikelyPlace} from '../common/direct-router.js';
 import type {DirectLinks} from './direct-links.js';
 import {sendOwn} from './pass-through-writer.js';
+import {headBytesOf, readBody} from './read-request.js';
 import {ServedRequest} from './served-request.js';
 
 /** Longest head that is read at all; the declaration's own limit is checked besides. */
 const mostHeadBytes = 64 * 1024;
+/** How often connections are looked through for those past their limits. */
 const checkMs = 1000;
+/** When to come back to a host that knows no declaration yet. */
 const comeBackMs = 500;
 const statuses = {
 	badRequest: 400, unauthorized: 401, notFound: 404, bodyTooLarge: 413, headTooLarge: 431, unavailable: 503,
@@ -55,7 +57,16 @@
 	readonly isLeaving: () => boolean;
 };
 
-type Admitted = {readonly index: DeploymentIndex; readonly route: Route; readonly workspace: WorkspaceDeclaration | undefined; readonly ask: CallerAsk};
+/** What the head of a request leads to. */
+type Recognized = {readonly index: DeploymentIndex; readonly route: Route; readonly workspace: WorkspaceDeclaration | undefined; readonly ask: CallerAsk};
+/** A request that is here whole. */
+type Arrival = Recognized & {
+	readonly request: IncomingMessage;
+	readonly response: ServerResponse;
+	readonly body: Uint8Array;
+	readonly receivedMs: number;
+};
+/** Why a request goes no further than its head. */
 type Refusal = {readonly requestId: string; readonly status: number; readonly reason: string; readonly retryAfterMs?: number};
 
 export const ingressToken: InjectionToken<Ingress> = Symbol('Ingress');
@@ -135,27 +146,29 @@
 			response.shouldKeepAlive = false;
 		}
 
-		const admitted = this.admit(request);
-		if ('status' in admitted) {
-			this.refuse(response, admitted);
+		const recognized = this.recognize(request);
+		if ('status' in recognized) {
+			this.refuse(response, recognized);
 			return;
 		}
 
-		const body = await readBody(request, admitted.index.deployment.limits.maxBodyBytes);
+		const body = await readBody(request, recognized.index.deployment.limits.maxBodyBytes);
 		if (body === 'gone') {
 			return;
 		}
 
 		if (body === 'tooLarge') {
 			response.shouldKeepAlive = false;
-			this.refuse(response, {requestId: admitted.ask.requestId, status: statuses.bodyTooLarge, reason: 'the body is larger than the limit'});
+			this.refuse(response, {requestId: recognized.ask.requestId, status: statuses.bodyTooLarge, reason: 'the body is larger than the limit'});
 			return;
 		}
 
-		this.start(request, response, admitted, body, receivedMs);
+		this.start({
+			...recognized, request, response, body, receivedMs,
+		});
 	}
 
-	private admit(request: IncomingMessage): Admitted | Refusal {
+	private recognize(request: IncomingMessage): Recognized | Refusal {
 		const index = this.options.board.current;
 		const ask = this.options.protocol.read(pairHeaders(request.rawHeaders), index?.hasKeys ?? true);
 		const {requestId} = ask;
@@ -199,15 +212,29 @@
 		sendOwn(response, status, reason, retryAfterMs);
 	}
 
-	// eslint-disable-next-line max-params
-	private start(request: IncomingMessage, response: ServerResponse, admitted: Admitted, body: Uint8Array, receivedMs: number): void {
-		const {index, route, workspace, ask} = admitted;
-		const {clock, random, links, runner, log, metrics, makePreparer, likelyPlace} = this.options;
-		const requestId = this.idFor(ask.requestId);
-		const pool = choosePool(route, random);
-		const needsPreparation = route.steps.length > 0 && ask.pieceCounts.some(count => count > 0);
-		const plan = makeDirectPlan({
-			requestId,
+	private start(arrival: Arrival): void {
+		const {request, response, ask, receivedMs} = arrival;
+		const {links, runner, likelyPlace, clock, log, metrics} = this.options;
+		const plan = this.planOf(arrival);
+		const place = likelyPlace(plan.stages[0], receivedMs);
+		if (plan.needsPreparation && !this.admitSteps(arrival, place.firstMs)) {
+			return;
+		}
+
+		const preparer = plan.needsPreparation ? this.preparerFor(arrival, plan, place) : undefined;
+		this.openIds.add(plan.requestId);
+		ServedRequest.create({
+			plan, ask, response, links, preparer, clock, log, metrics, isHead: request.method === 'HEAD',
+			ended: () => {
+				this.openIds.delete(plan.requestId);
+			},
+		}).start(runner);
+	}
+
+	private planOf({request, index, route, workspace, ask, body, receivedMs}: Arrival): RequestPlan {
+		const pool = choosePool(route, this.options.random);
+		return makeDirectPlan({
+			requestId: this.idFor(ask.requestId),
 			workspace: workspace?.name ?? '',
 			route,
 			version: index.version,
@@ -217,40 +244,49 @@
 				kind: 'http', method: request.method ?? 'GET', path: request.url ?? '/', headers: [...ask.passedHeaders], body,
 			},
 			promptParts: route.hasAffinity ? ask.promptParts : [],
-			needsPreparation,
+			needsPreparation: route.steps.length > 0 && ask.pieceCounts.some(count => count > 0),
 			remainingMs: ask.remainingMs,
 		}, receivedMs);
-		const place = likelyPlace(plan.stages[0], receivedMs);
-		// The workspace's rank goes first; among equals the route's decides.
-		const rank = (workspace?.rank ?? 0) + route.rank;
-		if (needsPreparation) {
-			const admission = admit({
-				index, route, pieceCounts: ask.pieceCounts, rank, afterwardsMs: place.firstMs, remainingMs: ask.remainingMs, chance: random.next(),
-			}, this.options.waits);
-			if (!admission.isAdmitted) {
-				const {predictedMs, retryAfterMs} = admission;
-				log.info('A request was refused at the door: its steps would wait too long.', {
-					request: ask.requestId, route: route.name, rank, predictedMs: Math.round(predictedMs), targetMs: route.targetMs, retryAfterMs: Math.round(retryAfterMs),
-				});
-				metrics.increment('requests.refusedAtDoor', 1, {route: route.name});
-				sendOwn(response, statuses.unavailable, 'Not run: the queues before it are too long', retryAfterMs);
-				return;
-			}
+	}
+
+	/**
+	Decides whether the steps of a request can still be in time, and refuses it if not.
+	@returns whether it goes on.
+	*/
+	private admitSteps(arrival: Arrival, afterwardsMs: number): boolean {
+		const {response, index, route, ask} = arrival;
+		const {random, waits, log, metrics} = this.options;
+		const rank = rankOf(arrival);
+		const admission = admit({
+			index, route, pieceCounts: ask.pieceCounts, rank, afterwardsMs, remainingMs: ask.remainingMs, chance: random.next(),
+		}, waits);
+		if (admission.isAdmitted) {
+			return true;
 		}
 
-		const preparer = needsPreparation
-			? makePreparer({
-				requestId, callerRequestId: ask.requestId, route, pieceCounts: ask.pieceCounts, pieceKey: ask.pieceKey,
-				rank, targetMs: receivedMs + route.targetMs, deadlineMs: plan.deadlineMs, hall: place.hall, afterwardsMs: place.firstMs,
-			})
-			: undefined;
-		this.openIds.add(requestId);
-		ServedRequest.create({
-			plan, ask, response, links, preparer, clock, log, metrics, isHead: request.method === 'HEAD',
-			ended: () => {
-				this.openIds.delete(requestId);
-			},
-		}).start(runner);
+		const {predictedMs, retryAfterMs} = admission;
+		log.info('A request was refused at the door: its steps would wait too long.', {
+			request: ask.requestId, route: route.name, rank, predictedMs: Math.round(predictedMs), targetMs: route.targetMs, retryAfterMs: Math.round(retryAfterMs),
+		});
+		metrics.increment('requests.refusedAtDoor', 1, {route: route.name});
+		sendOwn(response, statuses.unavailable, 'Not run: the queues before it are too long', retryAfterMs);
+		return false;
+	}
+
+	private preparerFor(arrival: Arrival, {requestId, deadlineMs}: RequestPlan, {hall, firstMs}: LikelyPlace): Preparer {
+		const {route, ask, receivedMs} = arrival;
+		return this.options.makePreparer({
+			requestId,
+			callerRequestId: ask.requestId,
+			route,
+			pieceCounts: ask.pieceCounts,
+			pieceKey: ask.pieceKey,
+			rank: rankOf(arrival),
+			targetMs: receivedMs + route.targetMs,
+			deadlineMs,
+			hall,
+			afterwardsMs: firstMs,
+		});
 	}
 
 	/** The caller's own name of the request, made unique on this host where two have the same. */
@@ -264,6 +300,11 @@
 	}
 }
 
+/** The workspace's rank goes first; among equals the route's decides. */
+function rankOf({workspace, route}: Recognized): number {
+	return (workspace?.rank ?? 0) + route.rank;
+}
+
 async function listen(server: Server, endpoint: Endpoint): Promise<Endpoint> {
 	return new Promise((resolve, reject) => {
 		server.once('error', error => {
@@ -275,39 +316,3 @@
 		});
 	});
 }
-
-function headBytesOf(request: IncomingMessage): number {
-	let sizeBytes = (request.method?.length ?? 0) + (request.url?.length ?? 0);
-	for (const item of request.rawHeaders) {
-		// Each name and value is followed by two more bytes: a colon and a blank, or the end of the line.
-		sizeBytes += item.length + 2;
-	}
-
-	return sizeBytes;
-}
-
-async function readBody(request: IncomingMessage, mostBytes: number): Promise<Uint8Array | 'gone' | 'tooLarge'> {
-	return new Promise(resolve => {
-		const pieces: Uint8Array[] = [];
-		let sizeBytes = 0;
-		request.on('data', (piece: Uint8Array) => {
-			sizeBytes += piece.byteLength;
-			if (sizeBytes > mostBytes) {
-				request.removeAllListeners('data');
-				request.resume();
-				resolve('tooLarge');
-			} else {
-				pieces.push(piece);
-			}
-		});
-		request.on('end', () => {
-			resolve(pieces.length === 1 ? pieces[0] : joinBytes(pieces));
-		});
-		request.on('close', () => {
-			resolve('gone');
-		});
-		request.on('error', () => {
-			resolve('gone');
-		});
-	});
-}
