--- a/src/request/common/attempt-list.ts
+++ b/src/request/common/attempt-list.ts
@@ -1,5 +1,6 @@
 /** The attempts at one stage, by id and by state. */
 import type {Attempt} from './attempt.js';
+import type {AttemptRules} from './attempt-rules.js';
 import {attemptStates} from './request-plan.js';
 
 /** Holds attempts in the order in which they were sent. */
@@ -47,6 +48,40 @@
 		return this.all.map(attempt => attempt.options.dispatchId);
 	}
 
+	/**
+	Tells whether no other attempt is live.
+	@param attempt - the one that may be.
+	*/
+	isAlone(attempt: Attempt): boolean {
+		return this.all.every(other => other === attempt || !other.isLive);
+	}
+
+	/**
+	Gives the attempts at one upstream that have not ended.
+	@param upstreamId - the upstream.
+	*/
+	liveAt(upstreamId: string): Attempt[] {
+		return this.all.filter(attempt => attempt.isLive && attempt.options.upstreamId === upstreamId);
+	}
+
+	/**
+	Counts the attempts that count against the most a stage may have.
+	@param rules - whether refusals are among them.
+	*/
+	countUnder({countsRefusals}: AttemptRules): number {
+		return countsRefusals ? this.count : this.all.filter(attempt => attempt.mayHaveRun).length;
+	}
+
+	/**
+	Tells whether there may be no further attempt.
+	@param rules - how refusals count.
+	@param mostAttempts - how many a stage may have.
+	*/
+	areSpent(rules: AttemptRules, mostAttempts: number): boolean {
+		const refusals = this.all.filter(attempt => !attempt.mayHaveRun).length;
+		return this.countUnder(rules) >= mostAttempts || refusals >= rules.mostRefusals;
+	}
+
 	add(attempt: Attempt): void {
 		this.all.push(attempt);
 		this.byId.set(attempt.options.dispatchId, attempt);
--- a/src/request/common/stage-run.ts
+++ b/src/request/common/stage-run.ts
@@ -11,9 +11,9 @@
 import type {RequestRouter} from './request-router.js';
 import {isTooLarge, StageAnswer} from './stage-answer.js';
 import {makeDispatch} from './stage-dispatch.js';
+import {StageHold} from './stage-hold.js';
 import {makeStageTrace} from './stage-trace.js';
 
-const holdRetryMs = 20;
 const firstServerError = 500;
 
 /** Where a stage stands. */
@@ -51,9 +51,7 @@
 	private leader: Attempt | undefined;
 	private answer = StageAnswer.create();
 	private receivedBytes = 0;
-	private heldMs = 0;
-	private holdingSinceMs: number;
-	private retryAtMs = Infinity;
+	private readonly holding: StageHold;
 	private endMs = 0;
 	private isRecoveryOver = false;
 	private isHedgeOver = false;
@@ -61,7 +59,7 @@
 	private errorAnswer: Attempt | undefined;
 
 	private constructor(private readonly options: StageRunOptions) {
-		this.holdingSinceMs = options.startMs;
+		this.holding = StageHold.create(options.startMs);
 	}
 
 	get stage(): StagePlan {
@@ -83,7 +81,7 @@
 	/** Next time at which a tick has something to do. */
 	get wakeAtMs(): number {
 		if (this.status.type === 'holding') {
-			return Math.min(this.retryAtMs, this.holdUntilMs);
+			return Math.min(this.holding.retryAtMs, this.holdUntilMs);
 		}
 
 		let wakeMs = Infinity;
@@ -221,10 +219,8 @@
 	}
 
 	reconnected(upstreamId: string): void {
-		for (const attempt of this.attempts.all) {
-			if (attempt.isLive && attempt.options.upstreamId === upstreamId) {
-				this.options.emit({type: 'query', upstreamId, dispatchId: attempt.options.dispatchId});
-			}
+		for (const attempt of this.attempts.liveAt(upstreamId)) {
+			this.options.emit({type: 'query', upstreamId, dispatchId: attempt.options.dispatchId});
 		}
 	}
 
@@ -233,26 +229,22 @@
 	@param nowMs - the time.
 	*/
 	abandon(nowMs: number): void {
-		for (const attempt of this.attempts.all) {
-			if (attempt.isLive) {
-				this.cancel(attempt);
-				this.end(attempt, attemptStates.unknown, 'abandoned', nowMs);
-			}
+		for (const attempt of this.attempts.live) {
+			this.cancel(attempt);
+			this.end(attempt, attemptStates.unknown, 'abandoned', nowMs);
 		}
 	}
 
 	/** Asks agents to give up what they have not started. */
 	cancelLive(): void {
-		for (const attempt of this.attempts.all) {
-			if (attempt.isLive) {
-				this.cancel(attempt);
-			}
+		for (const attempt of this.attempts.live) {
+			this.cancel(attempt);
 		}
 	}
 
 	trace(): StageTrace {
 		return makeStageTrace({
-			stage: this.stage.name, heldMs: this.heldMs, tookMs: Math.max(0, this.endMs - this.options.startMs), attempts: this.attempts.all, isUseful: attempt => this.isUseful(attempt),
+			stage: this.stage.name, heldMs: this.holding.heldMs, tookMs: Math.max(0, this.endMs - this.options.startMs), attempts: this.attempts.all, isUseful: attempt => this.isUseful(attempt),
 		});
 	}
 
@@ -267,18 +259,7 @@
 	}
 
 	private get holdUntilMs(): number {
-		return Math.min(this.holdingSinceMs + this.stage.policy.holdMs, this.options.startByMs);
-	}
-
-	/** Attempts that count against the most there may be. */
-	private get countedAttempts(): number {
-		const {countsRefusals} = this.options.plan.rules;
-		return countsRefusals ? this.attempts.count : this.attempts.all.filter(attempt => attempt.mayHaveRun).length;
-	}
-
-	private get isOutOfAttempts(): boolean {
-		const refusals = this.attempts.all.filter(attempt => !attempt.mayHaveRun).length;
-		return this.countedAttempts >= this.stage.policy.maxAttempts || refusals >= this.options.plan.rules.mostRefusals;
+		return Math.min(this.holding.endMs(this.stage.policy.holdMs), this.options.startByMs);
 	}
 
 	private isUseful(attempt: Attempt): boolean {
@@ -297,9 +278,8 @@
 	}
 
 	private hedgeAtMs(attempt: Attempt): number {
-		const isAlone = this.attempts.all.every(other => other === attempt || !other.isLive);
-		const mayHedge = isAlone && !this.isHedgeOver && !this.leader && this.options.plan.isRepeatable
-			&& this.countedAttempts < this.stage.policy.maxAttempts;
+		const mayHedge = this.attempts.isAlone(attempt) && !this.isHedgeOver && !this.leader && this.options.plan.isRepeatable
+			&& this.attempts.countUnder(this.options.plan.rules) < this.stage.policy.maxAttempts;
 		const delayMs = mayHedge ? this.options.router.hedgeDelayMs(this.stage) : undefined;
 		return delayMs === undefined ? Infinity : attempt.options.sentAtMs + delayMs;
 	}
@@ -322,8 +302,8 @@
 	}
 
 	private dropOthers(kept: Attempt, nowMs: number): void {
-		for (const other of this.attempts.all) {
-			if (other !== kept && other.isLive) {
+		for (const other of this.attempts.live) {
+			if (other !== kept) {
 				this.cancel(other);
 				this.end(other, attemptStates.unknown, 'lostRace', nowMs);
 			}
@@ -357,15 +337,12 @@
 	}
 
 	private loseAttempts(upstreamId: string, reason: string, nowMs: number): void {
-		let isLost = false;
-		for (const attempt of this.attempts.all) {
-			if (attempt.isLive && attempt.options.upstreamId === upstreamId) {
-				this.end(attempt, attemptStates.unknown, reason, nowMs);
-				isLost = true;
-			}
+		const lost = this.attempts.liveAt(upstreamId);
+		for (const attempt of lost) {
+			this.end(attempt, attemptStates.unknown, reason, nowMs);
 		}
 
-		if (isLost) {
+		if (lost.length > 0) {
 			this.recover(failureCodes.resultUnknown, 'the upstream\'s agent was lost', nowMs);
 		}
 	}
@@ -388,7 +365,7 @@
 		} else if (!isNotRun && !this.options.plan.isRepeatable) {
 			const isUnknown = this.attempts.hasUnknown;
 			this.fail(isUnknown ? failureCodes.resultUnknown : code, message);
-		} else if (this.isOutOfAttempts) {
+		} else if (this.attempts.areSpent(this.options.plan.rules, this.stage.policy.maxAttempts)) {
 			this.fail(isNotRun ? failureCodes.overloaded : failureCodes.attemptsExhausted, message);
 		} else if (nowMs >= this.options.startByMs) {
 			this.fail(failureCodes.deadlineExceeded, message);
@@ -401,7 +378,7 @@
 
 	private tryAgain(nowMs: number): void {
 		if (nowMs >= this.holdUntilMs) {
-			this.heldMs += nowMs - this.holdingSinceMs;
+			this.holding.end(nowMs);
 			const isOutOfTime = nowMs >= this.options.startByMs;
 			this.fail(isOutOfTime ? failureCodes.deadlineExceeded : failureCodes.noUpstream, 'no upstream became available');
 		} else {
@@ -441,15 +418,15 @@
 
 		if (this.status.type !== 'holding') {
 			this.status = {type: 'holding'};
-			this.holdingSinceMs = nowMs;
+			this.holding.begin(nowMs);
 		}
 
-		this.retryAtMs = nowMs + holdRetryMs;
+		this.holding.retryLater(nowMs);
 	}
 
 	private leaveHold(nowMs: number): void {
 		if (this.status.type === 'holding') {
-			this.heldMs += nowMs - this.holdingSinceMs;
+			this.holding.end(nowMs);
 			this.status = {type: 'running'};
 		}
 	}
