Split the writing of direct calls, and read heads in one place

Cause: DirectLinks.dispatch did four things in one function; headers in small letters and the bound of interim statuses stood in both direct-call and collect-answer. Change: begin, callOf and writtenOf stand beside dispatch, with one CallStart handed through; answer-head.ts reads heads for both; RefusalReason instead of its spelling-out; constants and steps of a call say what they are; callCount, which nothing read, is gone.

--- a/src/deployment/node/collect-answer.ts
+++ b/src/deployment/node/collect-answer.ts
@@ -3,10 +3,10 @@
 import {joinBytes} from '../../base/common/bytes.js';
 import {messageOf, UnavailableError} from '../../base/common/errors.js';
 import {fail, ok, type Outcome} from '../../base/common/outcome.js';
-import {pairHeaders} from '../common/hop-headers.js';
+import {headersOf, isFinal} from './answer-head.js';
 import type {Lane} from './lane.js';
 
-const firstFinalStatus = 200;
+/** Largest answer that is kept; a batch's answer names results, and is far smaller. */
 const mostAnswerBytes = 16 * 1024 * 1024;
 
 /** A whole answer. */
@@ -29,6 +29,7 @@
 @param lane - a connection that carries nothing; rests or is closed afterwards.
 @param options - what to send.
 @param signal - gives the call up.
+@returns the answer, or why there is none.
 */
 export async function collectAnswer(lane: Lane, options: Dispatcher.DispatchOptions, signal: AbortSignal): Promise<Outcome<WholeAnswer, NoAnswer>> {
 	return new Promise(resolve => {
@@ -59,11 +60,9 @@
 					controller = started;
 				},
 				onResponseStart(started, startedStatus) {
-					if (startedStatus >= firstFinalStatus) {
+					if (isFinal(startedStatus)) {
 						status = startedStatus;
-						headers = Array.isArray(started.rawHeaders)
-							? pairHeaders(started.rawHeaders).map(({name, value}) => ({name: name.toLowerCase(), value}))
-							: [];
+						headers = headersOf(started);
 					}
 				},
 				onResponseData(reading, bytes) {
--- a/src/direct/node/direct-call.ts
+++ b/src/direct/node/direct-call.ts
@@ -2,15 +2,19 @@
 import type {Dispatcher} from 'undici';
 import {messageOf, UnavailableError} from '../../base/common/errors.js';
 import {extendDigest} from '../../base/common/hash.js';
-import {pairHeaders} from '../../deployment/common/hop-headers.js';
+import {headersOf, isFinal} from '../../deployment/node/answer-head.js';
+import type {Lane} from '../../deployment/node/lane.js';
 import type {HttpHead} from '../../request/common/request-plan.js';
-import {refusalReasons, type DispatchMessage, type Message} from '../../wire/common/messages.js';
+import {
+	refusalReasons, type DispatchMessage, type Message, type RefusalReason,
+} from '../../wire/common/messages.js';
 import {EventSplitter} from '../common/event-splitter.js';
 import type {UpstreamProtocol} from '../common/upstream-protocol.js';
-import type {Lane} from '../../deployment/node/lane.js';
 
-const firstFinalStatus = 200;
+/** Answers below this status are what was asked for; others are passed on as they come, not event by event. */
 const firstErrorStatus = 300;
+/** Reasons go into logs and traces; gates cut theirs at the same length. */
+const mostReasonChars = 500;
 
 /** What a call needs besides its connection. */
 export type DirectCallOptions = {
@@ -37,8 +41,11 @@
 	private readonly sentMs: number;
 	private head: HttpHead | undefined;
 	private splitter: EventSplitter | undefined;
-	private refusal: typeof refusalReasons[keyof typeof refusalReasons] | undefined;
-	private foreign: string | undefined;
+	/** Why the upstream did not run it, once its head has said so. */
+	private refusal: RefusalReason | undefined;
+	/** Why the answer is not one to this call. */
+	private foreignReason: string | undefined;
+	/** Units that were passed on. */
 	private units = 0;
 	private digest = 0;
 	private creditLeft: number;
@@ -72,15 +79,14 @@
 		}
 	}
 
+	/** A head has come: it tells whether the call runs, was refused, or is answered by another server. */
 	onResponseStart(controller: Dispatcher.DispatchController, status: number): void {
-		if (status < firstFinalStatus) {
+		if (!isFinal(status)) {
 			return;
 		}
 
 		const {dispatch, protocol, callerRequestId, isStreaming, nowMs, emit} = this.options;
-		const {rawHeaders} = controller;
-		const headers = (Array.isArray(rawHeaders) ? pairHeaders(rawHeaders) : [])
-			.map(({name, value}) => ({name: name.toLowerCase(), value}));
+		const headers = headersOf(controller);
 		this.head = {status, headers};
 		const reading = protocol.readHead(this.head, callerRequestId);
 		if (reading.kind === 'notRun') {
@@ -89,7 +95,7 @@
 		}
 
 		if (reading.kind === 'foreign') {
-			this.foreign = reading.reason;
+			this.foreignReason = reading.reason;
 			controller.abort(new UnavailableError(reading.reason));
 			return;
 		}
@@ -103,6 +109,7 @@
 		});
 	}
 
+	/** Bytes of the answer have come: whole events of a stream, or any bytes of another answer, go on. */
 	onResponseData(controller: Dispatcher.DispatchController, bytes: Uint8Array): void {
 		if (this.refusal !== undefined || this.isOver) {
 			return;
@@ -125,6 +132,7 @@
 		}
 	}
 
+	/** The answer is over, as far as the connection tells. */
 	onResponseEnd(): void {
 		if (this.refusal !== undefined) {
 			this.refuse(this.refusal);
@@ -135,6 +143,7 @@
 		}
 	}
 
+	/** The call broke off: one that was never begun is refused, of any other the end is not known. */
 	onResponseError(_controller: Dispatcher.DispatchController, error: Error): void {
 		if (this.refusal !== undefined) {
 			// The head alone is proof.
@@ -144,10 +153,11 @@
 		} else if (this.isCancelled) {
 			this.end('unknown', 'cancelled');
 		} else {
-			this.end('unknown', this.foreign ?? messageOf(error));
+			this.end('unknown', this.foreignReason ?? messageOf(error));
 		}
 	}
 
+	/** Whether the answer ended before it was whole. */
 	private get isCutShort(): boolean {
 		return this.options.lane.isCutShort(this.head?.headers ?? []) || (this.splitter?.hasPartialEvent ?? false);
 	}
@@ -167,12 +177,13 @@
 		});
 	}
 
+	/** Units the caller had before this call. */
 	private get offset(): number {
 		const {call} = this.options.dispatch;
 		return call.kind === 'http' ? call.resumeOffset ?? 0 : 0;
 	}
 
-	private refuse(reason: typeof refusalReasons[keyof typeof refusalReasons]): void {
+	private refuse(reason: RefusalReason): void {
 		this.finish({type: 'refused', dispatchId: this.options.dispatch.dispatchId, reason});
 	}
 
@@ -184,7 +195,7 @@
 			units: this.offset + this.units,
 			digest: this.digest,
 			runMs: this.options.nowMs() - this.sentMs,
-			...(reason !== undefined && {reason: reason.slice(0, 500)}),
+			...(reason !== undefined && {reason: reason.slice(0, mostReasonChars)}),
 		});
 	}
 
--- a/src/direct/node/direct-links.ts
+++ b/src/direct/node/direct-links.ts
@@ -1,4 +1,5 @@
 /** Straight ways to upstreams without an agent: sends dispatches as HTTP calls and reports what becomes of them. */
+import type {Dispatcher} from 'undici';
 import type {Clock} from '../../base/common/clock.js';
 import type {Disposable} from '../../base/common/disposable.js';
 import {Emitter} from '../../base/common/emitter.js';
@@ -6,10 +7,12 @@
 import type {Logger} from '../../base/common/logger.js';
 import type {ServerRegistry} from '../../deployment/common/server-registry.js';
 import type {UpstreamServer} from '../../deployment/common/upstream-server.js';
+import {LanePool, type Lane} from '../../deployment/node/lane.js';
 import type {UpstreamLinks, UpstreamMessage} from '../../request/common/upstream-links.js';
-import {refusalReasons, type DispatchMessage, type Message} from '../../wire/common/messages.js';
+import {
+	refusalReasons, type DispatchMessage, type HttpCall, type Message,
+} from '../../wire/common/messages.js';
 import type {UpstreamProtocol} from '../common/upstream-protocol.js';
-import {LanePool} from '../../deployment/node/lane.js';
 import {DirectCall} from './direct-call.js';
 
 /** What the links need to know of a request besides its dispatches. */
@@ -34,6 +37,15 @@
 	readonly heard: (serverId: string, dispatchId: string) => void;
 };
 
+/** A call about to be made. */
+type CallStart = {
+	readonly message: DispatchMessage;
+	readonly http: HttpCall;
+	readonly server: UpstreamServer;
+	readonly facts: RequestFacts;
+	readonly lane: Lane;
+};
+
 /** Holds the calls and connections of one host. */
 export class DirectLinks implements UpstreamLinks, Disposable {
 	static create(options: DirectLinksOptions): DirectLinks {
@@ -43,7 +55,9 @@
 	private readonly didReceive = Emitter.create<UpstreamMessage>();
 	private readonly didJoin = Emitter.create<string>();
 	private readonly never = Emitter.create<string>();
+	/** Connections, by server. */
 	private readonly pools = new Map<string, LanePool>();
+	/** Calls that have not ended, by dispatch. */
 	private readonly calls = new Map<string, DirectCall>();
 	private readonly requests = new Map<string, RequestFacts>();
 	private readonly watch: Disposable;
@@ -79,11 +93,6 @@
 		return this.never.event;
 	}
 
-	/** Calls that have not ended. */
-	get callCount(): number {
-		return this.calls.size;
-	}
-
 	/**
 	Tells the links of a request before its first dispatch.
 	@param requestId - the product's own id of it.
@@ -99,6 +108,7 @@
 		};
 	}
 
+	/** Begins, gives up or goes on with a call; other messages are for agents only. */
 	send(upstreamId: string, message: Message): boolean {
 		switch (message.type) {
 			case 'dispatch': {
@@ -133,11 +143,10 @@
 	}
 
 	private dispatch(serverId: string, message: DispatchMessage): boolean {
-		const {clock, protocol, registry, log} = this.options;
-		const server = registry.get(serverId);
+		const server = this.options.registry.get(serverId);
 		const facts = this.requests.get(message.requestId);
-		const {call} = message;
-		if (!server || !facts || call.kind !== 'http') {
+		const {call: http} = message;
+		if (!server || !facts || http.kind !== 'http') {
 			return false;
 		}
 
@@ -146,8 +155,33 @@
 			return false;
 		}
 
-		const {dispatchId} = message;
-		const direct = DirectCall.create({
+		this.begin({
+			message, http, server, facts, lane,
+		});
+		return true;
+	}
+
+	private begin(start: CallStart): void {
+		const {message: {dispatchId}, server, facts, lane} = start;
+		const call = this.callOf(start);
+		this.calls.set(dispatchId, call);
+		const options = this.writtenOf(start);
+		try {
+			lane.dispatch(options, call);
+		} catch (error) {
+			// The client refuses what it can't write: nothing was sent.
+			this.calls.delete(dispatchId);
+			lane.dispose();
+			this.options.clock.setTimer(0, () => {
+				this.didReceive.fire({upstreamId: server.serverId, message: {type: 'refused', dispatchId, reason: refusalReasons.badCall}});
+			});
+			this.options.log.error('A call could not be written; nothing of it was sent.', {request: facts.callerRequestId, server: server.serverId, reason: messageOf(error)});
+		}
+	}
+
+	private callOf({message, server, facts, lane}: CallStart): DirectCall {
+		const {clock, protocol} = this.options;
+		return DirectCall.create({
 			dispatch: message,
 			lane,
 			protocol,
@@ -161,32 +195,24 @@
 				facts.resumeAfter = eventId;
 			},
 			ended: () => {
-				this.calls.delete(dispatchId);
+				this.calls.delete(message.dispatchId);
 				lane.rest();
 			},
 		});
-		this.calls.set(dispatchId, direct);
+	}
+
+	/** What a call is written as. */
+	private writtenOf({message, http, server, facts}: CallStart): Dispatcher.DispatchOptions {
+		const {clock, protocol} = this.options;
 		const headers = protocol.requestHeaders({
-			workspace: message.workspace, http: call, server, remainingMs: facts.deadlineMs - clock.nowMs(), resumeAfter: facts.resumeAfter,
+			workspace: message.workspace, http, server, remainingMs: facts.deadlineMs - clock.nowMs(), resumeAfter: facts.resumeAfter,
 		});
-		try {
-			lane.dispatch({
-				method: call.method,
-				path: call.path,
-				headers: headers.flatMap(({name, value}) => [name, value]),
-				body: call.body.byteLength > 0 ? call.body : null,
-			}, direct);
-			return true;
-		} catch (error) {
-			// The client refuses what it can't write: nothing was sent.
-			this.calls.delete(dispatchId);
-			lane.dispose();
-			clock.setTimer(0, () => {
-				this.didReceive.fire({upstreamId: serverId, message: {type: 'refused', dispatchId, reason: refusalReasons.badCall}});
-			});
-			log.error('A call could not be written; nothing of it was sent.', {request: facts.callerRequestId, server: serverId, reason: messageOf(error)});
-			return true;
-		}
+		return {
+			method: http.method,
+			path: http.path,
+			headers: headers.flatMap(({name, value}) => [name, value]),
+			body: http.body.byteLength > 0 ? http.body : null,
+		};
 	}
 
 	private receive(server: UpstreamServer, message: Message): void {
