Say what the batch desk and the preparer do, step by step

Cause: BatchDesk.receive and lost did several things each; Preparer.submit built the work and followed its end at once; `forget` sent releases, `works` was a number, and usualRetryAfterMs was a lower bound. Change: takeWaits and takeEnds, giveUpFor and placeAgain, batchWorkOf; release, workCount, failureCount and shortestRetryAfterMs; TSDoc on the port and on what is kept. BatchPool.waitingCount, Lane.wasConnected and EngineCapacity, which nothing read, are gone.

--- a/src/deployment/common/declaration.ts
+++ b/src/deployment/common/declaration.ts
@@ -73,8 +73,6 @@
 	/** Tokens its memory holds. */
 	memoryTokens: z.number().nonnegative(),
 });
-/** What one engine of a pool can do. */
-export type EngineCapacity = z.infer<typeof engineSchema>;
 
 const poolSchema = z.object({
 	name: z.string(),
--- a/src/deployment/node/lane.ts
+++ b/src/deployment/node/lane.ts
@@ -28,8 +28,6 @@
 
 	isBusy = false;
 	isClosed = false;
-	/** Whether a connection has come up. */
-	wasConnected = false;
 	private restingSinceMs = 0;
 	private readonly client: Client;
 
@@ -97,7 +95,6 @@
 	}
 
 	private watch(socket: Socket): void {
-		this.wasConnected = true;
 		socket.setNoDelay(true);
 		// Before undici's own listener, which takes what has come by then for the whole answer.
 		socket.prependListener('error', () => {
--- a/src/preparation/node/batch-desk.ts
+++ b/src/preparation/node/batch-desk.ts
@@ -17,13 +17,16 @@
 } from '../common/work.js';
 import type {BatchPool} from './batch-pool.js';
 
-/** Takes the ends of the pieces of one work, as they come. */
+/** Takes the ends of the pieces of one work, as they come; each piece ends once. */
 export type EndsTaker = (piece: number, outcome: PieceOutcome) => void;
 
 /** Takes work of requests and gives their results up. */
 export type WorkTaker = {
+	/** Hands in work. */
 	submit(work: BatchWork, taker: EndsTaker): void;
+	/** Gives work up that has not ended. */
 	cancel(workId: string): void;
+	/** Gives results up that a pool made. */
 	release(pool: string, refs: readonly ResultRef[]): void;
 	/** @returns how long work of a rank would wait for a pool. */
 	waitMs(pool: string, rank: number): number;
@@ -47,6 +50,7 @@
 /** Ranks told apart; higher ones count as the last. */
 const ranksTold = 6;
 
+/** Work this host handed in: pieces that have not ended, and the host that batches it. */
 type Asked = {readonly work: BatchWork; readonly taker: EndsTaker; readonly open: Set<number>; owner: string};
 
 export const batchDeskToken: InjectionToken<BatchDesk> = Symbol('BatchDesk');
@@ -57,12 +61,13 @@
 		return new BatchDesk(options);
 	}
 
+	/** Works of this host's own requests that have not ended. */
 	private readonly asked = new Map<string, Asked>();
 	/** Works of peers in the hands of this host, with the peer that asked. */
 	private readonly askers = new Map<string, string>();
+	/** Pools this host batches, or has batched. */
 	private readonly pools = new Map<string, BatchPool>();
 	private readonly owned = DisposableStore.create();
-
 	/** Waits of pools that other hosts batch, as they told. */
 	private readonly told = new Map<string, {readonly waitMsByRank: readonly number[]; readonly atMs: number}>();
 	/** Pools whose wait was last told as more than none. */
@@ -86,6 +91,11 @@
 		return this.askers.size === 0 && [...this.pools.values()].every(pool => pool.isIdle);
 	}
 
+	/**
+	Estimates how long work handed in now would wait, wherever its pool is batched; none where nothing was told of late.
+	@param pool - the pool.
+	@param rank - of the work.
+	*/
 	waitMs(pool: string, rank: number): number {
 		if (this.ownerOf(pool) === this.options.hostId) {
 			return this.pools.get(pool)?.waitMs(rank) ?? 0;
@@ -173,6 +183,7 @@
 		}
 	}
 
+	/** The host that batches for a pool now. */
 	private ownerOf(pool: string): string {
 		const {hostId, mesh, isLeaving} = this.options;
 		const peers = mesh.liveHosts;
@@ -180,16 +191,17 @@
 		return rendezvousOwner(pool, hosts) ?? hostId;
 	}
 
+	/** Hands work to the host that batches it, or takes it here where that one can't be reached. */
 	private place(asked: Asked): void {
-		const {work} = asked;
 		const {hostId, mesh, clock} = this.options;
+		const work = {...asked.work, pieces: [...asked.open]};
 		asked.owner = this.ownerOf(work.pool);
-		if (asked.owner !== hostId && mesh.send(asked.owner, messageOfWork({...work, pieces: [...asked.open]}, clock.nowMs()))) {
+		if (asked.owner !== hostId && mesh.send(asked.owner, messageOfWork(work, clock.nowMs()))) {
 			return;
 		}
 
 		asked.owner = hostId;
-		this.poolOf(work.pool).add({...work, pieces: [...asked.open]});
+		this.poolOf(work.pool).add(work);
 	}
 
 	private poolOf(name: string): BatchPool {
@@ -213,17 +225,12 @@
 			}
 
 			case 'batchEnds': {
-				this.take(message);
+				this.takeEnds(message);
 				break;
 			}
 
 			case 'batchWaits': {
-				for (const {pool, waitMsByRank} of message.pools) {
-					if (this.ownerOf(pool) === hostId) {
-						this.told.set(pool, {waitMsByRank, atMs: this.options.clock.nowMs()});
-					}
-				}
-
+				this.takeWaits(hostId, message);
 				break;
 			}
 
@@ -264,7 +271,16 @@
 		});
 	}
 
-	private take(message: BatchEndsMessage): void {
+	/** Only the host that batches a pool knows its wait. */
+	private takeWaits(hostId: string, {pools}: BatchWaitsMessage): void {
+		for (const {pool, waitMsByRank} of pools) {
+			if (this.ownerOf(pool) === hostId) {
+				this.told.set(pool, {waitMsByRank, atMs: this.options.clock.nowMs()});
+			}
+		}
+	}
+
+	private takeEnds(message: BatchEndsMessage): void {
 		for (const {piece, handle, serverId, reason} of message.ends) {
 			const outcome: PieceOutcome = handle !== undefined && serverId !== undefined
 				? {ok: true, ref: {handle, serverId}}
@@ -289,6 +305,12 @@
 	}
 
 	private lost(hostId: string): void {
+		this.giveUpFor(hostId);
+		this.placeAgain(hostId);
+	}
+
+	/** Nobody waits any more for what a lost host asked for. */
+	private giveUpFor(hostId: string): void {
 		for (const [workId, asker] of this.askers) {
 			if (asker === hostId) {
 				this.askers.delete(workId);
@@ -297,7 +319,10 @@
 				}
 			}
 		}
+	}
 
+	/** What a lost host had in its hands is handed in again. */
+	private placeAgain(hostId: string): void {
 		for (const asked of this.asked.values()) {
 			if (asked.owner === hostId) {
 				this.options.log.warn('The host that batched a request\'s work is lost; the work is handed in again.', {
--- a/src/preparation/node/batch-pool.ts
+++ b/src/preparation/node/batch-pool.ts
@@ -61,10 +61,6 @@
 		}));
 	}
 
-	get waitingCount(): number {
-		return this.machine.waitingCount;
-	}
-
 	/** Whether anything waits or is at work. */
 	get isIdle(): boolean {
 		return this.machine.waitingCount === 0 && this.machine.callCount === 0;
--- a/src/preparation/node/preparer.ts
+++ b/src/preparation/node/preparer.ts
@@ -8,7 +8,7 @@
 import {failureCodes, type PreparationFailure} from '../../request/common/request-plan.js';
 import {Preparation} from '../common/preparation.js';
 import {
-	pieceFailures, type PieceOutcome, type ResultRef, type StepWork,
+	pieceFailures, type BatchWork, type PieceOutcome, type ResultRef, type StepWork,
 } from '../common/work.js';
 import type {WorkTaker} from './batch-desk.js';
 
@@ -16,7 +16,8 @@
 const mostFailures = 6;
 /** A caller waits for its first event this many times the target before it leaves; kept one short of what the users say. */
 const patienceTargets = 3;
-const usualRetryAfterMs = 400;
+/** Bounds of the time after which a caller that was refused is asked to come back. */
+const shortestRetryAfterMs = 400;
 const longestRetryAfterMs = 2000;
 
 /** What the work of one request needs to know. */
@@ -55,8 +56,10 @@
 	private readonly preparation: Preparation;
 	private readonly openWorks = new Set<string>();
 	private settle: ((result: Result) => void) | undefined;
-	private works = 0;
-	private failures = 0;
+	/** Works handed in so far; numbers them. */
+	private workCount = 0;
+	private failureCount = 0;
+	/** When a piece last failed. */
 	private failedMs = -1;
 	private isOver = false;
 
@@ -71,7 +74,7 @@
 	*/
 	async run(isAgain: boolean): Promise<Result> {
 		if (isAgain) {
-			this.forget(this.preparation.finalsLost(serverId => this.isKept(serverId)));
+			this.release(this.preparation.finalsLost(serverId => this.isKept(serverId)));
 		}
 
 		return new Promise(resolve => {
@@ -91,9 +94,10 @@
 			this.options.desk.cancel(workId);
 		}
 
-		this.forget(this.preparation.allRefs);
+		this.release(this.preparation.allRefs);
 	}
 
+	/** Hands in what can be worked on now, and ends once nothing is left. */
 	private advance(): void {
 		for (const work of this.preparation.advance()) {
 			this.submit(work);
@@ -105,14 +109,26 @@
 	}
 
 	private submit(work: StepWork): void {
+		this.workCount++;
+		const workId = `${this.ask.requestId}/${this.workCount}`;
+		this.openWorks.add(workId);
+		let open = work.pieces.length;
+		this.options.desk.submit(this.batchWorkOf(work, workId), (piece, outcome) => {
+			open--;
+			if (open === 0) {
+				this.openWorks.delete(workId);
+			}
+
+			this.ended(work.step, piece, outcome);
+		});
+	}
+
+	/** A step's work as the batches take it: with the request's name, rank and times, and where it is best worked on. */
+	private batchWorkOf(work: StepWork, workId: string): BatchWork {
 		const {ask} = this;
 		const step = ask.route.steps[work.step];
-		this.works++;
-		const workId = `${ask.requestId}/${this.works}`;
 		const dueMs = ask.targetMs - ask.afterwardsMs - this.laterStepsMs(work.step);
-		this.openWorks.add(workId);
-		let open = work.pieces.length;
-		this.options.desk.submit({
+		return {
 			...work,
 			workId,
 			pool: step.pool,
@@ -124,14 +140,7 @@
 			lateDueMs: dueMs + ((patienceTargets - 1) * ask.route.targetMs),
 			deadlineMs: ask.deadlineMs,
 			...this.placeOf(work),
-		}, (piece, outcome) => {
-			open--;
-			if (open === 0) {
-				this.openWorks.delete(workId);
-			}
-
-			this.ended(work.step, piece, outcome);
-		});
+		};
 	}
 
 	/** Where a step is best worked on: where what it reads lies, or else where what it makes is read. */
@@ -169,7 +178,7 @@
 				return;
 			}
 
-			this.forget(this.preparation.takeSpent());
+			this.release(this.preparation.takeSpent());
 		} else {
 			this.preparation.failed(index, piece);
 			if (this.isOver) {
@@ -192,15 +201,15 @@
 		}
 
 		this.failedMs = nowMs;
-		this.failures++;
+		this.failureCount++;
 		this.options.log.warn('A piece of a request\'s work failed.', {
-			request: this.ask.callerRequestId, step: index, reason, failures: this.failures,
+			request: this.ask.callerRequestId, step: index, reason, failures: this.failureCount,
 		});
 		if (reason === pieceFailures.inputsGone) {
-			this.forget(this.preparation.inputsLost(index, serverId => this.isKept(serverId)));
+			this.release(this.preparation.inputsLost(index, serverId => this.isKept(serverId)));
 		}
 
-		if (reason === pieceFailures.late || this.failures > mostFailures) {
+		if (reason === pieceFailures.late || this.failureCount > mostFailures) {
 			// Nothing more is asked for: a piece that is late at once would be asked for for ever.
 			this.end();
 			this.finish(fail({
@@ -214,14 +223,15 @@
 	/** When the queue of now is worked off. */
 	private retryAfterMs(index: number): number {
 		const waitMs = this.options.desk.waitMs(this.ask.route.steps[index].pool, this.ask.rank);
-		return Math.min(longestRetryAfterMs, Math.max(usualRetryAfterMs, waitMs));
+		return Math.min(longestRetryAfterMs, Math.max(shortestRetryAfterMs, waitMs));
 	}
 
 	private isKept(serverId: string): boolean {
 		return this.options.registry.get(serverId) !== undefined;
 	}
 
-	private forget(refs: readonly ResultRef[]): void {
+	/** Gives results up where their servers are still there. */
+	private release(refs: readonly ResultRef[]): void {
 		const byPool = new Map<string, ResultRef[]>();
 		for (const ref of refs) {
 			const pool = this.options.registry.get(ref.serverId)?.pool;
@@ -230,8 +240,8 @@
 			}
 		}
 
-		for (const [pool, lost] of byPool) {
-			this.options.desk.release(pool, lost);
+		for (const [pool, poolRefs] of byPool) {
+			this.options.desk.release(pool, poolRefs);
 		}
 	}
 
