Remove events and a count that nothing reads

Cause: FeedFollower.onDidSync, PeerMesh.onDidChange and BoundedOutput.droppedCount had no reader in src, platform or test. Change: they are gone, with what only fired them; the follower's times between calls say what they bound.

--- a/src/base/node/bounded-output.ts
+++ b/src/base/node/bounded-output.ts
@@ -25,6 +25,7 @@
 
 	private tokens = burstLines;
 	private filledMs: number;
+	/** Lines that were dropped and not yet told of. */
 	private dropped = 0;
 
 	private constructor(private readonly clock: Clock, private readonly target: Writable) {
@@ -33,11 +34,6 @@
 		target.on('error', () => undefined);
 	}
 
-	/** Lines that were dropped and not yet told of. */
-	get droppedCount(): number {
-		return this.dropped;
-	}
-
 	/**
 	Writes a line, or drops it.
 	@param line - ends with a newline.
--- a/src/deployment/node/feed-follower.ts
+++ b/src/deployment/node/feed-follower.ts
@@ -1,7 +1,6 @@
 /** Follows one feed of the platform's store through outages, lost history and stale reads. */
 import type {Clock} from '../../base/common/clock.js';
 import type {Disposable} from '../../base/common/disposable.js';
-import {Emitter} from '../../base/common/emitter.js';
 import type {Logger} from '../../base/common/logger.js';
 import type {Outcome} from '../../base/common/outcome.js';
 import {jitter, type Random} from '../../base/common/random.js';
@@ -14,6 +13,7 @@
 const holdMs = 2000;
 /** Longest wait for an answer beyond the time it may be held: many times the store's usual 4 ms. */
 const answerMs = 700;
+/** Bounds of the time between calls that fail; it doubles from one to the next. */
 const firstRetryMs = 60;
 const longestRetryMs = 500;
 
@@ -38,7 +38,6 @@
 	}
 
 	private readonly controller = new AbortController();
-	private readonly didSync = Emitter.create<void>();
 	private revision: number | undefined;
 	private isStoreAway = false;
 	private retryMs = firstRetryMs;
@@ -55,18 +54,13 @@
 		return this.revision !== undefined;
 	}
 
-	/** Fires after each answer of the store. */
-	get onDidSync() {
-		return this.didSync.event;
-	}
-
+	/** Begins to read. */
 	start(): void {
 		void this.run();
 	}
 
 	dispose(): void {
 		this.controller.abort();
-		this.didSync.dispose();
 	}
 
 	private async run(): Promise<void> {
@@ -108,7 +102,6 @@
 		}
 
 		this.revision = changes.revision;
-		this.didSync.fire();
 	}
 
 	private async fail(failure: FeedFailure): Promise<void> {
--- a/src/peers/node/peer-mesh.ts
+++ b/src/peers/node/peer-mesh.ts
@@ -49,7 +49,6 @@
 	private readonly dials = new Map<string, Dial>();
 	private readonly owned = DisposableStore.create();
 	private readonly didReceive = Emitter.create<PeerMessage>();
-	private readonly didChange = Emitter.create<void>();
 	private readonly didLose = Emitter.create<string>();
 	private ownEndpoint = '';
 	private tickedMs = 0;
@@ -64,11 +63,6 @@
 		return this.didReceive.event;
 	}
 
-	/** Fires when a peer comes, goes or begins to leave. */
-	get onDidChange() {
-		return this.didChange.event;
-	}
-
 	/** Fires with the host whose last connection was lost. */
 	get onDidLose() {
 		return this.didLose.event;
@@ -222,21 +216,15 @@
 			this.peers.delete(peer.hostId);
 			this.options.log.warn('A peer is lost.', {peer: peer.hostId, reason});
 			this.didLose.fire(peer.hostId);
-			this.didChange.fire();
 		}
 	}
 
 	private receive(peer: Peer, message: Message): void {
 		if (message.type === 'peerBeat') {
-			const isChanged = peer.beat?.isLeaving !== message.isLeaving;
 			peer.beat = message;
 			for (const endpoint of message.knownEndpoints) {
 				this.dial(endpoint, false);
 			}
-
-			if (isChanged) {
-				this.didChange.fire();
-			}
 		}
 
 		this.didReceive.fire({hostId: peer.hostId, message});
