Ask the runs of a request's stages in one list

Cause: request-machine.ts asked the same of its runs in many places (which has begun, lives, may have run). Change: StageRunList beside AttemptList answers; the machine keeps the phases.

--- a/src/request/common/request-machine.ts
+++ b/src/request/common/request-machine.ts
@@ -7,6 +7,7 @@
 import {makeResult} from './request-result.js';
 import {applyToStage} from './stage-events.js';
 import {StageRun} from './stage-run.js';
+import {StageRunList} from './stage-run-list.js';
 
 /** How long after the deadline agents may take to prove that they started nothing. */
 export const proofGraceMs = 150;
@@ -30,7 +31,7 @@
 	}
 
 	private phase: Phase = 'new';
-	private readonly runs: StageRun[] = [];
+	private readonly runs = StageRunList.create();
 	private actions: RequestAction[] = [];
 	private proveByMs = Infinity;
 	private settleByMs = Infinity;
@@ -46,7 +47,7 @@
 
 	/** Ids of all its dispatches. */
 	get dispatchIds(): string[] {
-		return this.runs.flatMap(run => run.attempts.dispatchIds);
+		return this.runs.dispatchIds;
 	}
 
 	/** Time at which the machine wants a tick; Infinity if none. */
@@ -58,9 +59,8 @@
 			}
 
 			case 'running': {
-				const run = this.current;
-				const ownMs = run && !run.attempts.hasStarted && this.runs.length === 1 ? this.plan.deadlineMs : this.plan.giveUpMs;
-				return Math.min(ownMs, run?.wakeAtMs ?? Infinity);
+				const ownMs = this.runs.isUnstarted ? this.plan.deadlineMs : this.plan.giveUpMs;
+				return Math.min(ownMs, this.runs.current?.wakeAtMs ?? Infinity);
 			}
 
 			case 'proving': {
@@ -93,14 +93,6 @@
 		return this.actions;
 	}
 
-	private get current(): StageRun | undefined {
-		return this.runs.at(-1);
-	}
-
-	private get mayHaveRun(): boolean {
-		return this.runs.some(run => run.attempts.mayHaveRun);
-	}
-
 	private accept(event: RequestEvent, nowMs: number): void {
 		switch (event.type) {
 			case 'start': {
@@ -150,8 +142,8 @@
 			}
 
 			default: {
-				if (this.current) {
-					applyToStage(this.current, event, nowMs);
+				if (this.runs.current) {
+					applyToStage(this.runs.current, event, nowMs);
 				}
 			}
 		}
@@ -201,7 +193,7 @@
 				this.actions.push(action);
 			},
 		});
-		this.runs.push(run);
+		this.runs.add(run);
 		if (nowMs > latestMs - remainingMs) {
 			this.finishWith(failureCodes.deadlineExceeded, `stage "${run.stage.name}" can no longer end in time`, nowMs);
 		} else {
@@ -224,16 +216,15 @@
 	}
 
 	private tickRunning(nowMs: number): void {
-		const run = this.current!;
+		const run = this.runs.current!;
 		run.tick(nowMs);
 		if (run.status.type === 'done' || run.status.type === 'failed') {
 			return;
 		}
 
-		const isUnstarted = this.runs.length === 1 && !run.attempts.hasStarted;
 		if (nowMs >= this.plan.giveUpMs) {
 			this.finishWith(failureCodes.deadlineExceeded, 'the deadline and the time allowed past it are over', nowMs);
-		} else if (isUnstarted && nowMs >= this.plan.deadlineMs) {
+		} else if (this.runs.isUnstarted && nowMs >= this.plan.deadlineMs) {
 			this.prove(nowMs);
 		}
 	}
@@ -242,12 +233,12 @@
 	private prove(nowMs: number): void {
 		this.phase = 'proving';
 		this.proveByMs = nowMs + proofGraceMs;
-		this.current!.cancelLive();
+		this.runs.current!.cancelLive();
 	}
 
 	private advance(nowMs: number): void {
 		if (this.phase === 'settling') {
-			if (!this.runs.some(run => run.attempts.hasLive)) {
+			if (!this.runs.hasLive) {
 				this.settle(nowMs);
 			}
 
@@ -255,7 +246,7 @@
 		}
 
 		while (this.phase === 'running' || this.phase === 'proving') {
-			const run = this.current!;
+			const run = this.runs.current!;
 			if (run.status.type === 'inputsGone') {
 				this.prepareAgain(run, nowMs);
 				return;
@@ -269,9 +260,9 @@
 				}
 
 				return;
-			} else if (this.runs.length < this.plan.stages.length) {
+			} else if (this.runs.count < this.plan.stages.length) {
 				this.phase = 'running';
-				this.beginStage(this.runs.length, run.body, nowMs);
+				this.beginStage(this.runs.count, run.body, nowMs);
 			} else {
 				this.complete(run, nowMs);
 			}
@@ -283,13 +274,13 @@
 		if (this.preparations >= mostPreparations) {
 			this.finishWith(failureCodes.preparationFailed, 'results of the work before the request were lost again and again', nowMs);
 		} else {
-			this.runs.splice(this.runs.indexOf(run), 1);
+			this.runs.remove(run);
 			this.prepareOrBegin(nowMs);
 		}
 	}
 
 	private complete(run: StageRun, nowMs: number): void {
-		this.finish(makeResult(this.plan, this.runs, {
+		this.finish(makeResult(this.plan, this.runs.all, {
 			outcome: outcomes.completed, message: 'completed', nowMs, last: run,
 		}));
 		this.close();
@@ -301,48 +292,41 @@
 		}
 
 		if (this.plan.isRepeatable) {
-			for (const run of this.runs) {
-				run.abandon(nowMs);
-			}
+			this.runs.abandon(nowMs);
 		}
 
-		this.finish(makeResult(this.plan, this.runs, {
+		this.finish(makeResult(this.plan, this.runs.all, {
 			outcome: this.failedOutcome(), message, nowMs, code, retryAfterMs,
 		}));
-		if (this.runs.some(run => run.attempts.hasLive)) {
+		if (this.runs.hasLive) {
 			// Not repeatable and still running somewhere: cancelling takes back only what has not started.
 			this.phase = 'settling';
 			this.settleByMs = nowMs + settleMs;
-			this.current!.stopRecovery();
-			this.current!.cancelLive();
+			this.runs.current!.stopRecovery();
+			this.runs.current!.cancelLive();
 		} else {
 			this.close();
 		}
 	}
 
 	private failedOutcome(): RequestOutcome {
-		if (!this.mayHaveRun) {
+		if (!this.runs.mayHaveRun) {
 			return outcomes.refused;
 		}
 
-		const isUnsettled = this.runs.some(run => run.attempts.hasLive || run.attempts.hasUnknown);
-		return !this.plan.isRepeatable && isUnsettled ? outcomes.unknown : outcomes.failed;
+		return !this.plan.isRepeatable && this.runs.isUnsettled ? outcomes.unknown : outcomes.failed;
 	}
 
 	private callerGone(nowMs: number): void {
-		if (this.plan.isRepeatable || !this.mayHaveRun || this.plan.rules.cancelsWithCaller) {
+		if (this.plan.isRepeatable || !this.runs.mayHaveRun || this.plan.rules.cancelsWithCaller) {
 			this.finishWith(failureCodes.callerGone, 'the caller went away', nowMs);
 		}
 		// Work that may not be repeated goes on, so that a repeat of the request learns its end.
 	}
 
 	private settle(nowMs: number): void {
-		for (const run of this.runs) {
-			run.abandon(nowMs);
-		}
-
-		const run = this.current!;
-		const isComplete = run.status.type === 'done' && this.runs.length === this.plan.stages.length;
+		this.runs.abandon(nowMs);
+		const isComplete = this.runs.current!.status.type === 'done' && this.runs.count === this.plan.stages.length;
 		this.actions.push({type: 'settle', outcome: isComplete ? outcomes.completed : this.failedOutcome()});
 		this.close();
 	}
