--- a/src/base/node/text-metrics.ts
+++ b/src/base/node/text-metrics.ts
@@ -62,12 +62,16 @@
 	Serves the measurements over HTTP.
 	@param address - IP number to listen on.
 	@param port - port to listen on.
+	@param failed - told why the figures can't be served; the process goes on without.
 	*/
-	serve(address: string, port: number): void {
+	serve(address: string, port: number, failed: (reason: string) => void): void {
 		this.server = createServer((_request, response) => {
 			response.setHeader('content-type', 'text/plain; version=0.0.4');
 			response.end(this.render());
 		});
+		this.server.on('error', error => {
+			failed(error.message);
+		});
 		this.server.listen(port, address);
 	}
 
--- a/src/daemon/node/direct-entry.ts
+++ b/src/daemon/node/direct-entry.ts
@@ -64,7 +64,9 @@
 		const peers = await wire.listen(settings.peers);
 		mesh.start(peers, settings.seeds);
 		if (settings.metrics) {
-			metrics.serve(settings.metrics.address, settings.metrics.port);
+			metrics.serve(settings.metrics.address, settings.metrics.port, reason => {
+				log.error('Figures can\'t be served.', {reason});
+			});
 		}
 
 		const {callers, readiness} = await ingress.listen(settings.callers, settings.readiness);
--- a/src/direct/common/caller-protocol.ts
+++ b/src/direct/common/caller-protocol.ts
@@ -20,6 +20,8 @@
 	readonly pieceKey: string;
 	/** The last event the caller has of an earlier answer. */
 	readonly resumeAfter: string | undefined;
+	/** What is wrong with the headers; such a request goes no further. */
+	readonly problem: string | undefined;
 };
 
 /** Reads callers' requests. */
--- a/src/direct/node/ingress.ts
+++ b/src/direct/node/ingress.ts
@@ -5,7 +5,7 @@
 import type {InjectionToken} from 'tsyringe';
 import {setRepeating, type Clock} from '../../base/common/clock.js';
 import {DisposableStore, type Disposable} from '../../base/common/disposable.js';
-import {UnavailableError} from '../../base/common/errors.js';
+import {messageOf, UnavailableError} from '../../base/common/errors.js';
 import type {Logger} from '../../base/common/logger.js';
 import type {Metrics} from '../../base/common/metrics.js';
 import type {Random} from '../../base/common/random.js';
@@ -15,7 +15,7 @@
 import {pairHeaders} from '../../deployment/common/hop-headers.js';
 import {admit, type PoolWaits} from '../../preparation/common/admission.js';
 import type {Preparer, PreparationAsk} from '../../preparation/node/preparer.js';
-import type {StagePlan} from '../../request/common/request-plan.js';
+import type {RequestPlan, StagePlan} from '../../request/common/request-plan.js';
 import type {RequestRunner} from '../../request/node/request-runner.js';
 import type {Endpoint} from '../../wire/node/wire-server.js';
 import type {CallerAsk, CallerProtocol} from '../common/caller-protocol.js';
@@ -23,11 +23,14 @@
 import type {LikelyPlace} from '../common/direct-router.js';
 import type {DirectLinks} from './direct-links.js';
 import {sendOwn} from './pass-through-writer.js';
+import {headBytesOf, readBody} from './read-request.js';
 import {ServedRequest} from './served-request.js';
 
 /** Longest head that is read at all; the declaration's own limit is checked besides. */
 const mostHeadBytes = 64 * 1024;
+/** How often connections are looked through for those past their limits. */
 const checkMs = 1000;
+/** When to come back to a host that knows no declaration yet. */
 const comeBackMs = 500;
 const statuses = {
 	badRequest: 400, unauthorized: 401, notFound: 404, bodyTooLarge: 413, headTooLarge: 431, unavailable: 503,
@@ -54,7 +57,16 @@
 	readonly isLeaving: () => boolean;
 };
 
-type Admitted = {readonly index: DeploymentIndex; readonly route: Route; readonly workspace: WorkspaceDeclaration | undefined; readonly ask: CallerAsk};
+/** What the head of a request leads to. */
+type Recognized = {readonly index: DeploymentIndex; readonly route: Route; readonly workspace: WorkspaceDeclaration | undefined; readonly ask: CallerAsk};
+/** A request that is here whole. */
+type Arrival = Recognized & {
+	readonly request: IncomingMessage;
+	readonly response: ServerResponse;
+	readonly body: Uint8Array;
+	readonly receivedMs: number;
+};
+/** Why a request goes no further than its head. */
 type Refusal = {readonly requestId: string; readonly status: number; readonly reason: string; readonly retryAfterMs?: number};
 
 export const ingressToken: InjectionToken<Ingress> = Symbol('Ingress');
@@ -71,12 +83,14 @@
 	/** Ids in the hands of this host, by which messages find their request. */
 	private readonly openIds = new Set<string>();
 	private serial = 0;
+	/** Requests whose body has not come whole. */
+	private receivingCount = 0;
 
 	private constructor(private readonly options: IngressOptions) {
 		this.callers = createServer({
 			maxHeaderSize: mostHeadBytes, noDelay: true, requestTimeout: 0, connectionsCheckingInterval: checkMs,
 		}, (request, response) => {
-			void this.serve(request, response);
+			void this.guard(request, response);
 		});
 		this.callers.on('clientError', (error, socket) => {
 			// Bytes that are no request: nothing was run, and nothing else on this host is disturbed.
@@ -94,7 +108,7 @@
 
 	/** Requests that have not ended. */
 	get openCount(): number {
-		return this.openIds.size;
+		return this.openIds.size + this.receivingCount;
 	}
 
 	/**
@@ -128,33 +142,48 @@
 		this.callers.keepAliveTimeout = idleTimeoutMs;
 	}
 
+	/** Whatever one request brings about ends with its own connection, and is told of. */
+	private async guard(request: IncomingMessage, response: ServerResponse): Promise<void> {
+		this.receivingCount++;
+		try {
+			await this.serve(request, response);
+		} catch (error) {
+			this.options.log.error('A request could not be served.', {reason: messageOf(error)});
+			response.destroy();
+		} finally {
+			this.receivingCount--;
+		}
+	}
+
 	private async serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
 		const receivedMs = this.options.clock.nowMs();
 		if (this.options.isLeaving()) {
 			response.shouldKeepAlive = false;
 		}
 
-		const admitted = this.admit(request);
-		if ('status' in admitted) {
-			this.refuse(response, admitted);
+		const recognized = this.recognize(request);
+		if ('status' in recognized) {
+			this.refuse(response, recognized);
 			return;
 		}
 
-		const body = await readBody(request, admitted.index.deployment.limits.maxBodyBytes);
+		const body = await readBody(request, recognized.index.deployment.limits.maxBodyBytes);
 		if (body === 'gone') {
 			return;
 		}
 
 		if (body === 'tooLarge') {
 			response.shouldKeepAlive = false;
-			this.refuse(response, {requestId: admitted.ask.requestId, status: statuses.bodyTooLarge, reason: 'the body is larger than the limit'});
+			this.refuse(response, {requestId: recognized.ask.requestId, status: statuses.bodyTooLarge, reason: 'the body is larger than the limit'});
 			return;
 		}
 
-		this.start(request, response, admitted, body, receivedMs);
+		this.start({
+			...recognized, request, response, body, receivedMs,
+		});
 	}
 
-	private admit(request: IncomingMessage): Admitted | Refusal {
+	private recognize(request: IncomingMessage): Recognized | Refusal {
 		const index = this.options.board.current;
 		const ask = this.options.protocol.read(pairHeaders(request.rawHeaders), index?.hasKeys ?? true);
 		const {requestId} = ask;
@@ -168,6 +197,10 @@
 			return {requestId, status: statuses.headTooLarge, reason: 'the head is larger than the limit'};
 		}
 
+		if (ask.problem !== undefined) {
+			return {requestId, status: statuses.badRequest, reason: ask.problem};
+		}
+
 		const {host} = request.headers;
 		const path = request.url ?? '';
 		if (host === undefined || !path.startsWith('/')) {
@@ -198,15 +231,29 @@
 		sendOwn(response, status, reason, retryAfterMs);
 	}
 
-	// eslint-disable-next-line max-params
-	private start(request: IncomingMessage, response: ServerResponse, admitted: Admitted, body: Uint8Array, receivedMs: number): void {
-		const {index, route, workspace, ask} = admitted;
-		const {clock, random, links, runner, log, metrics, makePreparer, likelyPlace} = this.options;
-		const requestId = this.idFor(ask.requestId);
-		const pool = choosePool(route, random);
-		const needsPreparation = route.steps.length > 0 && ask.pieceCounts.some(count => count > 0);
-		const plan = makeDirectPlan({
-			requestId,
+	private start(arrival: Arrival): void {
+		const {request, response, ask, receivedMs} = arrival;
+		const {links, runner, likelyPlace, clock, log, metrics} = this.options;
+		const plan = this.planOf(arrival);
+		const place = likelyPlace(plan.stages[0], receivedMs);
+		if (plan.needsPreparation && !this.admitSteps(arrival, place.firstMs)) {
+			return;
+		}
+
+		const preparer = plan.needsPreparation ? this.preparerFor(arrival, plan, place) : undefined;
+		this.openIds.add(plan.requestId);
+		ServedRequest.create({
+			plan, ask, response, links, preparer, clock, log, metrics, isHead: request.method === 'HEAD',
+			ended: () => {
+				this.openIds.delete(plan.requestId);
+			},
+		}).start(runner);
+	}
+
+	private planOf({request, index, route, workspace, ask, body, receivedMs}: Arrival): RequestPlan {
+		const pool = choosePool(route, this.options.random);
+		return makeDirectPlan({
+			requestId: this.idFor(ask.requestId),
 			workspace: workspace?.name ?? '',
 			route,
 			version: index.version,
@@ -216,40 +263,49 @@
 				kind: 'http', method: request.method ?? 'GET', path: request.url ?? '/', headers: [...ask.passedHeaders], body,
 			},
 			promptParts: route.hasAffinity ? ask.promptParts : [],
-			needsPreparation,
+			needsPreparation: route.steps.length > 0 && ask.pieceCounts.some(count => count > 0),
 			remainingMs: ask.remainingMs,
 		}, receivedMs);
-		const place = likelyPlace(plan.stages[0], receivedMs);
-		// The workspace's rank goes first; among equals the route's decides.
-		const rank = (workspace?.rank ?? 0) + route.rank;
-		if (needsPreparation) {
-			const admission = admit({
-				index, route, pieceCounts: ask.pieceCounts, rank, afterwardsMs: place.firstMs, remainingMs: ask.remainingMs, chance: random.next(),
-			}, this.options.waits);
-			if (!admission.isAdmitted) {
-				const {predictedMs, retryAfterMs} = admission;
-				log.info('A request was refused at the door: its steps would wait too long.', {
-					request: ask.requestId, route: route.name, rank, predictedMs: Math.round(predictedMs), targetMs: route.targetMs, retryAfterMs: Math.round(retryAfterMs),
-				});
-				metrics.increment('requests.refusedAtDoor', 1, {route: route.name});
-				sendOwn(response, statuses.unavailable, 'Not run: the queues before it are too long', retryAfterMs);
-				return;
-			}
+	}
+
+	/**
+	Decides whether the steps of a request can still be in time, and refuses it if not.
+	@returns whether it goes on.
+	*/
+	private admitSteps(arrival: Arrival, afterwardsMs: number): boolean {
+		const {response, index, route, ask} = arrival;
+		const {random, waits, log, metrics} = this.options;
+		const rank = rankOf(arrival);
+		const admission = admit({
+			index, route, pieceCounts: ask.pieceCounts, rank, afterwardsMs, remainingMs: ask.remainingMs, chance: random.next(),
+		}, waits);
+		if (admission.isAdmitted) {
+			return true;
 		}
 
-		const preparer = needsPreparation
-			? makePreparer({
-				requestId, callerRequestId: ask.requestId, route, pieceCounts: ask.pieceCounts, pieceKey: ask.pieceKey,
-				rank, targetMs: receivedMs + route.targetMs, deadlineMs: plan.deadlineMs, hall: place.hall, afterwardsMs: place.firstMs,
-			})
-			: undefined;
-		this.openIds.add(requestId);
-		ServedRequest.create({
-			plan, ask, response, links, preparer, clock, log, metrics, isHead: request.method === 'HEAD',
-			ended: () => {
-				this.openIds.delete(requestId);
-			},
-		}).start(runner);
+		const {predictedMs, retryAfterMs} = admission;
+		log.info('A request was refused at the door: its steps would wait too long.', {
+			request: ask.requestId, route: route.name, rank, predictedMs: Math.round(predictedMs), targetMs: route.targetMs, retryAfterMs: Math.round(retryAfterMs),
+		});
+		metrics.increment('requests.refusedAtDoor', 1, {route: route.name});
+		sendOwn(response, statuses.unavailable, 'Not run: the queues before it are too long', retryAfterMs);
+		return false;
+	}
+
+	private preparerFor(arrival: Arrival, {requestId, deadlineMs}: RequestPlan, {hall, firstMs}: LikelyPlace): Preparer {
+		const {route, ask, receivedMs} = arrival;
+		return this.options.makePreparer({
+			requestId,
+			callerRequestId: ask.requestId,
+			route,
+			pieceCounts: ask.pieceCounts,
+			pieceKey: ask.pieceKey,
+			rank: rankOf(arrival),
+			targetMs: receivedMs + route.targetMs,
+			deadlineMs,
+			hall,
+			afterwardsMs: firstMs,
+		});
 	}
 
 	/** The caller's own name of the request, made unique on this host where two have the same. */
@@ -263,6 +319,11 @@
 	}
 }
 
+/** The workspace's rank goes first; among equals the route's decides. */
+function rankOf({workspace, route}: Recognized): number {
+	return (workspace?.rank ?? 0) + route.rank;
+}
+
 async function listen(server: Server, endpoint: Endpoint): Promise<Endpoint> {
 	return new Promise((resolve, reject) => {
 		server.once('error', error => {
@@ -274,50 +335,3 @@
 		});
 	});
 }
-
-function headBytesOf(request: IncomingMessage): number {
-	let sizeBytes = (request.method?.length ?? 0) + (request.url?.length ?? 0);
-	for (const item of request.rawHeaders) {
-		// Each name and value is followed by two more bytes: a colon and a blank, or the end of the line.
-		sizeBytes += item.length + 2;
-	}
-
-	return sizeBytes;
-}
-
-async function readBody(request: IncomingMessage, mostBytes: number): Promise<Uint8Array | 'gone' | 'tooLarge'> {
-	return new Promise(resolve => {
-		const pieces: Uint8Array[] = [];
-		let sizeBytes = 0;
-		request.on('data', (piece: Uint8Array) => {
-			sizeBytes += piece.byteLength;
-			if (sizeBytes > mostBytes) {
-				request.removeAllListeners('data');
-				request.resume();
-				resolve('tooLarge');
-			} else {
-				pieces.push(piece);
-			}
-		});
-		request.on('end', () => {
-			resolve(pieces.length === 1 ? pieces[0] : joined(pieces, sizeBytes));
-		});
-		request.on('close', () => {
-			resolve('gone');
-		});
-		request.on('error', () => {
-			resolve('gone');
-		});
-	});
-}
-
-function joined(pieces: readonly Uint8Array[], sizeBytes: number): Uint8Array {
-	const whole = new Uint8Array(sizeBytes);
-	let offset = 0;
-	for (const piece of pieces) {
-		whole.set(piece, offset);
-		offset += piece.byteLength;
-	}
-
-	return whole;
-}
--- a/src/direct/node/pass-through-writer.ts
+++ b/src/direct/node/pass-through-writer.ts
@@ -1,4 +1,5 @@
 /** Writes an upstream's answer to the caller as it is, or the product's own last word where there is none. */
+import {Buffer} from 'node:buffer';
 import type {ServerResponse} from 'node:http';
 import {endToEndHeaders, isUnframed} from '../../deployment/common/hop-headers.js';
 import {
@@ -9,6 +10,8 @@
 const unavailable = 503;
 const gatewayTimeout = 504;
 const usualRetryAfterMs = 300;
+/** Answers that have no body by their status. */
+const bodylessStatuses = new Set([204, 304]);
 
 /**
 Writes an answer of the product's own.
@@ -25,7 +28,7 @@
 	const body = `${text}\n`;
 	response.writeHead(status, {
 		'content-type': 'text/plain; charset=utf-8',
-		'content-length': body.length,
+		'content-length': Buffer.byteLength(body),
 		...(retryAfterMs !== undefined && {'retry-after': (retryAfterMs / 1000).toFixed(2)}),
 	});
 	response.end(body);
@@ -68,8 +71,14 @@
 		}
 
 		return new Promise(resolve => {
-			response.once('drain', resolve);
-			response.once('close', resolve);
+			const go = () => {
+				response.off('drain', go);
+				response.off('close', go);
+				resolve();
+			};
+
+			response.on('drain', go);
+			response.on('close', go);
 		});
 	}
 
@@ -114,7 +123,7 @@
 		this.writtenStatus = status;
 		const kept = endToEndHeaders(headers).filter(({name}) => this.isHead || name !== 'content-length');
 		const flat = kept.flatMap(({name, value}) => [name, value]);
-		if (isUnframed({headers})) {
+		if (isUnframed({headers}) && !this.isHead && !bodylessStatuses.has(status)) {
 			// Only the end of its connection said that it was whole: nothing here may say more.
 			this.response.useChunkedEncodingByDefault = false;
 			this.response.shouldKeepAlive = false;
--- a/src/preparation/node/batch-pool.ts
+++ b/src/preparation/node/batch-pool.ts
@@ -61,10 +61,6 @@
 		}));
 	}
 
-	get waitingCount(): number {
-		return this.machine.waitingCount;
-	}
-
 	/** Whether anything waits or is at work. */
 	get isIdle(): boolean {
 		return this.machine.waitingCount === 0 && this.machine.callCount === 0;
@@ -226,6 +222,8 @@
 		const lane = this.lanesOf(server).acquire(false);
 		const {protocol, log, pool} = this.options;
 		if (!lane) {
+			// All connections are at work: it is tried again with the next releases.
+			this.release(handles.map(handle => ({handle, serverId: server.serverId})));
 			return;
 		}
 
--- a/src/preparation/node/preparer.test.ts
+++ b/src/preparation/node/preparer.test.ts
@@ -1,5 +1,6 @@
 import t from 'tap';
-import {ManualClock} from '../../base/common/clock.js';
+import {ManualClock, type Clock} from '../../base/common/clock.js';
+import {SystemClock} from '../../base/node/system-clock.js';
 import {silentLoggers} from '../../base/common/logger.js';
 import {routeKinds, type Route} from '../../deployment/common/declaration.js';
 import {DeploymentBoard} from '../../deployment/common/deployment-board.js';
@@ -14,7 +15,7 @@
 	maxAttempts: 1, steps: [{pool: 'a', after: [], resultBytes: 10}, {pool: 'b', after: [0], resultBytes: 10}], isPublic: false, hasAffinity: false, isResumable: false,
 };
 
-function makePreparer(submit: (work: BatchWork, taker: EndsTaker) => void, released: ResultRef[] = []): Preparer {
+function makePreparer(submit: (work: BatchWork, taker: EndsTaker) => void, released: ResultRef[] = [], clock: Clock = ManualClock.create()): Preparer {
 	const desk: WorkTaker = {
 		submit,
 		cancel: () => undefined,
@@ -28,7 +29,7 @@
 		serverId: pool, pool, address: '127.0.0.1', port: 1, hall: 'x', slots: 1, isLeaving: false,
 	})), [], 1, 0);
 	return Preparer.create({
-		desk, board: DeploymentBoard.create(log), registry, clock: ManualClock.create(), log,
+		desk, board: DeploymentBoard.create(log), registry, clock, log,
 	}, {
 		requestId: 'r', callerRequestId: 'r', route, pieceCounts: [2, 1], pieceKey: 'k', rank: 0, targetMs: 1000, deadlineMs: 5000, hall: '', afterwardsMs: 100,
 	});
@@ -47,6 +48,19 @@
 	t.equal(asked, 1);
 });
 
+t.test('pieces that fail together count once and are asked for again together', async t => {
+	const works: string[] = [];
+	const preparer = makePreparer((work, taker) => {
+		works.push(`${work.pool}:${work.pieces.join(',')}`);
+		const isFailing = work.pool === 'a' && works.length <= 6;
+		for (const piece of work.pieces) {
+			taker(piece, isFailing ? {ok: false, reason: pieceFailures.failed} : {ok: true, ref: {handle: `${work.pool}${piece}`, serverId: work.pool}});
+		}
+	}, [], SystemClock.create());
+	t.same(await preparer.run(false), {ok: true, value: ['b0']});
+	t.same(works, ['a:0,1', 'a:0,1', 'a:0,1', 'a:0,1', 'a:0,1', 'a:0,1', 'a:0,1', 'b:0']);
+});
+
 t.test('results are given up when nothing reads them any more', async t => {
 	const released: ResultRef[] = [];
 	const preparer = makePreparer((work, taker) => {
--- a/src/wire/common/messages.ts
+++ b/src/wire/common/messages.ts
@@ -255,6 +255,7 @@
 const batchEndsSchema = z.strictObject({
 	type: z.literal('batchEnds'),
 	workId: id,
+	pool: name,
 	ends: z.array(z.strictObject({
 		piece: count, handle: z.string().max(256).optional(), serverId: id.optional(), reason: z.string().max(64).optional(),
 	})).max(4096),
--- a/test/platform/direct-fleet.test.ts
+++ b/test/platform/direct-fleet.test.ts
@@ -33,6 +33,20 @@
 	t.equal(new Set(stage.freed).size, 12, 'each result is given up once');
 });
 
+t.test('numbers that make no sense harm their own request only', async t => {
+	const fleet = await makeFleet(t);
+	await fleet.addServers('stage', 1);
+	await fleet.addServers('model', 1);
+	const entry = await fleet.addReadyEntry();
+	for (const counts of ['1e12,1', '-1,1', '2.5', 'x', 'Infinity']) {
+		t.equal((await ask(entry, streamCall('/staged/x', {headers: {'chunk-count': counts, 'chunk-key': 'k'}}))).status, 400, counts);
+	}
+
+	t.equal((await ask(entry, streamCall('/draft/x', {headers: {'prompt-prefix': 'aa:Infinity,bb:-5,cc'}}))).status, 200);
+	t.match(await ask(entry, stagedCall('n1')), {status: 200, text: wholeStream});
+	t.match(await ask(entry, streamCall('/draft/x')), {status: 200, text: wholeStream});
+});
+
 t.test('two entries share one queue of a pool', async t => {
 	const fleet = await makeFleet(t);
 	const [stage] = await fleet.addServers('stage', 1, 40);
