Take nothing new once the balancer has been told for long enough

Change: after the time in which the balancer takes a host out (3.2 s) it no longer listens, and a request on an open connection is refused as not run. A new test over loopback fails without it.

--- a/src/daemon/node/direct-entry.ts
+++ b/src/daemon/node/direct-entry.ts
@@ -92,7 +92,8 @@
 		mesh.announce();
 		desk.handOver();
 		await this.until(() => clock.nowMs() >= startMs + announceMs);
-		ingress.closeIdle();
+		// What is taken later might not end in time; the balancer has long been told.
+		ingress.stopTaking();
 		await this.until(() => clock.nowMs() >= latestMs || (ingress.openCount === 0 && desk.isIdle));
 		log.info('The entry has stopped.', {open: ingress.openCount, tookMs: Math.round(clock.nowMs() - startMs)});
 	}
--- a/src/direct/node/ingress.ts
+++ b/src/direct/node/ingress.ts
@@ -32,6 +32,8 @@
 const checkMs = 1000;
 /** When to come back to a host that knows no declaration yet. */
 const comeBackMs = 500;
+/** A caller that is sent to another host may go there at once. */
+const elsewhereMs = 50;
 const statuses = {
 	badRequest: 400, unauthorized: 401, notFound: 404, bodyTooLarge: 413, headTooLarge: 431, unavailable: 503,
 } as const;
@@ -83,6 +85,7 @@
 	/** Ids in the hands of this host, by which messages find their request. */
 	private readonly openIds = new Set<string>();
 	private serial = 0;
+	private hasStoppedTaking = false;
 	/** Requests whose body has not come whole. */
 	private receivingCount = 0;
 
@@ -122,8 +125,13 @@
 		return {callers: await listen(this.callers, callers), readiness: await listen(this.readiness, readiness)};
 	}
 
-	/** Closes connections that carry nothing, again and again until disposed. */
-	closeIdle(): void {
+	/**
+	Takes no more: new connections are not accepted, requests on open ones are refused as not run, and
+	connections that carry nothing are closed until disposed.
+	*/
+	stopTaking(): void {
+		this.hasStoppedTaking = true;
+		this.callers.close();
 		this.owned.add(setRepeating(this.options.clock, () => checkMs / 2, () => {
 			this.callers.closeIdleConnections();
 		}));
@@ -161,6 +169,11 @@
 			response.shouldKeepAlive = false;
 		}
 
+		if (this.hasStoppedTaking) {
+			this.refuse(response, {requestId: '', status: statuses.unavailable, reason: 'this host is about to stop', retryAfterMs: elsewhereMs});
+			return;
+		}
+
 		const recognized = this.recognize(request);
 		if ('status' in recognized) {
 			this.refuse(response, recognized);
--- a/test/platform/direct-fleet.test.ts
+++ b/test/platform/direct-fleet.test.ts
@@ -1,3 +1,4 @@
+import {connect} from 'node:net';
 import t, {type Test} from 'tap';
 import {
 	ask, configOf, DirectFleet, readinessOf, streamCall, until, wholeStream,
@@ -148,10 +149,43 @@
 	t.equal(late.status, 200);
 	t.equal(late.headers.connection, 'close');
 	t.equal((await early).status, 200);
+	const last = ask(entry, {method: 'POST', path: '/book/x', id: 'kept', headers: {connection: 'keep-alive'}});
+	t.equal((await last).status, 200);
 	await stopped;
 	await t.rejects(ask(entry, {path: '/look/x'}));
 });
 
+t.test('a stopping entry takes nothing that might not end: new connections are refused, open ones told so', async t => {
+	const fleet = await makeFleet(t);
+	const [server] = await fleet.addServers('plain', 1, 5);
+	const entry = await fleet.addReadyEntry();
+	server.fault = 'silent';
+	const held = ask(entry, {method: 'POST', path: '/book/x', id: 'held', deadlineMs: 60_000});
+	const {callers} = entry;
+	const socket = connect(callers.port, callers.address);
+	t.teardown(() => socket.destroy());
+	let heard = '';
+	socket.on('data', bytes => {
+		heard += bytes.toString();
+	});
+	socket.write('GET /look/x HTTP/1.1\r\nHost: site.ex');
+	const stopped = entry.entry.lifecycle.stop();
+	await until(async () => {
+		try {
+			await ask(entry, {path: '/nowhere/'});
+			return false;
+		} catch {
+			return true;
+		}
+	});
+	socket.write('ample\r\nAttempt-Id: late\r\nAuthorization: Bearer key-1\r\n\r\n');
+	await until(() => heard.includes('\r\n\r\n'));
+	t.match(heard, /^HTTP\/1\.1 503 [\s\S]*retry-after/v);
+	t.notOk(server.seen.some(({id}) => id === 'late'));
+	await stopped;
+	await held.catch(() => undefined);
+});
+
 t.test('another server at a known address is not taken for the one that was there', async t => {
 	const fleet = await makeFleet(t);
 	const [server] = await fleet.addServers('plain', 1);
