--- a/src/direct/node/ingress.ts
+++ b/src/direct/node/ingress.ts
@@ -170,7 +170,9 @@
 		}
 
 		if (this.hasStoppedTaking) {
-			this.refuse(response, {requestId: '', status: statuses.unavailable, reason: 'this host is about to stop', retryAfterMs: elsewhereMs});
+			this.refuse(response, {
+				requestId: '', status: statuses.unavailable, reason: 'this host is about to stop', retryAfterMs: elsewhereMs,
+			});
 			return;
 		}
 
--- a/test/platform/direct-fleet.test.ts
+++ b/test/platform/direct-fleet.test.ts
@@ -149,7 +149,9 @@
 	t.equal(late.status, 200);
 	t.equal(late.headers.connection, 'close');
 	t.equal((await early).status, 200);
-	const last = ask(entry, {method: 'POST', path: '/book/x', id: 'kept', headers: {connection: 'keep-alive'}});
+	const last = ask(entry, {
+		method: 'POST', path: '/book/x', id: 'kept', headers: {connection: 'keep-alive'},
+	});
 	t.equal((await last).status, 200);
 	await stopped;
 	await t.rejects(ask(entry, {path: '/look/x'}));
@@ -160,7 +162,9 @@
 	const [server] = await fleet.addServers('plain', 1, 5);
 	const entry = await fleet.addReadyEntry();
 	server.fault = 'silent';
-	const held = ask(entry, {method: 'POST', path: '/book/x', id: 'held', deadlineMs: 60_000});
+	const held = ask(entry, {
+		method: 'POST', path: '/book/x', id: 'held', deadlineMs: 60_000,
+	});
 	const {callers} = entry;
 	const socket = connect(callers.port, callers.address);
 	t.teardown(() => socket.destroy());
