Give results up once their engine must have fetched them

Results were held until the engine's first event, 250 to 400 ms after it was sent, though it fetches them before it reads. Ruled out: the number of calls (servers were free for want of room), releases that are slow (30 ms).

Change: a request's results are given up 20 ms and twice the time of a full call's bytes on its upstream's link after the call was written. An engine that had not read them says that nothing ran (inputs gone); they are made again. A test fails without it (the method did not exist; the second half checks that nothing is freed twice).

--- a/src/deployment/common/declaration.ts
+++ b/src/deployment/common/declaration.ts
@@ -63,6 +63,8 @@
 	roomBytes: z.number().nonnegative(),
 	/** How long a result is kept after its call unless it is released. */
 	resultTtlMs: durationMs,
+	/** What its link carries, for results that are read. */
+	linkBytesPerMs: z.number().positive().optional(),
 });
 /** What one upstream of a pool that works in batches can do. */
 export type BatchCapacity = z.infer<typeof batchSchema>;
--- a/src/direct/node/direct-call.ts
+++ b/src/direct/node/direct-call.ts
@@ -25,6 +25,8 @@
 	/** Whether the answer is an event stream that is passed on event by event. */
 	readonly isStreaming: boolean;
 	readonly nowMs: () => number;
+	/** The call is written. */
+	readonly written: () => void;
 	readonly emit: (message: Message) => void;
 	/** An event was passed on; where the answer is taken up again, it goes on after this one. */
 	readonly reached: (eventId: string) => void;
@@ -76,7 +78,10 @@
 		this.controller = controller;
 		if (this.isCancelled) {
 			controller.abort(new UnavailableError('cancelled'));
+			return;
 		}
+
+		this.options.written();
 	}
 
 	/** A head has come: it tells whether the call runs, was refused, or is answered by another server. */
--- a/src/direct/node/direct-links.ts
+++ b/src/direct/node/direct-links.ts
@@ -21,6 +21,8 @@
 	readonly callerRequestId: string;
 	readonly deadlineMs: number;
 	readonly isStreaming: boolean;
+	/** A call was written to an upstream. */
+	readonly written: () => void;
 	/** Id of the last event that was delivered. */
 	resumeAfter: string | undefined;
 };
@@ -188,6 +190,7 @@
 			callerRequestId: facts.callerRequestId,
 			isStreaming: facts.isStreaming,
 			nowMs: () => clock.nowMs(),
+			written: facts.written,
 			emit: event => {
 				this.receive(server, event);
 			},
--- a/src/direct/node/served-request.ts
+++ b/src/direct/node/served-request.ts
@@ -44,6 +44,9 @@
 		const {plan, ask, response, links, preparer, clock} = this.options;
 		const registration = links.register(plan.requestId, {
 			callerRequestId: ask.requestId, deadlineMs: plan.deadlineMs, isStreaming: plan.isStreaming, resumeAfter: ask.resumeAfter,
+			written() {
+				preparer?.sent();
+			},
 		});
 		const callerGone = runner.start(plan, {
 			claim: async () => fail({code: 'unavailable', message: 'requests that go straight to upstreams are not claimed'}),
--- a/src/preparation/common/preparation.ts
+++ b/src/preparation/common/preparation.ts
@@ -42,7 +42,7 @@
 
 	/** Results that the request itself reads: those of the steps that no other step comes after. */
 	get finalRefs(): ResultRef[] {
-		return this.steps.flatMap((step, index) => this.isLast(index) ? present(step) : []);
+		return this.steps.flatMap((step, index) => this.isLast(index) && !step.isSpent ? present(step) : []);
 	}
 
 	/** Every result that is kept somewhere. */
@@ -66,6 +66,19 @@
 		return spent;
 	}
 
+	/**
+	Gives up the results that the request itself reads, once it has read them.
+	@returns the results.
+	*/
+	takeFinals(): ResultRef[] {
+		const finals = this.finalRefs;
+		for (const [index, step] of this.steps.entries()) {
+			step.isSpent ||= this.isLast(index);
+		}
+
+		return finals;
+	}
+
 	/** Steps that are still to come behind a step, the step itself included, on the longest way. */
 	stepsLeft(index: number): number {
 		const behind = this.steps.flatMap(({declared, results}, other) =>
@@ -155,7 +168,7 @@
 	@returns the results that are given up.
 	*/
 	finalsLost(isKept: (serverId: string) => boolean): ResultRef[] {
-		return this.giveUp([...this.steps.keys()].filter(index => this.isLast(index)), isKept);
+		return this.giveUp([...this.steps.keys()].filter(index => this.isLast(index) && !this.steps[index].isSpent), isKept);
 	}
 
 	/** A result was lost behind a step whose own results are given up already: these are made again as well. */
--- a/src/preparation/node/preparer.test.ts
+++ b/src/preparation/node/preparer.test.ts
@@ -86,3 +86,26 @@
 	t.same(await preparer.run(true), {ok: true, value: ['b0#4']});
 	t.same(works, ['a:0,1', 'b:0', 'a:0,1', 'b:0']);
 });
+
+t.test('results are given up soon after the request was sent, and made again if it had not read them', async t => {
+	const released: ResultRef[] = [];
+	const clock = ManualClock.create();
+	const works: string[] = [];
+	const preparer = makePreparer((work, taker) => {
+		works.push(work.pool);
+		for (const piece of work.pieces) {
+			taker(piece, {ok: true, ref: {handle: `${work.pool}${piece}#${works.length}`, serverId: work.pool}});
+		}
+	}, released, clock);
+	await preparer.run(false);
+	released.length = 0;
+	preparer.sent();
+	clock.advance(10);
+	t.same(released, [], 'not before it can have fetched them');
+	clock.advance(50);
+	t.same(released.map(({handle}) => handle), ['b0#2']);
+	t.same(await preparer.run(true), {ok: true, value: ['b0#4']});
+	t.same(works, ['a', 'b', 'a', 'b']);
+	preparer.end();
+	t.same(released.map(({handle}) => handle), ['b0#2', 'a0#3', 'a1#3', 'b0#4'], 'each once');
+});
--- a/src/preparation/node/preparer.ts
+++ b/src/preparation/node/preparer.ts
@@ -1,5 +1,6 @@
 /** Does the work before a request: hands its steps to the batches and gathers the results. */
 import type {Clock} from '../../base/common/clock.js';
+import type {Disposable} from '../../base/common/disposable.js';
 import type {Logger} from '../../base/common/logger.js';
 import {fail, ok, type Outcome} from '../../base/common/outcome.js';
 import type {Route} from '../../deployment/common/declaration.js';
@@ -20,6 +21,16 @@
 const shortestRetryAfterMs = 400;
 const longestRetryAfterMs = 2000;
 
+/**
+From the moment a call with results is written until its engine begins to fetch them, and a first answer of
+the fetch: a few times what the way there and its decoding take.
+*/
+const fetchStartMs = 20;
+/** Results are fetched from an upstream in turn; two full calls' worth may be asked of its link at once. */
+const fetchedCalls = 2;
+/** Where the declaration tells no link: 10 Gbit/s, the least of the first deployments. */
+const usualLinkBytesPerMs = 1_250_000;
+
 /** What the work of one request needs to know. */
 export type PreparationAsk = {
 	readonly requestId: string;
@@ -64,6 +75,7 @@
 	/** Whether a failure was counted since the last advance. */
 	private hasFailed = false;
 	private isOver = false;
+	private readTimer: Disposable | undefined;
 
 	private constructor(private readonly options: PreparerOptions, private readonly ask: PreparationAsk) {
 		this.preparation = Preparation.create(ask.route.steps, ask.pieceCounts);
@@ -76,6 +88,7 @@
 	*/
 	async run(isAgain: boolean): Promise<Result> {
 		if (isAgain) {
+			this.readTimer?.dispose();
 			this.release(this.preparation.finalsLost(serverId => this.isKept(serverId)));
 		}
 
@@ -85,6 +98,20 @@
 		});
 	}
 
+	/**
+	The request was written to the upstream that reads its results. It fetches them before anything else, long
+	before its first event, and room for results bounds what a pool can do: they are given up once they must be
+	there. If they are not, the upstream says that nothing ran, and they are made again.
+	*/
+	sent(): void {
+		this.readTimer?.dispose();
+		this.readTimer = this.options.clock.setTimer(this.fetchMs, () => {
+			if (!this.isOver) {
+				this.release(this.preparation.takeFinals());
+			}
+		});
+	}
+
 	/** The request has ended or has read its results: everything is given up. */
 	end(): void {
 		if (this.isOver) {
@@ -92,6 +119,7 @@
 		}
 
 		this.isOver = true;
+		this.readTimer?.dispose();
 		for (const workId of this.openWorks) {
 			this.options.desk.cancel(workId);
 		}
@@ -171,6 +199,19 @@
 		return this.preparation.stepsLeft(index) * callMs;
 	}
 
+	/** How long after it was sent a request has surely fetched the results it reads. */
+	private get fetchMs(): number {
+		const {ask: {route: {steps}}, options: {board}} = this;
+		let longestMs = 0;
+		for (const {pool, resultBytes} of steps) {
+			const batch = board.current?.pool(pool)?.batch;
+			const bytes = fetchedCalls * (batch?.batchSize ?? 1) * resultBytes;
+			longestMs = Math.max(longestMs, bytes / (batch?.linkBytesPerMs ?? usualLinkBytesPerMs));
+		}
+
+		return fetchStartMs + longestMs;
+	}
+
 	private ended(index: number, piece: number, outcome: PieceOutcome): void {
 		const {pool} = this.ask.route.steps[index];
 		if (outcome.ok) {
@@ -203,7 +244,7 @@
 		queueMicrotask(() => {
 			this.isAdvancing = false;
 			this.hasFailed = false;
-			if (!this.isOver) {
+			if (!this.isOver && this.settle) {
 				this.advance();
 			}
 		});
