Refuse at the door what would be late, not what would be very late

Ruled out: estimates that are too short (the pools' waits told were near those in the logs).

Change: the bound is the target itself (1.0). One that comes back is still taken up to 1.5. A test fails with 1.2.

--- a/src/preparation/common/admission.test.ts
+++ b/src/preparation/common/admission.test.ts
@@ -38,3 +38,8 @@
 	t.equal(admit({...ask, remainingMs: 6000}, waits(450)).isAdmitted, true);
 	t.equal(admit({...ask, remainingMs: 6000}, waits(1000)).isAdmitted, false);
 });
+
+t.test('a first try reckoned to be later than its target is refused: late earns less than coming back', async t => {
+	t.equal(admit(ask, waits(240)).isAdmitted, true, 'reckoned at 980 ms of 1000');
+	t.equal(admit(ask, waits(260)).isAdmitted, false, 'reckoned at 1020 ms');
+});
--- a/src/preparation/common/admission.ts
+++ b/src/preparation/common/admission.ts
@@ -5,8 +5,11 @@
 import type {DeploymentIndex} from '../../deployment/common/deployment-index.js';
 import type {Route} from '../../deployment/common/declaration.js';
 
-/** A request that is reckoned to be later than this part of its target is not begun: estimates are this unsure. */
-const lateTargets = 1.2;
+/**
+A request that is reckoned to be later than this part of its target is not begun. With 1.2, queues settled where
+nearly all were a little late, which earns an eighth of what coming back in time does.
+*/
+const lateTargets = 1;
 /** One that comes back after a refusal is taken a little later: refused again it is lost. */
 const patienceTargets = 1.5;
 /** A caller that has less than this part of the route's time left has tried before. */
