Explain a request from the logs of all hosts

Cause: on-call engineers have only logs; docs/OPERATIONS.md told them to grep and to reckon by hand, and the line of a request's end did not say what its target was, so that "late" could not be told from logs at all.

Change: `pumicehatch explain ID` and `pumicehatch logs summary`, reading lines of any number of hosts in any order, with whatever a collector put before them; the end of a request is logged with `targetMs`.

Not done: a line at a request's arrival, which would tell the killed host's name; it would double the volume.

--- a/src/cli/node/program.ts
+++ b/src/cli/node/program.ts
@@ -5,6 +5,7 @@
 import {
 	drain, report, request, status, type RequestFlags,
 } from './fleet-commands.js';
+import {explain, summary, type LogFlags} from './log-commands.js';
 import {
 	apply, get, history, plan, set, validate, type SettingsFlags,
 } from './settings-commands.js';
@@ -97,5 +98,16 @@
 		.example('request mill-a services/stock/lots/17')
 		.action(async (workspace: string, target: string, flags: RequestFlags) => request(workspace, target, flags));
 
+	program.command('explain <requestId>')
+		.describe('Tell what became of a request and why, from the log lines of all hosts on standard input.')
+		.option('--file', 'Read this file instead')
+		.example('explain 9c41d07be2a35f68 < logs')
+		.action((requestId: string, flags: LogFlags) => explain(requestId, flags));
+
+	program.command('logs summary')
+		.describe('Count what became of requests, by host and route, from log lines on standard input.')
+		.option('--file', 'Read this file instead')
+		.action((flags: LogFlags) => summary(flags));
+
 	return program;
 }
--- a/src/direct/node/ingress.ts
+++ b/src/direct/node/ingress.ts
@@ -258,7 +258,7 @@
 		const preparer = plan.needsPreparation ? this.preparerFor(arrival, plan, place) : undefined;
 		this.openIds.add(plan.requestId);
 		ServedRequest.create({
-			plan, ask, response, links, preparer, clock, log, metrics, isHead: request.method === 'HEAD',
+			plan, ask, response, links, preparer, clock, log, metrics, isHead: request.method === 'HEAD', targetMs: arrival.route.targetMs,
 			ended: () => {
 				this.openIds.delete(plan.requestId);
 			},
--- a/src/direct/node/served-request.ts
+++ b/src/direct/node/served-request.ts
@@ -22,6 +22,8 @@
 	readonly log: Logger;
 	readonly metrics: Metrics;
 	readonly isHead: boolean;
+	/** Within this time the answer, or its first event, is worth most. */
+	readonly targetMs: number;
 	readonly ended: () => void;
 };
 
@@ -94,6 +96,7 @@
 			code: result.code,
 			reason: result.code === undefined ? undefined : result.message,
 			status,
+			targetMs: this.options.targetMs,
 			tookMs: Math.round(result.tookMs),
 			preparedMs: Math.round(this.preparedMs),
 			firstMs: Math.round(this.firstMs),
