Let roomy hosts batch for all, and three hosts read the store for all

Pools were batched by whichever host the hash named. One with a thin link moved 7 Mbit/s of work and results: steps took 1,140 to 1,740 ms where three calls take about 600. Ruled out: too few servers (their calls were short and always begun at once), waiting for a server of the own hall (tens of ms). 2.

Peers tell their room (processor, or the link at 70 Mbit/s a core); only hosts with half the room of the roomiest batch. In a deployment of like hosts nothing changes. Test: a small host hands work to a roomier one; it fails before. 2. With eight hosts or more three read; the others rest while two readers had an answer within 0.6 of the time in which news must be acted on, and read for five seconds otherwise. Readers tell changed servers at once. Tests of the duty and of a follower that rests; they can't run before (no such parts).

--- a/src/daemon/common/direct-settings.ts
+++ b/src/daemon/common/direct-settings.ts
@@ -1,5 +1,6 @@
 /** Settings of a host whose entry calls upstreams itself; the adapter of a platform makes them of what that platform gives. */
 import type {Endpoint} from '../../wire/common/endpoint.js';
+import type {HostCapacity} from '../../routing/common/host-room.js';
 import type {RepeatBounds} from '../../routing/common/windowed-budget.js';
 
 export type DirectEntrySettings = {
@@ -17,6 +18,12 @@
 	readonly repeats: RepeatBounds;
 	/** From the request to stop until the process is ended from outside. */
 	readonly stopGraceMs: number;
+	/** Within this time after the store took it a declaration must be in force. */
+	readonly declarationWithinMs: number;
+	/** Within this time after the store took it a server that leaves must get no more. */
+	readonly leavingWithinMs: number;
+	/** What this host may use. */
+	readonly capacity: HostCapacity;
 	/** Where figures are served; nowhere if absent. */
 	readonly metrics?: Endpoint;
 	/** Shared by all hosts of a deployment. */
--- a/src/daemon/node/compose-direct-entry.ts
+++ b/src/daemon/node/compose-direct-entry.ts
@@ -30,6 +30,7 @@
 import {Ingress, ingressToken} from '../../direct/node/ingress.js';
 import {PromptNews} from '../../direct/node/prompt-news.js';
 import {PeerMesh, peerMeshToken} from '../../peers/node/peer-mesh.js';
+import {ReadingDuty, readingDutyToken} from '../../peers/node/reading-duty.js';
 import {StateExchange} from '../../peers/node/state-exchange.js';
 import {batchProtocolToken, type BatchProtocol} from '../../preparation/common/batch-protocol.js';
 import {BatchDesk, batchDeskToken} from '../../preparation/node/batch-desk.js';
@@ -37,6 +38,7 @@
 import {Preparer} from '../../preparation/node/preparer.js';
 import {RequestRunner} from '../../request/node/request-runner.js';
 import {EngineLoads} from '../../routing/common/engine-loads.js';
+import {roomOf} from '../../routing/common/host-room.js';
 import {PrefixIndex} from '../../routing/common/prefix-index.js';
 import {ScoreChooser} from '../../routing/common/score-chooser.js';
 import {WindowedBudget} from '../../routing/common/windowed-budget.js';
@@ -164,7 +166,13 @@
 		wire: get(wireOptionsToken),
 		clock,
 		log: logOf('peers'),
-		ownState: () => ({deploymentVersion: get(deploymentBoardToken).version, listRevision: get(serverRegistryToken).revision, isLeaving: isLeaving()}),
+		ownState: () => ({
+			deploymentVersion: get(deploymentBoardToken).version,
+			listRevision: get(serverRegistryToken).revision,
+			isLeaving: isLeaving(),
+			room: roomOf(settings.capacity),
+			storeAgeMs: storeAgeOf(get(declarationFeedToken).ageMs, get(serverFeedToken).ageMs),
+		}),
 	})));
 }
 
@@ -175,19 +183,32 @@
 }
 
 /** Where that comes from: the platform's store. */
-function registerFeeds({ports, lifecycle, clock, logOf, register, get}: Composition): void {
+function registerFeeds({settings, ports, lifecycle, clock, logOf, register, get}: Composition): void {
 	const offerAll = (declarations: readonly Deployment[]) => {
 		for (const declaration of declarations) {
 			get(deploymentBoardToken).offer(declaration, 'store');
 		}
 	};
 
+	register(readingDutyToken, () => ReadingDuty.create({
+		hostId: settings.hostId,
+		room: roomOf(settings.capacity),
+		mesh: get(peerMeshToken),
+		newsWithinMs: Math.min(settings.declarationWithinMs, settings.leavingWithinMs),
+		clock,
+		log: logOf('store'),
+	}));
+	const duty = {
+		holdMs: () => get(readingDutyToken).holdMs,
+		mayRest: () => get(readingDutyToken).mayRest(),
+	};
 	register(declarationFeedToken, () => lifecycle.register(FeedFollower.create<Deployment>({
 		name: 'declaration',
 		source: ports.declarations,
 		clock,
 		random: get(randomToken),
 		log: logOf('store'),
+		...duty,
 		replaceAll({changed}) {
 			offerAll(changed);
 			return true;
@@ -205,6 +226,7 @@
 			clock,
 			random: get(randomToken),
 			log: logOf('store'),
+			...duty,
 			replaceAll: ({changed, revision}) => registry.replaceAll({servers: [...changed], revision}, clock.nowMs()),
 			apply({changed, removedIds, revision}) {
 				registry.applyChanges(changed, removedIds, revision, clock.nowMs());
@@ -253,6 +275,7 @@
 function registerPreparation({settings, ports, lifecycle, clock, metrics, logOf, register, get, isLeaving, hostCount}: Composition): void {
 	register(batchDeskToken, () => lifecycle.register(BatchDesk.create({
 		hostId: settings.hostId,
+		room: roomOf(settings.capacity),
 		mesh: get(peerMeshToken),
 		clock,
 		log: logOf('batches'),
@@ -307,8 +330,8 @@
 		mesh: get(peerMeshToken),
 		board: get(deploymentBoardToken),
 		registry: get(serverRegistryToken),
-		isListAway: () => get(serverFeedToken).isAway || !get(serverFeedToken).isSynced,
-		nowMs: () => clock.nowMs(),
+		isListAway: () => get(serverFeedToken).isAway || get(serverFeedToken).isResting || !get(serverFeedToken).isSynced,
+		clock,
 		log: logOf('peers'),
 	}));
 	lifecycle.register(setRepeating(clock, () => sweepMs, () => {
@@ -318,6 +341,12 @@
 	get(promptNewsToken);
 }
 
+/** How long ago the store last answered for both feeds; nothing while one of them has no answer or rests. */
+function storeAgeOf(...agesMs: Array<number | undefined>): number | undefined {
+	const known = agesMs.filter(ageMs => ageMs !== undefined);
+	return known.length === agesMs.length ? Math.max(...known) : undefined;
+}
+
 /** The entry itself; asking for its parts makes them. */
 function makeEntry({settings, lifecycle, clock, metrics, logOf, get}: Composition): DirectEntry {
 	return DirectEntry.create({
--- a/src/deployment/node/feed-follower.ts
+++ b/src/deployment/node/feed-follower.ts
@@ -6,11 +6,10 @@
 import {jitter, type Random} from '../../base/common/random.js';
 import type {FeedChanges, FeedFailure, FeedSource} from '../common/feed.js';
 
-/**
-How long the store may hold a call. Short enough that a silent cut is noticed before its end counts
-(hosts are bound again three seconds after it), long enough that calls cost little.
-*/
-const holdMs = 2000;
+/** Pause after changes: they come in bursts (servers of a service start together), and each call has a price. */
+const burstMs = 60;
+/** How often a host that rests looks whether it must read: a small part of the time within which news must be acted on. */
+const restMs = 200;
 /** Longest wait for an answer beyond the time it may be held: many times the store's usual 4 ms. */
 const answerMs = 700;
 /** Bounds of the time between calls that fail; it doubles from one to the next. */
@@ -29,6 +28,13 @@
 	readonly apply: (changes: FeedChanges<T>) => void;
 	/** The store answers again after it was away. */
 	readonly returned: () => void;
+	/**
+	How long the store may hold a call. Short enough that a silent cut is noticed before its end counts
+	(hosts are bound again three seconds after it), long enough that calls cost little.
+	*/
+	readonly holdMs: () => number;
+	/** Whether other hosts tell what there is to read; asked before each call once everything was read. */
+	readonly mayRest: () => boolean;
 };
 
 /** Reads on and on until disposed. */
@@ -41,6 +47,8 @@
 	private revision: number | undefined;
 	private isStoreAway = false;
 	private retryMs = firstRetryMs;
+	private answeredMs: number | undefined;
+	private hasRested = false;
 
 	private constructor(private readonly options: FeedFollowerOptions<T>) {}
 
@@ -54,6 +62,16 @@
 		return this.revision !== undefined;
 	}
 
+	/** Whether other hosts read for this one now. */
+	get isResting(): boolean {
+		return this.hasRested;
+	}
+
+	/** How long ago the store last answered; nothing before it has, and while this host rests. */
+	get ageMs(): number | undefined {
+		return this.answeredMs === undefined || this.hasRested ? undefined : this.options.clock.nowMs() - this.answeredMs;
+	}
+
 	/** Begins to read. */
 	start(): void {
 		void this.run();
@@ -66,6 +84,18 @@
 	private async run(): Promise<void> {
 		const {signal} = this.controller;
 		while (!signal.aborted) {
+			if (this.isSynced && this.options.mayRest()) {
+				this.hasRested = true;
+				await this.sleep(restMs);
+				continue;
+			}
+
+			if (this.hasRested) {
+				// What was read last is old, and peers have told more: everything is read again.
+				this.hasRested = false;
+				this.revision = undefined;
+			}
+
 			const read = await this.readNext();
 			if (signal.aborted) {
 				return;
@@ -76,8 +106,8 @@
 	}
 
 	private async readNext(): Promise<Outcome<FeedChanges<T>, FeedFailure>> {
-		const {source} = this.options;
-		const waitMs = this.revision === undefined ? 0 : holdMs;
+		const {source, holdMs} = this.options;
+		const waitMs = this.revision === undefined ? 0 : holdMs();
 		const signal = AbortSignal.any([this.controller.signal, AbortSignal.timeout(waitMs + answerMs)]);
 		return this.revision === undefined
 			? source.readAll(signal)
@@ -85,7 +115,8 @@
 	}
 
 	private async take(changes: FeedChanges<T>): Promise<void> {
-		const {log, name, replaceAll, apply, returned} = this.options;
+		const {log, name, replaceAll, apply, returned, clock} = this.options;
+		this.answeredMs = clock.nowMs();
 		if (this.isStoreAway) {
 			this.isStoreAway = false;
 			log.info('The store answers again.', {feed: name, revision: changes.revision});
@@ -94,6 +125,9 @@
 
 		if (this.revision !== undefined) {
 			apply(changes);
+			if (changes.changed.length + changes.removedIds.length > 0) {
+				await this.sleep(burstMs);
+			}
 		} else if (!replaceAll(changes)) {
 			log.warn('The store gave a list older than the one known; it is read again.', {feed: name, revision: changes.revision});
 			await this.pause();
@@ -121,11 +155,15 @@
 	}
 
 	private async pause(): Promise<void> {
-		const {clock, random} = this.options;
+		const {random} = this.options;
 		const delayMs = jitter(random, this.retryMs);
 		this.retryMs = Math.min(longestRetryMs, this.retryMs * 2);
+		await this.sleep(delayMs);
+	}
+
+	private async sleep(delayMs: number): Promise<void> {
 		await new Promise<void>(resolve => {
-			clock.setTimer(delayMs, resolve);
+			this.options.clock.setTimer(delayMs, resolve);
 		});
 	}
 }
--- a/src/peers/node/peer-mesh.ts
+++ b/src/peers/node/peer-mesh.ts
@@ -19,7 +19,7 @@
 const forgetMs = 15_000;
 
 /** What a host tells its peers of itself. */
-export type OwnState = Pick<PeerBeat, 'deploymentVersion' | 'listRevision' | 'isLeaving'>;
+export type OwnState = Pick<PeerBeat, 'deploymentVersion' | 'listRevision' | 'isLeaving' | 'room' | 'storeAgeMs'>;
 
 /** A message of a peer. */
 export type PeerMessage = {readonly hostId: string; readonly message: Message};
@@ -34,7 +34,7 @@
 };
 
 type Way = {readonly connection: WireConnection; heardMs: number};
-type Peer = {readonly hostId: string; readonly ways: Set<Way>; beat: PeerBeat | undefined};
+type Peer = {readonly hostId: string; readonly ways: Set<Way>; beat: PeerBeat | undefined; beatMs: number};
 type Dial = {readonly client: WireClient; readonly isSeed: boolean; openMs: number; isOpen: boolean};
 
 export const peerMeshToken: InjectionToken<PeerMesh> = Symbol('PeerMesh');
@@ -79,6 +79,20 @@
 		return [...this.peers.values()].filter(peer => peer.ways.size > 0 && peer.beat?.isLeaving === false).map(peer => peer.hostId);
 	}
 
+	/** Rooms for shared work of the live hosts, this one not among them. */
+	get liveRooms(): Map<string, number> {
+		return new Map(this.liveHosts.map(hostId => [hostId, this.peers.get(hostId)?.beat?.room ?? 0]));
+	}
+
+	/** How long ago the store answered those live hosts that read it. */
+	get storeAges(): Map<string, number> {
+		const nowMs = this.options.clock.nowMs();
+		return new Map(this.liveHosts.flatMap(hostId => {
+			const {beat, beatMs} = this.peers.get(hostId)!;
+			return beat?.storeAgeMs === undefined ? [] : [[hostId, beat.storeAgeMs + nowMs - beatMs]];
+		}));
+	}
+
 	/**
 	Starts looking for peers.
 	@param own - where this host listens for them.
@@ -201,7 +215,9 @@
 		}
 
 		const {hostId} = identity;
-		const peer = this.peers.get(hostId) ?? {hostId, ways: new Set<Way>(), beat: undefined};
+		const peer = this.peers.get(hostId) ?? {
+			hostId, ways: new Set<Way>(), beat: undefined, beatMs: 0,
+		};
 		const way: Way = {connection, heardMs: this.options.clock.nowMs()};
 		this.peers.set(hostId, peer);
 		peer.ways.add(way);
@@ -230,6 +246,7 @@
 		if (message.type === 'peerBeat') {
 			const isChanged = peer.beat?.isLeaving !== message.isLeaving;
 			peer.beat = message;
+			peer.beatMs = this.options.clock.nowMs();
 			for (const endpoint of message.knownEndpoints) {
 				this.dial(endpoint, false);
 			}
--- /dev/null
+++ b/src/peers/node/reading-duty.test.ts
@@ -0,0 +1,51 @@
+import t from 'tap';
+import {ManualClock} from '../../base/common/clock.js';
+import {silentLoggers} from '../../base/common/logger.js';
+import {ReadingDuty} from './reading-duty.js';
+
+const names = Array.from({length: 10}, (_, index) => `host-${index}`);
+
+/** One host's duty; the others live and, if they have an age, read. */
+function dutyOf(hostId: string, ages: Map<string, number>, clock = ManualClock.create(), hosts = names) {
+	return ReadingDuty.create({
+		hostId,
+		room: 1,
+		mesh: {
+			get liveRooms() {
+				return new Map(hosts.filter(name => name !== hostId).map(name => [name, 1]));
+			},
+			storeAges: ages,
+		},
+		newsWithinMs: 3000,
+		clock,
+		log: silentLoggers.for('test'),
+	});
+}
+
+t.test('three hosts read for all, the same for every host', async t => {
+	const fresh = new Map([['x', 300], ['y', 900], ['z', 100]]);
+	const readers = names.filter(name => !dutyOf(name, fresh).mayRest());
+	t.equal(readers.length, 3);
+	t.ok(dutyOf(readers[0], fresh).holdMs <= 900, 'and ask more often than the news may be old');
+});
+
+t.test('in a small deployment all read', async t => {
+	const few = names.slice(0, 5);
+	t.ok(few.every(name => !dutyOf(name, new Map([['x', 1], ['y', 1]]), ManualClock.create(), few).mayRest()));
+	t.equal(dutyOf(few[0], new Map(), ManualClock.create(), few).holdMs, 2000);
+});
+
+t.test('a host reads itself while fewer than two readers had an answer of late, and for a while after', async t => {
+	const clock = ManualClock.create();
+	const ages = new Map([['x', 300], ['y', 300], ['z', 300]]);
+	const resting = names.find(name => dutyOf(name, ages).mayRest())!;
+	const duty = dutyOf(resting, ages, clock);
+	t.equal(duty.mayRest(), true);
+	ages.set('x', 1900).set('y', 1900);
+	t.equal(duty.mayRest(), false, 'two are old');
+	ages.set('x', 100).set('y', 100);
+	clock.advance(4000);
+	t.equal(duty.mayRest(), false, 'not yet: the store may be slow');
+	clock.advance(1500);
+	t.equal(duty.mayRest(), true);
+});
--- /dev/null
+++ b/src/peers/node/reading-duty.ts
@@ -0,0 +1,99 @@
+/**
+Who reads the platform's store for whom. Each call to it has a price, and many hosts that read the same feeds
+read the same bytes: above a few hosts, three of them read and tell the rest at once. A host trusts that only
+while two of them had an answer a moment ago; otherwise it reads for itself, as all do in a small deployment.
+*/
+import type {InjectionToken} from 'tsyringe';
+import type {Clock} from '../../base/common/clock.js';
+import type {Logger} from '../../base/common/logger.js';
+import {roomiestHosts} from '../../routing/common/host-room.js';
+import {rendezvousOrder} from '../../routing/common/rendezvous.js';
+import type {PeerMesh} from './peer-mesh.js';
+
+/** With fewer hosts than this all read: sharing would save little there. */
+const fewestHosts = 8;
+/** Hosts that read: two may be lost at once. */
+const readers = 3;
+/** Readers that must have had an answer of late for another host to rest. */
+const fewestFresh = 2;
+/** An answer is of late within this part of the time in which news must be acted on. */
+const freshShare = 0.6;
+/** How much sooner than that the store must answer a reader anew. */
+const holdShare = 0.5;
+/** Longest hold of a call where every host reads: a silent cut must be noticed before it counts. */
+const usualHoldMs = 2000;
+/** A host that had to read goes on for this long, so that a store that is slow does not make it change its mind at each call. */
+const readOnMs = 5000;
+const dutyKey = 'readers of the store';
+
+export const readingDutyToken: InjectionToken<ReadingDuty> = Symbol('ReadingDuty');
+
+/** What the duty is made of. */
+export type ReadingDutyOptions = {
+	readonly hostId: string;
+	readonly room: number;
+	readonly mesh: Pick<PeerMesh, 'liveRooms' | 'storeAges'>;
+	/** Time within which what the store tells must be acted on. */
+	readonly newsWithinMs: number;
+	readonly clock: Clock;
+	readonly log: Logger;
+};
+
+/** Decides whether this host reads. */
+export class ReadingDuty {
+	static create(options: ReadingDutyOptions): ReadingDuty {
+		return new ReadingDuty(options);
+	}
+
+	private isResting = false;
+	private readOnUntilMs = 0;
+
+	private constructor(private readonly options: ReadingDutyOptions) {}
+
+	/** How long the store may hold a call. */
+	get holdMs(): number {
+		return this.isShared ? Math.min(usualHoldMs, this.freshMs * holdShare) : usualHoldMs;
+	}
+
+	/** Whether others read for this host now. */
+	mayRest(): boolean {
+		const mayRest = this.decide();
+		if (mayRest !== this.isResting) {
+			this.isResting = mayRest;
+			this.options.log.info(mayRest ? 'Other hosts read the store for this one.' : 'This host reads the store itself.', {
+				storeAgesMs: [...this.options.mesh.storeAges.values()].map(ageMs => Math.round(ageMs)).join(' '),
+			});
+		}
+
+		return mayRest;
+	}
+
+	private decide(): boolean {
+		const {mesh, clock} = this.options;
+		const nowMs = clock.nowMs();
+		if (!this.isShared || this.isReader) {
+			return false;
+		}
+
+		const fresh = [...mesh.storeAges.values()].filter(ageMs => ageMs <= this.freshMs).length;
+		if (fresh < fewestFresh) {
+			this.readOnUntilMs = nowMs + readOnMs;
+		}
+
+		return nowMs >= this.readOnUntilMs;
+	}
+
+	private get freshMs(): number {
+		return this.options.newsWithinMs * freshShare;
+	}
+
+	private get isShared(): boolean {
+		return this.options.mesh.liveRooms.size + 1 >= fewestHosts;
+	}
+
+	private get isReader(): boolean {
+		const {hostId, room, mesh} = this.options;
+		const rooms = mesh.liveRooms.set(hostId, room);
+		return rendezvousOrder(dutyKey, roomiestHosts(rooms), host => host).slice(0, readers).includes(hostId);
+	}
+}
--- a/src/peers/node/state-exchange.ts
+++ b/src/peers/node/state-exchange.ts
@@ -1,4 +1,5 @@
 /** What peers tell each other of the declaration and the servers, so that no host is left behind while the store is away from it. */
+import type {Clock} from '../../base/common/clock.js';
 import {DisposableStore, type Disposable} from '../../base/common/disposable.js';
 import {messageOf} from '../../base/common/errors.js';
 import type {Logger} from '../../base/common/logger.js';
@@ -9,6 +10,9 @@
 import type {Message} from '../../wire/common/messages.js';
 import type {PeerMesh} from './peer-mesh.js';
 
+/** Changes of the list are gathered for this long before peers are told that there are some: servers often change together. */
+const gatherMs = 40;
+
 /** What the exchange is made of. */
 export type StateExchangeOptions = {
 	readonly mesh: PeerMesh;
@@ -16,7 +20,7 @@
 	readonly registry: ServerRegistry;
 	/** Whether this host's own reading of the server list is interrupted. */
 	readonly isListAway: () => boolean;
-	readonly nowMs: () => number;
+	readonly clock: Clock;
 	readonly log: Logger;
 };
 
@@ -28,20 +32,37 @@
 
 	private readonly owned = DisposableStore.create();
 
+	private timer: Disposable | undefined;
+
 	private constructor(private readonly options: StateExchangeOptions) {
-		const {mesh, board} = options;
+		const {mesh, board, registry} = options;
 		this.owned.add(mesh.onDidReceive(({hostId, message}) => {
 			this.receive(hostId, message);
 		}));
 		this.owned.add(board.onDidChange(() => {
 			mesh.announce();
 		}));
+		this.owned.add(registry.onDidChange(() => {
+			this.announceSoon();
+		}));
 	}
 
 	dispose(): void {
+		this.timer?.dispose();
 		this.owned.dispose();
 	}
 
+	/** Peers that do not read the store learn of servers from those that do. */
+	private announceSoon(): void {
+		const {clock, mesh, isListAway} = this.options;
+		if (!isListAway()) {
+			this.timer ??= clock.setTimer(gatherMs, () => {
+				this.timer = undefined;
+				mesh.announce();
+			});
+		}
+	}
+
 	private receive(hostId: string, message: Message): void {
 		const {mesh, board, registry, isListAway} = this.options;
 		switch (message.type) {
@@ -76,14 +97,14 @@
 	}
 
 	private take(hostId: string, deployment: string | undefined, servers: string | undefined): void {
-		const {board, registry, isListAway, nowMs, log} = this.options;
+		const {board, registry, isListAway, clock, log} = this.options;
 		try {
 			if (deployment !== undefined) {
 				board.offer(deploymentSchema.parse(JSON.parse(deployment)), 'peer');
 			}
 
 			if (servers !== undefined && isListAway()) {
-				registry.replaceAll(serverListSchema.parse(JSON.parse(servers)), nowMs());
+				registry.replaceAll(serverListSchema.parse(JSON.parse(servers)), clock.nowMs());
 			}
 		} catch (error) {
 			log.error('A peer sent a state that can\'t be read; it is passed over.', {peer: hostId, reason: messageOf(error)});
--- a/src/preparation/node/batch-desk.test.ts
+++ b/src/preparation/node/batch-desk.test.ts
@@ -15,23 +15,27 @@
 	/** Work in the hands of each host: `HOST/POOL`. */
 	readonly queues = new Map<string, PieceEnd[]>();
 	private readonly lines = new Map<string, {readonly receive: Emitter<PeerMessage>; readonly change: Emitter<void>}>();
+	private readonly rooms = new Map<string, number>();
 	private live: string[] = [];
 
-	add(hostId: string): BatchDesk {
+	add(hostId: string, room = 1): BatchDesk {
+		this.rooms.set(hostId, room);
 		const receive = Emitter.create<PeerMessage>();
 		const change = Emitter.create<void>();
 		const mesh: PeerLine = {
 			onDidReceive: receive.event,
 			onDidChange: change.event,
 			onDidLose: Emitter.create<string>().event,
-			liveHosts: [],
+			liveRooms: new Map(),
 			send: (to, message) => this.deliver(hostId, to, message),
 			broadcast: () => undefined,
 		};
-		Object.defineProperty(mesh, 'liveHosts', {get: () => this.live.filter(other => other !== hostId)});
+		Object.defineProperty(mesh, 'liveRooms', {get: () => new Map(this.live.filter(other => other !== hostId).map(other => [other, this.rooms.get(other) ?? 0]))});
 		this.lines.set(hostId, {receive, change});
 		const desk = BatchDesk.create({
-			hostId, mesh, clock: ManualClock.create(), log: silentLoggers.for('test'), isLeaving: () => !this.live.includes(hostId), makePool: (pool, ended) => this.makePool(hostId, pool, ended),
+			hostId, room, mesh, clock: ManualClock.create(), log: silentLoggers.for('test'),
+			isLeaving: () => !this.live.includes(hostId),
+			makePool: (pool, ended) => this.makePool(hostId, pool, ended),
 		});
 		this.desks.set(hostId, desk);
 		this.setLive([...this.live, hostId]);
@@ -99,3 +103,15 @@
 	t.ok(hosts.desks.get(owner)!.isIdle, 'and has nothing left in its hands');
 	t.same(outcomes, []);
 });
+
+t.test('a host with little room batches for nobody while a roomier one lives', async t => {
+	const names = ['a', 'b'];
+	const small = rendezvousOwner('p', names)!;
+	const big = names.find(name => name !== small)!;
+	const hosts = new Hosts();
+	const asker = hosts.add(small, 0.1);
+	hosts.add(big, 1.35);
+	asker.submit(work, () => undefined);
+	t.equal(hosts.queues.get(small), undefined);
+	t.equal(hosts.queues.get(big)!.length, 2);
+});
--- a/src/preparation/node/batch-desk.ts
+++ b/src/preparation/node/batch-desk.ts
@@ -7,6 +7,7 @@
 import {setRepeating, type Clock} from '../../base/common/clock.js';
 import type {Logger} from '../../base/common/logger.js';
 import type {PeerMesh} from '../../peers/node/peer-mesh.js';
+import {roomiestHosts} from '../../routing/common/host-room.js';
 import {rendezvousOwner} from '../../routing/common/rendezvous.js';
 import type {
 	BatchEndsMessage, BatchWaitsMessage, BatchWorkMessage, Message,
@@ -33,7 +34,7 @@
 };
 
 /** What the desk needs of the connections to peers. */
-export type PeerLine = Pick<PeerMesh, 'onDidReceive' | 'onDidLose' | 'onDidChange' | 'liveHosts' | 'send' | 'broadcast'>;
+export type PeerLine = Pick<PeerMesh, 'onDidReceive' | 'onDidLose' | 'onDidChange' | 'liveRooms' | 'send' | 'broadcast'>;
 
 /** What the desk needs of the batches of one pool. */
 export type PoolBatches = Pick<BatchPool, 'isIdle' | 'add' | 'cancel' | 'handOver' | 'release' | 'waitMs' | 'dispose'>;
@@ -41,6 +42,8 @@
 /** What the desk is made of. */
 export type BatchDeskOptions = {
 	readonly hostId: string;
+	/** This host's room for shared work. */
+	readonly room: number;
 	readonly mesh: PeerLine;
 	readonly clock: Clock;
 	readonly log: Logger;
@@ -209,10 +212,13 @@
 
 	/** The host that batches for a pool now. */
 	private ownerOf(pool: string): string {
-		const {hostId, mesh, isLeaving} = this.options;
-		const peers = mesh.liveHosts;
-		const hosts = isLeaving() && peers.length > 0 ? peers : [hostId, ...peers];
-		return rendezvousOwner(pool, hosts) ?? hostId;
+		const {hostId, room, mesh, isLeaving} = this.options;
+		const rooms = mesh.liveRooms;
+		if (!isLeaving() || rooms.size === 0) {
+			rooms.set(hostId, room);
+		}
+
+		return rendezvousOwner(pool, roomiestHosts(rooms)) ?? hostId;
 	}
 
 	/** Hands pieces to the host that batches their pool, or takes them here where that one can't be reached. */
--- a/src/wire/common/messages.ts
+++ b/src/wire/common/messages.ts
@@ -217,6 +217,10 @@
 	listRevision: count,
 	/** Whether the sender is about to stop and takes no more shared work. */
 	isLeaving: z.boolean(),
+	/** The sender's room for shared work, in cores; older hosts tell none. */
+	room: z.number().nonnegative().optional(),
+	/** How long ago the store last answered the sender; absent while the sender does not read it. */
+	storeAgeMs: z.number().nonnegative().optional(),
 });
 export type PeerBeat = z.infer<typeof peerBeatSchema>;
 /** Asks a peer for what it has in force. */
--- a/test/platform/bundled-program.test.ts
+++ b/test/platform/bundled-program.test.ts
@@ -20,8 +20,9 @@
 		seedNodes: [],
 		listenAddrs: {frontend: '127.0.0.1:0', ready: '127.0.0.1:0'},
 		timingBounds: {
-			graceS: 4, retryRatio: 0.2, retryWindowS: 10, retrySlack: 60,
+			graceS: 4, configApplyMs: 2000, drainMs: 2000, retryRatio: 0.2, retryWindowS: 10, retrySlack: 60,
 		},
+		reqLimits: {cpuFraction: 1, cpuCores: 1, linkMbps: 1000},
 		platform: {address: `127.0.0.1:${storePort}`},
 	};
 }
--- a/test/platform/direct-harness.ts
+++ b/test/platform/direct-harness.ts
@@ -105,6 +105,9 @@
 			seeds: this.entries.map(running => running.peers),
 			repeats: {ratio: 0.2, slack: 60, windowMs: 10_000},
 			stopGraceMs,
+			declarationWithinMs: 2000,
+			leavingWithinMs: 2000,
+			capacity: {cores: 1, linkMbps: 1000},
 			wireSecret: 'a secret of the test',
 		}, {
 			callers: PlatformCallers.create(),
