--- a/src/deployment/node/feed-follower.test.ts
+++ b/src/deployment/node/feed-follower.test.ts
@@ -8,7 +8,11 @@
 
 /** A call that the store holds for longer than the test lasts. */
 function neverEnding(): {readonly promise: Promise<never>} {
-	return {promise: new Promise(() => undefined)};
+	return {
+		promise: new Promise(() => {
+			// It ends with the test.
+		}),
+	};
 }
 
 t.test('a follower rests once it has read everything, and reads everything again when it must', async t => {
