Hand on pieces that wait again at a host that batches no more

A queue was handed on when the peers changed, but pieces of calls that came to nothing later, for want of room, waited again where they had been, and were called from there by a host that knew nothing of the room the other had taken. Ruled out: peers that did not find each other (all by 36.25 s).

Change: a host looks every 100 ms whether it still batches what waits with it. A test fails without it.

--- a/src/preparation/node/batch-desk.test.ts
+++ b/src/preparation/node/batch-desk.test.ts
@@ -12,6 +12,7 @@
 /** Hosts of one test, each with its desk; messages arrive at once. */
 class Hosts {
 	readonly desks = new Map<string, BatchDesk>();
+	readonly clock = ManualClock.create();
 	/** Work in the hands of each host: `HOST/POOL`. */
 	readonly queues = new Map<string, PieceEnd[]>();
 	private readonly lines = new Map<string, {readonly receive: Emitter<PeerMessage>; readonly change: Emitter<void>}>();
@@ -33,7 +34,7 @@
 		Object.defineProperty(mesh, 'liveRooms', {get: () => new Map(this.live.filter(other => other !== hostId).map(other => [other, this.rooms.get(other) ?? 0]))});
 		this.lines.set(hostId, {receive, change});
 		const desk = BatchDesk.create({
-			hostId, room, mesh, clock: ManualClock.create(), log: silentLoggers.for('test'),
+			hostId, room, mesh, clock: this.clock, log: silentLoggers.for('test'),
 			isLeaving: () => !this.live.includes(hostId),
 			makePool: (pool, ended) => this.makePool(hostId, pool, ended),
 		});
@@ -115,3 +116,18 @@
 	t.equal(hosts.queues.get(small), undefined);
 	t.equal(hosts.queues.get(big)!.length, 2);
 });
+
+t.test('pieces that wait again at a host that batches no more are handed on', async t => {
+	const names = ['a', 'b'];
+	const owner = rendezvousOwner('p', names)!;
+	const other = names.find(name => name !== owner)!;
+	const hosts = new Hosts();
+	const asker = hosts.add(other);
+	asker.submit(work, () => undefined);
+	const atWork = hosts.queues.get(other)!.splice(0);
+	hosts.add(owner);
+	hosts.queues.get(other)!.push(...atWork);
+	hosts.clock.advance(100);
+	t.equal(hosts.queues.get(other)!.length, 0);
+	t.equal(hosts.queues.get(owner)!.length, 2);
+});
--- a/src/preparation/node/batch-desk.ts
+++ b/src/preparation/node/batch-desk.ts
@@ -88,6 +88,8 @@
 	private constructor(private readonly options: BatchDeskOptions) {
 		const {mesh} = options;
 		this.owned.add(setRepeating(options.clock, () => tellMs, () => {
+			// Pieces of calls that came to nothing wait again where they were, whoever batches the pool meanwhile.
+			this.handOver();
 			this.tellWaits();
 		}));
 		this.owned.add(mesh.onDidReceive(({hostId, message}) => {
