Let a rank count 250 ms in the queues of steps

A rank counted 100 ms since 200 had pushed the least urgent kind below its floor, while the door still let in what would be late.

Change: 250 ms.

--- a/src/preparation/common/batch-machine.ts
+++ b/src/preparation/common/batch-machine.ts
@@ -9,9 +9,10 @@
 
 /**
 How much later each step of rank counts: a request of the better rank goes first unless it has this much more
-time. 200 and more pushed the least urgent kind below a third of its worth on the fullest day.
+time. While the door let in what would be late, 200 and more pushed the least urgent kind below a third of its worth
+on the fullest day; now that it does not, 250 serves all kinds better there.
 */
-const rankPenaltyMs = 100;
+const rankPenaltyMs = 250;
 /**
 How long a piece waits for an upstream in its own hall, for each megabyte that its step would otherwise
 fetch from another one. Measured on the first sites, where a crossing megabyte costs what a request of the
