Ask one peer at a time for what is in force

Cause, by reading: each host that has a new declaration tells all peers at once, and a host behind asked every one of them that told. With 30 hosts and 350 routes (100 KB) that is up to 29 copies, 2.9 MB, over a link of 10 Mbit/s: over two seconds of the three in which it must be in force. Since hosts rest from reading the store, lists of servers go the same way.

Change: one peer is asked, another after 400 ms without an answer; declaration and list separately.

--- a/src/peers/node/state-exchange.ts
+++ b/src/peers/node/state-exchange.ts
@@ -13,9 +13,15 @@
 /** Changes of the list are gathered for this long before peers are told that there are some: servers often change together. */
 const gatherMs = 40;
 
+/**
+A peer that was asked is given this long before another is: a declaration of many routes takes 100 ms and more
+over the thinnest links, and every host that has it says so at once.
+*/
+const answerMs = 400;
+
 /** What the exchange is made of. */
 export type StateExchangeOptions = {
-	readonly mesh: PeerMesh;
+	readonly mesh: Pick<PeerMesh, 'onDidReceive' | 'announce' | 'send'>;
 	readonly board: DeploymentBoard;
 	readonly registry: ServerRegistry;
 	/** Whether this host's own reading of the server list is interrupted. */
@@ -33,6 +39,9 @@
 	private readonly owned = DisposableStore.create();
 
 	private timer: Disposable | undefined;
+	/** When a peer was last asked for either and has not answered. */
+	private deploymentAskedMs = -Infinity;
+	private serversAskedMs = -Infinity;
 
 	private constructor(private readonly options: StateExchangeOptions) {
 		const {mesh, board, registry} = options;
@@ -64,14 +73,14 @@
 	}
 
 	private receive(hostId: string, message: Message): void {
-		const {mesh, board, registry, isListAway} = this.options;
+		const {mesh, board, registry, isListAway, clock} = this.options;
 		switch (message.type) {
 			case 'peerBeat': {
-				const wantsDeployment = message.deploymentVersion > board.version;
-				const wantsServers = isListAway() && message.listRevision > registry.revision;
-				if (wantsDeployment || wantsServers) {
-					mesh.send(hostId, {type: 'stateRequest', wantsDeployment, wantsServers});
-				}
+				const askedBeforeMs = clock.nowMs() - answerMs;
+				this.ask(hostId, {
+					wantsDeployment: message.deploymentVersion > board.version && this.deploymentAskedMs <= askedBeforeMs,
+					wantsServers: isListAway() && message.listRevision > registry.revision && this.serversAskedMs <= askedBeforeMs,
+				});
 
 				break;
 			}
@@ -96,8 +105,21 @@
 		}
 	}
 
+	/** Asks one peer at a time: each answer is the whole of it. */
+	private ask(hostId: string, wants: {readonly wantsDeployment: boolean; readonly wantsServers: boolean}): void {
+		const {mesh, clock} = this.options;
+		if ((!wants.wantsDeployment && !wants.wantsServers) || !mesh.send(hostId, {type: 'stateRequest', ...wants})) {
+			return;
+		}
+
+		this.deploymentAskedMs = wants.wantsDeployment ? clock.nowMs() : this.deploymentAskedMs;
+		this.serversAskedMs = wants.wantsServers ? clock.nowMs() : this.serversAskedMs;
+	}
+
 	private take(hostId: string, deployment: string | undefined, servers: string | undefined): void {
 		const {board, registry, isListAway, clock, log} = this.options;
+		this.deploymentAskedMs = deployment === undefined ? this.deploymentAskedMs : -Infinity;
+		this.serversAskedMs = servers === undefined ? this.serversAskedMs : -Infinity;
 		try {
 			if (deployment !== undefined) {
 				board.offer(deploymentSchema.parse(JSON.parse(deployment)), 'peer');
