--- a/src/cli/common/explain.test.ts
+++ b/src/cli/common/explain.test.ts
@@ -1,6 +1,7 @@
 import t from 'tap';
-import {countOutcomes, explainRequest} from './explain.js';
+import {explainRequest} from './explain.js';
 import {readLogLines} from './log-lines.js';
+import {countVerdicts} from './verdict-counts.js';
 
 const at = (seconds: number) => `2026-01-01T00:00:${String(seconds).padStart(2, '0')}.000Z`;
 const rows = [
@@ -8,22 +9,40 @@
 		time: at(9), part: 'batches', message: 'Pieces wait for a pool.', host: 'a', pool: 'stage', servers: 2, waiting: 90, oldestMs: 1200,
 	},
 	{
-		time: at(10), part: 'requests', message: 'A request was refused at the door: its steps would wait too long.', host: 'a', request: 'r1', route: 'quote', predictedMs: 1900, targetMs: 1600, retryAfterMs: 800,
+		time: at(10), part: 'requests', message: 'A request was refused at the door: its steps would wait too long.',
+		host: 'a', request: 'r1', route: 'quote',
+		predictedMs: 1900, targetMs: 1600, retryAfterMs: 800,
 	},
 	{
-		time: at(12), part: 'requests', message: 'A request has ended.', host: 'b', request: 'r2', route: 'quote', outcome: 'completed', status: 200, tookMs: 2500, preparedMs: 1700, firstMs: 1900, targetMs: 1600, attempts: 's1 first completed 1700+800',
+		time: at(12), part: 'requests', message: 'A request has ended.',
+		host: 'b', request: 'r2', route: 'quote',
+		outcome: 'completed', status: 200,
+		tookMs: 2500, preparedMs: 1700, firstMs: 1900, targetMs: 1600,
+		attempts: 's1 first completed 1700+800',
 	},
 	{
-		time: at(20), part: 'requests', message: 'A request has ended.', host: 'b', request: 'r3', route: 'quote', outcome: 'unknown', code: 'resultUnknown', reason: 'other side closed', tookMs: 700, preparedMs: 0, firstMs: 90, attempts: 's1 first unknown other side closed 0+690',
+		time: at(20), part: 'requests', message: 'A request has ended.',
+		host: 'b', request: 'r3', route: 'quote',
+		outcome: 'unknown', code: 'resultUnknown', reason: 'other side closed',
+		tookMs: 700, preparedMs: 0, firstMs: 90,
+		attempts: 's1 first unknown other side closed 0+690',
 	},
 	{
-		time: at(21), part: 'requests', message: 'A request has ended.', host: 'a', request: 'r4', route: 'look', outcome: 'completed', status: 200, tookMs: 80, preparedMs: 0, firstMs: 0, targetMs: 300, attempts: 's2 first completed 0+78',
+		time: at(21), part: 'requests', message: 'A request has ended.',
+		host: 'a', request: 'r4', route: 'look',
+		outcome: 'completed', status: 200,
+		tookMs: 80, preparedMs: 0, firstMs: 0, targetMs: 300,
+		attempts: 's2 first completed 0+78',
 	},
 	{
 		time: at(22), part: 'requests', message: 'A request was turned away at the door.', host: 'a', request: 'r5', status: 401, reason: 'no workspace has this key', version: 7,
 	},
 	{
-		time: at(23), part: 'requests', message: 'A request has ended.', host: 'a', request: 'r6', route: 'quote', outcome: 'unknown', code: 'callerGone', reason: 'the caller has left', tookMs: 2000, preparedMs: 0, firstMs: 0, attempts: '',
+		time: at(23), part: 'requests', message: 'A request has ended.',
+		host: 'a', request: 'r6', route: 'quote',
+		outcome: 'unknown', code: 'callerGone', reason: 'the caller has left',
+		tookMs: 2000, preparedMs: 0, firstMs: 0,
+		attempts: '',
 	},
 ];
 const {lines, unreadCount, droppedCount} = readLogLines([
@@ -58,8 +77,8 @@
 	t.match(explainRequest('none', lines), {verdict: 'unknown', lines: [], cause: /no host wrote of it/v});
 });
 
-t.test('outcomes are counted by host and route', async t => {
-	t.same(countOutcomes(lines).map(({verdict, host, route, count}) => `${count} ${verdict} ${host} ${route}`).toSorted((a, b) => a < b ? -1 : 1), [
+t.test('verdicts are counted by host and route', async t => {
+	t.same(countVerdicts(lines).map(({verdict, host, route, count}) => `${count} ${verdict} ${host} ${route}`).toSorted((a, b) => a < b ? -1 : 1), [
 		'1 callerLeft a quote', '1 cut b quote', '1 late b quote', '1 refused a 401', '1 refused a quote', '1 served a look',
 	]);
 });
--- a/src/cli/common/log-lines.ts
+++ b/src/cli/common/log-lines.ts
@@ -9,14 +9,21 @@
 	request: z.string().optional(),
 });
 
+/** The line by which a host says that it wrote less than there was; it has no time of its own. */
+const droppedSchema = z.looseObject({part: z.literal('logs'), count: z.number()});
+
 /** One line of a host. */
 export type LogLine = z.infer<typeof lineSchema>;
 
-/** What was read: lines in the order of time, and how many were no log lines or were dropped at their host. */
-export type LogReading = {readonly lines: readonly LogLine[]; readonly unreadCount: number; readonly droppedCount: number};
-
-/** The line by which a host says that it wrote less than there was; it has no time of its own. */
-const droppedSchema = z.looseObject({part: z.literal('logs'), count: z.number()});
+/** What was read of logs. */
+export type LogReading = {
+	/** In the order of time. */
+	readonly lines: readonly LogLine[];
+	/** Lines that are no log lines. */
+	readonly unreadCount: number;
+	/** Lines that hosts say they dropped. */
+	readonly droppedCount: number;
+};
 
 /**
 Reads lines of any number of hosts.
@@ -39,8 +46,7 @@
 		}
 	}
 
-	// Hosts write the time in one form, so the text's order is the time's.
-	return {lines: lines.toSorted((left, right) => left.time < right.time ? -1 : Number(left.time > right.time)), unreadCount, droppedCount};
+	return {lines: lines.toSorted(byTime), unreadCount, droppedCount};
 }
 
 /** A field that is a number, or 0. */
@@ -55,6 +61,12 @@
 	return typeof value === 'string' || typeof value === 'number' ? String(value) : '';
 }
 
+/** Hosts write the time in one form, so the text's order is the time's. */
+function byTime(left: LogLine, right: LogLine): number {
+	return left.time < right.time ? -1 : Number(left.time > right.time);
+}
+
+/** The object of a row, past whatever a collector put before it. */
 function parseRow(row: string): unknown {
 	const start = row.indexOf('{');
 	try {
--- a/src/cli/node/log-commands.ts
+++ b/src/cli/node/log-commands.ts
@@ -1,40 +1,43 @@
 /** `pumicehatch explain` and `pumicehatch logs summary`: what became of requests, from log lines alone. */
 import {readFileSync} from 'node:fs';
-import {messageOf} from '../../base/common/errors.js';
-import {countOutcomes, explainRequest} from '../common/explain.js';
+import {messageOf, type InputProblem} from '../../base/common/errors.js';
+import {fail, ok, type Outcome} from '../../base/common/outcome.js';
+import {explainRequest} from '../common/explain.js';
 import {exitCodes, type ExitCode} from '../common/exit-codes.js';
 import {readLogLines, type LogLine, type LogReading} from '../common/log-lines.js';
 import {formatTable} from '../common/tables.js';
+import {countVerdicts} from '../common/verdict-counts.js';
 import {note, print, reportProblems} from './output.js';
 
 /** Flags of the commands that read logs. */
 export type LogFlags = {readonly json?: boolean; readonly file?: string};
 
 const standardInput = 0;
-/** Fields that stand in columns of their own. */
-const shownFields = new Set(['time', 'host', 'part', 'level', 'message', 'request']);
+/** Fields that are not listed behind a line's message. */
+const unlistedFields = new Set(['time', 'host', 'part', 'level', 'message', 'request']);
 
-function read({json, file}: LogFlags): LogReading | ExitCode {
+/** Reads the log lines that a command is given. */
+function load({file}: LogFlags): Outcome<LogReading, InputProblem[]> {
 	try {
 		const reading = readLogLines(readFileSync(file ?? standardInput, 'utf8'));
 		if (reading.droppedCount > 0) {
 			note(`pumicehatch: hosts dropped ${reading.droppedCount} lines; what is missing may be among them.`);
 		}
 
-		return reading;
+		return ok(reading);
 	} catch (error) {
-		return reportProblems(json, [{code: 'unreadable', message: messageOf(error), place: {source: file ?? 'standard input'}}]);
+		return fail([{code: 'unreadable', message: messageOf(error), place: {source: file ?? 'standard input'}}]);
 	}
 }
 
 /** Tells what became of one request, and why. */
 export function explain(requestId: string, flags: LogFlags): ExitCode {
-	const reading = read(flags);
-	if (typeof reading === 'number') {
-		return reading;
+	const reading = load(flags);
+	if (!reading.ok) {
+		return reportProblems(flags.json, reading.error);
 	}
 
-	const explanation = explainRequest(requestId, reading.lines);
+	const explanation = explainRequest(requestId, reading.value.lines);
 	print(flags.json, explanation, () => [
 		`${requestId}: ${explanation.verdict}: ${explanation.cause}`,
 		...explanation.lines.map(line => rowOf(line)),
@@ -45,18 +48,22 @@
 
 /** Counts what became of all requests. */
 export function summary(flags: LogFlags): ExitCode {
-	const reading = read(flags);
-	if (typeof reading === 'number') {
-		return reading;
+	const reading = load(flags);
+	if (!reading.ok) {
+		return reportProblems(flags.json, reading.error);
 	}
 
-	const counts = countOutcomes(reading.lines);
-	print(flags.json, {counts, droppedCount: reading.droppedCount, unreadCount: reading.unreadCount}, () =>
+	const {lines, droppedCount, unreadCount} = reading.value;
+	const counts = countVerdicts(lines);
+	print(flags.json, {counts, droppedCount, unreadCount}, () =>
 		formatTable(['requests', 'became', 'host', 'route'], counts.map(({count, verdict, host, route}) => [count, verdict, host, route])));
 	return exitCodes.ok;
 }
 
+/** One line as people read it: the columns first, then every other field by its name. */
 function rowOf(line: LogLine): string {
-	const fields = Object.entries(line).filter(([name]) => !shownFields.has(name)).map(([name, value]) => `${name}=${typeof value === 'string' ? value : JSON.stringify(value)}`);
+	const fields = Object.entries(line)
+		.filter(([name]) => !unlistedFields.has(name))
+		.map(([name, value]) => `${name}=${typeof value === 'string' ? value : JSON.stringify(value)}`);
 	return `  ${line.time} ${line.host} ${line.part}: ${line.message} ${fields.join(' ')}`;
 }
