Name what the duty, the mesh and the follower hold

Cause: in peer-mesh.ts `beatMs` was both how often a beat is sent and when a peer's was heard; two callers changed the map that `liveRooms` gives, which holds only while it is made anew each time; whether a host's own list can be relied on was put together from three flags of the follower in the composition.

Change: `beatHeardMs`, `storeAgesMs`, `gatherTimer`, `readerCount`, `fewestFreshReaders`; the mesh's maps are read-only and callers add themselves to copies; `FeedFollower.isCurrent` stands for the three flags, two of which nobody else read.

No behaviour changes.

--- a/src/daemon/node/compose-direct-entry.ts
+++ b/src/daemon/node/compose-direct-entry.ts
@@ -330,7 +330,7 @@
 		mesh: get(peerMeshToken),
 		board: get(deploymentBoardToken),
 		registry: get(serverRegistryToken),
-		isListAway: () => get(serverFeedToken).isAway || get(serverFeedToken).isResting || !get(serverFeedToken).isSynced,
+		isListAway: () => !get(serverFeedToken).isCurrent,
 		clock,
 		log: logOf('peers'),
 	}));
--- a/src/deployment/node/feed-follower.ts
+++ b/src/deployment/node/feed-follower.ts
@@ -45,21 +45,19 @@
 
 	private readonly controller = new AbortController();
 	private revision: number | undefined;
+	/** Whether the last call failed. */
 	private isStoreAway = false;
 	private retryMs = firstRetryMs;
+	/** When the store last answered. */
 	private answeredMs: number | undefined;
+	/** Whether other hosts read for this one since its last call. */
 	private hasRested = false;
 
 	private constructor(private readonly options: FeedFollowerOptions<T>) {}
 
-	/** Whether the last call failed. */
-	get isAway(): boolean {
-		return this.isStoreAway;
-	}
-
-	/** Whether everything was read at least once. */
-	get isSynced(): boolean {
-		return this.revision !== undefined;
+	/** Whether this host's own reading goes on: everything was read, the last call did not fail, and it does not rest. */
+	get isCurrent(): boolean {
+		return this.isSynced && !this.isStoreAway && !this.hasRested;
 	}
 
 	/** Whether other hosts read for this one now. */
@@ -81,6 +79,11 @@
 		this.controller.abort();
 	}
 
+	/** Whether everything was read, so that changes alone are read next. */
+	private get isSynced(): boolean {
+		return this.revision !== undefined;
+	}
+
 	private async run(): Promise<void> {
 		const {signal} = this.controller;
 		while (!signal.aborted) {
--- a/src/peers/node/peer-mesh.ts
+++ b/src/peers/node/peer-mesh.ts
@@ -34,7 +34,7 @@
 };
 
 type Way = {readonly connection: WireConnection; heardMs: number};
-type Peer = {readonly hostId: string; readonly ways: Set<Way>; beat: PeerBeat | undefined; beatMs: number};
+type Peer = {readonly hostId: string; readonly ways: Set<Way>; beat: PeerBeat | undefined; beatHeardMs: number};
 type Dial = {readonly client: WireClient; readonly isSeed: boolean; openMs: number; isOpen: boolean};
 
 export const peerMeshToken: InjectionToken<PeerMesh> = Symbol('PeerMesh');
@@ -80,16 +80,16 @@
 	}
 
 	/** Rooms for shared work of the live hosts, this one not among them. */
-	get liveRooms(): Map<string, number> {
+	get liveRooms(): ReadonlyMap<string, number> {
 		return new Map(this.liveHosts.map(hostId => [hostId, this.peers.get(hostId)?.beat?.room ?? 0]));
 	}
 
 	/** How long ago the store answered those live hosts that read it. */
-	get storeAges(): Map<string, number> {
+	get storeAgesMs(): ReadonlyMap<string, number> {
 		const nowMs = this.options.clock.nowMs();
 		return new Map(this.liveHosts.flatMap(hostId => {
-			const {beat, beatMs} = this.peers.get(hostId)!;
-			return beat?.storeAgeMs === undefined ? [] : [[hostId, beat.storeAgeMs + nowMs - beatMs]];
+			const {beat, beatHeardMs} = this.peers.get(hostId)!;
+			return beat?.storeAgeMs === undefined ? [] : [[hostId, beat.storeAgeMs + nowMs - beatHeardMs]];
 		}));
 	}
 
@@ -216,7 +216,7 @@
 
 		const {hostId} = identity;
 		const peer = this.peers.get(hostId) ?? {
-			hostId, ways: new Set<Way>(), beat: undefined, beatMs: 0,
+			hostId, ways: new Set<Way>(), beat: undefined, beatHeardMs: 0,
 		};
 		const way: Way = {connection, heardMs: this.options.clock.nowMs()};
 		this.peers.set(hostId, peer);
@@ -246,7 +246,7 @@
 		if (message.type === 'peerBeat') {
 			const isChanged = peer.beat?.isLeaving !== message.isLeaving;
 			peer.beat = message;
-			peer.beatMs = this.options.clock.nowMs();
+			peer.beatHeardMs = this.options.clock.nowMs();
 			for (const endpoint of message.knownEndpoints) {
 				this.dial(endpoint, false);
 			}
--- a/src/peers/node/reading-duty.test.ts
+++ b/src/peers/node/reading-duty.test.ts
@@ -14,7 +14,7 @@
 			get liveRooms() {
 				return new Map(hosts.filter(name => name !== hostId).map(name => [name, 1]));
 			},
-			storeAges: ages,
+			storeAgesMs: ages,
 		},
 		newsWithinMs: 3000,
 		clock,
--- a/src/peers/node/reading-duty.ts
+++ b/src/peers/node/reading-duty.ts
@@ -13,16 +13,16 @@
 /** With fewer hosts than this all read: sharing would save little there. */
 const fewestHosts = 8;
 /** Hosts that read: two may be lost at once. */
-const readers = 3;
-/** Readers that must have had an answer of late for another host to rest. */
-const fewestFresh = 2;
-/** An answer is of late within this part of the time in which news must be acted on. */
+const readerCount = 3;
+/** Readers that must have had a fresh answer for another host to rest. */
+const fewestFreshReaders = 2;
+/** An answer is fresh for this part of the time in which news must be acted on. */
 const freshShare = 0.6;
-/** How much sooner than that the store must answer a reader anew. */
+/** The store may hold a shared reader's call for this part of the time its answers are fresh, so that the next is there in time. */
 const holdShare = 0.5;
 /** Longest hold of a call where every host reads: a silent cut must be noticed before it counts. */
 const usualHoldMs = 2000;
-/** A host that had to read goes on for this long, so that a store that is slow does not make it change its mind at each call. */
+/** A host that had to read goes on for this long: a slow store must not make it change its mind at each call. */
 const readOnMs = 5000;
 const dutyKey = 'readers of the store';
 
@@ -31,8 +31,9 @@
 /** What the duty is made of. */
 export type ReadingDutyOptions = {
 	readonly hostId: string;
+	/** This host's room for shared work. */
 	readonly room: number;
-	readonly mesh: Pick<PeerMesh, 'liveRooms' | 'storeAges'>;
+	readonly mesh: Pick<PeerMesh, 'liveRooms' | 'storeAgesMs'>;
 	/** Time within which what the store tells must be acted on. */
 	readonly newsWithinMs: number;
 	readonly clock: Clock;
@@ -45,6 +46,7 @@
 		return new ReadingDuty(options);
 	}
 
+	/** What was last decided; logged when it changes. */
 	private isResting = false;
 	private readOnUntilMs = 0;
 
@@ -61,7 +63,7 @@
 		if (mayRest !== this.isResting) {
 			this.isResting = mayRest;
 			this.options.log.info(mayRest ? 'Other hosts read the store for this one.' : 'This host reads the store itself.', {
-				storeAgesMs: [...this.options.mesh.storeAges.values()].map(ageMs => Math.round(ageMs)).join(' '),
+				storeAgesMs: [...this.options.mesh.storeAgesMs.values()].map(ageMs => Math.round(ageMs)).join(' '),
 			});
 		}
 
@@ -69,31 +71,34 @@
 	}
 
 	private decide(): boolean {
-		const {mesh, clock} = this.options;
-		const nowMs = clock.nowMs();
 		if (!this.isShared || this.isReader) {
 			return false;
 		}
 
-		const fresh = [...mesh.storeAges.values()].filter(ageMs => ageMs <= this.freshMs).length;
-		if (fresh < fewestFresh) {
+		const {mesh, clock} = this.options;
+		const nowMs = clock.nowMs();
+		const freshReaders = [...mesh.storeAgesMs.values()].filter(ageMs => ageMs <= this.freshMs).length;
+		if (freshReaders < fewestFreshReaders) {
 			this.readOnUntilMs = nowMs + readOnMs;
 		}
 
 		return nowMs >= this.readOnUntilMs;
 	}
 
+	/** For how long an answer of the store is fresh. */
 	private get freshMs(): number {
 		return this.options.newsWithinMs * freshShare;
 	}
 
+	/** Whether there are so many hosts that some read for all. */
 	private get isShared(): boolean {
 		return this.options.mesh.liveRooms.size + 1 >= fewestHosts;
 	}
 
+	/** Whether this host is among those that read for all; every host that sees the same peers names the same ones. */
 	private get isReader(): boolean {
 		const {hostId, room, mesh} = this.options;
-		const rooms = mesh.liveRooms.set(hostId, room);
-		return rendezvousOrder(dutyKey, roomiestHosts(rooms), host => host).slice(0, readers).includes(hostId);
+		const rooms = new Map([...mesh.liveRooms, [hostId, room]]);
+		return rendezvousOrder(dutyKey, roomiestHosts(rooms), host => host).slice(0, readerCount).includes(hostId);
 	}
 }
--- a/src/peers/node/state-exchange.ts
+++ b/src/peers/node/state-exchange.ts
@@ -24,15 +24,15 @@
 	readonly log: Logger;
 };
 
-/** Asks and answers peers. */
+/** Asks peers for what they have in force, answers them, and tells them of changes. */
 export class StateExchange implements Disposable {
 	static create(options: StateExchangeOptions): StateExchange {
 		return new StateExchange(options);
 	}
 
 	private readonly owned = DisposableStore.create();
-
-	private timer: Disposable | undefined;
+	/** Runs while changes of the list are gathered. */
+	private gatherTimer: Disposable | undefined;
 
 	private constructor(private readonly options: StateExchangeOptions) {
 		const {mesh, board, registry} = options;
@@ -48,7 +48,7 @@
 	}
 
 	dispose(): void {
-		this.timer?.dispose();
+		this.gatherTimer?.dispose();
 		this.owned.dispose();
 	}
 
@@ -56,8 +56,8 @@
 	private announceSoon(): void {
 		const {clock, mesh, isListAway} = this.options;
 		if (!isListAway()) {
-			this.timer ??= clock.setTimer(gatherMs, () => {
-				this.timer = undefined;
+			this.gatherTimer ??= clock.setTimer(gatherMs, () => {
+				this.gatherTimer = undefined;
 				mesh.announce();
 			});
 		}
--- a/src/preparation/node/batch-desk.ts
+++ b/src/preparation/node/batch-desk.ts
@@ -216,11 +216,8 @@
 	private ownerOf(pool: string): string {
 		const {hostId, room, mesh, isLeaving} = this.options;
 		const rooms = mesh.liveRooms;
-		if (!isLeaving() || rooms.size === 0) {
-			rooms.set(hostId, room);
-		}
-
-		return rendezvousOwner(pool, roomiestHosts(rooms)) ?? hostId;
+		const batchesItself = !isLeaving() || rooms.size === 0;
+		return rendezvousOwner(pool, roomiestHosts(batchesItself ? new Map([...rooms, [hostId, room]]) : rooms)) ?? hostId;
 	}
 
 	/** Hands pieces to the host that batches their pool, or takes them here where that one can't be reached. */
