Take the times of fetches and the messages of work out of node/

Change: preparation/common/work-messages.ts turns work and its ends into messages and back; fetch-time.ts reckons how long results are being fetched, with its three constants. `fetchTimer` is named for what it waits for.

No behaviour changes.

--- a/src/preparation/node/batch-desk.ts
+++ b/src/preparation/node/batch-desk.ts
@@ -9,12 +9,13 @@
 import type {PeerMesh} from '../../peers/node/peer-mesh.js';
 import {roomiestHosts} from '../../routing/common/host-room.js';
 import {rendezvousOwner} from '../../routing/common/rendezvous.js';
-import type {
-	BatchEndsMessage, BatchWaitsMessage, BatchWorkMessage, Message,
-} from '../../wire/common/messages.js';
+import type {BatchEndsMessage, BatchWaitsMessage, Message} from '../../wire/common/messages.js';
 import type {PieceEnd} from '../common/batch-machine.js';
 import {
-	pieceFailures, type BatchWork, type PieceFailure, type PieceOutcome, type ResultRef,
+	messageOfEnd, messageOfWork, outcomeOfEnd, workOfMessage,
+} from '../common/work-messages.js';
+import {
+	pieceFailures, type BatchWork, type PieceOutcome, type ResultRef,
 } from '../common/work.js';
 import type {BatchPool} from './batch-pool.js';
 
@@ -52,7 +53,7 @@
 	readonly makePool: (pool: string, ended: (end: PieceEnd) => void) => PoolBatches;
 };
 
-/** How often waits are told: several times in the length of one call. */
+/** How often waits are told, and what waits here for other hosts is handed on: several times in the length of one call. */
 const tellMs = 100;
 /** How long a wait that was told is believed. */
 const toldLifeMs = 500;
@@ -283,13 +284,13 @@
 	}
 
 	/** A piece of this host's own pools ended. */
-	private ended({work, piece, outcome}: PieceEnd): void {
-		const {workId} = work;
+	private ended(end: PieceEnd): void {
+		const {work: {workId, pool}, piece, outcome} = end;
 		const asker = this.askers.get(workId);
 		if (asker === undefined) {
 			if (!this.tell(workId, piece, outcome) && outcome.ok) {
 				// Its request has ended meanwhile: the result would only take room.
-				this.poolOf(work.pool).release([outcome.ref]);
+				this.poolOf(pool).release([outcome.ref]);
 			}
 
 			return;
@@ -300,12 +301,7 @@
 			this.askers.delete(workId);
 		}
 
-		this.options.mesh.send(asker.hostId, {
-			type: 'batchEnds',
-			workId,
-			pool: work.pool,
-			ends: [outcome.ok ? {piece, handle: outcome.ref.handle, serverId: outcome.ref.serverId} : {piece, reason: outcome.reason}],
-		});
+		this.options.mesh.send(asker.hostId, messageOfEnd(end));
 	}
 
 	/** Only the host that batches a pool knows its wait. */
@@ -317,13 +313,11 @@
 		}
 	}
 
-	private takeEnds(message: BatchEndsMessage): void {
-		for (const {piece, handle, serverId, reason} of message.ends) {
-			const outcome: PieceOutcome = handle !== undefined && serverId !== undefined
-				? {ok: true, ref: {handle, serverId}}
-				: {ok: false, reason: failureOf(reason)};
-			if (!this.tell(message.workId, piece, outcome) && outcome.ok) {
-				this.release(message.pool, [outcome.ref]);
+	private takeEnds({workId, pool, ends}: BatchEndsMessage): void {
+		for (const end of ends) {
+			const outcome = outcomeOfEnd(end);
+			if (!this.tell(workId, end.piece, outcome) && outcome.ok) {
+				this.release(pool, [outcome.ref]);
 			}
 		}
 	}
@@ -341,7 +335,6 @@
 		}
 
 		asked.open.delete(piece);
-
 		if (asked.open.size === 0) {
 			this.asked.delete(workId);
 		}
@@ -379,27 +372,3 @@
 		}
 	}
 }
-
-function messageOfWork(work: BatchWork, nowMs: number): BatchWorkMessage {
-	const {
-		workId, pool, callerRequestId, pieceKey, step, pieces, inputs, resultBytes, rank, hall, crossingBytes,
-	} = work;
-	return {
-		type: 'batchWork', workId, pool, callerRequestId, pieceKey, step, pieces: [...pieces], resultBytes, rank, hall, crossingBytes,
-		...(inputs && {inputs: [...inputs]}),
-		dueInMs: work.dueMs - nowMs,
-		lateDueInMs: work.lateDueMs - nowMs,
-		deadlineInMs: Math.max(0, work.deadlineMs - nowMs),
-	};
-}
-
-function workOfMessage(message: BatchWorkMessage, nowMs: number): BatchWork {
-	const {type, dueInMs, lateDueInMs, deadlineInMs, ...work} = message;
-	return {
-		...work, inputs: work.inputs, dueMs: nowMs + dueInMs, lateDueMs: nowMs + lateDueInMs, deadlineMs: nowMs + deadlineInMs,
-	};
-}
-
-function failureOf(reason: string | undefined): PieceFailure {
-	return Object.values(pieceFailures).find(known => known === reason) ?? pieceFailures.failed;
-}
--- a/src/preparation/node/preparer.ts
+++ b/src/preparation/node/preparer.ts
@@ -7,6 +7,7 @@
 import type {DeploymentBoard} from '../../deployment/common/deployment-board.js';
 import type {ServerRegistry} from '../../deployment/common/server-registry.js';
 import {failureCodes, type PreparationFailure} from '../../request/common/request-plan.js';
+import {fetchTimeMs} from '../common/fetch-time.js';
 import {Preparation} from '../common/preparation.js';
 import {
 	pieceFailures, type BatchWork, type PieceOutcome, type ResultRef, type StepWork,
@@ -21,16 +22,6 @@
 const shortestRetryAfterMs = 400;
 const longestRetryAfterMs = 2000;
 
-/**
-From the moment a call with results is written until its engine begins to fetch them, and a first answer of
-the fetch: a few times what the way there and its decoding take.
-*/
-const fetchStartMs = 20;
-/** Results are fetched from an upstream in turn; two full calls' worth may be asked of its link at once. */
-const fetchedCalls = 2;
-/** Where the declaration tells no link: 10 Gbit/s, the least of the first deployments. */
-const usualLinkBytesPerMs = 1_250_000;
-
 /** What the work of one request needs to know. */
 export type PreparationAsk = {
 	readonly requestId: string;
@@ -66,16 +57,18 @@
 
 	private readonly preparation: Preparation;
 	private readonly openWorks = new Set<string>();
+	/** Ends the run that is going on; absent while there is none. */
 	private settle: ((result: Result) => void) | undefined;
 	/** Works handed in so far; numbers them. */
 	private workCount = 0;
 	private failureCount = 0;
-	/** When a piece last failed. */
+	/** Whether an advance is asked for already. */
 	private isAdvancing = false;
 	/** Whether a failure was counted since the last advance. */
 	private hasFailed = false;
 	private isOver = false;
-	private readTimer: Disposable | undefined;
+	/** Runs while the upstream fetches the results it reads. */
+	private fetchTimer: Disposable | undefined;
 
 	private constructor(private readonly options: PreparerOptions, private readonly ask: PreparationAsk) {
 		this.preparation = Preparation.create(ask.route.steps, ask.pieceCounts);
@@ -88,7 +81,7 @@
 	*/
 	async run(isAgain: boolean): Promise<Result> {
 		if (isAgain) {
-			this.readTimer?.dispose();
+			this.fetchTimer?.dispose();
 			this.release(this.preparation.finalsLost(serverId => this.isKept(serverId)));
 		}
 
@@ -104,8 +97,9 @@
 	there. If they are not, the upstream says that nothing ran, and they are made again.
 	*/
 	sent(): void {
-		this.readTimer?.dispose();
-		this.readTimer = this.options.clock.setTimer(this.fetchMs, () => {
+		this.fetchTimer?.dispose();
+		const {board, clock} = this.options;
+		this.fetchTimer = clock.setTimer(fetchTimeMs(this.ask.route.steps, board.current), () => {
 			if (!this.isOver) {
 				this.release(this.preparation.takeFinals());
 			}
@@ -119,7 +113,7 @@
 		}
 
 		this.isOver = true;
-		this.readTimer?.dispose();
+		this.fetchTimer?.dispose();
 		for (const workId of this.openWorks) {
 			this.options.desk.cancel(workId);
 		}
@@ -199,19 +193,6 @@
 		return this.preparation.stepsLeft(index) * callMs;
 	}
 
-	/** How long after it was sent a request has surely fetched the results it reads. */
-	private get fetchMs(): number {
-		const {ask: {route: {steps}}, options: {board}} = this;
-		let longestMs = 0;
-		for (const {pool, resultBytes} of steps) {
-			const batch = board.current?.pool(pool)?.batch;
-			const bytes = fetchedCalls * (batch?.batchSize ?? 1) * resultBytes;
-			longestMs = Math.max(longestMs, bytes / (batch?.linkBytesPerMs ?? usualLinkBytesPerMs));
-		}
-
-		return fetchStartMs + longestMs;
-	}
-
 	private ended(index: number, piece: number, outcome: PieceOutcome): void {
 		const {pool} = this.ask.route.steps[index];
 		if (outcome.ok) {
