Split the composition of a direct entry over three files

Change: direct-composition.ts makes the container and what stands below all parts; compose-feeds.ts registers the followers and the duty and says how old the store's answers are. Parts are registered in the same order.

No behaviour changes.

--- a/src/daemon/node/compose-direct-entry.ts
+++ b/src/daemon/node/compose-direct-entry.ts
@@ -5,34 +5,18 @@
 that may run only once only after a promise that it has not run), the settings tree and its order of
 changes (the platform's store accepts declarations), the placement lease and orders, and the agents.
 */
-import 'reflect-metadata';
-import {container, instanceCachingFactory, type InjectionToken} from 'tsyringe';
-import {clockToken, setRepeating, type Clock} from '../../base/common/clock.js';
-import {LifecycleManager} from '../../base/common/lifecycle.js';
-import {loggerFactoryToken, type Logger} from '../../base/common/logger.js';
-import {metricsToken} from '../../base/common/metrics.js';
-import {randomToken, SeededRandom} from '../../base/common/random.js';
-import {BoundedOutput} from '../../base/node/bounded-output.js';
-import {ConsoleLoggers} from '../../base/node/console-logger.js';
-import {newId, newSeed} from '../../base/node/ids.js';
-import {SystemClock} from '../../base/node/system-clock.js';
-import {TextMetrics} from '../../base/node/text-metrics.js';
-import type {Deployment} from '../../deployment/common/declaration.js';
+import type {InjectionToken} from 'tsyringe';
+import {setRepeating} from '../../base/common/clock.js';
+import {randomToken} from '../../base/common/random.js';
+import {newId} from '../../base/node/ids.js';
 import {DeploymentBoard, deploymentBoardToken} from '../../deployment/common/deployment-board.js';
-import type {FeedSource} from '../../deployment/common/feed.js';
 import {ServerRegistry, serverRegistryToken} from '../../deployment/common/server-registry.js';
-import type {UpstreamServer} from '../../deployment/common/upstream-server.js';
-import {FeedFollower} from '../../deployment/node/feed-follower.js';
-import {callerProtocolToken, type CallerProtocol} from '../../direct/common/caller-protocol.js';
 import {DirectRouter} from '../../direct/common/direct-router.js';
-import {upstreamProtocolToken, type UpstreamProtocol} from '../../direct/common/upstream-protocol.js';
 import {DirectLinks} from '../../direct/node/direct-links.js';
 import {Ingress, ingressToken} from '../../direct/node/ingress.js';
 import {PromptNews} from '../../direct/node/prompt-news.js';
 import {PeerMesh, peerMeshToken} from '../../peers/node/peer-mesh.js';
-import {ReadingDuty, readingDutyToken} from '../../peers/node/reading-duty.js';
 import {StateExchange} from '../../peers/node/state-exchange.js';
-import {batchProtocolToken, type BatchProtocol} from '../../preparation/common/batch-protocol.js';
 import {BatchDesk, batchDeskToken} from '../../preparation/node/batch-desk.js';
 import {BatchPool} from '../../preparation/node/batch-pool.js';
 import {Preparer} from '../../preparation/node/preparer.js';
@@ -45,24 +29,17 @@
 import type {WireClientOptions} from '../../wire/node/wire-client.js';
 import {WireServer} from '../../wire/node/wire-server.js';
 import type {DirectEntrySettings} from '../common/direct-settings.js';
-import {lifecycleToken, wireOptionsToken, wireServerToken} from './daemon-tokens.js';
+import {
+	declarationFeedToken, registerFeeds, serverFeedToken, storeAgeMs,
+} from './compose-feeds.js';
+import {wireOptionsToken, wireServerToken} from './daemon-tokens.js';
+import {beginComposition, type Composition, type PlatformPorts} from './direct-composition.js';
 import {DirectEntry} from './direct-entry.js';
 
-/** What an adapter gives: a platform's ways of speaking, and what its store tells. */
-export type PlatformPorts = {
-	readonly callers: CallerProtocol;
-	readonly upstreams: UpstreamProtocol;
-	readonly batches: BatchProtocol;
-	readonly declarations: FeedSource<Deployment>;
-	readonly servers: FeedSource<UpstreamServer>;
-};
-
 const enginesToken: InjectionToken<EngineLoads> = Symbol('EngineLoads');
 const routerToken: InjectionToken<DirectRouter> = Symbol('DirectRouter');
 const promptNewsToken: InjectionToken<PromptNews> = Symbol('PromptNews');
 const linksToken: InjectionToken<DirectLinks> = Symbol('DirectLinks');
-const declarationFeedToken: InjectionToken<FeedFollower<Deployment>> = Symbol('DeclarationFeed');
-const serverFeedToken: InjectionToken<FeedFollower<UpstreamServer>> = Symbol('ServerFeed');
 
 /** Part of an upstream's connections that all hosts together use; the rest is for hosts that have just come. */
 const usedConnectionShare = 0.8;
@@ -71,22 +48,6 @@
 /** How often the list of servers is looked through for times that are over. */
 const sweepMs = 200;
 
-/** What every part of the entry is put together with. */
-type Composition = {
-	readonly settings: DirectEntrySettings;
-	readonly ports: PlatformPorts;
-	readonly lifecycle: LifecycleManager;
-	readonly clock: Clock;
-	readonly metrics: TextMetrics;
-	readonly logOf: (part: string) => Logger;
-	/** Says how a part is made; it is made once, when something first asks for it. */
-	readonly register: <T>(token: InjectionToken<T>, make: () => T) => void;
-	readonly get: <T>(token: InjectionToken<T>) => T;
-	readonly isLeaving: () => boolean;
-	/** Hosts that serve, with this one. */
-	readonly hostCount: () => number;
-};
-
 /**
 Puts an entry together.
 @param settings - of the host.
@@ -106,50 +67,6 @@
 	return makeEntry(composition);
 }
 
-/** The container, and the parts that stand below all others: clock, logs, metrics, the platform's ways of speaking. */
-function beginComposition(settings: DirectEntrySettings, ports: PlatformPorts, writeLine?: (line: string) => void): Composition {
-	const parts = container.createChildContainer();
-	const register = <T>(token: InjectionToken<T>, make: () => T) => {
-		parts.register(token, {useFactory: instanceCachingFactory(make)});
-	};
-
-	const get = <T>(token: InjectionToken<T>): T => parts.resolve(token);
-	const lifecycle = LifecycleManager.create();
-	const clock: Clock = SystemClock.create();
-	const output = writeLine ? undefined : BoundedOutput.create(clock);
-	const loggers = ConsoleLoggers.create({
-		level: 'info', format: 'json', hostId: settings.hostId, write: writeLine ?? (line => {
-			output?.write(line);
-		}),
-	});
-	const metrics = lifecycle.register(TextMetrics.create());
-	let isLeaving = false;
-	lifecycle.onWillStop(() => {
-		isLeaving = true;
-	});
-
-	register(lifecycleToken, () => lifecycle);
-	register(clockToken, () => clock);
-	register(randomToken, () => SeededRandom.create(newSeed()));
-	register(loggerFactoryToken, () => loggers);
-	register(metricsToken, () => metrics);
-	register(callerProtocolToken, () => ports.callers);
-	register(upstreamProtocolToken, () => ports.upstreams);
-	register(batchProtocolToken, () => ports.batches);
-	return {
-		settings,
-		ports,
-		lifecycle,
-		clock,
-		metrics,
-		logOf: part => loggers.for(part),
-		register,
-		get,
-		isLeaving: () => isLeaving,
-		hostCount: () => get(peerMeshToken).liveHosts.length + 1,
-	};
-}
-
 /** The connections to the other hosts. */
 function registerPeers({settings, lifecycle, clock, logOf, register, get, isLeaving}: Composition): void {
 	register(wireOptionsToken, (): WireClientOptions => ({
@@ -171,7 +88,7 @@
 			listRevision: get(serverRegistryToken).revision,
 			isLeaving: isLeaving(),
 			room: roomOf(settings.capacity),
-			storeAgeMs: storeAgeOf(get(declarationFeedToken).ageMs, get(serverFeedToken).ageMs),
+			storeAgeMs: storeAgeMs(get),
 		}),
 	})));
 }
@@ -182,62 +99,6 @@
 	register(serverRegistryToken, () => ServerRegistry.create(logOf('servers')));
 }
 
-/** Where that comes from: the platform's store. */
-function registerFeeds({settings, ports, lifecycle, clock, logOf, register, get}: Composition): void {
-	const offerAll = (declarations: readonly Deployment[]) => {
-		for (const declaration of declarations) {
-			get(deploymentBoardToken).offer(declaration, 'store');
-		}
-	};
-
-	register(readingDutyToken, () => ReadingDuty.create({
-		hostId: settings.hostId,
-		room: roomOf(settings.capacity),
-		mesh: get(peerMeshToken),
-		newsWithinMs: Math.min(settings.declarationWithinMs, settings.leavingWithinMs),
-		clock,
-		log: logOf('store'),
-	}));
-	const duty = {
-		holdMs: () => get(readingDutyToken).holdMs,
-		mayRest: () => get(readingDutyToken).mayRest(),
-	};
-	register(declarationFeedToken, () => lifecycle.register(FeedFollower.create<Deployment>({
-		name: 'declaration',
-		source: ports.declarations,
-		clock,
-		random: get(randomToken),
-		log: logOf('store'),
-		...duty,
-		replaceAll({changed}) {
-			offerAll(changed);
-			return true;
-		},
-		apply({changed}) {
-			offerAll(changed);
-		},
-		returned: () => undefined,
-	})));
-	register(serverFeedToken, () => {
-		const registry = get(serverRegistryToken);
-		return lifecycle.register(FeedFollower.create<UpstreamServer>({
-			name: 'servers',
-			source: ports.servers,
-			clock,
-			random: get(randomToken),
-			log: logOf('store'),
-			...duty,
-			replaceAll: ({changed, revision}) => registry.replaceAll({servers: [...changed], revision}, clock.nowMs()),
-			apply({changed, removedIds, revision}) {
-				registry.applyChanges(changed, removedIds, revision, clock.nowMs());
-			},
-			returned() {
-				registry.storeReturned(clock.nowMs());
-			},
-		}));
-	});
-}
-
 /** Which upstream serves a request, and the calls to it. */
 function registerUpstreams({settings, ports, lifecycle, clock, logOf, register, get, hostCount}: Composition): void {
 	register(enginesToken, () => EngineLoads.create());
@@ -341,12 +202,6 @@
 	get(promptNewsToken);
 }
 
-/** How long ago the store last answered for both feeds; nothing while one of them has no answer or rests. */
-function storeAgeOf(...agesMs: Array<number | undefined>): number | undefined {
-	const known = agesMs.filter(ageMs => ageMs !== undefined);
-	return known.length === agesMs.length ? Math.max(...known) : undefined;
-}
-
 /** The entry itself; asking for its parts makes them. */
 function makeEntry({settings, lifecycle, clock, metrics, logOf, get}: Composition): DirectEntry {
 	return DirectEntry.create({
--- /dev/null
+++ b/src/daemon/node/compose-feeds.ts
@@ -0,0 +1,85 @@
+/** Where a host learns of the declaration and the servers: the feeds of the platform's store. */
+import type {InjectionToken} from 'tsyringe';
+import {randomToken} from '../../base/common/random.js';
+import type {Deployment} from '../../deployment/common/declaration.js';
+import {deploymentBoardToken} from '../../deployment/common/deployment-board.js';
+import {serverRegistryToken} from '../../deployment/common/server-registry.js';
+import type {UpstreamServer} from '../../deployment/common/upstream-server.js';
+import {FeedFollower} from '../../deployment/node/feed-follower.js';
+import {peerMeshToken} from '../../peers/node/peer-mesh.js';
+import {ReadingDuty, readingDutyToken} from '../../peers/node/reading-duty.js';
+import {roomOf} from '../../routing/common/host-room.js';
+import type {Composition} from './direct-composition.js';
+
+export const declarationFeedToken: InjectionToken<FeedFollower<Deployment>> = Symbol('DeclarationFeed');
+export const serverFeedToken: InjectionToken<FeedFollower<UpstreamServer>> = Symbol('ServerFeed');
+
+/**
+Registers the followers of both feeds, and the duty that says whether this host reads at all.
+@param composition - of the entry.
+*/
+export function registerFeeds({settings, ports, lifecycle, clock, logOf, register, get}: Composition): void {
+	const offerAll = (declarations: readonly Deployment[]) => {
+		for (const declaration of declarations) {
+			get(deploymentBoardToken).offer(declaration, 'store');
+		}
+	};
+
+	register(readingDutyToken, () => ReadingDuty.create({
+		hostId: settings.hostId,
+		room: roomOf(settings.capacity),
+		mesh: get(peerMeshToken),
+		newsWithinMs: Math.min(settings.declarationWithinMs, settings.leavingWithinMs),
+		clock,
+		log: logOf('store'),
+	}));
+	const duty = {
+		holdMs: () => get(readingDutyToken).holdMs,
+		mayRest: () => get(readingDutyToken).mayRest(),
+	};
+	register(declarationFeedToken, () => lifecycle.register(FeedFollower.create<Deployment>({
+		name: 'declaration',
+		source: ports.declarations,
+		clock,
+		random: get(randomToken),
+		log: logOf('store'),
+		...duty,
+		replaceAll({changed}) {
+			offerAll(changed);
+			return true;
+		},
+		apply({changed}) {
+			offerAll(changed);
+		},
+		returned: () => undefined,
+	})));
+	register(serverFeedToken, () => {
+		const registry = get(serverRegistryToken);
+		return lifecycle.register(FeedFollower.create<UpstreamServer>({
+			name: 'servers',
+			source: ports.servers,
+			clock,
+			random: get(randomToken),
+			log: logOf('store'),
+			...duty,
+			replaceAll: ({changed, revision}) => registry.replaceAll({servers: [...changed], revision}, clock.nowMs()),
+			apply({changed, removedIds, revision}) {
+				registry.applyChanges(changed, removedIds, revision, clock.nowMs());
+			},
+			returned() {
+				registry.storeReturned(clock.nowMs());
+			},
+		}));
+	});
+}
+
+/**
+Gives how long ago the store last answered for both feeds.
+@param get - of the composition.
+@returns nothing while one of the feeds has no answer or rests.
+*/
+export function storeAgeMs(get: Composition['get']): number | undefined {
+	const agesMs = [get(declarationFeedToken).ageMs, get(serverFeedToken).ageMs];
+	const knownMs = agesMs.filter(ageMs => ageMs !== undefined);
+	return knownMs.length === agesMs.length ? Math.max(...knownMs) : undefined;
+}
--- /dev/null
+++ b/src/daemon/node/direct-composition.ts
@@ -0,0 +1,96 @@
+/** What an entry that calls upstreams itself is put together with: the container, and the parts that stand below all others. */
+import 'reflect-metadata';
+import {container, instanceCachingFactory, type InjectionToken} from 'tsyringe';
+import {clockToken, type Clock} from '../../base/common/clock.js';
+import {LifecycleManager} from '../../base/common/lifecycle.js';
+import {loggerFactoryToken, type Logger} from '../../base/common/logger.js';
+import {metricsToken} from '../../base/common/metrics.js';
+import {randomToken, SeededRandom} from '../../base/common/random.js';
+import {BoundedOutput} from '../../base/node/bounded-output.js';
+import {ConsoleLoggers} from '../../base/node/console-logger.js';
+import {newSeed} from '../../base/node/ids.js';
+import {SystemClock} from '../../base/node/system-clock.js';
+import {TextMetrics} from '../../base/node/text-metrics.js';
+import type {Deployment} from '../../deployment/common/declaration.js';
+import type {FeedSource} from '../../deployment/common/feed.js';
+import type {UpstreamServer} from '../../deployment/common/upstream-server.js';
+import {callerProtocolToken, type CallerProtocol} from '../../direct/common/caller-protocol.js';
+import {upstreamProtocolToken, type UpstreamProtocol} from '../../direct/common/upstream-protocol.js';
+import {peerMeshToken} from '../../peers/node/peer-mesh.js';
+import {batchProtocolToken, type BatchProtocol} from '../../preparation/common/batch-protocol.js';
+import type {DirectEntrySettings} from '../common/direct-settings.js';
+import {lifecycleToken} from './daemon-tokens.js';
+
+/** What an adapter gives: a platform's ways of speaking, and what its store tells. */
+export type PlatformPorts = {
+	readonly callers: CallerProtocol;
+	readonly upstreams: UpstreamProtocol;
+	readonly batches: BatchProtocol;
+	readonly declarations: FeedSource<Deployment>;
+	readonly servers: FeedSource<UpstreamServer>;
+};
+
+/** What every part of the entry is put together with. */
+export type Composition = {
+	readonly settings: DirectEntrySettings;
+	readonly ports: PlatformPorts;
+	readonly lifecycle: LifecycleManager;
+	readonly clock: Clock;
+	readonly metrics: TextMetrics;
+	readonly logOf: (part: string) => Logger;
+	/** Says how a part is made; it is made once, when something first asks for it. */
+	readonly register: <T>(token: InjectionToken<T>, make: () => T) => void;
+	readonly get: <T>(token: InjectionToken<T>) => T;
+	readonly isLeaving: () => boolean;
+	/** Hosts that serve, with this one. */
+	readonly hostCount: () => number;
+};
+
+/**
+Makes the container, and registers the parts that stand below all others: clock, logs, metrics, the platform's ways of speaking.
+@param settings - of the host.
+@param ports - of the platform's adapter.
+@param writeLine - where log lines go; standard output unless given.
+*/
+export function beginComposition(settings: DirectEntrySettings, ports: PlatformPorts, writeLine?: (line: string) => void): Composition {
+	const parts = container.createChildContainer();
+	const register = <T>(token: InjectionToken<T>, make: () => T) => {
+		parts.register(token, {useFactory: instanceCachingFactory(make)});
+	};
+
+	const get = <T>(token: InjectionToken<T>): T => parts.resolve(token);
+	const lifecycle = LifecycleManager.create();
+	const clock: Clock = SystemClock.create();
+	const output = writeLine ? undefined : BoundedOutput.create(clock);
+	const loggers = ConsoleLoggers.create({
+		level: 'info', format: 'json', hostId: settings.hostId, write: writeLine ?? (line => {
+			output?.write(line);
+		}),
+	});
+	const metrics = lifecycle.register(TextMetrics.create());
+	let isLeaving = false;
+	lifecycle.onWillStop(() => {
+		isLeaving = true;
+	});
+
+	register(lifecycleToken, () => lifecycle);
+	register(clockToken, () => clock);
+	register(randomToken, () => SeededRandom.create(newSeed()));
+	register(loggerFactoryToken, () => loggers);
+	register(metricsToken, () => metrics);
+	register(callerProtocolToken, () => ports.callers);
+	register(upstreamProtocolToken, () => ports.upstreams);
+	register(batchProtocolToken, () => ports.batches);
+	return {
+		settings,
+		ports,
+		lifecycle,
+		clock,
+		metrics,
+		logOf: part => loggers.for(part),
+		register,
+		get,
+		isLeaving: () => isLeaving,
+		hostCount: () => get(peerMeshToken).liveHosts.length + 1,
+	};
+}
