--- a/scripts/bundle.js
+++ b/scripts/bundle.js
@@ -40,6 +40,7 @@
 	},
 };
 
+/** All modules as the text of one function; it hands over the program's `main` once they have run. */
 async function bundle() {
 	const {outputFiles: [{text}]} = await build({
 		stdin: {contents: 'import {main} from \'./platform/main.js\'; handOver(main);', resolveDir: '.', loader: 'ts'},
@@ -52,14 +53,14 @@
 		legalComments: 'none',
 		write: false,
 		logLevel: 'warning',
-		// The addons that libraries look for are optional, and not there.
+		// A function has no address of its own: libraries look for optional addons, which are not there, from the launcher's.
 		define: {'import.meta.url': 'programUrl'},
 		plugins: [requireBuiltins, useClientParts],
 	});
 	return `(async function (require, programUrl, handOver) {${text}\n})`;
 }
 
-/** The code of all functions that the modules themselves call is compiled by running them once. */
+/** The modules are run once, so that the functions they call meanwhile are in the compiled code; the program is not started. */
 async function compile(program) {
 	const script = new Script(program, {filename: 'program.txt'});
 	await new Promise((resolve, reject) => {
--- a/scripts/launcher.cjs
+++ b/scripts/launcher.cjs
@@ -8,13 +8,14 @@
 const process = require('node:process');
 const {Script} = require('node:vm');
 
-const script = new Script(readFileSync(path.join(__dirname, 'program.txt'), 'utf8'), {
-	filename: path.join(__dirname, 'program.txt'),
+const program = path.join(__dirname, 'program.txt');
+const script = new Script(readFileSync(program, 'utf8'), {
+	filename: program,
 	cachedData: readFileSync(path.join(__dirname, 'program.cache')),
 });
 if (script.cachedDataRejected) {
 	process.stderr.write('pumicehatch: the compiled code was not taken; it is of another version of Node.js.\n');
 }
 
-// The program hands over what it exports once its modules are there.
+// The program hands over its `main` once its modules are there.
 script.runInThisContext()(require, pathToFileURL(__filename).href, main => main());
--- a/test/platform/bundled-program.test.ts
+++ b/test/platform/bundled-program.test.ts
@@ -1,16 +1,19 @@
 /** The program as it is deployed: bundled, with its compiled code beside it, run as a process of its own. */
 import {spawn, spawnSync} from 'node:child_process';
+import {once} from 'node:events';
 import process from 'node:process';
 import {fileURLToPath} from 'node:url';
-import t from 'tap';
+import t, {type Test} from 'tap';
 import {z} from 'zod';
 import {ask, configOf, until} from './direct-harness.js';
 import {StoreStandin} from './store-standin.js';
 import {ServerStandin} from './upstream-standins.js';
 
 const top = fileURLToPath(new URL('../../..', import.meta.url));
+const startedMessage = 'The entry has started.';
 const lineSchema = z.looseObject({message: z.string(), callers: z.string().optional()});
 
+/** The file as the platform lays it for a host that is alone. */
 function settingsOf(storePort: number) {
 	return {
 		nodeName: 'entry-1',
@@ -27,42 +30,48 @@
 	};
 }
 
-t.test('the bundled program takes its compiled code and serves from store and servers', async t => {
-	const store = await StoreStandin.create();
-	const server = await ServerStandin.create('plain-0');
-	t.teardown(() => {
-		server.dispose();
-		store.dispose();
-	});
-	store.put('op', 'config', configOf(1));
-	store.put('servers', server.serverId, server.entry('plain'));
-	const folder = t.testdir({settings: JSON.stringify(settingsOf(store.port))});
+/** Makes the program and runs it; it ends with the test. */
+function runProgram(t: Test, storePort: number) {
+	const folder = t.testdir({settings: JSON.stringify(settingsOf(storePort))});
 	const built = spawnSync(process.execPath, ['scripts/bundle.js', folder], {cwd: top, encoding: 'utf8'});
 	t.equal(built.status, 0, built.stderr);
-
 	process.env.PUMICEHATCH_BOOT = `${folder}/settings`;
 	process.env.PUMICEHATCH_WIRE_SECRET = 'a secret of the test';
 	const child = spawn(process.execPath, [`${folder}/main.cjs`], {stdio: ['ignore', 'pipe', 'pipe']});
 	t.teardown(() => child.kill('SIGKILL'));
-	const exit = new Promise(resolve => {
-		child.on('exit', code => {
-			resolve(code);
-		});
-	});
 	let output = '';
-	child.stdout.on('data', piece => {
+	const gather = (piece: unknown) => {
 		output += String(piece);
-	});
-	child.stderr.on('data', piece => {
-		output += String(piece);
-	});
-	await until(() => output.includes(server.serverId) && output.includes('The entry has started.') && output.includes('in force'));
+	};
+
+	child.stdout.on('data', gather);
+	child.stderr.on('data', gather);
+	return {child, exit: once(child, 'exit'), readOutput: () => output};
+}
+
+/** Where callers connect, as the line of the start tells. */
+function callersOf(output: string) {
 	const started = output.split('\n').filter(line => line.startsWith('{')).map(line => lineSchema.parse(JSON.parse(line)))
-		.find(({message}) => message === 'The entry has started.');
+		.find(({message}) => message === startedMessage);
 	const [address, port] = started!.callers!.split(':');
-	const answer = await ask({callers: {address, port: Number(port)}}, {path: '/look/1'});
+	return {address, port: Number(port)};
+}
+
+t.test('the bundled program takes its compiled code and serves from store and servers', async t => {
+	const store = await StoreStandin.create();
+	const server = await ServerStandin.create('plain-0');
+	t.teardown(() => {
+		server.dispose();
+		store.dispose();
+	});
+	store.put('op', 'config', configOf(1));
+	store.put('servers', server.serverId, server.entry('plain'));
+
+	const {child, exit, readOutput} = runProgram(t, store.port);
+	await until(() => [server.serverId, startedMessage, 'in force'].every(text => readOutput().includes(text)));
+	const answer = await ask({callers: callersOf(readOutput())}, {path: '/look/1'});
 	t.equal(answer.status, 200);
-	t.notMatch(output, /compiled code was not taken/v);
+	t.notMatch(readOutput(), /compiled code was not taken/v);
 	child.kill('SIGTERM');
-	t.equal(await exit, 0);
+	t.same(await exit, [0, null], 'it ends by itself, by no signal');
 });
