Take the addresses of peers out of the mesh

Change: peer-dials.ts keeps the addresses; the mesh owns it from its birth, and frees it last as before.

No behaviour changes.

--- /dev/null
+++ b/src/peers/node/peer-dials.ts
@@ -0,0 +1,115 @@
+/** Addresses at which peers may listen: this host connects to each, and forgets one where nobody answers unless it is a seed. */
+import type {Clock} from '../../base/common/clock.js';
+import type {Disposable} from '../../base/common/disposable.js';
+import {WireClient, type WireClientOptions} from '../../wire/node/wire-client.js';
+import type {WireConnection} from '../../wire/node/wire-connection.js';
+import type {Endpoint} from '../../wire/node/wire-server.js';
+
+/** An address at which nobody answers for this long is forgotten unless it is a seed. */
+const forgetMs = 15_000;
+
+/** What the dials are made of. */
+export type PeerDialsOptions = {
+	readonly wire: WireClientOptions;
+	readonly clock: Clock;
+	/** A peer answered. */
+	readonly connected: (connection: WireConnection) => void;
+};
+
+type Dial = {
+	readonly client: WireClient;
+	readonly isSeed: boolean;
+	/** When it was last open, or was begun. */
+	openMs: number;
+	isOpen: boolean;
+};
+
+/** Keeps connecting to known addresses. */
+export class PeerDials implements Disposable {
+	static create(options: PeerDialsOptions): PeerDials {
+		return new PeerDials(options);
+	}
+
+	private readonly dials = new Map<string, Dial>();
+	private own = '';
+
+	private constructor(private readonly options: PeerDialsOptions) {}
+
+	/** Where this host listens for peers, as peers are told of it; it is not dialled. */
+	get ownEndpoint(): string {
+		return this.own;
+	}
+
+	/**
+	Says where this host itself listens.
+	@param own - its address.
+	*/
+	start(own: Endpoint): void {
+		this.own = textOf(own);
+	}
+
+	/**
+	Adds addresses that are never forgotten.
+	@param seeds - where peers may listen.
+	*/
+	addSeeds(seeds: readonly Endpoint[]): void {
+		for (const seed of seeds) {
+			this.dial(textOf(seed), true);
+		}
+	}
+
+	/**
+	Adds addresses that a peer knows.
+	@param endpoints - as the peer told them.
+	*/
+	addKnown(endpoints: readonly string[]): void {
+		for (const endpoint of endpoints) {
+			this.dial(endpoint, false);
+		}
+	}
+
+	/**
+	Forgets addresses at which nobody has answered for long.
+	@param nowMs - the time.
+	*/
+	forgetSilent(nowMs: number): void {
+		for (const [endpoint, dial] of this.dials) {
+			if (!dial.isOpen && !dial.isSeed && nowMs - dial.openMs > forgetMs) {
+				this.dials.delete(endpoint);
+				dial.client.dispose();
+			}
+		}
+	}
+
+	dispose(): void {
+		for (const {client} of this.dials.values()) {
+			client.dispose();
+		}
+	}
+
+	private dial(endpoint: string, isSeed: boolean): void {
+		if (endpoint === this.own || this.dials.has(endpoint)) {
+			return;
+		}
+
+		const {wire, clock, connected} = this.options;
+		const [address, port] = endpoint.split(':');
+		const client = WireClient.create({address, port: Number(port)}, wire);
+		const dial: Dial = {
+			client, isSeed, openMs: clock.nowMs(), isOpen: false,
+		};
+		this.dials.set(endpoint, dial);
+		client.onDidConnect(connection => {
+			dial.isOpen = true;
+			connection.onDidClose(() => {
+				dial.isOpen = false;
+				dial.openMs = clock.nowMs();
+			});
+			connected(connection);
+		});
+	}
+}
+
+function textOf({address, port}: Endpoint): string {
+	return `${address}:${port}`;
+}
--- a/src/peers/node/peer-mesh.ts
+++ b/src/peers/node/peer-mesh.ts
@@ -5,9 +5,10 @@
 import {Emitter} from '../../base/common/emitter.js';
 import type {Logger} from '../../base/common/logger.js';
 import type {Message, PeerBeat} from '../../wire/common/messages.js';
-import {WireClient, type WireClientOptions} from '../../wire/node/wire-client.js';
+import type {WireClientOptions} from '../../wire/node/wire-client.js';
 import type {WireConnection} from '../../wire/node/wire-connection.js';
 import type {Endpoint, WireServer} from '../../wire/node/wire-server.js';
+import {PeerDials} from './peer-dials.js';
 
 /** How often each peer hears of this host. */
 const beatMs = 500;
@@ -15,8 +16,6 @@
 const silentMs = 1600;
 /** A tick that is this late means that this host itself stood still: what it has not read yet says nothing about peers. */
 const ownPauseMs = 400;
-/** An address at which nobody answers for this long is forgotten unless it is a seed. */
-const forgetMs = 15_000;
 
 /** What a host tells its peers of itself. */
 export type OwnState = Pick<PeerBeat, 'deploymentVersion' | 'listRevision' | 'isLeaving' | 'room' | 'storeAgeMs'>;
@@ -35,7 +34,6 @@
 
 type Way = {readonly connection: WireConnection; heardMs: number};
 type Peer = {readonly hostId: string; readonly ways: Set<Way>; beat: PeerBeat | undefined; beatHeardMs: number};
-type Dial = {readonly client: WireClient; readonly isSeed: boolean; openMs: number; isOpen: boolean};
 
 export const peerMeshToken: InjectionToken<PeerMesh> = Symbol('PeerMesh');
 
@@ -46,16 +44,23 @@
 	}
 
 	private readonly peers = new Map<string, Peer>();
-	private readonly dials = new Map<string, Dial>();
 	private readonly owned = DisposableStore.create();
+	private readonly dials: PeerDials;
 	private readonly didReceive = Emitter.create<PeerMessage>();
 	private readonly didChange = Emitter.create<void>();
 	private readonly didLose = Emitter.create<string>();
-	private ownEndpoint = '';
 	private tickedMs = 0;
 
 	private constructor(private readonly options: PeerMeshOptions) {
-		this.owned.add(options.server.onDidConnect(connection => {
+		const {server, wire, clock} = options;
+		this.dials = this.owned.add(PeerDials.create({
+			wire,
+			clock,
+			connected: connection => {
+				this.adopt(connection);
+			},
+		}));
+		this.owned.add(server.onDidConnect(connection => {
 			this.adopt(connection);
 		}));
 	}
@@ -99,7 +104,7 @@
 	@param seeds - where some of them may listen.
 	*/
 	start(own: Endpoint, seeds: readonly Endpoint[]): void {
-		this.ownEndpoint = textOf(own);
+		this.dials.start(own);
 		this.tickedMs = this.options.clock.nowMs();
 		this.addSeeds(seeds);
 		this.owned.add(setRepeating(this.options.clock, () => beatMs, () => {
@@ -112,9 +117,7 @@
 	@param seeds - where peers may listen.
 	*/
 	addSeeds(seeds: readonly Endpoint[]): void {
-		for (const seed of seeds) {
-			this.dial(textOf(seed), true);
-		}
+		this.dials.addSeeds(seeds);
 	}
 
 	/**
@@ -151,9 +154,6 @@
 
 	dispose(): void {
 		this.owned.dispose();
-		for (const {client} of this.dials.values()) {
-			client.dispose();
-		}
 	}
 
 	private tick(): void {
@@ -172,42 +172,16 @@
 		}
 
 		this.announce();
-		for (const [endpoint, dial] of this.dials) {
-			if (!dial.isOpen && !dial.isSeed && nowMs - dial.openMs > forgetMs) {
-				this.dials.delete(endpoint);
-				dial.client.dispose();
-			}
-		}
+		this.dials.forgetSilent(nowMs);
 	}
 
 	private makeBeat(): PeerBeat {
 		const known = new Set([...this.peers.values()].flatMap(peer => peer.beat && peer.ways.size > 0 ? [peer.beat.endpoint] : []));
 		return {
-			type: 'peerBeat', endpoint: this.ownEndpoint, knownEndpoints: [...known], ...this.options.ownState(),
+			type: 'peerBeat', endpoint: this.dials.ownEndpoint, knownEndpoints: [...known], ...this.options.ownState(),
 		};
 	}
 
-	private dial(endpoint: string, isSeed: boolean): void {
-		if (endpoint === this.ownEndpoint || this.dials.has(endpoint)) {
-			return;
-		}
-
-		const [address, port] = endpoint.split(':');
-		const client = WireClient.create({address, port: Number(port)}, this.options.wire);
-		const dial: Dial = {
-			client, isSeed, openMs: this.options.clock.nowMs(), isOpen: false,
-		};
-		this.dials.set(endpoint, dial);
-		client.onDidConnect(connection => {
-			dial.isOpen = true;
-			connection.onDidClose(() => {
-				dial.isOpen = false;
-				dial.openMs = this.options.clock.nowMs();
-			});
-			this.adopt(connection);
-		});
-	}
-
 	private adopt(connection: WireConnection): void {
 		const identity = connection.peer;
 		if (!identity || identity.hostId === this.options.wire.identity.hostId) {
@@ -247,10 +221,7 @@
 			const isChanged = peer.beat?.isLeaving !== message.isLeaving;
 			peer.beat = message;
 			peer.beatHeardMs = this.options.clock.nowMs();
-			for (const endpoint of message.knownEndpoints) {
-				this.dial(endpoint, false);
-			}
-
+			this.dials.addKnown(message.knownEndpoints);
 			if (isChanged) {
 				this.didChange.fire();
 			}
@@ -259,7 +230,3 @@
 		this.didReceive.fire({hostId: peer.hostId, message});
 	}
 }
-
-function textOf({address, port}: Endpoint): string {
-	return `${address}:${port}`;
-}
