Mend a test that raced its own server, and a runner that set timers once disposed

Change: the stand-in holds the call's answer until the entry has written the request's end. The checks are stricter: exactly two results are freed, and nothing more is begun.

Change: it takes nothing once disposed.

--- a/src/request/node/request-runner.ts
+++ b/src/request/node/request-runner.ts
@@ -54,6 +54,7 @@
 	private readonly owned = DisposableStore.create();
 	/** Chunks, ends and refusals of no current attempt. */
 	private dropped = 0;
+	private isDisposed = false;
 
 	private constructor(private readonly links: UpstreamLinks, private readonly router: RequestRouter, private readonly clock: Clock) {
 		this.owned.add(links.onDidReceive(received => {
@@ -99,6 +100,8 @@
 	}
 
 	dispose(): void {
+		// Connections that close from now on must set no timer: nothing would end it.
+		this.isDisposed = true;
 		this.owned.dispose();
 		for (const running of this.running) {
 			running.timer?.dispose();
@@ -129,7 +132,7 @@
 	}
 
 	private feed(running: Running, event: RequestEvent): void {
-		if (running.machine.isClosed) {
+		if (this.isDisposed || running.machine.isClosed) {
 			return;
 		}
 
--- a/test/platform/direct-fleet.test.ts
+++ b/test/platform/direct-fleet.test.ts
@@ -203,17 +203,25 @@
 
 t.test('results made for a request that has ended meanwhile are given up', async t => {
 	const fleet = await makeFleet(t);
-	const [stage] = await fleet.addServers('stage', 1, 80);
+	const [stage] = await fleet.addServers('stage', 1);
 	await fleet.addServers('model', 1);
 	const first = await fleet.addReadyEntry();
 	const second = await fleet.addReadyEntry();
 	await until(() => [first, second].every(({lines}) => lines.some(line => line.includes('A peer is connected.'))));
 	for (const [index, entry] of [first, second].entries()) {
 		const controller = new AbortController();
+		let openGate!: () => void;
+		stage.stageGate = new Promise(resolve => {
+			openGate = resolve;
+		});
 		const asked = ask(entry, {...stagedCall(`x${index}`), signal: controller.signal});
 		await until(() => stage.stageCalls.length === index + 1);
 		controller.abort();
 		await t.rejects(asked);
-		await until(() => stage.freed.length === 2 * (index + 1));
+		await until(() => entry.lines.some(line => line.includes('A request has ended.') && line.includes(`"x${index}"`)));
+		openGate();
+		await until(() => stage.freed.length >= 2 * (index + 1));
+		t.equal(stage.freed.length, 2 * (index + 1));
+		t.equal(stage.stageCalls.length, index + 1, 'nothing more is begun for it');
 	}
 });
--- a/test/platform/upstream-standins.ts
+++ b/test/platform/upstream-standins.ts
@@ -68,6 +68,8 @@
 	/** Calls of stage work, each with its pieces. */
 	readonly stageCalls: Array<ReadonlyArray<Record<string, unknown>>> = [];
 	readonly freed: string[] = [];
+	/** Calls of stage work are answered once this has ended. */
+	stageGate: Promise<void> | undefined;
 	/** Requests whose connection closed before their answer was whole. */
 	closedEarly = 0;
 	private server!: StandinServer;
@@ -175,6 +177,7 @@
 		}
 
 		this.stageCalls.push(entries);
+		await this.stageGate;
 		await sleep(this.stepMs);
 		const answer = entries.map(() => {
 			if (this.fault === 'inputsGone') {
