Have the log messages that explain looks for in one place

Cause: the command had copies of four sentences; one reworded where it is written would have blinded it, with no test failing. Change: both have them from one list. No behaviour changes; the command's tests pass, whose lines keep their own copies on purpose: they are what hosts wrote.

--- a/src/cli/common/verdicts.ts
+++ b/src/cli/common/verdicts.ts
@@ -1,4 +1,5 @@
 /** What became of a request, judged by the last line of its own; the messages named here are those the parts write. */
+import {requestLogMessages} from '../../request/common/request-log-messages.js';
 import {numberOf, textOf, type LogLine} from './log-lines.js';
 
 /** What became of a request. */
@@ -16,10 +17,7 @@
 /** A verdict, and why. */
 export type Judgement = {readonly verdict: Verdict; readonly cause: string};
 
-const ended = 'A request has ended.';
-const refusedAtDoor = 'A request was refused at the door: its steps would wait too long.';
-const turnedAway = 'A request was turned away at the door.';
-const poolWaits = 'Pieces wait for a pool.';
+const {ended, refusedAtDoor, turnedAway, poolWaits} = requestLogMessages;
 /** Statuses from here on are failures of the upstream. */
 const firstServerError = 500;
 
--- a/src/direct/node/ingress.ts
+++ b/src/direct/node/ingress.ts
@@ -15,6 +15,7 @@
 import {pairHeaders} from '../../deployment/common/hop-headers.js';
 import {admit, type PoolWaits} from '../../preparation/common/admission.js';
 import type {Preparer, PreparationAsk} from '../../preparation/node/preparer.js';
+import {requestLogMessages} from '../../request/common/request-log-messages.js';
 import type {RequestPlan, StagePlan} from '../../request/common/request-plan.js';
 import type {RequestRunner} from '../../request/node/request-runner.js';
 import type {Endpoint} from '../../wire/node/wire-server.js';
@@ -239,7 +240,7 @@
 
 	private refuse(response: ServerResponse, {requestId, status, reason, retryAfterMs}: Refusal): void {
 		const {board, log, metrics} = this.options;
-		log.info('A request was turned away at the door.', {
+		log.info(requestLogMessages.turnedAway, {
 			request: requestId, status, reason, version: board.version,
 		});
 		metrics.increment('requests.turnedAway', 1, {status: String(status)});
@@ -299,7 +300,7 @@
 		}
 
 		const {predictedMs, retryAfterMs} = admission;
-		log.info('A request was refused at the door: its steps would wait too long.', {
+		log.info(requestLogMessages.refusedAtDoor, {
 			request: ask.requestId, route: route.name, rank, predictedMs: Math.round(predictedMs), targetMs: route.targetMs, retryAfterMs: Math.round(retryAfterMs),
 		});
 		metrics.increment('requests.refusedAtDoor', 1, {route: route.name});
--- a/src/direct/node/served-request.ts
+++ b/src/direct/node/served-request.ts
@@ -5,6 +5,7 @@
 import type {Metrics} from '../../base/common/metrics.js';
 import {fail} from '../../base/common/outcome.js';
 import type {Preparer} from '../../preparation/node/preparer.js';
+import {requestLogMessages} from '../../request/common/request-log-messages.js';
 import type {RequestPlan, RequestResult} from '../../request/common/request-plan.js';
 import type {RequestRunner} from '../../request/node/request-runner.js';
 import type {CallerAsk} from '../common/caller-protocol.js';
@@ -87,7 +88,7 @@
 	private report(result: RequestResult): void {
 		const {plan, ask, log, metrics} = this.options;
 		const {status} = this.writer;
-		log.info('A request has ended.', {
+		log.info(requestLogMessages.ended, {
 			request: ask.requestId,
 			route: plan.pipeline,
 			workspace: plan.workspace,
--- a/src/preparation/node/batch-pool.ts
+++ b/src/preparation/node/batch-pool.ts
@@ -9,6 +9,7 @@
 import type {UpstreamServer} from '../../deployment/common/upstream-server.js';
 import {collectAnswer} from '../../deployment/node/collect-answer.js';
 import {LanePool} from '../../deployment/node/lane.js';
+import {requestLogMessages} from '../../request/common/request-log-messages.js';
 import type {WindowedBudget} from '../../routing/common/windowed-budget.js';
 import {BatchMachine, type BatchCall, type PieceEnd} from '../common/batch-machine.js';
 import type {BatchProtocol, EncodedCall} from '../common/batch-protocol.js';
@@ -144,7 +145,7 @@
 		if (this.machine.waitingCount > 0 && nowMs - this.toldMs >= tellMs) {
 			this.toldMs = nowMs;
 			const {pool, log, registry} = this.options;
-			log.info('Pieces wait for a pool.', {pool, servers: registry.usable(pool).length, ...this.machine.describe(nowMs)});
+			log.info(requestLogMessages.poolWaits, {pool, servers: registry.usable(pool).length, ...this.machine.describe(nowMs)});
 		}
 	}
 
--- /dev/null
+++ b/src/request/common/request-log-messages.ts
@@ -0,0 +1,7 @@
+/** Log messages that `pumicehatch explain` looks for: the parts that write them and the command have them from here. */
+export const requestLogMessages = {
+	ended: 'A request has ended.',
+	refusedAtDoor: 'A request was refused at the door: its steps would wait too long.',
+	turnedAway: 'A request was turned away at the door.',
+	poolWaits: 'Pieces wait for a pool.',
+} as const;
