--- a/src/daemon/node/compose-direct-entry.ts
+++ b/src/daemon/node/compose-direct-entry.ts
@@ -115,7 +115,11 @@
 		},
 	}));
 	register(promptNewsToken, () => lifecycle.register(PromptNews.create({
-		mesh: get(peerMeshToken), engines: get(enginesToken), clock,
+		mesh: get(peerMeshToken),
+		heard(serverId, parts) {
+			get(routerToken).promptSent(serverId, parts, clock.nowMs());
+		},
+		clock,
 	})));
 	register(linksToken, () => lifecycle.register(DirectLinks.create({
 		registry: get(serverRegistryToken),
--- /dev/null
+++ b/src/direct/common/direct-router.test.ts
@@ -0,0 +1,81 @@
+import t from 'tap';
+import {silentLoggers} from '../../base/common/logger.js';
+import {SeededRandom} from '../../base/common/random.js';
+import {routeKinds, type Route} from '../../deployment/common/declaration.js';
+import {ServerRegistry} from '../../deployment/common/server-registry.js';
+import {Attempt} from '../../request/common/attempt.js';
+import {attemptStates, type StagePlan} from '../../request/common/request-plan.js';
+import {EngineLoads} from '../../routing/common/engine-loads.js';
+import {PrefixIndex} from '../../routing/common/prefix-index.js';
+import {ScoreChooser} from '../../routing/common/score-chooser.js';
+import {makeDirectPlan} from './direct-plan.js';
+import {DirectRouter} from './direct-router.js';
+
+const pool = 'engines';
+const route: Route = {
+	name: 'r', hostName: 'h', pathPrefix: '/', kind: routeKinds.stream, timeoutMs: 5000, targetMs: 1000, rank: 0, targets: [{pool, weight: 1}],
+	maxAttempts: 2, steps: [], isPublic: false, hasAffinity: true, isResumable: true,
+};
+const registry = ServerRegistry.create(silentLoggers.for('test'));
+registry.applyChanges(['e1', 'e2'].map(serverId => ({
+	serverId, pool, address: '127.0.0.1', port: 1, hall: 'x', slots: 64, isLeaving: false,
+})), [], 1, 0);
+
+function makeRouter(): DirectRouter {
+	return DirectRouter.create({
+		hall: 'x',
+		registry,
+		chooser: ScoreChooser.create(SeededRandom.create(1), PrefixIndex.create()),
+		bounds: {ratio: 0.2, slack: 50, windowMs: 10_000},
+		hostCount: () => 1,
+		newDispatchId: () => 'd',
+		engines: EngineLoads.create(),
+		assigned: () => undefined,
+	});
+}
+
+function stageOf(name: string, tokens: number): StagePlan {
+	const plan = makeDirectPlan({
+		requestId: name,
+		workspace: '',
+		route,
+		version: 1,
+		pool,
+		engineSlots: 64,
+		http: {
+			kind: 'http', method: 'POST', path: '/', headers: [], body: new Uint8Array(0),
+		},
+		promptParts: [{id: name, tokens}],
+		needsPreparation: false,
+		remainingMs: 5000,
+	}, 0);
+	return plan.stages[0];
+}
+
+/** Sends one prompt at a time; its head comes at once, its first token once it is read, and its end long after. */
+function play(router: DirectRouter, count: number, msPerToken: number): void {
+	for (let index = 0; index < count; index++) {
+		const sentAtMs = index * 5000;
+		const stage = stageOf(`p${index}`, 1000);
+		const {upstreamId} = router.choose(stage, new Set(), 0, sentAtMs)!.chosen;
+		const attempt = Attempt.create({
+			dispatchId: `d${index}`, upstreamId, kind: 'first', sentAtMs, offset: 0, candidates: [],
+		});
+		router.didDispatch(stage, attempt, 0, sentAtMs);
+		attempt.queueMs = 3;
+		router.didBegin(stage, attempt, sentAtMs + 30 + (1000 * msPerToken));
+		attempt.finish(attemptStates.completed, '');
+		attempt.runMs = 4000;
+		router.didEnd(stage, attempt, sentAtMs + 4000);
+	}
+}
+
+t.test('the time to the first token is learned from first tokens, not from heads or ends', async t => {
+	for (const msPerToken of [0.01, 0.05]) {
+		const router = makeRouter();
+		play(router, 30, msPerToken);
+		const {firstMs} = router.likelyPlace(stageOf('new', 4000), 200_000);
+		const expectedMs = 30 + (4000 * msPerToken);
+		t.ok(Math.abs(firstMs - expectedMs) < expectedMs * 0.25, `${firstMs} of ${expectedMs}`);
+	}
+});
--- a/src/direct/common/direct-router.ts
+++ b/src/direct/common/direct-router.ts
@@ -8,7 +8,8 @@
 	makeCandidateSet, type Candidate, type Choice, type UpstreamChooser,
 } from '../../routing/common/chooser.js';
 import {medianSlownessOf, OutlierDetector, type OutlierOptions} from '../../routing/common/outlier-detector.js';
-import type {EngineLoads, PromptPart} from '../../routing/common/engine-loads.js';
+import type {EngineLoads, EngineSpeed, PromptPart} from '../../routing/common/engine-loads.js';
+import {ReadingSpeed} from '../../routing/common/reading-speed.js';
 import {rendezvousOrder} from '../../routing/common/rendezvous.js';
 import {ServerSigns} from '../../routing/common/server-signs.js';
 import {StageEstimates} from '../../routing/common/stage-estimates.js';
@@ -24,8 +25,6 @@
 /** First while without new work after a connection failed; a restarted server is listed anew sooner than this doubles. */
 const unreachableMs = 400;
 const longestUnreachableMs = 4000;
-/** Time to the first token besides reading the prompt: fetching results, one step, the way there and back. */
-const engineOverheadMs = 30;
 /** A repeatable plain call is sent a second time after this share of its target, or when it is unusually slow. */
 const hedgeTargetShare = 0.5;
 const hedgeSlowFactor = 1.3;
@@ -63,8 +62,10 @@
 	}
 
 	private readonly known = new Map<string, Known>();
-	/** Time to the first token that was reckoned with at the send of an attempt, on an engine of usual speed. */
-	private readonly predicted = new Map<string, number>();
+	/** Tokens that an engine had to read for an attempt until its first token, as reckoned when it was sent. */
+	private readonly sentTokens = new Map<string, number>();
+	/** How fast the engines of each pool read. */
+	private readonly speeds = new Map<string, ReadingSpeed>();
 	private readonly budgets = new Map<string, WindowedBudget>();
 	private readonly answerTimes = StageEstimates.create();
 	private readonly outliers = OutlierDetector.create(outlierOptions);
@@ -132,9 +133,9 @@
 		}
 
 		if (stage.prompt && known) {
-			const slowness = known.candidate.stats.slowness ?? 1;
-			this.predicted.set(dispatchId, this.options.engines.estimate(upstreamId, stage.prompt, slowness, nowMs).firstMs / slowness);
-			this.options.engines.assign(upstreamId, stage.prompt, slowness, nowMs);
+			const speed = this.speedOf(stage.pool, known.candidate);
+			this.sentTokens.set(dispatchId, this.options.engines.estimate(upstreamId, stage.prompt, speed, nowMs).tokens);
+			this.options.engines.assign(upstreamId, stage.prompt, speed, nowMs);
 			this.options.assigned(upstreamId, stage.prompt);
 		}
 
@@ -143,11 +144,39 @@
 		}
 	}
 
+	/** The first token tells how fast its engine reads; what comes after it says nothing of that. */
+	didBegin(stage: StagePlan, attempt: Attempt, nowMs: number): void {
+		const {upstreamId, dispatchId, sentAtMs} = attempt.options;
+		const known = this.known.get(upstreamId);
+		const tokens = this.sentTokens.get(dispatchId);
+		if (!known || tokens === undefined) {
+			return;
+		}
+
+		const reading = this.readingOf(stage.pool);
+		const tookMs = nowMs - sentAtMs;
+		reading.observe(tokens, tookMs);
+		known.candidate.stats.observeTime(tookMs, (tokens * reading.msPerToken) + reading.overheadMs);
+	}
+
+	/**
+	A peer has sent a prompt to an engine.
+	@param serverId - the engine.
+	@param prompt - its parts.
+	@param nowMs - the time.
+	*/
+	promptSent(serverId: string, prompt: readonly PromptPart[], nowMs: number): void {
+		const server = this.options.registry.get(serverId);
+		if (server) {
+			const {candidate} = this.meet(server, nowMs);
+			this.options.engines.assign(serverId, prompt, this.speedOf(server.pool, candidate), nowMs);
+		}
+	}
+
 	didEnd(stage: StagePlan, attempt: Attempt, nowMs: number): void {
 		const {upstreamId, dispatchId} = attempt.options;
 		const known = this.known.get(upstreamId);
-		const predictedMs = this.predicted.get(dispatchId);
-		this.predicted.delete(dispatchId);
+		this.sentTokens.delete(dispatchId);
 		if (!known) {
 			return;
 		}
@@ -171,8 +200,11 @@
 		}
 
 		if (attempt.state !== attemptStates.notRun) {
-			const usualMs = predictedMs === undefined ? this.answerTimes.typicalMs(stage.key) ?? defaultAnswerMs : predictedMs + engineOverheadMs;
-			candidate.stats.observeEnd(tookMs, usualMs, isFailure);
+			candidate.stats.observeOutcome(isFailure);
+			if (!isFailure && !stage.prompt) {
+				candidate.stats.observeTime(tookMs, this.answerTimes.typicalMs(stage.key) ?? defaultAnswerMs);
+			}
+
 			const peers = this.candidatesOf(stage.pool, nowMs);
 			this.outliers.observe(candidate, peers, medianSlownessOf(peers), nowMs);
 		}
@@ -198,8 +230,8 @@
 			return {hall: '', firstMs: this.answerTimes.typicalMs(stage.key) ?? defaultAnswerMs};
 		}
 
-		const {firstMs} = this.options.engines.estimate(candidate.upstreamId, stage.prompt, candidate.stats.slowness ?? 1, nowMs);
-		return {hall: candidate.hall, firstMs: firstMs + engineOverheadMs};
+		const {firstMs} = this.options.engines.estimate(candidate.upstreamId, stage.prompt, this.speedOf(stage.pool, candidate), nowMs);
+		return {hall: candidate.hall, firstMs: firstMs + this.readingOf(stage.pool).overheadMs};
 	}
 
 	/**
@@ -226,7 +258,7 @@
 	}
 
 	/** The engine that gives the first token soonest, with what it costs to read shared parts again. */
-	private chooseByPrompt({prompt}: StagePlan, candidates: readonly Candidate[], nowMs: number): Candidate | undefined {
+	private chooseByPrompt({prompt, pool}: StagePlan, candidates: readonly Candidate[], nowMs: number): Candidate | undefined {
 		if (!prompt) {
 			return undefined;
 		}
@@ -234,7 +266,21 @@
 		// What other requests may share comes before the last part.
 		const shared = prompt.at(-2) ?? prompt[0];
 		const ordered = rendezvousOrder(String(shared.key), candidates, candidate => candidate.upstreamId);
-		return this.options.engines.best(ordered, prompt, ({stats}) => stats.slowness ?? 1, nowMs);
+		return this.options.engines.best(ordered, prompt, candidate => this.speedOf(pool, candidate), nowMs);
+	}
+
+	private speedOf(pool: string, {stats}: Candidate): EngineSpeed {
+		return {msPerToken: this.readingOf(pool).msPerToken, slowness: stats.slowness ?? 1};
+	}
+
+	private readingOf(pool: string): ReadingSpeed {
+		let reading = this.speeds.get(pool);
+		if (!reading) {
+			reading = ReadingSpeed.create();
+			this.speeds.set(pool, reading);
+		}
+
+		return reading;
 	}
 
 	private candidatesOf(pool: string, nowMs: number): readonly Candidate[] {
--- a/src/direct/node/prompt-news.ts
+++ b/src/direct/node/prompt-news.ts
@@ -2,16 +2,19 @@
 import type {Clock} from '../../base/common/clock.js';
 import type {Disposable} from '../../base/common/disposable.js';
 import type {PeerMesh} from '../../peers/node/peer-mesh.js';
-import type {EngineLoads, PromptPart} from '../../routing/common/engine-loads.js';
+import type {PromptPart} from '../../routing/common/engine-loads.js';
 import type {PromptsSentMessage} from '../../wire/common/messages.js';
 
 /** How long news are gathered: short against the time a prompt is read. */
 const gatherMs = 10;
-/** Peers know nothing of how slow this host finds an engine; they reckon with the usual. */
-const usualSlowness = 1;
 
 /** What the news are made of. */
-export type PromptNewsOptions = {readonly mesh: PeerMesh; readonly engines: EngineLoads; readonly clock: Clock};
+export type PromptNewsOptions = {
+	readonly mesh: PeerMesh;
+	/** A peer has sent a prompt to an engine. */
+	readonly heard: (serverId: string, parts: readonly PromptPart[]) => void;
+	readonly clock: Clock;
+};
 
 /** Exchanges sends of prompts. */
 export class PromptNews implements Disposable {
@@ -24,11 +27,11 @@
 	private readonly listener: Disposable;
 
 	private constructor(private readonly options: PromptNewsOptions) {
-		const {mesh, engines, clock} = options;
+		const {mesh, heard} = options;
 		this.listener = mesh.onDidReceive(({message}) => {
 			if (message.type === 'promptsSent') {
 				for (const {serverId, parts} of message.prompts) {
-					engines.assign(serverId, parts, usualSlowness, clock.nowMs());
+					heard(serverId, parts);
 				}
 			}
 		});
--- a/src/entry/common/fleet-router.ts
+++ b/src/entry/common/fleet-router.ts
@@ -182,6 +182,10 @@
 		}
 	}
 
+	didBegin(): void {
+		// Agents tell how long a call waited for its upstream.
+	}
+
 	didComplete(stage: StagePlan, tookMs: number): void {
 		this.estimates.record(stage.key, tookMs);
 	}
--- a/src/request/common/request-machine.test.ts
+++ b/src/request/common/request-machine.test.ts
@@ -29,6 +29,7 @@
 		optimisticFinishMs: () => 0,
 		didDispatch: () => undefined,
 		didEnd: () => undefined,
+		didBegin: () => undefined,
 		didComplete: () => undefined,
 		newDispatchId: () => `d${serial++}`,
 		...changes,
--- a/src/request/common/request-router.ts
+++ b/src/request/common/request-router.ts
@@ -26,6 +26,8 @@
 	optimisticFinishMs(stages: readonly StagePlan[], nowMs: number): number;
 	/** An attempt was sent. */
 	didDispatch(stage: StagePlan, attempt: Attempt, prefixHash: number, nowMs: number): void;
+	/** The first unit of an attempt's answer has come; called at most once for each attempt. */
+	didBegin(stage: StagePlan, attempt: Attempt, nowMs: number): void;
 	/** An attempt has ended; called once for each that was sent. */
 	didEnd(stage: StagePlan, attempt: Attempt, nowMs: number): void;
 	/** A stage was completed. */
--- a/src/request/common/stage-run.ts
+++ b/src/request/common/stage-run.ts
@@ -160,6 +160,10 @@
 		}
 
 		attempt.heardMs = nowMs;
+		if (attempt.answer.units === message.units) {
+			this.options.router.didBegin(this.stage, attempt, nowMs);
+		}
+
 		const chunks = attempt.takeCredit();
 		if (chunks > 0) {
 			const {upstreamId, dispatchId} = attempt.options;
--- a/src/routing/common/engine-loads.test.ts
+++ b/src/routing/common/engine-loads.test.ts
@@ -2,7 +2,9 @@
 import {EngineLoads, makePrompt} from './engine-loads.js';
 
 const engines = ['e1', 'e2', 'e3'].map(upstreamId => ({upstreamId}));
-const usual = () => 1;
+/** 61 tokens a millisecond. */
+const speed = {msPerToken: 1 / 61, slowness: 1};
+const usual = () => speed;
 const promptOf = (shared: string, own: string) => makePrompt([{id: shared, tokens: 6100}, {id: own, tokens: 610}]);
 
 t.test('the engine that keeps a shared part is taken again, also on another host that was told', async t => {
@@ -10,44 +12,44 @@
 	const other = EngineLoads.create();
 	const first = loads.best(engines, promptOf('s', 'a'), usual, 0)!;
 	for (const each of [loads, other]) {
-		each.assign(first.upstreamId, promptOf('s', 'a'), 1, 0);
+		each.assign(first.upstreamId, promptOf('s', 'a'), speed, 0);
 	}
 
 	const again = promptOf('s', 'b');
 	t.equal(loads.best(engines, again, usual, 500), first);
 	t.equal(other.best(engines, again, usual, 500), first);
-	t.equal(loads.estimate(first.upstreamId, again, 1, 500).firstMs, 10);
+	t.equal(loads.estimate(first.upstreamId, again, speed, 500).firstMs, 610 * speed.msPerToken);
 });
 
 t.test('what an engine has still to read counts, and runs down', async t => {
 	const loads = EngineLoads.create();
-	loads.assign('e1', promptOf('s', 'a'), 1, 0);
-	t.equal(loads.estimate('e1', promptOf('t', 'b'), 1, 0).firstMs, 220);
-	t.equal(loads.estimate('e1', promptOf('t', 'b'), 1, 60).firstMs, 160);
+	loads.assign('e1', promptOf('s', 'a'), speed, 0);
+	t.equal(loads.estimate('e1', promptOf('t', 'b'), speed, 0).firstMs, 220);
+	t.equal(loads.estimate('e1', promptOf('t', 'b'), speed, 60).firstMs, 160);
 	t.not(loads.best(engines, promptOf('t', 'b'), usual, 0)!.upstreamId, 'e1');
 });
 
 t.test('a part is kept only behind the same parts', async t => {
 	const loads = EngineLoads.create();
-	loads.assign('e1', makePrompt([{id: 'x', tokens: 610}, {id: 'y', tokens: 610}]), 1, 0);
-	t.equal(loads.estimate('e1', makePrompt([{id: 'z', tokens: 610}, {id: 'y', tokens: 610}]), 1, 1000).firstMs, 20);
+	loads.assign('e1', makePrompt([{id: 'x', tokens: 610}, {id: 'y', tokens: 610}]), speed, 0);
+	t.equal(loads.estimate('e1', makePrompt([{id: 'z', tokens: 610}, {id: 'y', tokens: 610}]), speed, 1000).firstMs, 20);
 });
 
 t.test('a long queue at the keeper is left for reading again elsewhere; a slow engine is left out', async t => {
 	const loads = EngineLoads.create();
-	loads.assign('e1', promptOf('s', 'a'), 1, 0);
+	loads.assign('e1', promptOf('s', 'a'), speed, 0);
 	for (let index = 0; index < 20; index++) {
-		loads.assign('e1', promptOf(`other${index}`, 'a'), 1, 0);
+		loads.assign('e1', promptOf(`other${index}`, 'a'), speed, 0);
 	}
 
 	t.not(loads.best(engines, promptOf('s', 'b'), usual, 0)!.upstreamId, 'e1');
-	const slow = loads.best(engines, promptOf('new', 'b'), ({upstreamId}) => upstreamId === 'e3' ? 1 : 9, 5000);
+	const slow = loads.best(engines, promptOf('new', 'b'), ({upstreamId}) => ({...speed, slowness: upstreamId === 'e3' ? 1 : 9}), 5000);
 	t.equal(slow!.upstreamId, 'e3');
 });
 
 t.test('an engine that is gone keeps nothing', async t => {
 	const loads = EngineLoads.create();
-	loads.assign('e1', promptOf('s', 'a'), 1, 0);
+	loads.assign('e1', promptOf('s', 'a'), speed, 0);
 	loads.forget('e1');
-	t.equal(loads.estimate('e1', promptOf('s', 'b'), 1, 0).firstMs, 110);
+	t.equal(loads.estimate('e1', promptOf('s', 'b'), speed, 0).firstMs, 110);
 });
--- a/src/routing/common/engine-loads.ts
+++ b/src/routing/common/engine-loads.ts
@@ -7,13 +7,11 @@
 /** A part of a prompt; its key covers the parts before it, since a part is kept only behind the same ones. */
 export type PromptPart = {readonly key: number; readonly tokens: number};
 
-/** Tokens of a prompt an engine reads in a millisecond: what the users' sheets say of all their engines. */
-const tokensPerMs = 61;
 /**
-What reading a shared part again counts for, in milliseconds a token: again 13,000 tokens cost a third of
-what the dearest requests earn, as much as a wait of 400 ms that makes one in three of them late.
+How often the time of reading a shared part again counts besides the reading itself: it holds up what is read
+after it, and takes memory from parts that others share.
 */
-const rereadMsPerToken = 0.03;
+const rereadFactor = 1.8;
 /** After this long a part counts as kept only by luck, and reading it again is not priced any more. */
 const keptMs = 60_000;
 const mostParts = 30_000;
@@ -32,8 +30,18 @@
 	});
 }
 
+/** How fast an engine reads. */
+export type EngineSpeed = {
+	/** Time a token takes on an engine of usual speed; 0 where it is not known yet. */
+	readonly msPerToken: number;
+	/** Of this engine; 1 is usual. */
+	readonly slowness: number;
+};
+
 /** What sending a prompt to an engine would mean. */
 export type PromptEstimate = {
+	/** Tokens to read until the first token comes, those of earlier prompts included. */
+	readonly tokens: number;
 	/** Until the first token, about. */
 	readonly firstMs: number;
 	/** The same with what reading shared parts again costs. */
@@ -55,11 +63,11 @@
 	A prompt was sent to an engine, by this host or a peer.
 	@param serverId - the engine.
 	@param prompt - its parts.
-	@param slowness - of the engine; 1 is usual.
+	@param speed - of the engine.
 	@param nowMs - the time.
 	*/
-	assign(serverId: string, prompt: readonly PromptPart[], slowness: number, nowMs: number): void {
-		const readMs = (this.unreadTokens(serverId, prompt, nowMs) / tokensPerMs) * slowness;
+	assign(serverId: string, prompt: readonly PromptPart[], speed: EngineSpeed, nowMs: number): void {
+		const readMs = this.unreadTokens(serverId, prompt, nowMs) * speed.msPerToken * speed.slowness;
 		this.busyUntilMs.set(serverId, Math.max(nowMs, this.busyUntilMs.get(serverId) ?? 0) + readMs);
 		for (const {key} of prompt) {
 			const keepers = this.keepers.get(key) ?? new Map<string, number>();
@@ -78,29 +86,32 @@
 	Estimates what sending a prompt to an engine would mean.
 	@param serverId - the engine.
 	@param prompt - its parts.
-	@param slowness - of the engine.
+	@param speed - of the engine.
 	@param nowMs - the time.
 	*/
-	estimate(serverId: string, prompt: readonly PromptPart[], slowness: number, nowMs: number): PromptEstimate {
+	estimate(serverId: string, prompt: readonly PromptPart[], speed: EngineSpeed, nowMs: number): PromptEstimate {
+		const {msPerToken, slowness} = speed;
 		const unread = this.unreadTokens(serverId, prompt, nowMs);
 		const waitMs = Math.max(0, (this.busyUntilMs.get(serverId) ?? 0) - nowMs);
-		const firstMs = waitMs + ((unread / tokensPerMs) * slowness);
-		return {firstMs, scoreMs: firstMs + (this.rereadTokens(serverId, prompt, nowMs) * rereadMsPerToken)};
+		const waitTokens = msPerToken === 0 ? 0 : waitMs / (msPerToken * slowness);
+		const firstMs = waitMs + (unread * msPerToken * slowness);
+		const rereadMs = this.rereadTokens(serverId, prompt, nowMs) * msPerToken * rereadFactor;
+		return {tokens: waitTokens + unread, firstMs, scoreMs: firstMs + rereadMs};
 	}
 
 	/**
 	Orders engines for a prompt.
 	@param servers - the engines, in the order all hosts give them for this prompt.
 	@param prompt - its parts.
-	@param slownessOf - tells how slow an engine is.
+	@param speedOf - tells how fast an engine is.
 	@param nowMs - the time.
 	@returns the best one, or nothing where there are none.
 	*/
-	best<T extends {readonly upstreamId: string}>(servers: readonly T[], prompt: readonly PromptPart[], slownessOf: (server: T) => number, nowMs: number): T | undefined {
+	best<T extends {readonly upstreamId: string}>(servers: readonly T[], prompt: readonly PromptPart[], speedOf: (server: T) => EngineSpeed, nowMs: number): T | undefined {
 		let best: T | undefined;
 		let bestMs = Infinity;
 		for (const [index, server] of servers.entries()) {
-			const scoreMs = this.estimate(server.upstreamId, prompt, slownessOf(server), nowMs).scoreMs + (index * orderStepMs);
+			const scoreMs = this.estimate(server.upstreamId, prompt, speedOf(server), nowMs).scoreMs + (index * orderStepMs);
 			if (scoreMs < bestMs) {
 				bestMs = scoreMs;
 				best = server;
--- /dev/null
+++ b/src/routing/common/reading-speed.test.ts
@@ -0,0 +1,40 @@
+import t from 'tap';
+import {ReadingSpeed} from './reading-speed.js';
+
+const learn = (reading: ReadingSpeed, msPerToken: number, times: number): void => {
+	for (let index = 0; index < times; index++) {
+		const tokens = 400 + ((index * 997) % 4000);
+		reading.observe(tokens, 30 + (tokens * msPerToken));
+	}
+};
+
+t.test('the speed of engines is learned from nothing, whatever it is', async t => {
+	for (const msPerToken of [0.005, 0.0164, 0.031, 0.2]) {
+		const reading = ReadingSpeed.create();
+		t.equal(reading.msPerToken, 0, 'nothing is assumed');
+		learn(reading, msPerToken, 60);
+		t.ok(Math.abs(reading.msPerToken - msPerToken) < msPerToken * 0.15, `${reading.msPerToken} of ${msPerToken}`);
+	}
+});
+
+t.test('a slow engine among sound ones moves it little; a change of all is followed', async t => {
+	const reading = ReadingSpeed.create();
+	learn(reading, 0.02, 60);
+	for (let index = 0; index < 100; index++) {
+		reading.observe(3000, index % 8 === 0 ? 600 : 90);
+	}
+
+	t.ok(reading.msPerToken < 0.025, `${reading.msPerToken}`);
+	learn(reading, 0.04, 200);
+	t.ok(reading.msPerToken > 0.034, `${reading.msPerToken}`);
+});
+
+t.test('short prompts tell what a first token takes besides reading', async t => {
+	const reading = ReadingSpeed.create();
+	learn(reading, 0.02, 60);
+	for (let index = 0; index < 200; index++) {
+		reading.observe(50, 81);
+	}
+
+	t.ok(Math.abs(reading.overheadMs - 80) < 12, `${reading.overheadMs}`);
+});
--- a/src/routing/common/upstream-stats.ts
+++ b/src/routing/common/upstream-stats.ts
@@ -49,14 +49,31 @@
 	@param isFailure - whether the upstream failed.
 	*/
 	observeEnd(runMs: number, usualMs: number, isFailure: boolean): void {
-		this.errorShare += smoothing * ((isFailure ? 1 : 0) - this.errorShare);
-		this.consecutiveFailures = isFailure ? this.consecutiveFailures + 1 : 0;
+		this.observeOutcome(isFailure);
 		if (!isFailure) {
-			const ratio = runMs / Math.max(1, usualMs);
-			this.slowness = this.slowness === undefined ? ratio : this.slowness + (smoothing * (ratio - this.slowness));
+			this.observeTime(runMs, usualMs);
 		}
 	}
 
+	/**
+	A call ended well or badly.
+	@param isFailure - whether the upstream failed.
+	*/
+	observeOutcome(isFailure: boolean): void {
+		this.errorShare += smoothing * ((isFailure ? 1 : 0) - this.errorShare);
+		this.consecutiveFailures = isFailure ? this.consecutiveFailures + 1 : 0;
+	}
+
+	/**
+	A call took its time, whether it has ended or not.
+	@param tookMs - what is compared: its whole time, or that to its first token.
+	@param usualMs - the same as it usually is.
+	*/
+	observeTime(tookMs: number, usualMs: number): void {
+		const ratio = tookMs / Math.max(1, usualMs);
+		this.slowness = this.slowness === undefined ? ratio : this.slowness + (smoothing * (ratio - this.slowness));
+	}
+
 	/**
 	Estimates how many answer times a call sent now would wait.
 	@param usualSlots - calls run at once where the upstream does not say.
