--- a/src/preparation/common/batch-machine.test.ts
+++ b/src/preparation/common/batch-machine.test.ts
@@ -37,15 +37,15 @@
 	t.equal(namesOf(machine.nextCalls([server('s')], capacity, 140)[0]), 'late0 late1');
 });
 
-t.test('a first step past its time gives way, but not for ever; a later step keeps its place', async t => {
-	const machine = BatchMachine.create();
-	machine.add(workOf('overdue', 4, {dueMs: 100, lateDueMs: 1500}), 0);
-	machine.add(workOf('fresh', 4, {dueMs: 1000}), 0);
-	t.equal(namesOf(machine.nextCalls([server('s')], capacity, 200)[0]).slice(0, 5), 'fresh');
-	const later = BatchMachine.create();
-	later.add(workOf('fresh', 4, {dueMs: 1000}), 0);
-	later.add(workOf('overdue', 4, {dueMs: 100, inputs: ['x']}), 0);
-	t.equal(namesOf(later.nextCalls([server('s')], capacity, 200)[0]).slice(0, 7), 'overdue');
+t.test('a step past its time gives way, be it the first or a later one, but not for ever', async t => {
+	for (const inputs of [undefined, ['x']]) {
+		const machine = BatchMachine.create();
+		machine.add(workOf('overdue', 4, {dueMs: 100, lateDueMs: 1500, inputs}), 0);
+		machine.add(workOf('fresh', 4, {dueMs: 1000}), 0);
+		t.equal(namesOf(machine.nextCalls([server('s')], capacity, 200)[0]).slice(0, 5), 'fresh');
+		machine.add(workOf('new', 4, {dueMs: 1600}), 600);
+		t.equal(namesOf(machine.nextCalls([server('t')], capacity, 600)[0]).slice(0, 7), 'overdue');
+	}
 });
 
 t.test('rank goes before a little time, not before more', async t => {
--- a/src/preparation/common/batch-machine.ts
+++ b/src/preparation/common/batch-machine.ts
@@ -448,10 +448,11 @@
 }
 
 /**
-What can still be in time goes first, by the time it has left. A first step that can't gives way, but not
-until its caller has left; a later one keeps its place, since its inputs take room that others wait for.
+What can still be in time goes first, by the time it has left. A step that can't gives way until its caller is
+about to leave, whether it is the first or a later one: when later ones kept their place, a queue that was once
+late stayed so, and all that came after was late as well.
 */
 function urgencyOf({work}: BatchPiece, nowMs: number): number {
-	const {dueMs, lateDueMs, rank, inputs} = work;
-	return (nowMs <= dueMs || inputs ? dueMs : lateDueMs) + (rank * rankPenaltyMs);
+	const {dueMs, lateDueMs, rank} = work;
+	return (nowMs <= dueMs ? dueMs : lateDueMs) + (rank * rankPenaltyMs);
 }
