--- a/src/direct/common/direct-router.ts
+++ b/src/direct/common/direct-router.ts
@@ -9,6 +9,7 @@
 } from '../../routing/common/chooser.js';
 import {medianSlownessOf, OutlierDetector, type OutlierOptions} from '../../routing/common/outlier-detector.js';
 import type {EngineLoads, EngineSpeed, PromptPart} from '../../routing/common/engine-loads.js';
+import {crossingCostMs} from '../../routing/common/hall-cost.js';
 import {ReadingSpeed} from '../../routing/common/reading-speed.js';
 import {rendezvousOrder} from '../../routing/common/rendezvous.js';
 import {ServerSigns} from '../../routing/common/server-signs.js';
@@ -258,7 +259,7 @@
 	}
 
 	/** The engine that gives the first token soonest, with what it costs to read shared parts again. */
-	private chooseByPrompt({prompt, pool}: StagePlan, candidates: readonly Candidate[], nowMs: number): Candidate | undefined {
+	private chooseByPrompt({prompt, pool, inputBytesByHall}: StagePlan, candidates: readonly Candidate[], nowMs: number): Candidate | undefined {
 		if (!prompt) {
 			return undefined;
 		}
@@ -266,7 +267,15 @@
 		// What other requests may share comes before the last part.
 		const shared = prompt.at(-2) ?? prompt[0];
 		const ordered = rendezvousOrder(String(shared.key), candidates, candidate => candidate.upstreamId);
-		return this.options.engines.best(ordered, prompt, candidate => this.speedOf(pool, candidate), nowMs);
+		let inputBytes = 0;
+		for (const bytes of inputBytesByHall?.values() ?? []) {
+			inputBytes += bytes;
+		}
+
+		return this.options.engines.best(ordered, prompt, {
+			speedOf: candidate => this.speedOf(pool, candidate),
+			extraMsOf: ({hall}) => crossingCostMs(inputBytes - (inputBytesByHall?.get(hall) ?? 0)),
+		}, nowMs);
 	}
 
 	private speedOf(pool: string, {stats}: Candidate): EngineSpeed {
--- a/src/preparation/common/batch-machine.ts
+++ b/src/preparation/common/batch-machine.ts
@@ -4,6 +4,7 @@
 */
 import type {BatchCapacity} from '../../deployment/common/declaration.js';
 import type {UpstreamServer} from '../../deployment/common/upstream-server.js';
+import {crossingCostMs} from '../../routing/common/hall-cost.js';
 import {Throughput} from './throughput.js';
 import {pieceFailures, type BatchWork, type PieceOutcome} from './work.js';
 
@@ -13,15 +14,8 @@
 on the fullest day; now that it does not, 250 serves all kinds better there.
 */
 const rankPenaltyMs = 250;
-/**
-How long a piece waits for an upstream in its own hall, for each megabyte that its step would otherwise
-fetch from another one. Measured on the first sites, where a crossing megabyte costs what a request of the
-least kind earns in 50 ms.
-*/
-const patienceMsPerMegabyte = 60;
 /** About as long as a full call takes, after which each upstream has been free once. */
 const longestPatienceMs = 300;
-const bytesPerMegabyte = 1_000_000;
 /** Wait told where no upstream is sound: until one is back, about. */
 const noServerMs = 2000;
 /** Time to the due time of a usual piece; it places work that is only thought of in the queue. */
@@ -355,9 +349,11 @@
 	private take(server: UpstreamServer, capacity: BatchCapacity, halls: ReadonlySet<string>, nowMs: number): BatchPiece[] {
 		let roomBytes = (capacity.roomBytes * usedRoomShare) - this.keptBytes(server, nowMs);
 		const taken = new Set<BatchPiece>();
-		for (const items of groupByWork(this.waiting)) {
+		const isElsewhere = ({hall}: BatchWork) => hall !== server.hall && halls.has(hall);
+		const keyOf = ([item]: readonly BatchPiece[]) => urgencyOf(item, nowMs) + (isElsewhere(item.work) ? crossingMsOf(item.work) : 0);
+		for (const items of groupByWork(this.waiting).toSorted((left, right) => keyOf(left) - keyOf(right))) {
 			const [{work}] = items;
-			const mayGo = work.hall === server.hall || !halls.has(work.hall) || items.every(item => !isPatient(item, nowMs));
+			const mayGo = !isElsewhere(work) || items.every(item => !isPatient(item, nowMs));
 			const fitting = Math.min(items.length, capacity.batchSize - taken.size, Math.floor(roomBytes / Math.max(1, work.resultBytes)));
 			// A step that is worked on in parts keeps room for results that nobody can read yet.
 			if (mayGo && fitting > 0 && (fitting === items.length || taken.size === 0)) {
@@ -438,10 +434,14 @@
 	return [...groups.values()];
 }
 
+/** What it counts for that a step is worked on in another hall than where its inputs lie or its results are wanted. */
+function crossingMsOf({crossingBytes, pieces}: BatchWork): number {
+	return crossingCostMs(crossingBytes * pieces.length);
+}
+
 /** Whether a piece had better wait for an upstream in its own hall. */
 function isPatient({work, readyMs}: BatchPiece, nowMs: number): boolean {
-	const stepBytes = work.crossingBytes * work.pieces.length;
-	const patienceMs = Math.min(longestPatienceMs, (stepBytes / bytesPerMegabyte) * patienceMsPerMegabyte);
+	const patienceMs = Math.min(longestPatienceMs, crossingMsOf(work));
 	// What is late already loses nothing by waiting; what is still in time must not become late by it.
 	const untilMs = readyMs + patienceMs;
 	return nowMs < (readyMs < work.dueMs ? Math.min(untilMs, work.dueMs) : untilMs);
--- a/src/preparation/common/preparation.ts
+++ b/src/preparation/common/preparation.ts
@@ -45,6 +45,13 @@
 		return this.steps.flatMap((step, index) => this.isLast(index) && !step.isSpent ? present(step) : []);
 	}
 
+	/** The same results, each with its upstream and its size. */
+	finalSizes(): Array<{readonly serverId: string; readonly bytes: number}> {
+		return this.steps.flatMap((step, index) => this.isLast(index) && !step.isSpent
+			? present(step).map(({serverId}) => ({serverId, bytes: step.declared.resultBytes}))
+			: []);
+	}
+
 	/** Every result that is kept somewhere. */
 	get allRefs(): ResultRef[] {
 		return this.steps.flatMap(step => step.isSpent ? [] : present(step));
--- a/src/preparation/common/work.ts
+++ b/src/preparation/common/work.ts
@@ -50,6 +50,6 @@
 	readonly deadlineMs: number;
 	/** Data hall where the inputs lie or the results are wanted; empty where it does not matter. */
 	readonly hall: string;
-	/** Bytes that cross between halls if a piece is worked on in another one. */
+	/** Bytes that cross between halls if a piece is worked on in another one: each piece fetches all it reads. */
 	readonly crossingBytes: number;
 };
--- a/src/preparation/node/preparer.test.ts
+++ b/src/preparation/node/preparer.test.ts
@@ -15,6 +15,9 @@
 	maxAttempts: 1, steps: [{pool: 'a', after: [], resultBytes: 10}, {pool: 'b', after: [0], resultBytes: 10}], isPublic: false, hasAffinity: false, isResumable: false,
 };
 
+/** What a request reads whose last step made one result of ten bytes in hall x. */
+const inputsOf = (handle: string) => ({ok: true, value: {handles: [handle], bytesByHall: new Map([['x', 10]])}});
+
 function makePreparer(submit: (work: BatchWork, taker: EndsTaker) => void, released: ResultRef[] = [], clock: Clock = ManualClock.create()): Preparer {
 	const desk: WorkTaker = {
 		submit,
@@ -57,7 +60,7 @@
 			taker(piece, isFailing ? {ok: false, reason: pieceFailures.failed} : {ok: true, ref: {handle: `${work.pool}${piece}`, serverId: work.pool}});
 		}
 	}, [], SystemClock.create());
-	t.same(await preparer.run(false), {ok: true, value: ['b0']});
+	t.same(await preparer.run(false), inputsOf('b0'));
 	t.same(works, ['a:0,1', 'a:0,1', 'a:0,1', 'a:0,1', 'a:0,1', 'a:0,1', 'a:0,1', 'b:0']);
 });
 
@@ -68,7 +71,7 @@
 			taker(piece, {ok: true, ref: {handle: `${work.pool}${piece}`, serverId: work.pool}});
 		}
 	}, released);
-	t.same(await preparer.run(false), {ok: true, value: ['b0']});
+	t.same(await preparer.run(false), inputsOf('b0'));
 	t.same(released.map(({handle}) => handle), ['a0', 'a1']);
 	preparer.end();
 	t.same(released.map(({handle}) => handle), ['a0', 'a1', 'b0']);
@@ -83,7 +86,7 @@
 		}
 	});
 	await preparer.run(false);
-	t.same(await preparer.run(true), {ok: true, value: ['b0#4']});
+	t.same(await preparer.run(true), inputsOf('b0#4'));
 	t.same(works, ['a:0,1', 'b:0', 'a:0,1', 'b:0']);
 });
 
@@ -104,7 +107,7 @@
 	t.same(released, [], 'not before it can have fetched them');
 	clock.advance(50);
 	t.same(released.map(({handle}) => handle), ['b0#2']);
-	t.same(await preparer.run(true), {ok: true, value: ['b0#4']});
+	t.same(await preparer.run(true), inputsOf('b0#4'));
 	t.same(works, ['a', 'b', 'a', 'b']);
 	preparer.end();
 	t.same(released.map(({handle}) => handle), ['b0#2', 'a0#3', 'a1#3', 'b0#4'], 'each once');
--- a/src/preparation/node/preparer.ts
+++ b/src/preparation/node/preparer.ts
@@ -6,7 +6,7 @@
 import type {Route} from '../../deployment/common/declaration.js';
 import type {DeploymentBoard} from '../../deployment/common/deployment-board.js';
 import type {ServerRegistry} from '../../deployment/common/server-registry.js';
-import {failureCodes, type PreparationFailure} from '../../request/common/request-plan.js';
+import {failureCodes, type PreparationFailure, type PreparedInputs} from '../../request/common/request-plan.js';
 import {fetchTimeMs} from '../common/fetch-time.js';
 import {Preparation} from '../common/preparation.js';
 import {
@@ -47,7 +47,7 @@
 	readonly log: Logger;
 };
 
-type Result = Outcome<readonly string[], PreparationFailure>;
+type Result = Outcome<PreparedInputs, PreparationFailure>;
 
 /** The work before one request. */
 export class Preparer {
@@ -77,7 +77,7 @@
 	/**
 	Does the work, or what of it was lost.
 	@param isAgain - whether the request found results lost that were made before.
-	@returns names of the results that the request reads.
+	@returns the results that the request reads.
 	*/
 	async run(isAgain: boolean): Promise<Result> {
 		if (isAgain) {
@@ -128,10 +128,23 @@
 		}
 
 		if (this.preparation.isComplete) {
-			this.finish(ok(this.preparation.finalRefs.map(ref => ref.handle)));
+			this.finish(ok({handles: this.preparation.finalRefs.map(ref => ref.handle), bytesByHall: this.finalBytesByHall()}));
 		}
 	}
 
+	/** Where the results lie that the request reads, and how much of them. */
+	private finalBytesByHall(): ReadonlyMap<string, number> {
+		const bytesByHall = new Map<string, number>();
+		for (const {serverId, bytes} of this.preparation.finalSizes()) {
+			const hall = this.options.registry.get(serverId)?.hall;
+			if (hall !== undefined) {
+				bytesByHall.set(hall, (bytesByHall.get(hall) ?? 0) + bytes);
+			}
+		}
+
+		return bytesByHall;
+	}
+
 	private submit(work: StepWork): void {
 		this.workCount++;
 		const workId = `${this.ask.requestId}/${this.workCount}`;
--- a/src/request/common/request-events.ts
+++ b/src/request/common/request-events.ts
@@ -3,7 +3,7 @@
 	ChunkMessage, DispatchMessage, EndMessage, RefusedMessage, StartedMessage,
 } from '../../wire/common/messages.js';
 import type {
-	HttpHead, PreparationFailure, RequestOutcome, RequestResult,
+	HttpHead, PreparationFailure, PreparedInputs, RequestOutcome, RequestResult,
 } from './request-plan.js';
 
 /** Something that happened to a request. */
@@ -11,7 +11,7 @@
 	= | {readonly type: 'start'}
 		| {readonly type: 'claimed'}
 		/** The work before the request is done. */
-		| {readonly type: 'prepared'; readonly inputs: readonly string[]}
+		| {readonly type: 'prepared'; readonly inputs: PreparedInputs}
 		| {readonly type: 'preparationFailed'; readonly failure: PreparationFailure}
 		| {readonly type: 'claimRefused'; readonly code: 'storeUnavailable' | 'duplicateRequest'; readonly message: string}
 	/** The dispatch was never written to a connection. */
--- a/src/request/common/request-machine.ts
+++ b/src/request/common/request-machine.ts
@@ -1,7 +1,7 @@
 /** The life of one request at its entry: events and time in, actions out; nothing else decides. */
 import type {RequestAction, RequestEvent} from './request-events.js';
 import {
-	failureCodes, outcomes, type FailureCode, type RequestOutcome, type RequestPlan, type RequestResult,
+	failureCodes, noInputs, outcomes, type FailureCode, type PreparedInputs, type RequestOutcome, type RequestPlan, type RequestResult,
 } from './request-plan.js';
 import type {RequestRouter} from './request-router.js';
 import {makeResult} from './request-result.js';
@@ -36,7 +36,7 @@
 	private proveByMs = Infinity;
 	private settleByMs = Infinity;
 	/** What the first stage reads besides its input: results of the work before it. */
-	private inputs: readonly string[] = [];
+	private inputs: PreparedInputs = noInputs;
 	private preparations = 0;
 
 	private constructor(readonly plan: RequestPlan, private readonly router: RequestRouter) {}
@@ -184,8 +184,8 @@
 			plan,
 			router,
 			input,
-			inputs: index === 0 ? this.inputs : [],
-			stage: plan.stages[index],
+			inputs: index === 0 ? this.inputs : noInputs,
+			stage: index === 0 ? {...plan.stages[0], inputBytesByHall: this.inputs.bytesByHall} : plan.stages[index],
 			startByMs: latestMs - remainingMs,
 			isLast: index === plan.stages.length - 1,
 			startMs: nowMs,
--- a/src/request/common/request-plan.ts
+++ b/src/request/common/request-plan.ts
@@ -21,11 +21,22 @@
 	readonly targetMs?: number;
 	/** Parts of the prompt a model engine reads, where it says them. */
 	readonly prompt?: readonly PromptPart[];
+	/** Bytes of results that its upstream fetches before it runs, by the data hall where they lie. */
+	readonly inputBytesByHall?: ReadonlyMap<string, number>;
 };
 
 /** Status and headers of an answer. */
 export type HttpHead = {readonly status: number; readonly headers: readonly Header[]};
 
+/** Results that a request reads before it runs. */
+export type PreparedInputs = {
+	readonly handles: readonly string[];
+	/** Bytes that lie in each data hall, about. */
+	readonly bytesByHall: ReadonlyMap<string, number>;
+};
+
+export const noInputs: PreparedInputs = {handles: [], bytesByHall: new Map()};
+
 /** Why the work before a request could not be done. */
 export type PreparationFailure = {readonly code: FailureCode; readonly message: string; readonly retryAfterMs?: number};
 
--- a/src/request/common/stage-dispatch.ts
+++ b/src/request/common/stage-dispatch.ts
@@ -1,7 +1,7 @@
 /** The message that sends an attempt to an agent. */
 import type {DispatchMessage, UpstreamCall} from '../../wire/common/messages.js';
 import {creditWindow, type Attempt} from './attempt.js';
-import type {RequestPlan, StagePlan} from './request-plan.js';
+import type {PreparedInputs, RequestPlan, StagePlan} from './request-plan.js';
 
 /** What a dispatch is made of. */
 export type DispatchParts = {
@@ -9,7 +9,7 @@
 	readonly stage: StagePlan;
 	readonly input: Uint8Array;
 	/** Results of the work before the request. */
-	readonly inputs?: readonly string[];
+	readonly inputs?: PreparedInputs;
 	readonly startByMs: number;
 };
 
@@ -40,11 +40,11 @@
 	};
 }
 
-function callOf({plan, stage, input, inputs = []}: DispatchParts, attempt: Attempt): UpstreamCall {
+function callOf({plan, stage, input, inputs}: DispatchParts, attempt: Attempt): UpstreamCall {
 	const {policy} = stage;
 	if (stage.kind === 'http' && plan.http) {
 		const {offset} = attempt.options;
-		return {...plan.http, ...(inputs.length > 0 && {inputs: [...inputs]}), ...(offset > 0 && {resumeOffset: offset})};
+		return {...plan.http, ...(inputs && inputs.handles.length > 0 && {inputs: [...inputs.handles]}), ...(offset > 0 && {resumeOffset: offset})};
 	}
 
 	if (stage.kind === 'run') {
--- a/src/request/common/stage-run.ts
+++ b/src/request/common/stage-run.ts
@@ -6,7 +6,7 @@
 import {AttemptList} from './attempt-list.js';
 import type {RequestAction} from './request-events.js';
 import {
-	attemptStates, failureCodes, type AttemptState, type AttemptTrace, type FailureCode, type RequestPlan, type StagePlan, type StageTrace,
+	attemptStates, failureCodes, type AttemptState, type AttemptTrace, type FailureCode, type PreparedInputs, type RequestPlan, type StagePlan, type StageTrace,
 } from './request-plan.js';
 import type {RequestRouter} from './request-router.js';
 import {isTooLarge, StageAnswer} from './stage-answer.js';
@@ -30,7 +30,7 @@
 	readonly plan: RequestPlan;
 	readonly stage: StagePlan;
 	readonly input: Uint8Array;
-	readonly inputs?: readonly string[];
+	readonly inputs?: PreparedInputs;
 	readonly router: RequestRouter;
 	/** Latest time at which the stage may start on an upstream. */
 	readonly startByMs: number;
--- a/src/request/node/request-runner.ts
+++ b/src/request/node/request-runner.ts
@@ -5,8 +5,8 @@
 import type {ClaimRefusal, GrantedClaim} from '../common/claim-store.js';
 import type {RequestAction, RequestEvent} from '../common/request-events.js';
 import {RequestMachine} from '../common/request-machine.js';
-import type {
-	HttpHead, PreparationFailure, RequestOutcome, RequestPlan, RequestResult,
+import {
+	noInputs, type HttpHead, type PreparationFailure, type PreparedInputs, type RequestOutcome, type RequestPlan, type RequestResult,
 } from '../common/request-plan.js';
 import type {RequestRouter} from '../common/request-router.js';
 import type {UpstreamLinks, UpstreamMessage} from '../common/upstream-links.js';
@@ -21,7 +21,7 @@
 	Does the work that must be done before the request itself can run.
 	@param isAgain - whether results made before are lost.
 	*/
-	prepare?(isAgain: boolean): Promise<Outcome<readonly string[], PreparationFailure>>;
+	prepare?(isAgain: boolean): Promise<Outcome<PreparedInputs, PreparationFailure>>;
 	/**
 	Units for a streaming caller.
 	@param http - status and headers of the upstream whose answer this is.
@@ -216,7 +216,7 @@
 	}
 
 	private async prepare(running: Running, isAgain: boolean): Promise<void> {
-		const prepared = await running.hooks.prepare?.(isAgain) ?? ok([]);
+		const prepared = await running.hooks.prepare?.(isAgain) ?? ok(noInputs);
 		this.feed(running, prepared.ok
 			? {type: 'prepared', inputs: prepared.value}
 			: {type: 'preparationFailed', failure: prepared.error});
--- a/src/routing/common/engine-loads.test.ts
+++ b/src/routing/common/engine-loads.test.ts
@@ -4,7 +4,7 @@
 const engines = ['e1', 'e2', 'e3'].map(upstreamId => ({upstreamId}));
 /** 61 tokens a millisecond. */
 const speed = {msPerToken: 1 / 61, slowness: 1};
-const usual = () => speed;
+const usual = {speedOf: () => speed, extraMsOf: () => 0};
 const promptOf = (shared: string, own: string) => makePrompt([{id: shared, tokens: 6100}, {id: own, tokens: 610}]);
 
 t.test('the engine that keeps a shared part is taken again, also on another host that was told', async t => {
@@ -43,7 +43,10 @@
 	}
 
 	t.not(loads.best(engines, promptOf('s', 'b'), usual, 0)!.upstreamId, 'e1');
-	const slow = loads.best(engines, promptOf('new', 'b'), ({upstreamId}) => ({...speed, slowness: upstreamId === 'e3' ? 1 : 9}), 5000);
+	const slow = loads.best(engines, promptOf('new', 'b'), {
+		...usual,
+		speedOf: ({upstreamId}) => ({...speed, slowness: upstreamId === 'e3' ? 1 : 9}),
+	}, 5000);
 	t.equal(slow!.upstreamId, 'e3');
 });
 
@@ -53,3 +56,17 @@
 	loads.forget('e1');
 	t.equal(loads.estimate('e1', promptOf('s', 'b'), speed, 0).firstMs, 110);
 });
+
+t.test('bytes that would cross to an engine count against what it keeps and has to read', async t => {
+	const loads = EngineLoads.create();
+	const small = makePrompt([{id: 's', tokens: 60}, {id: 'a', tokens: 61}]);
+	loads.assign('e1', small, speed, 0);
+	const farFrom = (near: string, costMs: number) => ({
+		...usual,
+		extraMsOf: ({upstreamId}: {readonly upstreamId: string}) => upstreamId === near ? 0 : costMs,
+	});
+	t.equal(loads.best(engines, small, usual, 500)!.upstreamId, 'e1', 'it keeps the prompt');
+	t.equal(loads.best(engines, small, farFrom('e3', 90), 500)!.upstreamId, 'e3', 'much would cross');
+	loads.assign('e1', promptOf('big', 'a'), speed, 0);
+	t.equal(loads.best(engines, promptOf('big', 'b'), farFrom('e3', 90), 500)!.upstreamId, 'e1', 'more would be read again');
+});
--- a/src/routing/common/engine-loads.ts
+++ b/src/routing/common/engine-loads.ts
@@ -38,6 +38,14 @@
 	readonly slowness: number;
 };
 
+/** What a choice needs to know of engines. */
+export type EngineTraits<T> = {
+	/** Tells how fast an engine is. */
+	readonly speedOf: (server: T) => EngineSpeed;
+	/** Tells what taking an engine costs besides, as for bytes that cross to its hall. */
+	readonly extraMsOf: (server: T) => number;
+};
+
 /** What sending a prompt to an engine would mean. */
 export type PromptEstimate = {
 	/** Tokens to read until the first token comes, those of earlier prompts included. */
@@ -103,15 +111,15 @@
 	Orders engines for a prompt.
 	@param servers - the engines, in the order all hosts give them for this prompt.
 	@param prompt - its parts.
-	@param speedOf - tells how fast an engine is.
+	@param traits - of the engines.
 	@param nowMs - the time.
 	@returns the best one, or nothing where there are none.
 	*/
-	best<T extends {readonly upstreamId: string}>(servers: readonly T[], prompt: readonly PromptPart[], speedOf: (server: T) => EngineSpeed, nowMs: number): T | undefined {
+	best<T extends {readonly upstreamId: string}>(servers: readonly T[], prompt: readonly PromptPart[], traits: EngineTraits<T>, nowMs: number): T | undefined {
 		let best: T | undefined;
 		let bestMs = Infinity;
 		for (const [index, server] of servers.entries()) {
-			const scoreMs = this.estimate(server.upstreamId, prompt, speedOf(server), nowMs).scoreMs + (index * orderStepMs);
+			const scoreMs = this.estimate(server.upstreamId, prompt, traits.speedOf(server), nowMs).scoreMs + traits.extraMsOf(server) + (index * orderStepMs);
 			if (scoreMs < bestMs) {
 				bestMs = scoreMs;
 				best = server;
