--- a/src/daemon/node/compose-direct-entry.ts
+++ b/src/daemon/node/compose-direct-entry.ts
@@ -18,6 +18,7 @@
 import {PeerMesh, peerMeshToken} from '../../peers/node/peer-mesh.js';
 import {StateExchange} from '../../peers/node/state-exchange.js';
 import {BatchDesk, batchDeskToken} from '../../preparation/node/batch-desk.js';
+import {StepTimes} from '../../preparation/common/step-times.js';
 import {BatchPool} from '../../preparation/node/batch-pool.js';
 import {Preparer} from '../../preparation/node/preparer.js';
 import {RequestRunner} from '../../request/node/request-runner.js';
@@ -169,8 +170,9 @@
 		return get(deploymentBoardToken).current && get(serverRegistryToken).size > 0 ? undefined : 'this host does not know the declaration and the servers yet';
 	};
 
+	const stepTimes = StepTimes.create();
 	const preparerOptions = () => ({
-		desk: get(batchDeskToken), board: get(deploymentBoardToken), registry: get(serverRegistryToken), clock, log: logOf('preparation'),
+		stepTimes, desk: get(batchDeskToken), board: get(deploymentBoardToken), registry: get(serverRegistryToken), clock, log: logOf('preparation'),
 	});
 	register(ingressToken, () => lifecycle.register(Ingress.create({
 		board: get(deploymentBoardToken),
--- a/src/preparation/common/preparation.ts
+++ b/src/preparation/common/preparation.ts
@@ -86,6 +86,17 @@
 		return finals;
 	}
 
+	/**
+	Tells how long the steps behind one take, on the longest way.
+	@param index - the step; it does not count itself.
+	@param timeOf - tells how long a step of a pool takes.
+	*/
+	timeBehindMs(index: number, timeOf: (pool: string) => number): number {
+		const ways = this.steps.flatMap(({declared, results}, other) =>
+			declared.after.includes(index) && results.length > 0 ? [timeOf(declared.pool) + this.timeBehindMs(other, timeOf)] : []);
+		return Math.max(0, ...ways);
+	}
+
 	/** Steps that are still to come behind a step, the step itself included, on the longest way. */
 	stepsLeft(index: number): number {
 		const behind = this.steps.flatMap(({declared, results}, other) =>
--- a/src/preparation/node/preparer.test.ts
+++ b/src/preparation/node/preparer.test.ts
@@ -6,6 +6,7 @@
 import {DeploymentBoard} from '../../deployment/common/deployment-board.js';
 import {ServerRegistry} from '../../deployment/common/server-registry.js';
 import {pieceFailures, type BatchWork, type ResultRef} from '../common/work.js';
+import {StepTimes} from '../common/step-times.js';
 import type {EndsTaker, WorkTaker} from './batch-desk.js';
 import {Preparer} from './preparer.js';
 
@@ -18,7 +19,7 @@
 /** What a request reads whose last step made one result of ten bytes in hall x. */
 const inputsOf = (handle: string) => ({ok: true, value: {handles: [handle], bytesByHall: new Map([['x', 10]])}});
 
-function makePreparer(submit: (work: BatchWork, taker: EndsTaker) => void, released: ResultRef[] = [], clock: Clock = ManualClock.create()): Preparer {
+function makePreparer(submit: (work: BatchWork, taker: EndsTaker) => void, released: ResultRef[] = [], clock: Clock = ManualClock.create(), stepTimes = StepTimes.create()): Preparer {
 	const desk: WorkTaker = {
 		submit,
 		cancel: () => undefined,
@@ -32,7 +33,7 @@
 		serverId: pool, pool, address: '127.0.0.1', port: 1, hall: 'x', slots: 1, isLeaving: false,
 	})), [], 1, 0);
 	return Preparer.create({
-		desk, board: DeploymentBoard.create(log), registry, clock, log,
+		desk, board: DeploymentBoard.create(log), registry, clock, log, stepTimes,
 	}, {
 		requestId: 'r', callerRequestId: 'r', route, pieceCounts: [2, 1], pieceKey: 'k', rank: 0, targetMs: 1000, deadlineMs: 5000, hall: '', afterwardsMs: 100,
 	});
@@ -112,3 +113,18 @@
 	preparer.end();
 	t.same(released.map(({handle}) => handle), ['b0#2', 'a0#3', 'a1#3', 'b0#4'], 'each once');
 });
+
+t.test('a step is due early enough for what the steps behind it were seen to take', async t => {
+	const dueMs: number[] = [];
+	const stepTimes = StepTimes.create();
+	const start = () => {
+		void makePreparer(work => {
+			dueMs.push(work.dueMs);
+		}, [], ManualClock.create(), stepTimes).run(false);
+	};
+
+	start();
+	stepTimes.record('b', 350);
+	start();
+	t.same(dueMs, [900, 550], 'nothing is declared of a call; 100 ms are left for the model');
+});
--- a/src/preparation/node/preparer.ts
+++ b/src/preparation/node/preparer.ts
@@ -12,6 +12,7 @@
 import {
 	pieceFailures, type BatchWork, type PieceOutcome, type ResultRef, type StepWork,
 } from '../common/work.js';
+import type {StepTimes} from '../common/step-times.js';
 import type {WorkTaker} from './batch-desk.js';
 
 /** Pieces of one request that may fail before the request is given up. */
@@ -45,6 +46,8 @@
 	readonly registry: ServerRegistry;
 	readonly clock: Clock;
 	readonly log: Logger;
+	/** Times of the steps of all requests of this host. */
+	readonly stepTimes: StepTimes;
 };
 
 type Result = Outcome<PreparedInputs, PreparationFailure>;
@@ -150,10 +153,16 @@
 		const workId = `${this.ask.requestId}/${this.workCount}`;
 		this.openWorks.add(workId);
 		let open = work.pieces.length;
-		this.options.desk.submit(this.batchWorkOf(work, workId), (piece, outcome) => {
+		const {desk, clock, stepTimes} = this.options;
+		const submittedMs = clock.nowMs();
+		const batchWork = this.batchWorkOf(work, workId);
+		desk.submit(batchWork, (piece, outcome) => {
 			open--;
 			if (open === 0) {
 				this.openWorks.delete(workId);
+				if (outcome.ok && submittedMs < batchWork.dueMs) {
+					stepTimes.record(batchWork.pool, clock.nowMs() - submittedMs);
+				}
 			}
 
 			this.ended(work.step, piece, outcome);
@@ -164,7 +173,8 @@
 	private batchWorkOf(work: StepWork, workId: string): BatchWork {
 		const {ask} = this;
 		const step = ask.route.steps[work.step];
-		const dueMs = ask.targetMs - ask.afterwardsMs - this.laterStepsMs(work.step);
+		const behindMs = this.preparation.timeBehindMs(work.step, pool => this.options.stepTimes.usualMs(pool) ?? this.callMs(pool));
+		const dueMs = ask.targetMs - ask.afterwardsMs - this.callMs(step.pool) - behindMs;
 		return {
 			...work,
 			workId,
@@ -198,12 +208,10 @@
 		return {hall, crossingBytes: this.preparation.inputBytes(index)};
 	}
 
-	/** Time of a call of this step and of those behind it. */
-	private laterStepsMs(index: number): number {
-		const {ask, options} = this;
-		const batch = options.board.current?.pool(ask.route.steps[index].pool)?.batch;
-		const callMs = batch ? batch.callMs + (batch.itemMs * batch.batchSize / 2) : 0;
-		return this.preparation.stepsLeft(index) * callMs;
+	/** Time of a half-full call of a pool, as declared. */
+	private callMs(pool: string): number {
+		const batch = this.options.board.current?.pool(pool)?.batch;
+		return batch ? batch.callMs + (batch.itemMs * batch.batchSize / 2) : 0;
 	}
 
 	private ended(index: number, piece: number, outcome: PieceOutcome): void {
