--- a/src/preparation/common/batch-machine.test.ts
+++ b/src/preparation/common/batch-machine.test.ts
@@ -151,3 +151,26 @@
 	t.match(machine.sweep(() => true, 100), [{piece: 0, outcome: {ok: false, reason: 'late'}}]);
 	t.equal(machine.waitingCount, 0);
 });
+
+t.test('room taken by results that nobody here knows is found out piece by piece, and small results still fit', async t => {
+	const machine = BatchMachine.create();
+	machine.add(workOf('big', 4, {resultBytes: 200}), 0);
+	const [first] = machine.nextCalls([server('s')], capacity, 0);
+	const refuse = (call: BatchCall, taken: number): PieceOutcome[] => allDone(call).map((outcome, index) =>
+		index < taken ? outcome : {ok: false, reason: pieceFailures.noRoom});
+	machine.answered(first, refuse(first, 1), capacity, 140);
+	machine.released('s', ['1-0']);
+	machine.add(workOf('small', 2, {dueMs: 300}), 150);
+	t.equal(namesOf(machine.nextCalls([server('s')], capacity, 150)[0]).slice(0, 13), 'small0 small1', 'room for less than was refused is used');
+	const small = BatchMachine.create();
+	small.add(workOf('big', 1, {resultBytes: 200}), 0);
+	small.add(workOf('next', 2, {resultBytes: 200}), 0);
+	const [call] = small.nextCalls([server('s')], capacity, 0);
+	small.answered(call, refuse(call, 0), capacity, 100);
+	t.equal(small.nextCalls([server('s')], capacity, 200).length, 0, 'left alone for about a call');
+	const [tried] = small.nextCalls([server('s')], capacity, 360);
+	t.equal(tried.pieces.length, 1, 'then tried with one');
+	small.answered(tried, allDone(tried), capacity, 470);
+	small.released('s', [`${tried.callId}-0`]);
+	t.equal(small.nextCalls([server('s')], capacity, 470)[0].pieces.length, 2, 'and with more once there was room');
+});
--- a/src/preparation/common/batch-machine.ts
+++ b/src/preparation/common/batch-machine.ts
@@ -35,10 +35,14 @@
 const longestAvoidMs = 2000;
 /** Share of an upstream's room for results that is used: its own count may be ahead of ours. */
 const usedRoomShare = 0.95;
-/** How long room that something unknown takes counts as taken before it is tried again: about a call. */
-const unknownRoomMs = 250;
+/** Part of the room taken by something unknown that is believed to be there still after a call that found enough. */
+const unknownRoomKept = 0.5;
+/** After this long, about a call, an upstream without room is tried again with one result of the size it refused. */
+const roomTryMs = 250;
 /** Stands for results that other hosts, or this one before a restart, had made. */
 const unknownResults = '';
+/** Stands for the room of one refused result until it is tried again. */
+const refusedResult = ' ';
 /** A call is given up after this many times its expected time, and a margin for the network. */
 const giveUpFactor = 6;
 const giveUpMarginMs = 500;
@@ -314,20 +318,34 @@
 		return (ahead / perMs) + ((turnShare * fullCallMs) / sound.length);
 	}
 
-	/** An upstream without room keeps results that this host knows nothing of: they count for a while. */
+	/**
+	An upstream without room keeps results that this host knows nothing of, as those from before a restart: they
+	count until they must have been dropped. After a while one result of the refused size is tried.
+	*/
 	private learnRoom(call: BatchCall, outcomes: readonly PieceOutcome[], capacity: BatchCapacity, nowMs: number): void {
-		if (!outcomes.some(outcome => !outcome.ok && outcome.reason === pieceFailures.noRoom)) {
-			return;
-		}
-
 		const state = this.stateOf(call.server);
 		let newBytes = 0;
+		let triedBytes = Infinity;
 		for (const [index, {work}] of call.pieces.entries()) {
-			newBytes += outcomes[index].ok ? work.resultBytes : 0;
+			const outcome = outcomes[index];
+			if (outcome.ok) {
+				newBytes += work.resultBytes;
+			} else if (outcome.reason === pieceFailures.noRoom) {
+				triedBytes = Math.min(triedBytes, work.resultBytes);
+			}
 		}
 
-		const unknownBytes = (capacity.roomBytes * usedRoomShare) - sumOfKept(state, nowMs) - newBytes;
-		state.kept.set(unknownResults, {bytes: Math.max(0, unknownBytes), untilMs: nowMs + unknownRoomMs});
+		const unknown = state.kept.get(unknownResults);
+		if (triedBytes < Infinity) {
+			state.kept.delete(unknownResults);
+			state.kept.delete(refusedResult);
+			const knownBytes = sumOfKept(state, nowMs);
+			const unknownBytes = (capacity.roomBytes * usedRoomShare) - knownBytes - newBytes - triedBytes;
+			state.kept.set(unknownResults, {bytes: Math.max(0, unknownBytes), untilMs: nowMs + capacity.resultTtlMs});
+			state.kept.set(refusedResult, {bytes: triedBytes, untilMs: nowMs + roomTryMs});
+		} else if (unknown && newBytes > 0) {
+			state.kept.set(unknownResults, {bytes: unknown.bytes * unknownRoomKept, untilMs: unknown.untilMs});
+		}
 	}
 
 	private callTo(server: UpstreamServer, capacity: BatchCapacity, halls: ReadonlySet<string>, nowMs: number): BatchCall | undefined {
