--- a/src/request/common/request-machine.test.ts
+++ b/src/request/common/request-machine.test.ts
@@ -1,10 +1,10 @@
 import t from 'tap';
 import {UpstreamStats} from '../../routing/common/upstream-stats.js';
 import {policyDefaults, type EffectivePolicy} from '../../settings/common/schema.js';
-import {agentRules} from './attempt-rules.js';
+import {agentRules, directRules} from './attempt-rules.js';
 import type {RequestAction} from './request-events.js';
 import {RequestMachine} from './request-machine.js';
-import type {RequestPlan} from './request-plan.js';
+import {noInputs, type RequestPlan} from './request-plan.js';
 import type {RequestRouter} from './request-router.js';
 
 const upstreams = ['u1', 'u2', 'u3'];
@@ -94,3 +94,28 @@
 		type: 'end', dispatchId: 'd0', state: 'completed', units: 0, digest: 0, runMs: 5,
 	}, 1200), [{type: 'finish', result: {outcome: 'completed', isLate: true}}, {type: 'close'}]);
 });
+
+t.test('a send after results were made again is a repeat: paid for, and not counted as another first send', async t => {
+	for (const isWithinBudget of [true, false]) {
+		const kinds: string[] = [];
+		let asked = 0;
+		const machine = RequestMachine.create(planWith({needsPreparation: true, rules: directRules}), routerWith({
+			mayRetry() {
+				asked++;
+				return isWithinBudget;
+			},
+			didDispatch(_stage, attempt) {
+				kinds.push(attempt.options.kind);
+			},
+		}));
+		machine.handle({type: 'start'}, 0);
+		machine.handle({type: 'prepared', inputs: noInputs}, 10);
+		const after = typesOf(machine.handle({type: 'refused', dispatchId: 'd0', reason: 'inputsGone'}, 20));
+		t.equal(asked, 1);
+		t.same(after, isWithinBudget ? ['prepare'] : ['finish', 'close']);
+		if (isWithinBudget) {
+			machine.handle({type: 'prepared', inputs: noInputs}, 30);
+			t.same(kinds, ['first', 'retry']);
+		}
+	}
+});
--- a/src/request/common/request-machine.ts
+++ b/src/request/common/request-machine.ts
@@ -188,6 +188,7 @@
 			stage: index === 0 ? {...plan.stages[0], inputBytesByHall: this.inputs.bytesByHall} : plan.stages[index],
 			startByMs: latestMs - remainingMs,
 			isLast: index === plan.stages.length - 1,
+			isRepeat: index === 0 && this.preparations > 1,
 			startMs: nowMs,
 			emit: action => {
 				this.actions.push(action);
@@ -273,6 +274,8 @@
 	private prepareAgain(run: StageRun, nowMs: number): void {
 		if (this.preparations >= mostPreparations) {
 			this.finishWith(failureCodes.preparationFailed, 'results of the work before the request were lost again and again', nowMs);
+		} else if (this.plan.rules.paysForRefusals && !this.router.mayRetry(this.plan.stages[0], nowMs)) {
+			this.finishWith(failureCodes.overloaded, 'results of the work before the request were lost; the retry budget is spent', nowMs);
 		} else {
 			this.runs.remove(run);
 			this.prepareOrBegin(nowMs);
--- a/src/request/common/stage-run.ts
+++ b/src/request/common/stage-run.ts
@@ -35,6 +35,8 @@
 	/** Latest time at which the stage may start on an upstream. */
 	readonly startByMs: number;
 	readonly isLast: boolean;
+	/** Whether the stage was sent before, as when results it was to read were lost: its first send is a repeat then. */
+	readonly isRepeat: boolean;
 	readonly emit: (action: RequestAction) => void;
 	readonly startMs: number;
 };
@@ -93,7 +95,7 @@
 	}
 
 	begin(nowMs: number): void {
-		this.dispatch('first', nowMs);
+		this.dispatch(this.firstKind, nowMs);
 	}
 
 	tick(nowMs: number): void {
@@ -257,6 +259,10 @@
 		this.isRecoveryOver = true;
 	}
 
+	private get firstKind(): AttemptTrace['kind'] {
+		return this.options.isRepeat ? 'retry' : 'first';
+	}
+
 	/** Whether units count as they come, and another attempt may go on behind the last of them. */
 	private get isIncremental(): boolean {
 		return this.stage.kind === 'generate' || (this.stage.kind === 'http' && this.options.plan.isStreaming);
@@ -386,7 +392,7 @@
 			const isOutOfTime = nowMs >= this.options.startByMs;
 			this.fail(isOutOfTime ? failureCodes.deadlineExceeded : failureCodes.noUpstream, 'no upstream became available');
 		} else {
-			this.dispatch(this.attempts.count === 0 ? 'first' : 'retry', nowMs);
+			this.dispatch(this.attempts.count === 0 ? this.firstKind : 'retry', nowMs);
 		}
 	}
 
