--- a/src/routing/common/windowed-budget.test.ts
+++ b/src/routing/common/windowed-budget.test.ts
@@ -18,6 +18,20 @@
 	t.equal(draw(1000), 17, 'a fifth of the first sends besides');
 	t.equal(draw(9000), 0);
 	hosts = 1;
-	t.ok(draw(9000) > 0, 'alone it has all of the slack');
-	t.ok(draw(21_000) > 0, 'a window later it is there again');
+	t.equal(draw(9000), 0, 'alone, but the others may have used their parts of the window');
+	t.equal(draw(21_000), 42, 'alone for a window it has all of the slack');
+});
+
+t.test('hosts that were there within the window still count: they may have used their part', async t => {
+	let hosts = 4;
+	const budget = WindowedBudget.create({ratio: 0, slack: 40, windowMs: 10_000}, () => hosts);
+	budget.countFirst(0);
+	hosts = 1;
+	let paid = 0;
+	while (budget.tryWithdraw(5000)) {
+		paid++;
+	}
+
+	t.equal(paid, 8, 'a quarter, less the margin');
+	t.ok(budget.tryWithdraw(20_000), 'alone for a whole window: all of it');
 });
--- a/src/routing/common/windowed-budget.ts
+++ b/src/routing/common/windowed-budget.ts
@@ -14,7 +14,7 @@
 /** Part of the bounds that is used: hosts count at different moments, and a send counts where it arrives. */
 const usedShare = 0.85;
 
-type Step = {readonly atMs: number; firsts: number; repeats: number};
+type Step = {readonly atMs: number; firsts: number; repeats: number; hosts: number};
 
 /** Counts first sends and repeats of one pool on this host. */
 export class WindowedBudget {
@@ -47,21 +47,24 @@
 	@returns whether they may be sent.
 	*/
 	tryWithdraw(nowMs: number, count = 1): boolean {
-		const step = this.stepAt(nowMs);
+		const current = this.stepAt(nowMs);
 		let firsts = 0;
 		let repeats = 0;
-		for (const {firsts: stepFirsts, repeats: stepRepeats} of this.steps) {
-			firsts += stepFirsts;
-			repeats += stepRepeats;
+		// Hosts that are cut off or have left may have used their part of the window.
+		let hosts = 1;
+		for (const step of this.steps) {
+			firsts += step.firsts;
+			repeats += step.repeats;
+			hosts = Math.max(hosts, step.hosts);
 		}
 
 		const {ratio, slack} = this.bounds;
-		const allowed = usedShare * ((ratio * firsts) + (slack / Math.max(1, this.hostCount())));
+		const allowed = usedShare * ((ratio * firsts) + (slack / hosts));
 		if (repeats + count > allowed) {
 			return false;
 		}
 
-		step.repeats += count;
+		current.repeats += count;
 		return true;
 	}
 
@@ -72,11 +75,15 @@
 		}
 
 		const last = this.steps.at(-1);
+		const hosts = this.hostCount();
 		if (last && nowMs < last.atMs + (windowMs / stepsPerWindow)) {
+			last.hosts = Math.max(last.hosts, hosts);
 			return last;
 		}
 
-		const step = {atMs: nowMs, firsts: 0, repeats: 0};
+		const step = {
+			atMs: nowMs, firsts: 0, repeats: 0, hosts,
+		};
 		this.steps.push(step);
 		return step;
 	}
