--- a/src/direct/node/ingress.ts
+++ b/src/direct/node/ingress.ts
@@ -259,7 +259,17 @@
 		const preparer = plan.needsPreparation ? this.preparerFor(arrival, plan, place) : undefined;
 		this.openIds.add(plan.requestId);
 		ServedRequest.create({
-			plan, ask, response, links, preparer, clock, log, metrics, isHead: request.method === 'HEAD', targetMs: arrival.route.targetMs,
+			plan,
+			ask,
+			response,
+			links,
+			preparer,
+			clock,
+			log,
+			metrics,
+			isHead: request.method === 'HEAD',
+			targetMs: arrival.route.targetMs,
+			sinceFirstTryMs: sinceFirstTryMs(arrival),
 			ended: () => {
 				this.openIds.delete(plan.requestId);
 			},
@@ -301,7 +311,13 @@
 
 		const {predictedMs, retryAfterMs} = admission;
 		log.info(requestLogMessages.refusedAtDoor, {
-			request: ask.requestId, route: route.name, rank, predictedMs: Math.round(predictedMs), targetMs: route.targetMs, retryAfterMs: Math.round(retryAfterMs),
+			request: ask.requestId,
+			route: route.name,
+			rank,
+			predictedMs: Math.round(predictedMs),
+			targetMs: route.targetMs,
+			retryAfterMs: Math.round(retryAfterMs),
+			sinceFirstTryMs: sinceFirstTryMs(arrival),
 		});
 		metrics.increment('requests.refusedAtDoor', 1, {route: route.name});
 		sendOwn(response, statuses.unavailable, 'Not run: the queues before it are too long', retryAfterMs);
@@ -335,6 +351,11 @@
 	}
 }
 
+/** How long ago its caller first asked, as far as the time it still has tells; 0 for a first try. */
+function sinceFirstTryMs({route, ask}: Recognized): number {
+	return ask.remainingMs === undefined ? 0 : Math.max(0, Math.round(route.timeoutMs - ask.remainingMs));
+}
+
 /** The workspace's rank goes first; among equals the route's decides. */
 function rankOf({workspace, route}: Recognized): number {
 	return (workspace?.rank ?? 0) + route.rank;
--- a/src/direct/node/served-request.ts
+++ b/src/direct/node/served-request.ts
@@ -25,6 +25,8 @@
 	readonly isHead: boolean;
 	/** Within this time the answer, or its first event, is worth most. */
 	readonly targetMs: number;
+	/** How long ago its caller first asked. */
+	readonly sinceFirstTryMs: number;
 	readonly ended: () => void;
 };
 
@@ -98,6 +100,7 @@
 			reason: result.code === undefined ? undefined : result.message,
 			status,
 			targetMs: this.options.targetMs,
+			sinceFirstTryMs: this.options.sinceFirstTryMs,
 			tookMs: Math.round(result.tookMs),
 			preparedMs: Math.round(this.preparedMs),
 			firstMs: Math.round(this.firstMs),
--- /dev/null
+++ b/tools/caller-value.test.ts
@@ -0,0 +1,39 @@
+import t from 'tap';
+import type {LogLine} from '../src/cli/common/log-lines.js';
+import {requestLogMessages} from '../src/request/common/request-log-messages.js';
+import {sumCallerValue} from './caller-value.js';
+
+const worths = [{targetMs: 1000, inTime: 4, late: 1}];
+const {ended, refusedAtDoor} = requestLogMessages;
+
+function line(message: string, fields: Record<string, unknown>): LogLine {
+	return {
+		time: '2026-01-01T00:00:00Z', part: 'requests', host: 'h', message, targetMs: 1000, ...fields,
+	};
+}
+
+const served = (firstMs: number, sinceFirstTryMs: number) => line(ended, {
+	outcome: 'completed', status: 200, firstMs, tookMs: firstMs + 500, sinceFirstTryMs, attempts: 'e1 first completed 0+1',
+});
+
+t.test('credit counts from the first try, and only first tries are owed', async t => {
+	t.match(sumCallerValue([served(900, 0)], worths), {owed: 4, credit: 4, share: 1});
+	t.match(sumCallerValue([served(1100, 0)], worths), {owed: 4, credit: 1});
+	const cameBack = [line(refusedAtDoor, {sinceFirstTryMs: 0}), served(300, 800)];
+	t.match(sumCallerValue(cameBack, worths), {owed: 4, credit: 1}, 'in time for itself, late for its caller');
+});
+
+t.test('waiting that ends unserved is charged by its length, a failed second try besides', async t => {
+	const given = (tookMs: number, sinceFirstTryMs = 0) => line(ended, {
+		outcome: 'refused', tookMs, sinceFirstTryMs, attempts: '',
+	});
+	t.equal(sumCallerValue([given(100)], worths).waited, 0);
+	const half = sumCallerValue([given(400)], worths).waited;
+	const whole = sumCallerValue([given(5000)], worths).waited;
+	t.ok(half > 0 && half < whole);
+	t.equal(whole, 0.4);
+	t.equal(sumCallerValue([given(100, 800)], worths).failedAgain, 1.2);
+	const offered = line(ended, {outcome: 'failed', tookMs: 5000, attempts: 'e1 first unknown 0+1'});
+	t.equal(sumCallerValue([offered], worths).waited, 0, 'an upstream had it');
+	t.equal(sumCallerValue([line(ended, {targetMs: 7})], worths).owed, 0, 'another target');
+});
