--- a/src/deployment/common/server-registry.ts
+++ b/src/deployment/common/server-registry.ts
@@ -11,7 +11,7 @@
 
 /**
 How long after the store's return a missing entry may still come back.
-The users' figure: entries of live servers are back within about two seconds.
+The platform's figure: entries of live servers are back within about two seconds.
 */
 export const lapseGraceMs = 2200;
 
--- a/src/direct/common/direct-router.ts
+++ b/src/direct/common/direct-router.ts
@@ -15,7 +15,7 @@
 import {WindowedBudget, type RepeatBounds} from '../../routing/common/windowed-budget.js';
 import type {EngineChooser, PromptNeed} from './engine-chooser.js';
 
-/** Expected answer time before anything was measured: the middle of what the first deployments' plain services take. */
+/** Expected answer time until eight answers were measured: in the range of a plain service that answers at once. */
 const defaultAnswerMs = 60;
 /** Time without any sign after which an upstream counts as silent, at least: several usual answer times. */
 const fewestSilentMs = 400;
--- a/src/preparation/common/fetch-time.ts
+++ b/src/preparation/common/fetch-time.ts
@@ -9,7 +9,7 @@
 const fetchStartMs = 20;
 /** Results are fetched from an upstream in turn; two full calls' worth may be asked of its link at once. */
 const fetchedCalls = 2;
-/** Where the declaration tells no link: 10 Gbit/s, the least of the first deployments. */
+/** Where the declaration tells no link: 10 Gbit/s, usual between hosts that keep large results. */
 const usualLinkBytesPerMs = 1_250_000;
 
 /**
--- a/src/preparation/node/preparer.ts
+++ b/src/preparation/node/preparer.ts
@@ -17,7 +17,7 @@
 
 /** Pieces of one request that may fail before the request is given up. */
 const mostFailures = 6;
-/** A caller waits for its first event this many times the target before it leaves; kept one short of what the users say. */
+/** Callers of streams leave when nothing came for four times the target; one is kept back for the answer's way. */
 const patienceTargets = 3;
 /** Bounds of the time after which a caller that was refused is asked to come back. */
 const shortestRetryAfterMs = 400;
