--- a/src/preparation/common/batch-machine.ts
+++ b/src/preparation/common/batch-machine.ts
@@ -9,7 +9,7 @@
 } from './batch-call.js';
 import {BatchUpstream} from './batch-upstream.js';
 import {
-	crossingMsOf, groupByWork, isPatient, rankPenaltyMs, urgencyOf,
+	groupByWork, isPatient, rankPenaltyMs, urgencyOf,
 } from './piece-order.js';
 import type {RoomReading} from './result-room.js';
 import {Throughput} from './throughput.js';
@@ -280,11 +280,9 @@
 	private take(server: UpstreamServer, capacity: BatchCapacity, halls: ReadonlySet<string>, nowMs: number): BatchPiece[] {
 		let roomBytes = this.stateOf(server).room.leftBytes(capacity.roomBytes, nowMs);
 		const taken = new Set<BatchPiece>();
-		const isElsewhere = ({hall}: BatchWork) => hall !== server.hall && halls.has(hall);
-		const keyOf = ([item]: readonly BatchPiece[]) => urgencyOf(item, nowMs) + (isElsewhere(item.work) ? crossingMsOf(item.work) : 0);
-		for (const items of groupByWork(this.waiting).toSorted((left, right) => keyOf(left) - keyOf(right))) {
+		for (const items of groupByWork(this.waiting)) {
 			const [{work}] = items;
-			const mayGo = !isElsewhere(work) || items.every(item => !isPatient(item, nowMs));
+			const mayGo = work.hall === server.hall || !halls.has(work.hall) || items.every(item => !isPatient(item, nowMs));
 			const fitting = Math.min(items.length, capacity.batchSize - taken.size, Math.floor(roomBytes / Math.max(1, work.resultBytes)));
 			// A step that is worked on in parts keeps room for results that nobody can read yet.
 			if (mayGo && fitting > 0 && (fitting === items.length || taken.size === 0)) {
--- a/src/preparation/common/piece-order.ts
+++ b/src/preparation/common/piece-order.ts
@@ -1,7 +1,6 @@
 /** Which pieces go first, and where. */
 import {crossingCostMs} from '../../routing/common/hall-cost.js';
 import type {BatchPiece} from './batch-call.js';
-import type {BatchWork} from './work.js';
 
 /**
 How much later each step of rank counts: a request of the better rank goes first unless it has this much more
@@ -24,11 +23,6 @@
 	return (nowMs <= dueMs ? dueMs : lateDueMs) + (rank * rankPenaltyMs);
 }
 
-/** What it counts for that a step is worked on in another hall than where its inputs lie or its results are wanted. */
-export function crossingMsOf({crossingBytes, pieces}: BatchWork): number {
-	return crossingCostMs(crossingBytes * pieces.length);
-}
-
 /**
 Tells whether a piece had better wait for an upstream in its own hall. Those of another hall stand idle meanwhile, so
 it is for a short while only. Without any wait, bytes between halls cost 0.03 to 0.06 of all worth more on full days.
@@ -36,7 +30,7 @@
 @param nowMs - the time.
 */
 export function isPatient({work, readyMs}: BatchPiece, nowMs: number): boolean {
-	const patienceMs = Math.min(longestPatienceMs, crossingMsOf(work));
+	const patienceMs = Math.min(longestPatienceMs, crossingCostMs(work.crossingBytes * work.pieces.length));
 	// What is late already loses nothing by waiting; what is still in time must not become late by it.
 	const untilMs = readyMs + patienceMs;
 	return nowMs < (readyMs < work.dueMs ? Math.min(untilMs, work.dueMs) : untilMs);
