--- a/src/direct/node/ingress.ts
+++ b/src/direct/node/ingress.ts
@@ -21,6 +21,7 @@
 import type {Endpoint} from '../../wire/node/wire-server.js';
 import type {CallerAsk, CallerProtocol} from '../common/caller-protocol.js';
 import {choosePool, makeDirectPlan} from '../common/direct-plan.js';
+import {FirstTries} from '../common/first-tries.js';
 import type {LikelyPlace} from '../common/direct-router.js';
 import type {DirectLinks} from './direct-links.js';
 import {sendOwn} from './pass-through-writer.js';
@@ -68,6 +69,8 @@
 	readonly response: ServerResponse;
 	readonly body: Uint8Array;
 	readonly receivedMs: number;
+	/** How long ago its caller first asked. */
+	readonly sinceFirstTryMs: number;
 };
 /** Why a request goes no further than its head. */
 type Refusal = {readonly requestId: string; readonly status: number; readonly reason: string; readonly retryAfterMs?: number};
@@ -85,6 +88,7 @@
 	private readonly owned = DisposableStore.create();
 	/** Ids in the hands of this host, by which messages find their request. */
 	private readonly openIds = new Set<string>();
+	private readonly firstTries = FirstTries.create();
 	private serial = 0;
 	private hasStoppedTaking = false;
 	/** Requests whose body has not come whole. */
@@ -194,8 +198,10 @@
 			return;
 		}
 
+		const {route, ask} = recognized;
+		const sinceFirstTryMs = this.firstTries.sinceFirstTryMs(route.name, route.timeoutMs, ask.remainingMs, receivedMs);
 		this.start({
-			...recognized, request, response, body, receivedMs,
+			...recognized, request, response, body, receivedMs, sinceFirstTryMs,
 		});
 	}
 
@@ -269,7 +275,7 @@
 			metrics,
 			isHead: request.method === 'HEAD',
 			targetMs: arrival.route.targetMs,
-			sinceFirstTryMs: sinceFirstTryMs(arrival),
+			sinceFirstTryMs: Math.round(arrival.sinceFirstTryMs),
 			ended: () => {
 				this.openIds.delete(plan.requestId);
 			},
@@ -317,7 +323,7 @@
 			predictedMs: Math.round(predictedMs),
 			targetMs: route.targetMs,
 			retryAfterMs: Math.round(retryAfterMs),
-			sinceFirstTryMs: sinceFirstTryMs(arrival),
+			sinceFirstTryMs: Math.round(arrival.sinceFirstTryMs),
 		});
 		metrics.increment('requests.refusedAtDoor', 1, {route: route.name});
 		sendOwn(response, statuses.unavailable, 'Not run: the queues before it are too long', retryAfterMs);
@@ -325,7 +331,7 @@
 	}
 
 	private preparerFor(arrival: Arrival, {requestId, deadlineMs}: RequestPlan, {hall, firstMs}: LikelyPlace): Preparer {
-		const {route, ask, receivedMs} = arrival;
+		const {route, ask, receivedMs, sinceFirstTryMs} = arrival;
 		return this.options.makePreparer({
 			requestId,
 			callerRequestId: ask.requestId,
@@ -333,7 +339,8 @@
 			pieceCounts: ask.pieceCounts,
 			pieceKey: ask.pieceKey,
 			rank: rankOf(arrival),
-			targetMs: receivedMs + route.targetMs,
+			// What counts for a caller is the time from its first try: one that can't be in time any more gives way.
+			targetMs: receivedMs + route.targetMs - sinceFirstTryMs,
 			deadlineMs,
 			hall,
 			afterwardsMs: firstMs,
@@ -351,11 +358,6 @@
 	}
 }
 
-/** How long ago its caller first asked, as far as the time it still has tells; 0 for a first try. */
-function sinceFirstTryMs({route, ask}: Recognized): number {
-	return ask.remainingMs === undefined ? 0 : Math.max(0, Math.round(route.timeoutMs - ask.remainingMs));
-}
-
 /** The workspace's rank goes first; among equals the route's decides. */
 function rankOf({workspace, route}: Recognized): number {
 	return (workspace?.rank ?? 0) + route.rank;
