--- a/src/direct/common/first-tries.ts
+++ b/src/direct/common/first-tries.ts
@@ -5,8 +5,11 @@
 
 /** The longest time seen is kept for this long at least, twice as long at most. */
 const windowMs = 10_000;
-/** Below this many requests in a window the route's own bound stands in. */
-const fewestSeen = 20;
+/**
+Below this many requests in the windows the route's own bound stands in, as after a start, when most who come have asked
+before. Few, since taking a first try for a returning one puts it behind others, and the other mistake costs nothing.
+*/
+const fewestSeen = 5;
 
 type Window = {readonly sinceMs: number; longestMs: number; seen: number};
 
--- a/src/direct/node/ingress.ts
+++ b/src/direct/node/ingress.ts
@@ -309,7 +309,7 @@
 		const {random, waits, log, metrics} = this.options;
 		const rank = rankOf(arrival);
 		const admission = admit({
-			index, route, pieceCounts: ask.pieceCounts, rank, afterwardsMs, remainingMs: ask.remainingMs, chance: random.next(),
+			index, route, pieceCounts: ask.pieceCounts, rank, afterwardsMs, sinceFirstTryMs: arrival.sinceFirstTryMs, chance: random.next(),
 		}, waits);
 		if (admission.isAdmitted) {
 			return true;
--- a/src/preparation/common/admission.test.ts
+++ b/src/preparation/common/admission.test.ts
@@ -16,7 +16,7 @@
 	},
 };
 const ask: AdmissionAsk = {
-	index: DeploymentIndex.create(deployment), route, pieceCounts: [1, 1], rank: 0, afterwardsMs: 100, remainingMs: 8000, chance: 0,
+	index: DeploymentIndex.create(deployment), route, pieceCounts: [1, 1], rank: 0, afterwardsMs: 100, sinceFirstTryMs: 0, chance: 0,
 };
 const waits = (waitMs: number) => ({waitMs: () => waitMs});
 
@@ -35,8 +35,8 @@
 });
 
 t.test('one that comes back is taken a little later', async t => {
-	t.equal(admit({...ask, remainingMs: 6000}, waits(450)).isAdmitted, true);
-	t.equal(admit({...ask, remainingMs: 6000}, waits(1000)).isAdmitted, false);
+	t.equal(admit({...ask, sinceFirstTryMs: 2000}, waits(450)).isAdmitted, true);
+	t.equal(admit({...ask, sinceFirstTryMs: 2000}, waits(1000)).isAdmitted, false);
 });
 
 t.test('a first try reckoned to be later than its target is refused: late earns less than coming back', async t => {
--- a/src/preparation/common/admission.ts
+++ b/src/preparation/common/admission.ts
@@ -12,8 +12,8 @@
 const lateTargets = 1;
 /** One that comes back after a refusal is taken a little later: refused again it is lost. */
 const patienceTargets = 1.5;
-/** A caller that has less than this part of the route's time left has tried before. */
-const firstTryShare = 0.9;
+/** A caller that first asked longer ago than this part of the route's time has tried before; less may be its way here. */
+const returningShare = 0.1;
 const shortestRetryAfterMs = 600;
 /** Callers heed up to a third of the time they have left, eight seconds with the first deployments. */
 const longestRetryAfterMs = 2500;
@@ -37,7 +37,8 @@
 	readonly rank: number;
 	/** Time to the first token once the steps are done. */
 	readonly afterwardsMs: number;
-	readonly remainingMs: number | undefined;
+	/** How long ago the caller first asked. */
+	readonly sinceFirstTryMs: number;
 	/** Spreads callers that are told to come back; in [0, 1). */
 	readonly chance: number;
 };
@@ -48,9 +49,9 @@
 @param waits - of the queues now.
 */
 export function admit(ask: AdmissionAsk, waits: PoolWaits): Admission {
-	const {route, remainingMs, afterwardsMs, chance} = ask;
+	const {route, sinceFirstTryMs, afterwardsMs, chance} = ask;
 	const predictedMs = preparationMs(ask, waits) + afterwardsMs;
-	const isFirstTry = remainingMs === undefined || remainingMs >= route.timeoutMs * firstTryShare;
+	const isFirstTry = sinceFirstTryMs <= route.timeoutMs * returningShare;
 	const mostMs = route.targetMs * (isFirstTry ? lateTargets : patienceTargets);
 	if (predictedMs <= mostMs) {
 		return {isAdmitted: true, predictedMs};
--- a/src/routing/common/engine-loads.ts
+++ b/src/routing/common/engine-loads.ts
@@ -9,7 +9,7 @@
 
 /**
 How often the time of reading a shared part again counts besides the reading itself: it holds up what is read
-after it, and takes memory from parts that others share.
+after it, and takes memory from parts that others share. The weight has not been measured by itself.
 */
 const rereadFactor = 1.8;
 /** After this long a part counts as kept only by luck, and reading it again is not priced any more. */
