--- a/src/direct/node/ingress.ts
+++ b/src/direct/node/ingress.ts
@@ -339,6 +339,7 @@
 			pieceCounts: ask.pieceCounts,
 			pieceKey: ask.pieceKey,
 			rank: rankOf(arrival),
+			receivedMs,
 			// What counts for a caller is the time from its first try: one that can't be in time any more gives way.
 			targetMs: receivedMs + route.targetMs - sinceFirstTryMs,
 			deadlineMs,
--- a/src/preparation/common/work.ts
+++ b/src/preparation/common/work.ts
@@ -46,7 +46,7 @@
 	readonly dueMs: number;
 	/** When it should be done once that is missed, so that the caller is still there. */
 	readonly lateDueMs: number;
-	/** After this the request is over. */
+	/** When it is given up if it still waits. */
 	readonly deadlineMs: number;
 	/** Data hall where the inputs lie or the results are wanted; empty where it does not matter. */
 	readonly hall: string;
--- a/src/preparation/node/preparer.test.ts
+++ b/src/preparation/node/preparer.test.ts
@@ -8,7 +8,7 @@
 import {pieceFailures, type BatchWork, type ResultRef} from '../common/work.js';
 import {StepTimes} from '../common/step-times.js';
 import type {EndsTaker, WorkTaker} from './batch-desk.js';
-import {Preparer} from './preparer.js';
+import {Preparer, type PreparationAsk} from './preparer.js';
 
 const log = silentLoggers.for('test');
 const route: Route = {
@@ -19,7 +19,11 @@
 /** What a request reads whose last step made one result of ten bytes in hall x. */
 const inputsOf = (handle: string) => ({ok: true, value: {handles: [handle], bytesByHall: new Map([['x', 10]])}});
 
-function makePreparer(submit: (work: BatchWork, taker: EndsTaker) => void, released: ResultRef[] = [], clock: Clock = ManualClock.create(), stepTimes = StepTimes.create()): Preparer {
+/** What differs from a usual preparer. */
+type Changes = {readonly released?: ResultRef[]; readonly clock?: Clock; readonly stepTimes?: StepTimes; readonly ask?: Partial<PreparationAsk>};
+
+function makePreparer(submit: (work: BatchWork, taker: EndsTaker) => void, changes: Changes = {}): Preparer {
+	const {released = [], clock = ManualClock.create(), stepTimes = StepTimes.create(), ask = {}} = changes;
 	const desk: WorkTaker = {
 		submit,
 		cancel: () => undefined,
@@ -35,7 +39,7 @@
 	return Preparer.create({
 		desk, board: DeploymentBoard.create(log), registry, clock, log, stepTimes,
 	}, {
-		requestId: 'r', callerRequestId: 'r', route, pieceCounts: [2, 1], pieceKey: 'k', rank: 0, targetMs: 1000, deadlineMs: 5000, hall: '', afterwardsMs: 100,
+		requestId: 'r', callerRequestId: 'r', route, pieceCounts: [2, 1], pieceKey: 'k', rank: 0, receivedMs: 0, targetMs: 1000, deadlineMs: 5000, hall: '', afterwardsMs: 100, ...ask,
 	});
 }
 
@@ -60,7 +64,7 @@
 		for (const piece of work.pieces) {
 			taker(piece, isFailing ? {ok: false, reason: pieceFailures.failed} : {ok: true, ref: {handle: `${work.pool}${piece}`, serverId: work.pool}});
 		}
-	}, [], SystemClock.create());
+	}, {clock: SystemClock.create()});
 	t.same(await preparer.run(false), inputsOf('b0'));
 	t.same(works, ['a:0,1', 'a:0,1', 'a:0,1', 'a:0,1', 'a:0,1', 'a:0,1', 'a:0,1', 'b:0']);
 });
@@ -71,7 +75,7 @@
 		for (const piece of work.pieces) {
 			taker(piece, {ok: true, ref: {handle: `${work.pool}${piece}`, serverId: work.pool}});
 		}
-	}, released);
+	}, {released});
 	t.same(await preparer.run(false), inputsOf('b0'));
 	t.same(released.map(({handle}) => handle), ['a0', 'a1']);
 	preparer.end();
@@ -100,7 +104,7 @@
 		for (const piece of work.pieces) {
 			taker(piece, {ok: true, ref: {handle: `${work.pool}${piece}#${works.length}`, serverId: work.pool}});
 		}
-	}, released, clock);
+	}, {released, clock});
 	await preparer.run(false);
 	released.length = 0;
 	preparer.sent();
@@ -120,7 +124,7 @@
 	const start = () => {
 		void makePreparer(work => {
 			dueMs.push(work.dueMs);
-		}, [], ManualClock.create(), stepTimes).run(false);
+		}, {stepTimes}).run(false);
 	};
 
 	start();
@@ -128,3 +132,23 @@
 	start();
 	t.same(dueMs, [900, 550], 'nothing is declared of a call; 100 ms are left for the model');
 });
+
+t.test('a step is given up, and its caller told, when its answer could not come any more or after half of the time', async t => {
+	const given: number[] = [];
+	const start = (ask: Partial<PreparationAsk>) => {
+		void makePreparer((work, taker) => {
+			given.push(work.deadlineMs);
+			for (const piece of work.pieces) {
+				taker(piece, {ok: true, ref: {handle: `${work.pool}${piece}`, serverId: work.pool}});
+			}
+		}, {clock: SystemClock.create(), ask}).run(false);
+	};
+
+	start({});
+	await new Promise(resolve => {
+		setImmediate(resolve);
+	});
+	t.same(given, [2500, 4900], 'half of 5000 ms before anything is done; then while the model has its 100 ms');
+	start({afterwardsMs: 3000});
+	t.equal(given[2], 2000);
+});
--- a/src/preparation/node/preparer.ts
+++ b/src/preparation/node/preparer.ts
@@ -19,6 +19,8 @@
 const mostFailures = 6;
 /** Callers of streams leave when nothing came for four times the target; one is kept back for the answer's way. */
 const patienceTargets = 3;
+/** Part of its caller's time that a request may wait for its first step: later, an answer would rarely come at all. */
+const unbegunShare = 0.5;
 /** Bounds of the time after which a caller that was refused is asked to come back. */
 const shortestRetryAfterMs = 400;
 const longestRetryAfterMs = 2000;
@@ -31,6 +33,7 @@
 	readonly pieceCounts: readonly number[];
 	readonly pieceKey: string;
 	readonly rank: number;
+	readonly receivedMs: number;
 	readonly targetMs: number;
 	readonly deadlineMs: number;
 	/** Data hall of the upstream that will read the results; empty where it is not known. */
@@ -175,6 +178,7 @@
 		const step = ask.route.steps[work.step];
 		const behindMs = this.preparation.timeBehindMs(work.step, pool => this.options.stepTimes.usualMs(pool) ?? this.callMs(pool));
 		const dueMs = ask.targetMs - ask.afterwardsMs - this.callMs(step.pool) - behindMs;
+		const giveUpMs = this.giveUpMs(work);
 		return {
 			...work,
 			workId,
@@ -184,12 +188,24 @@
 			resultBytes: step.resultBytes,
 			rank: ask.rank,
 			dueMs,
-			lateDueMs: dueMs + ((patienceTargets - 1) * ask.route.targetMs),
-			deadlineMs: ask.deadlineMs,
+			lateDueMs: Math.min(giveUpMs, dueMs + ((patienceTargets - 1) * ask.route.targetMs)),
+			deadlineMs: giveUpMs,
 			...this.placeOf(work),
 		};
 	}
 
+	/**
+	When a step that waits is given up, and its caller told. Then it could not be done any more before the caller
+	leaves; or nothing was done for the request yet, and the caller still has time to come back or to do without.
+	*/
+	private giveUpMs({step, inputs}: StepWork): number {
+		const {ask} = this;
+		const neededMs = ask.afterwardsMs + this.callMs(ask.route.steps[step].pool) + this.preparation.timeBehindMs(step, pool => this.callMs(pool));
+		const lastStartMs = ask.deadlineMs - neededMs;
+		const patientMs = ask.receivedMs + ((ask.deadlineMs - ask.receivedMs) * unbegunShare);
+		return inputs ? lastStartMs : Math.min(lastStartMs, patientMs);
+	}
+
 	/** Where a step is best worked on: where what it reads lies, or else where what it makes is read. */
 	private placeOf({step: index, inputs}: StepWork): {readonly hall: string; readonly crossingBytes: number} {
 		const {steps} = this.ask.route;
