--- a/src/preparation/common/admission.ts
+++ b/src/preparation/common/admission.ts
@@ -15,7 +15,7 @@
 /** A caller that first asked longer ago than this part of the route's time has tried before; less may be its way here. */
 const returningShare = 0.1;
 const shortestRetryAfterMs = 600;
-/** Callers heed up to a third of the time they have left, eight seconds with the first deployments. */
+/** Callers heed up to a third of the time they have left; longer, a queue of now says little of the queue then. */
 const longestRetryAfterMs = 2500;
 
 /** Waits of the pools' queues, by rank of the request. */
