Log entries of servers that are missing, who told of a change, and how long the store was away

Cause: logs told that a server had gone, but not that its entry had been missing for two seconds before, nor whether the news came from the store or a peer, nor which work went to it meanwhile; so the three hypotheses could not be told apart.

Change: lines for a missing entry, for work that goes to such a server (and the figure batch.askedWhileMissing), the source of each change, and the length of an interruption. No logic changed.

--- a/src/deployment/common/server-registry.ts
+++ b/src/deployment/common/server-registry.ts
@@ -18,6 +18,10 @@
 /** What changed about a server. */
 export type ServerChange = {readonly server: UpstreamServer; readonly change: 'joined' | 'leaving' | 'gone'};
 
+/** Who told of the servers. */
+export const listSources = {store: 'store', peer: 'peer'} as const;
+export type ListSource = (typeof listSources)[keyof typeof listSources];
+
 export const serverRegistryToken: InjectionToken<ServerRegistry> = Symbol('ServerRegistry');
 
 /** Keeps the servers of all pools. */
@@ -35,6 +39,8 @@
 	private views = new Map<string, readonly UpstreamServer[]>();
 	private forgivenUntilMs = 0;
 	private listRevision = 0;
+	/** Who told what is being taken; for logs. */
+	private source: ListSource = listSources.store;
 
 	private constructor(private readonly log: Logger) {}
 
@@ -69,6 +75,11 @@
 		return this.servers.get(serverId);
 	}
 
+	/** Whether a server may still get work although its entry is missing. */
+	isMissing(serverId: string): boolean {
+		return this.lapsed.has(serverId);
+	}
+
 	/** @returns the whole list, for a peer. */
 	snapshot(): ServerList {
 		return {revision: this.listRevision, servers: [...this.servers.values()]};
@@ -86,13 +97,15 @@
 	Takes a whole list.
 	@param list - the list.
 	@param nowMs - the time.
+	@param source - who told it.
 	@returns false for a list that is older than what is known.
 	*/
-	replaceAll(list: ServerList, nowMs: number): boolean {
+	replaceAll(list: ServerList, nowMs: number, source: ListSource = listSources.store): boolean {
 		if (list.revision < this.listRevision) {
 			return false;
 		}
 
+		this.source = source;
 		this.listRevision = list.revision;
 		const listed = new Set(list.servers.map(server => server.serverId));
 		for (const server of list.servers) {
@@ -116,6 +129,7 @@
 	@param nowMs - the time.
 	*/
 	applyChanges(changed: readonly UpstreamServer[], removedIds: readonly string[], revision: number, nowMs: number): void {
+		this.source = listSources.store;
 		this.listRevision = Math.max(this.listRevision, revision);
 		for (const server of changed) {
 			this.put(server);
@@ -161,7 +175,7 @@
 		if (known?.isLeaving !== isLeaving) {
 			const change = isLeaving ? 'leaving' : 'joined';
 			this.log.info('A server is listed.', {
-				server: server.serverId, pool: server.pool, hall: server.hall, change, revision: this.listRevision,
+				server: server.serverId, pool: server.pool, hall: server.hall, change, revision: this.listRevision, source: this.source,
 			});
 			this.didChange.fire({server, change});
 		}
@@ -172,6 +186,9 @@
 			this.drop(serverId, 'its entry was dropped');
 		} else if (this.servers.has(serverId) && !this.lapsed.has(serverId)) {
 			this.lapsed.set(serverId, this.forgivenUntilMs);
+			this.log.info('A server\'s entry is missing; it may still come back.', {
+				server: serverId, forMs: Math.round(this.forgivenUntilMs - nowMs), revision: this.listRevision, source: this.source,
+			});
 		}
 	}
 
@@ -182,7 +199,7 @@
 			this.servers.delete(serverId);
 			this.views = new Map();
 			this.log.info('A server is gone.', {
-				server: serverId, pool: server.pool, reason, revision: this.listRevision,
+				server: serverId, pool: server.pool, reason, revision: this.listRevision, source: this.source,
 			});
 			this.didChange.fire({server, change: 'gone'});
 		}
--- a/src/deployment/node/feed-follower.ts
+++ b/src/deployment/node/feed-follower.ts
@@ -47,6 +47,8 @@
 	private revision: number | undefined;
 	/** Whether the last call failed. */
 	private isStoreAway = false;
+	/** When the calls began to fail. */
+	private awaySinceMs = 0;
 	private retryMs = firstRetryMs;
 	/** When the store last answered. */
 	private answeredMs: number | undefined;
@@ -122,7 +124,9 @@
 		this.answeredMs = clock.nowMs();
 		if (this.isStoreAway) {
 			this.isStoreAway = false;
-			log.info('The store answers again.', {feed: name, revision: changes.revision});
+			log.info('The store answers again.', {
+				feed: name, revision: changes.revision, awayMs: Math.round(this.answeredMs - this.awaySinceMs),
+			});
 			returned();
 		}
 
@@ -142,7 +146,7 @@
 	}
 
 	private async fail(failure: FeedFailure): Promise<void> {
-		const {log, name} = this.options;
+		const {log, name, clock} = this.options;
 		if (failure.code === 'historyGone') {
 			log.warn('The store has forgotten the changes since the last call; everything is read again.', {feed: name, revision: this.revision});
 			this.revision = undefined;
@@ -151,6 +155,7 @@
 
 		if (!this.isStoreAway) {
 			this.isStoreAway = true;
+			this.awaySinceMs = clock.nowMs();
 			log.warn('The store does not answer; what was last read stays in force.', {feed: name, reason: failure.message, revision: this.revision});
 		}
 
--- a/src/direct/node/direct-links.ts
+++ b/src/direct/node/direct-links.ts
@@ -157,6 +157,12 @@
 			return false;
 		}
 
+		if (this.options.registry.isMissing(serverId)) {
+			this.options.log.info('Work goes to a server whose entry is missing.', {
+				pool: server.pool, server: serverId, request: facts.callerRequestId,
+			});
+		}
+
 		this.begin({
 			message, http, server, facts, lane,
 		});
--- a/src/peers/node/state-exchange.ts
+++ b/src/peers/node/state-exchange.ts
@@ -5,7 +5,7 @@
 import type {Logger} from '../../base/common/logger.js';
 import {deploymentSchema} from '../../deployment/common/declaration.js';
 import type {DeploymentBoard} from '../../deployment/common/deployment-board.js';
-import type {ServerRegistry} from '../../deployment/common/server-registry.js';
+import {listSources, type ServerRegistry} from '../../deployment/common/server-registry.js';
 import {serverListSchema} from '../../deployment/common/upstream-server.js';
 import type {Message} from '../../wire/common/messages.js';
 import type {PeerMesh} from './peer-mesh.js';
@@ -126,7 +126,7 @@
 			}
 
 			if (servers !== undefined && isListAway()) {
-				registry.replaceAll(serverListSchema.parse(JSON.parse(servers)), clock.nowMs());
+				registry.replaceAll(serverListSchema.parse(JSON.parse(servers)), clock.nowMs(), listSources.peer);
 			}
 		} catch (error) {
 			log.error('A peer sent a state that can\'t be read; it is passed over.', {peer: hostId, reason: messageOf(error)});
--- a/src/preparation/node/batch-pool.ts
+++ b/src/preparation/node/batch-pool.ts
@@ -170,6 +170,11 @@
 			return;
 		}
 
+		if (registry.isMissing(server.serverId)) {
+			metrics.increment('batch.askedWhileMissing', 1, {pool});
+			log.info('Work goes to a server whose entry is missing.', {pool, server: server.serverId, pieces: call.pieces.length});
+		}
+
 		const signal = AbortSignal.any([this.controller.signal, AbortSignal.timeout(Math.max(1, Math.ceil(call.limitMs - clock.nowMs())))]);
 		const answer = await collectAnswer(lane, optionsOf(protocol.encodeRun(call, clock.nowMs())), signal);
 		if (this.controller.signal.aborted) {
