--- a/src/deployment/common/server-registry.test.ts
+++ b/src/deployment/common/server-registry.test.ts
@@ -55,3 +55,32 @@
 	registry.applyChanges([server('a')], [], 6, 0);
 	t.same(usable(registry), ['b']);
 });
+
+/*
+Seen: for two seconds after a host had been cut off, requests reached a server whose entry had gone meanwhile.
+How it came about: only this host had lost the store; servers and store never lost each other. At its next answer it
+took its own lost path for an outage of the store, and went on using what was no longer listed.
+Cause: an entry that is missing after an outage was taken for one that will come back, whoever had been away.
+Proof: the host's log lists the server as missing and then as gone 2.2 s later, with work sent to it in between.
+*/
+t.test('one entry that is missing after an interruption gets no work while others of its pool are listed', async t => {
+	const registry = ServerRegistry.create(silentLoggers.for('test'));
+	registry.replaceAll({revision: 5, servers: ['a', 'b', 'c', 'd'].map(serverId => server(serverId))}, 0);
+	registry.storeReturned(1000);
+	registry.applyChanges([], ['a'], 6, 1010);
+	t.same(usable(registry), ['b', 'c', 'd']);
+});
+
+/*
+Seen: servers that were gone were listed again for two seconds; one had said that it leaves.
+How it came about: a host took a newer list of a peer while its own reading was interrupted, then went on reading the
+store's changes from where it had stopped: the store told it once more of servers that the list no longer had.
+Cause: changes were taken whatever their revision, and what was known of a server went with its entry.
+Proof: this test; the logs show the same servers going twice.
+*/
+t.test('a change that is older than the list known brings no server back', async t => {
+	const registry = withTwo();
+	registry.replaceAll({revision: 9, servers: [server('b')]}, 0);
+	registry.applyChanges([server('a')], [], 6, 0);
+	t.same(usable(registry), ['b']);
+});
