Hold time limits by their timer, so that a call on a silent connection ends

Cause: feeds, calls of steps and releases were limited by a combined signal over a timeout signal that nothing else refers to; the runtime drops that one with the next garbage collection, and the limit with it (Node.js 20.20.2). A feed on a connection that fell silent never asked again; a step's call on one kept its upstream taken for ever.

Change: TimeLimit (base/common), whose timer holds it and which runs by the given clock; the linter forbids AbortSignal.any.

--- /dev/null
+++ b/src/base/common/time-limit.test.ts
@@ -0,0 +1,31 @@
+import t from 'tap';
+import {ManualClock} from './clock.js';
+import {TimeLimit} from './time-limit.js';
+
+t.test('a call is given up when its time is over, not before', async t => {
+	const clock = ManualClock.create();
+	const limit = TimeLimit.create(clock, 100, new AbortController().signal);
+	clock.advance(99);
+	t.equal(limit.signal.aborted, false);
+	clock.advance(1);
+	t.equal(limit.signal.aborted, true);
+});
+
+t.test('a call is given up when its maker stops, also one that begins after', async t => {
+	const clock = ManualClock.create();
+	const stop = new AbortController();
+	const limit = TimeLimit.create(clock, 100, stop.signal);
+	stop.abort();
+	t.equal(limit.signal.aborted, true);
+	t.equal(TimeLimit.create(clock, 100, stop.signal).signal.aborted, true);
+});
+
+t.test('a call that has ended is not given up', async t => {
+	const clock = ManualClock.create();
+	const stop = new AbortController();
+	const limit = TimeLimit.create(clock, 100, stop.signal);
+	limit.dispose();
+	clock.advance(200);
+	stop.abort();
+	t.equal(limit.signal.aborted, false);
+});
--- a/src/deployment/node/feed-follower.ts
+++ b/src/deployment/node/feed-follower.ts
@@ -4,6 +4,7 @@
 import type {Logger} from '../../base/common/logger.js';
 import type {Outcome} from '../../base/common/outcome.js';
 import {jitter, type Random} from '../../base/common/random.js';
+import {TimeLimit} from '../../base/common/time-limit.js';
 import type {FeedChanges, FeedFailure, FeedSource} from '../common/feed.js';
 
 /** Pause after changes: they come in bursts (servers of a service start together), and each call has a price. */
@@ -111,12 +112,14 @@
 	}
 
 	private async readNext(): Promise<Outcome<FeedChanges<T>, FeedFailure>> {
-		const {source, holdMs} = this.options;
+		const {source, holdMs, clock} = this.options;
 		const waitMs = this.revision === undefined ? 0 : holdMs();
-		const signal = AbortSignal.any([this.controller.signal, AbortSignal.timeout(waitMs + answerMs)]);
-		return this.revision === undefined
-			? source.readAll(signal)
-			: source.readChanges(this.revision, waitMs, signal);
+		const limit = TimeLimit.create(clock, waitMs + answerMs, this.controller.signal);
+		const read = await (this.revision === undefined
+			? source.readAll(limit.signal)
+			: source.readChanges(this.revision, waitMs, limit.signal));
+		limit.dispose();
+		return read;
 	}
 
 	private async take(changes: FeedChanges<T>): Promise<void> {
--- a/src/preparation/node/batch-pool.ts
+++ b/src/preparation/node/batch-pool.ts
@@ -3,6 +3,7 @@
 import {DisposableStore, type Disposable} from '../../base/common/disposable.js';
 import type {Logger} from '../../base/common/logger.js';
 import type {Metrics} from '../../base/common/metrics.js';
+import {TimeLimit} from '../../base/common/time-limit.js';
 import type {BatchCapacity} from '../../deployment/common/declaration.js';
 import type {DeploymentBoard} from '../../deployment/common/deployment-board.js';
 import type {ServerRegistry} from '../../deployment/common/server-registry.js';
@@ -175,8 +176,9 @@
 			log.info('Work goes to a server whose entry is missing.', {pool, server: server.serverId, pieces: call.pieces.length});
 		}
 
-		const signal = AbortSignal.any([this.controller.signal, AbortSignal.timeout(Math.max(1, Math.ceil(call.limitMs - clock.nowMs())))]);
-		const answer = await collectAnswer(lane, optionsOf(protocol.encodeRun(call, clock.nowMs())), signal);
+		const limit = TimeLimit.create(clock, call.limitMs - clock.nowMs(), this.controller.signal);
+		const answer = await collectAnswer(lane, optionsOf(protocol.encodeRun(call, clock.nowMs())), limit.signal);
+		limit.dispose();
 		if (this.controller.signal.aborted) {
 			return;
 		}
@@ -227,15 +229,16 @@
 
 	private async sendRelease(server: UpstreamServer, handles: readonly string[]): Promise<void> {
 		const lane = this.lanesOf(server).acquire(false);
-		const {protocol, log, pool} = this.options;
+		const {protocol, log, pool, clock} = this.options;
 		if (!lane) {
 			// All connections are at work: it is tried again with the next releases.
 			this.release(handles.map(handle => ({handle, serverId: server.serverId})));
 			return;
 		}
 
-		const signal = AbortSignal.any([this.controller.signal, AbortSignal.timeout(releaseLimitMs)]);
-		const answer = await collectAnswer(lane, optionsOf(protocol.encodeRelease(handles, server.serverId)), signal);
+		const limit = TimeLimit.create(clock, releaseLimitMs, this.controller.signal);
+		const answer = await collectAnswer(lane, optionsOf(protocol.encodeRelease(handles, server.serverId)), limit.signal);
+		limit.dispose();
 		if (answer.ok) {
 			// Only now is the room there: a call that came before would find none.
 			this.machine.released(server.serverId, handles);
--- a/xo.config.js
+++ b/xo.config.js
@@ -57,6 +57,8 @@
 			'import-x/no-unassigned-import': ['error', {allow: ['reflect-metadata']}],
 			// These two rules can't see that the classes modern-errors makes are errors.
 			'@typescript-eslint/only-throw-error': 'off',
+			// A time limit inside a combined signal goes with the next garbage collection.
+			'no-restricted-properties': ['error', {object: 'AbortSignal', property: 'any', message: 'Use TimeLimit.'}],
 			'@typescript-eslint/prefer-promise-reject-errors': 'off',
 			// XO's own rules pull an empty constructor body both ways; `{}` stays.
 			'@stylistic/curly-newline': ['error', {consistent: true}],
