Use missing entries only where most of their pool is missing, and for less time than a leaving server may get work

Cause: a host whose own path to the store was lost forgave every entry that was missing after it for 2.2 s, longer than the 2 s within which a server that left must get no more.

Change: a missing entry gets work only while more than half of its pool is missing, as after an outage of the store in which entries lapse together; for at most three quarters of the time within which leaving must be heeded, counted from when this host learned of it. While the store does not answer, that holds for what peers' lists lack as well.

--- a/src/daemon/node/compose-direct-entry.ts
+++ b/src/daemon/node/compose-direct-entry.ts
@@ -96,9 +96,9 @@
 }
 
 /** What this host knows: the declaration in force and the list of servers. */
-function registerState({logOf, register}: Composition): void {
+function registerState({settings, logOf, register}: Composition): void {
 	register(deploymentBoardToken, () => DeploymentBoard.create(logOf('declaration')));
-	register(serverRegistryToken, () => ServerRegistry.create(logOf('servers')));
+	register(serverRegistryToken, () => ServerRegistry.create({log: logOf('servers'), leavingWithinMs: settings.leavingWithinMs}));
 }
 
 /** Which upstream serves a request, and the calls to it. */
--- a/src/daemon/node/compose-feeds.ts
+++ b/src/daemon/node/compose-feeds.ts
@@ -51,6 +51,7 @@
 		apply({changed}) {
 			offerAll(changed);
 		},
+		lost: () => undefined,
 		returned: () => undefined,
 	})));
 	register(serverFeedToken, () => {
@@ -66,6 +67,9 @@
 			apply({changed, removedIds, revision}) {
 				registry.applyChanges(changed, removedIds, revision, clock.nowMs());
 			},
+			lost() {
+				registry.storeLost();
+			},
 			returned() {
 				registry.storeReturned(clock.nowMs());
 			},
--- a/src/deployment/common/server-registry.test.ts
+++ b/src/deployment/common/server-registry.test.ts
@@ -12,7 +12,7 @@
 const usable = (registry: ServerRegistry) => registry.usable('p').map(({serverId}) => serverId).toSorted();
 
 function withTwo(): ServerRegistry {
-	const registry = ServerRegistry.create(silentLoggers.for('test'));
+	const registry = ServerRegistry.create({log: silentLoggers.for('test'), leavingWithinMs: 2000});
 	registry.replaceAll({revision: 5, servers: [server('a'), server('b')]}, 0);
 	return registry;
 }
@@ -43,6 +43,25 @@
 	t.same(usable(registry), ['a']);
 });
 
+t.test('while the store does not answer, what a peer\'s list lacks may come back as well', async t => {
+	const registry = withTwo();
+	registry.storeLost();
+	registry.replaceAll({revision: 9, servers: []}, 100);
+	t.same(usable(registry), ['a', 'b']);
+	registry.replaceAll({revision: 10, servers: [server('b')]}, 200);
+	t.same(usable(registry), ['b'], 'half of the pool is back and does the work');
+});
+
+t.test('an entry may be missing for less time than a server that left may get work, wherever it is missed', async t => {
+	const registry = withTwo();
+	registry.storeLost();
+	registry.replaceAll({revision: 9, servers: []}, 100);
+	registry.tick(1599);
+	t.same(usable(registry), ['a', 'b']);
+	registry.tick(1600);
+	t.same(usable(registry), []);
+});
+
 t.test('a list older than the one known is not taken', async t => {
 	const registry = withTwo();
 	t.equal(registry.replaceAll({revision: 4, servers: []}, 0), false);
@@ -64,7 +83,7 @@
 Proof: the host's log lists the server as missing and then as gone 2.2 s later, with work sent to it in between.
 */
 t.test('one entry that is missing after an interruption gets no work while others of its pool are listed', async t => {
-	const registry = ServerRegistry.create(silentLoggers.for('test'));
+	const registry = ServerRegistry.create({log: silentLoggers.for('test'), leavingWithinMs: 2000});
 	registry.replaceAll({revision: 5, servers: ['a', 'b', 'c', 'd'].map(serverId => server(serverId))}, 0);
 	registry.storeReturned(1000);
 	registry.applyChanges([], ['a'], 6, 1010);
--- a/src/deployment/common/server-registry.ts
+++ b/src/deployment/common/server-registry.ts
@@ -3,6 +3,10 @@
 
 A server that is leaving or gone never comes back under the same id, with one exception: an entry that
 lapsed while the store was away, which is kept until its server has had time to write it again.
+
+A host can't tell an outage of the store from a lost path of its own, during which servers may have left. But an
+outage makes entries lapse together, while servers leave one after the other: what is missing gets work only
+where most of its pool is missing, and for less time than a server that left may get any.
 */
 import type {InjectionToken} from 'tsyringe';
 import {Emitter} from '../../base/common/emitter.js';
@@ -14,9 +18,21 @@
 The platform's figure: entries of live servers are back within about two seconds.
 */
 export const lapseGraceMs = 2200;
+/**
+Part of the time within which a server that left must get no more, for which a missing entry may come back:
+counted from when this host learned of it, so that a call begun last is connected and there in the rest.
+*/
+const missingShare = 0.75;
+
+/** What changed about a server; one that is missing may still come back. */
+export type ServerChange = {readonly server: UpstreamServer; readonly change: 'joined' | 'leaving' | 'missing' | 'gone'};
 
-/** What changed about a server. */
-export type ServerChange = {readonly server: UpstreamServer; readonly change: 'joined' | 'leaving' | 'gone'};
+const changeMessages = {
+	joined: 'A server is listed.',
+	leaving: 'A server is listed.',
+	missing: 'A server\'s entry is missing; it may still come back.',
+	gone: 'A server is gone.',
+} as const satisfies Record<ServerChange['change'], string>;
 
 /** Who told of the servers. */
 export const listSources = {store: 'store', peer: 'peer'} as const;
@@ -24,10 +40,17 @@
 
 export const serverRegistryToken: InjectionToken<ServerRegistry> = Symbol('ServerRegistry');
 
+/** What the registry is made of. */
+export type ServerRegistryOptions = {
+	readonly log: Logger;
+	/** Within this time after the store took it a server that leaves must get no more. */
+	readonly leavingWithinMs: number;
+};
+
 /** Keeps the servers of all pools. */
 export class ServerRegistry {
-	static create(log: Logger): ServerRegistry {
-		return new ServerRegistry(log);
+	static create(options: ServerRegistryOptions): ServerRegistry {
+		return new ServerRegistry(options);
 	}
 
 	private readonly didChange = Emitter.create<ServerChange>();
@@ -42,7 +65,7 @@
 	/** Who told what is being taken; for logs. */
 	private source: ListSource = listSources.store;
 
-	private constructor(private readonly log: Logger) {}
+	private constructor(private readonly options: ServerRegistryOptions) {}
 
 	get onDidChange() {
 		return this.didChange.event;
@@ -64,7 +87,9 @@
 	usable(pool: string): readonly UpstreamServer[] {
 		let view = this.views.get(pool);
 		if (!view) {
-			view = [...this.servers.values()].filter(server => server.pool === pool && !server.isLeaving);
+			const staying = [...this.servers.values()].filter(server => server.pool === pool && !server.isLeaving);
+			const listed = staying.filter(({serverId}) => !this.lapsed.has(serverId));
+			view = staying.length > 2 * listed.length ? staying : listed;
 			this.views.set(pool, view);
 		}
 
@@ -75,7 +100,7 @@
 		return this.servers.get(serverId);
 	}
 
-	/** Whether a server may still get work although its entry is missing. */
+	/** Whether a server's entry is missing and may still come back. */
 	isMissing(serverId: string): boolean {
 		return this.lapsed.has(serverId);
 	}
@@ -85,6 +110,11 @@
 		return {revision: this.listRevision, servers: [...this.servers.values()]};
 	}
 
+	/** The store does not answer: entries that peers miss may have lapsed. */
+	storeLost(): void {
+		this.forgivenUntilMs = Infinity;
+	}
+
 	/**
 	The store answers again after it was away: entries missing now may have lapsed.
 	@param nowMs - the time.
@@ -162,7 +192,7 @@
 	}
 
 	private put(server: UpstreamServer): void {
-		this.lapsed.delete(server.serverId);
+		const wasMissing = this.lapsed.delete(server.serverId);
 		if (this.replaced.has(server.serverId)) {
 			return;
 		}
@@ -172,24 +202,25 @@
 		const isLeaving = server.isLeaving || known?.isLeaving === true;
 		this.servers.set(server.serverId, {...server, isLeaving});
 		this.views = new Map();
-		if (known?.isLeaving !== isLeaving) {
-			const change = isLeaving ? 'leaving' : 'joined';
-			this.log.info('A server is listed.', {
-				server: server.serverId, pool: server.pool, hall: server.hall, change, revision: this.listRevision, source: this.source,
-			});
-			this.didChange.fire({server, change});
+		if (wasMissing || known?.isLeaving !== isLeaving) {
+			this.tell(server, isLeaving ? 'leaving' : 'joined');
 		}
 	}
 
 	private missing(serverId: string, nowMs: number): void {
-		if (nowMs >= this.forgivenUntilMs) {
+		const server = this.servers.get(serverId);
+		if (!server || this.lapsed.has(serverId)) {
+			return;
+		}
+
+		if (server.isLeaving || nowMs >= this.forgivenUntilMs) {
 			this.drop(serverId, 'its entry was dropped');
-		} else if (this.servers.has(serverId) && !this.lapsed.has(serverId)) {
-			this.lapsed.set(serverId, this.forgivenUntilMs);
-			this.log.info('A server\'s entry is missing; it may still come back.', {
-				server: serverId, forMs: Math.round(this.forgivenUntilMs - nowMs), revision: this.listRevision, source: this.source,
-			});
+			return;
 		}
+
+		this.lapsed.set(serverId, Math.min(this.forgivenUntilMs, nowMs + (this.options.leavingWithinMs * missingShare)));
+		this.views = new Map();
+		this.tell(server, 'missing');
 	}
 
 	private drop(serverId: string, reason: string): void {
@@ -198,10 +229,15 @@
 		if (server) {
 			this.servers.delete(serverId);
 			this.views = new Map();
-			this.log.info('A server is gone.', {
-				server: serverId, pool: server.pool, reason, revision: this.listRevision, source: this.source,
-			});
-			this.didChange.fire({server, change: 'gone'});
+			this.tell(server, 'gone', reason);
 		}
 	}
+
+	private tell(server: UpstreamServer, change: ServerChange['change'], reason?: string): void {
+		const {serverId, pool, hall} = server;
+		this.options.log.info(changeMessages[change], {
+			server: serverId, pool, hall, change, ...(reason !== undefined && {reason}), revision: this.listRevision, source: this.source,
+		});
+		this.didChange.fire({server, change});
+	}
 }
--- a/src/deployment/node/feed-follower.ts
+++ b/src/deployment/node/feed-follower.ts
@@ -27,6 +27,8 @@
 	/** Takes everything; false means that it is older than what is known. */
 	readonly replaceAll: (all: FeedChanges<T>) => boolean;
 	readonly apply: (changes: FeedChanges<T>) => void;
+	/** The store does not answer. */
+	readonly lost: () => void;
 	/** The store answers again after it was away. */
 	readonly returned: () => void;
 	/**
@@ -149,7 +151,7 @@
 	}
 
 	private async fail(failure: FeedFailure): Promise<void> {
-		const {log, name, clock} = this.options;
+		const {log, name, clock, lost} = this.options;
 		if (failure.code === 'historyGone') {
 			log.warn('The store has forgotten the changes since the last call; everything is read again.', {feed: name, revision: this.revision});
 			this.revision = undefined;
@@ -160,6 +162,7 @@
 			this.isStoreAway = true;
 			this.awaySinceMs = clock.nowMs();
 			log.warn('The store does not answer; what was last read stays in force.', {feed: name, reason: failure.message, revision: this.revision});
+			lost();
 		}
 
 		await this.pause();
--- a/src/direct/common/direct-router.test.ts
+++ b/src/direct/common/direct-router.test.ts
@@ -17,7 +17,7 @@
 	name: 'r', hostName: 'h', pathPrefix: '/', kind: routeKinds.stream, timeoutMs: 5000, targetMs: 1000, rank: 0, targets: [{pool, weight: 1}],
 	maxAttempts: 2, steps: [], isPublic: false, hasAffinity: true, isResumable: true,
 };
-const registry = ServerRegistry.create(silentLoggers.for('test'));
+const registry = ServerRegistry.create({log: silentLoggers.for('test'), leavingWithinMs: 2000});
 registry.applyChanges(['e1', 'e2'].map(serverId => ({
 	serverId, pool, address: '127.0.0.1', port: 1, hall: 'x', slots: 64, isLeaving: false,
 })), [], 1, 0);
--- a/src/peers/node/state-exchange.test.ts
+++ b/src/peers/node/state-exchange.test.ts
@@ -26,7 +26,7 @@
 			},
 		},
 		board: DeploymentBoard.create(log),
-		registry: ServerRegistry.create(log),
+		registry: ServerRegistry.create({log, leavingWithinMs: 2000}),
 		isListAway: () => true,
 		clock,
 		log,
--- a/src/preparation/node/preparer.test.ts
+++ b/src/preparation/node/preparer.test.ts
@@ -32,7 +32,7 @@
 		},
 		waitMs: () => 700,
 	};
-	const registry = ServerRegistry.create(log);
+	const registry = ServerRegistry.create({log, leavingWithinMs: 2000});
 	registry.applyChanges(['a', 'b'].map(pool => ({
 		serverId: pool, pool, address: '127.0.0.1', port: 1, hall: 'x', slots: 1, isLeaving: false,
 	})), [], 1, 0);
