Take news of servers by the revision of each entry, so that history brings nothing back and nothing listed is lost

Cause: changes were taken whatever their revision, and in one answer all writes before all drops.

Change: each entry carries the revision of its writing, from the store's rows to peers' lists; the registry is complete as of a revision and passes over what is older; changes of one answer are taken in the order of their writings. Entries told by a peer without a revision count as new as its list.

--- a/src/daemon/node/compose-feeds.ts
+++ b/src/daemon/node/compose-feeds.ts
@@ -4,7 +4,8 @@
 import type {Deployment} from '../../deployment/common/declaration.js';
 import {deploymentBoardToken} from '../../deployment/common/deployment-board.js';
 import {serverRegistryToken} from '../../deployment/common/server-registry.js';
-import type {UpstreamServer} from '../../deployment/common/upstream-server.js';
+import type {FeedChanges} from '../../deployment/common/feed.js';
+import type {ListedServer, UpstreamServer} from '../../deployment/common/upstream-server.js';
 import {FeedFollower} from '../../deployment/node/feed-follower.js';
 import {peerMeshToken} from '../../peers/node/peer-mesh.js';
 import {ReadingDuty, readingDutyToken} from '../../peers/node/reading-duty.js';
@@ -19,9 +20,9 @@
 @param composition - of the entry.
 */
 export function registerFeeds({settings, ports, lifecycle, clock, logOf, register, get}: Composition): void {
-	const offerAll = (declarations: readonly Deployment[]) => {
-		for (const declaration of declarations) {
-			get(deploymentBoardToken).offer(declaration, 'store');
+	const offerAll = ({changed}: FeedChanges<Deployment>) => {
+		for (const {value} of changed) {
+			get(deploymentBoardToken).offer(value, 'store');
 		}
 	};
 
@@ -44,12 +45,12 @@
 		random: get(randomToken),
 		log: logOf('store'),
 		...duty,
-		replaceAll({changed}) {
-			offerAll(changed);
+		replaceAll(all) {
+			offerAll(all);
 			return true;
 		},
-		apply({changed}) {
-			offerAll(changed);
+		apply(changes) {
+			offerAll(changes);
 		},
 		lost: () => undefined,
 		returned: () => undefined,
@@ -63,9 +64,9 @@
 			random: get(randomToken),
 			log: logOf('store'),
 			...duty,
-			replaceAll: ({changed, revision}) => registry.replaceAll({servers: [...changed], revision}, clock.nowMs()),
-			apply({changed, removedIds, revision}) {
-				registry.applyChanges(changed, removedIds, revision, clock.nowMs());
+			replaceAll: all => registry.replaceAll({servers: listedOf(all), revision: all.revision}, clock.nowMs()),
+			apply(changes) {
+				registry.applyChanges({written: listedOf(changes), dropped: changes.dropped, revision: changes.revision}, clock.nowMs());
 			},
 			lost() {
 				registry.storeLost();
@@ -77,6 +78,10 @@
 	});
 }
 
+function listedOf({changed}: FeedChanges<UpstreamServer>): ListedServer[] {
+	return changed.map(({value, revision}) => ({...value, revision}));
+}
+
 /**
 Gives how long ago the store last answered for both feeds.
 @param get - of the composition.
--- a/src/deployment/common/feed.ts
+++ b/src/deployment/common/feed.ts
@@ -7,11 +7,19 @@
 	readonly message: string;
 };
 
-/** Changes since a writing of the store. */
+/** Something that was written, and by which writing of the store. */
+export type WrittenRow<T> = {readonly value: T; readonly revision: number};
+/** Something that was dropped, and by which writing of the store. */
+export type DroppedRow = {readonly key: string; readonly revision: number};
+
+/**
+Changes since a writing of the store. One key may be in both lists, as when it was dropped and written again:
+the revisions tell which came last.
+*/
 export type FeedChanges<T> = {
-	readonly changed: readonly T[];
-	/** Keys of what was dropped. */
-	readonly removedIds: readonly string[];
+	readonly changed: ReadonlyArray<WrittenRow<T>>;
+	readonly dropped: readonly DroppedRow[];
+	/** The newest writing that these changes know of. */
 	readonly revision: number;
 };
 
--- a/src/deployment/common/server-registry.test.ts
+++ b/src/deployment/common/server-registry.test.ts
@@ -1,14 +1,20 @@
 import t from 'tap';
 import {silentLoggers} from '../../base/common/logger.js';
 import {lapseGraceMs, ServerRegistry} from './server-registry.js';
-import type {UpstreamServer} from './upstream-server.js';
+import type {ListedServer} from './upstream-server.js';
 
-function server(serverId: string, isLeaving = false): UpstreamServer {
+function server(serverId: string, revision = 1, isLeaving = false): ListedServer {
 	return {
-		serverId, pool: 'p', address: '127.0.0.1', port: 1, hall: 'a', slots: 1, isLeaving,
+		serverId, pool: 'p', address: '127.0.0.1', port: 1, hall: 'a', slots: 1, isLeaving, revision,
 	};
 }
 
+/** Takes changes that are all made by one writing. */
+function change(registry: ServerRegistry, revision: number, changes: {written?: readonly ListedServer[]; droppedIds?: readonly string[]}, nowMs = 0): void {
+	const {written = [], droppedIds = []} = changes;
+	registry.applyChanges({written, dropped: droppedIds.map(key => ({key, revision})), revision}, nowMs);
+}
+
 const usable = (registry: ServerRegistry) => registry.usable('p').map(({serverId}) => serverId).toSorted();
 
 function withTwo(): ServerRegistry {
@@ -19,16 +25,16 @@
 
 t.test('a server that leaves stays leaving, whatever an older entry says', async t => {
 	const registry = withTwo();
-	registry.applyChanges([server('a', true)], [], 6, 0);
+	change(registry, 6, {written: [server('a', 6, true)]});
 	t.same(usable(registry), ['b']);
-	registry.applyChanges([server('a')], [], 7, 0);
+	change(registry, 7, {written: [server('a', 7)]});
 	t.same(usable(registry), ['b']);
 	t.ok(registry.get('a'), 'it still finishes what it has');
 });
 
 t.test('a dropped entry is a server gone', async t => {
 	const registry = withTwo();
-	registry.applyChanges([], ['a'], 6, 0);
+	change(registry, 6, {droppedIds: ['a']});
 	t.same(usable(registry), ['b']);
 	t.equal(registry.get('a'), undefined);
 });
@@ -38,7 +44,7 @@
 	registry.storeReturned(1000);
 	registry.replaceAll({revision: 9, servers: []}, 1010);
 	t.same(usable(registry), ['a', 'b']);
-	registry.applyChanges([server('a')], [], 10, 2000);
+	change(registry, 10, {written: [server('a', 10)]}, 2000);
 	registry.tick(1000 + lapseGraceMs);
 	t.same(usable(registry), ['a']);
 });
@@ -48,7 +54,7 @@
 	registry.storeLost();
 	registry.replaceAll({revision: 9, servers: []}, 100);
 	t.same(usable(registry), ['a', 'b']);
-	registry.replaceAll({revision: 10, servers: [server('b')]}, 200);
+	registry.replaceAll({revision: 10, servers: [server('b', 10)]}, 200);
 	t.same(usable(registry), ['b'], 'half of the pool is back and does the work');
 });
 
@@ -71,7 +77,7 @@
 t.test('a server whose address answers as another one never comes back', async t => {
 	const registry = withTwo();
 	registry.addressTaken('a');
-	registry.applyChanges([server('a')], [], 6, 0);
+	change(registry, 6, {written: [server('a', 6)]});
 	t.same(usable(registry), ['b']);
 });
 
@@ -86,7 +92,7 @@
 	const registry = ServerRegistry.create({log: silentLoggers.for('test'), leavingWithinMs: 2000});
 	registry.replaceAll({revision: 5, servers: ['a', 'b', 'c', 'd'].map(serverId => server(serverId))}, 0);
 	registry.storeReturned(1000);
-	registry.applyChanges([], ['a'], 6, 1010);
+	change(registry, 6, {droppedIds: ['a']}, 1010);
 	t.same(usable(registry), ['b', 'c', 'd']);
 });
 
@@ -100,6 +106,25 @@
 t.test('a change that is older than the list known brings no server back', async t => {
 	const registry = withTwo();
 	registry.replaceAll({revision: 9, servers: [server('b')]}, 0);
-	registry.applyChanges([server('a')], [], 6, 0);
+	change(registry, 6, {written: [server('a', 6)]});
 	t.same(usable(registry), ['b']);
+	change(registry, 10, {written: [server('a', 10)]});
+	t.same(usable(registry), ['a', 'b'], 'what was written since then counts');
+});
+
+/*
+Seen: after an outage of the store half of all requests were refused for the rest of the day, though all servers lived.
+How it came about: their entries lapsed and were written again; a host read both in one answer, took all writes first and
+all drops after them, and so dropped servers for good that were listed.
+Cause: the order of the writings within one answer was lost.
+Proof: the hosts' logs list the servers as joined and then as gone, and never again.
+*/
+t.test('an entry that was dropped and written again in one answer is listed, whatever the order told', async t => {
+	for (const isWrittenLast of [true, false]) {
+		const registry = withTwo();
+		registry.applyChanges({
+			written: [server('a', isWrittenLast ? 8 : 6)], dropped: [{key: 'a', revision: 7}], revision: 8,
+		}, 0);
+		t.same(usable(registry), isWrittenLast ? ['a', 'b'] : ['b']);
+	}
 });
--- a/src/deployment/common/server-registry.ts
+++ b/src/deployment/common/server-registry.ts
@@ -4,6 +4,10 @@
 A server that is leaving or gone never comes back under the same id, with one exception: an entry that
 lapsed while the store was away, which is kept until its server has had time to write it again.
 
+News come from the store's feed and from peers, late, twice and in any order. Each entry has the revision of the
+writing that made it, and the list is complete as of a revision of its own: whatever is older than either is passed
+over, so that history told again brings nothing back.
+
 A host can't tell an outage of the store from a lost path of its own, during which servers may have left. But an
 outage makes entries lapse together, while servers leave one after the other: what is missing gets work only
 where most of its pool is missing, and for less time than a server that left may get any.
@@ -11,7 +15,8 @@
 import type {InjectionToken} from 'tsyringe';
 import {Emitter} from '../../base/common/emitter.js';
 import type {Logger} from '../../base/common/logger.js';
-import type {ServerList, UpstreamServer} from './upstream-server.js';
+import type {DroppedRow} from './feed.js';
+import type {ListedServer, ServerList, UpstreamServer} from './upstream-server.js';
 
 /**
 How long after the store's return a missing entry may still come back.
@@ -40,6 +45,19 @@
 
 export const serverRegistryToken: InjectionToken<ServerRegistry> = Symbol('ServerRegistry');
 
+/** Changes of the list. */
+export type ServerListChanges = {
+	readonly written: readonly ListedServer[];
+	readonly dropped: readonly DroppedRow[];
+	readonly revision: number;
+};
+
+/** One change, in the order of writings. */
+type ListStep = {readonly revision: number; readonly server: ListedServer} | DroppedRow;
+
+/** An entry that is missing: by which writing, and until when it may come back. */
+type Missing = {readonly revision: number; readonly untilMs: number};
+
 /** What the registry is made of. */
 export type ServerRegistryOptions = {
 	readonly log: Logger;
@@ -54,9 +72,9 @@
 	}
 
 	private readonly didChange = Emitter.create<ServerChange>();
-	private readonly servers = new Map<string, UpstreamServer>();
-	/** Servers whose entry is missing since the store was away, and until when that is forgiven. */
-	private readonly lapsed = new Map<string, number>();
+	private readonly servers = new Map<string, ListedServer>();
+	/** Entries that are missing since the store was away. */
+	private readonly lapsed = new Map<string, Missing>();
 	/** Servers that answered as another one, so that their address is someone else's now. */
 	private readonly replaced = new Set<string>();
 	private views = new Map<string, readonly UpstreamServer[]>();
@@ -136,7 +154,6 @@
 		}
 
 		this.source = source;
-		this.listRevision = list.revision;
 		const listed = new Set(list.servers.map(server => server.serverId));
 		for (const server of list.servers) {
 			this.put(server);
@@ -144,30 +161,34 @@
 
 		for (const serverId of this.servers.keys()) {
 			if (!listed.has(serverId)) {
-				this.missing(serverId, nowMs);
+				this.missing(serverId, list.revision, nowMs);
 			}
 		}
 
+		this.listRevision = list.revision;
 		return true;
 	}
 
 	/**
 	Takes changes of the list.
-	@param changed - entries that were written.
-	@param removedIds - entries that were dropped.
-	@param revision - as of which writing.
+	@param changes - in any order; each counts by its own revision.
 	@param nowMs - the time.
 	*/
-	applyChanges(changed: readonly UpstreamServer[], removedIds: readonly string[], revision: number, nowMs: number): void {
+	applyChanges({written, dropped, revision}: ServerListChanges, nowMs: number): void {
 		this.source = listSources.store;
-		this.listRevision = Math.max(this.listRevision, revision);
-		for (const server of changed) {
-			this.put(server);
+		const steps: ListStep[] = [
+			...written.map(server => ({revision: server.revision, server})),
+			...dropped,
+		];
+		for (const step of steps.toSorted((left, right) => left.revision - right.revision)) {
+			if ('server' in step) {
+				this.put(step.server);
+			} else {
+				this.missing(step.key, step.revision, nowMs);
+			}
 		}
 
-		for (const serverId of removedIds) {
-			this.missing(serverId, nowMs);
-		}
+		this.listRevision = Math.max(this.listRevision, revision);
 	}
 
 	/**
@@ -184,32 +205,37 @@
 	@param nowMs - the time.
 	*/
 	tick(nowMs: number): void {
-		for (const [serverId, untilMs] of this.lapsed) {
+		for (const [serverId, {untilMs}] of this.lapsed) {
 			if (nowMs >= untilMs) {
 				this.drop(serverId, 'its entry did not come back after the store\'s return');
 			}
 		}
 	}
 
-	private put(server: UpstreamServer): void {
-		const wasMissing = this.lapsed.delete(server.serverId);
-		if (this.replaced.has(server.serverId)) {
+	private put(server: ListedServer): void {
+		const {serverId} = server;
+		if (this.replaced.has(serverId) || !this.isNews(serverId, server.revision)) {
 			return;
 		}
 
-		const known = this.servers.get(server.serverId);
-		// Leaving is for good, whatever an older entry says.
+		const wasMissing = this.lapsed.delete(serverId);
+		const known = this.servers.get(serverId);
 		const isLeaving = server.isLeaving || known?.isLeaving === true;
-		this.servers.set(server.serverId, {...server, isLeaving});
+		this.servers.set(serverId, {...server, isLeaving});
 		this.views = new Map();
 		if (wasMissing || known?.isLeaving !== isLeaving) {
 			this.tell(server, isLeaving ? 'leaving' : 'joined');
 		}
 	}
 
-	private missing(serverId: string, nowMs: number): void {
+	/** Whether a writing is newer than what is known of a server; where none is known, than the list that lacks it. */
+	private isNews(serverId: string, revision: number): boolean {
+		return revision > (this.lapsed.get(serverId)?.revision ?? this.servers.get(serverId)?.revision ?? this.listRevision);
+	}
+
+	private missing(serverId: string, revision: number, nowMs: number): void {
 		const server = this.servers.get(serverId);
-		if (!server || this.lapsed.has(serverId)) {
+		if (!server || !this.isNews(serverId, revision) || this.lapsed.has(serverId)) {
 			return;
 		}
 
@@ -218,7 +244,8 @@
 			return;
 		}
 
-		this.lapsed.set(serverId, Math.min(this.forgivenUntilMs, nowMs + (this.options.leavingWithinMs * missingShare)));
+		const untilMs = Math.min(this.forgivenUntilMs, nowMs + (this.options.leavingWithinMs * missingShare));
+		this.lapsed.set(serverId, {revision, untilMs});
 		this.views = new Map();
 		this.tell(server, 'missing');
 	}
@@ -233,10 +260,10 @@
 		}
 	}
 
-	private tell(server: UpstreamServer, change: ServerChange['change'], reason?: string): void {
-		const {serverId, pool, hall} = server;
+	private tell(server: ListedServer, change: ServerChange['change'], reason?: string): void {
+		const {serverId, pool, hall, revision} = server;
 		this.options.log.info(changeMessages[change], {
-			server: serverId, pool, hall, change, ...(reason !== undefined && {reason}), revision: this.listRevision, source: this.source,
+			server: serverId, pool, hall, change, ...(reason !== undefined && {reason}), revision, source: this.source,
 		});
 		this.didChange.fire({server, change});
 	}
--- a/src/deployment/common/upstream-server.ts
+++ b/src/deployment/common/upstream-server.ts
@@ -14,6 +14,17 @@
 });
 export type UpstreamServer = z.infer<typeof upstreamServerSchema>;
 
-/** A list of servers, and which writing of the platform's store it is as of. */
-export const serverListSchema = z.object({revision: z.number(), servers: z.array(upstreamServerSchema)});
-export type ServerList = z.infer<typeof serverListSchema>;
+/** A server with the writing of the platform's store that made its entry what it is. */
+export type ListedServer = UpstreamServer & {readonly revision: number};
+
+/** All servers that are listed, and which writing of the platform's store the list is as of. */
+export type ServerList = {readonly revision: number; readonly servers: readonly ListedServer[]};
+
+/** A list as peers tell it; entries without a revision are as new as the list. */
+export const serverListSchema = z.object({
+	revision: z.number(),
+	servers: z.array(upstreamServerSchema.extend({revision: z.number().optional()})),
+}).transform(({revision, servers}): ServerList => ({
+	revision,
+	servers: servers.map(server => ({...server, revision: server.revision ?? revision})),
+}));
--- a/src/deployment/node/feed-follower.test.ts
+++ b/src/deployment/node/feed-follower.test.ts
@@ -28,7 +28,7 @@
 		source: {
 			async readAll() {
 				calls.push('all');
-				return ok({changed: [], removedIds: [], revision: 7});
+				return ok({changed: [], dropped: [], revision: 7});
 			},
 			async readChanges(revision) {
 				calls.push(`since ${revision}`);
@@ -80,7 +80,7 @@
 		name: 'test',
 		source: {
 			async readAll() {
-				return ok({changed: [], removedIds: [], revision: 7});
+				return ok({changed: [], dropped: [], revision: 7});
 			},
 			async readChanges(_revision, _waitMs, signal) {
 				held.push(signal);
--- a/src/deployment/node/feed-follower.ts
+++ b/src/deployment/node/feed-follower.ts
@@ -137,7 +137,7 @@
 
 		if (this.revision !== undefined) {
 			apply(changes);
-			if (changes.changed.length + changes.removedIds.length > 0) {
+			if (changes.changed.length + changes.dropped.length > 0) {
 				await this.sleep(burstMs);
 			}
 		} else if (!replaceAll(changes)) {
--- a/src/direct/common/direct-router.test.ts
+++ b/src/direct/common/direct-router.test.ts
@@ -18,9 +18,12 @@
 	maxAttempts: 2, steps: [], isPublic: false, hasAffinity: true, isResumable: true,
 };
 const registry = ServerRegistry.create({log: silentLoggers.for('test'), leavingWithinMs: 2000});
-registry.applyChanges(['e1', 'e2'].map(serverId => ({
-	serverId, pool, address: '127.0.0.1', port: 1, hall: 'x', slots: 64, isLeaving: false,
-})), [], 1, 0);
+registry.replaceAll({
+	revision: 1,
+	servers: ['e1', 'e2'].map(serverId => ({
+		serverId, pool, address: '127.0.0.1', port: 1, hall: 'x', slots: 64, isLeaving: false, revision: 1,
+	})),
+}, 0);
 
 function makeRouter(): DirectRouter {
 	return DirectRouter.create({
--- a/src/preparation/node/preparer.test.ts
+++ b/src/preparation/node/preparer.test.ts
@@ -33,9 +33,12 @@
 		waitMs: () => 700,
 	};
 	const registry = ServerRegistry.create({log, leavingWithinMs: 2000});
-	registry.applyChanges(['a', 'b'].map(pool => ({
-		serverId: pool, pool, address: '127.0.0.1', port: 1, hall: 'x', slots: 1, isLeaving: false,
-	})), [], 1, 0);
+	registry.replaceAll({
+		revision: 1,
+		servers: ['a', 'b'].map(pool => ({
+			serverId: pool, pool, address: '127.0.0.1', port: 1, hall: 'x', slots: 1, isLeaving: false, revision: 1,
+		})),
+	}, 0);
 	return Preparer.create({
 		desk, board: DeploymentBoard.create(log), registry, clock, log, stepTimes,
 	}, {
