--- a/src/deployment/common/server-registry.test.ts
+++ b/src/deployment/common/server-registry.test.ts
@@ -128,3 +128,15 @@
 		t.same(usable(registry), isWrittenLast ? ['a', 'b'] : ['b']);
 	}
 });
+
+/*
+Seen: none yet; found by reading. A host that forgives missing entries told them to peers as listed, under the newest
+revision; a peer that had dropped them took them as new, and no later news would ever drop them there.
+*/
+t.test('peers are told of listed entries only', async t => {
+	const registry = withTwo();
+	registry.storeReturned(0);
+	change(registry, 6, {droppedIds: ['a', 'b']}, 10);
+	t.same(usable(registry), ['a', 'b']);
+	t.same(registry.snapshot(), {revision: 6, servers: []});
+});
--- a/src/deployment/node/feed-follower.test.ts
+++ b/src/deployment/node/feed-follower.test.ts
@@ -4,9 +4,10 @@
 import t from 'tap';
 import {ManualClock} from '../../base/common/clock.js';
 import {silentLoggers} from '../../base/common/logger.js';
-import {fail, ok} from '../../base/common/outcome.js';
+import {fail, ok, type Outcome} from '../../base/common/outcome.js';
 import {SeededRandom} from '../../base/common/random.js';
 import {SystemClock} from '../../base/node/system-clock.js';
+import type {FeedChanges, FeedFailure} from '../common/feed.js';
 import {FeedFollower} from './feed-follower.js';
 
 /** A call that the store holds for longer than the test lasts. */
@@ -62,6 +63,94 @@
 	follower.dispose();
 });
 
+/** Follows a source whose calls are answered by hand; tells what was asked and what was made of it. */
+function followByHand(clock: ManualClock) {
+	const events: string[] = [];
+	const answers: Array<(answer: Outcome<FeedChanges<string>, FeedFailure>) => void> = [];
+	const follower = FeedFollower.create<string>({
+		name: 'test',
+		source: {
+			async readAll() {
+				return ok({changed: [], dropped: [], revision: 7});
+			},
+			async readChanges(revision, waitMs) {
+				events.push(`since ${revision} for ${waitMs} ms`);
+				return new Promise(resolve => {
+					answers.push(resolve);
+				});
+			},
+		},
+		clock,
+		random: SeededRandom.create(1),
+		log: silentLoggers.for('test'),
+		replaceAll: () => true,
+		apply: () => undefined,
+		lost() {
+			events.push('lost');
+		},
+		returned() {
+			events.push('returned');
+		},
+		holdMs: () => 1000,
+		mayRest: () => false,
+	});
+	follower.start();
+	return {
+		follower,
+		events,
+		async answer(outcome: Outcome<FeedChanges<string>, FeedFailure>, pauseMs = 1000) {
+			answers.shift()!(outcome);
+			await turn();
+			clock.advance(pauseMs);
+			await turn();
+		},
+	};
+}
+
+const noAnswer = fail<FeedFailure>({code: 'away', message: 'no answer'});
+const nothingNew = ok<FeedChanges<string>>({changed: [], dropped: [], revision: 7});
+
+/*
+Seen: a host that had been cut off for three seconds knew only two seconds after the cut's end that the store was there
+again, and for how long missing entries may come back was counted from then on: beyond what a leaving server may get.
+Cause: the first call after the cut was held by the store like any other, until something changed.
+Proof: the host's log lists the store's return at the moment of the first change, 0.9 s after the cut, and of the other
+feed, where nothing changed, 4.4 s after it.
+*/
+t.test('the store does not hold the call that asks whether it is back', async t => {
+	const {follower, events, answer} = followByHand(ManualClock.create());
+	await turn();
+	await answer(noAnswer);
+	await answer(noAnswer);
+	t.equal(events.at(-1), 'since 7 for 0 ms');
+	await answer(nothingNew);
+	t.same(events.slice(-2), ['returned', 'since 7 for 1000 ms']);
+	follower.dispose();
+});
+
+/*
+Seen: open connections fell silent while new ones worked; hosts took that for an outage of the store, and what was no
+longer listed for entries that lapsed in it.
+Cause: one call without an answer counted as the store's absence, though its connection may be all that was lost.
+Proof: this test; in the logs the call after it is answered within milliseconds.
+*/
+t.test('one call without an answer is made again at once, and is no outage of the store', async t => {
+	const clock = ManualClock.create();
+	const {follower, events, answer} = followByHand(clock);
+	await turn();
+	await answer(noAnswer, 0);
+	t.equal(events.length, 2);
+	t.equal(events.includes('lost'), false);
+	t.equal(follower.isCurrent, false, 'meanwhile peers may know more');
+	await answer(nothingNew);
+	t.equal(events.includes('returned'), false);
+	t.equal(follower.isCurrent, true);
+	await answer(noAnswer);
+	await answer(noAnswer);
+	t.equal(events.filter(event => event === 'lost').length, 1);
+	follower.dispose();
+});
+
 /*
 Seen: requests and steps reached servers seconds after the store had told that these leave.
 How it came about: all open connections of a host fell silent, and the call that the store held on one of them got no
