Ask the store whether it is back without being held, and after one failed call at once

One call without an answer, as on a connection that fell silent, counted as an outage of the store.

Change: a call after a failed one is not held; the first failed call is made again at once, over a new connection, and only if that fails too is the store taken for away.

--- a/src/deployment/node/feed-follower.ts
+++ b/src/deployment/node/feed-follower.ts
@@ -49,6 +49,8 @@
 	private readonly controller = new AbortController();
 	private revision: number | undefined;
 	/** Whether the last call failed. */
+	private hasFailed = false;
+	/** Whether the call after it failed as well. */
 	private isStoreAway = false;
 	/** When the calls began to fail. */
 	private awaySinceMs = 0;
@@ -62,7 +64,7 @@
 
 	/** Whether this host's own reading goes on: everything was read, the last call did not fail, and it does not rest. */
 	get isCurrent(): boolean {
-		return this.isSynced && !this.isStoreAway && !this.hasRested;
+		return this.isSynced && !this.hasFailed && !this.hasRested;
 	}
 
 	/** Whether other hosts read for this one now. */
@@ -115,7 +117,8 @@
 
 	private async readNext(): Promise<Outcome<FeedChanges<T>, FeedFailure>> {
 		const {source, holdMs, clock} = this.options;
-		const waitMs = this.revision === undefined ? 0 : holdMs();
+		// A held call would tell only with the next change that the store is back, up to two seconds late.
+		const waitMs = this.revision === undefined || this.hasFailed ? 0 : holdMs();
 		const limit = TimeLimit.create(clock, waitMs + answerMs, this.controller.signal);
 		const read = await (this.revision === undefined
 			? source.readAll(limit.signal)
@@ -127,6 +130,7 @@
 	private async take(changes: FeedChanges<T>): Promise<void> {
 		const {log, name, replaceAll, apply, returned, clock} = this.options;
 		this.answeredMs = clock.nowMs();
+		this.hasFailed = false;
 		if (this.isStoreAway) {
 			this.isStoreAway = false;
 			log.info('The store answers again.', {
@@ -158,6 +162,13 @@
 			return;
 		}
 
+		if (!this.hasFailed) {
+			// An open connection may be cut without a word: only a call on a new one tells whether the store is away.
+			this.hasFailed = true;
+			log.info('A call to the store failed; it is made again at once.', {feed: name, reason: failure.message});
+			return;
+		}
+
 		if (!this.isStoreAway) {
 			this.isStoreAway = true;
 			this.awaySinceMs = clock.nowMs();
