Tell peers of listed entries only

Cause: a host that lets missing entries come back told peers of them as listed, under the newest revision.

Change: the list for peers holds what is listed; each host decides for itself how long what it misses may come back.

--- a/src/deployment/common/server-registry.ts
+++ b/src/deployment/common/server-registry.ts
@@ -123,9 +123,9 @@
 		return this.lapsed.has(serverId);
 	}
 
-	/** @returns the whole list, for a peer. */
+	/** @returns what is listed, for a peer: it decides for itself how long missing entries may come back. */
 	snapshot(): ServerList {
-		return {revision: this.listRevision, servers: [...this.servers.values()]};
+		return {revision: this.listRevision, servers: [...this.servers.values()].filter(({serverId}) => !this.lapsed.has(serverId))};
 	}
 
 	/** The store does not answer: entries that peers miss may have lapsed. */
