--- a/src/peers/node/state-exchange.test.ts
+++ b/src/peers/node/state-exchange.test.ts
@@ -4,15 +4,18 @@
 import {silentLoggers} from '../../base/common/logger.js';
 import {DeploymentBoard} from '../../deployment/common/deployment-board.js';
 import {ServerRegistry} from '../../deployment/common/server-registry.js';
+import type {ServerList} from '../../deployment/common/upstream-server.js';
 import type {Message} from '../../wire/common/messages.js';
 import type {PeerMessage} from './peer-mesh.js';
 import {StateExchange} from './state-exchange.js';
 
-t.test('news that all peers tell at once is asked of one, and of another if that one does not answer', async t => {
+/** An exchange whose peers speak by hand; tells what it asked them for. */
+function exchangeByHand(isListAway: boolean) {
 	const log = silentLoggers.for('test');
 	const clock = ManualClock.create();
 	const received = Emitter.create<PeerMessage>();
 	const asked: string[] = [];
+	const registry = ServerRegistry.create({log, leavingWithinMs: 2000});
 	StateExchange.create({
 		mesh: {
 			onDidReceive: received.event,
@@ -26,19 +29,28 @@
 			},
 		},
 		board: DeploymentBoard.create(log),
-		registry: ServerRegistry.create({log, leavingWithinMs: 2000}),
-		isListAway: () => true,
+		registry,
+		isListAway: () => isListAway,
 		clock,
 		log,
 	});
-	const tell = (hostId: string, deploymentVersion: number, listRevision: number) => {
-		received.fire({
-			hostId, message: {
-				type: 'peerBeat', endpoint: '', knownEndpoints: [], deploymentVersion, listRevision, isLeaving: false,
-			},
-		});
+	return {
+		clock, asked, registry,
+		tell(hostId: string, deploymentVersion: number, listRevision: number) {
+			received.fire({
+				hostId, message: {
+					type: 'peerBeat', endpoint: '', knownEndpoints: [], deploymentVersion, listRevision, isLeaving: false,
+				},
+			});
+		},
+		reply(hostId: string, servers: ServerList) {
+			received.fire({hostId, message: {type: 'stateReply', servers: JSON.stringify(servers)}});
+		},
 	};
+}
 
+t.test('news that all peers tell at once is asked of one, and of another if that one does not answer', async t => {
+	const {clock, asked, tell, reply} = exchangeByHand(true);
 	clock.advance(1000);
 	tell('gone', 5, 0);
 	tell('a', 5, 0);
@@ -49,7 +61,30 @@
 	clock.advance(500);
 	tell('c', 5, 9);
 	t.same(asked.at(-1), 'c declaration servers');
-	received.fire({hostId: 'c', message: {type: 'stateReply', servers: JSON.stringify({revision: 9, servers: []})}});
+	reply('c', {revision: 9, servers: []});
 	tell('d', 5, 10);
 	t.same(asked.at(-1), 'd servers', 'after an answer the next news is asked for at once');
 });
+
+/*
+Seen: a host whose connection to the store had fallen silent learned nothing of leaving servers for up to 2.7 s, though
+all its peers told it of a newer list twice a second.
+Cause: only a host that knew that its own reading was interrupted took what peers told.
+*/
+t.test('a host that stays behind its peers asks them, also while its own reading seems sound', async t => {
+	const {clock, asked, registry, tell, reply} = exchangeByHand(false);
+	clock.advance(1000);
+	tell('a', 0, 9);
+	clock.advance(200);
+	tell('b', 0, 9);
+	t.same(asked, [], 'its own reading is given a moment');
+	clock.advance(200);
+	tell('a', 0, 9);
+	t.same(asked, ['a servers']);
+	reply('a', {revision: 9, servers: []});
+	t.equal(registry.revision, 9);
+	clock.advance(500);
+	tell('a', 0, 9);
+	tell('a', 0, 10);
+	t.same(asked, ['a servers'], 'once it has caught up the next news are given a moment again');
+});
