Ask peers for their list when this host stays behind it

Cause: a host whose reading had fallen silent without its knowing took no peer's list until it noticed, after up to 2.7 s.

Change: a host whose list is older than a peer's for 300 ms asks for the peer's. Lists merge by the revision of each entry, so taking one is safe at any time.

--- a/src/peers/node/state-exchange.ts
+++ b/src/peers/node/state-exchange.ts
@@ -19,6 +19,12 @@
 */
 const answerMs = 400;
 
+/**
+A host whose list stays older than a peer's for this long asks for the peer's: its own reading may have fallen
+silent, which it notices itself only after 2.7 s. Usually both learn of a change within milliseconds.
+*/
+const behindMs = 300;
+
 /** What the exchange is made of. */
 export type StateExchangeOptions = {
 	readonly mesh: Pick<PeerMesh, 'onDidReceive' | 'announce' | 'send'>;
@@ -42,6 +48,8 @@
 	/** When a peer was last asked for either and has not answered. */
 	private deploymentAskedMs = -Infinity;
 	private serversAskedMs = -Infinity;
+	/** The first revision of a peer's list that this host lacked, and when it was told; kept until it has caught up. */
+	private lacked: {readonly revision: number; readonly sinceMs: number} | undefined;
 
 	private constructor(private readonly options: StateExchangeOptions) {
 		const {mesh, board, registry} = options;
@@ -73,13 +81,13 @@
 	}
 
 	private receive(hostId: string, message: Message): void {
-		const {mesh, board, registry, isListAway, clock} = this.options;
+		const {mesh, board, registry, clock} = this.options;
 		switch (message.type) {
 			case 'peerBeat': {
 				const askedBeforeMs = clock.nowMs() - answerMs;
 				this.ask(hostId, {
 					wantsDeployment: message.deploymentVersion > board.version && this.deploymentAskedMs <= askedBeforeMs,
-					wantsServers: isListAway() && message.listRevision > registry.revision && this.serversAskedMs <= askedBeforeMs,
+					wantsServers: this.lacks(message.listRevision) && this.serversAskedMs <= askedBeforeMs,
 				});
 
 				break;
@@ -105,6 +113,21 @@
 		}
 	}
 
+	/** Whether a peer's list is newer and this host's own reading won't bring it. */
+	private lacks(listRevision: number): boolean {
+		const {registry, isListAway, clock} = this.options;
+		if (listRevision <= registry.revision) {
+			return false;
+		}
+
+		const nowMs = clock.nowMs();
+		if (!this.lacked || this.lacked.revision <= registry.revision) {
+			this.lacked = {revision: listRevision, sinceMs: nowMs};
+		}
+
+		return isListAway() || nowMs - this.lacked.sinceMs >= behindMs;
+	}
+
 	/** Asks one peer at a time: each answer is the whole of it. */
 	private ask(hostId: string, wants: {readonly wantsDeployment: boolean; readonly wantsServers: boolean}): void {
 		const {mesh, clock} = this.options;
@@ -117,7 +140,7 @@
 	}
 
 	private take(hostId: string, deployment: string | undefined, servers: string | undefined): void {
-		const {board, registry, isListAway, clock, log} = this.options;
+		const {board, registry, clock, log} = this.options;
 		this.deploymentAskedMs = deployment === undefined ? this.deploymentAskedMs : -Infinity;
 		this.serversAskedMs = servers === undefined ? this.serversAskedMs : -Infinity;
 		try {
@@ -125,7 +148,7 @@
 				board.offer(deploymentSchema.parse(JSON.parse(deployment)), 'peer');
 			}
 
-			if (servers !== undefined && isListAway()) {
+			if (servers !== undefined) {
 				registry.replaceAll(serverListSchema.parse(JSON.parse(servers)), clock.nowMs(), listSources.peer);
 			}
 		} catch (error) {
