Keep the whole of its caller's time for a request for which something was done

Cause: a step without inputs was given up after half of its caller's time; work made again and work that begins late on purpose read no results either, so requests for which servers had worked were refused while there was time to serve them.

Change: the half holds until an upstream has done something for the request.

--- a/src/preparation/node/preparer.ts
+++ b/src/preparation/node/preparer.ts
@@ -68,6 +68,8 @@
 	/** Works handed in so far; numbers them. */
 	private workCount = 0;
 	private failureCount = 0;
+	/** Whether an upstream has done something for this request. */
+	private hasBegun = false;
 	/** Whether an advance is asked for already. */
 	private isAdvancing = false;
 	/** Whether a failure was counted since the last advance. */
@@ -198,12 +200,12 @@
 	When a step that waits is given up, and its caller told. Then it could not be done any more before the caller
 	leaves; or nothing was done for the request yet, and the caller still has time to come back or to do without.
 	*/
-	private giveUpMs({step, inputs}: StepWork): number {
+	private giveUpMs({step}: StepWork): number {
 		const {ask} = this;
 		const neededMs = ask.afterwardsMs + this.callMs(ask.route.steps[step].pool) + this.preparation.timeBehindMs(step, pool => this.callMs(pool));
 		const lastStartMs = ask.deadlineMs - neededMs;
 		const patientMs = ask.receivedMs + ((ask.deadlineMs - ask.receivedMs) * unbegunShare);
-		return inputs ? lastStartMs : Math.min(lastStartMs, patientMs);
+		return this.hasBegun ? lastStartMs : Math.min(lastStartMs, patientMs);
 	}
 
 	/** Where a step is best worked on: where what it reads lies, or else where what it makes is read. */
@@ -233,6 +235,7 @@
 	private ended(index: number, piece: number, outcome: PieceOutcome): void {
 		const {pool} = this.ask.route.steps[index];
 		if (outcome.ok) {
+			this.hasBegun = true;
 			const isWanted = this.preparation.done(index, piece, outcome.ref);
 			if (this.isOver || !isWanted) {
 				this.options.desk.release(pool, [outcome.ref]);
