--- a/src/deployment/common/server-registry.ts
+++ b/src/deployment/common/server-registry.ts
@@ -24,10 +24,10 @@
 */
 export const lapseGraceMs = 2200;
 /**
-Part of the time within which a server that left must get no more, for which a missing entry may come back:
-counted from when this host learned of it, so that a call begun last is connected and there in the rest.
+Part of the time within which a server that left must get no more, for which a missing entry may come back, counted
+from when this host learned of it. The rest, 0.7 s of 2 s, is for the sweep that ends it and for the last call to connect.
 */
-const missingShare = 0.75;
+const missingShare = 0.65;
 
 /** What changed about a server; one that is missing may still come back. */
 export type ServerChange = {readonly server: UpstreamServer; readonly change: 'joined' | 'leaving' | 'missing' | 'gone'};
