--- a/src/preparation/node/batch-desk.ts
+++ b/src/preparation/node/batch-desk.ts
@@ -11,6 +11,7 @@
 import {rendezvousOwner} from '../../routing/common/rendezvous.js';
 import type {BatchEndsMessage, BatchWaitsMessage, Message} from '../../wire/common/messages.js';
 import type {PieceEnd} from '../common/batch-call.js';
+import {ToldWaits} from '../common/told-waits.js';
 import {
 	messageOfEnd, messageOfWork, outcomeOfEnd, workOfMessage,
 } from '../common/work-messages.js';
@@ -55,10 +56,6 @@
 
 /** How often waits are told, and what waits here for other hosts is handed on: several times in the length of one call. */
 const tellMs = 100;
-/** How long a wait that was told is believed. */
-const toldLifeMs = 500;
-/** Ranks told apart; higher ones count as the last. */
-const ranksTold = 6;
 
 /** A peer whose work is in the hands of this host, and how many of its pieces have not ended. */
 type Asker = {readonly hostId: string; open: number};
@@ -81,10 +78,7 @@
 	/** Pools this host batches, or has batched. */
 	private readonly pools = new Map<string, PoolBatches>();
 	private readonly owned = DisposableStore.create();
-	/** Waits of pools that other hosts batch, as they told. */
-	private readonly told = new Map<string, {readonly waitMsByRank: readonly number[]; readonly atMs: number}>();
-	/** Pools whose wait was last told as more than none. */
-	private readonly waitingPools = new Set<string>();
+	private readonly toldWaits = ToldWaits.create();
 
 	private constructor(private readonly options: BatchDeskOptions) {
 		const {mesh} = options;
@@ -115,13 +109,9 @@
 	@param rank - of the work.
 	*/
 	waitMs(pool: string, rank: number): number {
-		if (this.ownerOf(pool) === this.options.hostId) {
-			return this.pools.get(pool)?.waitMs(rank) ?? 0;
-		}
-
-		const told = this.told.get(pool);
-		const isFresh = told !== undefined && this.options.clock.nowMs() - told.atMs < toldLifeMs;
-		return isFresh ? told.waitMsByRank[Math.min(rank, ranksTold - 1)] ?? 0 : 0;
+		return this.ownerOf(pool) === this.options.hostId
+			? this.pools.get(pool)?.waitMs(rank) ?? 0
+			: this.toldWaits.waitMs(pool, rank, this.options.clock.nowMs());
 	}
 
 	/**
@@ -191,23 +181,8 @@
 		}
 	}
 
-	/** Tells peers how long work would wait here; a pool without a queue is told of once. */
 	private tellWaits(): void {
-		const pools: BatchWaitsMessage['pools'] = [];
-		for (const [pool, batches] of this.pools) {
-			const waitMsByRank = Array.from({length: ranksTold}, (_, rank) => Math.round(batches.waitMs(rank)));
-			const hasWait = waitMsByRank.some(waitMs => waitMs > 0);
-			if (hasWait || this.waitingPools.has(pool)) {
-				pools.push({pool, waitMsByRank});
-			}
-
-			if (hasWait) {
-				this.waitingPools.add(pool);
-			} else {
-				this.waitingPools.delete(pool);
-			}
-		}
-
+		const pools = this.toldWaits.news(this.pools);
 		if (pools.length > 0) {
 			this.options.mesh.broadcast({type: 'batchWaits', pools});
 		}
@@ -306,9 +281,9 @@
 
 	/** Only the host that batches a pool knows its wait. */
 	private takeWaits(hostId: string, {pools}: BatchWaitsMessage): void {
-		for (const {pool, waitMsByRank} of pools) {
-			if (this.ownerOf(pool) === hostId) {
-				this.told.set(pool, {waitMsByRank, atMs: this.options.clock.nowMs()});
+		for (const waits of pools) {
+			if (this.ownerOf(waits.pool) === hostId) {
+				this.toldWaits.take(waits, this.options.clock.nowMs());
 			}
 		}
 	}
