--- a/src/deployment/node/feed-follower.test.ts
+++ b/src/deployment/node/feed-follower.test.ts
@@ -8,7 +8,7 @@
 import {SeededRandom} from '../../base/common/random.js';
 import {SystemClock} from '../../base/node/system-clock.js';
 import type {FeedChanges, FeedFailure} from '../common/feed.js';
-import {FeedFollower} from './feed-follower.js';
+import {FeedFollower, type FeedFollowerOptions} from './feed-follower.js';
 
 /** A call that the store holds for longer than the test lasts. */
 function neverEnding(): {readonly promise: Promise<never>} {
@@ -19,13 +19,28 @@
 	};
 }
 
+/** A follower of a source, with what a test needs otherwise. */
+function makeFollower(options: Pick<FeedFollowerOptions<string>, 'source' | 'clock'> & Partial<FeedFollowerOptions<string>>): FeedFollower<string> {
+	return FeedFollower.create<string>({
+		name: 'test',
+		random: SeededRandom.create(1),
+		log: silentLoggers.for('test'),
+		replaceAll: () => true,
+		apply: () => undefined,
+		lost: () => undefined,
+		returned: () => undefined,
+		holdMs: () => 1000,
+		mayRest: () => false,
+		...options,
+	});
+}
+
 t.test('a follower rests once it has read everything, and reads everything again when it must', async t => {
 	const clock = ManualClock.create();
 	const calls: string[] = [];
 	let isResting = true;
 	const {promise: never} = neverEnding();
-	const follower = FeedFollower.create<string>({
-		name: 'test',
+	const follower = makeFollower({
 		source: {
 			async readAll() {
 				calls.push('all');
@@ -37,13 +52,6 @@
 			},
 		},
 		clock,
-		random: SeededRandom.create(1),
-		log: silentLoggers.for('test'),
-		replaceAll: () => true,
-		apply: () => undefined,
-		lost: () => undefined,
-		returned: () => undefined,
-		holdMs: () => 1000,
 		mayRest: () => isResting,
 	});
 	follower.start();
@@ -67,8 +75,7 @@
 function followByHand(clock: ManualClock) {
 	const events: string[] = [];
 	const answers: Array<(answer: Outcome<FeedChanges<string>, FeedFailure>) => void> = [];
-	const follower = FeedFollower.create<string>({
-		name: 'test',
+	const follower = makeFollower({
 		source: {
 			async readAll() {
 				return ok({changed: [], dropped: [], revision: 7});
@@ -81,18 +88,12 @@
 			},
 		},
 		clock,
-		random: SeededRandom.create(1),
-		log: silentLoggers.for('test'),
-		replaceAll: () => true,
-		apply: () => undefined,
 		lost() {
 			events.push('lost');
 		},
 		returned() {
 			events.push('returned');
 		},
-		holdMs: () => 1000,
-		mayRest: () => false,
 	});
 	follower.start();
 	return {
@@ -165,8 +166,7 @@
 	const mostTurns = 2000;
 	const collectGarbage = runInNewContext('gc') as () => void;
 	const held: AbortSignal[] = [];
-	const follower = FeedFollower.create<string>({
-		name: 'test',
+	const follower = makeFollower({
 		source: {
 			async readAll() {
 				return ok({changed: [], dropped: [], revision: 7});
@@ -181,14 +181,7 @@
 			},
 		},
 		clock: SystemClock.create(),
-		random: SeededRandom.create(1),
-		log: silentLoggers.for('test'),
-		replaceAll: () => true,
-		apply: () => undefined,
-		lost: () => undefined,
-		returned: () => undefined,
 		holdMs: () => 1,
-		mayRest: () => false,
 	});
 	follower.start();
 	t.teardown(() => {
