--- a/test/platform/direct-fleet.test.ts
+++ b/test/platform/direct-fleet.test.ts
@@ -190,6 +190,35 @@
 	await held.catch(() => undefined);
 });
 
+/*
+Seen: callers whose requests a stopping host had taken got neither an answer nor a refusal.
+How it came about: the requests still waited for their steps, for which all upstreams were busy, when the host had to end.
+Cause: a planned stop waited for what was open, and then closed the connections of what still was.
+Proof: the host's log tells eight open requests at its end, none of which any model had been sent.
+*/
+t.test('a request that still waits for its steps when its host must end is refused as not run', async t => {
+	const fleet = await makeFleet(t);
+	const config = configOf(2);
+	fleet.store.put('op', 'config', {
+		...config,
+		routes: config.routes.map(each => ({...each, timeoutMs: 60_000, goalMs: 30_000})),
+		backends: config.backends.map(each => ({...each, ...('segments' in each && {segments: {...each.segments, callMs: 3000}})})),
+	});
+	const [stage] = await fleet.addServers('stage', 1);
+	const [model] = await fleet.addServers('model', 1);
+	const entry = await fleet.addReadyEntry();
+	stage.stageGate = new Promise(() => {
+		// It ends with the test.
+	});
+	const asked = ask(entry, {...stagedCall('w1'), deadlineMs: 60_000}).catch(() => 'cut');
+	await until(() => stage.stageCalls.length > 0);
+	await entry.entry.lifecycle.stop();
+	const answer = await asked;
+	t.match(answer, {status: 503, isWhole: true});
+	t.match(answer, {headers: {'retry-after': /./v}});
+	t.equal(model.seen.length, 0);
+});
+
 t.test('another server at a known address is not taken for the one that was there', async t => {
 	const fleet = await makeFleet(t);
 	const [server] = await fleet.addServers('plain', 1);
