Refuse what waits when its host must end

Change: just before a host ends, requests that no upstream can have begun are refused as not run, with a time to come back that sends their callers to another host at once; the rest goes on as long as it can.

Left: callers whose work can't end before the host does could be told earlier.

--- a/src/daemon/node/direct-entry.ts
+++ b/src/daemon/node/direct-entry.ts
@@ -19,6 +19,8 @@
 /** Kept back from the time until the process is ended from outside. */
 const stopMarginMs = 500;
 const lookMs = 50;
+/** Time for the last refusals to reach their callers: many times the way there. */
+const lastAnswersMs = 200;
 
 /** What an entry is made of. */
 export type DirectEntryOptions = {
@@ -95,6 +97,9 @@
 		// What is taken later might not end in time; the balancer has long been told.
 		ingress.stopTaking();
 		await this.until(() => clock.nowMs() >= latestMs || (ingress.openCount === 0 && desk.isIdle));
+		// A connection that closes without an answer tells its caller nothing, not even that it may ask again.
+		ingress.refuseUnstarted();
+		await this.until(() => clock.nowMs() >= latestMs + lastAnswersMs || ingress.openCount === 0);
 		log.info('The entry has stopped.', {open: ingress.openCount, tookMs: Math.round(clock.nowMs() - startMs)});
 	}
 
--- a/src/direct/node/ingress.ts
+++ b/src/direct/node/ingress.ts
@@ -16,7 +16,7 @@
 import {admit, type PoolWaits} from '../../preparation/common/admission.js';
 import type {Preparer, PreparationAsk} from '../../preparation/node/preparer.js';
 import {requestLogMessages} from '../../request/common/request-log-messages.js';
-import type {RequestPlan, StagePlan} from '../../request/common/request-plan.js';
+import {otherHostMs, type RequestPlan, type StagePlan} from '../../request/common/request-plan.js';
 import type {RequestRunner} from '../../request/node/request-runner.js';
 import type {Endpoint} from '../../wire/node/wire-server.js';
 import type {CallerAsk, CallerProtocol} from '../common/caller-protocol.js';
@@ -34,8 +34,6 @@
 const checkMs = 1000;
 /** When to come back to a host that knows no declaration yet. */
 const comeBackMs = 500;
-/** A caller that is sent to another host may go there at once. */
-const elsewhereMs = 50;
 const statuses = {
 	badRequest: 400, unauthorized: 401, notFound: 404, bodyTooLarge: 413, headTooLarge: 431, unavailable: 503,
 } as const;
@@ -142,6 +140,11 @@
 		}));
 	}
 
+	/** Refuses what has not been sent to an upstream: the process ends in a moment. */
+	refuseUnstarted(): void {
+		this.options.runner.refuseUnstarted();
+	}
+
 	dispose(): void {
 		this.owned.dispose();
 		this.callers.close();
@@ -176,7 +179,7 @@
 
 		if (this.hasStoppedTaking) {
 			this.refuse(response, {
-				requestId: '', status: statuses.unavailable, reason: 'this host is about to stop', retryAfterMs: elsewhereMs,
+				requestId: '', status: statuses.unavailable, reason: 'this host is about to stop', retryAfterMs: otherHostMs,
 			});
 			return;
 		}
--- a/src/request/common/request-events.ts
+++ b/src/request/common/request-events.ts
@@ -27,6 +27,8 @@
 		| {readonly type: 'incarnationGone'; readonly upstreamId: string}
 		| {readonly type: 'candidatesChanged'}
 		| {readonly type: 'callerGone'}
+	/** The process ends in a moment. */
+		| {readonly type: 'hostStops'}
 		| {readonly type: 'tick'};
 
 /** Something to be done for a request. */
--- a/src/request/common/request-machine.test.ts
+++ b/src/request/common/request-machine.test.ts
@@ -119,3 +119,15 @@
 		}
 	}
 });
+
+t.test('a request that waits when its host stops is refused as not run', async t => {
+	const machine = RequestMachine.create(planWith({needsPreparation: true}), routerWith({}));
+	machine.handle({type: 'start'}, 0);
+	t.match(machine.handle({type: 'hostStops'}, 10), [{type: 'finish', result: {outcome: 'refused', code: 'stopping', retryAfterMs: 50}}, {type: 'close'}]);
+});
+
+t.test('a request that an upstream may have begun goes on when its host stops', async t => {
+	const machine = RequestMachine.create(planWith(), routerWith({}));
+	machine.handle({type: 'start'}, 0);
+	t.strictSame(machine.handle({type: 'hostStops'}, 10), []);
+});
--- a/src/request/common/request-machine.ts
+++ b/src/request/common/request-machine.ts
@@ -1,7 +1,7 @@
 /** The life of one request at its entry: events and time in, actions out; nothing else decides. */
 import type {RequestAction, RequestEvent} from './request-events.js';
 import {
-	failureCodes, noInputs, outcomes, type FailureCode, type PreparedInputs, type RequestOutcome, type RequestPlan, type RequestResult,
+	failureCodes, noInputs, otherHostMs, outcomes, type FailureCode, type PreparedInputs, type RequestOutcome, type RequestPlan, type RequestResult,
 } from './request-plan.js';
 import type {RequestRouter} from './request-router.js';
 import {makeResult} from './request-result.js';
@@ -136,6 +136,11 @@
 				break;
 			}
 
+			case 'hostStops': {
+				this.hostStops(nowMs);
+				break;
+			}
+
 			case 'tick': {
 				this.tick(nowMs);
 				break;
@@ -327,6 +332,13 @@
 		// Work that may not be repeated goes on, so that a repeat of the request learns its end.
 	}
 
+	/** What no upstream can have begun is refused as not run, so that its caller asks another host at once. */
+	private hostStops(nowMs: number): void {
+		if (!this.runs.mayHaveRun && this.phase !== 'claiming') {
+			this.finishWith(failureCodes.stopping, 'this host stops before it could run', nowMs, otherHostMs);
+		}
+	}
+
 	private settle(nowMs: number): void {
 		this.runs.abandon(nowMs);
 		const isComplete = this.runs.current!.status.type === 'done' && this.runs.count === this.plan.stages.length;
--- a/src/request/common/request-plan.ts
+++ b/src/request/common/request-plan.ts
@@ -92,6 +92,9 @@
 } as const;
 export type FailureCode = typeof failureCodes[keyof typeof failureCodes];
 
+/** When a caller may ask another host, which has nothing to wait for. */
+export const otherHostMs = 50;
+
 /** How one attempt ended. */
 export const attemptStates = {
 	sent: 'sent', started: 'started', notRun: 'notRun', completed: 'completed', failed: 'failed', unknown: 'unknown',
--- a/src/request/node/request-runner.ts
+++ b/src/request/node/request-runner.ts
@@ -99,6 +99,11 @@
 		};
 	}
 
+	/** The process ends in a moment: what no upstream can have begun is refused, and the rest goes on as long as it can. */
+	refuseUnstarted(): void {
+		this.broadcast({type: 'hostStops'});
+	}
+
 	dispose(): void {
 		// Connections that close from now on must set no timer: nothing would end it.
 		this.isDisposed = true;
