Decide in a part of its own whether a stage is tried again; name what is missing alike

The registry called missing entries lapsed and forgiven in turn; they are missing, and may return, everywhere. No behaviour changed.

--- a/src/deployment/common/server-registry.ts
+++ b/src/deployment/common/server-registry.ts
@@ -74,11 +74,12 @@
 	private readonly didChange = Emitter.create<ServerChange>();
 	private readonly servers = new Map<string, ListedServer>();
 	/** Entries that are missing since the store was away. */
-	private readonly lapsed = new Map<string, Missing>();
+	private readonly missing = new Map<string, Missing>();
 	/** Servers that answered as another one, so that their address is someone else's now. */
 	private readonly replaced = new Set<string>();
 	private views = new Map<string, readonly UpstreamServer[]>();
-	private forgivenUntilMs = 0;
+	/** Until when an entry that goes may have lapsed with the store; Infinity while the store does not answer. */
+	private mayReturnUntilMs = 0;
 	private listRevision = 0;
 	/** Who told what is being taken; for logs. */
 	private source: ListSource = listSources.store;
@@ -106,7 +107,7 @@
 		let view = this.views.get(pool);
 		if (!view) {
 			const staying = [...this.servers.values()].filter(server => server.pool === pool && !server.isLeaving);
-			const listed = staying.filter(({serverId}) => !this.lapsed.has(serverId));
+			const listed = staying.filter(({serverId}) => !this.missing.has(serverId));
 			view = staying.length > 2 * listed.length ? staying : listed;
 			this.views.set(pool, view);
 		}
@@ -120,17 +121,17 @@
 
 	/** Whether a server's entry is missing and may still come back. */
 	isMissing(serverId: string): boolean {
-		return this.lapsed.has(serverId);
+		return this.missing.has(serverId);
 	}
 
 	/** @returns what is listed, for a peer: it decides for itself how long missing entries may come back. */
 	snapshot(): ServerList {
-		return {revision: this.listRevision, servers: [...this.servers.values()].filter(({serverId}) => !this.lapsed.has(serverId))};
+		return {revision: this.listRevision, servers: [...this.servers.values()].filter(({serverId}) => !this.missing.has(serverId))};
 	}
 
 	/** The store does not answer: entries that peers miss may have lapsed. */
 	storeLost(): void {
-		this.forgivenUntilMs = Infinity;
+		this.mayReturnUntilMs = Infinity;
 	}
 
 	/**
@@ -138,7 +139,7 @@
 	@param nowMs - the time.
 	*/
 	storeReturned(nowMs: number): void {
-		this.forgivenUntilMs = nowMs + lapseGraceMs;
+		this.mayReturnUntilMs = nowMs + lapseGraceMs;
 	}
 
 	/**
@@ -161,7 +162,7 @@
 
 		for (const serverId of this.servers.keys()) {
 			if (!listed.has(serverId)) {
-				this.missing(serverId, list.revision, nowMs);
+				this.miss(serverId, list.revision, nowMs);
 			}
 		}
 
@@ -184,7 +185,7 @@
 			if ('server' in step) {
 				this.put(step.server);
 			} else {
-				this.missing(step.key, step.revision, nowMs);
+				this.miss(step.key, step.revision, nowMs);
 			}
 		}
 
@@ -205,7 +206,7 @@
 	@param nowMs - the time.
 	*/
 	tick(nowMs: number): void {
-		for (const [serverId, {untilMs}] of this.lapsed) {
+		for (const [serverId, {untilMs}] of this.missing) {
 			if (nowMs >= untilMs) {
 				this.drop(serverId, 'its entry did not come back after the store\'s return');
 			}
@@ -218,7 +219,7 @@
 			return;
 		}
 
-		const wasMissing = this.lapsed.delete(serverId);
+		const wasMissing = this.missing.delete(serverId);
 		const known = this.servers.get(serverId);
 		const isLeaving = server.isLeaving || known?.isLeaving === true;
 		this.servers.set(serverId, {...server, isLeaving});
@@ -230,28 +231,28 @@
 
 	/** Whether a writing is newer than what is known of a server; where none is known, than the list that lacks it. */
 	private isNews(serverId: string, revision: number): boolean {
-		return revision > (this.lapsed.get(serverId)?.revision ?? this.servers.get(serverId)?.revision ?? this.listRevision);
+		return revision > (this.missing.get(serverId)?.revision ?? this.servers.get(serverId)?.revision ?? this.listRevision);
 	}
 
-	private missing(serverId: string, revision: number, nowMs: number): void {
+	private miss(serverId: string, revision: number, nowMs: number): void {
 		const server = this.servers.get(serverId);
-		if (!server || !this.isNews(serverId, revision) || this.lapsed.has(serverId)) {
+		if (!server || !this.isNews(serverId, revision) || this.missing.has(serverId)) {
 			return;
 		}
 
-		if (server.isLeaving || nowMs >= this.forgivenUntilMs) {
+		if (server.isLeaving || nowMs >= this.mayReturnUntilMs) {
 			this.drop(serverId, 'its entry was dropped');
 			return;
 		}
 
-		const untilMs = Math.min(this.forgivenUntilMs, nowMs + (this.options.leavingWithinMs * missingShare));
-		this.lapsed.set(serverId, {revision, untilMs});
+		const untilMs = Math.min(this.mayReturnUntilMs, nowMs + (this.options.leavingWithinMs * missingShare));
+		this.missing.set(serverId, {revision, untilMs});
 		this.views = new Map();
 		this.tell(server, 'missing');
 	}
 
 	private drop(serverId: string, reason: string): void {
-		this.lapsed.delete(serverId);
+		this.missing.delete(serverId);
 		const server = this.servers.get(serverId);
 		if (server) {
 			this.servers.delete(serverId);
--- a/src/request/common/stage-run.ts
+++ b/src/request/common/stage-run.ts
@@ -12,6 +12,7 @@
 import {isTooLarge, StageAnswer} from './stage-answer.js';
 import {makeDispatch} from './stage-dispatch.js';
 import {StageHold} from './stage-hold.js';
+import {decideRecovery} from './stage-recovery.js';
 import {makeStageTrace} from './stage-trace.js';
 
 const firstServerError = 500;
@@ -363,26 +364,27 @@
 			return;
 		}
 
-		const last = this.attempts.all.at(-1)!;
-		const isNotRun = last.state === attemptStates.notRun;
-		const isFree = isNotRun && !this.options.plan.rules.paysForRefusals;
 		if (this.leader && !this.leader.isLive) {
 			this.leader = undefined;
 		}
 
-		if (this.isRecoveryOver) {
-			this.fail(code, message);
-		} else if (!isNotRun && !this.options.plan.isRepeatable) {
-			const isUnknown = this.attempts.hasUnknown;
-			this.fail(isUnknown ? failureCodes.resultUnknown : code, message);
-		} else if (this.attempts.areSpent(this.options.plan.rules, this.stage.policy.maxAttempts)) {
-			this.fail(isNotRun ? failureCodes.overloaded : failureCodes.attemptsExhausted, message);
-		} else if (nowMs >= this.options.startByMs) {
-			this.fail(failureCodes.deadlineExceeded, message);
-		} else if (isFree || this.options.router.mayRetry(this.stage, nowMs)) {
+		const {plan, router, startByMs} = this.options;
+		const recovery = decideRecovery({
+			code,
+			message,
+			isNotRun: this.attempts.all.at(-1)?.state === attemptStates.notRun,
+			areRefusalsFree: !plan.rules.paysForRefusals,
+			isRepeatable: plan.isRepeatable,
+			isOver: this.isRecoveryOver,
+			hasUnknown: this.attempts.hasUnknown,
+			areSpent: this.attempts.areSpent(plan.rules, this.stage.policy.maxAttempts),
+			isTooLate: nowMs >= startByMs,
+			mayRetry: () => router.mayRetry(this.stage, nowMs),
+		});
+		if (recovery.type === 'again') {
 			this.dispatch(this.answer.units > 0 ? 'resume' : 'retry', nowMs);
 		} else {
-			this.fail(isNotRun ? failureCodes.overloaded : failureCodes.attemptsExhausted, `${message}; the retry budget is spent`);
+			this.fail(recovery.code, recovery.message);
 		}
 	}
 
