--- a/src/daemon/node/direct-entry.ts
+++ b/src/daemon/node/direct-entry.ts
@@ -12,10 +12,11 @@
 import type {DirectEntrySettings} from '../common/direct-settings.js';
 
 /**
-How long a stopping entry still takes new connections: the balancer asks once a second, and takes a
-host out after two answers that say no.
+How long a stopping entry still takes requests: the balancer asks once a second, and takes a host out after two
+answers that say no. What is taken 3 s after the signal or later may not be cut off for want of time, so that the last
+ones need a margin; they go to another host, which has time for them.
 */
-const announceMs = 3200;
+const announceMs = 2800;
 /** Kept back from the time until the process is ended from outside. */
 const stopMarginMs = 500;
 const lookMs = 50;
