Have all requests of a test come before the stop that it is about

The test told the entry to stop once the first of twenty requests ran; those that come after the entry takes no more are refused, as they should be.

Change: the test waits until the entry has all twenty, by its own status, and only then tells it to stop.

--- a/test/daemon-process.test.ts
+++ b/test/daemon-process.test.ts
@@ -122,9 +122,22 @@
 	});
 
 	await t.test('a planned stop answers what is in flight, and ends with exit code 0', async t => {
-		const pending = Promise.all(Array.from({length: 20}, async (_, number) => reserve(`stop-${number}`)));
-		await until(() => ran('stop-0') === 1);
+		const requestCount = 20;
+		let answered = 0;
+		// Slow enough that hardly any is answered before all have come.
+		service.faults.slowFactor = 25;
+		const pending = Promise.all(Array.from({length: requestCount}, async (_, number) => {
+			const answer = await reserve(`stop-${number}`, {'deadline-ms': '30000'});
+			answered++;
+			return answer;
+		}));
+		// A request that comes once the entry takes no more is refused: all must have come before it is told to stop.
+		await until(async () => {
+			const {body} = await call(operators, '/v1/status', {method: 'GET', token: 'demo-operator'});
+			return Number(body.requestsInFlight) + answered === requestCount;
+		});
 		entry.child.kill('SIGTERM');
+		service.faults.slowFactor = 1;
 		const answers = await pending;
 		t.ok(answers.every(answer => answer.status === 200));
 		t.equal(await entry.exit, 0);
