Pass over a listed test only where all tests of its file were run

Cause, found by reading the change again: a file that failed counted as explained as soon as one listed test in it had failed, also where its process was ended before its other tests; and a runner that was ended from outside passed if a listed test had failed.

Change: a file that fails is explained only if as many tests were seen as its plan names; the runner must have ended with 0, or with 1 and a listed test that failed.

--- a/scripts/run-tests.js
+++ b/scripts/run-tests.js
@@ -7,6 +7,8 @@
 
 const parts = ['src', 'platform', 'tools', 'test'];
 const files = process.argv.length > 2 ? process.argv.slice(2) : parts.map(part => `dist/${part}/**/*.test.js`);
+/** What tap ends with when a test failed. */
+const failedCode = 1;
 const listName = 'KNOWN-RED.txt';
 const verdict = TestVerdict.create(existsSync(listName) ? readKnownRed(readFileSync(listName, 'utf8')) : []);
 const tap = spawn('npx', ['tap', 'run', '--disable-coverage', '--allow-empty-coverage', '--reporter=tap', '--jobs=4', '--timeout=120', ...files], {stdio: ['ignore', 'pipe', 'inherit']});
@@ -32,6 +34,7 @@
 	}
 
 	process.stdout.write(`${verdict.passedCount} passed, ${verdict.failedCount} failed\n`);
-	const isExplained = code === 0 || verdict.red.length > 0;
+	// A runner that was ended from outside has no code, and has not run everything.
+	const isExplained = code === 0 || (code === failedCode && verdict.red.length > 0);
 	process.exitCode = verdict.hasPassed && isExplained ? 0 : 1;
 });
--- a/tools/test-verdict.test.ts
+++ b/tools/test-verdict.test.ts
@@ -13,17 +13,24 @@
 }
 
 t.test('a run passes over listed tests only', async t => {
-	const listed = verdictOf(['    ok 1 - it works # time=3ms {', '    not ok 2 - a list that is out of date # time=9ms {', 'not ok 1 - dist/a.test.js # time=20ms {']);
+	const listed = verdictOf(['    ok 1 - it works # time=3ms {', '    not ok 2 - a list that is out of date # time=9ms {', '    1..2', 'not ok 1 - dist/a.test.js # time=20ms {']);
 	t.equal(listed.hasPassed, true);
 	t.match(listed, {passedCount: 1, failedCount: 0, red: [{issue: '7'}]});
-	const other = verdictOf(['    ok 1 - it works', '    not ok 2 - a list', 'not ok 1 - dist/a.test.js']);
+	const other = verdictOf(['    ok 1 - it works', '    not ok 2 - a list', '    1..2', 'not ok 1 - dist/a.test.js']);
 	t.equal(other.hasPassed, false);
 	t.equal(other.failedCount, 1);
 });
 
 t.test('a file that fails without a failing test fails the run', async t => {
 	t.equal(verdictOf(['    ok 1 - it works', 'not ok 1 - dist/a.test.js']).hasPassed, false);
-	t.equal(verdictOf(['    not ok 1 - a list that is out of date', 'not ok 1 - dist/a.test.js', '    ok 1 - it works', 'not ok 2 - dist/b.test.js']).hasPassed, false);
+	t.equal(verdictOf(['    not ok 1 - a list that is out of date', '    1..1', 'not ok 1 - dist/a.test.js', '    ok 1 - it works', '    1..1', 'not ok 2 - dist/b.test.js']).hasPassed, false);
+});
+
+t.test('a file whose process ended before all of its tests fails the run, also after a listed test', async t => {
+	const started = ['    ok 1 - it works', '    not ok 2 - a list that is out of date'];
+	t.equal(verdictOf([...started, 'not ok 1 - dist/a.test.js']).hasPassed, false);
+	t.equal(verdictOf([...started, '    1..3', 'not ok 1 - dist/a.test.js']).hasPassed, false);
+	t.equal(verdictOf([...started, '    1..2', 'not ok 1 - dist/a.test.js']).hasPassed, true);
 });
 
 t.test('a run without tests fails, and a listed test that passes is told', async t => {
--- a/tools/test-verdict.ts
+++ b/tools/test-verdict.ts
@@ -10,6 +10,8 @@
 export type KnownRed = {readonly test: string; readonly cause: string; readonly issue: string};
 
 const testLine = /^ {4}(?<not>not )?ok \d+ - (?<name>.*?)(?: # .*)?(?: \{)?$/v;
+/** How many tests a file had; it comes after them, and not at all where the file's process was ended from outside. */
+const planLine = /^ {4}1\.\.(?<count>\d+)$/v;
 const fileLine = /^(?<not>not )?ok \d+ - (?<name>.*?)(?: # .*)?(?: \{)?$/v;
 
 /**
@@ -51,8 +53,10 @@
 	readonly green: KnownRed[] = [];
 	/** Files that failed without a failing test that tells why, as when their process ended early. */
 	private unexplainedCount = 0;
-	/** Tests of the file being read that failed. */
+	/** Tests of the file being read: all, those that failed, and how many there should be. */
+	private countInFile = 0;
 	private failedInFile = 0;
+	private plannedInFile: number | undefined;
 
 	private constructor(private readonly known: readonly KnownRed[]) {}
 
@@ -64,16 +68,28 @@
 	/** Takes one line of the output. */
 	read(line: string): void {
 		const test = testLine.exec(line)?.groups;
+		const plan = planLine.exec(line)?.groups;
 		const file = fileLine.exec(line)?.groups;
 		if (test) {
 			this.count(test.name, test.not === undefined);
+		} else if (plan) {
+			this.plannedInFile = Number(plan.count);
 		} else if (file) {
-			this.unexplainedCount += file.not !== undefined && this.failedInFile === 0 ? 1 : 0;
-			this.failedInFile = 0;
+			this.endFile(file.not === undefined);
 		}
 	}
 
+	/** A file that failed is explained by its tests only if all of them were run. */
+	private endFile(isGood: boolean): void {
+		const isExplained = this.failedInFile > 0 && this.countInFile === this.plannedInFile;
+		this.unexplainedCount += isGood || isExplained ? 0 : 1;
+		this.countInFile = 0;
+		this.failedInFile = 0;
+		this.plannedInFile = undefined;
+	}
+
 	private count(name: string, isGood: boolean): void {
+		this.countInFile++;
 		this.failedInFile += isGood ? 0 : 1;
 		const listed = this.known.find(({test}) => test === name);
 		if (listed) {
