Look up once a choice who keeps a prompt's parts

Cause: a choice among engines listed, for each engine and each part of the prompt, all keepers of the part in a new array. With a part that all engines keep, as a few instructions before many documents, a choice grew with the square of the engines.

Change: the keepers of each part are looked up once a choice. A benchmark holds the choice at 30, 78, 300, 730 engines.

The same engine is chosen (the tests of the module are unchanged).

What is left grows with the engines' number, most of it the common order (a hash an engine, and a sort).

--- a/bench/decisions.ts
+++ b/bench/decisions.ts
@@ -2,14 +2,18 @@
 import {Bench} from 'tinybench';
 import {ManualClock} from '../src/base/common/clock.js';
 import {SeededRandom} from '../src/base/common/random.js';
+import {EngineChooser} from '../src/direct/common/engine-chooser.js';
 import {FleetRouter} from '../src/entry/common/fleet-router.js';
 import {Planner} from '../src/entry/common/planner.js';
 import {MemberTable} from '../src/membership/common/member-table.js';
 import {GateMachine} from '../src/request/common/gate-machine.js';
 import {RequestMachine} from '../src/request/common/request-machine.js';
 import type {RequestPlan} from '../src/request/common/request-plan.js';
+import type {Candidate} from '../src/routing/common/chooser.js';
+import {EngineLoads, makePrompt, type PromptPart} from '../src/routing/common/engine-loads.js';
 import {PrefixIndex} from '../src/routing/common/prefix-index.js';
 import {ScoreChooser} from '../src/routing/common/score-chooser.js';
+import {UpstreamStats} from '../src/routing/common/upstream-stats.js';
 import {encodeFrame, FrameDecoder} from '../src/wire/common/frame-codec.js';
 import type {DispatchMessage, Message} from '../src/wire/common/messages.js';
 import {makeTree} from './synthetic-settings.js';
@@ -52,6 +56,27 @@
 	return plan.value;
 }
 
+/** A part that all engines keep before one that each has for itself, as a few instructions before many documents. */
+function promptOf(document: string): PromptPart[] {
+	return makePrompt([{id: 'instructions', tokens: 2500}, {id: document, tokens: 3800}, {id: 'own', tokens: 2900}]);
+}
+
+/** Gives the choice among engines that have been in use for a while. */
+function makeEngineChoice(count: number): () => void {
+	const engines = EngineChooser.create(EngineLoads.create());
+	const candidates = Array.from({length: count}, (_, number): Candidate => ({
+		upstreamId: `e${number}`, hall: `hall-${number % 5}`, stats: UpstreamStats.create(), joinedMs: 0,
+	}));
+	for (const [number, engine] of candidates.entries()) {
+		engines.assigned({pool: 'models', prompt: promptOf(`document ${number}`)}, engine, digest.startMs);
+	}
+
+	const need = {pool: 'models', prompt: promptOf('document 0')};
+	return () => {
+		engines.choose(need, candidates, digest.startMs);
+	};
+}
+
 /** Runs a whole request of one generating stage through its machine, with a token in each chunk. */
 function runRequest(plan: RequestPlan, router: FleetRouter): void {
 	const machine = RequestMachine.create(plan, router);
@@ -101,6 +126,10 @@
 		});
 	}
 
+	for (const count of [30, 78, 300, 730]) {
+		bench.add(`choose one of ${count} engines for a prompt`, makeEngineChoice(count));
+	}
+
 	const router = makeRouter(64, clock);
 	const single: RequestPlan = {...plan, stages: [{...stage, index: 0}]};
 	let dispatch: DispatchMessage | undefined;
--- a/src/routing/common/engine-loads.ts
+++ b/src/routing/common/engine-loads.ts
@@ -56,6 +56,17 @@
 	readonly scoreMs: number;
 };
 
+/** A part of a prompt as it is kept now. */
+type PartStanding = {
+	readonly tokens: number;
+	/** When each engine last used it; some may have dropped it since. */
+	readonly usedMs: ReadonlyMap<string, number>;
+	/** Whether any engine keeps it. */
+	readonly isKept: boolean;
+};
+
+const nobody: ReadonlyMap<string, number> = new Map();
+
 /** Follows all engines of a deployment. */
 export class EngineLoads {
 	static create(): EngineLoads {
@@ -75,7 +86,7 @@
 	@param nowMs - the time.
 	*/
 	assign(serverId: string, prompt: readonly PromptPart[], speed: EngineSpeed, nowMs: number): void {
-		const readMs = this.unreadTokens(serverId, prompt, nowMs) * speed.msPerToken * speed.slowness;
+		const readMs = unreadTokens(serverId, this.lookUp(prompt, nowMs), nowMs) * speed.msPerToken * speed.slowness;
 		this.busyUntilMs.set(serverId, Math.max(nowMs, this.busyUntilMs.get(serverId) ?? 0) + readMs);
 		for (const {key} of prompt) {
 			const keepers = this.keepers.get(key) ?? new Map<string, number>();
@@ -98,17 +109,12 @@
 	@param nowMs - the time.
 	*/
 	estimate(serverId: string, prompt: readonly PromptPart[], speed: EngineSpeed, nowMs: number): PromptEstimate {
-		const {msPerToken, slowness} = speed;
-		const unread = this.unreadTokens(serverId, prompt, nowMs);
-		const waitMs = Math.max(0, (this.busyUntilMs.get(serverId) ?? 0) - nowMs);
-		const waitTokens = msPerToken === 0 ? 0 : waitMs / (msPerToken * slowness);
-		const firstMs = waitMs + (unread * msPerToken * slowness);
-		const rereadMs = this.rereadTokens(serverId, prompt, nowMs) * msPerToken * rereadFactor;
-		return {tokens: waitTokens + unread, firstMs, scoreMs: firstMs + rereadMs};
+		return this.estimateOf(serverId, this.lookUp(prompt, nowMs), speed, nowMs);
 	}
 
 	/**
-	Orders engines for a prompt.
+	Chooses an engine for a prompt. Who keeps each part is looked up once, not for every engine: a choice costs as much
+	for each further engine, however many keep a part.
 	@param servers - the engines, in the order all hosts give them for this prompt.
 	@param prompt - its parts.
 	@param traits - of the engines.
@@ -118,8 +124,10 @@
 	best<T extends {readonly upstreamId: string}>(servers: readonly T[], prompt: readonly PromptPart[], traits: EngineTraits<T>, nowMs: number): T | undefined {
 		let best: T | undefined;
 		let bestMs = Infinity;
+		const parts = this.lookUp(prompt, nowMs);
 		for (const [index, server] of servers.entries()) {
-			const scoreMs = this.estimate(server.upstreamId, prompt, traits.speedOf(server), nowMs).scoreMs + traits.extraMsOf(server) + (index * orderStepMs);
+			const {scoreMs: readingMs} = this.estimateOf(server.upstreamId, parts, traits.speedOf(server), nowMs);
+			const scoreMs = readingMs + traits.extraMsOf(server) + (index * orderStepMs);
 			if (scoreMs < bestMs) {
 				bestMs = scoreMs;
 				best = server;
@@ -140,31 +148,55 @@
 		}
 	}
 
-	private isKept(serverId: string, {key}: PromptPart, nowMs: number): boolean {
-		const usedMs = this.keepers.get(key)?.get(serverId);
-		return usedMs !== undefined && nowMs - usedMs < keptMs;
+	private lookUp(prompt: readonly PromptPart[], nowMs: number): PartStanding[] {
+		return prompt.map(({key, tokens}) => {
+			const usedMs = this.keepers.get(key) ?? nobody;
+			return {tokens, usedMs, isKept: hasFresh(usedMs, nowMs)};
+		});
 	}
 
-	/** Everything from the first part on that the engine does not keep. */
-	private unreadTokens(serverId: string, prompt: readonly PromptPart[], nowMs: number): number {
-		let sum = 0;
-		let isMissing = false;
-		for (const part of prompt) {
-			isMissing ||= !this.isKept(serverId, part, nowMs);
-			sum += isMissing ? part.tokens : 0;
+	private estimateOf(serverId: string, parts: readonly PartStanding[], {msPerToken, slowness}: EngineSpeed, nowMs: number): PromptEstimate {
+		const unread = unreadTokens(serverId, parts, nowMs);
+		const waitMs = Math.max(0, (this.busyUntilMs.get(serverId) ?? 0) - nowMs);
+		const waitTokens = msPerToken === 0 ? 0 : waitMs / (msPerToken * slowness);
+		const firstMs = waitMs + (unread * msPerToken * slowness);
+		const rereadMs = rereadTokens(serverId, parts, nowMs) * msPerToken * rereadFactor;
+		return {tokens: waitTokens + unread, firstMs, scoreMs: firstMs + rereadMs};
+	}
+}
+
+function isFresh(usedMs: number | undefined, nowMs: number): boolean {
+	return usedMs !== undefined && nowMs - usedMs < keptMs;
+}
+
+function hasFresh(usedMs: ReadonlyMap<string, number>, nowMs: number): boolean {
+	for (const atMs of usedMs.values()) {
+		if (isFresh(atMs, nowMs)) {
+			return true;
 		}
+	}
 
-		return sum;
+	return false;
+}
+
+/** Everything from the first part on that the engine does not keep. */
+function unreadTokens(serverId: string, parts: readonly PartStanding[], nowMs: number): number {
+	let sum = 0;
+	let isMissing = false;
+	for (const {tokens, usedMs} of parts) {
+		isMissing ||= !isFresh(usedMs.get(serverId), nowMs);
+		sum += isMissing ? tokens : 0;
 	}
 
-	/** What another engine keeps and this one would read again. */
-	private rereadTokens(serverId: string, prompt: readonly PromptPart[], nowMs: number): number {
-		let sum = 0;
-		for (const part of prompt) {
-			const isKeptElsewhere = [...this.keepers.get(part.key)?.keys() ?? []].some(other => this.isKept(other, part, nowMs));
-			sum += isKeptElsewhere && !this.isKept(serverId, part, nowMs) ? part.tokens : 0;
-		}
+	return sum;
+}
 
-		return sum;
+/** What another engine keeps and this one would read again. */
+function rereadTokens(serverId: string, parts: readonly PartStanding[], nowMs: number): number {
+	let sum = 0;
+	for (const {tokens, usedMs, isKept} of parts) {
+		sum += isKept && !isFresh(usedMs.get(serverId), nowMs) ? tokens : 0;
 	}
+
+	return sum;
 }
