One connection a pair of hosts, and beats only where nothing else is said

Cause: each host dialled every other, so each pair had two connections, and each was sent a beat every 500 ms with the addresses of all hosts; a message to all was encoded once a peer. With 18 hosts that is some 70 beats a second in and as many out on each, 268 at 68 hosts, on a quarter of a core.

Change: of a pair one side dials, the other only if nobody came in 1.5 s (DialPlan, pure). A beat is sent where nothing else was said for 500 ms, where what is in force changed, or where it was told 1 s ago (BeatNeed, pure); addresses are told when they are new, and all of them every 5 s. What goes to all is encoded once.

A second connection also kept a peer through a reset of the first; but what was under way on the first was lost without anyone being told.

--- /dev/null
+++ b/src/peers/common/dial-plan.test.ts
@@ -0,0 +1,116 @@
+/**
+Pattern: all hosts of a fleet start at once, as after a loss of power, and find each other through three seeds. What a
+start costs grows with the connections each host makes, when its processor is needed most.
+*/
+import t from 'tap';
+import {DialPlan} from './dial-plan.js';
+
+/** Time between the rounds in which hosts tell each other addresses. */
+const roundMs = 500;
+
+/** Hosts that dial and tell addresses in rounds; a dial is answered within its round. */
+class Fleet {
+	readonly endpoints: readonly string[];
+	dials = 0;
+	/** Hosts each host is connected to. */
+	readonly met = new Map<string, Set<string>>();
+	private readonly plans = new Map<string, DialPlan>();
+	private nowMs = 0;
+
+	constructor(count: number) {
+		this.endpoints = Array.from({length: count}, (_, index) => `10.0.${Math.floor(index / 250)}.${index % 250}:7740`);
+		for (const endpoint of this.endpoints) {
+			this.start(endpoint);
+		}
+	}
+
+	get isWhole(): boolean {
+		return this.endpoints.every(endpoint => this.met.get(endpoint)!.size === this.endpoints.length - 1);
+	}
+
+	start(endpoint: string): void {
+		const plan = DialPlan.create(endpoint);
+		for (const seed of this.endpoints.slice(0, 3)) {
+			plan.add(seed, true, this.nowMs);
+		}
+
+		this.plans.set(endpoint, plan);
+		for (const others of this.met.values()) {
+			others.delete(endpoint);
+		}
+
+		this.met.set(endpoint, new Set());
+	}
+
+	round(): void {
+		for (const [endpoint, plan] of this.plans) {
+			const met = this.met.get(endpoint)!;
+			for (const other of plan.due(each => met.has(each), this.nowMs)) {
+				this.dials++;
+				met.add(other);
+				this.met.get(other)!.add(endpoint);
+			}
+		}
+
+		for (const [endpoint, met] of this.met) {
+			for (const other of met) {
+				for (const told of met) {
+					this.plans.get(other)!.add(told, false, this.nowMs);
+				}
+
+				this.plans.get(other)!.add(endpoint, false, this.nowMs);
+			}
+		}
+
+		this.nowMs += roundMs;
+	}
+}
+
+for (const count of [8, 68, 370]) {
+	t.test(`${count} hosts that start at once meet in two rounds, with one connection a pair`, async t => {
+		const fleet = new Fleet(count);
+		fleet.round();
+		fleet.round();
+		t.ok(fleet.isWhole);
+		t.equal(fleet.dials, count * (count - 1) / 2);
+	});
+}
+
+t.test('a host that starts anew meets all again, whichever side dials first', async t => {
+	const fleet = new Fleet(12);
+	fleet.round();
+	fleet.round();
+	fleet.start(fleet.endpoints[7]);
+	fleet.round();
+	fleet.round();
+	t.ok(fleet.isWhole);
+});
+
+t.test('where the first of a pair does not dial, the other does after a while', async t => {
+	const names = ['10.0.0.1:1', '10.0.0.2:1'];
+	const [first, second] = names.toSorted((left, right) => dueAtOnce(right, left).length - dueAtOnce(left, right).length);
+	t.same(dueAtOnce(first, second), [second]);
+	t.same(dueAtOnce(second, first), []);
+	const plan = DialPlan.create(second);
+	plan.add(first, false, 0);
+	t.same(plan.due(() => false, 1400), []);
+	t.same(plan.due(() => false, 1500), [first]);
+});
+
+t.test('an address that is lost after it was met is given the same while again', async t => {
+	const names = ['10.0.0.1:1', '10.0.0.2:1'];
+	const second = names.find(name => dueAtOnce(name, names.find(other => other !== name)!).length === 0)!;
+	const first = names.find(name => name !== second)!;
+	const plan = DialPlan.create(second);
+	plan.add(first, false, 0);
+	plan.due(() => true, 60_000);
+	t.same(plan.due(() => false, 61_000), []);
+	t.same(plan.due(() => false, 61_500), [first]);
+});
+
+/** What a host dials that was just told of another. */
+function dueAtOnce(own: string, other: string): string[] {
+	const plan = DialPlan.create(own);
+	plan.add(other, false, 0);
+	return plan.due(() => false, 0);
+}
--- a/src/peers/node/peer-dials.ts
+++ b/src/peers/node/peer-dials.ts
@@ -1,9 +1,10 @@
-/** Addresses at which peers may listen: this host connects to each, and forgets one where nobody answers unless it is a seed. */
+/** The addresses that this host dials: it keeps connecting to each, and forgets one where nobody answers unless it is a seed. */
 import type {Clock} from '../../base/common/clock.js';
 import type {Disposable} from '../../base/common/disposable.js';
 import {WireClient, type WireClientOptions} from '../../wire/node/wire-client.js';
 import type {WireConnection} from '../../wire/node/wire-connection.js';
 import type {Endpoint} from '../../wire/node/wire-server.js';
+import {DialPlan} from '../common/dial-plan.js';
 
 /** An address at which nobody answers for this long is forgotten unless it is a seed. */
 const forgetMs = 15_000;
@@ -14,11 +15,12 @@
 	readonly clock: Clock;
 	/** A peer answered. */
 	readonly connected: (connection: WireConnection) => void;
+	/** Whether the host that listens at an address is connected, whoever dialled. */
+	readonly isMet: (endpoint: string) => boolean;
 };
 
 type Dial = {
 	readonly client: WireClient;
-	readonly isSeed: boolean;
 	/** When it was last open, or was begun. */
 	openMs: number;
 	isOpen: boolean;
@@ -31,6 +33,8 @@
 	}
 
 	private readonly dials = new Map<string, Dial>();
+	private readonly seeds = new Set<string>();
+	private plan = DialPlan.create('');
 	private own = '';
 
 	private constructor(private readonly options: PeerDialsOptions) {}
@@ -46,6 +50,7 @@
 	*/
 	start(own: Endpoint): void {
 		this.own = textOf(own);
+		this.plan = DialPlan.create(this.own);
 	}
 
 	/**
@@ -53,9 +58,13 @@
 	@param seeds - where peers may listen.
 	*/
 	addSeeds(seeds: readonly Endpoint[]): void {
-		for (const seed of seeds) {
-			this.dial(textOf(seed), true);
+		const nowMs = this.options.clock.nowMs();
+		for (const endpoint of seeds.map(seed => textOf(seed))) {
+			this.seeds.add(endpoint);
+			this.plan.add(endpoint, true, nowMs);
 		}
+
+		this.dialDue();
 	}
 
 	/**
@@ -63,8 +72,18 @@
 	@param endpoints - as the peer told them.
 	*/
 	addKnown(endpoints: readonly string[]): void {
+		const nowMs = this.options.clock.nowMs();
 		for (const endpoint of endpoints) {
-			this.dial(endpoint, false);
+			this.plan.add(endpoint, false, nowMs);
+		}
+
+		this.dialDue();
+	}
+
+	/** Dials what is due by now. */
+	dialDue(): void {
+		for (const endpoint of this.plan.due(this.options.isMet, this.options.clock.nowMs())) {
+			this.dial(endpoint);
 		}
 	}
 
@@ -74,8 +93,9 @@
 	*/
 	forgetSilent(nowMs: number): void {
 		for (const [endpoint, dial] of this.dials) {
-			if (!dial.isOpen && !dial.isSeed && nowMs - dial.openMs > forgetMs) {
+			if (!dial.isOpen && !this.seeds.has(endpoint) && nowMs - dial.openMs > forgetMs) {
 				this.dials.delete(endpoint);
+				this.plan.remove(endpoint);
 				dial.client.dispose();
 			}
 		}
@@ -87,8 +107,8 @@
 		}
 	}
 
-	private dial(endpoint: string, isSeed: boolean): void {
-		if (endpoint === this.own || this.dials.has(endpoint)) {
+	private dial(endpoint: string): void {
+		if (this.dials.has(endpoint)) {
 			return;
 		}
 
@@ -96,7 +116,7 @@
 		const [address, port] = endpoint.split(':');
 		const client = WireClient.create({address, port: Number(port)}, wire);
 		const dial: Dial = {
-			client, isSeed, openMs: clock.nowMs(), isOpen: false,
+			client, openMs: clock.nowMs(), isOpen: false,
 		};
 		this.dials.set(endpoint, dial);
 		client.onDidConnect(connection => {
--- a/src/peers/node/peer-mesh.ts
+++ b/src/peers/node/peer-mesh.ts
@@ -8,10 +8,12 @@
 import type {WireClientOptions} from '../../wire/node/wire-client.js';
 import type {WireConnection} from '../../wire/node/wire-connection.js';
 import type {Endpoint, WireServer} from '../../wire/node/wire-server.js';
+import {encodeFrame} from '../../wire/common/frame-codec.js';
+import {beatMs, BeatNeed} from '../common/beat-need.js';
 import {PeerDials} from './peer-dials.js';
 
-/** How often each peer hears of this host. */
-const beatMs = 500;
+/** How often peers are told all addresses this host knows, beside those that are new: two hosts may have forgotten each other. */
+const tellAllMs = 5000;
 /** A connection without any message for this long is dead: three beats, one of them lost. */
 const silentMs = 1600;
 /** A tick that is this late means that this host itself stood still: what it has not read yet says nothing about peers. */
@@ -32,7 +34,7 @@
 	readonly ownState: () => OwnState;
 };
 
-type Way = {readonly connection: WireConnection; heardMs: number};
+type Way = {readonly connection: WireConnection; readonly beatNeed: BeatNeed; heardMs: number};
 type Peer = {readonly hostId: string; readonly ways: Set<Way>; beat: PeerBeat | undefined; beatHeardMs: number};
 
 export const peerMeshToken: InjectionToken<PeerMesh> = Symbol('PeerMesh');
@@ -49,6 +51,9 @@
 	private readonly didReceive = Emitter.create<PeerMessage>();
 	private readonly didChange = Emitter.create<void>();
 	private readonly didLose = Emitter.create<string>();
+	/** Addresses that peers have been told of. */
+	private toldEndpoints: ReadonlySet<string> = new Set();
+	private toldAllMs = 0;
 	private tickedMs = 0;
 
 	private constructor(private readonly options: PeerMeshOptions) {
@@ -59,6 +64,7 @@
 			connected: connection => {
 				this.adopt(connection);
 			},
+			isMet: endpoint => this.isMet(endpoint),
 		}));
 		this.owned.add(server.onDidConnect(connection => {
 			this.adopt(connection);
@@ -125,31 +131,21 @@
 	@returns false if nothing was written.
 	*/
 	send(hostId: string, message: Message): boolean {
-		const ways = this.peers.get(hostId)?.ways ?? [];
-		for (const {connection} of ways) {
-			if (connection.send(message)) {
-				return true;
-			}
-		}
-
-		return false;
+		const peer = this.peers.get(hostId);
+		return peer !== undefined && this.sendFrame(peer, encodeFrame(message));
 	}
 
 	/** Sends to every peer. */
 	broadcast(message: Message): void {
-		for (const hostId of this.peers.keys()) {
-			this.send(hostId, message);
+		const frame = encodeFrame(message);
+		for (const peer of this.peers.values()) {
+			this.sendFrame(peer, frame);
 		}
 	}
 
 	/** Tells all peers at once what this host has in force. */
 	announce(): void {
-		const beat = this.makeBeat();
-		for (const peer of this.peers.values()) {
-			for (const {connection} of peer.ways) {
-				connection.send(beat);
-			}
-		}
+		this.tellState(() => true);
 	}
 
 	dispose(): void {
@@ -171,17 +167,64 @@
 			}
 		}
 
-		this.announce();
+		this.tellState((way, state) => way.beatNeed.isNeeded(state, nowMs));
+		this.dials.dialDue();
 		this.dials.forgetSilent(nowMs);
 	}
 
-	private makeBeat(): PeerBeat {
-		const known = new Set([...this.peers.values()].flatMap(peer => peer.beat && peer.ways.size > 0 ? [peer.beat.endpoint] : []));
+	/** Sends what this host has in force, with the addresses that are new, on the connections that need it. */
+	private tellState(isNeeded: (way: Way, state: string) => boolean): void {
+		const nowMs = this.options.clock.nowMs();
+		const known = this.knownEndpoints();
+		const tellsAll = nowMs - this.toldAllMs >= tellAllMs;
+		const beat = this.makeBeat(tellsAll ? [...known] : [...known].filter(endpoint => !this.toldEndpoints.has(endpoint)));
+		this.toldEndpoints = known;
+		this.toldAllMs = tellsAll ? nowMs : this.toldAllMs;
+		// News of addresses go to all: who is left out now would not hear of them for long.
+		const hasNews = beat.knownEndpoints.length > 0;
+		const state = JSON.stringify(this.options.ownState());
+		const frame = encodeFrame(beat);
+		for (const peer of this.peers.values()) {
+			for (const way of peer.ways) {
+				if ((hasNews || isNeeded(way, state)) && way.connection.sendFrame(frame)) {
+					way.beatNeed.told(state, nowMs);
+				}
+			}
+		}
+	}
+
+	private makeBeat(knownEndpoints: string[]): PeerBeat {
 		return {
-			type: 'peerBeat', endpoint: this.dials.ownEndpoint, knownEndpoints: [...known], ...this.options.ownState(),
+			type: 'peerBeat', endpoint: this.dials.ownEndpoint, knownEndpoints, ...this.options.ownState(),
 		};
 	}
 
+	/** Where connected peers listen. */
+	private knownEndpoints(): Set<string> {
+		return new Set([...this.peers.values()].flatMap(peer => peer.beat && peer.ways.size > 0 ? [peer.beat.endpoint] : []));
+	}
+
+	private isMet(endpoint: string): boolean {
+		for (const {beat, ways} of this.peers.values()) {
+			if (beat?.endpoint === endpoint && ways.size > 0) {
+				return true;
+			}
+		}
+
+		return false;
+	}
+
+	private sendFrame({ways}: Peer, frame: Uint8Array): boolean {
+		for (const {connection, beatNeed} of ways) {
+			if (connection.sendFrame(frame)) {
+				beatNeed.spoke(this.options.clock.nowMs());
+				return true;
+			}
+		}
+
+		return false;
+	}
+
 	private adopt(connection: WireConnection): void {
 		const identity = connection.peer;
 		if (!identity || identity.hostId === this.options.wire.identity.hostId) {
@@ -192,7 +235,7 @@
 		const peer = this.peers.get(hostId) ?? {
 			hostId, ways: new Set<Way>(), beat: undefined, beatHeardMs: 0,
 		};
-		const way: Way = {connection, heardMs: this.options.clock.nowMs()};
+		const way: Way = {connection, beatNeed: BeatNeed.create(), heardMs: this.options.clock.nowMs()};
 		this.peers.set(hostId, peer);
 		peer.ways.add(way);
 		this.options.log.info('A peer is connected.', {peer: hostId, hall: identity.hall, ways: peer.ways.size});
@@ -203,7 +246,7 @@
 		connection.onDidClose(reason => {
 			this.lost(peer, way, reason);
 		});
-		connection.send(this.makeBeat());
+		connection.send(this.makeBeat([...this.knownEndpoints()]));
 	}
 
 	private lost(peer: Peer, way: Way, reason: string): void {
--- a/src/wire/node/wire-connection.ts
+++ b/src/wire/node/wire-connection.ts
@@ -94,11 +94,20 @@
 	@returns false if nothing was written: the connection is not open.
 	*/
 	send(message: Message): boolean {
+		return this.isOpen && this.sendFrame(encodeFrame(message));
+	}
+
+	/**
+	Sends a message that is encoded already, as one that goes to many.
+	@param frame - the message as `encodeFrame` gives it.
+	@returns false if nothing was written: the connection is not open.
+	*/
+	sendFrame(frame: Uint8Array): boolean {
 		if (!this.isOpen || this.socket.destroyed) {
 			return false;
 		}
 
-		this.write(message);
+		this.socket.write(frame);
 		if (this.socket.writableLength > (this.options.maxBufferedBytes ?? defaultMaxBufferedBytes)) {
 			this.close('the other side does not read');
 		}
