--- a/src/peers/common/dial-plan.ts
+++ b/src/peers/common/dial-plan.ts
@@ -9,7 +9,7 @@
 const yieldMs = 1500;
 
 /** An address, and since when nobody who listens there has been met. */
-type Known = {readonly isSeed: boolean; isTold: boolean; unmetSinceMs: number};
+type Known = {readonly isSeed: boolean; unmetSinceMs: number};
 
 /** Follows the addresses of one host. */
 export class DialPlan {
@@ -28,33 +28,13 @@
 	/**
 	Takes in an address.
 	@param endpoint - where a peer may listen.
-	@param isSeed - whether it is one of the few through which hosts find each other; otherwise a peer told of it.
+	@param isSeed - whether it is one of the few through which hosts find each other.
 	@param nowMs - the time.
 	*/
 	add(endpoint: string, isSeed: boolean, nowMs: number): void {
-		if (endpoint === this.own) {
-			return;
+		if (endpoint !== this.own && !this.known.has(endpoint)) {
+			this.known.set(endpoint, {isSeed, unmetSinceMs: nowMs});
 		}
-
-		const known = this.known.get(endpoint);
-		if (known) {
-			known.isTold ||= !isSeed;
-		} else {
-			this.known.set(endpoint, {isSeed, isTold: !isSeed, unmetSinceMs: nowMs});
-		}
-	}
-
-	/** Whether there is any address. */
-	get isEmpty(): boolean {
-		return this.known.size === 0;
-	}
-
-	/**
-	Counts addresses that peers told of where nobody is met.
-	@param isMet - as for `due`.
-	*/
-	unmetCount(isMet: (endpoint: string) => boolean): number {
-		return [...this.known].filter(([endpoint, {isTold}]) => isTold && !isMet(endpoint)).length;
 	}
 
 	/**
--- a/src/peers/node/peer-dials.ts
+++ b/src/peers/node/peer-dials.ts
@@ -44,16 +44,6 @@
 		return this.own;
 	}
 
-	/** Whether there is an address where a peer may listen. */
-	get hasAddresses(): boolean {
-		return !this.plan.isEmpty;
-	}
-
-	/** Addresses that peers told of where nobody is connected. */
-	get unmetCount(): number {
-		return this.plan.unmetCount(this.options.isMet);
-	}
-
 	/**
 	Says where this host itself listens.
 	@param own - its address.
--- a/src/peers/node/peer-mesh.ts
+++ b/src/peers/node/peer-mesh.ts
@@ -10,7 +10,6 @@
 import type {Endpoint, WireServer} from '../../wire/node/wire-server.js';
 import {encodeFrame} from '../../wire/common/frame-codec.js';
 import {beatMs, BeatNeed} from '../common/beat-need.js';
-import {Settling} from '../common/settling.js';
 import {PeerDials} from './peer-dials.js';
 
 /** How often peers are told all addresses this host knows, beside those that are new: two hosts may have forgotten each other. */
@@ -52,8 +51,6 @@
 	private readonly didReceive = Emitter.create<PeerMessage>();
 	private readonly didChange = Emitter.create<void>();
 	private readonly didLose = Emitter.create<string>();
-	private readonly didSettle = Emitter.create<void>();
-	private settling = Settling.create(true, 0);
 	/** Addresses that peers have been told of. */
 	private toldEndpoints: ReadonlySet<string> = new Set();
 	private toldAllMs = 0;
@@ -88,16 +85,6 @@
 		return this.didLose.event;
 	}
 
-	/** Fires once, when this host has met its peers. */
-	get onDidSettle() {
-		return this.didSettle.event;
-	}
-
-	/** Whether this host has met its peers since its start. */
-	get isSettled(): boolean {
-		return this.settling.isSettled;
-	}
-
 	/** Hosts that take shared work, this one not among them. */
 	get liveHosts(): string[] {
 		return [...this.peers.values()].filter(peer => peer.ways.size > 0 && peer.beat?.isLeaving === false).map(peer => peer.hostId);
@@ -126,7 +113,6 @@
 		this.dials.start(own);
 		this.tickedMs = this.options.clock.nowMs();
 		this.addSeeds(seeds);
-		this.settling = Settling.create(this.dials.hasAddresses, this.tickedMs);
 		this.owned.add(setRepeating(this.options.clock, () => beatMs, () => {
 			this.tick();
 		}));
@@ -184,17 +170,6 @@
 		this.tellState((way, state) => way.beatNeed.isNeeded(state, nowMs));
 		this.dials.dialDue();
 		this.dials.forgetSilent(nowMs);
-		this.settle();
-	}
-
-	/** Looks whether this host has met its peers by now. */
-	private settle(): void {
-		const told = [...this.peers.values()].filter(peer => peer.beat && peer.ways.size > 0);
-		const seen = {peers: told.length, unmet: this.dials.unmetCount, hasSettledPeer: told.some(({beat}) => beat?.hasSettled)};
-		if (!this.isSettled && this.settling.look(seen, this.options.clock.nowMs())) {
-			this.options.log.info('This host has met its peers.', seen);
-			this.didSettle.fire();
-		}
 	}
 
 	/** Sends what this host has in force, with the addresses that are new, on the connections that need it. */
@@ -207,7 +182,7 @@
 		this.toldAllMs = tellsAll ? nowMs : this.toldAllMs;
 		// News of addresses go to all: who is left out now would not hear of them for long.
 		const hasNews = beat.knownEndpoints.length > 0;
-		const state = JSON.stringify([this.isSettled, this.options.ownState()]);
+		const state = JSON.stringify(this.options.ownState());
 		const frame = encodeFrame(beat);
 		for (const peer of this.peers.values()) {
 			for (const way of peer.ways) {
@@ -220,7 +195,7 @@
 
 	private makeBeat(knownEndpoints: string[]): PeerBeat {
 		return {
-			type: 'peerBeat', endpoint: this.dials.ownEndpoint, knownEndpoints, hasSettled: this.isSettled, ...this.options.ownState(),
+			type: 'peerBeat', endpoint: this.dials.ownEndpoint, knownEndpoints, ...this.options.ownState(),
 		};
 	}
 
@@ -290,7 +265,6 @@
 			peer.beat = message;
 			peer.beatHeardMs = this.options.clock.nowMs();
 			this.dials.addKnown(message.knownEndpoints);
-			this.settle();
 			if (isChanged) {
 				this.didChange.fire();
 			}
--- a/src/preparation/node/batch-desk.ts
+++ b/src/preparation/node/batch-desk.ts
@@ -36,7 +36,7 @@
 };
 
 /** What the desk needs of the connections to peers. */
-export type PeerLine = Pick<PeerMesh, 'onDidReceive' | 'onDidLose' | 'onDidChange' | 'onDidSettle' | 'isSettled' | 'liveRooms' | 'send' | 'broadcast'>;
+export type PeerLine = Pick<PeerMesh, 'onDidReceive' | 'onDidLose' | 'onDidChange' | 'liveRooms' | 'send' | 'broadcast'>;
 
 /** What the desk needs of the batches of one pool. */
 export type PoolBatches = Pick<BatchPool, 'isIdle' | 'add' | 'cancel' | 'handOver' | 'release' | 'waitMs' | 'dispose'>;
@@ -60,8 +60,8 @@
 /** A peer whose work is in the hands of this host, and how many of its pieces have not ended. */
 type Asker = {readonly hostId: string; open: number};
 
-/** Work this host handed in: pieces that have not ended, and the host that batches it; none while it is held. */
-type Asked = {readonly work: BatchWork; readonly taker: EndsTaker; readonly open: Set<number>; owner: string | undefined};
+/** Work this host handed in: pieces that have not ended, and the host that batches it. */
+type Asked = {readonly work: BatchWork; readonly taker: EndsTaker; readonly open: Set<number>; owner: string};
 
 export const batchDeskToken: InjectionToken<BatchDesk> = Symbol('BatchDesk');
 
@@ -96,9 +96,6 @@
 		this.owned.add(mesh.onDidChange(() => {
 			this.handOver();
 		}));
-		this.owned.add(mesh.onDidSettle(() => {
-			this.placeHeld();
-		}));
 	}
 
 	/** Whether nothing of this host or of a peer is waiting or at work here. */
@@ -124,7 +121,7 @@
 	*/
 	submit(work: BatchWork, taker: EndsTaker): void {
 		const asked: Asked = {
-			work, taker, open: new Set(work.pieces), owner: undefined,
+			work, taker, open: new Set(work.pieces), owner: '',
 		};
 		this.asked.set(work.workId, asked);
 		this.place(asked, work.pieces);
@@ -144,7 +141,7 @@
 		const {pool} = asked.work;
 		if (asked.owner === this.options.hostId) {
 			this.pools.get(pool)?.cancel(workId);
-		} else if (asked.owner !== undefined) {
+		} else {
 			this.options.mesh.send(asked.owner, {type: 'batchCancel', pool, workId});
 		}
 	}
@@ -167,14 +164,9 @@
 
 	/**
 	Hands on what waits here for pools that another host batches now: two hosts that batch the same pool
-	know nothing of each other's results, and the older queue would find no room. A host that has not met its peers
-	batches what it was given: it can't tell who else would.
+	know nothing of each other's results, and the older queue would find no room.
 	*/
 	handOver(): void {
-		if (!this.options.mesh.isSettled) {
-			return;
-		}
-
 		for (const [name, pool] of this.pools) {
 			if (this.ownerOf(name) !== this.options.hostId) {
 				pool.handOver();
@@ -204,17 +196,9 @@
 		return rendezvousOwner(pool, roomiestHosts(batchesItself ? new Map([...rooms, [hostId, room]]) : rooms)) ?? hostId;
 	}
 
-	/**
-	Hands pieces to the host that batches their pool, or takes them here where that one can't be reached. Until this host
-	has met its peers they are held: each host that starts would take itself for the one that batches.
-	*/
+	/** Hands pieces to the host that batches their pool, or takes them here where that one can't be reached. */
 	private place(asked: Asked, pieces: readonly number[]): void {
 		const {hostId, mesh, clock} = this.options;
-		if (!mesh.isSettled) {
-			asked.owner = undefined;
-			return;
-		}
-
 		const work = {...asked.work, pieces};
 		asked.owner = this.ownerOf(work.pool);
 		if (asked.owner !== hostId && mesh.send(asked.owner, messageOfWork(work, clock.nowMs()))) {
@@ -225,14 +209,6 @@
 		this.poolOf(work.pool).add(work);
 	}
 
-	private placeHeld(): void {
-		for (const asked of this.asked.values()) {
-			if (asked.owner === undefined) {
-				this.place(asked, [...asked.open]);
-			}
-		}
-	}
-
 	private poolOf(name: string): PoolBatches {
 		let pool = this.pools.get(name);
 		if (!pool) {
--- a/src/wire/common/messages.ts
+++ b/src/wire/common/messages.ts
@@ -219,8 +219,6 @@
 	isLeaving: z.boolean(),
 	/** The sender's room for shared work, in cores; older hosts tell none. */
 	room: z.number().nonnegative().optional(),
-	/** Whether the sender has met its peers since its start; older hosts tell nothing. */
-	hasSettled: z.boolean().optional(),
 	/** How long ago the store last answered the sender; absent while the sender does not read it. */
 	storeAgeMs: z.number().nonnegative().optional(),
 });
