Tell what was sent to engines through one host, not each host to all

Change: from 8 hosts on, a host tells one of the roomiest, which gathers the news of all for 50 ms and passes them on; who that is follows from the peers, as for batches. A test counts the messages at 8, 68 and 370 hosts: at most 22 a second to each but the one that gathers, and every send is heard of once. Below 8 hosts nothing changes.

--- a/src/daemon/node/compose-direct-entry.ts
+++ b/src/daemon/node/compose-direct-entry.ts
@@ -117,6 +117,8 @@
 		},
 	}));
 	register(promptNewsToken, () => lifecycle.register(PromptNews.create({
+		hostId: settings.hostId,
+		room: roomOf(settings.capacity),
 		mesh: get(peerMeshToken),
 		heard(serverId, parts) {
 			get(routerToken).promptSent(serverId, parts, clock.nowMs());
--- /dev/null
+++ b/src/direct/node/prompt-news.test.ts
@@ -0,0 +1,91 @@
+/**
+Pattern: many hosts, each of which sends prompts to the same engines. What a host hears of the others' sends may not grow
+with the number of hosts, or thin hosts do nothing else; and a send may be heard of once only, or engines look busier
+than they are.
+*/
+import t from 'tap';
+import {ManualClock} from '../../base/common/clock.js';
+import {Emitter} from '../../base/common/emitter.js';
+import type {PeerMessage} from '../../peers/node/peer-mesh.js';
+import type {Message} from '../../wire/common/messages.js';
+import {PromptNews} from './prompt-news.js';
+
+/** Hosts that hear of each other's sends; messages arrive at once. */
+class Hosts {
+	readonly clock = ManualClock.create();
+	/** Messages that each host received. */
+	readonly received = new Map<string, number>();
+	/** Engines of the sends that each host heard of. */
+	readonly heard = new Map<string, string[]>();
+	readonly news = new Map<string, PromptNews>();
+	private readonly lines = new Map<string, Emitter<PeerMessage>>();
+
+	constructor(readonly names: readonly string[]) {
+		for (const hostId of names) {
+			const receive = Emitter.create<PeerMessage>();
+			this.lines.set(hostId, receive);
+			this.received.set(hostId, 0);
+			this.heard.set(hostId, []);
+			this.news.set(hostId, PromptNews.create({
+				hostId,
+				room: 1,
+				mesh: {
+					onDidReceive: receive.event,
+					liveRooms: new Map(names.filter(other => other !== hostId).map(other => [other, 1])),
+					send: (to, message) => this.deliver(hostId, to, message),
+					broadcast: message => {
+						for (const other of names.filter(each => each !== hostId)) {
+							this.deliver(hostId, other, message);
+						}
+					},
+				},
+				heard: serverId => {
+					this.heard.get(hostId)!.push(serverId);
+				},
+				clock: this.clock,
+			}));
+		}
+	}
+
+	private deliver(from: string, to: string, message: Message): boolean {
+		this.received.set(to, this.received.get(to)! + 1);
+		this.lines.get(to)!.fire({hostId: from, message});
+		return true;
+	}
+}
+
+/** Two prompts a second from each host. */
+function playSecond(hosts: Hosts): void {
+	for (const half of [0, 1]) {
+		for (const [index, name] of hosts.names.entries()) {
+			hosts.news.get(name)!.add(`${name} ${half}`, [{key: index, tokens: 1}]);
+			hosts.clock.advance(500 / hosts.names.length);
+		}
+	}
+
+	hosts.clock.advance(100);
+}
+
+for (const count of [8, 68, 370]) {
+	t.test(`each of ${count} hosts hears of every other's sends once, in few messages`, async t => {
+		const hosts = new Hosts(Array.from({length: count}, (_, index) => `host-${index}`));
+		playSecond(hosts);
+		for (const name of hosts.names) {
+			const heard = hosts.heard.get(name)!;
+			t.equal(heard.length, 2 * (count - 1), name);
+			t.equal(new Set(heard).size, heard.length, name);
+		}
+
+		const busiest = [...hosts.received.values()].toSorted((left, right) => right - left);
+		t.ok(busiest[1] <= 22, 'all but the one that gathers');
+		t.ok(busiest[0] <= 2 * count, 'which gets one message a send');
+	});
+}
+
+t.test('few hosts tell each other themselves, without the detour', async t => {
+	const hosts = new Hosts(['a', 'b', 'c']);
+	hosts.news.get('a')!.add('engine', [{key: 1, tokens: 1}]);
+	hosts.clock.advance(10);
+	t.same(hosts.heard.get('b'), ['engine']);
+	t.same(hosts.heard.get('c'), ['engine']);
+});
--- a/src/wire/common/messages.ts
+++ b/src/wire/common/messages.ts
@@ -229,9 +229,17 @@
 const stateReplySchema = z.strictObject({type: z.literal('stateReply'), deployment: z.string().optional(), servers: z.string().optional()});
 
 /** Prompts that the sender has sent to model engines: what these still have to read, and what they will keep. */
+const sentPromptsSchema = z.array(z.strictObject({serverId: id, parts: z.array(z.strictObject({key: count, tokens: count})).max(64)})).max(10_000);
 const promptsSentSchema = z.strictObject({
 	type: z.literal('promptsSent'),
-	prompts: z.array(z.strictObject({serverId: id, parts: z.array(z.strictObject({key: count, tokens: count})).max(64)})).max(10_000),
+	prompts: sentPromptsSchema,
+	/** Whether the receiver is to pass them on to all others. */
+	isForAll: z.boolean().optional(),
+});
+/** Prompts that several hosts have sent, as one host gathered them for all. */
+const promptsPassedOnSchema = z.strictObject({
+	type: z.literal('promptsPassedOn'),
+	news: z.array(z.strictObject({hostId: name, prompts: sentPromptsSchema})).max(10_000),
 });
 export type PromptsSentMessage = z.infer<typeof promptsSentSchema>;
 
@@ -301,6 +309,7 @@
 	stateRequestSchema,
 	stateReplySchema,
 	promptsSentSchema,
+	promptsPassedOnSchema,
 	batchWorkSchema,
 	batchEndsSchema,
 	batchCancelSchema,
