Let two hosts that do no work for each other speak seldom

Between two thin hosts only their number counts: they neither batch, read nor gather for each other.

Change: such a pair says something every 2 s instead of every 500 ms, and each beat tells when the next sign comes at the latest, so both sides agree on how long a silence means a loss whatever they know of each other's room. Addresses are compared once a beat that brings any, not for every pair.

--- a/src/peers/node/peer-dials.ts
+++ b/src/peers/node/peer-dials.ts
@@ -15,8 +15,8 @@
 	readonly clock: Clock;
 	/** A peer answered. */
 	readonly connected: (connection: WireConnection) => void;
-	/** Whether the host that listens at an address is connected, whoever dialled. */
-	readonly isMet: (endpoint: string) => boolean;
+	/** Where the hosts listen that are connected, whoever dialled. */
+	readonly metEndpoints: () => ReadonlySet<string>;
 };
 
 type Dial = {
@@ -72,6 +72,10 @@
 	@param endpoints - as the peer told them.
 	*/
 	addKnown(endpoints: readonly string[]): void {
+		if (endpoints.length === 0) {
+			return;
+		}
+
 		const nowMs = this.options.clock.nowMs();
 		for (const endpoint of endpoints) {
 			this.plan.add(endpoint, false, nowMs);
@@ -82,7 +86,8 @@
 
 	/** Dials what is due by now. */
 	dialDue(): void {
-		for (const endpoint of this.plan.due(this.options.isMet, this.options.clock.nowMs())) {
+		const met = this.options.metEndpoints();
+		for (const endpoint of this.plan.due(each => met.has(each), this.options.clock.nowMs())) {
 			this.dial(endpoint);
 		}
 	}
--- /dev/null
+++ b/src/peers/node/peer-mesh.test.ts
@@ -0,0 +1,123 @@
+/**
+Incident: connections between hosts went silent for good, without a reset, while new ones worked. Nothing but time shows
+it: a peer is lost once nothing has come for three beats, and is dialled again.
+*/
+import {setImmediate as turn} from 'node:timers/promises';
+import t, {type Test} from 'tap';
+import {ManualClock} from '../../base/common/clock.js';
+import type {Emitter} from '../../base/common/emitter.js';
+import {silentLoggers} from '../../base/common/logger.js';
+import {SeededRandom} from '../../base/common/random.js';
+import type {Message, PeerBeat} from '../../wire/common/messages.js';
+import type {WireConnection} from '../../wire/node/wire-connection.js';
+import {WireServer} from '../../wire/node/wire-server.js';
+import {PeerMesh, type PeerMessage} from './peer-mesh.js';
+
+const anyPort = {address: '127.0.0.1', port: 0};
+const keys = () => [{keyId: 'k', secret: 's'}];
+const wireOf = (hostId: string) => ({
+	identity: {
+		hostId, incarnation: 'i', role: 'entry' as const, hall: 'hall-a',
+	},
+	keys,
+});
+const beat: PeerBeat = {
+	type: 'peerBeat', endpoint: '', knownEndpoints: [], deploymentVersion: 0, listRevision: 0, isLeaving: false, room: 1,
+};
+
+/** A mesh with one seed, where a peer listens that says only what the test has it say. */
+async function makePair(t: Test) {
+	const clock = ManualClock.create();
+	const server = WireServer.create(wireOf('own'));
+	const peer = WireServer.create(wireOf('peer'));
+	const mesh = PeerMesh.create({
+		server,
+		wire: {...wireOf('own'), clock, random: SeededRandom.create(1)},
+		clock,
+		log: silentLoggers.for('test'),
+		ownState: () => ({
+			deploymentVersion: 0, listRevision: 0, isLeaving: false, room: 1,
+		}),
+	});
+	t.teardown(() => {
+		mesh.dispose();
+		server.dispose();
+		peer.dispose();
+	});
+	const seed = await peer.listen(anyPort);
+	mesh.start(await server.listen(anyPort), [seed]);
+	return {
+		clock, mesh, peer, endpoint: `${seed.address}:${seed.port}`,
+	};
+}
+
+/** Time passes; what repeats is armed again a turn after each run. */
+async function pass(clock: ManualClock, durationMs: number): Promise<void> {
+	for (let passedMs = 0; passedMs < durationMs; passedMs += 100) {
+		clock.advance(100);
+		await turn();
+	}
+}
+
+async function nextOf<T>(event: Emitter<T>['event']): Promise<T> {
+	return new Promise(resolve => {
+		const listener = event(value => {
+			listener.dispose();
+			resolve(value);
+		});
+	});
+}
+
+/** The peer is dialled, and says something that the mesh takes in. */
+async function meet({clock, mesh, peer}: {readonly clock: ManualClock; readonly mesh: PeerMesh; readonly peer: WireServer}, message: Message): Promise<WireConnection> {
+	const connected = nextOf(peer.onDidConnect);
+	clock.advance(100);
+	const connection = await connected;
+	await say(mesh, connection, message);
+	return connection;
+}
+
+async function say(mesh: PeerMesh, connection: WireConnection, message: Message): Promise<PeerMessage> {
+	const heard = nextOf(mesh.onDidReceive);
+	connection.send(message);
+	return heard;
+}
+
+t.test('a peer whose connection goes silent is lost after three beats, and dialled again', async t => {
+	const pair = await makePair(t);
+	const lost: string[] = [];
+	pair.mesh.onDidLose(hostId => {
+		lost.push(hostId);
+	});
+	await meet(pair, {...beat, endpoint: pair.endpoint});
+	t.same(pair.mesh.liveHosts, ['peer']);
+	await pass(pair.clock, 1500);
+	t.same(lost, []);
+	const connected = nextOf(pair.peer.onDidConnect);
+	await pass(pair.clock, 500);
+	t.same(lost, ['peer']);
+	t.same(pair.mesh.liveHosts, []);
+	await pass(pair.clock, 100);
+	await say(pair.mesh, await connected, {...beat, endpoint: pair.endpoint});
+	t.same(pair.mesh.liveHosts, ['peer'], 'a new connection works');
+});
+
+t.test('whatever a peer says is a sign of life', async t => {
+	const pair = await makePair(t);
+	const connection = await meet(pair, {...beat, endpoint: pair.endpoint});
+	for (let round = 0; round < 4; round++) {
+		await pass(pair.clock, 1000);
+		await say(pair.mesh, connection, {type: 'promptsSent', prompts: []});
+	}
+
+	t.same(pair.mesh.liveHosts, ['peer']);
+});
+
+t.test('a peer that said that it speaks seldom is given as much more time', async t => {
+	const pair = await makePair(t);
+	await meet(pair, {...beat, endpoint: pair.endpoint, nextWithinMs: 2000});
+	await pass(pair.clock, 6000);
+	t.same(pair.mesh.liveHosts, ['peer']);
+	await pass(pair.clock, 1000);
+	t.same(pair.mesh.liveHosts, []);
+});
--- a/src/peers/node/peer-mesh.ts
+++ b/src/peers/node/peer-mesh.ts
@@ -9,13 +9,13 @@
 import type {WireConnection} from '../../wire/node/wire-connection.js';
 import type {Endpoint, WireServer} from '../../wire/node/wire-server.js';
 import {encodeFrame} from '../../wire/common/frame-codec.js';
-import {beatMs, BeatNeed} from '../common/beat-need.js';
+import {
+	beatIntervalMs, beatMs, BeatNeed, longestSilenceMs,
+} from '../common/beat-need.js';
 import {PeerDials} from './peer-dials.js';
 
 /** How often peers are told all addresses this host knows, beside those that are new: two hosts may have forgotten each other. */
 const tellAllMs = 5000;
-/** A connection without any message for this long is dead: three beats, one of them lost. */
-const silentMs = 1600;
 /** A tick that is this late means that this host itself stood still: what it has not read yet says nothing about peers. */
 const ownPauseMs = 400;
 
@@ -54,6 +54,8 @@
 	/** Addresses that peers have been told of. */
 	private toldEndpoints: ReadonlySet<string> = new Set();
 	private toldAllMs = 0;
+	/** Room of the roomiest peer. */
+	private mostRoom = 0;
 	private tickedMs = 0;
 
 	private constructor(private readonly options: PeerMeshOptions) {
@@ -64,7 +66,7 @@
 			connected: connection => {
 				this.adopt(connection);
 			},
-			isMet: endpoint => this.isMet(endpoint),
+			metEndpoints: () => this.knownEndpoints(),
 		}));
 		this.owned.add(server.onDidConnect(connection => {
 			this.adopt(connection);
@@ -161,59 +163,58 @@
 			for (const way of peer.ways) {
 				if (wasPaused) {
 					way.heardMs = nowMs;
-				} else if (nowMs - way.heardMs > silentMs) {
+				} else if (nowMs - way.heardMs > longestSilenceMs(peer.beat?.nextWithinMs)) {
 					way.connection.close('the peer fell silent');
 				}
 			}
 		}
 
-		this.tellState((way, state) => way.beatNeed.isNeeded(state, nowMs));
+		this.tellState((way, state, intervalMs) => way.beatNeed.isNeeded(state, intervalMs, nowMs));
 		this.dials.dialDue();
 		this.dials.forgetSilent(nowMs);
 	}
 
 	/** Sends what this host has in force, with the addresses that are new, on the connections that need it. */
-	private tellState(isNeeded: (way: Way, state: string) => boolean): void {
+	private tellState(isNeeded: (way: Way, state: string, intervalMs: number) => boolean): void {
 		const nowMs = this.options.clock.nowMs();
 		const known = this.knownEndpoints();
 		const tellsAll = nowMs - this.toldAllMs >= tellAllMs;
-		const beat = this.makeBeat(tellsAll ? [...known] : [...known].filter(endpoint => !this.toldEndpoints.has(endpoint)));
+		const news = tellsAll ? [...known] : [...known].filter(endpoint => !this.toldEndpoints.has(endpoint));
 		this.toldEndpoints = known;
 		this.toldAllMs = tellsAll ? nowMs : this.toldAllMs;
-		// News of addresses go to all: who is left out now would not hear of them for long.
-		const hasNews = beat.knownEndpoints.length > 0;
-		const state = JSON.stringify(this.options.ownState());
-		const frame = encodeFrame(beat);
+		const ownState = JSON.stringify(this.options.ownState());
+		const frames = new Map<number, Uint8Array>();
 		for (const peer of this.peers.values()) {
+			const intervalMs = this.beatIntervalOf(peer);
+			const state = `${intervalMs} ${ownState}`;
 			for (const way of peer.ways) {
-				if ((hasNews || isNeeded(way, state)) && way.connection.sendFrame(frame)) {
+				// News of addresses go to all: who is left out now would not hear of them for long.
+				if (news.length > 0 || isNeeded(way, state, intervalMs)) {
+					const frame = frames.get(intervalMs) ?? encodeFrame(this.makeBeat(news, intervalMs));
+					frames.set(intervalMs, frame);
+					way.connection.sendFrame(frame);
 					way.beatNeed.told(state, nowMs);
 				}
 			}
 		}
 	}
 
-	private makeBeat(knownEndpoints: string[]): PeerBeat {
+	private makeBeat(knownEndpoints: string[], nextWithinMs: number): PeerBeat {
 		return {
-			type: 'peerBeat', endpoint: this.dials.ownEndpoint, knownEndpoints, ...this.options.ownState(),
+			type: 'peerBeat', endpoint: this.dials.ownEndpoint, knownEndpoints, nextWithinMs, ...this.options.ownState(),
 		};
 	}
 
+	private beatIntervalOf({beat}: Peer): number {
+		const room = this.options.ownState().room ?? 0;
+		return beat?.room === undefined ? beatMs : beatIntervalMs([room, beat.room], Math.max(room, this.mostRoom));
+	}
+
 	/** Where connected peers listen. */
 	private knownEndpoints(): Set<string> {
 		return new Set([...this.peers.values()].flatMap(peer => peer.beat && peer.ways.size > 0 ? [peer.beat.endpoint] : []));
 	}
 
-	private isMet(endpoint: string): boolean {
-		for (const {beat, ways} of this.peers.values()) {
-			if (beat?.endpoint === endpoint && ways.size > 0) {
-				return true;
-			}
-		}
-
-		return false;
-	}
-
 	private sendFrame({ways}: Peer, frame: Uint8Array): boolean {
 		for (const {connection, beatNeed} of ways) {
 			if (connection.sendFrame(frame)) {
@@ -246,7 +247,7 @@
 		connection.onDidClose(reason => {
 			this.lost(peer, way, reason);
 		});
-		connection.send(this.makeBeat([...this.knownEndpoints()]));
+		connection.send(this.makeBeat([...this.knownEndpoints()], beatMs));
 	}
 
 	private lost(peer: Peer, way: Way, reason: string): void {
@@ -263,6 +264,7 @@
 		if (message.type === 'peerBeat') {
 			const isChanged = peer.beat?.isLeaving !== message.isLeaving;
 			peer.beat = message;
+			this.mostRoom = Math.max(...[...this.peers.values()].map(({beat}) => beat?.room ?? 0));
 			peer.beatHeardMs = this.options.clock.nowMs();
 			this.dials.addKnown(message.knownEndpoints);
 			if (isChanged) {
--- a/src/routing/common/host-room.ts
+++ b/src/routing/common/host-room.ts
@@ -21,6 +21,15 @@
 	return Math.min(cores, linkMbps / linkMbpsPerCore);
 }
 
+/**
+Tells whether a host takes shared work.
+@param room - of the host.
+@param mostRoom - of the roomiest one.
+*/
+export function isRoomy(room: number, mostRoom: number): boolean {
+	return room >= mostRoom * leastShare;
+}
+
 /**
 Chooses the hosts that take shared work.
 @param rooms - of each live host, by its id.
@@ -28,5 +37,5 @@
 */
 export function roomiestHosts(rooms: ReadonlyMap<string, number>): string[] {
 	const mostRoom = Math.max(0, ...rooms.values());
-	return [...rooms].filter(([, room]) => room >= mostRoom * leastShare).map(([hostId]) => hostId);
+	return [...rooms].filter(([, room]) => isRoomy(room, mostRoom)).map(([hostId]) => hostId);
 }
--- a/src/wire/common/messages.ts
+++ b/src/wire/common/messages.ts
@@ -219,6 +219,8 @@
 	isLeaving: z.boolean(),
 	/** The sender's room for shared work, in cores; older hosts tell none. */
 	room: z.number().nonnegative().optional(),
+	/** The sender says something again after this long at the latest; older hosts say something every half a second. */
+	nextWithinMs: z.number().positive().optional(),
 	/** How long ago the store last answered the sender; absent while the sender does not read it. */
 	storeAgeMs: z.number().nonnegative().optional(),
 });
