--- a/src/preparation/common/batch-machine.test.ts
+++ b/src/preparation/common/batch-machine.test.ts
@@ -163,3 +163,35 @@
 	small.released('s', [`${tried.callId}-0`]);
 	t.equal(small.nextCalls([server('s')], capacity, 470)[0].pieces.length, 2, 'and with more once there was room');
 });
+
+/**
+Pattern: herd after a restart. Hosts that have not met yet call the same upstreams, which are full and refuse most calls.
+Once one of the hosts batches for all, it must have the upstreams at once: when each refusal counted as a failure, they
+were left alone for two seconds after four of them, and the first second's callers all came late.
+*/
+t.test('an upstream that was full is asked again once a call there can have ended, however often it was full', async t => {
+	const machine = BatchMachine.create();
+	machine.add(workOf('w', 1, {dueMs: 4000, lateDueMs: 5000}), 0);
+	let nowMs = 0;
+	for (let refusals = 0; refusals < 6; refusals++) {
+		const [call] = machine.nextCalls([server('s')], capacity, nowMs);
+		t.ok(call, `after ${refusals} refusals`);
+		if (!call) {
+			break;
+		}
+
+		machine.failed(call, 'refused', nowMs);
+		t.equal(machine.nextCalls([server('s')], capacity, nowMs + 10).length, 0, 'not at once');
+		nowMs += call.expectedMs;
+	}
+});
+
+t.test('an upstream that fails is left alone for longer each time', async t => {
+	const machine = BatchMachine.create();
+	machine.add(workOf('w', 1, {dueMs: 4000, lateDueMs: 5000}), 0);
+	machine.failed(machine.nextCalls([server('s')], capacity, 0)[0], 'broken', 0);
+	t.equal(machine.nextCalls([server('s')], capacity, 249).length, 0);
+	machine.failed(machine.nextCalls([server('s')], capacity, 250)[0], 'broken', 250);
+	t.equal(machine.nextCalls([server('s')], capacity, 749).length, 0);
+	t.equal(machine.nextCalls([server('s')], capacity, 750).length, 1);
+});
