--- a/src/preparation/common/batch-machine.ts
+++ b/src/preparation/common/batch-machine.ts
@@ -157,13 +157,7 @@
 	@returns pieces that are given up; others wait again.
 	*/
 	failed(call: BatchCall, reason: CallFailure, nowMs: number): PieceEnd[] {
-		const state = this.stateOf(call.server);
-		if (reason === 'refused') {
-			state.refused(call, nowMs);
-		} else {
-			state.failed(call, nowMs);
-		}
-
+		this.stateOf(call.server).failed(call, nowMs);
 		const ends: PieceEnd[] = [];
 		for (const item of call.pieces) {
 			// A call that was refused has cost nothing.
--- a/src/preparation/common/batch-upstream.ts
+++ b/src/preparation/common/batch-upstream.ts
@@ -47,16 +47,6 @@
 		this.measuredMs = nowMs;
 	}
 
-	/**
-	The call was refused because all places are taken. That says nothing against the upstream: it has a place once the
-	call at work there has ended. When refusals counted as failures, four of them in the first second after a restart of all
-	hosts took an upstream out for two seconds, with most others of its pool.
-	*/
-	refused(call: BatchCall, nowMs: number): void {
-		this.end(call);
-		this.avoidedUntilMs = Math.max(this.avoidedUntilMs, nowMs + call.expectedMs);
-	}
-
 	failed(call: BatchCall, nowMs: number): void {
 		this.end(call);
 		this.avoidedUntilMs = nowMs + Math.min(longestAvoidMs, avoidMs * (2 ** this.failures));
