Don't warn of many listeners where there is one for each call at work

A batching host with more than ten upstreams wrote a warning of a possible leak at each start; the listeners are one for each call at work and go with it.

--- a/src/preparation/node/batch-pool.ts
+++ b/src/preparation/node/batch-pool.ts
@@ -1,4 +1,5 @@
 /** Runs the batches of one pool on this host: makes the calls its machine asks for. */
+import {setMaxListeners} from 'node:events';
 import type {Clock} from '../../base/common/clock.js';
 import {DisposableStore, type Disposable} from '../../base/common/disposable.js';
 import type {Logger} from '../../base/common/logger.js';
@@ -57,6 +58,8 @@
 	private releaseTimer: Disposable | undefined;
 
 	private constructor(private readonly options: BatchPoolOptions) {
+		// Each call at work listens: as many as the pool has upstreams.
+		setMaxListeners(0, this.controller.signal);
 		this.owned.add(options.registry.onDidChange(({server, change}) => {
 			if (server.pool === options.pool) {
 				this.serverChanged(server, change === 'gone');
