--- a/src/direct/common/news-buffer.ts
+++ b/src/direct/common/news-buffer.ts
@@ -4,9 +4,9 @@
 hears 20, however many hosts there are. What is told so is up to a twentieth of a second older: short against the time
 in which an engine reads a long prompt.
 */
-import type {PromptsSentMessage} from '../../wire/common/messages.js';
-import {rendezvousOwner} from '../../routing/common/rendezvous.js';
 import {roomiestHosts} from '../../routing/common/host-room.js';
+import {rendezvousOwner} from '../../routing/common/rendezvous.js';
+import type {PromptsSentMessage} from '../../wire/common/messages.js';
 
 /**
 With fewer hosts than this each tells all others itself. Passing on costs the one that does it some 20 messages a second
@@ -39,11 +39,11 @@
 
 	private byHost = new Map<string, SentPrompts>();
 
-	/** Whether there are none. */
-	get isEmpty(): boolean {
-		return this.byHost.size === 0;
-	}
-
+	/**
+	Takes in what a host has sent.
+	@param hostId - the host.
+	@param prompts - since its last news.
+	*/
 	add(hostId: string, prompts: SentPrompts): void {
 		this.byHost.set(hostId, [...this.byHost.get(hostId) ?? [], ...prompts]);
 	}
--- a/src/peers/common/beat-need.ts
+++ b/src/peers/common/beat-need.ts
@@ -1,7 +1,7 @@
 /**
 Whether a peer needs a beat on a connection: where nothing else has told it that this host lives, where what this host
 has in force has changed, or where it was last told a while ago. Every message counts as a sign of life, and hosts under
-load say something to each other several times a second; beats beside that cost each of them the most.
+load say something to each other several times a second; beats beside that were most of what they said.
 */
 import {isRoomy} from '../../routing/common/host-room.js';
 
@@ -16,8 +16,8 @@
 
 /**
 Tells how often two hosts need signs of life from each other. Hosts with little room batch, read and gather for nobody:
-between two of them a loss may be noticed late. At 68 hosts, 53 of them thin, each thin one hears 57 signs a second
-where it heard 134.
+between two of them a loss may be noticed late. At 68 hosts, 53 of them thin, each thin one hears 56 signs a second
+where it would hear 134.
 @param rooms - of the two for shared work.
 @param mostRoom - of the roomiest host there is.
 */
--- a/src/peers/node/peer-mesh.ts
+++ b/src/peers/node/peer-mesh.ts
@@ -4,11 +4,11 @@
 import {DisposableStore, type Disposable} from '../../base/common/disposable.js';
 import {Emitter} from '../../base/common/emitter.js';
 import type {Logger} from '../../base/common/logger.js';
+import {encodeFrame} from '../../wire/common/frame-codec.js';
 import type {Message, PeerBeat} from '../../wire/common/messages.js';
 import type {WireClientOptions} from '../../wire/node/wire-client.js';
 import type {WireConnection} from '../../wire/node/wire-connection.js';
 import type {Endpoint, WireServer} from '../../wire/node/wire-server.js';
-import {encodeFrame} from '../../wire/common/frame-codec.js';
 import {
 	beatIntervalMs, beatMs, BeatNeed, longestSilenceMs,
 } from '../common/beat-need.js';
