--- a/src/wire/common/messages.ts
+++ b/src/wire/common/messages.ts
@@ -2,7 +2,7 @@
 import {z} from 'zod';
 
 /** Version of the protocol; both sides must name the same. */
-export const protocolVersion = 1;
+export const protocolVersion = 2;
 
 const id = z.string().min(1).max(128);
 const name = z.string().min(1).max(200);
