--- a/src/daemon/node/compose-direct-entry.ts
+++ b/src/daemon/node/compose-direct-entry.ts
@@ -87,7 +87,7 @@
 		log: logOf('peers'),
 		ownState: () => ({
 			deploymentVersion: get(deploymentBoardToken).version,
-			listRevision: get(serverRegistryToken).changedRevision,
+			listRevision: get(serverRegistryToken).revision,
 			isLeaving: isLeaving(),
 			room: roomOf(settings.capacity),
 			storeAgeMs: storeAgeMs(get),
--- a/src/deployment/common/server-registry.ts
+++ b/src/deployment/common/server-registry.ts
@@ -72,7 +72,6 @@
 	/** Until when an entry that goes may have lapsed with the store; Infinity while the store does not answer. */
 	private mayReturnUntilMs = 0;
 	private listRevision = 0;
-	private lastChange = 0;
 	/** Who told what is being taken; for logs. */
 	private source: ListSource = listSources.store;
 
@@ -87,14 +86,6 @@
 		return this.listRevision;
 	}
 
-	/**
-	The last writing that changed the list: a server that came, begins to leave, or went. Servers write their entries anew
-	all the time, which makes no difference to anyone.
-	*/
-	get changedRevision(): number {
-		return this.lastChange;
-	}
-
 	get size(): number {
 		return this.servers.size;
 	}
@@ -222,7 +213,6 @@
 		this.servers.set(serverId, {...server, isLeaving});
 		this.views = new Map();
 		if (wasMissing || known?.isLeaving !== isLeaving) {
-			this.changedAt(server.revision);
 			this.tell(server, isLeaving ? 'leaving' : 'joined');
 		}
 	}
@@ -238,7 +228,6 @@
 			return;
 		}
 
-		this.changedAt(revision);
 		if (server.isLeaving || nowMs >= this.mayReturnUntilMs) {
 			this.drop(serverId, 'its entry was dropped');
 			return;
@@ -250,10 +239,6 @@
 		this.tell(server, 'missing');
 	}
 
-	private changedAt(revision: number): void {
-		this.lastChange = Math.max(this.lastChange, revision);
-	}
-
 	private drop(serverId: string, reason: string): void {
 		this.missing.delete(serverId);
 		const server = this.servers.get(serverId);
--- a/src/wire/common/messages.ts
+++ b/src/wire/common/messages.ts
@@ -214,7 +214,6 @@
 	/** Where other peers listen that the sender knows. */
 	knownEndpoints: z.array(name).max(1000),
 	deploymentVersion: count,
-	/** The last writing of the store that changed the sender's list of servers. */
 	listRevision: count,
 	/** Whether the sender is about to stop and takes no more shared work. */
 	isLeaving: z.boolean(),
