Bring about that a peer's dead connection is used: two tests that fail

Cause, found in reading the change again: a host that loses power says nothing. Back before its silence counts (1.6 s, 6.4 s between two thin hosts since they speak seldom), it connects anew beside the dead connection, and peers go on sending on the oldest one. Work and ends of work sent there reach nobody; and since a connection is left when the dead one closes, the peer never counts as lost and nobody hands the work in again: its requests wait until their deadline. The same holds for a connection that fell silent at one side only.

--- a/src/peers/node/peer-mesh.test.ts
+++ b/src/peers/node/peer-mesh.test.ts
@@ -10,14 +10,15 @@
 import {SeededRandom} from '../../base/common/random.js';
 import type {Message, PeerBeat} from '../../wire/common/messages.js';
 import type {WireConnection} from '../../wire/node/wire-connection.js';
-import {WireServer} from '../../wire/node/wire-server.js';
+import {WireClient} from '../../wire/node/wire-client.js';
+import {WireServer, type Endpoint} from '../../wire/node/wire-server.js';
 import {PeerMesh, type PeerMessage} from './peer-mesh.js';
 
 const anyPort = {address: '127.0.0.1', port: 0};
 const keys = () => [{keyId: 'k', secret: 's'}];
-const wireOf = (hostId: string) => ({
+const wireOf = (hostId: string, incarnation = 'i') => ({
 	identity: {
-		hostId, incarnation: 'i', role: 'entry' as const, hall: 'hall-a',
+		hostId, incarnation, role: 'entry' as const, hall: 'hall-a',
 	},
 	keys,
 });
@@ -45,9 +46,10 @@
 		peer.dispose();
 	});
 	const seed = await peer.listen(anyPort);
-	mesh.start(await server.listen(anyPort), [seed]);
+	const own = await server.listen(anyPort);
+	mesh.start(own, [seed]);
 	return {
-		clock, mesh, peer, endpoint: `${seed.address}:${seed.port}`,
+		clock, mesh, peer, own, endpoint: `${seed.address}:${seed.port}`,
 	};
 }
 
@@ -59,6 +61,19 @@
 	}
 }
 
+/** Another process connects to the mesh, as the peer that started anew or came back by a new connection. */
+async function comeTo(t: Test, {clock, mesh, own}: {readonly clock: ManualClock; readonly mesh: PeerMesh; readonly own: Endpoint}, incarnation: string): Promise<WireConnection> {
+	const client = WireClient.create(own, {...wireOf('peer', incarnation), clock, random: SeededRandom.create(2)});
+	t.teardown(() => {
+		client.dispose();
+	});
+	const connected = nextOf(client.onDidConnect);
+	clock.advance(1);
+	const connection = await connected;
+	await say(mesh, connection, {...beat, endpoint: '127.0.0.1:1'});
+	return connection;
+}
+
 async function nextOf<T>(event: Emitter<T>['event']): Promise<T> {
 	return new Promise(resolve => {
 		const listener = event(value => {
@@ -121,3 +136,42 @@
 	await pass(pair.clock, 1000);
 	t.same(pair.mesh.liveHosts, []);
 });
+
+/*
+A host that lost power says nothing; its peers keep the dead connection until its silence counts. When it is back before
+that, what they send on the dead one reaches nobody, and what it had in its hands is handed in again by nobody.
+*/
+t.test('a peer that started anew is lost and met again, whatever its old connection looks like', async t => {
+	const pair = await makePair(t);
+	const lost: string[] = [];
+	pair.mesh.onDidLose(hostId => {
+		lost.push(hostId);
+	});
+	await meet(pair, {...beat, endpoint: pair.endpoint});
+	const connection = await comeTo(t, pair, 'another start');
+	t.same(lost, ['peer']);
+	t.same(pair.mesh.liveHosts, ['peer']);
+	const heard = nextOf(connection.onDidReceive);
+	t.ok(pair.mesh.send('peer', {type: 'promptsSent', prompts: []}));
+	t.ok(await heard);
+});
+
+t.test('what is sent to a peer goes by its newest connection: an older one may be dead', async t => {
+	const pair = await makePair(t);
+	const older = await meet(pair, {...beat, endpoint: pair.endpoint});
+	const newest = await comeTo(t, pair, 'i');
+	const way = Promise.race([wayOf('older', older), wayOf('newest', newest)]);
+	t.ok(pair.mesh.send('peer', {type: 'batchCancel', pool: 'p', workId: 'w'}));
+	t.equal(await way, 'newest');
+});
+
+/** Names the connection once a message for the batches comes by it. */
+async function wayOf(name: string, connection: WireConnection): Promise<string> {
+	return new Promise(resolve => {
+		connection.onDidReceive(({type}) => {
+			if (type === 'batchCancel') {
+				resolve(name);
+			}
+		});
+	});
+}
