Leave the dead connections of a host that started anew, and send on the newest

Change: a connection of another process of the same host closes the former ones, so that the host is lost, its work handed in again, and met anew; messages go by the newest connection. Besides, in the same lines: a host's own state is made once a telling, not once a peer; which addresses are seeds was kept in two places and is kept in the plan alone, where an address that was told of becomes a seed when the settings name it (a test).

--- a/src/peers/common/dial-plan.test.ts
+++ b/src/peers/common/dial-plan.test.ts
@@ -108,6 +108,20 @@
 	t.same(plan.due(() => false, 61_500), [first]);
 });
 
+t.test('an address that peers told of becomes a seed when the settings name it', async t => {
+	const plan = DialPlan.create('10.0.0.1:1');
+	const others = ['10.0.0.2:1', '10.0.0.3:1', '10.0.0.4:1', '10.0.0.5:1'];
+	for (const other of others) {
+		plan.add(other, false, 0);
+		t.notOk(plan.isSeed(other));
+		plan.add(other, true, 10);
+		plan.add(other, false, 20);
+		t.ok(plan.isSeed(other));
+	}
+
+	t.same(plan.due(() => false, 20), others, 'seeds are dialled at once');
+});
+
 /** What a host dials that was just told of another. */
 function dueAtOnce(own: string, other: string): string[] {
 	const plan = DialPlan.create(own);
--- a/src/peers/common/dial-plan.ts
+++ b/src/peers/common/dial-plan.ts
@@ -32,11 +32,20 @@
 	@param nowMs - the time.
 	*/
 	add(endpoint: string, isSeed: boolean, nowMs: number): void {
-		if (endpoint !== this.own && !this.known.has(endpoint)) {
-			this.known.set(endpoint, {isSeed, unmetSinceMs: nowMs});
+		const known = this.known.get(endpoint);
+		if (endpoint !== this.own && (!known || (isSeed && !known.isSeed))) {
+			this.known.set(endpoint, {isSeed, unmetSinceMs: known?.unmetSinceMs ?? nowMs});
 		}
 	}
 
+	/**
+	Tells whether an address is a seed.
+	@param endpoint - the address.
+	*/
+	isSeed(endpoint: string): boolean {
+		return this.known.get(endpoint)?.isSeed === true;
+	}
+
 	/**
 	An address is forgotten until it is added again.
 	@param endpoint - the address.
--- a/src/peers/node/peer-dials.ts
+++ b/src/peers/node/peer-dials.ts
@@ -33,7 +33,6 @@
 	}
 
 	private readonly dials = new Map<string, Dial>();
-	private readonly seeds = new Set<string>();
 	private plan = DialPlan.create('');
 	private own = '';
 
@@ -59,9 +58,8 @@
 	*/
 	addSeeds(seeds: readonly Endpoint[]): void {
 		const nowMs = this.options.clock.nowMs();
-		for (const endpoint of seeds.map(seed => textOf(seed))) {
-			this.seeds.add(endpoint);
-			this.plan.add(endpoint, true, nowMs);
+		for (const seed of seeds) {
+			this.plan.add(textOf(seed), true, nowMs);
 		}
 
 		this.dialDue();
@@ -98,7 +96,7 @@
 	*/
 	forgetSilent(nowMs: number): void {
 		for (const [endpoint, dial] of this.dials) {
-			if (!dial.isOpen && !this.seeds.has(endpoint) && nowMs - dial.openMs > forgetMs) {
+			if (!dial.isOpen && !this.plan.isSeed(endpoint) && nowMs - dial.openMs > forgetMs) {
 				this.dials.delete(endpoint);
 				this.plan.remove(endpoint);
 				dial.client.dispose();
--- a/src/peers/node/peer-mesh.ts
+++ b/src/peers/node/peer-mesh.ts
@@ -182,10 +182,11 @@
 		const news = tellsAll ? [...known] : [...known].filter(endpoint => !this.toldEndpoints.has(endpoint));
 		this.toldEndpoints = known;
 		this.toldAllMs = tellsAll ? nowMs : this.toldAllMs;
-		const ownState = JSON.stringify(this.options.ownState());
+		const own = this.options.ownState();
+		const ownState = JSON.stringify(own);
 		const frames = new Map<number, Uint8Array>();
 		for (const peer of this.peers.values()) {
-			const intervalMs = this.beatIntervalOf(peer);
+			const intervalMs = this.beatIntervalOf(peer, own.room ?? 0);
 			const state = `${intervalMs} ${ownState}`;
 			for (const way of peer.ways) {
 				// News of addresses go to all: who is left out now would not hear of them for long.
@@ -205,8 +206,7 @@
 		};
 	}
 
-	private beatIntervalOf({beat}: Peer): number {
-		const room = this.options.ownState().room ?? 0;
+	private beatIntervalOf({beat}: Peer, room: number): number {
 		return beat?.room === undefined ? beatMs : beatIntervalMs([room, beat.room], Math.max(room, this.mostRoom));
 	}
 
@@ -215,8 +215,9 @@
 		return new Set([...this.peers.values()].flatMap(peer => peer.beat && peer.ways.size > 0 ? [peer.beat.endpoint] : []));
 	}
 
+	/** The newest connection goes first: the peer has opened it because an older one is dead, or it works as well. */
 	private sendFrame({ways}: Peer, frame: Uint8Array): boolean {
-		for (const {connection, beatNeed} of ways) {
+		for (const {connection, beatNeed} of [...ways].toReversed()) {
 			if (connection.sendFrame(frame)) {
 				beatNeed.spoke(this.options.clock.nowMs());
 				return true;
@@ -233,6 +234,7 @@
 		}
 
 		const {hostId} = identity;
+		this.leaveFormer(hostId, identity.incarnation);
 		const peer = this.peers.get(hostId) ?? {
 			hostId, ways: new Set<Way>(), beat: undefined, beatHeardMs: 0,
 		};
@@ -250,6 +252,18 @@
 		connection.send(this.makeBeat([...this.knownEndpoints()], beatMs));
 	}
 
+	/**
+	A host that started anew has left its former connections, however they look: a host that lost power closes none. What
+	it had in its hands is gone, and counts as lost before the new process is met.
+	*/
+	private leaveFormer(hostId: string, incarnation: string): void {
+		for (const {connection} of this.peers.get(hostId)?.ways ?? []) {
+			if (connection.peer?.incarnation !== incarnation) {
+				connection.close('its host started anew');
+			}
+		}
+	}
+
 	private lost(peer: Peer, way: Way, reason: string): void {
 		peer.ways.delete(way);
 		if (peer.ways.size === 0) {
