Fill calls and read rooms in parts of their own

Cause: the machine of a pool's batches held, beside its events, which pieces fit a call and what a call tells of an upstream's room. Change: `fillCall` and `readRoom` in modules of their own; a doc comment that described nothing is gone from the links to agents. No change of behaviour: the tests of the preparation (30) are unchanged and pass.

--- a/src/entry/node/fleet-links.ts
+++ b/src/entry/node/fleet-links.ts
@@ -45,8 +45,6 @@
 	misses: number;
 };
 
-/** A message from the agent of an upstream. */
-
 /** Keeps connections to agents. */
 export class FleetLinks implements UpstreamLinks, Disposable {
 	static create(options: FleetLinksOptions): FleetLinks {
--- a/src/preparation/common/batch-machine.ts
+++ b/src/preparation/common/batch-machine.ts
@@ -8,10 +8,9 @@
 	BatchCall, BatchPiece, CallFailure, PieceEnd,
 } from './batch-call.js';
 import {BatchUpstream} from './batch-upstream.js';
-import {
-	groupByWork, isPatient, rankPenaltyMs, urgencyOf,
-} from './piece-order.js';
-import type {RoomReading} from './result-room.js';
+import {fillCall} from './call-filling.js';
+import {rankPenaltyMs, urgencyOf} from './piece-order.js';
+import {readRoom} from './room-reading.js';
 import {Throughput} from './throughput.js';
 import {pieceFailures, type BatchWork, type PieceOutcome} from './work.js';
 
@@ -276,23 +275,12 @@
 		return call;
 	}
 
-	/** The most urgent pieces that fit into one call and into the upstream's room. */
-	private take(server: UpstreamServer, capacity: BatchCapacity, halls: ReadonlySet<string>, nowMs: number): BatchPiece[] {
-		let roomBytes = this.stateOf(server).room.leftBytes(capacity.roomBytes, nowMs);
-		const taken = new Set<BatchPiece>();
-		for (const items of groupByWork(this.waiting)) {
-			const [{work}] = items;
-			const mayGo = work.hall === server.hall || !halls.has(work.hall) || items.every(item => !isPatient(item, nowMs));
-			const fitting = Math.min(items.length, capacity.batchSize - taken.size, Math.floor(roomBytes / Math.max(1, work.resultBytes)));
-			// A step that is worked on in parts keeps room for results that nobody can read yet.
-			if (mayGo && fitting > 0 && (fitting === items.length || taken.size === 0)) {
-				roomBytes -= fitting * work.resultBytes;
-				for (const item of items.slice(0, fitting)) {
-					taken.add(item);
-				}
-			}
-		}
-
+	/** Takes the most urgent pieces for one call out of the queue. */
+	private take(server: UpstreamServer, {batchSize, roomBytes}: BatchCapacity, halls: ReadonlySet<string>, nowMs: number): BatchPiece[] {
+		const leftBytes = this.stateOf(server).room.leftBytes(roomBytes, nowMs);
+		const taken = fillCall(this.waiting, {
+			batchSize, leftBytes, hall: server.hall, halls,
+		}, nowMs);
 		this.waiting = this.waiting.filter(item => !taken.has(item));
 		return [...taken].map(item => ({...item, tries: item.tries + 1}));
 	}
@@ -313,19 +301,3 @@
 		return state;
 	}
 }
-
-/** What the outcomes of a call tell of its upstream's room. */
-function readRoom({pieces}: BatchCall, outcomes: readonly PieceOutcome[]): RoomReading {
-	let madeBytes = 0;
-	let refusedBytes: number | undefined;
-	for (const [index, {work: {resultBytes}}] of pieces.entries()) {
-		const outcome = outcomes[index];
-		if (outcome.ok) {
-			madeBytes += resultBytes;
-		} else if (outcome.reason === pieceFailures.noRoom) {
-			refusedBytes = Math.min(refusedBytes ?? Infinity, resultBytes);
-		}
-	}
-
-	return {madeBytes, refusedBytes};
-}
--- /dev/null
+++ b/src/preparation/common/room-reading.ts
@@ -0,0 +1,24 @@
+/** What a call tells of the room for results at its upstream. */
+import type {BatchCall} from './batch-call.js';
+import type {RoomReading} from './result-room.js';
+import {pieceFailures, type PieceOutcome} from './work.js';
+
+/**
+Reads the outcomes of a call.
+@param call - the call.
+@param outcomes - one for each piece, in order.
+*/
+export function readRoom({pieces}: BatchCall, outcomes: readonly PieceOutcome[]): RoomReading {
+	let madeBytes = 0;
+	let refusedBytes: number | undefined;
+	for (const [index, {work: {resultBytes}}] of pieces.entries()) {
+		const outcome = outcomes[index];
+		if (outcome.ok) {
+			madeBytes += resultBytes;
+		} else if (outcome.reason === pieceFailures.noRoom) {
+			refusedBytes = Math.min(refusedBytes ?? Infinity, resultBytes);
+		}
+	}
+
+	return {madeBytes, refusedBytes};
+}
