Take every byte of a peer for a sign of life, not only whole messages

Hypothesis: a peer whose bytes come is busy, not lost. Change: connections tell of bytes that come (`onDidHear`); the mesh counts them as signs of life.

--- a/src/peers/node/peer-mesh.ts
+++ b/src/peers/node/peer-mesh.ts
@@ -242,8 +242,11 @@
 		this.peers.set(hostId, peer);
 		peer.ways.add(way);
 		this.options.log.info('A peer is connected.', {peer: hostId, hall: identity.hall, ways: peer.ways.size});
-		connection.onDidReceive(message => {
+		// A message of thousands of routes takes longer to come, on a thin or a full link, than a lost peer is waited for.
+		connection.onDidHear(() => {
 			way.heardMs = this.options.clock.nowMs();
+		});
+		connection.onDidReceive(message => {
 			this.receive(peer, message);
 		});
 		connection.onDidClose(reason => {
--- a/src/wire/node/wire-connection.ts
+++ b/src/wire/node/wire-connection.ts
@@ -41,6 +41,7 @@
 	private readonly didOpen = Emitter.create<Identity>();
 	private readonly didClose = Emitter.create<string>();
 	private readonly didReceive = Emitter.create<Message>();
+	private readonly didHear = Emitter.create<void>();
 	private handler: Handler;
 	private peerIdentity: Identity | undefined;
 	private isClosed = false;
@@ -74,6 +75,11 @@
 		return this.didClose.event;
 	}
 
+	/** Fires whenever bytes come, also in the midst of a message: the other side lives, and the way to it carries. */
+	get onDidHear() {
+		return this.didHear.event;
+	}
+
 	/** Fires for each message after the handshake. */
 	get onDidReceive() {
 		return this.didReceive.event;
@@ -181,6 +187,7 @@
 	}
 
 	private receive(piece: Uint8Array): void {
+		this.didHear.fire();
 		const messages = this.decoder.push(piece);
 		if (!messages.ok) {
 			this.close(formatProblem(messages.error));
@@ -205,6 +212,7 @@
 			this.didOpen.dispose();
 			this.didClose.dispose();
 			this.didReceive.dispose();
+			this.didHear.dispose();
 		}
 	}
 }
--- a/src/wire/node/wire.test.ts
+++ b/src/wire/node/wire.test.ts
@@ -89,3 +89,20 @@
 	await connected;
 	t.equal(count, 1);
 });
+
+t.test('a large message is heard of while it comes', async t => {
+	const {endpoint, connected} = await listen(t, [newKey]);
+	const client = await open(t, endpoint, [newKey]);
+	const server = await connected;
+	let heardCount = 0;
+	server.onDidHear(() => {
+		heardCount++;
+	});
+	const received = new Promise<Message>(resolve => {
+		server.onDidReceive(resolve);
+	});
+	// Sockets give at most 64 KiB at once.
+	client.send({type: 'stateReply', servers: 'x'.repeat(1024 * 1024)});
+	t.match(await received, {type: 'stateReply'});
+	t.ok(heardCount >= 16, `${heardCount} times`);
+});
