Tell peers what changed in the declaration, compressed, and ask one at a time

Cause: every host asked for the whole of every version, 1.4 MB for 4,249 routes, and for another copy from another host after 400 ms. The copies shared one link of 7 Mbit/s, so that the slower they came the more were asked for: the links stayed full, and no thin host ever had the version. Hypothesis: what a change costs must follow from the change, and asking must become rarer where answers are slow. Change: `DeploymentPatch`, the runs of each list that stay and the items that are new, from any of the last 16 versions, as compressed JSON, made once for all peers that have the same version; everything for a peer with an older one. Versions share the objects that did not change. `AskPace`: one peer at a time, the next after 0.4, 0.8 and 1.6 s; a late answer of an earlier one is passed over by its version, unread. Hosts log who told what. The protocol's version rises, since requests and replies changed.

--- a/src/deployment/common/declaration.ts
+++ b/src/deployment/common/declaration.ts
@@ -26,7 +26,7 @@
 /** Work that must be done before the request itself can run. */
 export type PreparationStep = z.infer<typeof stepSchema>;
 
-const routeSchema = z.object({
+export const routeSchema = z.object({
 	name: z.string(),
 	hostName: z.string(),
 	/** Begins and ends with a slash. */
@@ -76,7 +76,7 @@
 	memoryTokens: z.number().nonnegative(),
 });
 
-const poolSchema = z.object({
+export const poolSchema = z.object({
 	name: z.string(),
 	/** Connections one upstream accepts from all hosts together. */
 	maxConnections: z.number().int().positive(),
@@ -85,7 +85,7 @@
 });
 export type PoolDeclaration = z.infer<typeof poolSchema>;
 
-const limitsSchema = z.object({
+export const limitsSchema = z.object({
 	maxHeaderBytes: count,
 	maxBodyBytes: count,
 	headerTimeoutMs: durationMs,
@@ -94,7 +94,7 @@
 /** Bounds on what one caller may send and how long it may take. */
 export type CallerLimits = z.infer<typeof limitsSchema>;
 
-const workspaceSchema = z.object({
+export const workspaceSchema = z.object({
 	name: z.string(),
 	keys: z.array(z.string()),
 	/** Goes before the rank of the route. */
@@ -102,13 +102,12 @@
 });
 export type WorkspaceDeclaration = z.infer<typeof workspaceSchema>;
 
-/** The whole declaration, as hosts pass it to each other. */
-export const deploymentSchema = z.object({
-	version: count,
-	routes: z.array(routeSchema),
-	pools: z.array(poolSchema),
-	limits: limitsSchema,
+/** The whole declaration. */
+export type Deployment = {
+	readonly version: number;
+	readonly routes: readonly Route[];
+	readonly pools: readonly PoolDeclaration[];
+	readonly limits: CallerLimits;
 	/** Absent where no request needs a key. */
-	workspaces: z.array(workspaceSchema).optional(),
-});
-export type Deployment = z.infer<typeof deploymentSchema>;
+	readonly workspaces?: readonly WorkspaceDeclaration[] | undefined;
+};
--- a/src/peers/node/state-exchange.ts
+++ b/src/peers/node/state-exchange.ts
@@ -3,22 +3,19 @@
 import {DisposableStore, type Disposable} from '../../base/common/disposable.js';
 import {messageOf} from '../../base/common/errors.js';
 import type {Logger} from '../../base/common/logger.js';
-import {deploymentSchema} from '../../deployment/common/declaration.js';
 import type {DeploymentBoard} from '../../deployment/common/deployment-board.js';
+import {applyDeploymentPatch, deploymentPatchSchema} from '../../deployment/common/deployment-patch.js';
 import {listSources, type ServerRegistry} from '../../deployment/common/server-registry.js';
 import {serverListSchema} from '../../deployment/common/upstream-server.js';
-import type {Message} from '../../wire/common/messages.js';
+import type {Message, PackedDeployment} from '../../wire/common/messages.js';
+import {AskPace} from '../common/ask-pace.js';
+import {DeclarationReplies} from './declaration-replies.js';
+import {unpackJson} from './packed-json.js';
 import type {PeerMesh} from './peer-mesh.js';
 
 /** Changes of the list are gathered for this long before peers are told that there are some: servers often change together. */
 const gatherMs = 40;
 
-/**
-A peer that was asked is given this long before another is: a declaration of many routes takes 100 ms and more
-over the thinnest links, and every host that has it says so at once.
-*/
-const answerMs = 400;
-
 /**
 A host whose list stays older than a peer's for this long asks for the peer's: its own reading may have fallen
 silent, which it notices itself only after 2.7 s. Usually both learn of a change within milliseconds.
@@ -45,14 +42,15 @@
 	private readonly owned = DisposableStore.create();
 	/** Runs while changes of the list are gathered. */
 	private gatherTimer: Disposable | undefined;
-	/** When a peer was last asked for either and has not answered. */
-	private deploymentAskedMs = -Infinity;
-	private serversAskedMs = -Infinity;
+	private readonly replies: DeclarationReplies;
+	private readonly deploymentPace = AskPace.create();
+	private readonly serversPace = AskPace.create();
 	/** The first revision of a peer's list that this host lacked, and when it was told; kept until it has caught up. */
 	private lacked: {readonly revision: number; readonly sinceMs: number} | undefined;
 
 	private constructor(private readonly options: StateExchangeOptions) {
 		const {mesh, board, registry} = options;
+		this.replies = this.owned.add(DeclarationReplies.create(board));
 		this.owned.add(mesh.onDidReceive(({hostId, message}) => {
 			this.receive(hostId, message);
 		}));
@@ -84,20 +82,20 @@
 		const {mesh, board, registry, clock} = this.options;
 		switch (message.type) {
 			case 'peerBeat': {
-				const askedBeforeMs = clock.nowMs() - answerMs;
+				const nowMs = clock.nowMs();
 				this.ask(hostId, {
-					wantsDeployment: message.deploymentVersion > board.version && this.deploymentAskedMs <= askedBeforeMs,
-					wantsServers: this.lacks(message.listRevision) && this.serversAskedMs <= askedBeforeMs,
+					wantsDeployment: message.deploymentVersion > board.version && this.deploymentPace.mayAsk(nowMs),
+					wantsServers: this.lacks(message.listRevision) && this.serversPace.mayAsk(nowMs),
 				});
 
 				break;
 			}
 
 			case 'stateRequest': {
-				const deployment = message.wantsDeployment ? board.current?.deployment : undefined;
+				const deployment = message.wantsDeployment ? this.replies.for(message.haveVersion) : undefined;
 				mesh.send(hostId, {
 					type: 'stateReply',
-					...(deployment && {deployment: JSON.stringify(deployment)}),
+					...(deployment && {deployment}),
 					...(message.wantsServers && {servers: JSON.stringify(registry.snapshot())}),
 				});
 
@@ -128,31 +126,59 @@
 		return isListAway() || nowMs - this.lacked.sinceMs >= behindMs;
 	}
 
-	/** Asks one peer at a time: each answer is the whole of it. */
 	private ask(hostId: string, wants: {readonly wantsDeployment: boolean; readonly wantsServers: boolean}): void {
-		const {mesh, clock} = this.options;
-		if ((!wants.wantsDeployment && !wants.wantsServers) || !mesh.send(hostId, {type: 'stateRequest', ...wants})) {
+		const {mesh, board, clock} = this.options;
+		if ((!wants.wantsDeployment && !wants.wantsServers) || !mesh.send(hostId, {type: 'stateRequest', ...wants, haveVersion: board.version})) {
 			return;
 		}
 
-		this.deploymentAskedMs = wants.wantsDeployment ? clock.nowMs() : this.deploymentAskedMs;
-		this.serversAskedMs = wants.wantsServers ? clock.nowMs() : this.serversAskedMs;
+		const nowMs = clock.nowMs();
+		if (wants.wantsDeployment) {
+			this.deploymentPace.ask(hostId, nowMs);
+		}
+
+		if (wants.wantsServers) {
+			this.serversPace.ask(hostId, nowMs);
+		}
 	}
 
-	private take(hostId: string, deployment: string | undefined, servers: string | undefined): void {
-		const {board, registry, clock, log} = this.options;
-		this.deploymentAskedMs = deployment === undefined ? this.deploymentAskedMs : -Infinity;
-		this.serversAskedMs = servers === undefined ? this.serversAskedMs : -Infinity;
+	private take(hostId: string, deployment: PackedDeployment | undefined, servers: string | undefined): void {
 		try {
 			if (deployment !== undefined) {
-				board.offer(deploymentSchema.parse(JSON.parse(deployment)), 'peer');
+				this.takeDeployment(hostId, deployment);
 			}
 
 			if (servers !== undefined) {
-				registry.replaceAll(serverListSchema.parse(JSON.parse(servers)), clock.nowMs(), listSources.peer);
+				this.takeServers(hostId, servers);
 			}
 		} catch (error) {
-			log.error('A peer sent a state that can\'t be read; it is passed over.', {peer: hostId, reason: messageOf(error)});
+			this.options.log.error('A peer sent a state that can\'t be read; it is passed over.', {peer: hostId, reason: messageOf(error)});
 		}
 	}
+
+	private takeDeployment(hostId: string, {baseVersion, version, patch}: PackedDeployment): void {
+		const {board, clock, log} = this.options;
+		const tookMs = this.deploymentPace.answered(hostId, clock.nowMs());
+		const isNews = version > board.version;
+		log.info('A peer told of the declaration.', {
+			peer: hostId, version, baseVersion, sizeBytes: patch.byteLength, isNews, ...(tookMs !== undefined && {tookMs: Math.round(tookMs)}),
+		});
+		// Late answers of peers that were asked before cost nothing more.
+		if (!isNews) {
+			return;
+		}
+
+		const made = applyDeploymentPatch(board.current?.deployment, deploymentPatchSchema.parse(unpackJson(patch)));
+		if (made.ok) {
+			board.offer(made.value, 'peer');
+		} else {
+			log.warn('What a peer told of the declaration does not fit the version here; it is asked for again.', {peer: hostId, reason: made.error.message});
+		}
+	}
+
+	private takeServers(hostId: string, servers: string): void {
+		const {registry, clock} = this.options;
+		this.serversPace.answered(hostId, clock.nowMs());
+		registry.replaceAll(serverListSchema.parse(JSON.parse(servers)), clock.nowMs(), listSources.peer);
+	}
 }
--- a/src/wire/common/messages.ts
+++ b/src/wire/common/messages.ts
@@ -2,7 +2,7 @@
 import {z} from 'zod';
 
 /** Version of the protocol; both sides must name the same. */
-export const protocolVersion = 2;
+export const protocolVersion = 3;
 
 const id = z.string().min(1).max(128);
 const name = z.string().min(1).max(200);
@@ -226,9 +226,25 @@
 });
 export type PeerBeat = z.infer<typeof peerBeatSchema>;
 /** Asks a peer for what it has in force. */
-const stateRequestSchema = z.strictObject({type: z.literal('stateRequest'), wantsDeployment: z.boolean(), wantsServers: z.boolean()});
-/** What a peer has in force, as JSON texts. */
-const stateReplySchema = z.strictObject({type: z.literal('stateReply'), deployment: z.string().optional(), servers: z.string().optional()});
+const stateRequestSchema = z.strictObject({
+	type: z.literal('stateRequest'),
+	wantsDeployment: z.boolean(),
+	/** The version of the declaration that the sender has; 0 for none. */
+	haveVersion: count,
+	wantsServers: z.boolean(),
+});
+const packedDeploymentSchema = z.strictObject({
+	/** The version that the receiver must have; 0 where the patch holds everything. */
+	baseVersion: count,
+	version: count,
+	/** A `DeploymentPatch`, as compressed JSON. */
+	patch: bytes,
+});
+export type PackedDeployment = z.infer<typeof packedDeploymentSchema>;
+/** What a peer has in force; the servers as a JSON text. */
+const stateReplySchema = z.strictObject({
+	type: z.literal('stateReply'), deployment: packedDeploymentSchema.optional(), servers: z.string().optional(),
+});
 
 /** Prompts that the sender has sent to model engines: what these still have to read, and what they will keep. */
 const sentPromptsSchema = z.array(z.strictObject({serverId: id, parts: z.array(z.strictObject({key: count, tokens: count})).max(64)})).max(10_000);
