Take a server for who its id and its start say, and read each row of the store by itself

Hypothesis: where all that is known is kept under a name of one start, a later start begins with nothing. Change: the list of servers knows the latest start under each id. A later one ends the earlier at once, whatever the revision of its writing; an earlier one that is told of late is passed over, also in a peer's newer list, which then does not say that the later one is gone. An entry that can't be read ends the server that it named, without the time that missing entries have.

--- a/src/deployment/common/server-registry.ts
+++ b/src/deployment/common/server-registry.ts
@@ -31,6 +31,9 @@
 */
 const missingShare = 0.65;
 
+/** Starts that are remembered though they are gone, so that an earlier one is not taken for news. */
+const mostStarts = 10_000;
+
 /** What changed about a server; one that is missing may still come back. */
 export type ServerChange = {readonly server: UpstreamServer; readonly change: 'joined' | 'leaving' | 'missing' | 'gone'};
 
@@ -194,8 +197,10 @@
 	Takes entries that were written so that they name no server; each counts by its own revision.
 	@param rows - by the id that all starts of their server have.
 	*/
-	voidEntries(_rows: readonly DroppedRow[]): void {
-		// Not yet.
+	voidEntries(rows: readonly DroppedRow[]): void {
+		for (const row of rows) {
+			this.voidEntry(row);
+		}
 	}
 
 	/**
@@ -234,6 +239,8 @@
 			}
 
 			case 'unreadable': {
+				this.voidEntry(row);
+
 				break;
 			}
 		// No default
@@ -241,11 +248,19 @@
 	}
 
 	private put(server: ListedServer): void {
-		const {serverId} = server;
-		if (this.replaced.has(serverId) || !this.isNews(serverId, server.revision)) {
+		const {serverId, instanceId, startedMs} = server;
+		const latest = this.starts.get(instanceId);
+		const isLaterStart = latest !== undefined && startedMs > latest.startedMs;
+		const isEarlierStart = latest !== undefined && startedMs < latest.startedMs;
+		if (this.replaced.has(serverId) || isEarlierStart || (!isLaterStart && !this.isNews(serverId, server.revision))) {
 			return;
 		}
 
+		if (isLaterStart) {
+			this.drop(latest.serverId, 'it has started again');
+		}
+
+		this.remember(server);
 		const wasMissing = this.missing.delete(serverId);
 		const known = this.servers.get(serverId);
 		const isLeaving = server.isLeaving || known?.isLeaving === true;
@@ -278,11 +293,33 @@
 		this.tell(server, 'missing');
 	}
 
+	/** An entry was written so that it names no server: nothing is known of the one that it named before. */
+	private voidEntry({key, revision}: DroppedRow): void {
+		const serverId = this.latestStart(key);
+		if (this.servers.has(serverId) && this.isNews(serverId, revision)) {
+			this.drop(serverId, 'its entry can\'t be read');
+		}
+	}
+
 	/** The id of a server's latest start, by the id that all its starts have. */
 	private latestStart(instanceId: string): string {
 		return this.starts.get(instanceId)?.serverId ?? instanceId;
 	}
 
+	private remember({instanceId, serverId, startedMs}: ListedServer): void {
+		this.starts.delete(instanceId);
+		this.starts.set(instanceId, {serverId, startedMs});
+		for (const [oldest, start] of this.starts) {
+			if (this.starts.size <= mostStarts) {
+				break;
+			}
+
+			if (!this.servers.has(start.serverId)) {
+				this.starts.delete(oldest);
+			}
+		}
+	}
+
 	private drop(serverId: string, reason: string): void {
 		this.missing.delete(serverId);
 		const server = this.servers.get(serverId);
--- /dev/null
+++ b/test/platform/server-restart.test.ts
@@ -0,0 +1,50 @@
+/** A server that starts again under the id that it had, before real entries: nothing of its earlier life counts. */
+import t, {type Test} from 'tap';
+import {
+	ask, DirectFleet, until, type RunningEntry,
+} from './direct-harness.js';
+import {ServerStandin} from './upstream-standins.js';
+
+/** A fleet with one server that tells when it started, and an entry that has met it. */
+async function makeFleet(t: Test, pool: string) {
+	const fleet = await DirectFleet.create();
+	t.teardown(() => {
+		fleet.dispose();
+	});
+	const [first] = await fleet.addServers(pool, 1);
+	fleet.store.put('servers', first.serverId, {...first.entry(pool), born: 1000});
+	const entry = await fleet.addEntry();
+	await until(() => hasLine(entry, `"${first.serverId}@1000"`));
+	return {fleet, first, entry};
+}
+
+function hasLine({lines}: RunningEntry, ...texts: string[]): boolean {
+	return lines.some(line => texts.every(text => line.includes(text)));
+}
+
+/** The server starts again, at another address. */
+async function startAgain(t: Test, {fleet, entry}: {readonly fleet: DirectFleet; readonly entry: RunningEntry}, {serverId}: ServerStandin, pool: string): Promise<ServerStandin> {
+	const again = await ServerStandin.create(serverId);
+	t.teardown(() => {
+		again.dispose();
+	});
+	fleet.store.put('servers', serverId, {...again.entry(pool), born: 2000});
+	await until(() => hasLine(entry, `"${serverId}@2000"`, '"joined"'));
+	return again;
+}
+
+t.test('a later start is served though the one before was leaving, and no late entry brings that one back', async t => {
+	const {fleet, first, entry} = await makeFleet(t, 'plain');
+	fleet.store.put('servers', first.serverId, {...first.entry('plain', 'draining'), born: 1000});
+	await until(() => hasLine(entry, '"leaving"'));
+	t.equal((await ask(entry, {path: '/look/x', id: 'a', deadlineMs: 300})).status, 503);
+	const again = await startAgain(t, {fleet, entry}, first, 'plain');
+	t.equal((await ask(entry, {path: '/look/x', id: 'b'})).status, 200);
+	t.same(again.seen.map(({headers}) => headers['expect-instance']), [first.serverId], 'it is called by the id that it tells');
+	fleet.store.put('servers', first.serverId, {...first.entry('plain'), born: 1000});
+	fleet.store.put('servers', 'other', {...again.entry('none'), born: 1});
+	await until(() => hasLine(entry, '"other@1"'));
+	t.equal((await ask(entry, {path: '/look/x', id: 'c'})).status, 200);
+	t.equal(again.seen.length, 2);
+	t.equal(first.seen.length, 0);
+});
