--- a/src/peers/node/state-exchange.test.ts
+++ b/src/peers/node/state-exchange.test.ts
@@ -1,10 +1,12 @@
 import t from 'tap';
 import {ManualClock} from '../../base/common/clock.js';
 import {Emitter} from '../../base/common/emitter.js';
+import {hashText} from '../../base/common/hash.js';
 import {silentLoggers} from '../../base/common/logger.js';
 import {DeploymentBoard} from '../../deployment/common/deployment-board.js';
 import {ServerRegistry} from '../../deployment/common/server-registry.js';
 import type {ServerList} from '../../deployment/common/upstream-server.js';
+import {encodeFrame} from '../../wire/common/frame-codec.js';
 import type {Message} from '../../wire/common/messages.js';
 import type {PeerMessage} from './peer-mesh.js';
 import {StateExchange} from './state-exchange.js';
@@ -15,12 +17,14 @@
 	const clock = ManualClock.create();
 	const received = Emitter.create<PeerMessage>();
 	const asked: string[] = [];
+	const sent: Message[] = [];
 	const registry = ServerRegistry.create({log, leavingWithinMs: 2000});
 	StateExchange.create({
 		mesh: {
 			onDidReceive: received.event,
 			announce: () => undefined,
 			send(hostId: string, message: Message) {
+				sent.push(message);
 				if (message.type === 'stateRequest') {
 					asked.push(`${hostId}${message.wantsDeployment ? ' declaration' : ''}${message.wantsServers ? ' servers' : ''}`);
 				}
@@ -35,7 +39,7 @@
 		log,
 	});
 	return {
-		clock, asked, registry,
+		clock, asked, sent, registry,
 		tell(hostId: string, deploymentVersion: number, listRevision: number) {
 			received.fire({
 				hostId, message: {
@@ -43,6 +47,13 @@
 				},
 			});
 		},
+		ask(hostId: string) {
+			received.fire({
+				hostId, message: {
+					type: 'stateRequest', wantsDeployment: false, haveVersion: 0, wantsServers: true,
+				},
+			});
+		},
 		reply(hostId: string, servers: ServerList) {
 			received.fire({hostId, message: {type: 'stateReply', servers: JSON.stringify(servers)}});
 		},
@@ -88,3 +99,21 @@
 	tell('a', 0, 10);
 	t.same(asked, ['a servers'], 'once it has caught up the next news are given a moment again');
 });
+
+/*
+Found by reading, after the same had been seen of the declaration: each change of the list makes each host that does not read
+the store ask for all of it, 200 bytes a server. 65 hosts that ask for 200 servers twice a second take 5 MB a second.
+*/
+t.test('a list of 200 servers is told in a tenth of its text, made once for all that ask', async t => {
+	const {registry, sent, ask} = exchangeByHand(false);
+	const servers = Array.from({length: 200}, (_, index) => ({
+		serverId: `i-${hashText(`server ${index}`).toString(16)}@${1_767_225_600_000 + index}`, instanceId: `i-${hashText(`server ${index}`).toString(16)}`,
+		startedMs: 1_767_225_600_000 + index, pool: `pool-${index % 5}`, address: `10.1.64.${index}`, port: 8080, hall: `hall-${index % 3}`, slots: 64, isLeaving: false, revision: index,
+	}));
+	registry.replaceAll({revision: 300, servers}, 0);
+	ask('a');
+	ask('b');
+	const [first, second] = sent;
+	t.ok(encodeFrame(first).byteLength < 7000, `${encodeFrame(first).byteLength} bytes`);
+	t.equal('servers' in first && 'servers' in second && first.servers === second.servers, true);
+});
