--- a/src/base/common/time-limit.ts
+++ b/src/base/common/time-limit.ts
@@ -61,6 +61,12 @@
 		}
 	}
 
+	/** Gives the call up now. */
+	giveUp(): void {
+		this.dispose();
+		this.controller.abort(new UnavailableError('given up'));
+	}
+
 	/** The call has ended; nothing gives it up any more. */
 	dispose(): void {
 		this.hasEnded = true;
@@ -74,9 +80,4 @@
 			this.giveUp();
 		});
 	}
-
-	private giveUp(): void {
-		this.dispose();
-		this.controller.abort(new UnavailableError('given up'));
-	}
 }
--- a/src/deployment/common/server-registry.ts
+++ b/src/deployment/common/server-registry.ts
@@ -242,9 +242,11 @@
 		}
 	}
 
-	private put(server: ListedServer): void {
-		const {serverId, instanceId, startedMs} = server;
-		const latest = this.starts.latest(instanceId);
+	private put(entry: ListedServer): void {
+		const latest = this.starts.latest(entry.instanceId);
+		// An entry that does not tell its start speaks of the latest one.
+		const server = entry.startedMs === 0 && latest ? {...entry, ...latest} : entry;
+		const {serverId, startedMs} = server;
 		const isLaterStart = latest !== undefined && startedMs > latest.startedMs;
 		const isEarlierStart = latest !== undefined && startedMs < latest.startedMs;
 		if (this.replaced.has(serverId) || isEarlierStart || (!isLaterStart && !this.isNews(serverId, server.revision))) {
--- a/src/peers/node/reading-duty.test.ts
+++ b/src/peers/node/reading-duty.test.ts
@@ -49,3 +49,20 @@
 	clock.advance(1500);
 	t.equal(duty.mayRest(), true);
 });
+
+t.test('a host that has just started rests as soon as it knows two readers', async t => {
+	const clock = ManualClock.create();
+	const ages = new Map([['x', 300], ['y', 300], ['z', 300]]);
+	const resting = names.find(name => dutyOf(name, ages).mayRest())!;
+	const known = new Map([['x', 300]]);
+	const duty = dutyOf(resting, known, clock);
+	t.equal(duty.mayRest(), false);
+	clock.advance(200);
+	known.set('y', 100);
+	t.equal(duty.mayRest(), true);
+	known.delete('y');
+	t.equal(duty.mayRest(), false);
+	clock.advance(200);
+	known.set('y', 100);
+	t.equal(duty.mayRest(), false, 'later on a slow store must not make it change its mind at each call');
+});
--- a/src/peers/node/reading-duty.ts
+++ b/src/peers/node/reading-duty.ts
@@ -48,6 +48,8 @@
 
 	/** What was last decided; logged when it changes. */
 	private isResting = false;
+	/** Whether others have read for this host since it started. */
+	private hasRested = false;
 	private readOnUntilMs = 0;
 
 	private constructor(private readonly options: ReadingDutyOptions) {}
@@ -60,6 +62,7 @@
 	/** Whether others read for this host now. */
 	mayRest(): boolean {
 		const mayRest = this.decide();
+		this.hasRested ||= mayRest;
 		if (mayRest !== this.isResting) {
 			this.isResting = mayRest;
 			this.options.log.info(mayRest ? 'Other hosts read the store for this one.' : 'This host reads the store itself.', {
@@ -79,7 +82,9 @@
 		const nowMs = clock.nowMs();
 		const freshReaders = [...mesh.storeAgesMs.values()].filter(ageMs => ageMs <= this.freshMs).length;
 		if (freshReaders < fewestFreshReaders) {
-			this.readOnUntilMs = nowMs + readOnMs;
+			// A host that has just started reads only until it knows its peers; what it reads fills its link.
+			this.readOnUntilMs = this.hasRested ? nowMs + readOnMs : nowMs;
+			return false;
 		}
 
 		return nowMs >= this.readOnUntilMs;
