--- a/test/platform/upstream-standins.ts
+++ b/test/platform/upstream-standins.ts
@@ -64,6 +64,9 @@
 	}
 
 	fault: Fault = 'none';
+	/** A request with this body ends the server as soon as it runs; nothing listens at its address from then on. */
+	endsOnBody: string | undefined;
+	hasEnded = false;
 	readonly seen: SeenRequest[] = [];
 	/** Calls of stage work, each with its pieces. */
 	readonly stageCalls: Array<ReadonlyArray<Record<string, unknown>>> = [];
@@ -121,6 +124,12 @@
 			this.closedEarly += response.writableFinished ? 0 : 1;
 		});
 		await sleep(this.stepMs);
+		if (body === this.endsOnBody) {
+			this.hasEnded = true;
+			this.dispose();
+			return;
+		}
+
 		const headers = {'attempt-id': this.fault === 'foreign' ? 'someone-else' : id, 'server-stamp': `stamp-${this.serverId}`};
 		switch (this.fault) {
 			case 'silent': {
