Bar a request under which three servers ended, on all hosts

Cause: a caller's try has an id of its own, and whatever a host keeps of a request ended with the try; hosts told each other nothing of it. Change: `src/quarantine`. A request is its workspace, method, host name, path and body. A call that breaks off puts its server in doubt; it has ended if its address refuses a connection (tried after 30 and 200 ms) or the list says so within 5 s and the server was not leaving. The set of starts that ended under a content merges by union on all hosts, told within 10 ms, and whole to a host that connects. Three bar it at the door, at each send and while it waits for its steps; what may have been the third waits until that is known. A whole answer clears it everywhere. What is barred is tried once after a minute, then after twice as long. The protocol's version rises: hosts of before and after do not talk to each other. Bodies are read only for requests whose head was suspected before.

--- a/src/base/common/hash.ts
+++ b/src/base/common/hash.ts
@@ -1,7 +1,9 @@
 /** Fast, non-cryptographic hashing (xxHash). */
 import xxhash from 'xxhash-wasm';
 
-const {h32, h32Raw} = await xxhash();
+const {h32, h32Raw, h64ToString, h64Raw} = await xxhash();
+
+const digestDigits = 16;
 
 /**
 Hashes a text.
@@ -22,3 +24,21 @@
 export function extendDigest(previous: number, bytes: Uint8Array): number {
 	return h32Raw(bytes, previous);
 }
+
+/**
+Gives the 64-bit digest of a text.
+@param text - what to hash.
+@returns 16 hexadecimal digits.
+*/
+export function digestOfText(text: string): string {
+	return h64ToString(text);
+}
+
+/**
+Gives the 64-bit digest of bytes.
+@param bytes - what to hash.
+@returns 16 hexadecimal digits.
+*/
+export function digestOfBytes(bytes: Uint8Array): string {
+	return h64Raw(bytes).toString(16).padStart(digestDigits, '0');
+}
--- a/src/daemon/node/compose-direct-entry.ts
+++ b/src/daemon/node/compose-direct-entry.ts
@@ -22,6 +22,10 @@
 import {StepTimes} from '../../preparation/common/step-times.js';
 import {BatchPool} from '../../preparation/node/batch-pool.js';
 import {Preparer} from '../../preparation/node/preparer.js';
+import {Quarantine, quarantineToken} from '../../quarantine/common/quarantine.js';
+import {ServerEnds} from '../../quarantine/common/server-ends.js';
+import {ConnectCheck} from '../../quarantine/node/address-check.js';
+import {QuarantineNews} from '../../quarantine/node/quarantine-news.js';
 import {RequestRunner} from '../../request/node/request-runner.js';
 import {EngineLoads} from '../../routing/common/engine-loads.js';
 import {roomOf} from '../../routing/common/host-room.js';
@@ -62,6 +66,7 @@
 	registerPeers(composition);
 	registerState(composition);
 	registerFeeds(composition);
+	registerQuarantine(composition);
 	registerUpstreams(composition);
 	registerPreparation(composition);
 	registerDoor(composition);
@@ -101,6 +106,16 @@
 	register(serverRegistryToken, () => ServerRegistry.create({log: logOf('servers'), leavingWithinMs: settings.leavingWithinMs}));
 }
 
+/** Which requests end the servers that run them. */
+function registerQuarantine({lifecycle, clock, metrics, logOf, register, get}: Composition): void {
+	register(quarantineToken, () => lifecycle.register(Quarantine.create({
+		serverEnds: lifecycle.register(ServerEnds.create({registry: get(serverRegistryToken), check: ConnectCheck.create(), clock})),
+		clock,
+		log: logOf('quarantine'),
+		metrics,
+	})));
+}
+
 /** Which upstream serves a request, and the calls to it. */
 function registerUpstreams({settings, ports, lifecycle, clock, logOf, register, get, hostCount}: Composition): void {
 	register(enginesToken, () => EngineChooser.create(EngineLoads.create()));
@@ -115,6 +130,7 @@
 		assigned(serverId, prompt) {
 			get(promptNewsToken).add(serverId, prompt);
 		},
+		quarantine: get(quarantineToken),
 	}));
 	register(promptNewsToken, () => lifecycle.register(PromptNews.create({
 		hostId: settings.hostId,
@@ -137,6 +153,7 @@
 		heard(serverId, dispatchId) {
 			get(routerToken).heard(serverId, dispatchId, clock.nowMs());
 		},
+		quarantine: get(quarantineToken),
 	})));
 }
 
@@ -177,14 +194,23 @@
 	const preparerOptions = () => ({
 		stepTimes, desk: get(batchDeskToken), board: get(deploymentBoardToken), registry: get(serverRegistryToken), clock, log: logOf('preparation'),
 	});
+	const makeRunner = () => {
+		const runner = lifecycle.register(RequestRunner.create(get(linksToken), get(routerToken), clock));
+		get(quarantineToken).onDidBar(() => {
+			runner.standingChanged();
+		});
+		return runner;
+	};
+
 	register(ingressToken, () => lifecycle.register(Ingress.create({
 		board: get(deploymentBoardToken),
 		links: get(linksToken),
-		runner: lifecycle.register(RequestRunner.create(get(linksToken), get(routerToken), clock)),
+		runner: makeRunner(),
 		protocol: ports.callers,
 		makePreparer: ask => Preparer.create(preparerOptions(), ask),
 		waits: get(batchDeskToken),
 		likelyPlace: (stage, nowMs) => get(routerToken).likelyPlace(stage, nowMs),
+		standingOf: plan => get(routerToken).standingOf(plan),
 		clock,
 		random: get(randomToken),
 		log: logOf('requests'),
@@ -204,6 +230,7 @@
 		clock,
 		log: logOf('peers'),
 	}));
+	lifecycle.register(QuarantineNews.create({quarantine: get(quarantineToken), mesh: get(peerMeshToken), clock}));
 	lifecycle.register(setRepeating(clock, () => sweepMs, () => {
 		get(serverRegistryToken).tick(clock.nowMs());
 	}));
--- a/src/deployment/common/server-registry.ts
+++ b/src/deployment/common/server-registry.ts
@@ -32,8 +32,23 @@
 */
 const missingShare = 0.65;
 
+/** Why a server is gone. */
+export const goneReasons = {
+	startedAgain: 'it has started again',
+	dropped: 'its entry was dropped',
+	lapsed: 'its entry did not come back after the store\'s return',
+	unreadable: 'its entry can\'t be read',
+	addressTaken: 'its address answers as another server',
+} as const;
+export type GoneReason = typeof goneReasons[keyof typeof goneReasons];
+
 /** What changed about a server; one that is missing may still come back. */
-export type ServerChange = {readonly server: UpstreamServer; readonly change: 'joined' | 'leaving' | 'missing' | 'gone'};
+export type ServerChange = {
+	readonly server: UpstreamServer;
+	readonly change: 'joined' | 'leaving' | 'missing' | 'gone';
+	/** Where it is gone. */
+	readonly reason?: GoneReason;
+};
 
 const changeMessages = {
 	joined: 'A server is listed.',
@@ -204,7 +219,7 @@
 	*/
 	addressTaken(serverId: string): void {
 		this.replaced.add(serverId);
-		this.drop(serverId, 'its address answers as another server');
+		this.drop(serverId, goneReasons.addressTaken);
 	}
 
 	/**
@@ -214,7 +229,7 @@
 	tick(nowMs: number): void {
 		for (const [serverId, {untilMs}] of this.missing) {
 			if (nowMs >= untilMs) {
-				this.drop(serverId, 'its entry did not come back after the store\'s return');
+				this.drop(serverId, goneReasons.lapsed);
 			}
 		}
 	}
@@ -254,7 +269,7 @@
 		}
 
 		if (isLaterStart) {
-			this.drop(latest.serverId, 'it has started again');
+			this.drop(latest.serverId, goneReasons.startedAgain);
 		}
 
 		this.starts.remember(server);
@@ -280,7 +295,7 @@
 		}
 
 		if (server.isLeaving || nowMs >= this.mayReturnUntilMs) {
-			this.drop(serverId, 'its entry was dropped');
+			this.drop(serverId, goneReasons.dropped);
 			return;
 		}
 
@@ -294,11 +309,11 @@
 	private voidEntry({key, revision}: DroppedRow): void {
 		const serverId = this.starts.latestId(key);
 		if (this.servers.has(serverId) && this.isNews(serverId, revision)) {
-			this.drop(serverId, 'its entry can\'t be read');
+			this.drop(serverId, goneReasons.unreadable);
 		}
 	}
 
-	private drop(serverId: string, reason: string): void {
+	private drop(serverId: string, reason: GoneReason): void {
 		this.missing.delete(serverId);
 		const server = this.servers.get(serverId);
 		if (server) {
@@ -308,11 +323,11 @@
 		}
 	}
 
-	private tell(server: ListedServer, change: ServerChange['change'], reason?: string): void {
+	private tell(server: ListedServer, change: ServerChange['change'], reason?: GoneReason): void {
 		const {serverId, pool, hall, revision} = server;
 		this.options.log.info(changeMessages[change], {
 			server: serverId, pool, hall, change, ...(reason !== undefined && {reason}), revision, source: this.source,
 		});
-		this.didChange.fire({server, change});
+		this.didChange.fire({server, change, ...(reason !== undefined && {reason})});
 	}
 }
--- a/src/direct/common/direct-router.test.ts
+++ b/src/direct/common/direct-router.test.ts
@@ -3,6 +3,7 @@
 import {SeededRandom} from '../../base/common/random.js';
 import {routeKinds, type Route} from '../../deployment/common/declaration.js';
 import {ServerRegistry} from '../../deployment/common/server-registry.js';
+import {clearStanding} from '../../quarantine/common/quarantine.js';
 import {Attempt} from '../../request/common/attempt.js';
 import {attemptStates, type StagePlan} from '../../request/common/request-plan.js';
 import {EngineLoads} from '../../routing/common/engine-loads.js';
@@ -35,6 +36,7 @@
 		newDispatchId: () => 'd',
 		engines: EngineChooser.create(EngineLoads.create()),
 		assigned: () => undefined,
+		quarantine: {standingOf: () => clearStanding},
 	});
 }
 
--- a/src/direct/common/direct-router.ts
+++ b/src/direct/common/direct-router.ts
@@ -2,7 +2,8 @@
 import type {ServerRegistry} from '../../deployment/common/server-registry.js';
 import type {UpstreamServer} from '../../deployment/common/upstream-server.js';
 import type {Attempt} from '../../request/common/attempt.js';
-import {attemptStates, type StagePlan} from '../../request/common/request-plan.js';
+import {attemptStates, type RequestPlan, type StagePlan} from '../../request/common/request-plan.js';
+import {clearStanding, type Quarantine, type Standing} from '../../quarantine/common/quarantine.js';
 import type {RequestRouter} from '../../request/common/request-router.js';
 import {
 	makeCandidateSet, type Candidate, type Choice, type UpstreamChooser,
@@ -47,6 +48,7 @@
 	readonly engines: EngineChooser;
 	/** A prompt was sent to an engine: peers reckon with it too. */
 	readonly assigned: (serverId: string, prompt: readonly PromptPart[]) => void;
+	readonly quarantine: Pick<Quarantine, 'standingOf'>;
 };
 
 /** Where a request will most likely run, and how soon its first token comes once it is sent. */
@@ -74,6 +76,10 @@
 		});
 	}
 
+	standingOf({workspace, http}: RequestPlan): Standing {
+		return http ? this.options.quarantine.standingOf({workspace, http}) : clearStanding;
+	}
+
 	choose(stage: StagePlan, excluded: ReadonlySet<string>, _prefixHash: number, nowMs: number): Choice | undefined {
 		const candidates = this.usable(stage, excluded, nowMs);
 		if (candidates.length === 0) {
--- a/src/direct/node/direct-call.ts
+++ b/src/direct/node/direct-call.ts
@@ -31,6 +31,8 @@
 	/** An event was passed on; where the answer is taken up again, it goes on after this one. */
 	readonly reached: (eventId: string) => void;
 	readonly ended: () => void;
+	/** The connection ended before the answer was whole, and nobody here wanted it to. */
+	readonly brokeOff: () => void;
 };
 
 /** Follows one call to its end; emits `refused` or `end` exactly once. */
@@ -142,6 +144,7 @@
 		if (this.refusal !== undefined) {
 			this.refuse(this.refusal);
 		} else if (this.isCutShort) {
+			this.options.brokeOff();
 			this.end('unknown', 'the connection broke off before the answer was whole');
 		} else {
 			this.end('completed');
@@ -157,8 +160,11 @@
 			this.refuse(this.isCancelled ? refusalReasons.cancelled : refusalReasons.unreachable);
 		} else if (this.isCancelled) {
 			this.end('unknown', 'cancelled');
+		} else if (this.foreignReason === undefined) {
+			this.options.brokeOff();
+			this.end('unknown', messageOf(error));
 		} else {
-			this.end('unknown', this.foreignReason ?? messageOf(error));
+			this.end('unknown', this.foreignReason);
 		}
 	}
 
--- a/src/direct/node/direct-links.ts
+++ b/src/direct/node/direct-links.ts
@@ -9,6 +9,7 @@
 import type {UpstreamServer} from '../../deployment/common/upstream-server.js';
 import {LanePool, type Lane} from '../../deployment/node/lane.js';
 import type {UpstreamLinks, UpstreamMessage} from '../../request/common/upstream-links.js';
+import type {Quarantine} from '../../quarantine/common/quarantine.js';
 import {
 	refusalReasons, type DispatchMessage, type HttpCall, type Message,
 } from '../../wire/common/messages.js';
@@ -37,6 +38,8 @@
 	readonly mostLanes: (pool: string) => number;
 	/** Something came from a server. */
 	readonly heard: (serverId: string, dispatchId: string) => void;
+	/** Learns which requests end the servers that run them, and which do not. */
+	readonly quarantine: Pick<Quarantine, 'sent' | 'brokeOff' | 'completed'>;
 };
 
 /** A call about to be made. */
@@ -170,7 +173,8 @@
 	}
 
 	private begin(start: CallStart): void {
-		const {message: {dispatchId}, server, facts, lane} = start;
+		const {message: {dispatchId, workspace}, http, server, facts, lane} = start;
+		this.options.quarantine.sent({workspace, http});
 		const call = this.callOf(start);
 		this.calls.set(dispatchId, call);
 		const options = this.writtenOf(start);
@@ -187,8 +191,9 @@
 		}
 	}
 
-	private callOf({message, server, facts, lane}: CallStart): DirectCall {
-		const {clock, protocol} = this.options;
+	private callOf({message, http, server, facts, lane}: CallStart): DirectCall {
+		const {clock, protocol, quarantine} = this.options;
+		const source = {workspace: message.workspace, http};
 		return DirectCall.create({
 			dispatch: message,
 			lane,
@@ -198,8 +203,15 @@
 			nowMs: () => clock.nowMs(),
 			written: facts.written,
 			emit: event => {
+				if (event.type === 'end' && event.state === 'completed') {
+					quarantine.completed(source);
+				}
+
 				this.receive(server, event);
 			},
+			brokeOff() {
+				quarantine.brokeOff(source, server);
+			},
 			reached(eventId) {
 				facts.resumeAfter = eventId;
 			},
--- a/src/direct/node/ingress.ts
+++ b/src/direct/node/ingress.ts
@@ -13,6 +13,7 @@
 import type {DeploymentBoard} from '../../deployment/common/deployment-board.js';
 import {admit, type PoolWaits} from '../../preparation/common/admission.js';
 import type {Preparer, PreparationAsk} from '../../preparation/node/preparer.js';
+import {barredText, type Standing} from '../../quarantine/common/quarantine.js';
 import {requestLogMessages} from '../../request/common/request-log-messages.js';
 import {otherHostMs, type RequestPlan, type StagePlan} from '../../request/common/request-plan.js';
 import type {RequestRunner} from '../../request/node/request-runner.js';
@@ -23,7 +24,7 @@
 import {FirstTries} from '../common/first-tries.js';
 import type {LikelyPlace} from '../common/direct-router.js';
 import type {DirectLinks} from './direct-links.js';
-import {sendOwn} from './pass-through-writer.js';
+import {notRunText, sendOwn} from './pass-through-writer.js';
 import {readBody} from './read-request.js';
 import {
 	ownStatuses, recognize, type Recognized, type Refusal,
@@ -43,6 +44,8 @@
 	readonly makePreparer: (ask: PreparationAsk) => Preparer;
 	/** Tells where a request with a shared part will most likely run. */
 	readonly likelyPlace: (stage: StagePlan, nowMs: number) => LikelyPlace;
+	/** Tells whether a request may be sent, by what became of the same content before. */
+	readonly standingOf: (plan: RequestPlan) => Standing;
 	/** Waits of the queues for steps. */
 	readonly waits: PoolWaits;
 	readonly clock: Clock;
@@ -212,6 +215,15 @@
 		const {request, response, ask, receivedMs} = arrival;
 		const {links, runner, likelyPlace, clock, log, metrics} = this.options;
 		const plan = this.planOf(arrival);
+		const standing = this.options.standingOf(plan);
+		if (standing.type === 'barred') {
+			this.options.metrics.increment('quarantine.refused', 1, {route: plan.pipeline});
+			this.refuse(response, {
+				requestId: ask.requestId, status: ownStatuses.unavailable, reason: notRunText(barredText), retryAfterMs: standing.forMs,
+			});
+			return;
+		}
+
 		const place = likelyPlace(plan.stages[0], receivedMs);
 		if (plan.needsPreparation && !this.admitSteps(arrival, place.firstMs)) {
 			return;
--- a/src/direct/node/pass-through-writer.ts
+++ b/src/direct/node/pass-through-writer.ts
@@ -34,6 +34,14 @@
 	response.end(body);
 }
 
+/**
+Makes the one sentence that tells a caller that its request has not run.
+@param reason - why.
+*/
+export function notRunText(reason: string): string {
+	return `Not run: ${reason}.`;
+}
+
 /** Writes one answer. */
 export class PassThroughWriter {
 	static create(response: ServerResponse, isHead: boolean): PassThroughWriter {
@@ -111,7 +119,7 @@
 
 		if (result.outcome === outcomes.refused) {
 			this.writtenStatus = unavailable;
-			sendOwn(this.response, unavailable, `Not run: ${result.message}.`, result.retryAfterMs ?? usualRetryAfterMs);
+			sendOwn(this.response, unavailable, notRunText(result.message), result.retryAfterMs ?? usualRetryAfterMs);
 		} else {
 			this.writtenStatus = result.code === failureCodes.deadlineExceeded ? gatewayTimeout : badGateway;
 			sendOwn(this.response, this.writtenStatus, `No whole answer: ${result.message}.`);
--- a/src/entry/common/fleet-router.ts
+++ b/src/entry/common/fleet-router.ts
@@ -2,6 +2,7 @@
 import {type MemberTable, type Member} from '../../membership/common/member-table.js';
 import type {Attempt} from '../../request/common/attempt.js';
 import {attemptStates, type StagePlan} from '../../request/common/request-plan.js';
+import {clearStanding, type Standing} from '../../quarantine/common/quarantine.js';
 import type {RequestRouter} from '../../request/common/request-router.js';
 import {
 	makeCandidateSet, type Candidate, type CandidateSet, type Choice, type UpstreamChooser,
@@ -60,6 +61,11 @@
 
 	private constructor(private readonly options: FleetRouterOptions) {}
 
+	/** An agent stands between a request and its upstream; which requests end upstreams is not known here. */
+	standingOf(): Standing {
+		return clearStanding;
+	}
+
 	/**
 	An incarnation was met for the first time: what was known of the old one is forgotten.
 	@param member - the upstream.
--- a/src/entry/common/problems.ts
+++ b/src/entry/common/problems.ts
@@ -44,6 +44,7 @@
 	storeUnavailable: 503,
 	notReady: 503,
 	stopping: 503,
+	quarantined: 503,
 	disabled: 503,
 	deadlineExceeded: 504,
 	resultUnknown: 504,
--- a/src/peers/node/peer-mesh.ts
+++ b/src/peers/node/peer-mesh.ts
@@ -51,6 +51,7 @@
 	private readonly didReceive = Emitter.create<PeerMessage>();
 	private readonly didChange = Emitter.create<void>();
 	private readonly didLose = Emitter.create<string>();
+	private readonly didConnect = Emitter.create<string>();
 	/** Addresses that peers have been told of. */
 	private toldEndpoints: ReadonlySet<string> = new Set();
 	private toldAllMs = 0;
@@ -82,6 +83,11 @@
 		return this.didChange.event;
 	}
 
+	/** Fires with the host to which a connection has come about, the first one or another: what was sent before may be lost. */
+	get onDidConnect() {
+		return this.didConnect.event;
+	}
+
 	/** Fires with the host whose last connection was lost. */
 	get onDidLose() {
 		return this.didLose.event;
@@ -253,6 +259,7 @@
 			this.lost(peer, way, reason);
 		});
 		connection.send(this.makeBeat([...this.knownEndpoints()], beatMs));
+		this.didConnect.fire(hostId);
 	}
 
 	/**
--- /dev/null
+++ b/src/quarantine/common/quarantine.test.ts
@@ -0,0 +1,226 @@
+/**
+Requests that end servers, without network: several hosts with a quarantine each, servers that end, and news that come late.
+
+The pattern: a caller asks for the same again and again, at any host, while others ask for what is harmless on the same
+servers and lose it with them. Grounds for the figures: three ends bar a request (the users' rule), and hosts hear of each other
+within milliseconds; 60 ms here.
+*/
+import fc from 'fast-check';
+import t from 'tap';
+import {ManualClock} from '../../base/common/clock.js';
+import {Emitter} from '../../base/common/emitter.js';
+import {silentLoggers} from '../../base/common/logger.js';
+import {noMetrics} from '../../base/common/metrics.js';
+import type {UpstreamServer} from '../../deployment/common/upstream-server.js';
+import {Quarantine} from './quarantine.js';
+import {contentIdOf, type ContentSource} from './request-content.js';
+
+const newsMs = 60;
+
+function sourceOf(body: string, workspace = 'w'): ContentSource {
+	return {
+		workspace, http: {
+			method: 'POST', path: '/p', headers: [{name: 'Host', value: 'h'}], body: new TextEncoder().encode(body),
+		},
+	};
+}
+
+function serverOf(serverId: string): UpstreamServer {
+	return {
+		serverId, instanceId: serverId, startedMs: 0, pool: 'p', address: '127.0.0.1', port: 1, hall: 'h', slots: 1, isLeaving: false,
+	};
+}
+
+/** A host: whether a server that broke off has ended is told from outside. */
+class Host {
+	readonly ends = Emitter.create<string>();
+	readonly settled = Emitter.create<string>();
+	readonly checked = new Set<string>();
+	readonly barred: string[] = [];
+	readonly quarantine: Quarantine;
+
+	constructor(clock: ManualClock) {
+		this.quarantine = Quarantine.create({
+			serverEnds: {
+				brokeOff: ({serverId}) => {
+					this.checked.add(serverId);
+					return true;
+				},
+				isBeingChecked: serverId => this.checked.has(serverId),
+				onDidEnd: this.ends.event,
+				onDidSettle: this.settled.event,
+			},
+			clock,
+			log: silentLoggers.for('test'),
+			metrics: noMetrics,
+		});
+		this.quarantine.onDidBar(contentId => {
+			this.barred.push(contentId);
+		});
+	}
+
+	/** What became of a server in doubt is known. */
+	settle(serverId: string, hasEnded: boolean): void {
+		this.checked.delete(serverId);
+		if (hasEnded) {
+			this.ends.fire(serverId);
+		}
+
+		this.settled.fire(serverId);
+	}
+}
+
+function makeHosts(count: number) {
+	const clock = ManualClock.create();
+	const hosts: Host[] = [];
+	/** Starts a host, or starts one anew: it hears everything from another one. */
+	const startHost = (index: number) => {
+		const host = new Host(clock);
+		const known = hosts.find((_, other) => other !== index);
+		host.quarantine.hear(known?.quarantine.all() ?? [], 'peer');
+		hosts[index] = host;
+		host.quarantine.onDidLearn(news => {
+			clock.setTimer(newsMs, () => {
+				for (const other of hosts) {
+					other.quarantine.hear([news], 'peer');
+				}
+			});
+		});
+	};
+
+	for (let index = 0; index < count; index++) {
+		startHost(index);
+	}
+
+	return {clock, hosts, startHost};
+}
+
+/** A server ends while it runs requests of a host. */
+function end(host: Host, serverId: string, ...sources: ContentSource[]): void {
+	for (const source of sources) {
+		host.quarantine.brokeOff(source, serverOf(serverId));
+	}
+
+	host.settle(serverId, true);
+}
+
+t.test('three ends on three hosts bar a request on all of them; others of the same path and body are not touched', async t => {
+	const {clock, hosts} = makeHosts(4);
+	for (const index of [0, 1, 2]) {
+		end(hosts[index], `s${index}`, sourceOf('fatal'));
+		clock.advance(newsMs);
+	}
+
+	t.same(hosts.map(({quarantine}) => quarantine.standingOf(sourceOf('fatal')).type), ['barred', 'barred', 'barred', 'barred']);
+	t.same(hosts.map(({barred}) => barred), hosts.map(() => [contentIdOf(sourceOf('fatal'))]));
+	t.equal(hosts[0].quarantine.standingOf(sourceOf('other')).type, 'clear');
+	t.equal(hosts[0].quarantine.standingOf(sourceOf('fatal', 'someone else')).type, 'clear', 'one workspace has none of another\'s shut out');
+	const late = new Host(clock);
+	late.quarantine.hear(hosts[3].quarantine.all(), 'peer');
+	t.equal(late.quarantine.standingOf(sourceOf('fatal')).type, 'barred', 'a host that starts later');
+});
+
+t.test('a request that may have ended its third server waits until that is known', async t => {
+	const {hosts: [host]} = makeHosts(1);
+	end(host, 's0', sourceOf('fatal'));
+	end(host, 's1', sourceOf('fatal'));
+	host.quarantine.brokeOff(sourceOf('fatal'), serverOf('s2'));
+	t.equal(host.quarantine.standingOf(sourceOf('fatal')).type, 'inDoubt');
+	host.settle('s2', false);
+	t.equal(host.quarantine.standingOf(sourceOf('fatal')).type, 'clear', 'only its connection was cut');
+});
+
+t.test('a request that runs to a whole answer is cleared on all hosts, barred or not', async t => {
+	const {clock, hosts} = makeHosts(2);
+	for (const serverId of ['s0', 's1', 's2']) {
+		end(hosts[0], serverId, sourceOf('polled'));
+	}
+
+	clock.advance(newsMs);
+	t.equal(hosts[1].quarantine.standingOf(sourceOf('polled')).type, 'barred');
+	hosts[1].quarantine.completed(sourceOf('polled'));
+	clock.advance(newsMs);
+	t.same(hosts.map(({quarantine}) => quarantine.standingOf(sourceOf('polled')).type), ['clear', 'clear']);
+});
+
+t.test('after a minute one host tries a barred request, and no other one beside it', async t => {
+	const {clock, hosts} = makeHosts(3);
+	for (const serverId of ['s0', 's1', 's2']) {
+		end(hosts[0], serverId, sourceOf('unlucky'));
+	}
+
+	clock.advance(60_000 + newsMs);
+	t.equal(hosts[1].quarantine.standingOf(sourceOf('unlucky')).type, 'clear');
+	hosts[1].quarantine.sent(sourceOf('unlucky'));
+	clock.advance(newsMs);
+	t.same(hosts.map(({quarantine}) => quarantine.standingOf(sourceOf('unlucky')).type), ['barred', 'barred', 'barred']);
+	hosts[1].quarantine.completed(sourceOf('unlucky'));
+	clock.advance(newsMs);
+	t.same(hosts.map(({quarantine}) => quarantine.standingOf(sourceOf('unlucky')).type), ['clear', 'clear', 'clear']);
+});
+
+/** One try of a random day. */
+type Try = {
+	readonly host: number;
+	readonly body: string;
+	/** Harmless requests that run on the same server. */
+	readonly beside: readonly string[];
+	/** Whether the connection is cut while its server lives. */
+	readonly isCut: boolean;
+	/** Whether the host starts anew afterwards. */
+	readonly startsAnew: boolean;
+};
+
+/** Plays the tries 0.1 s apart, then each harmless request once a second for two minutes; counts what became of them. */
+function playDay(tries: readonly Try[]) {
+	const {clock, hosts, startHost} = makeHosts(5);
+	let ended = 0;
+	const play = ({host: index, body, beside, isCut}: Try) => {
+		const {quarantine} = hosts[index];
+		const source = sourceOf(body);
+		if (quarantine.standingOf(source).type !== 'clear') {
+			return false;
+		}
+
+		quarantine.sent(source);
+		if (body === 'fatal') {
+			ended++;
+			end(hosts[index], `s${ended}`, source, ...beside.map(item => sourceOf(item)));
+		} else if (isCut) {
+			quarantine.brokeOff(source, serverOf(`live-${body}`));
+			hosts[index].settle(`live-${body}`, false);
+		} else {
+			quarantine.completed(source);
+		}
+
+		return true;
+	};
+
+	for (const item of tries) {
+		clock.advance(100);
+		play(item);
+		if (item.startsAnew) {
+			startHost(item.host);
+		}
+	}
+
+	let isServed = false;
+	for (let second = 0; second < 120; second++) {
+		clock.advance(1000);
+		isServed = ['a', 'b', 'c'].map(body => play({
+			host: second % 5, body, beside: [], isCut: false, startsAnew: false,
+		})).every(Boolean);
+	}
+
+	return {ended, isServed};
+}
+
+t.test('random days: what ends servers is sent to three, and what ends none is served in the end', async () => {
+	const tries = fc.array(fc.record({
+		host: fc.nat(4), body: fc.constantFrom('fatal', 'fatal', 'a', 'b', 'c'), beside: fc.subarray(['a', 'b', 'c']), isCut: fc.boolean(), startsAnew: fc.nat(9).map(value => value === 0),
+	}), {minLength: 60, maxLength: 60});
+	fc.assert(fc.property(tries, day => {
+		const {ended, isServed} = playDay(day);
+		return ended <= 3 && isServed;
+	}), {seed: 1, numRuns: 300});
+});
--- /dev/null
+++ b/src/quarantine/common/server-ends.test.ts
@@ -0,0 +1,109 @@
+import t from 'tap';
+import {ManualClock} from '../../base/common/clock.js';
+import {Emitter} from '../../base/common/emitter.js';
+import {goneReasons, type GoneReason, type ServerChange} from '../../deployment/common/server-registry.js';
+import type {UpstreamServer} from '../../deployment/common/upstream-server.js';
+import {ServerEnds} from './server-ends.js';
+
+const server: UpstreamServer = {
+	serverId: 's@1', instanceId: 's', startedMs: 1, pool: 'p', address: '127.0.0.1', port: 1, hall: 'h', slots: 1, isLeaving: false,
+};
+
+function makeWatch(listed: UpstreamServer | undefined = server) {
+	const clock = ManualClock.create();
+	const changes = Emitter.create<ServerChange>();
+	const state = {isRefused: false, checks: 0};
+	const watch = ServerEnds.create({
+		registry: {get: () => listed, isMissing: () => false, onDidChange: changes.event},
+		check: {
+			async isRefused() {
+				state.checks++;
+				return state.isRefused;
+			},
+		},
+		clock,
+	});
+	const ended: string[] = [];
+	watch.onDidEnd(serverId => {
+		ended.push(serverId);
+	});
+	const pass = async (byMs: number) => {
+		clock.advance(byMs);
+		// What the check tells comes on a later turn.
+		await new Promise(resolve => {
+			setImmediate(resolve);
+		});
+	};
+
+	const tell = (change: ServerChange['change'], reason?: GoneReason) => {
+		changes.fire({server, change, ...(reason && {reason})});
+	};
+
+	return {
+		watch, state, ended, pass, tell,
+	};
+}
+
+t.test('a call that broke off says nothing of a server that still listens', async t => {
+	const {watch, state, ended, pass} = makeWatch();
+	watch.brokeOff(server);
+	t.ok(watch.isBeingChecked('s@1'));
+	await pass(30);
+	await pass(200);
+	t.notOk(watch.isBeingChecked('s@1'), 'nobody waits longer');
+	await pass(10_000);
+	t.same(ended, []);
+	t.equal(state.checks, 2);
+});
+
+t.test('a server whose address refuses connections has ended; many calls that broke off cost one try', async t => {
+	const {watch, state, ended, pass} = makeWatch();
+	state.isRefused = true;
+	for (let index = 0; index < 20; index++) {
+		watch.brokeOff(server);
+	}
+
+	await pass(30);
+	t.same(ended, ['s@1']);
+	t.equal(state.checks, 1);
+});
+
+t.test('a server that breaks off another call later is tried anew, and is not blamed with what was before', async t => {
+	const {watch, state, ended, pass} = makeWatch();
+	const settled: string[] = [];
+	watch.onDidSettle(serverId => {
+		settled.push(serverId);
+	});
+	watch.brokeOff(server);
+	await pass(30);
+	await pass(200);
+	state.isRefused = true;
+	watch.brokeOff(server);
+	t.same(settled, ['s@1']);
+	await pass(30);
+	t.same(ended, ['s@1']);
+});
+
+t.test('the list proves an end that the address does not show: the server is back already, or its entry lapsed', async t => {
+	for (const reason of [goneReasons.startedAgain, goneReasons.dropped, goneReasons.addressTaken]) {
+		const {watch, ended, pass, tell} = makeWatch();
+		watch.brokeOff(server);
+		await pass(3000);
+		tell('gone', reason);
+		t.same(ended, ['s@1'], reason);
+	}
+});
+
+t.test('what leaves, or goes with the store\'s outage, has not ended for a call\'s sake', async t => {
+	for (const [change, reason] of [['leaving', undefined], ['missing', undefined], ['gone', goneReasons.lapsed], ['gone', goneReasons.unreadable]] as const) {
+		const {watch, state, ended, pass, tell} = makeWatch();
+		watch.brokeOff(server);
+		tell(change, reason);
+		state.isRefused = true;
+		await pass(10_000);
+		t.same(ended, [], reason ?? change);
+	}
+
+	const leaving = makeWatch({...server, isLeaving: true});
+	t.notOk(leaving.watch.brokeOff(server));
+});
--- /dev/null
+++ b/src/quarantine/common/server-ends.ts
@@ -0,0 +1,166 @@
+/**
+Finds out whether a server that broke off a call has ended, or only its connection.
+
+A call that breaks off proves nothing: connections are cut and reset while servers live. A start of a server is over where
+nothing listens at its address any more, or the list of servers says so within the time in which an entry lapses. A server
+that was leaving, or whose entry went while the store was away, ends or goes for other reasons than a call.
+*/
+import type {Clock} from '../../base/common/clock.js';
+import {DisposableStore, type Disposable} from '../../base/common/disposable.js';
+import {Emitter} from '../../base/common/emitter.js';
+import {goneReasons, type ServerChange, type ServerRegistry} from '../../deployment/common/server-registry.js';
+import type {UpstreamServer} from '../../deployment/common/upstream-server.js';
+
+/** Asks whether a server's address refuses connections. */
+export type AddressCheck = {
+	/**
+	@param server - whose address.
+	@returns true only for a refusal; no answer and a connection that comes about prove nothing.
+	*/
+	isRefused(server: UpstreamServer): Promise<boolean>;
+};
+
+/**
+When the address is tried after a call broke off. A process that ends closes its connections and its listening socket in
+one go, so that the first time usually tells; the second one is for a machine that is busy.
+*/
+const checkDelaysMs = [30, 200];
+/** How long the list may take to say that the server is gone: entries lapsed 2.4 to 3.6 s after eleven ends on a day. */
+const doubtMs = 5000;
+
+/** Reasons for which a server that nobody expected to leave is gone for good. */
+const endReasons = new Set<string>([goneReasons.startedAgain, goneReasons.dropped, goneReasons.addressTaken]);
+
+type Doubt = {readonly limit: Disposable; check: Disposable; isBeingChecked: boolean};
+
+/** What the watch is made of. */
+export type ServerEndsOptions = {
+	readonly registry: Pick<ServerRegistry, 'get' | 'isMissing' | 'onDidChange'>;
+	readonly check: AddressCheck;
+	readonly clock: Clock;
+};
+
+/** Watches servers that broke calls off. */
+export class ServerEnds implements Disposable {
+	static create(options: ServerEndsOptions): ServerEnds {
+		return new ServerEnds(options);
+	}
+
+	private readonly doubts = new Map<string, Doubt>();
+	private readonly didEnd = Emitter.create<string>();
+	private readonly didSettle = Emitter.create<string>();
+	private readonly owned = DisposableStore.create();
+
+	private constructor(private readonly options: ServerEndsOptions) {
+		this.owned.add(options.registry.onDidChange(change => {
+			this.listChanged(change);
+		}));
+	}
+
+	/** Fires with the start of a server that has ended. */
+	get onDidEnd() {
+		return this.didEnd.event;
+	}
+
+	/** Fires with a start about which nothing more is found out. */
+	get onDidSettle() {
+		return this.didSettle.event;
+	}
+
+	/** Whether the address of a server in doubt is being tried: in a moment more is known. */
+	isBeingChecked(serverId: string): boolean {
+		return this.doubts.get(serverId)?.isBeingChecked === true;
+	}
+
+	/**
+	A call to a server broke off.
+	@param server - which.
+	@returns whether it may have ended for the call's sake, so that more is found out.
+	*/
+	brokeOff(server: UpstreamServer): boolean {
+		const {serverId} = server;
+		if (this.isBeingChecked(serverId)) {
+			return true;
+		}
+
+		// What broke off before the address was tried in vain is not put down to what follows.
+		this.settle(serverId);
+		const listed = this.options.registry.get(serverId);
+		if (!listed || listed.isLeaving || this.options.registry.isMissing(serverId)) {
+			return false;
+		}
+
+		const {clock} = this.options;
+		const doubt: Doubt = {
+			limit: clock.setTimer(doubtMs, () => {
+				this.settle(serverId);
+			}),
+			check: this.checkLater(server, 0),
+			isBeingChecked: true,
+		};
+		this.doubts.set(serverId, doubt);
+		return true;
+	}
+
+	dispose(): void {
+		this.owned.dispose();
+		for (const serverId of [...this.doubts.keys()]) {
+			this.forget(serverId);
+		}
+	}
+
+	private checkLater(server: UpstreamServer, attempt: number): Disposable {
+		return this.options.clock.setTimer(checkDelaysMs[attempt], () => {
+			void this.tryAddress(server, attempt);
+		});
+	}
+
+	private async tryAddress(server: UpstreamServer, attempt: number): Promise<void> {
+		const {serverId} = server;
+		const doubt = this.doubts.get(serverId);
+		const isRefused = await this.options.check.isRefused(server);
+		if (!doubt || this.doubts.get(serverId) !== doubt) {
+			return;
+		}
+
+		if (isRefused) {
+			this.end(serverId);
+		} else if (attempt + 1 < checkDelaysMs.length) {
+			doubt.check = this.checkLater(server, attempt + 1);
+		} else {
+			doubt.isBeingChecked = false;
+		}
+	}
+
+	private listChanged({server: {serverId}, change, reason}: ServerChange): void {
+		if (!this.doubts.has(serverId)) {
+			return;
+		}
+
+		if (change === 'gone' && reason !== undefined && endReasons.has(reason)) {
+			this.end(serverId);
+		} else if (change !== 'joined') {
+			this.settle(serverId);
+		}
+	}
+
+	private end(serverId: string): void {
+		this.forget(serverId);
+		this.didEnd.fire(serverId);
+		this.didSettle.fire(serverId);
+	}
+
+	private settle(serverId: string): void {
+		if (this.doubts.has(serverId)) {
+			this.forget(serverId);
+			this.didSettle.fire(serverId);
+		}
+	}
+
+	private forget(serverId: string): void {
+		const doubt = this.doubts.get(serverId);
+		doubt?.limit.dispose();
+		doubt?.check.dispose();
+		this.doubts.delete(serverId);
+	}
+}
--- a/src/request/common/request-events.ts
+++ b/src/request/common/request-events.ts
@@ -27,6 +27,8 @@
 		| {readonly type: 'incarnationGone'; readonly upstreamId: string}
 		| {readonly type: 'candidatesChanged'}
 		| {readonly type: 'callerGone'}
+	/** A request was barred from upstreams; it may be this one. */
+		| {readonly type: 'standingChanged'}
 	/** The process ends in a moment. */
 		| {readonly type: 'hostStops'}
 		| {readonly type: 'tick'};
--- a/src/request/common/request-machine.test.ts
+++ b/src/request/common/request-machine.test.ts
@@ -1,4 +1,5 @@
 import t from 'tap';
+import {clearStanding} from '../../quarantine/common/quarantine.js';
 import {UpstreamStats} from '../../routing/common/upstream-stats.js';
 import {policyDefaults, type EffectivePolicy} from '../../settings/common/schema.js';
 import {agentRules, directRules} from './attempt-rules.js';
@@ -22,6 +23,7 @@
 					}, scored: [],
 				};
 		},
+		standingOf: () => clearStanding,
 		mayRetry: () => true,
 		hedgeDelayMs: () => undefined,
 		mayHedge: () => true,
--- a/src/request/common/request-machine.ts
+++ b/src/request/common/request-machine.ts
@@ -1,4 +1,5 @@
 /** The life of one request at its entry: events and time in, actions out; nothing else decides. */
+import {barredText} from '../../quarantine/common/quarantine.js';
 import type {RequestAction, RequestEvent} from './request-events.js';
 import {
 	failureCodes, noInputs, otherHostMs, outcomes, type FailureCode, type PreparedInputs, type RequestOutcome, type RequestPlan, type RequestResult,
@@ -136,6 +137,11 @@
 				break;
 			}
 
+			case 'standingChanged': {
+				this.refuseIfBarred(nowMs);
+				break;
+			}
+
 			case 'hostStops': {
 				this.hostStops(nowMs);
 				break;
@@ -259,7 +265,7 @@
 			}
 
 			if (run.status.type === 'failed') {
-				this.finishWith(run.status.code, run.status.message, nowMs);
+				this.finishWith(run.status.code, run.status.message, nowMs, run.status.retryAfterMs);
 			} else if (run.status.type !== 'done') {
 				if (this.phase === 'proving' && !run.attempts.hasLive) {
 					this.finishWith(failureCodes.deadlineExceeded, 'the deadline has passed', nowMs);
@@ -332,6 +338,14 @@
 		// Work that may not be repeated goes on, so that a repeat of the request learns its end.
 	}
 
+	/** What waits for its steps or for an upstream is not served any more once it is barred: its caller is told at once. */
+	private refuseIfBarred(nowMs: number): void {
+		const standing = this.router.standingOf(this.plan);
+		if (standing.type === 'barred' && !this.runs.mayHaveRun && this.phase !== 'claiming') {
+			this.finishWith(failureCodes.quarantined, barredText, nowMs, standing.forMs);
+		}
+	}
+
 	/** What no upstream can have begun is refused as not run, so that its caller asks another host at once. */
 	private hostStops(nowMs: number): void {
 		if (!this.runs.mayHaveRun && this.phase !== 'claiming') {
--- a/src/request/common/request-plan.ts
+++ b/src/request/common/request-plan.ts
@@ -89,6 +89,8 @@
 	/** The work before the request could not be done in time. */
 	preparationFailed: 'preparationFailed',
 	stopping: 'stopping',
+	/** Several servers ended while they ran it: it is sent to no other. */
+	quarantined: 'quarantined',
 } as const;
 export type FailureCode = typeof failureCodes[keyof typeof failureCodes];
 
--- a/src/request/common/request-router.ts
+++ b/src/request/common/request-router.ts
@@ -1,10 +1,13 @@
 /** What the request machine asks of routing; one implementation in the entry, small ones in tests. */
 import type {Choice} from '../../routing/common/chooser.js';
+import type {Standing} from '../../quarantine/common/quarantine.js';
 import type {Attempt} from './attempt.js';
-import type {StagePlan} from './request-plan.js';
+import type {RequestPlan, StagePlan} from './request-plan.js';
 
 /** Decisions about upstreams, and what is learnt from attempts. */
 export type RequestRouter = {
+	/** @returns whether a request may be sent, by what became of the same content before. */
+	standingOf(plan: RequestPlan): Standing;
 	/**
 	Chooses an upstream.
 	@param stage - the stage to run.
--- a/src/request/common/stage-run.ts
+++ b/src/request/common/stage-run.ts
@@ -2,6 +2,7 @@
 import {
 	refusalReasons, type ChunkMessage, type EndMessage, type RefusedMessage, type StartedMessage,
 } from '../../wire/common/messages.js';
+import {barredText, type Standing} from '../../quarantine/common/quarantine.js';
 import {Attempt} from './attempt.js';
 import {AttemptList} from './attempt-list.js';
 import type {RequestAction} from './request-events.js';
@@ -24,7 +25,7 @@
 	/** Nothing ran: results the stage was to read are lost. */
 		| {readonly type: 'inputsGone'}
 		| {readonly type: 'done'}
-		| {readonly type: 'failed'; readonly code: FailureCode; readonly message: string};
+		| {readonly type: 'failed'; readonly code: FailureCode; readonly message: string; readonly retryAfterMs?: number};
 
 /** What a stage run needs. */
 export type StageRunOptions = {
@@ -400,6 +401,12 @@
 
 	private dispatch(kind: AttemptTrace['kind'], nowMs: number): void {
 		const {plan, router} = this.options;
+		const standing = router.standingOf(plan);
+		if (standing.type !== 'clear') {
+			this.holdBack(standing, kind, nowMs);
+			return;
+		}
+
 		const tried = this.attempts.upstreamIds;
 		const choice = router.choose(this.stage, tried, plan.prefixHash, nowMs)
 			// Trying the same one again beats not trying, unless a hedge was wanted.
@@ -423,6 +430,16 @@
 		this.options.emit({type: 'dispatch', upstreamId: attempt.options.upstreamId, message: makeDispatch(this.options, attempt, nowMs)});
 	}
 
+	/** The same content has ended servers: it goes to no other, and waits while it is not known whether it has. */
+	private holdBack(standing: Exclude<Standing, {type: 'clear'}>, kind: AttemptTrace['kind'], nowMs: number): void {
+		if (standing.type === 'inDoubt') {
+			this.hold(kind, nowMs);
+		} else if (!this.attempts.hasLive) {
+			this.leaveHold(nowMs);
+			this.fail(failureCodes.quarantined, barredText, standing.forMs);
+		}
+	}
+
 	private hold(kind: AttemptTrace['kind'], nowMs: number): void {
 		if (kind === 'hedge') {
 			return;
@@ -466,7 +483,7 @@
 		}
 	}
 
-	private fail(code: FailureCode, message: string): void {
+	private fail(code: FailureCode, message: string, retryAfterMs?: number): void {
 		if (this.errorAnswer && this.answer.units === 0) {
 			// The upstream's own error says more than ours.
 			this.leader = this.errorAnswer;
@@ -475,6 +492,8 @@
 			return;
 		}
 
-		this.status = {type: 'failed', code, message};
+		this.status = {
+			type: 'failed', code, message, ...(retryAfterMs !== undefined && {retryAfterMs}),
+		};
 	}
 }
--- a/src/request/node/request-runner.ts
+++ b/src/request/node/request-runner.ts
@@ -104,6 +104,11 @@
 		this.broadcast({type: 'hostStops'});
 	}
 
+	/** Some request was barred from upstreams: those of its content that wait are refused. */
+	standingChanged(): void {
+		this.broadcast({type: 'standingChanged'});
+	}
+
 	dispose(): void {
 		// Connections that close from now on must set no timer: nothing would end it.
 		this.isDisposed = true;
--- a/src/wire/common/messages.ts
+++ b/src/wire/common/messages.ts
@@ -2,7 +2,7 @@
 import {z} from 'zod';
 
 /** Version of the protocol; both sides must name the same. */
-export const protocolVersion = 3;
+export const protocolVersion = 4;
 
 const id = z.string().min(1).max(128);
 const name = z.string().min(1).max(200);
@@ -305,6 +305,19 @@
 	type: z.literal('batchRelease'), pool: name, refs: z.array(z.strictObject({handle: z.string().max(256), serverId})).max(65_536),
 });
 
+/** What the sender knows of servers that ended while they ran requests of certain contents. */
+const fatalContentsSchema = z.strictObject({
+	type: z.literal('fatalContents'),
+	contents: z.array(z.strictObject({
+		contentId: z.string().length(32),
+		ends: z.array(z.strictObject({serverId, ageMs: ms})).max(64),
+		cleared: z.array(serverId).max(64),
+		trials: z.strictObject({count, ageMs: ms}).optional(),
+	})).max(10_000),
+});
+
+export type FatalContents = z.infer<typeof fatalContentsSchema>['contents'];
+
 const messageSchema = z.discriminatedUnion('type', [
 	helloSchema,
 	welcomeSchema,
@@ -335,6 +348,7 @@
 	batchCancelSchema,
 	batchWaitsSchema,
 	batchReleaseSchema,
+	fatalContentsSchema,
 ]);
 export type Message = z.infer<typeof messageSchema>;
 export type HelloMessage = z.infer<typeof helloSchema>;
--- a/xo.config.js
+++ b/xo.config.js
@@ -11,6 +11,7 @@
 	['routing'],
 	['placement'],
 	['peers'],
+	['quarantine'],
 	['request'],
 	['preparation'],
 	['entry', 'agent', 'direct'],
