Leave a server that has ended alone while it is still listed

Cause: entries lapse 2.4 to 3.6 s after an end. Until then calls went to the dead address, were refused a connection and made again out of the budget of repeats; with three of eight servers dead a request whose prompt was kept there was refused (503). Change: an end that this host or a peer found out keeps the server from being chosen for 4 s, unless it is the only one.

--- a/src/daemon/node/compose-direct-entry.ts
+++ b/src/daemon/node/compose-direct-entry.ts
@@ -230,6 +230,9 @@
 		clock,
 		log: logOf('peers'),
 	}));
+	get(quarantineToken).onDidHearOfEnd(serverId => {
+		get(routerToken).serverEnded(serverId, clock.nowMs());
+	});
 	lifecycle.register(QuarantineNews.create({quarantine: get(quarantineToken), mesh: get(peerMeshToken), clock}));
 	lifecycle.register(setRepeating(clock, () => sweepMs, () => {
 		get(serverRegistryToken).tick(clock.nowMs());
--- a/src/direct/common/direct-router.test.ts
+++ b/src/direct/common/direct-router.test.ts
@@ -85,3 +85,13 @@
 		t.ok(Math.abs(firstMs - expectedMs) < expectedMs * 0.25, `${firstMs} of ${expectedMs}`);
 	}
 });
+
+t.test('a server that has ended gets nothing while others can take it, also before its entry is gone', async t => {
+	const router = makeRouter();
+	router.serverEnded('e1', 1000);
+	const chosenAt = (nowMs: number, excluded: string[] = []) => router.choose(stageOf('same', 1000), new Set(excluded), 0, nowMs)!.chosen.upstreamId;
+	t.same([1000, 2000, 4900].map(nowMs => chosenAt(nowMs)), ['e2', 'e2', 'e2']);
+	t.equal(chosenAt(2000, ['e2']), 'e1', 'better than nothing');
+	router.heard('e1', 'd', 2000);
+	t.equal(chosenAt(2000, ['e2']), 'e1');
+});
--- a/src/direct/common/direct-router.ts
+++ b/src/direct/common/direct-router.ts
@@ -25,6 +25,11 @@
 /** First while without new work after a connection failed; a restarted server is listed anew sooner than this doubles. */
 const unreachableMs = 400;
 const longestUnreachableMs = 4000;
+/**
+How long a server that has ended is left alone: entries lapsed 2.4 to 3.6 s after eleven ends. Before, calls were refused a
+connection and made again until then, up to two for one request, each paid out of the budget of repeats.
+*/
+const endedMs = 4000;
 /** A repeatable plain call is sent a second time after this share of its target, or when it is unusually slow. */
 const hedgeTargetShare = 0.5;
 const hedgeSlowFactor = 1.3;
@@ -227,6 +232,15 @@
 		return {hall: candidate.hall, firstMs: this.options.engines.firstTokenMs(need, candidate, nowMs)};
 	}
 
+	/**
+	A server has ended, as this host or a peer found out; its entry may be listed for some seconds more.
+	@param serverId - which start.
+	@param nowMs - the time.
+	*/
+	serverEnded(serverId: string, nowMs: number): void {
+		this.knownOf(serverId, nowMs)?.signs.ended(nowMs, endedMs);
+	}
+
 	/**
 	Something came from a server.
 	@param serverId - which.
--- a/src/quarantine/common/quarantine.ts
+++ b/src/quarantine/common/quarantine.ts
@@ -58,6 +58,7 @@
 	private readonly suspects = new Map<string, Set<string>>();
 	private readonly didLearn = Emitter.create<ContentEnds>();
 	private readonly didBar = Emitter.create<string>();
+	private readonly didHearOfEnd = Emitter.create<string>();
 	private readonly owned = DisposableStore.create();
 
 	private constructor(private readonly options: QuarantineOptions) {
@@ -75,6 +76,11 @@
 		return this.didLearn.event;
 	}
 
+	/** Fires with a start of a server that has ended, found out by this host or a peer. */
+	get onDidHearOfEnd() {
+		return this.didHearOfEnd.event;
+	}
+
 	/** Fires with a content that is barred from now on. */
 	get onDidBar() {
 		return this.didBar.event;
@@ -220,6 +226,7 @@
 			log.info('A server ended while it ran a request.', {
 				content: contentId, server: serverId, ends: count, source,
 			});
+			this.didHearOfEnd.fire(serverId);
 		}
 
 		if (count >= barredAfter && countBefore < barredAfter) {
--- a/src/routing/common/server-signs.ts
+++ b/src/routing/common/server-signs.ts
@@ -46,6 +46,15 @@
 		}
 	}
 
+	/**
+	It has ended, though the list may not say so yet: it is left alone, but for one that is heard from after all.
+	@param nowMs - the time.
+	@param forMs - until its entry is gone.
+	*/
+	ended(nowMs: number, forMs: number): void {
+		this.avoidedUntilMs = nowMs + forMs;
+	}
+
 	isAvoided(nowMs: number): boolean {
 		return nowMs < this.avoidedUntilMs;
 	}
