Bring about that a step of a request ends one server after the other: a test that fails

Cause: the same as of the incident, found by looking for it elsewhere: a piece is handed to four servers for each try of its request. Conclusion: the quarantine must count calls of stage work as well.

--- a/test/platform/fatal-request.test.ts
+++ b/test/platform/fatal-request.test.ts
@@ -100,6 +100,44 @@
 	t.equal(fleet.endedCount(), endsAllowed);
 });
 
+/** A request with two steps. */
+function stagedCall(id: string, pieceKey: string): CallerCall {
+	return streamCall('/staged/1', {id, body: pieceKey, headers: {'chunk-count': '2,1', 'chunk-key': pieceKey}});
+}
+
+/**
+A step of a request can end the servers that work on it just as well. Found by looking for the same cause elsewhere: a piece was
+handed to four servers for each try of its request, each time with the same pieces of other requests in the call, and then made anew.
+*/
+t.test('a request whose step ends the servers that work on it is handed to three of them, and costs others little', async t => {
+	const fleet = await DirectFleet.create();
+	t.teardown(() => {
+		fleet.dispose();
+	});
+	const servers = await fleet.addServers('stage', 10);
+	await fleet.addServers('model', 2);
+	for (const server of servers) {
+		server.endsOnPieceKey = fatalBody;
+	}
+
+	const entries = [await fleet.addReadyEntry(), await fleet.addReadyEntry()];
+	const endedCount = () => servers.filter(({hasEnded}) => hasEnded).length;
+	const others: CallerAnswer[] = [];
+	const answers: CallerAnswer[] = [];
+	for (let index = 0; index < 4; index++) {
+		const entry = entries[index % 2];
+		const beside = [0, 1].map(async other => ask(entry, stagedCall(`other-${index}-${other}`, `harmless ${index} ${other}`)));
+		answers.push(await ask(entry, stagedCall(`try-${index}`, fatalBody)));
+		others.push(...await Promise.all(beside));
+		const known = Math.min(endedCount(), endsAllowed);
+		await Promise.all(entries.map(async running => waitUntilKnown(running, known)));
+	}
+
+	t.ok(endedCount() <= endsAllowed, `${endedCount()} servers have ended`);
+	t.match(answers.at(-1), {status: 503, text: /quarantine/v});
+	t.same(others.map(({status}) => status), others.map(() => 200));
+});
+
 t.test('requests that are asked for again and again are served while servers end for no request\'s sake', async t => {
 	const {fleet, entries} = await makeFleet(t, 'plain', 8, 2);
 	const texts = new Set<string>();
--- a/test/platform/upstream-standins.ts
+++ b/test/platform/upstream-standins.ts
@@ -66,6 +66,8 @@
 	fault: Fault = 'none';
 	/** A request with this body ends the server as soon as it runs; nothing listens at its address from then on. */
 	endsOnBody: string | undefined;
+	/** The same for a call of stage work with a piece of this key. */
+	endsOnPieceKey: string | undefined;
 	hasEnded = false;
 	readonly seen: SeenRequest[] = [];
 	/** Calls of stage work, each with its pieces. */
@@ -95,6 +97,11 @@
 		this.server.dispose();
 	}
 
+	private end(): void {
+		this.hasEnded = true;
+		this.dispose();
+	}
+
 	private async answer(request: IncomingMessage, response: ServerResponse): Promise<void> {
 		const body = new TextDecoder().decode(await readBody(request));
 		const path = request.url ?? '';
@@ -125,8 +132,7 @@
 		});
 		await sleep(this.stepMs);
 		if (body === this.endsOnBody) {
-			this.hasEnded = true;
-			this.dispose();
+			this.end();
 			return;
 		}
 
@@ -188,6 +194,11 @@
 		this.stageCalls.push(entries);
 		await this.stageGate;
 		await sleep(this.stepMs);
+		if (this.endsOnPieceKey !== undefined && entries.some(({tlsKey}) => tlsKey === this.endsOnPieceKey)) {
+			this.end();
+			return;
+		}
+
 		const answer = entries.map(() => {
 			if (this.fault === 'inputsGone') {
 				return {reason: 'gone'};
