Count calls of stage work in the quarantine, and let suspects go alone

Cause: a piece that ends the server that works on it was handed to four servers for each try of its request, each time with pieces of others. Change: work carries the name of its request's content; a call that breaks off puts all contents in it under suspicion. Pieces of a content that was there at two ends go in a call of their own, those in doubt wait, those barred end. What is tried again waits twice as long with each end, since pieces take no trial of their own.

--- a/src/direct/node/direct-links.ts
+++ b/src/direct/node/direct-links.ts
@@ -10,6 +10,7 @@
 import {LanePool, type Lane} from '../../deployment/node/lane.js';
 import type {UpstreamLinks, UpstreamMessage} from '../../request/common/upstream-links.js';
 import type {Quarantine} from '../../quarantine/common/quarantine.js';
+import {contentIdOf} from '../../quarantine/common/request-content.js';
 import {
 	refusalReasons, type DispatchMessage, type HttpCall, type Message,
 } from '../../wire/common/messages.js';
@@ -210,7 +211,7 @@
 				this.receive(server, event);
 			},
 			brokeOff() {
-				quarantine.brokeOff(source, server);
+				quarantine.brokeOff(contentIdOf(source), server);
 			},
 			reached(eventId) {
 				facts.resumeAfter = eventId;
--- a/src/direct/node/ingress.ts
+++ b/src/direct/node/ingress.ts
@@ -14,6 +14,7 @@
 import {admit, type PoolWaits} from '../../preparation/common/admission.js';
 import type {Preparer, PreparationAsk} from '../../preparation/node/preparer.js';
 import {barredText, type Standing} from '../../quarantine/common/quarantine.js';
+import {contentIdOf} from '../../quarantine/common/request-content.js';
 import {requestLogMessages} from '../../request/common/request-log-messages.js';
 import {otherHostMs, type RequestPlan, type StagePlan} from '../../request/common/request-plan.js';
 import type {RequestRunner} from '../../request/node/request-runner.js';
@@ -297,11 +298,12 @@
 		return false;
 	}
 
-	private preparerFor(arrival: Arrival, {requestId, deadlineMs}: RequestPlan, {hall, firstMs}: LikelyPlace): Preparer {
+	private preparerFor(arrival: Arrival, {requestId, workspace, http, deadlineMs}: RequestPlan, {hall, firstMs}: LikelyPlace): Preparer {
 		const {route, ask, receivedMs, sinceFirstTryMs} = arrival;
 		return this.options.makePreparer({
 			requestId,
 			callerRequestId: ask.requestId,
+			contentId: contentIdOf({workspace, http: http!}),
 			route,
 			pieceCounts: ask.pieceCounts,
 			pieceKey: ask.pieceKey,
--- a/src/preparation/common/batch-machine.test.ts
+++ b/src/preparation/common/batch-machine.test.ts
@@ -1,6 +1,7 @@
 import t from 'tap';
 import type {BatchCapacity} from '../../deployment/common/declaration.js';
 import type {UpstreamServer} from '../../deployment/common/upstream-server.js';
+import {cautions, type Caution} from '../../quarantine/common/quarantine.js';
 import type {BatchCall} from './batch-call.js';
 import {BatchMachine} from './batch-machine.js';
 import {pieceFailures, type BatchWork, type PieceOutcome} from './work.js';
@@ -17,7 +18,7 @@
 
 function workOf(workId: string, pieceCount: number, changes: Partial<BatchWork> = {}): BatchWork {
 	return {
-		workId, pool: 'p', callerRequestId: workId, pieceKey: 'k', step: 0, pieces: Array.from({length: pieceCount}, (_, piece) => piece), inputs: undefined,
+		workId, pool: 'p', callerRequestId: workId, contentId: workId, pieceKey: 'k', step: 0, pieces: Array.from({length: pieceCount}, (_, piece) => piece), inputs: undefined,
 		resultBytes: 10, rank: 0, dueMs: 500, lateDueMs: 2000, deadlineMs: 5000, hall: '', crossingBytes: 0, ...changes,
 	};
 }
@@ -192,3 +193,18 @@
 	t.equal(machine.nextCalls([server('s')], capacity, 749).length, 0);
 	t.equal(machine.nextCalls([server('s')], capacity, 750).length, 1);
 });
+
+t.test('pieces of a request that may end upstreams go alone, wait, or go nowhere; all others go as ever', async t => {
+	const cautionsOf = new Map<string, Caution>([['alone', cautions.alone], ['wait', cautions.wait], ['barred', cautions.barred]]);
+	const machine = BatchMachine.create(contentId => cautionsOf.get(contentId) ?? cautions.none);
+	for (const [index, workId] of ['wait', 'barred', 'alone', 'a', 'b'].entries()) {
+		machine.add(workOf(workId, 1, {dueMs: 500 + index}), 0);
+	}
+
+	const calls = machine.nextCalls([server('s'), server('t'), server('u')], capacity, 0);
+	t.same(calls.map(call => namesOf(call)), ['alone0', 'a0 b0']);
+	t.match(machine.sweep(() => true, 1), [{work: {workId: 'barred'}, outcome: {ok: false, reason: pieceFailures.failed}}]);
+	t.equal(machine.waitingCount, 1);
+	cautionsOf.delete('wait');
+	t.equal(namesOf(machine.nextCalls([server('u')], capacity, 2)[0]), 'wait0');
+});
--- a/src/preparation/common/batch-machine.ts
+++ b/src/preparation/common/batch-machine.ts
@@ -4,6 +4,7 @@
 */
 import type {BatchCapacity} from '../../deployment/common/declaration.js';
 import type {UpstreamServer} from '../../deployment/common/upstream-server.js';
+import {cautions, type Caution} from '../../quarantine/common/quarantine.js';
 import type {
 	BatchCall, BatchPiece, CallFailure, PieceEnd,
 } from './batch-call.js';
@@ -12,7 +13,9 @@
 import {rankPenaltyMs, urgencyOf} from './piece-order.js';
 import {readRoom} from './room-reading.js';
 import {Throughput} from './throughput.js';
-import {pieceFailures, type BatchWork, type PieceOutcome} from './work.js';
+import {
+	pieceFailures, type BatchWork, type PieceFailure, type PieceOutcome,
+} from './work.js';
 
 /** Wait told where no upstream is sound: until one is back, about. */
 const noServerMs = 2000;
@@ -31,10 +34,13 @@
 /** How a pool stands: pieces that wait, calls at work, the longest wait, and the room that results take. */
 export type BatchStanding = {readonly waiting: number; readonly calls: number; readonly oldestMs: number; readonly keptBytes: number};
 
+/** Tells how pieces of a request may be handed to an upstream, by the request's content. */
+export type CautionSource = (contentId: string) => Caution;
+
 /** Holds the waiting pieces and the calls of one pool. */
 export class BatchMachine {
-	static create(): BatchMachine {
-		return new BatchMachine();
+	static create(cautionOf: CautionSource = () => cautions.none): BatchMachine {
+		return new BatchMachine(cautionOf);
 	}
 
 	private waiting: BatchPiece[] = [];
@@ -42,6 +48,8 @@
 	private readonly throughput = Throughput.create();
 	private lastCallId = 0;
 
+	private constructor(private readonly cautionOf: CautionSource) {}
+
 	/** Pieces that wait for an upstream. */
 	get waitingCount(): number {
 		return this.waiting.length;
@@ -77,7 +85,7 @@
 	@returns the pieces, none of which has been begun.
 	*/
 	takeWaiting(): PieceEnd[] {
-		const moved = this.waiting.map(({work, piece}): PieceEnd => ({work, piece, outcome: {ok: false, reason: pieceFailures.moved}}));
+		const moved = endsOf(this.waiting, pieceFailures.moved);
 		this.waiting = [];
 		return moved;
 	}
@@ -184,15 +192,16 @@
 	}
 
 	/**
-	Drops what waits past its deadline, and what is known of servers that are gone.
+	Drops what waits past its deadline or is barred, and what is known of servers that are gone.
 	@param isKnown - tells whether a server is still listed.
 	@param nowMs - the time.
 	@returns the pieces that are given up.
 	*/
 	sweep(isKnown: (serverId: string) => boolean, nowMs: number): PieceEnd[] {
 		const over = this.waiting.filter(({work}) => nowMs >= work.deadlineMs);
-		if (over.length > 0) {
-			this.waiting = this.waiting.filter(({work}) => nowMs < work.deadlineMs);
+		const barred = this.waiting.filter(item => !over.includes(item) && this.cautionOf(item.work.contentId) === cautions.barred);
+		if (over.length > 0 || barred.length > 0) {
+			this.waiting = this.waiting.filter(item => !over.includes(item) && !barred.includes(item));
 		}
 
 		for (const [serverId, {call}] of this.upstreams) {
@@ -201,7 +210,7 @@
 			}
 		}
 
-		return over.map(({work, piece}) => ({work, piece, outcome: {ok: false, reason: pieceFailures.late}}));
+		return [...endsOf(over, pieceFailures.late), ...endsOf(barred, pieceFailures.failed)];
 	}
 
 	/**
@@ -278,13 +287,31 @@
 	/** Takes the most urgent pieces for one call out of the queue. */
 	private take(server: UpstreamServer, {batchSize, roomBytes}: BatchCapacity, halls: ReadonlySet<string>, nowMs: number): BatchPiece[] {
 		const leftBytes = this.stateOf(server).room.leftBytes(roomBytes, nowMs);
-		const taken = fillCall(this.waiting, {
+		const taken = fillCall(this.sendable(), {
 			batchSize, leftBytes, hall: server.hall, halls,
 		}, nowMs);
 		this.waiting = this.waiting.filter(item => !taken.has(item));
 		return [...taken].map(item => ({...item, tries: item.tries + 1}));
 	}
 
+	/** Pieces that may go in one call: those of one request alone where it may be what ends upstreams, all others together. */
+	private sendable(): readonly BatchPiece[] {
+		const first = this.waiting.find(({work}) => this.mayGo(work));
+		if (!first) {
+			return [];
+		}
+
+		const {contentId} = first.work;
+		return this.cautionOf(contentId) === cautions.alone
+			? this.waiting.filter(({work}) => work.contentId === contentId)
+			: this.waiting.filter(({work}) => this.cautionOf(work.contentId) === cautions.none);
+	}
+
+	private mayGo({contentId}: BatchWork): boolean {
+		const caution = this.cautionOf(contentId);
+		return caution === cautions.none || caution === cautions.alone;
+	}
+
 	/** Whether an upstream neither fails nor is far slower than declared. */
 	private isSound(server: UpstreamServer, nowMs: number): boolean {
 		const state = this.stateOf(server);
@@ -301,3 +328,7 @@
 		return state;
 	}
 }
+
+function endsOf(pieces: readonly BatchPiece[], reason: PieceFailure): PieceEnd[] {
+	return pieces.map(({work, piece}) => ({work, piece, outcome: {ok: false, reason}}));
+}
--- a/src/preparation/common/work-messages.ts
+++ b/src/preparation/common/work-messages.ts
@@ -12,10 +12,10 @@
 */
 export function messageOfWork(work: BatchWork, nowMs: number): BatchWorkMessage {
 	const {
-		workId, pool, callerRequestId, pieceKey, step, pieces, inputs, resultBytes, rank, hall, crossingBytes,
+		workId, pool, callerRequestId, contentId, pieceKey, step, pieces, inputs, resultBytes, rank, hall, crossingBytes,
 	} = work;
 	return {
-		type: 'batchWork', workId, pool, callerRequestId, pieceKey, step, pieces: [...pieces], resultBytes, rank, hall, crossingBytes,
+		type: 'batchWork', workId, pool, callerRequestId, contentId, pieceKey, step, pieces: [...pieces], resultBytes, rank, hall, crossingBytes,
 		...(inputs && {inputs: [...inputs]}),
 		dueInMs: work.dueMs - nowMs,
 		lateDueInMs: work.lateDueMs - nowMs,
--- a/src/preparation/common/work.ts
+++ b/src/preparation/common/work.ts
@@ -38,6 +38,8 @@
 	readonly pool: string;
 	/** The request's name as its caller gave it. */
 	readonly callerRequestId: string;
+	/** Names what the request asks for, whatever id its try has. */
+	readonly contentId: string;
 	readonly pieceKey: string;
 	readonly resultBytes: number;
 	/** 0 is the most urgent. */
--- a/src/preparation/node/batch-desk.test.ts
+++ b/src/preparation/node/batch-desk.test.ts
@@ -79,7 +79,7 @@
 }
 
 const work: BatchWork = {
-	workId: 'w', pool: 'p', callerRequestId: 'r', pieceKey: 'k', step: 0, pieces: [0, 1], inputs: undefined, resultBytes: 1, rank: 0,
+	workId: 'w', pool: 'p', callerRequestId: 'r', contentId: 'c'.repeat(32), pieceKey: 'k', step: 0, pieces: [0, 1], inputs: undefined, resultBytes: 1, rank: 0,
 	dueMs: 1, lateDueMs: 2, deadlineMs: 3, hall: '', crossingBytes: 0,
 };
 
--- a/src/preparation/node/batch-pool.ts
+++ b/src/preparation/node/batch-pool.ts
@@ -11,6 +11,7 @@
 import type {UpstreamServer} from '../../deployment/common/upstream-server.js';
 import {collectAnswer} from '../../deployment/node/collect-answer.js';
 import {LanePool} from '../../deployment/node/lane.js';
+import type {Quarantine} from '../../quarantine/common/quarantine.js';
 import {requestLogMessages} from '../../request/common/request-log-messages.js';
 import type {WindowedBudget} from '../../routing/common/windowed-budget.js';
 import type {BatchCall, PieceEnd} from '../common/batch-call.js';
@@ -36,6 +37,7 @@
 	readonly registry: ServerRegistry;
 	readonly protocol: BatchProtocol;
 	readonly budget: WindowedBudget;
+	readonly quarantine: Pick<Quarantine, 'brokeOff' | 'cautionOf'>;
 	readonly clock: Clock;
 	readonly log: Logger;
 	readonly metrics: Metrics;
@@ -48,7 +50,7 @@
 		return new BatchPool(options);
 	}
 
-	private readonly machine = BatchMachine.create();
+	private readonly machine: BatchMachine;
 	private readonly lanes = new Map<string, LanePool>();
 	private readonly releases = new Map<string, string[]>();
 	private readonly owned = DisposableStore.create();
@@ -58,6 +60,7 @@
 	private releaseTimer: Disposable | undefined;
 
 	private constructor(private readonly options: BatchPoolOptions) {
+		this.machine = BatchMachine.create(contentId => options.quarantine.cautionOf(contentId));
 		// Each call at work listens: as many as the pool has upstreams.
 		setMaxListeners(0, this.controller.signal);
 		this.owned.add(options.registry.onDidChange(({server, change}) => {
@@ -181,11 +184,16 @@
 
 		const limit = TimeLimit.create(clock, call.limitMs - clock.nowMs(), this.controller.signal);
 		const answer = await collectAnswer(lane, optionsOf(protocol.encodeRun(call, clock.nowMs())), limit.signal);
+		const isGivenUp = limit.signal.aborted;
 		limit.dispose();
 		if (this.controller.signal.aborted) {
 			return;
 		}
 
+		if (!answer.ok && answer.error.wasWritten && !isGivenUp) {
+			this.brokeOff(call);
+		}
+
 		const nowMs = clock.nowMs();
 		const decoded = answer.ok ? protocol.decodeRun(answer.value, call) : undefined;
 		if (decoded?.ok) {
@@ -210,6 +218,13 @@
 		this.pump();
 	}
 
+	/** Any of the requests with a piece in the call may have ended its upstream. */
+	private brokeOff({server, pieces}: BatchCall): void {
+		for (const contentId of new Set(pieces.map(({work}) => work.contentId))) {
+			this.options.quarantine.brokeOff(contentId, server);
+		}
+	}
+
 	private report(ends: readonly PieceEnd[]): void {
 		for (const end of ends) {
 			this.options.ended(end);
--- a/src/preparation/node/preparer.test.ts
+++ b/src/preparation/node/preparer.test.ts
@@ -42,7 +42,7 @@
 	return Preparer.create({
 		desk, board: DeploymentBoard.create(log), registry, clock, log, stepTimes,
 	}, {
-		requestId: 'r', callerRequestId: 'r', route, pieceCounts: [2, 1], pieceKey: 'k', rank: 0, receivedMs: 0, targetMs: 1000, deadlineMs: 5000, hall: '', afterwardsMs: 100, ...ask,
+		requestId: 'r', callerRequestId: 'r', contentId: 'c', route, pieceCounts: [2, 1], pieceKey: 'k', rank: 0, receivedMs: 0, targetMs: 1000, deadlineMs: 5000, hall: '', afterwardsMs: 100, ...ask,
 	});
 }
 
--- a/src/preparation/node/preparer.ts
+++ b/src/preparation/node/preparer.ts
@@ -29,6 +29,7 @@
 export type PreparationAsk = {
 	readonly requestId: string;
 	readonly callerRequestId: string;
+	readonly contentId: string;
 	readonly route: Route;
 	readonly pieceCounts: readonly number[];
 	readonly pieceKey: string;
@@ -186,6 +187,7 @@
 			workId,
 			pool: step.pool,
 			callerRequestId: ask.callerRequestId,
+			contentId: ask.contentId,
 			pieceKey: ask.pieceKey,
 			resultBytes: step.resultBytes,
 			rank: ask.rank,
--- a/src/quarantine/common/end-record.test.ts
+++ b/src/quarantine/common/end-record.test.ts
@@ -85,6 +85,10 @@
 
 	t.equal(peer.barredUntilMs(content, 62_000), 181_000, 'a peer knows of the trial');
 	t.equal(record.trial('d'.repeat(32), 62_000), undefined, 'what is not barred needs none');
-	record.merge(clear('a', 'b', 'c'), 63_000);
-	t.equal(record.barredUntilMs(content, 63_000), -Infinity);
+	record.merge(end('d'), 181_000);
+	t.equal(record.barredUntilMs(content, 181_000), 301_000, 'the trial\'s own end is no second reason');
+	record.merge(end('e'), 301_000);
+	t.equal(record.barredUntilMs(content, 301_000), 301_000 + 240_000);
+	record.merge(clear('a', 'b', 'c', 'd', 'e'), 302_000);
+	t.equal(record.barredUntilMs(content, 302_000), -Infinity);
 });
--- a/src/quarantine/common/end-record.ts
+++ b/src/quarantine/common/end-record.ts
@@ -26,7 +26,10 @@
 
 /** How long a content is barred before it is tried once: who was only unlucky is served again after that. */
 const firstBarMs = 60_000;
-/** It doubles with each trial up to this: a request that ends servers costs six of them in the first hour, then one an hour. */
+/**
+It doubles with each trial, or each end where pieces were tried, up to this: a request that ends servers costs six of them in the
+first hour after it was barred, then one an hour.
+*/
 const longestBarMs = 3_600_000;
 
 type Entry = {readonly ends: Map<string, number>; readonly cleared: Set<string>; trialCount: number; triedMs: number; keptUntilMs: number};
@@ -72,9 +75,12 @@
 	*/
 	barredUntilMs(contentId: string, nowMs: number): number {
 		const entry = this.current(contentId, nowMs);
-		return entry && entry.ends.size >= this.barredAfter
-			? lastMs(entry) + Math.min(longestBarMs, firstBarMs * (2 ** entry.trialCount))
-			: -Infinity;
+		if (!entry || entry.ends.size < this.barredAfter) {
+			return -Infinity;
+		}
+
+		const doublings = Math.max(entry.trialCount, entry.ends.size - this.barredAfter);
+		return lastMs(entry) + Math.min(longestBarMs, firstBarMs * (2 ** doublings));
 	}
 
 	/**
--- a/src/quarantine/common/quarantine.ts
+++ b/src/quarantine/common/quarantine.ts
@@ -21,6 +21,8 @@
 
 /** Ends of servers under one content after which it is sent no more. */
 const barredAfter = 3;
+/** Ends after which pieces go in a call of their own: after the first one dozens would, and a full call takes no longer than theirs. */
+const aloneAfter = 2;
 /** Digests of heads that are kept; beyond them those that are needed are gathered anew. */
 const mostHeads = 20_000;
 /** What callers and logs are told of a barred request. */
@@ -35,6 +37,18 @@
 
 export const clearStanding: Standing = {type: 'clear'};
 
+/** How a piece of a request may be handed to a server that works on pieces of several requests at once. */
+export const cautions = {
+	none: 'none',
+	/** The request was there when servers ended: in a call of its own it takes no other with it, and shows whose doing it was. */
+	alone: 'alone',
+	/** It may have ended its last server; in a moment more is known. */
+	wait: 'wait',
+	/** To none. */
+	barred: 'barred',
+} as const;
+export type Caution = typeof cautions[keyof typeof cautions];
+
 export const quarantineToken: InjectionToken<Quarantine> = Symbol('Quarantine');
 
 /** What the quarantine is made of. */
@@ -95,16 +109,24 @@
 			return clearStanding;
 		}
 
-		const contentId = contentIdOf(source);
-		const nowMs = this.options.clock.nowMs();
-		const forMs = this.record.barredUntilMs(contentId, nowMs) - nowMs;
-		if (forMs > 0) {
-			return {type: 'barred', forMs};
+		return this.standingOfContent(contentIdOf(source));
+	}
+
+	/**
+	Tells how a piece of a request may be handed on.
+	@param contentId - of the request.
+	*/
+	cautionOf(contentId: string): Caution {
+		if (this.heads.size === 0 || !this.heads.has(headOfContentId(contentId))) {
+			return cautions.none;
 		}
 
-		const count = this.record.countOf(contentId, nowMs);
-		const mayBeBarred = count < barredAfter && count + this.doubtfulCount(contentId) >= barredAfter;
-		return mayBeBarred ? {type: 'inDoubt'} : clearStanding;
+		const {type} = this.standingOfContent(contentId);
+		if (type !== 'clear') {
+			return type === 'barred' ? cautions.barred : cautions.wait;
+		}
+
+		return this.record.countOf(contentId, this.options.clock.nowMs()) >= aloneAfter ? cautions.alone : cautions.none;
 	}
 
 	/**
@@ -125,12 +147,11 @@
 
 	/**
 	A call broke off before its answer was whole, though nobody here gave it up.
-	@param source - its request.
+	@param contentId - of its request.
 	@param server - that ran it.
 	*/
-	brokeOff(source: ContentSource, server: UpstreamServer): void {
+	brokeOff(contentId: string, server: UpstreamServer): void {
 		if (this.options.serverEnds.brokeOff(server)) {
-			const contentId = contentIdOf(source);
 			this.addHead(contentId);
 			const contents = this.suspects.get(server.serverId) ?? new Set();
 			contents.add(contentId);
@@ -178,6 +199,18 @@
 		this.owned.dispose();
 	}
 
+	private standingOfContent(contentId: string): Standing {
+		const nowMs = this.options.clock.nowMs();
+		const forMs = this.record.barredUntilMs(contentId, nowMs) - nowMs;
+		if (forMs > 0) {
+			return {type: 'barred', forMs};
+		}
+
+		const doubtful = this.doubtfulCount(contentId);
+		const mayBeBarred = doubtful > 0 && this.record.countOf(contentId, nowMs) + doubtful >= barredAfter;
+		return mayBeBarred ? {type: 'inDoubt'} : clearStanding;
+	}
+
 	/** Cheap, and true for few: the body is only read for these. */
 	private mayBeKnown(source: ContentSource): boolean {
 		return this.heads.size > 0 && this.heads.has(headDigestOf(source));
--- a/src/wire/common/messages.ts
+++ b/src/wire/common/messages.ts
@@ -8,6 +8,8 @@
 const name = z.string().min(1).max(200);
 /** A start of an upstream: its name in the platform's list, with the time of the start. */
 const serverId = z.string().min(1).max(256);
+/** Names what a request asks for, whatever id its try has. */
+const contentId = z.string().length(32);
 const count = z.number().int().nonnegative();
 const ms = z.number().nonnegative();
 const bytes = z.custom<Uint8Array>(value => value instanceof Uint8Array, 'expected bytes');
@@ -269,6 +271,7 @@
 	workId: id,
 	pool: name,
 	callerRequestId: z.string().max(200),
+	contentId,
 	pieceKey: z.string().max(200),
 	step: count,
 	pieces: z.array(count).min(1).max(4096),
@@ -309,7 +312,7 @@
 const fatalContentsSchema = z.strictObject({
 	type: z.literal('fatalContents'),
 	contents: z.array(z.strictObject({
-		contentId: z.string().length(32),
+		contentId,
 		ends: z.array(z.strictObject({serverId, ageMs: ms})).max(64),
 		cleared: z.array(serverId).max(64),
 		trials: z.strictObject({count, ageMs: ms}).optional(),
