Count the time that a host slept

Cause: `SystemClock.nowMs` was the steady clock, which stands still while a machine is suspended: all ages, deadlines, windows and leases were too young on waking, by the whole sleep. Change: `nowMs` counts sleep. Each call compares the steady clock with the time of day (a subtraction); a jump makes it read the boot clock (`os.uptime`), which decides between a sleep and a jump alone. Timers are held by what is due, and those that fell due while asleep run at once. A boot clock that does not keep step with the steady clock is not believed, a jump ahead is then told of and not counted. `ManualClock` can sleep. Tests with the change, on given clocks; they did not fail first, as the clock could not be given before.

--- a/src/base/common/clock.ts
+++ b/src/base/common/clock.ts
@@ -1,10 +1,20 @@
 /** Time from outside, so that decisions can be replayed. */
 import type {InjectionToken} from 'tsyringe';
 import type {Disposable} from './disposable.js';
+import {Emitter, type Event} from './emitter.js';
+
+/** The machine slept, or may have. */
+export type Sleep = {
+	readonly forMs: number;
+	/** Whether it is known to have slept, so that `nowMs` has counted it; otherwise only the time of day jumped for sure. */
+	readonly isSure: boolean;
+};
 
 /** A source of time and timers. */
 export type Clock = {
-	/** Monotonic milliseconds since an arbitrary start; never goes back. */
+	/** Fires after the machine woke; timers that fell due meanwhile run from then on. */
+	readonly onDidSleep: Event<Sleep>;
+	/** Milliseconds since an arbitrary start; never goes back, and counts the time that the machine slept. */
 	nowMs(): number;
 	/** Milliseconds since the Unix epoch; may jump. */
 	wallMs(): number;
@@ -60,6 +70,7 @@
 	}
 
 	private readonly pending = new Set<Pending>();
+	private readonly didSleep = Emitter.create<Sleep>();
 
 	private currentMs: number;
 
@@ -67,6 +78,10 @@
 		this.currentMs = startMs;
 	}
 
+	get onDidSleep() {
+		return this.didSleep.event;
+	}
+
 	nowMs(): number {
 		return this.currentMs;
 	}
@@ -105,6 +120,16 @@
 		this.currentMs = untilMs;
 	}
 
+	/**
+	The machine sleeps: time passes, and no timer runs before it wakes.
+	@param forMs - how long.
+	*/
+	sleep(forMs: number): void {
+		this.currentMs += forMs;
+		this.didSleep.fire({forMs, isSure: true});
+		this.advance(0);
+	}
+
 	private nextDue(untilMs: number): Pending | undefined {
 		let next: Pending | undefined;
 		for (const item of this.pending) {
--- /dev/null
+++ b/src/base/node/system-clock.test.ts
@@ -0,0 +1,69 @@
+import {setTimeout as wait} from 'node:timers/promises';
+import t from 'tap';
+import type {Sleep} from '../common/clock.js';
+import {SystemClock} from './system-clock.js';
+
+const compareMs = 2;
+
+/** A clock on clocks that stand still but for what a test adds. */
+function makeClock(hasBoot = true) {
+	const added = {sleptMs: 0, jumpedMs: 0};
+	const clock = SystemClock.create({
+		steadyMs: () => 1000,
+		wallMs: () => 1_700_000_000_000 + added.sleptMs + added.jumpedMs,
+		bootMs: () => hasBoot ? 50_000 + added.sleptMs : undefined,
+	}, compareMs);
+	const told: Sleep[] = [];
+	clock.onDidSleep(item => {
+		told.push(item);
+	});
+	return {clock, added, told};
+}
+
+/** Waits until what was put off to a later turn has run. */
+async function laterTurns(): Promise<void> {
+	for (let turn = 0; turn < 5; turn++) {
+		await wait(compareMs);
+	}
+}
+
+t.test('what is read after a sleep counts it at once, and timers that fell due meanwhile run', async t => {
+	const {clock, added, told} = makeClock();
+	while (!clock.isBootBelieved) {
+		await wait(compareMs);
+	}
+
+	const ran: string[] = [];
+	clock.setTimer(400_000, () => {
+		ran.push('due while asleep');
+	});
+	const later = clock.setTimer(600_000, () => {
+		ran.push('due later');
+	});
+	clock.setTimer(300_000, () => {
+		ran.push('cancelled');
+	}).dispose();
+	added.sleptMs = 500_000;
+	t.equal(clock.nowMs(), 501_000);
+	t.same(ran, [], 'whoever asked for the time is in the middle of something');
+	await laterTurns();
+	t.same(ran, ['due while asleep']);
+	t.same(told, [{forMs: 500_000, isSure: true}]);
+	later.dispose();
+	added.jumpedMs = 3000;
+	t.equal(clock.nowMs(), 501_000, 'a jump of the time of day alone is no time');
+	await laterTurns();
+	t.equal(told.length, 1);
+});
+
+t.test('without a boot clock a jump ahead is told of, and not counted as time', async t => {
+	const {clock, added, told} = makeClock(false);
+	added.jumpedMs = 2000;
+	t.equal(clock.nowMs(), 1000);
+	await laterTurns();
+	t.same(told, [{forMs: 2000, isSure: false}]);
+	added.jumpedMs = 0;
+	t.equal(clock.nowMs(), 1000);
+	await laterTurns();
+	t.equal(told.length, 1, 'a jump back is no sleep');
+});
