Bring about that a host that wakes sends what is over and takes upstreams for silent: two tests that fail

Cause: on waking, from a sleep or a freeze, timers run before sockets are read. Batches were filled before what is over was dropped; every stream that had given no sign for 1.2 s was cancelled and begun elsewhere, though its events lay unread.

--- a/src/preparation/common/batch-machine.test.ts
+++ b/src/preparation/common/batch-machine.test.ts
@@ -208,3 +208,11 @@
 	cautionsOf.delete('wait');
 	t.equal(namesOf(machine.nextCalls([server('u')], capacity, 2)[0]), 'wait0');
 });
+
+t.test('a host that wakes sends nothing whose time went by while it slept', async t => {
+	const machine = BatchMachine.create();
+	machine.add(workOf('over', 2, {deadlineMs: 5000}), 0);
+	machine.add(workOf('live', 2, {deadlineMs: 50_000}), 0);
+	t.same(machine.nextCalls([server('s')], capacity, 9000).map(call => namesOf(call)), ['live0 live1']);
+	t.match(machine.sweep(() => true, 9000), [{work: {workId: 'over'}}, {work: {workId: 'over'}}]);
+});
--- /dev/null
+++ b/src/request/node/request-runner.test.ts
@@ -0,0 +1,127 @@
+/**
+What a request does when its host wakes from a sleep or a freeze. Timers run before sockets are read, so that what
+came meanwhile has not been seen when all that was due is due at once.
+*/
+import t from 'tap';
+import {ManualClock} from '../../base/common/clock.js';
+import {Emitter} from '../../base/common/emitter.js';
+import {ok, type Outcome} from '../../base/common/outcome.js';
+import {clearStanding} from '../../quarantine/common/quarantine.js';
+import {UpstreamStats} from '../../routing/common/upstream-stats.js';
+import {policyDefaults} from '../../settings/common/schema.js';
+import type {Message} from '../../wire/common/messages.js';
+import {directRules} from '../common/attempt-rules.js';
+import {
+	noInputs, type PreparationFailure, type PreparedInputs, type RequestPlan, type RequestResult,
+} from '../common/request-plan.js';
+import type {UpstreamMessage} from '../common/upstream-links.js';
+import {RequestRunner} from './request-runner.js';
+
+const silenceMs = 1200;
+const policy = {
+	...policyDefaults, maxAttempts: 2, timeoutMs: silenceMs, isRepeatable: true,
+};
+
+function planWith(changes: Partial<RequestPlan>): RequestPlan {
+	return {
+		requestId: 'r', workspace: 'w', pipeline: 'p', policy, isRepeatable: true, settingsRevision: 1, needsClaim: false, needsPreparation: false, rules: directRules, isStreaming: true,
+		startMs: 0, deadlineMs: 8000, giveUpMs: 8000, input: new Uint8Array(0), prefixHash: 0, seed: 0,
+		http: {
+			kind: 'http', method: 'POST', path: '/', headers: [], body: new Uint8Array(0),
+		},
+		stages: [{
+			name: 's', index: 0, kind: 'http', pool: 'q', slots: 1, key: 's', budgetKey: 's', policy,
+		}],
+		...changes,
+	};
+}
+
+/** A request at work, with all that was sent for it. */
+function startRequest(changes: Partial<RequestPlan> = {}) {
+	const clock = ManualClock.create();
+	const received = Emitter.create<UpstreamMessage>();
+	const none = Emitter.create<string>();
+	const sent: Message[] = [];
+	let serial = 0;
+	const runner = RequestRunner.create({
+		onDidReceive: received.event,
+		onDidJoin: none.event,
+		onDidLose: none.event,
+		onDidReconnect: none.event,
+		onDidReplace: none.event,
+		send(_upstreamId, message) {
+			sent.push(message);
+			return true;
+		},
+	}, {
+		standingOf: () => clearStanding,
+		choose: (_stage, excluded) => ({
+			chosen: {
+				upstreamId: excluded.has('u1') ? 'u2' : 'u1', hall: 'a', stats: UpstreamStats.create(), joinedMs: 0,
+			}, scored: [],
+		}),
+		mayRetry: () => true,
+		hedgeDelayMs: () => undefined,
+		mayHedge: () => true,
+		optimisticRunMs: () => 0,
+		optimisticFinishMs: () => 0,
+		didDispatch: () => undefined,
+		didEnd: () => undefined,
+		didBegin: () => undefined,
+		didComplete: () => undefined,
+		newDispatchId: () => `d${serial++}`,
+	}, clock);
+	const results: RequestResult[] = [];
+	let prepared: (outcome: Outcome<PreparedInputs, PreparationFailure>) => void = () => undefined;
+	runner.start(planWith(changes), {
+		claim: async () => ok({epoch: 1} as never),
+		taken: () => undefined,
+		prepare: async () => new Promise(resolve => {
+			prepared = resolve;
+		}),
+		deliver: () => undefined,
+		finish(result) {
+			results.push(result);
+		},
+		settle: () => undefined,
+	});
+	return {
+		clock, sent, results, runner, typesSent: () => sent.map(({type}) => type),
+		receive(message: Message) {
+			received.fire({upstreamId: 'u1', message});
+		},
+		prepare() {
+			prepared(ok(noInputs));
+		},
+	};
+}
+
+const chunk = (sequence: number): Message => ({
+	type: 'chunk', dispatchId: 'd0', sequence, units: 1, data: new Uint8Array([sequence]),
+});
+
+t.test('an upstream is not taken for silent by a host that has not read what came while it slept', async t => {
+	const {clock, receive, typesSent} = startRequest();
+	receive(chunk(0));
+	clock.advance(500);
+	clock.sleep(3000);
+	t.same(typesSent(), ['dispatch']);
+	receive(chunk(1));
+	clock.advance(silenceMs - 1);
+	t.same(typesSent(), ['dispatch'], 'it goes on where it was');
+	clock.advance(200);
+	t.same(typesSent(), ['dispatch', 'cancel', 'dispatch'], 'silence counts from what was read last');
+});
+
+t.test('a request past its deadline is not sent after a sleep', async t => {
+	const {clock, prepare, results, typesSent} = startRequest({needsPreparation: true});
+	clock.advance(100);
+	clock.sleep(9000);
+	prepare();
+	clock.advance(100);
+	await new Promise(resolve => {
+		setImmediate(resolve);
+	});
+	t.same(typesSent(), []);
+	t.match(results, [{outcome: 'refused', isNotRun: true}]);
+});
