Read first on waking, and drop what is over before calls are filled

Change: a request whose timer comes 0.4 s late or more is told after 50 ms, once sockets were read; pieces past their deadline leave the queue before a call is filled.

--- a/src/preparation/common/batch-machine.ts
+++ b/src/preparation/common/batch-machine.ts
@@ -44,6 +44,8 @@
 	}
 
 	private waiting: BatchPiece[] = [];
+	/** Pieces whose time went by while they waited; the next sweep ends them. */
+	private over: BatchPiece[] = [];
 	private readonly upstreams = new Map<string, BatchUpstream>();
 	private readonly throughput = Throughput.create();
 	private lastCallId = 0;
@@ -102,6 +104,8 @@
 			return calls;
 		}
 
+		// On waking all that waits may be over, and the sweep that ends it comes after.
+		this.dropOver(nowMs);
 		this.waiting.sort((left, right) => urgencyOf(left, nowMs) - urgencyOf(right, nowMs));
 		const free = servers.filter(server => this.stateOf(server).isFree(nowMs))
 			.toSorted((left, right) => this.stateOf(left).slownessAt(nowMs) - this.stateOf(right).slownessAt(nowMs));
@@ -198,10 +202,12 @@
 	@returns the pieces that are given up.
 	*/
 	sweep(isKnown: (serverId: string) => boolean, nowMs: number): PieceEnd[] {
-		const over = this.waiting.filter(({work}) => nowMs >= work.deadlineMs);
-		const barred = this.waiting.filter(item => !over.includes(item) && this.cautionOf(item.work.contentId) === cautions.barred);
-		if (over.length > 0 || barred.length > 0) {
-			this.waiting = this.waiting.filter(item => !over.includes(item) && !barred.includes(item));
+		this.dropOver(nowMs);
+		const {over} = this;
+		this.over = [];
+		const barred = this.waiting.filter(item => this.cautionOf(item.work.contentId) === cautions.barred);
+		if (barred.length > 0) {
+			this.waiting = this.waiting.filter(item => !barred.includes(item));
 		}
 
 		for (const [serverId, {call}] of this.upstreams) {
@@ -294,6 +300,14 @@
 		return [...taken].map(item => ({...item, tries: item.tries + 1}));
 	}
 
+	private dropOver(nowMs: number): void {
+		const over = this.waiting.filter(({work}) => nowMs >= work.deadlineMs);
+		if (over.length > 0) {
+			this.over.push(...over);
+			this.waiting = this.waiting.filter(({work}) => nowMs < work.deadlineMs);
+		}
+	}
+
 	/** Pieces that may go in one call: those of one request alone where it may be what ends upstreams, all others together. */
 	private sendable(): readonly BatchPiece[] {
 		const first = this.waiting.find(({work}) => this.mayGo(work));
--- a/src/request/node/request-runner.ts
+++ b/src/request/node/request-runner.ts
@@ -11,6 +11,11 @@
 import type {RequestRouter} from '../common/request-router.js';
 import type {UpstreamLinks, UpstreamMessage} from '../common/upstream-links.js';
 
+/** A timer that is this late means that this host stood still, frozen or asleep, and has not read what came meanwhile. */
+const ownPauseMs = 400;
+/** Time to read it: timers run before sockets are read, and on waking everything that was due is due at once. */
+const readFirstMs = 50;
+
 /** What a request's caller side does for it. */
 export type RequestHooks = {
 	/** Registers the request, where it may run only once. */
@@ -248,13 +253,31 @@
 		running.timer = undefined;
 		running.timerAtMs = wakeAtMs;
 		if (wakeAtMs < Infinity && !running.machine.isClosed) {
-			running.timer = this.clock.setTimer(Math.max(1, wakeAtMs - this.clock.nowMs()), () => {
-				running.timer = undefined;
-				this.feed(running, {type: 'tick'});
+			const nowMs = this.clock.nowMs();
+			const dueMs = Math.max(nowMs + 1, wakeAtMs);
+			running.timer = this.clock.setTimer(dueMs - nowMs, () => {
+				this.wake(running, dueMs);
 			});
 		}
 	}
 
+	/**
+	Tells a request that its time has come; after a pause of this host only once its sockets were read, so that an upstream
+	is not taken for silent, nor a call sent a second time, while the answer lies unread.
+	*/
+	private wake(running: Running, dueMs: number): void {
+		const tick = () => {
+			running.timer = undefined;
+			this.feed(running, {type: 'tick'});
+		};
+
+		if (this.clock.nowMs() - dueMs >= ownPauseMs) {
+			running.timer = this.clock.setTimer(readFirstMs, tick);
+		} else {
+			tick();
+		}
+	}
+
 	private close(running: Running): void {
 		running.timer?.dispose();
 		this.running.delete(running);
