Bring about that a host that wakes waits for a held call of the store: a test that fails

Cause: the held call goes on for the rest of its time, up to 2.7 s, also on a connection that died while the host slept.

--- a/src/deployment/node/feed-follower.test.ts
+++ b/src/deployment/node/feed-follower.test.ts
@@ -327,3 +327,34 @@
 	t.same(events, [], 'the store is not taken for away');
 	follower.dispose();
 });
+
+t.test('a host that wakes asks the store anew at once: its connections may have died while it slept', async t => {
+	const clock = ManualClock.create();
+	const calls: string[] = [];
+	const follower = makeFollower({
+		source: {
+			async readAll() {
+				return ok({
+					changed: [], dropped: [], unreadable: [], revision: 7,
+				});
+			},
+			async readChanges(_revision, waitMs, {signal}) {
+				calls.push(`held for ${waitMs}`);
+				return new Promise(resolve => {
+					signal.addEventListener('abort', () => {
+						resolve(fail({code: 'away', message: 'given up'}));
+					});
+				});
+			},
+		},
+		clock,
+	});
+	follower.start();
+	await turn();
+	t.same(calls, ['held for 1000']);
+	clock.sleep(300);
+	await turn();
+	t.same(calls, ['held for 1000', 'held for 0'], 'also after a sleep shorter than a call is held');
+	t.notOk(follower.isCurrent);
+	follower.dispose();
+});
