Ask the store anew on waking

Change: a sleep, known or possible, gives a held call up; it is made again at once without being held, as after any failed call, and until it is answered this host counts as behind and asks its peers. Cost: one call more a feed and a sleep.

--- a/src/deployment/node/feed-follower.ts
+++ b/src/deployment/node/feed-follower.ts
@@ -131,6 +131,10 @@
 		// A held call would tell only with the next change that the store is back, up to two seconds late.
 		const waitMs = this.revision === undefined || this.hasFailed ? 0 : holdMs();
 		const limit = TimeLimit.create(clock, waitMs + answerMs, this.controller.signal);
+		// On waking this host knows only what was in force before, and its connection may have died meanwhile.
+		const woke = clock.onDidSleep(() => {
+			limit.giveUp();
+		});
 		const watch = this.isSynced ? undefined : this.endOnceTold(limit);
 		const call = {
 			signal: limit.signal,
@@ -141,6 +145,7 @@
 		};
 		const read = await (this.revision === undefined ? source.readAll(call) : source.readChanges(this.revision, waitMs, call));
 		limit.dispose();
+		woke.dispose();
 		watch?.dispose();
 		return read;
 	}
