Try an address once where a connection comes about, and tell new peers only what counts

Cause: found by reading: a reset of all connections made two connections for each host and server, some 10,000 at 68 hosts and 78 servers; a host that connects was told cleared contents, which speak against nothing. Change: the second try only where the first had no answer; contents without ends that count are not told on connecting. Figures: the tests count the tries: 1 for an address that is open, 2 for a silent one.

--- a/src/quarantine/common/end-record.ts
+++ b/src/quarantine/common/end-record.ts
@@ -143,11 +143,11 @@
 	}
 
 	/**
-	Gives everything, for a host that may lack it.
+	Gives everything that speaks against a content, for a host that may lack it.
 	@param nowMs - the time.
 	*/
 	all(nowMs: number): ContentEnds[] {
-		const kept = [...this.entries].filter(([, {keptUntilMs}]) => nowMs < keptUntilMs);
+		const kept = [...this.entries].filter(([, {ends, keptUntilMs}]) => ends.size > 0 && nowMs < keptUntilMs);
 		return kept.map(([contentId, {ends, cleared, trialCount, triedMs}]) => ({
 			contentId,
 			ends: [...ends].map(([serverId, endedMs]) => ({serverId, ageMs: nowMs - endedMs})),
--- a/src/quarantine/common/server-ends.test.ts
+++ b/src/quarantine/common/server-ends.test.ts
@@ -3,7 +3,7 @@
 import {Emitter} from '../../base/common/emitter.js';
 import {goneReasons, type GoneReason, type ServerChange} from '../../deployment/common/server-registry.js';
 import type {UpstreamServer} from '../../deployment/common/upstream-server.js';
-import {ServerEnds} from './server-ends.js';
+import {addressStates, ServerEnds, type AddressState} from './server-ends.js';
 
 const server: UpstreamServer = {
 	serverId: 's@1', instanceId: 's', startedMs: 1, pool: 'p', address: '127.0.0.1', port: 1, hall: 'h', slots: 1, isLeaving: false,
@@ -12,13 +12,13 @@
 function makeWatch(listed: UpstreamServer | undefined = server) {
 	const clock = ManualClock.create();
 	const changes = Emitter.create<ServerChange>();
-	const state = {isRefused: false, checks: 0};
+	const state = {address: addressStates.open as AddressState, checks: 0};
 	const watch = ServerEnds.create({
 		registry: {get: () => listed, isMissing: () => false, onDidChange: changes.event},
 		check: {
-			async isRefused() {
+			async tryOnce() {
 				state.checks++;
-				return state.isRefused;
+				return state.address;
 			},
 		},
 		clock,
@@ -49,16 +49,27 @@
 	watch.brokeOff(server);
 	t.ok(watch.isBeingChecked('s@1'));
 	await pass(30);
-	await pass(200);
 	t.notOk(watch.isBeingChecked('s@1'), 'nobody waits longer');
 	await pass(10_000);
 	t.same(ended, []);
+	t.equal(state.checks, 1);
+});
+
+t.test('an address that does not answer proves nothing, and is tried a second time', async t => {
+	const {watch, state, ended, pass} = makeWatch();
+	state.address = addressStates.silent;
+	watch.brokeOff(server);
+	await pass(30);
+	t.ok(watch.isBeingChecked('s@1'));
+	await pass(200);
+	t.notOk(watch.isBeingChecked('s@1'));
+	t.same(ended, []);
 	t.equal(state.checks, 2);
 });
 
 t.test('a server whose address refuses connections has ended; many calls that broke off cost one try', async t => {
 	const {watch, state, ended, pass} = makeWatch();
-	state.isRefused = true;
+	state.address = addressStates.refused;
 	for (let index = 0; index < 20; index++) {
 		watch.brokeOff(server);
 	}
@@ -77,7 +88,7 @@
 	watch.brokeOff(server);
 	await pass(30);
 	await pass(200);
-	state.isRefused = true;
+	state.address = addressStates.refused;
 	watch.brokeOff(server);
 	t.same(settled, ['s@1']);
 	await pass(30);
@@ -99,7 +110,7 @@
 		const {watch, state, ended, pass, tell} = makeWatch();
 		watch.brokeOff(server);
 		tell(change, reason);
-		state.isRefused = true;
+		state.address = addressStates.refused;
 		await pass(10_000);
 		t.same(ended, [], reason ?? change);
 	}
--- a/src/quarantine/common/server-ends.ts
+++ b/src/quarantine/common/server-ends.ts
@@ -11,18 +11,29 @@
 import {goneReasons, type ServerChange, type ServerRegistry} from '../../deployment/common/server-registry.js';
 import type {UpstreamServer} from '../../deployment/common/upstream-server.js';
 
-/** Asks whether a server's address refuses connections. */
+/** What comes of a connection to an address. */
+export const addressStates = {
+	/** Nothing listens there. */
+	refused: 'refused',
+	open: 'open',
+	/** No answer in time: nothing is proven. */
+	silent: 'silent',
+} as const;
+export type AddressState = typeof addressStates[keyof typeof addressStates];
+
+/** Tries servers' addresses. */
 export type AddressCheck = {
 	/**
+	Opens a connection and closes it again.
 	@param server - whose address.
-	@returns true only for a refusal; no answer and a connection that comes about prove nothing.
 	*/
-	isRefused(server: UpstreamServer): Promise<boolean>;
+	tryOnce(server: UpstreamServer): Promise<AddressState>;
 };
 
 /**
 When the address is tried after a call broke off. A process that ends closes its connections and its listening socket in
-one go, so that the first time usually tells; the second one is for a machine that is busy.
+one go, so that the first time tells, but for a lost packet or a busy machine. New connections cost the servers something: after
+a reset of all connections there is one for each host and server.
 */
 const checkDelaysMs = [30, 200];
 /** How long the list may take to say that the server is gone: entries lapsed 2.4 to 3.6 s after eleven ends on a day. */
@@ -118,14 +129,14 @@
 	private async tryAddress(server: UpstreamServer, attempt: number): Promise<void> {
 		const {serverId} = server;
 		const doubt = this.doubts.get(serverId);
-		const isRefused = await this.options.check.isRefused(server);
+		const state = await this.options.check.tryOnce(server);
 		if (!doubt || this.doubts.get(serverId) !== doubt) {
 			return;
 		}
 
-		if (isRefused) {
+		if (state === addressStates.refused) {
 			this.end(serverId);
-		} else if (attempt + 1 < checkDelaysMs.length) {
+		} else if (state === addressStates.silent && attempt + 1 < checkDelaysMs.length) {
 			doubt.check = this.checkLater(server, attempt + 1);
 		} else {
 			doubt.isBeingChecked = false;
--- a/src/quarantine/node/address-check.ts
+++ b/src/quarantine/node/address-check.ts
@@ -1,7 +1,7 @@
 /** Tries whether something listens at a server's address. */
 import {connect} from 'node:net';
 import type {UpstreamServer} from '../../deployment/common/upstream-server.js';
-import type {AddressCheck} from '../common/server-ends.js';
+import {addressStates, type AddressCheck, type AddressState} from '../common/server-ends.js';
 
 /** Hosts are a few milliseconds apart; a refusal that takes longer comes with the second try. */
 const limitMs = 300;
@@ -12,22 +12,22 @@
 		return new ConnectCheck();
 	}
 
-	async isRefused({address, port}: UpstreamServer): Promise<boolean> {
+	async tryOnce({address, port}: UpstreamServer): Promise<AddressState> {
 		return new Promise(resolve => {
 			const socket = connect({host: address, port, timeout: limitMs});
-			const end = (isRefused: boolean) => {
+			const end = (state: AddressState) => {
 				socket.destroy();
-				resolve(isRefused);
+				resolve(state);
 			};
 
 			socket.on('connect', () => {
-				end(false);
+				end(addressStates.open);
 			});
 			socket.on('timeout', () => {
-				end(false);
+				end(addressStates.silent);
 			});
 			socket.on('error', error => {
-				end('code' in error && error.code === 'ECONNREFUSED');
+				end('code' in error && error.code === 'ECONNREFUSED' ? addressStates.refused : addressStates.silent);
 			});
 		});
 	}
