--- a/src/preparation/common/batch-machine.ts
+++ b/src/preparation/common/batch-machine.ts
@@ -4,17 +4,18 @@
 */
 import type {BatchCapacity} from '../../deployment/common/declaration.js';
 import type {UpstreamServer} from '../../deployment/common/upstream-server.js';
-import {cautions, type Caution} from '../../quarantine/common/quarantine.js';
+import {cautions} from '../../quarantine/common/quarantine.js';
 import type {
 	BatchCall, BatchPiece, CallFailure, PieceEnd,
 } from './batch-call.js';
 import {BatchUpstream} from './batch-upstream.js';
 import {fillCall} from './call-filling.js';
-import {rankPenaltyMs, urgencyOf} from './piece-order.js';
+import {rankPenaltyMs} from './piece-order.js';
+import {PieceQueue, type CautionSource} from './piece-queue.js';
 import {readRoom} from './room-reading.js';
 import {Throughput} from './throughput.js';
 import {
-	pieceFailures, type BatchWork, type PieceFailure, type PieceOutcome,
+	pieceFailures, type BatchWork, type PieceOutcome,
 } from './work.js';
 
 /** Wait told where no upstream is sound: until one is back, about. */
@@ -34,27 +35,24 @@
 /** How a pool stands: pieces that wait, calls at work, the longest wait, and the room that results take. */
 export type BatchStanding = {readonly waiting: number; readonly calls: number; readonly oldestMs: number; readonly keptBytes: number};
 
-/** Tells how pieces of a request may be handed to an upstream, by the request's content. */
-export type CautionSource = (contentId: string) => Caution;
-
 /** Holds the waiting pieces and the calls of one pool. */
 export class BatchMachine {
 	static create(cautionOf: CautionSource = () => cautions.none): BatchMachine {
 		return new BatchMachine(cautionOf);
 	}
 
-	private waiting: BatchPiece[] = [];
-	/** Pieces whose time went by while they waited; the next sweep ends them. */
-	private over: BatchPiece[] = [];
+	private readonly waiting: PieceQueue;
 	private readonly upstreams = new Map<string, BatchUpstream>();
 	private readonly throughput = Throughput.create();
 	private lastCallId = 0;
 
-	private constructor(private readonly cautionOf: CautionSource) {}
+	private constructor(cautionOf: CautionSource) {
+		this.waiting = PieceQueue.create(cautionOf);
+	}
 
 	/** Pieces that wait for an upstream. */
 	get waitingCount(): number {
-		return this.waiting.length;
+		return this.waiting.size;
 	}
 
 	/** Calls at work. */
@@ -63,12 +61,12 @@
 	}
 
 	add(work: BatchWork, nowMs: number): void {
-		if (this.waiting.length === 0) {
+		if (this.waiting.size === 0) {
 			this.throughput.queueBegan(nowMs);
 		}
 
 		for (const piece of work.pieces) {
-			this.waiting.push({
+			this.waiting.add({
 				work, piece, readyMs: nowMs, tries: 0,
 			});
 		}
@@ -79,7 +77,7 @@
 	@param workId - its work.
 	*/
 	cancel(workId: string): void {
-		this.waiting = this.waiting.filter(({work}) => work.workId !== workId);
+		this.waiting.removeWork(workId);
 	}
 
 	/**
@@ -87,9 +85,7 @@
 	@returns the pieces, none of which has been begun.
 	*/
 	takeWaiting(): PieceEnd[] {
-		const moved = endsOf(this.waiting, pieceFailures.moved);
-		this.waiting = [];
-		return moved;
+		return this.waiting.takeAll();
 	}
 
 	/**
@@ -100,20 +96,18 @@
 	*/
 	nextCalls(servers: readonly UpstreamServer[], capacity: BatchCapacity, nowMs: number): BatchCall[] {
 		const calls: BatchCall[] = [];
-		if (this.waiting.length === 0) {
+		if (this.waiting.size === 0) {
 			return calls;
 		}
 
-		// On waking all that waits may be over, and the sweep that ends it comes after.
-		this.dropOver(nowMs);
-		this.waiting.sort((left, right) => urgencyOf(left, nowMs) - urgencyOf(right, nowMs));
+		this.waiting.sort(nowMs);
 		const free = servers.filter(server => this.stateOf(server).isFree(nowMs))
 			.toSorted((left, right) => this.stateOf(left).slownessAt(nowMs) - this.stateOf(right).slownessAt(nowMs));
 		const soundCount = servers.filter(server => this.isSound(server, nowMs)).length;
 		const halls = new Set(servers.filter(server => !this.stateOf(server).isAvoided(nowMs)).map(server => server.hall));
 		for (const server of free) {
 			const isSlow = this.stateOf(server).slownessAt(nowMs) > slowFactor;
-			if (isSlow && this.waiting.length <= soundCount * capacity.batchSize) {
+			if (isSlow && this.waiting.size <= soundCount * capacity.batchSize) {
 				continue;
 			}
 
@@ -151,7 +145,7 @@
 			const mayRetry = hadNoRoom || (!outcome.ok && outcome.reason === pieceFailures.failed);
 			if (mayRetry && tries < mostTries) {
 				// Finding no room has cost nothing but the way.
-				this.waiting.push(hadNoRoom ? {...item, tries: tries - 1} : item);
+				this.waiting.add(hadNoRoom ? {...item, tries: tries - 1} : item);
 			} else {
 				ends.push({work, piece, outcome});
 			}
@@ -176,7 +170,7 @@
 			if (tries >= mostTries || nowMs >= item.work.deadlineMs) {
 				ends.push({work: item.work, piece: item.piece, outcome: {ok: false, reason: pieceFailures.failed}});
 			} else {
-				this.waiting.push({...item, tries});
+				this.waiting.add({...item, tries});
 			}
 		}
 
@@ -202,21 +196,13 @@
 	@returns the pieces that are given up.
 	*/
 	sweep(isKnown: (serverId: string) => boolean, nowMs: number): PieceEnd[] {
-		this.dropOver(nowMs);
-		const {over} = this;
-		this.over = [];
-		const barred = this.waiting.filter(item => this.cautionOf(item.work.contentId) === cautions.barred);
-		if (barred.length > 0) {
-			this.waiting = this.waiting.filter(item => !barred.includes(item));
-		}
-
 		for (const [serverId, {call}] of this.upstreams) {
 			if (!call && !isKnown(serverId)) {
 				this.upstreams.delete(serverId);
 			}
 		}
 
-		return [...endsOf(over, pieceFailures.late), ...endsOf(barred, pieceFailures.failed)];
+		return this.waiting.sweep(nowMs);
 	}
 
 	/**
@@ -238,13 +224,8 @@
 			keptBytes += room.takenBytes(nowMs);
 		}
 
-		let oldestMs = 0;
-		for (const {readyMs} of this.waiting) {
-			oldestMs = Math.max(oldestMs, nowMs - readyMs);
-		}
-
 		return {
-			waiting: this.waiting.length, calls: this.callCount, oldestMs: Math.round(oldestMs), keptBytes,
+			waiting: this.waiting.size, calls: this.callCount, oldestMs: Math.round(this.waiting.oldestMs(nowMs)), keptBytes,
 		};
 	}
 
@@ -264,7 +245,7 @@
 
 		const free = sound.filter(server => this.stateOf(server).call === undefined).length;
 		const ownKey = nowMs + usualDueMs + (rank * rankPenaltyMs);
-		const ahead = this.waiting.filter(item => urgencyOf(item, nowMs) <= ownKey).length;
+		const ahead = this.waiting.countAhead(ownKey, nowMs);
 		if (free > 0 && ahead === 0) {
 			return 0;
 		}
@@ -293,39 +274,13 @@
 	/** Takes the most urgent pieces for one call out of the queue. */
 	private take(server: UpstreamServer, {batchSize, roomBytes}: BatchCapacity, halls: ReadonlySet<string>, nowMs: number): BatchPiece[] {
 		const leftBytes = this.stateOf(server).room.leftBytes(roomBytes, nowMs);
-		const taken = fillCall(this.sendable(), {
+		const taken = fillCall(this.waiting.sendable(), {
 			batchSize, leftBytes, hall: server.hall, halls,
 		}, nowMs);
-		this.waiting = this.waiting.filter(item => !taken.has(item));
+		this.waiting.remove(taken);
 		return [...taken].map(item => ({...item, tries: item.tries + 1}));
 	}
 
-	private dropOver(nowMs: number): void {
-		const over = this.waiting.filter(({work}) => nowMs >= work.deadlineMs);
-		if (over.length > 0) {
-			this.over.push(...over);
-			this.waiting = this.waiting.filter(({work}) => nowMs < work.deadlineMs);
-		}
-	}
-
-	/** Pieces that may go in one call: those of one request alone where it may be what ends upstreams, all others together. */
-	private sendable(): readonly BatchPiece[] {
-		const first = this.waiting.find(({work}) => this.mayGo(work));
-		if (!first) {
-			return [];
-		}
-
-		const {contentId} = first.work;
-		return this.cautionOf(contentId) === cautions.alone
-			? this.waiting.filter(({work}) => work.contentId === contentId)
-			: this.waiting.filter(({work}) => this.cautionOf(work.contentId) === cautions.none);
-	}
-
-	private mayGo({contentId}: BatchWork): boolean {
-		const caution = this.cautionOf(contentId);
-		return caution === cautions.none || caution === cautions.alone;
-	}
-
 	/** Whether an upstream neither fails nor is far slower than declared. */
 	private isSound(server: UpstreamServer, nowMs: number): boolean {
 		const state = this.stateOf(server);
@@ -342,7 +297,3 @@
 		return state;
 	}
 }
-
-function endsOf(pieces: readonly BatchPiece[], reason: PieceFailure): PieceEnd[] {
-	return pieces.map(({work, piece}) => ({work, piece, outcome: {ok: false, reason}}));
-}
