Tell operators which tries and which servers belong to a request in quarantine

Cause: the lines of the quarantine named a content and its servers, but no try of it: route and workspace could not be found. Change: one line for each call that breaks off, with the try's id; refusals name the content; `pumicehatch logs quarantine` gathers both. A test that a host that slept loses no peer by that (it passed at once).

--- /dev/null
+++ b/src/cli/common/quarantine-report.test.ts
@@ -0,0 +1,37 @@
+import t from 'tap';
+import {quarantineLogMessages} from '../../quarantine/common/quarantine-log-messages.js';
+import {requestLogMessages} from '../../request/common/request-log-messages.js';
+import {readLogLines} from './log-lines.js';
+import {reportQuarantine} from './quarantine-report.js';
+
+let second = 10;
+const line = (host: string, message: string, fields: Record<string, string | number>) => JSON.stringify({
+	time: `2026-01-01T00:00:${second++}.000Z`, part: 'quarantine', host, message, ...fields,
+});
+
+t.test('tries, ends and refusals of one content are gathered over all hosts, each end once', async t => {
+	const {brokeOff, ended, barred} = quarantineLogMessages;
+	const {lines} = readLogLines([
+		line('a', brokeOff, {request: 'r1', content: 'c1', server: 's1'}),
+		line('a', brokeOff, {request: 'other', content: 'c2', server: 's1'}),
+		line('a', brokeOff, {request: 'cut', content: 'c3', server: 's9'}),
+		line('a', ended, {content: 'c1', server: 's1', ends: 1}),
+		line('a', ended, {content: 'c2', server: 's1', ends: 1}),
+		line('b', ended, {content: 'c1', server: 's1', ends: 1}),
+		line('b', brokeOff, {request: 'r2', content: 'c1', server: 's2'}),
+		line('b', ended, {content: 'c1', server: 's2', ends: 2}),
+		line('b', ended, {content: 'c1', server: 's3', ends: 3}),
+		line('b', barred, {content: 'c1', servers: 's1 s2 s3'}),
+		line('a', requestLogMessages.turnedAway, {
+			request: 'r4', content: 'c1', status: 503, reason: 'in quarantine',
+		}),
+	].join('\n'));
+	t.same(reportQuarantine(lines), [
+		{
+			content: 'c1', state: 'barred', servers: ['s1', 's2', 's3'], requests: ['r1', 'r2'], refusedCount: 1,
+		},
+		{
+			content: 'c2', state: 'suspected', servers: ['s1'], requests: ['other'], refusedCount: 0,
+		},
+	], 'a call whose server lived is not listed');
+});
--- a/src/cli/node/log-commands.ts
+++ b/src/cli/node/log-commands.ts
@@ -1,10 +1,11 @@
-/** `pumicehatch explain` and `pumicehatch logs summary`: what became of requests, from log lines alone. */
+/** `pumicehatch explain`, `pumicehatch logs summary` and `pumicehatch logs quarantine`: what became of requests, from log lines alone. */
 import {readFileSync} from 'node:fs';
 import {messageOf, type InputProblem} from '../../base/common/errors.js';
 import {fail, ok, type Outcome} from '../../base/common/outcome.js';
 import {explainRequest} from '../common/explain.js';
 import {exitCodes, type ExitCode} from '../common/exit-codes.js';
 import {readLogLines, type LogLine, type LogReading} from '../common/log-lines.js';
+import {reportQuarantine} from '../common/quarantine-report.js';
 import {formatTable} from '../common/tables.js';
 import {countVerdicts} from '../common/verdict-counts.js';
 import {note, print, reportProblems} from './output.js';
@@ -60,6 +61,19 @@
 	return exitCodes.ok;
 }
 
+/** Lists requests under which servers ended. */
+export function quarantine(flags: LogFlags): ExitCode {
+	const reading = load(flags);
+	if (!reading.ok) {
+		return reportProblems(flags.json, reading.error);
+	}
+
+	const reports = reportQuarantine(reading.value.lines);
+	const rows = reports.map(({content, state, servers, refusedCount, requests}) => [content, state, servers.length, refusedCount, requests.join(' ')]);
+	print(flags.json, reports, () => formatTable(['content', 'state', 'ended', 'refused', 'tries'], rows));
+	return exitCodes.ok;
+}
+
 /** One line as people read it: the columns first, then every other field by its name. */
 function rowOf(line: LogLine): string {
 	const fields = Object.entries(line)
--- a/src/cli/node/program.ts
+++ b/src/cli/node/program.ts
@@ -5,7 +5,9 @@
 import {
 	drain, report, request, status, type RequestFlags,
 } from './fleet-commands.js';
-import {explain, summary, type LogFlags} from './log-commands.js';
+import {
+	explain, quarantine, summary, type LogFlags,
+} from './log-commands.js';
 import {
 	apply, get, history, plan, set, validate, type SettingsFlags,
 } from './settings-commands.js';
@@ -109,5 +111,10 @@
 		.option('--file', 'Read this file instead')
 		.action((flags: LogFlags) => summary(flags));
 
+	program.command('logs quarantine')
+		.describe('List requests under which servers ended, and the tries of each, from log lines on standard input.')
+		.option('--file', 'Read this file instead')
+		.action((flags: LogFlags) => quarantine(flags));
+
 	return program;
 }
--- a/src/direct/node/direct-links.ts
+++ b/src/direct/node/direct-links.ts
@@ -211,7 +211,7 @@
 				this.receive(server, event);
 			},
 			brokeOff() {
-				quarantine.brokeOff(contentIdOf(source), server);
+				quarantine.brokeOff(contentIdOf(source), server, facts.callerRequestId);
 			},
 			reached(eventId) {
 				facts.resumeAfter = eventId;
--- a/src/direct/node/ingress.ts
+++ b/src/direct/node/ingress.ts
@@ -203,10 +203,10 @@
 		});
 	}
 
-	private refuse(response: ServerResponse, {requestId, status, reason, retryAfterMs}: Refusal): void {
+	private refuse(response: ServerResponse, {requestId, status, reason, retryAfterMs, content}: Refusal): void {
 		const {board, log, metrics} = this.options;
 		log.info(requestLogMessages.turnedAway, {
-			request: requestId, status, reason, version: board.version,
+			request: requestId, status, reason, version: board.version, content,
 		});
 		metrics.increment('requests.turnedAway', 1, {status: String(status)});
 		sendOwn(response, status, reason, retryAfterMs);
@@ -216,12 +216,7 @@
 		const {request, response, ask, receivedMs} = arrival;
 		const {links, runner, likelyPlace, clock, log, metrics} = this.options;
 		const plan = this.planOf(arrival);
-		const standing = this.options.standingOf(plan);
-		if (standing.type === 'barred') {
-			this.options.metrics.increment('quarantine.refused', 1, {route: plan.pipeline});
-			this.refuse(response, {
-				requestId: ask.requestId, status: ownStatuses.unavailable, reason: notRunText(barredText), retryAfterMs: standing.forMs,
-			});
+		if (this.refuseBarred(arrival, plan)) {
 			return;
 		}
 
@@ -250,6 +245,23 @@
 		}).start(runner);
 	}
 
+	/**
+	Refuses a request that no upstream gets for now.
+	@returns whether it was one.
+	*/
+	private refuseBarred({response, ask}: Arrival, plan: RequestPlan): boolean {
+		const standing = this.options.standingOf(plan);
+		if (standing.type !== 'barred') {
+			return false;
+		}
+
+		this.options.metrics.increment('quarantine.refused', 1, {route: plan.pipeline});
+		this.refuse(response, {
+			requestId: ask.requestId, status: ownStatuses.unavailable, reason: notRunText(barredText), retryAfterMs: standing.forMs, content: standing.contentId,
+		});
+		return true;
+	}
+
 	private planOf({request, index, route, workspace, ask, body, receivedMs}: Arrival): RequestPlan {
 		const pool = choosePool(route, this.options.random);
 		return makeDirectPlan({
--- a/src/direct/node/recognize-request.ts
+++ b/src/direct/node/recognize-request.ts
@@ -16,7 +16,7 @@
 /** A request that the declaration in force allows. */
 export type Recognized = {readonly index: DeploymentIndex; readonly route: Route; readonly workspace: WorkspaceDeclaration | undefined; readonly ask: CallerAsk};
 /** Why a request goes no further than its head. */
-export type Refusal = {readonly requestId: string; readonly status: number; readonly reason: string; readonly retryAfterMs?: number};
+export type Refusal = {readonly requestId: string; readonly status: number; readonly reason: string; readonly retryAfterMs?: number; readonly content?: string};
 
 /**
 Looks a request up in the declaration.
--- a/src/peers/node/peer-mesh.test.ts
+++ b/src/peers/node/peer-mesh.test.ts
@@ -230,3 +230,17 @@
 	await pass(clock, 2500);
 	t.same(mesh.liveHosts, [], 'without a byte it is');
 });
+
+t.test('a host that slept loses no peer by that, and takes what it was told before for as old as it is', async t => {
+	const pair = await makePair(t);
+	const lost: string[] = [];
+	pair.mesh.onDidLose(hostId => {
+		lost.push(hostId);
+	});
+	await meet(pair, {...beat, endpoint: pair.endpoint, storeAgeMs: 100});
+	await pass(pair.clock, 200);
+	pair.clock.sleep(8000);
+	await turn();
+	t.same(lost, []);
+	t.ok(pair.mesh.storeAgesMs.get('peer')! >= 8100, 'no fresh reader until it says so again');
+});
--- a/src/preparation/node/batch-pool.ts
+++ b/src/preparation/node/batch-pool.ts
@@ -220,8 +220,8 @@
 
 	/** Any of the requests with a piece in the call may have ended its upstream. */
 	private brokeOff({server, pieces}: BatchCall): void {
-		for (const contentId of new Set(pieces.map(({work}) => work.contentId))) {
-			this.options.quarantine.brokeOff(contentId, server);
+		for (const {contentId, callerRequestId} of new Map(pieces.map(({work}) => [work.contentId, work])).values()) {
+			this.options.quarantine.brokeOff(contentId, server, callerRequestId);
 		}
 	}
 
--- a/src/quarantine/common/quarantine.test.ts
+++ b/src/quarantine/common/quarantine.test.ts
@@ -98,7 +98,7 @@
 /** A server ends while it runs requests of a host. */
 function end(host: Host, serverId: string, ...sources: ContentSource[]): void {
 	for (const source of sources) {
-		host.quarantine.brokeOff(contentIdOf(source), serverOf(serverId));
+		host.quarantine.brokeOff(contentIdOf(source), serverOf(serverId), 'r');
 	}
 
 	host.settle(serverId, true);
@@ -124,7 +124,7 @@
 	const {hosts: [host]} = makeHosts(1);
 	end(host, 's0', sourceOf('fatal'));
 	end(host, 's1', sourceOf('fatal'));
-	host.quarantine.brokeOff(contentIdOf(sourceOf('fatal')), serverOf('s2'));
+	host.quarantine.brokeOff(contentIdOf(sourceOf('fatal')), serverOf('s2'), 'r');
 	t.equal(host.quarantine.standingOf(sourceOf('fatal')).type, 'inDoubt');
 	host.settle('s2', false);
 	t.equal(host.quarantine.standingOf(sourceOf('fatal')).type, 'clear', 'only its connection was cut');
@@ -187,7 +187,7 @@
 			ended++;
 			end(hosts[index], `s${ended}`, source, ...beside.map(item => sourceOf(item)));
 		} else if (isCut) {
-			quarantine.brokeOff(contentIdOf(source), serverOf(`live-${body}`));
+			quarantine.brokeOff(contentIdOf(source), serverOf(`live-${body}`), 'r');
 			hosts[index].settle(`live-${body}`, false);
 		} else {
 			quarantine.completed(source);
--- a/src/quarantine/common/quarantine.ts
+++ b/src/quarantine/common/quarantine.ts
@@ -17,6 +17,7 @@
 import {
 	contentIdOf, headDigestOf, headOfContentId, type ContentSource,
 } from './request-content.js';
+import {quarantineLogMessages} from './quarantine-log-messages.js';
 import type {ServerEnds} from './server-ends.js';
 
 /** Ends of servers under one content after which it is sent no more. */
@@ -33,7 +34,7 @@
 	= | {readonly type: 'clear'}
 	/** It may have ended its last server; in a moment more is known. */
 		| {readonly type: 'inDoubt'}
-		| {readonly type: 'barred'; readonly forMs: number};
+		| {readonly type: 'barred'; readonly forMs: number; readonly contentId: string};
 
 export const clearStanding: Standing = {type: 'clear'};
 
@@ -139,7 +140,7 @@
 			const contentId = contentIdOf(source);
 			const news = this.record.trial(contentId, clock.nowMs());
 			if (news) {
-				log.warn('A request in quarantine is tried once more.', {content: contentId, trial: news.trials?.count});
+				log.warn(quarantineLogMessages.tried, {content: contentId, trial: news.trials?.count});
 				this.didLearn.fire(news);
 			}
 		}
@@ -149,9 +150,11 @@
 	A call broke off before its answer was whole, though nobody here gave it up.
 	@param contentId - of its request.
 	@param server - that ran it.
+	@param requestId - its caller's name of this try.
 	*/
-	brokeOff(contentId: string, server: UpstreamServer): void {
+	brokeOff(contentId: string, server: UpstreamServer, requestId: string): void {
 		if (this.options.serverEnds.brokeOff(server)) {
+			this.options.log.info(quarantineLogMessages.brokeOff, {request: requestId, content: contentId, server: server.serverId});
 			this.addHead(contentId);
 			const contents = this.suspects.get(server.serverId) ?? new Set();
 			contents.add(contentId);
@@ -203,7 +206,7 @@
 		const nowMs = this.options.clock.nowMs();
 		const forMs = this.record.barredUntilMs(contentId, nowMs) - nowMs;
 		if (forMs > 0) {
-			return {type: 'barred', forMs};
+			return {type: 'barred', forMs, contentId};
 		}
 
 		const doubtful = this.doubtfulCount(contentId);
@@ -256,7 +259,7 @@
 		this.addHead(contentId);
 		const count = this.record.countOf(contentId, nowMs);
 		for (const {serverId} of news.ends) {
-			log.info('A server ended while it ran a request.', {
+			log.info(quarantineLogMessages.ended, {
 				content: contentId, server: serverId, ends: count, source,
 			});
 			this.didHearOfEnd.fire(serverId);
@@ -264,11 +267,11 @@
 
 		if (count >= barredAfter && countBefore < barredAfter) {
 			const servers = this.record.serversOf(contentId, nowMs);
-			log.warn('A request is in quarantine: it is sent to no server any more.', {content: contentId, servers: servers.join(' '), source});
+			log.warn(quarantineLogMessages.barred, {content: contentId, servers: servers.join(' '), source});
 			metrics.increment('quarantine.barred', 1);
 			this.didBar.fire(contentId);
 		} else if (count < barredAfter && countBefore >= barredAfter) {
-			log.warn('A request is out of quarantine: it has run to a whole answer.', {content: contentId, source});
+			log.warn(quarantineLogMessages.lifted, {content: contentId, source});
 			metrics.increment('quarantine.lifted', 1);
 		}
 
