Bring about that a hall that is drained is sent requests: a test that fails

Stand-ins of servers learn to stand in another hall, and to be cold and fall over above their rate. The test's six parts fail for one cause: of the operator's table only the declaration's row is read.

--- a/test/platform/direct-harness.ts
+++ b/test/platform/direct-harness.ts
@@ -79,10 +79,10 @@
 	private constructor(readonly store: StoreStandin) {}
 
 	/** Starts servers of a pool and lists them. */
-	async addServers(pool: string, count: number, stepMs?: number): Promise<ServerStandin[]> {
+	async addServers(pool: string, count: number, stepMs?: number, hall?: string): Promise<ServerStandin[]> {
 		const added: ServerStandin[] = [];
 		for (let index = 0; index < count; index++) {
-			const server = await ServerStandin.create(`${pool}-${this.servers.length}`, stepMs);
+			const server = await ServerStandin.create(`${pool}-${this.servers.length}`, stepMs, hall);
 			this.servers.push(server);
 			added.push(server);
 			this.store.put('servers', server.serverId, server.entry(pool));
--- /dev/null
+++ b/test/platform/hall-drain.test.ts
@@ -0,0 +1,154 @@
+/**
+Seen: requests, their repeats, pieces of their steps and releases of results went on to the servers of a data hall seconds
+after the operator's wish that it get nothing had been confirmed; so did those of hosts that started in the middle of it.
+Cause: hosts read the operator's table for the declaration alone, and passed the rows of drained halls over.
+Proof: here a hall is drained before a version of the declaration is written; once that version is in force the row before
+it has been read as well, and no time needs to be waited for.
+*/
+import t, {type Test} from 'tap';
+import {
+	ask, configOf, DirectFleet, readinessOf, streamCall, until, type RunningEntry,
+} from './direct-harness.js';
+import type {ServerStandin} from './upstream-standins.js';
+
+/** The hall that is drained is the entry's own, whose servers it prefers. */
+const drainKey = 'evacuate/hall-a';
+const otherHall = 'hall-b';
+
+async function makeFleet(t: Test): Promise<DirectFleet> {
+	const fleet = await DirectFleet.create();
+	t.teardown(() => {
+		fleet.dispose();
+	});
+	return fleet;
+}
+
+/** Waits until an entry has taken in all that was written to the operator's table before. */
+async function settle(fleet: DirectFleet, entries: readonly RunningEntry[], version: number): Promise<void> {
+	fleet.store.put('op', 'config', configOf(version));
+	await until(() => entries.every(({lines}) => lines.some(line => line.includes('A new version') && line.includes(`"version":${version},`))));
+}
+
+const stagedCall = (id: string) => streamCall('/staged/x', {id, headers: {'chunk-count': '2,1', 'chunk-key': 'k'}});
+
+/** Several requests of each kind. */
+async function askAll(entry: RunningEntry, prefix: string): Promise<number[]> {
+	const calls = Array.from({length: 4}, (_, index) => [
+		{path: '/look/x', id: `${prefix}l${index}`},
+		{method: 'POST', path: '/book/x', id: `${prefix}b${index}`},
+		streamCall('/draft/x', {id: `${prefix}d${index}`, headers: {'prompt-prefix': `aa:10,${index}b:5`}}),
+		stagedCall(`${prefix}s${index}`),
+	]).flat();
+	const answers = await Promise.all(calls.map(async call => ask(entry, call)));
+	return answers.map(({status}) => status);
+}
+
+t.test('a hall that is drained', async t => {
+	t.test('nothing is sent to a hall that is drained, and all is again once it is given back', async t => {
+		const fleet = await makeFleet(t);
+		const drained: ServerStandin[] = [];
+		for (const pool of ['plain', 'model', 'stage']) {
+			await fleet.addServers(pool, 1, 5, otherHall);
+			drained.push(...await fleet.addServers(pool, 2, 5));
+		}
+
+		const entry = await fleet.addReadyEntry();
+		fleet.store.put('op', drainKey, {});
+		await settle(fleet, [entry], 2);
+		const before = drained.map(({arrivedMs}) => arrivedMs.length);
+		t.ok((await askAll(entry, 'x')).every(status => status === 200));
+		t.same(drained.map(({arrivedMs}) => arrivedMs.length), before);
+		fleet.store.remove('op', drainKey);
+		await settle(fleet, [entry], 3);
+		await until(async () => {
+			await askAll(entry, `y${performance.now()}`);
+			return drained.every(({arrivedMs}, index) => arrivedMs.length > before[index]);
+		});
+	});
+
+	t.test('a repeat of a request does not go to a hall that is drained', async t => {
+		const fleet = await makeFleet(t);
+		const [sound] = await fleet.addServers('plain', 1, 2, otherHall);
+		const [other] = await fleet.addServers('plain', 1);
+		const entry = await fleet.addReadyEntry();
+		fleet.store.put('op', drainKey, {});
+		await settle(fleet, [entry], 2);
+		sound.fault = 'error';
+		t.equal((await ask(entry, {path: '/look/x'})).status, 500);
+		t.equal(other.arrivedMs.length, 0);
+	});
+
+	t.test('a pool that stands in drained halls only is refused at once, as not run', async t => {
+		const fleet = await makeFleet(t);
+		await fleet.addServers('plain', 1, 2, otherHall);
+		await fleet.addServers('stage', 1);
+		const [model] = await fleet.addServers('model', 1);
+		const entry = await fleet.addReadyEntry();
+		fleet.store.put('op', drainKey, {});
+		await settle(fleet, [entry], 2);
+		for (const call of [streamCall('/draft/x', {id: 'd'}), stagedCall('s')]) {
+			const answer = await ask(entry, call);
+			t.match(answer, {status: 503, text: /^Not run: .*drained/v, headers: {'retry-after': /^[\d.]+$/v}}, call.path);
+		}
+
+		t.equal(model.arrivedMs.length, 0);
+		t.equal((await ask(entry, {path: '/look/x'})).status, 200, 'other pools are served');
+		t.notOk(entry.lines.some(line => line.includes('"heldMs"') && line.includes('"d"')));
+	});
+
+	t.test('a host that starts while the store is away learns of drained halls from a peer', async t => {
+		const fleet = await makeFleet(t);
+		const [sound] = await fleet.addServers('plain', 1, 2, otherHall);
+		const [drained] = await fleet.addServers('plain', 1);
+		const first = await fleet.addReadyEntry();
+		fleet.store.put('op', drainKey, {});
+		await settle(fleet, [first], 2);
+		fleet.store.mode = 'busy';
+		const fresh = await fleet.addEntry();
+		await until(async () => await readinessOf(fresh) === 200);
+		for (let index = 0; index < 8; index++) {
+			t.equal((await ask(fresh, {path: '/look/x', id: `f${index}`})).status, 200);
+		}
+
+		t.equal(drained.arrivedMs.length, 0);
+		t.equal(sound.seen.length, 8);
+	});
+
+	t.test('a hall that was given back while the history was forgotten is used again', async t => {
+		const fleet = await makeFleet(t);
+		await fleet.addServers('plain', 1, 2, otherHall);
+		const [drained] = await fleet.addServers('plain', 1);
+		const entry = await fleet.addReadyEntry();
+		fleet.store.put('op', drainKey, {});
+		await settle(fleet, [entry], 2);
+		t.equal((await ask(entry, {path: '/look/x'})).status, 200);
+		t.equal(drained.arrivedMs.length, 0);
+		fleet.store.mode = 'busy';
+		fleet.store.remove('op', drainKey);
+		fleet.store.forgetHistory();
+		fleet.store.mode = 'sound';
+		await until(async () => {
+			await ask(entry, {path: '/look/x'});
+			return drained.seen.length > 0;
+		});
+	});
+
+	t.test('strange rows about halls cost no more than themselves', async t => {
+		const fleet = await makeFleet(t);
+		const [sound] = await fleet.addServers('plain', 1, 2, otherHall);
+		const [drained] = await fleet.addServers('plain', 1);
+		const entry = await fleet.addReadyEntry();
+		fleet.store.put('op', 'evacuate/nowhere', {});
+		fleet.store.put('op', 'evacuate/', {});
+		fleet.store.put('op', 'evacuated', {});
+		fleet.store.put('op', drainKey, ['what', 7]);
+		await settle(fleet, [entry], 2);
+		for (let index = 0; index < 8; index++) {
+			t.equal((await ask(entry, {path: '/look/x', id: `f${index}`})).status, 200);
+		}
+
+		t.equal(drained.arrivedMs.length, 0, 'the row is there: what it holds does not matter');
+		t.equal(sound.seen.length, 8);
+		t.equal(entry.lines.filter(line => line.includes('nowhere')).length, 1, 'one line tells of a hall that no server is in');
+	});
+});
--- a/test/platform/upstream-standins.ts
+++ b/test/platform/upstream-standins.ts
@@ -56,9 +56,10 @@
 	Starts a server.
 	@param serverId - its id.
 	@param stepMs - time of an event of a stream, or of an answer.
+	@param hall - where it stands.
 	*/
-	static async create(serverId: string, stepMs = 2): Promise<ServerStandin> {
-		const standin = new ServerStandin(serverId, stepMs);
+	static async create(serverId: string, stepMs = 2, hall = 'hall-a'): Promise<ServerStandin> {
+		const standin = new ServerStandin(serverId, stepMs, hall);
 		standin.server = await StandinServer.create(async (request, response) => standin.answer(request, response));
 		return standin;
 	}
@@ -73,6 +74,12 @@
 	/** Calls of stage work, each with its pieces. */
 	readonly stageCalls: Array<ReadonlyArray<Record<string, unknown>>> = [];
 	readonly freed: string[] = [];
+	/** While it is cold, it ends once more requests than this come within a second. */
+	mostWhileCold = Infinity;
+	/** How much longer it is cold, as its entry tells. */
+	coldLeftMs = 0;
+	/** When requests came, those it rejects included. */
+	readonly arrivedMs: number[] = [];
 	/** Calls of stage work are answered once this has ended. */
 	stageGate: Promise<void> | undefined;
 	/** Requests whose connection closed before their answer was whole. */
@@ -80,7 +87,7 @@
 	private server!: StandinServer;
 	private results = 0;
 
-	private constructor(readonly serverId: string, private readonly stepMs: number) {}
+	private constructor(readonly serverId: string, private readonly stepMs: number, readonly hall: string) {}
 
 	get address(): string {
 		return new URL(this.server.origin).host;
@@ -89,10 +96,15 @@
 	/** The entry that a server of this kind keeps in the store. */
 	entry(pool: string, phase: 'ready' | 'draining' = 'ready') {
 		return {
-			backend: pool, address: this.address, availZone: 'hall-a', generationNum: 'v1', slotCount: 4, phase, coldLeftMs: 0, callSeq: 1,
+			backend: pool, address: this.address, availZone: this.hall, generationNum: 'v1', slotCount: 4, phase, coldLeftMs: this.coldLeftMs, callSeq: 1,
 		};
 	}
 
+	/** Most requests that came within any one second. */
+	get mostInOneSecond(): number {
+		return Math.max(0, ...this.arrivedMs.map(startMs => this.arrivedMs.filter(atMs => atMs >= startMs && atMs < startMs + 1000).length));
+	}
+
 	dispose(): void {
 		this.server.dispose();
 	}
@@ -105,6 +117,12 @@
 	private async answer(request: IncomingMessage, response: ServerResponse): Promise<void> {
 		const body = new TextDecoder().decode(await readBody(request));
 		const path = request.url ?? '';
+		this.arrivedMs.push(performance.now());
+		if (this.coldLeftMs > 0 && this.mostInOneSecond > this.mostWhileCold) {
+			this.end();
+			return;
+		}
+
 		if (request.headers['expect-instance'] !== this.serverId) {
 			response.writeHead(421, {'instance-id': this.serverId}).end();
 		} else if (path === '/v1/stage-run') {
