Send nothing to a hall that is drained

Cause: hosts read the operators' table for the declaration alone; the rows of drained halls were passed over. Change: those rows travel with the declaration's feed (HallDrains: the newest writing of each hall counts) and with the beats of peers, ends included; a reading of everything ends what it lacks. The registry gives no server of a drained hall, so that choices, repeats, hedges, resumed streams and calls of steps stop where they go out; links refuse what was chosen before; results there are not released. A pool in drained halls only: refused at once, also what waits for its steps.

--- a/src/daemon/node/compose-direct-entry.ts
+++ b/src/daemon/node/compose-direct-entry.ts
@@ -10,6 +10,7 @@
 import {randomToken} from '../../base/common/random.js';
 import {newId} from '../../base/node/ids.js';
 import {DeploymentBoard, deploymentBoardToken} from '../../deployment/common/deployment-board.js';
+import {HallDrains, hallDrainsToken} from '../../deployment/common/hall-drains.js';
 import {ServerRegistry, serverRegistryToken} from '../../deployment/common/server-registry.js';
 import {DirectRouter} from '../../direct/common/direct-router.js';
 import {EngineChooser} from '../../direct/common/engine-chooser.js';
@@ -96,14 +97,18 @@
 			isLeaving: isLeaving(),
 			room: roomOf(settings.capacity),
 			storeAgeMs: storeAgeMs(get),
+			...(get(hallDrainsToken).all.length > 0 && {hallDrains: [...get(hallDrainsToken).all]}),
 		}),
 	})));
 }
 
 /** What this host knows: the declaration in force and the list of servers. */
-function registerState({settings, logOf, register}: Composition): void {
+function registerState({settings, logOf, register, get}: Composition): void {
 	register(deploymentBoardToken, () => DeploymentBoard.create(logOf('declaration')));
-	register(serverRegistryToken, () => ServerRegistry.create({log: logOf('servers'), leavingWithinMs: settings.leavingWithinMs}));
+	register(hallDrainsToken, () => HallDrains.create());
+	register(serverRegistryToken, () => ServerRegistry.create({
+		log: logOf('servers'), leavingWithinMs: settings.leavingWithinMs, drains: get(hallDrainsToken),
+	}));
 }
 
 /** Which requests end the servers that run them. */
@@ -212,6 +217,7 @@
 		waits: get(batchDeskToken),
 		likelyPlace: (stage, nowMs) => get(routerToken).likelyPlace(stage, nowMs),
 		standingOf: plan => get(routerToken).standingOf(plan),
+		unavailabilityOf: pools => get(routerToken).unavailabilityOf(pools),
 		clock,
 		random: get(randomToken),
 		log: logOf('requests'),
@@ -227,6 +233,7 @@
 		mesh: get(peerMeshToken),
 		board: get(deploymentBoardToken),
 		registry: get(serverRegistryToken),
+		drains: get(hallDrainsToken),
 		isListAway: () => !get(serverFeedToken).isCurrent,
 		clock,
 		log: logOf('peers'),
--- a/src/daemon/node/compose-feeds.ts
+++ b/src/daemon/node/compose-feeds.ts
@@ -1,8 +1,10 @@
 /** Where a host learns of the declaration and the servers: the feeds of the platform's store. */
 import type {InjectionToken} from 'tsyringe';
 import {randomToken} from '../../base/common/random.js';
-import type {Deployment} from '../../deployment/common/declaration.js';
 import {deploymentBoardToken} from '../../deployment/common/deployment-board.js';
+import {hallDrainsToken} from '../../deployment/common/hall-drains.js';
+import {listSources} from '../../deployment/common/list-source.js';
+import type {OperatorRow} from '../../deployment/common/operator-row.js';
 import {serverRegistryToken} from '../../deployment/common/server-registry.js';
 import type {FeedChanges} from '../../deployment/common/feed.js';
 import type {UpstreamServer} from '../../deployment/common/upstream-server.js';
@@ -12,7 +14,7 @@
 import {roomOf} from '../../routing/common/host-room.js';
 import type {Composition} from './direct-composition.js';
 
-export const declarationFeedToken: InjectionToken<FeedFollower<Deployment>> = Symbol('DeclarationFeed');
+export const declarationFeedToken: InjectionToken<FeedFollower<OperatorRow>> = Symbol('DeclarationFeed');
 export const serverFeedToken: InjectionToken<FeedFollower<UpstreamServer>> = Symbol('ServerFeed');
 
 /**
@@ -20,9 +22,21 @@
 @param composition - of the entry.
 */
 export function registerFeeds({settings, ports, lifecycle, clock, logOf, register, get}: Composition): void {
-	const offerAll = ({changed}: FeedChanges<Deployment>) => {
+	/** Drains first: a host that knows the declaration takes requests. */
+	const takeDrains = (rows: FeedChanges<OperatorRow>, isAll: boolean) => {
+		const drains = rows.changed.flatMap(({value, revision}) => value.type === 'hallDrain' ? [{hall: value.hall, isDrained: value.isDrained, revision}] : []);
+		if (isAll) {
+			get(hallDrainsToken).replaceAll(drains, rows.revision, listSources.store);
+		} else {
+			get(hallDrainsToken).take(drains, listSources.store);
+		}
+	};
+
+	const takeDeclarations = ({changed}: FeedChanges<OperatorRow>) => {
 		for (const {value} of changed) {
-			get(deploymentBoardToken).offer(value, 'store');
+			if (value.type === 'declaration') {
+				get(deploymentBoardToken).offer(value.deployment, 'store');
+			}
 		}
 	};
 
@@ -38,7 +52,7 @@
 		holdMs: () => get(readingDutyToken).holdMs,
 		mayRest: () => get(readingDutyToken).mayRest(),
 	};
-	register(declarationFeedToken, () => lifecycle.register(FeedFollower.create<Deployment>({
+	register(declarationFeedToken, () => lifecycle.register(FeedFollower.create<OperatorRow>({
 		name: 'declaration',
 		source: ports.declarations,
 		clock,
@@ -47,11 +61,13 @@
 		...duty,
 		isTold: () => get(deploymentBoardToken).current !== undefined,
 		replaceAll(all) {
-			offerAll(all);
+			takeDrains(all, true);
+			takeDeclarations(all);
 			return true;
 		},
 		apply(changes) {
-			offerAll(changes);
+			takeDrains(changes, false);
+			takeDeclarations(changes);
 		},
 		lost: () => undefined,
 		returned: () => undefined,
--- a/src/daemon/node/direct-composition.ts
+++ b/src/daemon/node/direct-composition.ts
@@ -12,8 +12,8 @@
 import {tellSleep} from '../../base/node/tell-sleep.js';
 import {SystemClock} from '../../base/node/system-clock.js';
 import {TextMetrics} from '../../base/node/text-metrics.js';
-import type {Deployment} from '../../deployment/common/declaration.js';
 import type {FeedSource} from '../../deployment/common/feed.js';
+import type {OperatorRow} from '../../deployment/common/operator-row.js';
 import type {UpstreamServer} from '../../deployment/common/upstream-server.js';
 import {callerProtocolToken, type CallerProtocol} from '../../direct/common/caller-protocol.js';
 import {upstreamProtocolToken, type UpstreamProtocol} from '../../direct/common/upstream-protocol.js';
@@ -27,7 +27,7 @@
 	readonly callers: CallerProtocol;
 	readonly upstreams: UpstreamProtocol;
 	readonly batches: BatchProtocol;
-	readonly declarations: FeedSource<Deployment>;
+	readonly declarations: FeedSource<OperatorRow>;
 	readonly servers: FeedSource<UpstreamServer>;
 };
 
--- /dev/null
+++ b/src/deployment/common/hall-drains.ts
@@ -0,0 +1,97 @@
+/**
+Which data halls are being drained: operators want nothing more to be sent to the servers that stand there.
+
+Each hall has the revision of the writing that began or ended its drain, and the newest writing counts. News come from the
+store's feed and from peers, late, twice and in any order; all hosts that have heard the same news know the same.
+*/
+import type {InjectionToken} from 'tsyringe';
+import {Emitter} from '../../base/common/emitter.js';
+import type {HallDrain} from '../../wire/common/messages.js';
+import type {ListSource} from './list-source.js';
+
+/** Halls of which anything is remembered; beyond them, those whose drain ended longest ago are forgotten. */
+export const mostHalls = 100;
+
+/** The beginning or the end of a drain, and who told of it. */
+export type HallDrainChange = HallDrain & {readonly source: ListSource};
+
+export const hallDrainsToken: InjectionToken<HallDrains> = Symbol('HallDrains');
+
+/** Knows the drained halls. */
+export class HallDrains {
+	static create(): HallDrains {
+		return new HallDrains();
+	}
+
+	private readonly didChange = Emitter.create<HallDrainChange>();
+	/** By hall; the one that changed longest ago first. */
+	private readonly drains = new Map<string, HallDrain>();
+
+	/** Fires when a drain begins or ends. */
+	get onDidChange() {
+		return this.didChange.event;
+	}
+
+	/** All that is known, for peers: ends of drains as well, since a peer may have heard of the beginning only. */
+	get all(): readonly HallDrain[] {
+		return [...this.drains.values()];
+	}
+
+	isDrained(hall: string): boolean {
+		return this.drains.get(hall)?.isDrained === true;
+	}
+
+	/**
+	Takes news, in any order; each counts by its own revision.
+	@param news - beginnings and ends.
+	@param source - who told them.
+	*/
+	take(news: readonly HallDrain[], source: ListSource): void {
+		for (const drain of news) {
+			this.put(drain, source);
+		}
+	}
+
+	/**
+	Takes everything that the store holds: drains that it does not hold have ended, whoever missed their end.
+	@param drains - those in force.
+	@param revision - the writing that the reading is as of.
+	@param source - who told them.
+	*/
+	replaceAll(drains: readonly HallDrain[], revision: number, source: ListSource): void {
+		this.take(drains, source);
+		const held = new Set(drains.map(({hall}) => hall));
+		for (const {hall, isDrained} of this.all) {
+			if (isDrained && !held.has(hall)) {
+				this.put({hall, isDrained: false, revision}, source);
+			}
+		}
+	}
+
+	private put(drain: HallDrain, source: ListSource): void {
+		const {hall, isDrained, revision} = drain;
+		const known = this.drains.get(hall);
+		if (known && revision <= known.revision) {
+			return;
+		}
+
+		this.drains.delete(hall);
+		this.drains.set(hall, drain);
+		this.forgetEnded();
+		if ((known?.isDrained ?? false) !== isDrained) {
+			this.didChange.fire({...drain, source});
+		}
+	}
+
+	private forgetEnded(): void {
+		for (const {hall, isDrained} of this.all) {
+			if (this.drains.size <= mostHalls) {
+				return;
+			}
+
+			if (!isDrained) {
+				this.drains.delete(hall);
+			}
+		}
+	}
+}
--- a/src/deployment/common/server-registry.ts
+++ b/src/deployment/common/server-registry.ts
@@ -18,6 +18,8 @@
 import {Emitter} from '../../base/common/emitter.js';
 import type {Logger} from '../../base/common/logger.js';
 import type {DroppedRow, FeedChanges, WrittenRow} from './feed.js';
+import type {HallDrainChange, HallDrains} from './hall-drains.js';
+import {listSources, type ListSource} from './list-source.js';
 import {ServerStarts} from './server-starts.js';
 import type {ListedServer, ServerList, UpstreamServer} from './upstream-server.js';
 
@@ -57,10 +59,6 @@
 	gone: 'A server is gone.',
 } as const satisfies Record<ServerChange['change'], string>;
 
-/** Who told of the servers. */
-export const listSources = {store: 'store', peer: 'peer'} as const;
-export type ListSource = (typeof listSources)[keyof typeof listSources];
-
 export const serverRegistryToken: InjectionToken<ServerRegistry> = Symbol('ServerRegistry');
 
 /** One change of the list. */
@@ -75,6 +73,8 @@
 	readonly log: Logger;
 	/** Within this time after the store took it a server that leaves must get no more. */
 	readonly leavingWithinMs: number;
+	/** Halls whose servers get no new work; none where absent. */
+	readonly drains?: Pick<HallDrains, 'isDrained' | 'onDidChange'>;
 };
 
 /** Keeps the servers of all pools. */
@@ -97,7 +97,11 @@
 	/** Who told what is being taken; for logs. */
 	private source: ListSource = listSources.store;
 
-	private constructor(private readonly options: ServerRegistryOptions) {}
+	private constructor(private readonly options: ServerRegistryOptions) {
+		options.drains?.onDidChange(change => {
+			this.drainChanged(change);
+		});
+	}
 
 	get onDidChange() {
 		return this.didChange.event;
@@ -119,7 +123,7 @@
 	usable(pool: string): readonly UpstreamServer[] {
 		let view = this.views.get(pool);
 		if (!view) {
-			const staying = [...this.servers.values()].filter(server => server.pool === pool && !server.isLeaving);
+			const staying = this.stayingIn(pool).filter(server => !this.isDrained(server));
 			const listed = staying.filter(({serverId}) => !this.missing.has(serverId));
 			const isMostMissing = staying.length > 2 * listed.length;
 			view = isMostMissing ? staying : listed;
@@ -129,6 +133,23 @@
 		return view;
 	}
 
+	/**
+	Tells whether a pool has servers, and all of them stand in halls that are being drained.
+	@param pool - the pool's name.
+	*/
+	isPoolDrained(pool: string): boolean {
+		const staying = this.stayingIn(pool);
+		return staying.length > 0 && staying.every(server => this.isDrained(server));
+	}
+
+	/**
+	Tells whether a server gets nothing more because of where it stands.
+	@param server - where work would go.
+	*/
+	isDrained({hall}: Pick<UpstreamServer, 'hall'>): boolean {
+		return this.options.drains?.isDrained(hall) === true;
+	}
+
 	get(serverId: string): UpstreamServer | undefined {
 		return this.servers.get(serverId);
 	}
@@ -234,6 +255,18 @@
 		}
 	}
 
+	private stayingIn(pool: string): ListedServer[] {
+		return [...this.servers.values()].filter(server => server.pool === pool && !server.isLeaving);
+	}
+
+	private drainChanged({hall, isDrained, revision, source}: HallDrainChange): void {
+		this.views = new Map();
+		const servers = [...this.servers.values()].filter(server => server.hall === hall).length;
+		this.options.log.info(isDrained ? 'A data hall is being drained; nothing more is sent to its servers.' : 'A data hall is not drained any more.', {
+			hall, servers, revision, source,
+		});
+	}
+
 	private takeChange({kind, row}: Change, nowMs: number): void {
 		switch (kind) {
 			case 'written': {
--- a/src/direct/common/direct-plan.ts
+++ b/src/direct/common/direct-plan.ts
@@ -34,18 +34,21 @@
 Chooses one of a route's pools by weight.
 @param route - the route.
 @param random - the source of chance.
+@param isUsable - tells whether a pool has upstreams that may get work; one that has none is left out if another has.
 @returns the pool's name.
 */
-export function choosePool({targets}: Route, random: Random): string {
-	let left = random.next() * targets.reduce((sum, target) => sum + target.weight, 0);
-	for (const {pool, weight} of targets) {
+export function choosePool({targets}: Route, random: Random, isUsable: (pool: string) => boolean): string {
+	const usable = targets.filter(({pool}) => isUsable(pool));
+	const choices = usable.length > 0 ? usable : targets;
+	let left = random.next() * choices.reduce((sum, target) => sum + target.weight, 0);
+	for (const {pool, weight} of choices) {
 		left -= weight;
 		if (left < 0) {
 			return pool;
 		}
 	}
 
-	return targets.at(-1)!.pool;
+	return choices.at(-1)!.pool;
 }
 
 /**
--- a/src/direct/common/direct-router.ts
+++ b/src/direct/common/direct-router.ts
@@ -4,7 +4,7 @@
 import type {Attempt} from '../../request/common/attempt.js';
 import {attemptStates, type RequestPlan, type StagePlan} from '../../request/common/request-plan.js';
 import {clearStanding, type Quarantine, type Standing} from '../../quarantine/common/quarantine.js';
-import type {RequestRouter} from '../../request/common/request-router.js';
+import type {RequestRouter, Unavailability} from '../../request/common/request-router.js';
 import {
 	makeCandidateSet, type Candidate, type Choice, type UpstreamChooser,
 } from '../../routing/common/chooser.js';
@@ -38,6 +38,8 @@
 	consecutiveFailures: 6, errorShare: 0.5, slowFactor: 3, baseEjectionMs: 1500, longestEjectionMs: 6000, mostEjectedShare: 0.5,
 };
 
+/** A drain lasts for seconds at least; callers heed up to a third of the time they have left, some 2 s. */
+const drainedRetryAfterMs = 2000;
 /** Ends of attempts that say nothing about the upstream. */
 const innocentReasons = new Set(['lostRace', 'abandoned', 'cancelled']);
 
@@ -104,6 +106,24 @@
 		}, nowMs);
 	}
 
+	unavailability({pool}: StagePlan): Unavailability | undefined {
+		return this.unavailabilityOf([pool]);
+	}
+
+	/**
+	Tells why requests that need certain pools can't be served for now.
+	@param pools - their names.
+	@returns nothing where each pool has upstreams that may get work, or that may be there in a moment.
+	*/
+	unavailabilityOf(pools: readonly string[]): Unavailability | undefined {
+		const drained = pools.find(pool => this.options.registry.isPoolDrained(pool));
+		return drained === undefined
+			? undefined
+			: {
+				message: `all upstreams of ${drained} stand in data halls that are being drained`, retryAfterMs: drainedRetryAfterMs,
+			};
+	}
+
 	mayRetry(stage: StagePlan, nowMs: number): boolean {
 		return this.budgetOf(stage.pool).tryWithdraw(nowMs);
 	}
--- a/src/direct/node/direct-links.ts
+++ b/src/direct/node/direct-links.ts
@@ -152,7 +152,7 @@
 		const server = this.options.registry.get(serverId);
 		const facts = this.requests.get(message.requestId);
 		const {call: http} = message;
-		if (!server || !facts || http.kind !== 'http') {
+		if (!server || !facts || http.kind !== 'http' || this.options.registry.isDrained(server)) {
 			return false;
 		}
 
--- a/src/direct/node/ingress.ts
+++ b/src/direct/node/ingress.ts
@@ -17,6 +17,7 @@
 import {contentIdOf} from '../../quarantine/common/request-content.js';
 import {requestLogMessages} from '../../request/common/request-log-messages.js';
 import {otherHostMs, type RequestPlan, type StagePlan} from '../../request/common/request-plan.js';
+import type {Unavailability} from '../../request/common/request-router.js';
 import type {RequestRunner} from '../../request/node/request-runner.js';
 import type {Endpoint} from '../../wire/common/endpoint.js';
 import {listenOn} from '../../wire/node/listen.js';
@@ -47,6 +48,8 @@
 	readonly likelyPlace: (stage: StagePlan, nowMs: number) => LikelyPlace;
 	/** Tells whether a request may be sent, by what became of the same content before. */
 	readonly standingOf: (plan: RequestPlan) => Standing;
+	/** Tells why requests that need certain pools can't be served for now. */
+	readonly unavailabilityOf: (pools: readonly string[]) => Unavailability | undefined;
 	/** Waits of the queues for steps. */
 	readonly waits: PoolWaits;
 	readonly clock: Clock;
@@ -216,7 +219,7 @@
 		const {request, response, ask, receivedMs} = arrival;
 		const {links, runner, likelyPlace, clock, log, metrics} = this.options;
 		const plan = this.planOf(arrival);
-		if (this.refuseBarred(arrival, plan)) {
+		if (this.refuseBarred(arrival, plan) || this.refuseUnavailable(arrival, plan)) {
 			return;
 		}
 
@@ -262,8 +265,26 @@
 		return true;
 	}
 
+	/**
+	Refuses a request for which a pool it needs has no upstream that may get work.
+	@returns whether it was one.
+	*/
+	private refuseUnavailable({response, route, ask}: Arrival, {stages: [stage]}: RequestPlan): boolean {
+		const stepPools = route.steps.filter((_, index) => (ask.pieceCounts[index] ?? 0) > 0).map(({pool}) => pool);
+		const unavailability = this.options.unavailabilityOf([stage.pool, ...stepPools]);
+		if (!unavailability) {
+			return false;
+		}
+
+		this.refuse(response, {
+			requestId: ask.requestId, status: ownStatuses.unavailable, reason: notRunText(unavailability.message), retryAfterMs: unavailability.retryAfterMs,
+		});
+		return true;
+	}
+
 	private planOf({request, index, route, workspace, ask, body, receivedMs}: Arrival): RequestPlan {
-		const pool = choosePool(route, this.options.random);
+		const {random, unavailabilityOf} = this.options;
+		const pool = choosePool(route, random, each => unavailabilityOf([each]) === undefined);
 		return makeDirectPlan({
 			requestId: this.idFor(ask.requestId),
 			workspace: workspace?.name ?? '',
--- a/src/entry/common/fleet-router.ts
+++ b/src/entry/common/fleet-router.ts
@@ -62,6 +62,11 @@
 	private constructor(private readonly options: FleetRouterOptions) {}
 
 	/** An agent stands between a request and its upstream; which requests end upstreams is not known here. */
+	/** Agents say themselves what they take; a stage may always wait for one. */
+	unavailability(): undefined {
+		return undefined;
+	}
+
 	standingOf(): Standing {
 		return clearStanding;
 	}
--- a/src/peers/node/declaration-spread.test.ts
+++ b/src/peers/node/declaration-spread.test.ts
@@ -13,6 +13,7 @@
 import {SeededRandom} from '../../base/common/random.js';
 import type {Deployment, Route} from '../../deployment/common/declaration.js';
 import {DeploymentBoard} from '../../deployment/common/deployment-board.js';
+import {HallDrains} from '../../deployment/common/hall-drains.js';
 import {ServerRegistry} from '../../deployment/common/server-registry.js';
 import {encodeFrame} from '../../wire/common/frame-codec.js';
 import type {Message} from '../../wire/common/messages.js';
@@ -56,6 +57,7 @@
 			},
 			board: this.board,
 			registry: ServerRegistry.create({log, leavingWithinMs: boundMs}),
+			drains: HallDrains.create(),
 			isListAway: () => false,
 			clock: network.clock,
 			log,
--- a/src/peers/node/peer-mesh.ts
+++ b/src/peers/node/peer-mesh.ts
@@ -20,7 +20,7 @@
 const ownPauseMs = 400;
 
 /** What a host tells its peers of itself. */
-export type OwnState = Pick<PeerBeat, 'deploymentVersion' | 'listRevision' | 'isLeaving' | 'room' | 'storeAgeMs'>;
+export type OwnState = Pick<PeerBeat, 'deploymentVersion' | 'listRevision' | 'isLeaving' | 'room' | 'storeAgeMs' | 'hallDrains'>;
 
 /** A message of a peer. */
 export type PeerMessage = {readonly hostId: string; readonly message: Message};
--- a/src/peers/node/state-exchange.test.ts
+++ b/src/peers/node/state-exchange.test.ts
@@ -4,6 +4,7 @@
 import {hashText} from '../../base/common/hash.js';
 import {silentLoggers} from '../../base/common/logger.js';
 import {DeploymentBoard} from '../../deployment/common/deployment-board.js';
+import {HallDrains} from '../../deployment/common/hall-drains.js';
 import {ServerRegistry} from '../../deployment/common/server-registry.js';
 import type {ServerList} from '../../deployment/common/upstream-server.js';
 import {encodeFrame} from '../../wire/common/frame-codec.js';
@@ -35,6 +36,7 @@
 		},
 		board: DeploymentBoard.create(log),
 		registry,
+		drains: HallDrains.create(),
 		isListAway: () => isListAway,
 		clock,
 		log,
--- a/src/peers/node/state-exchange.ts
+++ b/src/peers/node/state-exchange.ts
@@ -5,7 +5,9 @@
 import type {Logger} from '../../base/common/logger.js';
 import type {DeploymentBoard} from '../../deployment/common/deployment-board.js';
 import {applyDeploymentPatch, deploymentPatchSchema} from '../../deployment/common/deployment-patch.js';
-import {listSources, type ServerRegistry} from '../../deployment/common/server-registry.js';
+import type {HallDrains} from '../../deployment/common/hall-drains.js';
+import {listSources} from '../../deployment/common/list-source.js';
+import type {ServerRegistry} from '../../deployment/common/server-registry.js';
 import {readToldServers} from '../../deployment/common/upstream-server.js';
 import type {Message, PackedDeployment} from '../../wire/common/messages.js';
 import {AskPace} from '../common/ask-pace.js';
@@ -27,6 +29,7 @@
 	readonly mesh: Pick<PeerMesh, 'onDidReceive' | 'announce' | 'send'>;
 	readonly board: DeploymentBoard;
 	readonly registry: ServerRegistry;
+	readonly drains: HallDrains;
 	/** Whether this host's own reading of the server list is interrupted. */
 	readonly isListAway: () => boolean;
 	readonly clock: Clock;
@@ -49,7 +52,7 @@
 	private lacked: {readonly revision: number; readonly sinceMs: number} | undefined;
 
 	private constructor(private readonly options: StateExchangeOptions) {
-		const {mesh, board, registry} = options;
+		const {mesh, board, registry, drains} = options;
 		this.replies = this.owned.add(StateReplies.create(board, registry));
 		this.owned.add(mesh.onDidReceive(({hostId, message}) => {
 			this.receive(hostId, message);
@@ -57,6 +60,9 @@
 		this.owned.add(board.onDidChange(() => {
 			mesh.announce();
 		}));
+		this.owned.add(drains.onDidChange(() => {
+			mesh.announce();
+		}));
 		this.owned.add(registry.onDidChange(() => {
 			this.announceSoon();
 		}));
@@ -79,10 +85,11 @@
 	}
 
 	private receive(hostId: string, message: Message): void {
-		const {mesh, board, clock} = this.options;
+		const {mesh, board, drains, clock} = this.options;
 		switch (message.type) {
 			case 'peerBeat': {
 				const nowMs = clock.nowMs();
+				drains.take(message.hallDrains ?? [], listSources.peer);
 				this.ask(hostId, {
 					wantsDeployment: message.deploymentVersion > board.version && this.deploymentPace.mayAsk(nowMs),
 					wantsServers: this.lacks(message.listRevision) && this.serversPace.mayAsk(nowMs),
--- a/src/preparation/common/batch-machine.ts
+++ b/src/preparation/common/batch-machine.ts
@@ -85,7 +85,15 @@
 	@returns the pieces, none of which has been begun.
 	*/
 	takeWaiting(): PieceEnd[] {
-		return this.waiting.takeAll();
+		return this.waiting.takeAll(pieceFailures.moved);
+	}
+
+	/**
+	Gives everything up that waits, as when no upstream gets work for a while.
+	@returns the pieces, none of which has been begun.
+	*/
+	giveUpWaiting(): PieceEnd[] {
+		return this.waiting.takeAll(pieceFailures.noUpstream);
 	}
 
 	/**
--- a/src/preparation/common/piece-queue.ts
+++ b/src/preparation/common/piece-queue.ts
@@ -47,11 +47,14 @@
 		this.pieces = this.pieces.filter(({work}) => work.workId !== workId);
 	}
 
-	/** Gives away everything that waits; none of it has been begun. */
-	takeAll(): PieceEnd[] {
-		const moved = endsOf(this.pieces, pieceFailures.moved);
+	/**
+	Takes out everything that waits; none of it has been begun.
+	@param reason - why.
+	*/
+	takeAll(reason: PieceFailure): PieceEnd[] {
+		const taken = endsOf(this.pieces, reason);
 		this.pieces = [];
-		return moved;
+		return taken;
 	}
 
 	/**
--- a/src/preparation/common/work.ts
+++ b/src/preparation/common/work.ts
@@ -12,6 +12,8 @@
 	/** The upstream has no room for another result. */
 	noRoom: 'noRoom',
 	failed: 'failed',
+	/** No upstream of its pool gets work for a while. */
+	noUpstream: 'noUpstream',
 	/** Not begun: another host batches the pool now. */
 	moved: 'moved',
 	/** Given up because the request has ended, or nobody could take it. */
--- a/src/preparation/node/batch-pool.ts
+++ b/src/preparation/node/batch-pool.ts
@@ -138,6 +138,10 @@
 			}
 		}
 
+		if (registry.isPoolDrained(pool)) {
+			this.report(this.machine.giveUpWaiting());
+		}
+
 		this.tell(nowMs);
 		this.report(this.machine.sweep(serverId => registry.get(serverId) !== undefined, nowMs));
 		if (this.machine.waitingCount > 0) {
@@ -234,6 +238,11 @@
 	private sendReleases(): void {
 		for (const [serverId, handles] of this.releases) {
 			const server = this.options.registry.get(serverId);
+			if (server && this.options.registry.isDrained(server)) {
+				// Nothing more is sent there: the upstream drops the results itself once their time is over.
+				continue;
+			}
+
 			if (server) {
 				void this.sendRelease(server, handles);
 			} else {
--- a/src/preparation/node/preparer.ts
+++ b/src/preparation/node/preparer.ts
@@ -17,6 +17,8 @@
 
 /** Pieces of one request that may fail before the request is given up. */
 const mostFailures = 6;
+/** Failures after which nothing more is asked for: what is late at once would be asked for for ever, as would what nobody takes. */
+const finalFailures = new Set<string>([pieceFailures.late, pieceFailures.noUpstream]);
 /** Callers of streams leave when nothing came for four times the target; one is kept back for the answer's way. */
 const patienceTargets = 3;
 /** Part of its caller's time that a request may wait for its first step: later, an answer would rarely come at all. */
@@ -288,8 +290,7 @@
 			this.release(this.preparation.inputsLost(index, serverId => this.isKept(serverId)));
 		}
 
-		if (reason === pieceFailures.late || this.failureCount > mostFailures) {
-			// Nothing more is asked for: a piece that is late at once would be asked for for ever.
+		if (finalFailures.has(reason) || this.failureCount > mostFailures) {
 			this.end();
 			this.finish(fail({
 				code: failureCodes.preparationFailed,
--- a/src/request/common/request-machine.test.ts
+++ b/src/request/common/request-machine.test.ts
@@ -24,6 +24,7 @@
 				};
 		},
 		standingOf: () => clearStanding,
+		unavailability: () => undefined,
 		mayRetry: () => true,
 		hedgeDelayMs: () => undefined,
 		mayHedge: () => true,
--- a/src/request/common/request-router.ts
+++ b/src/request/common/request-router.ts
@@ -4,6 +4,9 @@
 import type {Attempt} from './attempt.js';
 import type {RequestPlan, StagePlan} from './request-plan.js';
 
+/** Why no upstream of a pool gets work for a while, which waiting a moment does not change. */
+export type Unavailability = {readonly message: string; readonly retryAfterMs: number};
+
 /** Decisions about upstreams, and what is learnt from attempts. */
 export type RequestRouter = {
 	/** @returns whether a request may be sent, by what became of the same content before. */
@@ -17,6 +20,8 @@
 	@returns the choice, or nothing where no upstream may be chosen.
 	*/
 	choose(stage: StagePlan, excluded: ReadonlySet<string>, prefixHash: number, nowMs: number): Choice | undefined;
+	/** @returns why a stage for which no upstream may be chosen is refused at once; nothing where it may wait for one. */
+	unavailability(stage: StagePlan, nowMs: number): Unavailability | undefined;
 	/** @returns whether a retry of this stage is within the budget; it is then paid for. */
 	mayRetry(stage: StagePlan, nowMs: number): boolean;
 	/** @returns after how long an attempt is hedged, or nothing where it is not. */
--- a/src/request/common/stage-run.ts
+++ b/src/request/common/stage-run.ts
@@ -445,6 +445,13 @@
 			return;
 		}
 
+		const unavailability = this.options.router.unavailability(this.stage, nowMs);
+		if (unavailability) {
+			this.leaveHold(nowMs);
+			this.fail(failureCodes.noUpstream, unavailability.message, unavailability.retryAfterMs);
+			return;
+		}
+
 		if (this.status.type !== 'holding') {
 			this.status = {type: 'holding'};
 			this.holding.begin(nowMs);
--- a/src/request/node/request-runner.test.ts
+++ b/src/request/node/request-runner.test.ts
@@ -55,6 +55,7 @@
 		},
 	}, {
 		standingOf: () => clearStanding,
+		unavailability: () => undefined,
 		choose: (_stage, excluded) => ({
 			chosen: {
 				upstreamId: excluded.has('u1') ? 'u2' : 'u1', hall: 'a', stats: UpstreamStats.create(), joinedMs: 0,
--- a/src/wire/common/messages.ts
+++ b/src/wire/common/messages.ts
@@ -210,6 +210,15 @@
 /** Asks an agent to leave for good. */
 const drainSchema = z.strictObject({type: z.literal('drain'), incarnation: id});
 
+const hallDrainSchema = z.strictObject({
+	hall: name,
+	isDrained: z.boolean(),
+	/** The writing of the platform's store that made it so. */
+	revision: count,
+});
+/** The beginning or the end of the drain of a data hall. */
+export type HallDrain = z.infer<typeof hallDrainSchema>;
+
 /** Sent now and then by each host to its peers: a sign of life, and what it has in force. */
 const peerBeatSchema = z.strictObject({
 	type: z.literal('peerBeat'),
@@ -227,6 +236,8 @@
 	nextWithinMs: z.number().positive().optional(),
 	/** How long ago the store last answered the sender; absent while the sender does not read it. */
 	storeAgeMs: z.number().nonnegative().optional(),
+	/** Beginnings and ends of drains of data halls that the sender knows; absent where it knows none. */
+	hallDrains: z.array(hallDrainSchema).max(1000).optional(),
 });
 export type PeerBeat = z.infer<typeof peerBeatSchema>;
 /** Asks a peer for what it has in force. */
