Bring about that a cold server is sent more than it bears: a test that fails

Two hosts share all requests; the stand-in ends above 1.5 times what it bears and 5 a second. The second part has one host and a pool that is cold as a whole; the third a hall that is given back.

--- /dev/null
+++ b/test/platform/cold-servers.test.ts
@@ -0,0 +1,108 @@
+/**
+Seen: in the second after a data hall came back, all hosts sent to its idle servers at once, since they looked best to each of
+them; the servers, which had just started, fell over.
+Cause: that a server is cold, and what it bears meanwhile, was not read; each host chose as if it were alone.
+Proof: stand-ins that end above their rate, before two hosts that share all requests.
+*/
+import t, {type Test} from 'tap';
+import {
+	ask, configOf, DirectFleet, streamCall, until, type RunningEntry,
+} from './direct-harness.js';
+import type {ServerStandin} from './upstream-standins.js';
+
+const coldPerS = 4;
+/** 1.5 times what a cold server bears, and 5 besides: the bounds of the harness. */
+const mostPerS = 11;
+const longCold = 600_000;
+
+function coldConfig(version: number) {
+	const config = configOf(version);
+	return {
+		...config,
+		routes: config.routes.map(route => ({...route, timeoutMs: 60_000, goalMs: 30_000})),
+		backends: config.backends.map(backend => backend.name === 'model' ? {...backend, coldStartS: 600, coldPerS} : backend),
+	};
+}
+
+async function makeFleet(t: Test): Promise<DirectFleet> {
+	const fleet = await DirectFleet.create();
+	fleet.store.put('op', 'config', coldConfig(1));
+	t.teardown(() => {
+		fleet.dispose();
+	});
+	return fleet;
+}
+
+/** Servers of the model's pool that are cold for long, and end where more is sent than they bear. */
+async function addCold(fleet: DirectFleet, count: number, hall?: string): Promise<ServerStandin[]> {
+	const servers = await fleet.addServers('model', count, 2, hall);
+	for (const server of servers) {
+		server.coldLeftMs = longCold;
+		server.mostWhileCold = mostPerS;
+		fleet.store.put('servers', server.serverId, server.entry('model'));
+	}
+
+	return servers;
+}
+
+async function askMany(entries: readonly RunningEntry[], count: number, prefix: string) {
+	return Promise.all(Array.from({length: count}, async (_, index) => ask(entries[index % entries.length], streamCall('/draft/x', {
+		id: `${prefix}${index}`, deadlineMs: 60_000, headers: {'prompt-prefix': `${prefix}${index}a:10,bb:5`},
+	}))));
+}
+
+t.test('a server that is cold', async t => {
+	t.test('gets no more than it bears from all hosts together, though it looks best to each', async t => {
+		const fleet = await makeFleet(t);
+		await fleet.addServers('model', 1);
+		const [cold] = await addCold(fleet, 1);
+		const first = await fleet.addReadyEntry();
+		const second = await fleet.addReadyEntry();
+		await until(() => [first, second].every(({lines}) => lines.some(line => line.includes('A peer is connected.'))));
+		for (const round of ['r', 's', 't']) {
+			const answers = await askMany([first, second], 30, round);
+			t.ok(answers.every(({status}) => status === 200));
+		}
+
+		t.ok(cold.mostInOneSecond <= mostPerS, `${cold.mostInOneSecond} requests in a second`);
+		t.notOk(cold.hasEnded);
+	});
+
+	t.test('serves what it bears where all are cold; the rest is refused at once, as not run', async t => {
+		const fleet = await makeFleet(t);
+		const [cold] = await addCold(fleet, 1);
+		const entry = await fleet.addReadyEntry();
+		const answers = await askMany([entry], 30, 'a');
+		const served = answers.filter(({status}) => status === 200);
+		const refused = answers.filter(({status}) => status === 503);
+		t.ok(served.length >= coldPerS, `${served.length} served`);
+		t.equal(served.length + refused.length, answers.length);
+		t.ok(refused.length > 0);
+		for (const {text, headers} of refused) {
+			t.match(text, /^Not run: .*cold/v);
+			t.match(headers, {'retry-after': /^[\d.]+$/v});
+		}
+
+		t.ok(cold.mostInOneSecond <= mostPerS, `${cold.mostInOneSecond} requests in a second`);
+		t.notOk(cold.hasEnded);
+	});
+
+	t.test('is one in a hall that was just given back, until its entry says otherwise', async t => {
+		const fleet = await makeFleet(t);
+		const [back] = await fleet.addServers('model', 1);
+		const [other] = await fleet.addServers('model', 1, 2, 'hall-b');
+		const entry = await fleet.addReadyEntry();
+		fleet.store.put('op', 'evacuate/hall-a', {});
+		fleet.store.put('servers', back.serverId, back.entry('model'));
+		fleet.store.remove('op', 'evacuate/hall-a');
+		fleet.store.put('op', 'config', coldConfig(2));
+		await until(() => entry.lines.some(line => line.includes('A new version') && line.includes('"version":2,')));
+		await askMany([entry], 60, 'b');
+		t.ok(back.mostInOneSecond <= mostPerS, `${back.mostInOneSecond} requests in a second`);
+		fleet.store.put('servers', back.serverId, back.entry('model'));
+		fleet.store.put('servers', other.serverId, other.entry('model', 'draining'));
+		await until(() => entry.lines.some(line => line.includes('"leaving"')));
+		const answers = await askMany([entry], 40, 'c');
+		t.ok(answers.every(({status}) => status === 200), 'it is warm by what its entry says');
+	});
+});
