Send cold servers no more than they bear, over all hosts together

Cause: that a server is cold, and what it bears, was read neither from its entry nor from the declaration; each host chose as if it were alone, and an idle server looks best to all. Change: entries tell how long, declarations what is borne, settings the bound. Three hosts send to each cold server, chosen by rendezvous hashing over all hosts that are remembered; each a third of half of the bound (ColdShare, FleetMemory). A host that has just started sends none until it has met the others. Warm servers go first; a pool that is cold as a whole takes its bound, one send of each host kept for the most urgent, and refuses the rest at once with the time until it is warm. A hall that is given back counts as cold until entries written later say otherwise. What a server kept is forgotten once it is cold.

--- a/src/daemon/common/direct-settings.ts
+++ b/src/daemon/common/direct-settings.ts
@@ -1,6 +1,7 @@
 /** Settings of a host whose entry calls upstreams itself; the adapter of a platform makes them of what that platform gives. */
 import type {Endpoint} from '../../wire/common/endpoint.js';
 import type {HostCapacity} from '../../routing/common/host-room.js';
+import type {ColdBounds} from '../../routing/common/cold-share.js';
 import type {RepeatBounds} from '../../routing/common/windowed-budget.js';
 
 export type DirectEntrySettings = {
@@ -16,6 +17,8 @@
 	readonly seeds: readonly Endpoint[];
 	/** Repeats allowed over all hosts together. */
 	readonly repeats: RepeatBounds;
+	/** Bounds on what a cold upstream gets from all hosts together; nothing is bounded where absent. */
+	readonly cold?: ColdBounds;
 	/** From the request to stop until the process is ended from outside. */
 	readonly stopGraceMs: number;
 	/** Within this time after the store took it a declaration must be in force. */
--- a/src/daemon/node/compose-direct-entry.ts
+++ b/src/daemon/node/compose-direct-entry.ts
@@ -28,6 +28,7 @@
 import {ConnectCheck} from '../../quarantine/node/address-check.js';
 import {QuarantineNews} from '../../quarantine/node/quarantine-news.js';
 import {RequestRunner} from '../../request/node/request-runner.js';
+import {ColdShare} from '../../routing/common/cold-share.js';
 import {EngineLoads} from '../../routing/common/engine-loads.js';
 import {roomOf} from '../../routing/common/host-room.js';
 import {PrefixIndex} from '../../routing/common/prefix-index.js';
@@ -136,6 +137,8 @@
 			get(promptNewsToken).add(serverId, prompt);
 		},
 		quarantine: get(quarantineToken),
+		coldShare: ColdShare.create(settings.cold, nowMs => get(peerMeshToken).fleetView(nowMs)),
+		coldBearsPerS: pool => get(deploymentBoardToken).current?.pool(pool)?.cold?.bearsPerS ?? 0,
 	}));
 	register(promptNewsToken, () => lifecycle.register(PromptNews.create({
 		hostId: settings.hostId,
@@ -238,6 +241,12 @@
 		clock,
 		log: logOf('peers'),
 	}));
+	get(hallDrainsToken).onDidChange(({hall, isDrained, revision}) => {
+		if (!isDrained) {
+			const coldMsOf = (pool: string) => get(deploymentBoardToken).current?.pool(pool)?.cold?.afterStartMs ?? 0;
+			get(serverRegistryToken).hallReturned(hall, coldMsOf, revision, clock.nowMs());
+		}
+	});
 	get(quarantineToken).onDidHearOfEnd(serverId => {
 		get(routerToken).serverEnded(serverId, clock.nowMs());
 	});
--- a/src/deployment/common/declaration.ts
+++ b/src/deployment/common/declaration.ts
@@ -76,10 +76,19 @@
 	memoryTokens: z.number().nonnegative(),
 });
 
+const coldSchema = z.object({
+	/** Requests a second that a cold upstream bears; it falls over well above. */
+	bearsPerS: z.number().nonnegative(),
+	/** How long an upstream is cold after it has started. */
+	afterStartMs: durationMs,
+});
+
 export const poolSchema = z.object({
 	name: z.string(),
 	/** Connections one upstream accepts from all hosts together. */
 	maxConnections: z.number().int().positive(),
+	/** Absent where upstreams of the pool are never cold. */
+	cold: coldSchema.optional(),
 	engine: engineSchema.optional(),
 	batch: batchSchema.optional(),
 });
--- a/src/deployment/common/server-registry.ts
+++ b/src/deployment/common/server-registry.ts
@@ -47,7 +47,7 @@
 /** What changed about a server; one that is missing may still come back. */
 export type ServerChange = {
 	readonly server: UpstreamServer;
-	readonly change: 'joined' | 'leaving' | 'missing' | 'gone';
+	readonly change: 'joined' | 'leaving' | 'missing' | 'cold' | 'gone';
 	/** Where it is gone. */
 	readonly reason?: GoneReason;
 };
@@ -56,6 +56,7 @@
 	joined: 'A server is listed.',
 	leaving: 'A server is listed.',
 	missing: 'A server\'s entry is missing; it may still come back.',
+	cold: 'A server is cold; it gets no more than it bears.',
 	gone: 'A server is gone.',
 } as const satisfies Record<ServerChange['change'], string>;
 
@@ -67,6 +68,8 @@
 		| {readonly kind: 'dropped' | 'unreadable'; readonly row: DroppedRow};
 /** An entry that is missing: by which writing, and until when it may come back. */
 type Missing = {readonly revision: number; readonly untilMs: number};
+/** A server that is cold: by which writing, and until when. */
+type Cold = {readonly revision: number; readonly untilMs: number};
 
 /** What the registry is made of. */
 export type ServerRegistryOptions = {
@@ -88,6 +91,7 @@
 	private readonly starts = ServerStarts.create(serverId => this.servers.has(serverId));
 	/** Entries that are missing since the store was away. */
 	private readonly missing = new Map<string, Missing>();
+	private readonly cold = new Map<string, Cold>();
 	/** Servers that answered as another one, so that their address is someone else's now. */
 	private readonly replaced = new Set<string>();
 	private views = new Map<string, readonly UpstreamServer[]>();
@@ -154,6 +158,31 @@
 		return this.servers.get(serverId);
 	}
 
+	/**
+	Tells how much longer a server is cold.
+	@param serverId - the server.
+	@param nowMs - the time.
+	*/
+	coldLeftMs(serverId: string, nowMs: number): number {
+		return Math.max(0, (this.cold.get(serverId)?.untilMs ?? 0) - nowMs);
+	}
+
+	/**
+	A data hall was given back: its servers may have gone cold meanwhile, which their entries tell up to a beat later.
+	@param hall - the hall.
+	@param coldMsOf - how long servers of a pool are cold after they start.
+	@param revision - the writing that gave the hall back; entries written later say how it is.
+	@param nowMs - the time.
+	*/
+	hallReturned(hall: string, coldMsOf: (pool: string) => number, revision: number, nowMs: number): void {
+		for (const server of this.servers.values()) {
+			const coldMs = coldMsOf(server.pool);
+			if (server.hall === hall && server.revision < revision && coldMs > 0) {
+				this.turnCold(server, coldMs, revision, nowMs);
+			}
+		}
+	}
+
 	/** Whether a server's entry is missing and may still come back. */
 	isMissing(serverId: string): boolean {
 		return this.missing.has(serverId);
@@ -192,7 +221,7 @@
 		this.source = source;
 		const listed = new Set(list.servers.map(server => server.instanceId));
 		for (const server of list.servers) {
-			this.put(server);
+			this.put(server, nowMs);
 		}
 
 		for (const {serverId, instanceId} of this.servers.values()) {
@@ -270,7 +299,7 @@
 	private takeChange({kind, row}: Change, nowMs: number): void {
 		switch (kind) {
 			case 'written': {
-				this.put({...row.value, revision: row.revision});
+				this.put({...row.value, revision: row.revision}, nowMs);
 
 				break;
 			}
@@ -290,7 +319,7 @@
 		}
 	}
 
-	private put(entry: ListedServer): void {
+	private put(entry: ListedServer, nowMs: number): void {
 		const latest = this.starts.latest(entry.instanceId);
 		// An entry that does not tell its start speaks of the latest one.
 		const server = entry.startedMs === 0 && latest ? {...entry, ...latest} : entry;
@@ -314,6 +343,28 @@
 		if (wasMissing || known?.isLeaving !== isLeaving) {
 			this.tell(server, isLeaving ? 'leaving' : 'joined');
 		}
+
+		this.takeColdness(server, nowMs);
+	}
+
+	/** An entry tells whether its server is cold; one written before a hall was given back does not know. */
+	private takeColdness(server: ListedServer, nowMs: number): void {
+		const {serverId, coldLeftMs, revision} = server;
+		const known = this.cold.get(serverId);
+		if (coldLeftMs !== undefined) {
+			this.turnCold(server, coldLeftMs, revision, nowMs);
+		} else if (known && revision > known.revision) {
+			this.cold.delete(serverId);
+		}
+	}
+
+	private turnCold(server: ListedServer, coldLeftMs: number, revision: number, nowMs: number): void {
+		const {serverId} = server;
+		const wasCold = this.coldLeftMs(serverId, nowMs) > 0;
+		this.cold.set(serverId, {revision, untilMs: nowMs + coldLeftMs});
+		if (!wasCold) {
+			this.tell(server, 'cold');
+		}
 	}
 
 	/** Whether a writing is newer than what is known of a server; where none is known, than the list that lacks it. */
@@ -348,6 +399,7 @@
 
 	private drop(serverId: string, reason: GoneReason): void {
 		this.missing.delete(serverId);
+		this.cold.delete(serverId);
 		const server = this.servers.get(serverId);
 		if (server) {
 			this.servers.delete(serverId);
--- a/src/deployment/common/upstream-server.ts
+++ b/src/deployment/common/upstream-server.ts
@@ -1,6 +1,9 @@
 /** One start of one upstream server, as the platform's list or a peer tells of it. */
 import {z} from 'zod';
 
+/** An entry that tells more is not believed: servers are cold for seconds. */
+export const longestColdMs = 3_600_000;
+
 export const upstreamServerSchema = z.object({
 	/** Names this start of the server; a restarted server has another. All that is known of a server is kept under it. */
 	serverId: z.string(),
@@ -15,6 +18,8 @@
 	slots: z.number().int().positive(),
 	/** Whether it finishes what it has and wants nothing new. */
 	isLeaving: z.boolean(),
+	/** How much longer it is cold, as of its entry's writing; absent where it is not. */
+	coldLeftMs: z.number().positive().max(longestColdMs).optional(),
 });
 export type UpstreamServer = z.infer<typeof upstreamServerSchema>;
 
--- a/src/direct/common/direct-plan.ts
+++ b/src/direct/common/direct-plan.ts
@@ -82,6 +82,7 @@
 			key: `${ask.pool}/${route.name}`,
 			budgetKey: ask.pool,
 			policy,
+			rank: route.rank,
 			...(isRepeatable && !isStreaming && {targetMs: route.targetMs}),
 			...(ask.promptParts.length > 0 && {prompt: makePrompt(ask.promptParts)}),
 		}],
--- a/src/direct/common/direct-router.test.ts
+++ b/src/direct/common/direct-router.test.ts
@@ -6,6 +6,7 @@
 import {clearStanding} from '../../quarantine/common/quarantine.js';
 import {Attempt} from '../../request/common/attempt.js';
 import {attemptStates, type StagePlan} from '../../request/common/request-plan.js';
+import {ColdShare} from '../../routing/common/cold-share.js';
 import {EngineLoads} from '../../routing/common/engine-loads.js';
 import {PrefixIndex} from '../../routing/common/prefix-index.js';
 import {ScoreChooser} from '../../routing/common/score-chooser.js';
@@ -37,6 +38,8 @@
 		engines: EngineChooser.create(EngineLoads.create()),
 		assigned: () => undefined,
 		quarantine: {standingOf: () => clearStanding},
+		coldShare: ColdShare.create(undefined, () => ({own: '', hosts: [''], isSettled: true})),
+		coldBearsPerS: () => 0,
 	});
 }
 
--- a/src/peers/common/dial-plan.ts
+++ b/src/peers/common/dial-plan.ts
@@ -25,6 +25,11 @@
 
 	private constructor(private readonly own: string) {}
 
+	/** Addresses of seeds; the host's own is none. */
+	get seeds(): string[] {
+		return [...this.known].filter(([, {isSeed}]) => isSeed).map(([endpoint]) => endpoint);
+	}
+
 	/**
 	Takes in an address.
 	@param endpoint - where a peer may listen.
--- a/src/peers/node/peer-dials.ts
+++ b/src/peers/node/peer-dials.ts
@@ -38,6 +38,11 @@
 
 	private constructor(private readonly options: PeerDialsOptions) {}
 
+	/** Addresses that are never forgotten. */
+	get seeds(): readonly string[] {
+		return this.plan.seeds;
+	}
+
 	/** Where this host listens for peers, as peers are told of it; it is not dialled. */
 	get ownEndpoint(): string {
 		return this.own;
--- a/src/peers/node/peer-mesh.ts
+++ b/src/peers/node/peer-mesh.ts
@@ -8,10 +8,12 @@
 import type {Message, PeerBeat} from '../../wire/common/messages.js';
 import type {WireClientOptions} from '../../wire/node/wire-client.js';
 import type {WireConnection} from '../../wire/node/wire-connection.js';
+import type {FleetView} from '../../routing/common/fleet-view.js';
 import type {Endpoint, WireServer} from '../../wire/node/wire-server.js';
 import {
 	beatIntervalMs, beatMs, BeatNeed, longestSilenceMs,
 } from '../common/beat-need.js';
+import {FleetMemory} from '../common/fleet-memory.js';
 import {PeerDials} from './peer-dials.js';
 
 /** How often peers are told all addresses this host knows, beside those that are new: two hosts may have forgotten each other. */
@@ -48,6 +50,8 @@
 	private readonly peers = new Map<string, Peer>();
 	private readonly owned = DisposableStore.create();
 	private readonly dials: PeerDials;
+	/** All hosts of the deployment, met now or not. */
+	private fleet: FleetMemory;
 	private readonly didReceive = Emitter.create<PeerMessage>();
 	private readonly didChange = Emitter.create<void>();
 	private readonly didLose = Emitter.create<string>();
@@ -61,6 +65,7 @@
 
 	private constructor(private readonly options: PeerMeshOptions) {
 		const {server, wire, clock} = options;
+		this.fleet = FleetMemory.create('', clock.nowMs());
 		this.dials = this.owned.add(PeerDials.create({
 			wire,
 			clock,
@@ -103,6 +108,14 @@
 		return new Map(this.liveHosts.map(hostId => [hostId, this.peers.get(hostId)?.beat?.room ?? 0]));
 	}
 
+	/**
+	Gives the hosts among which this one shares what is bounded over all of them.
+	@param nowMs - the time.
+	*/
+	fleetView(nowMs: number): FleetView {
+		return this.fleet.view(this.dials.seeds, nowMs);
+	}
+
 	/** How long ago the store answered those live hosts that read it. */
 	get storeAgesMs(): ReadonlyMap<string, number> {
 		const nowMs = this.options.clock.nowMs();
@@ -119,6 +132,7 @@
 	*/
 	start(own: Endpoint, seeds: readonly Endpoint[]): void {
 		this.dials.start(own);
+		this.fleet = FleetMemory.create(this.dials.ownEndpoint, this.options.clock.nowMs());
 		this.tickedMs = this.options.clock.nowMs();
 		this.addSeeds(seeds);
 		this.owned.add(setRepeating(this.options.clock, () => beatMs, () => {
@@ -187,6 +201,7 @@
 		const tellsAll = nowMs - this.toldAllMs >= tellAllMs;
 		const news = tellsAll ? [...known] : [...known].filter(endpoint => !this.toldEndpoints.has(endpoint));
 		this.toldEndpoints = known;
+		this.fleet.seen(known, nowMs);
 		this.toldAllMs = tellsAll ? nowMs : this.toldAllMs;
 		const own = this.options.ownState();
 		const ownState = JSON.stringify(own);
@@ -291,6 +306,7 @@
 			this.mostRoom = Math.max(...[...this.peers.values()].map(({beat}) => beat?.room ?? 0));
 			peer.beatHeardMs = this.options.clock.nowMs();
 			this.dials.addKnown(message.knownEndpoints);
+			this.fleet.seen([message.endpoint, ...message.knownEndpoints], peer.beatHeardMs);
 			if (isChanged) {
 				this.didChange.fire();
 			}
--- a/src/request/common/request-plan.ts
+++ b/src/request/common/request-plan.ts
@@ -19,6 +19,8 @@
 	readonly policy: EffectivePolicy;
 	/** Time within which an answer is worth most, where the stage has a target of its own. */
 	readonly targetMs?: number;
+	/** Of the route, where it has one; 0 is the most urgent. */
+	readonly rank?: number;
 	/** Parts of the prompt a model engine reads, where it says them. */
 	readonly prompt?: readonly PromptPart[];
 	/** Bytes of results that its upstream fetches before it runs, by the data hall where they lie. */
--- a/test/platform/direct-harness.ts
+++ b/test/platform/direct-harness.ts
@@ -104,6 +104,7 @@
 			peers: anyPort,
 			seeds: this.entries.map(running => running.peers),
 			repeats: {ratio: 0.2, slack: 60, windowMs: 10_000},
+			cold: {excess: 1.5, tolerance: 5},
 			stopGraceMs,
 			declarationWithinMs: 2000,
 			leavingWithinMs: 2000,
