--- a/src/daemon/node/compose-direct-entry.ts
+++ b/src/daemon/node/compose-direct-entry.ts
@@ -12,6 +12,7 @@
 import {DeploymentBoard, deploymentBoardToken} from '../../deployment/common/deployment-board.js';
 import {HallDrains, hallDrainsToken} from '../../deployment/common/hall-drains.js';
 import {ServerRegistry, serverRegistryToken} from '../../deployment/common/server-registry.js';
+import {ColdUpstreams} from '../../direct/common/cold-upstreams.js';
 import {DirectRouter} from '../../direct/common/direct-router.js';
 import {EngineChooser} from '../../direct/common/engine-chooser.js';
 import {DirectLinks} from '../../direct/node/direct-links.js';
@@ -137,8 +138,11 @@
 			get(promptNewsToken).add(serverId, prompt);
 		},
 		quarantine: get(quarantineToken),
-		coldShare: ColdShare.create(settings.cold, nowMs => get(peerMeshToken).fleetView(nowMs)),
-		coldBearsPerS: pool => get(deploymentBoardToken).current?.pool(pool)?.cold?.bearsPerS ?? 0,
+		cold: ColdUpstreams.create({
+			registry: get(serverRegistryToken),
+			share: ColdShare.create(settings.cold, nowMs => get(peerMeshToken).fleetView(nowMs)),
+			bearsPerS: pool => get(deploymentBoardToken).current?.pool(pool)?.cold?.bearsPerS ?? 0,
+		}),
 	}));
 	register(promptNewsToken, () => lifecycle.register(PromptNews.create({
 		hostId: settings.hostId,
--- a/src/direct/common/direct-router.ts
+++ b/src/direct/common/direct-router.ts
@@ -9,12 +9,12 @@
 	makeCandidateSet, type Candidate, type Choice, type UpstreamChooser,
 } from '../../routing/common/chooser.js';
 import {medianSlownessOf, OutlierDetector, type OutlierOptions} from '../../routing/common/outlier-detector.js';
-import type {ColdShare} from '../../routing/common/cold-share.js';
 import type {PromptPart} from '../../routing/common/engine-loads.js';
 import {ServerSigns} from '../../routing/common/server-signs.js';
 import {StageEstimates} from '../../routing/common/stage-estimates.js';
 import {UpstreamStats} from '../../routing/common/upstream-stats.js';
 import {WindowedBudget, type RepeatBounds} from '../../routing/common/windowed-budget.js';
+import type {ColdUpstreams} from './cold-upstreams.js';
 import type {EngineChooser, PromptNeed} from './engine-chooser.js';
 
 /** Expected answer time until eight answers were measured: in the range of a plain service that answers at once. */
@@ -41,9 +41,6 @@
 
 /** A drain lasts for seconds at least; callers heed up to a third of the time they have left, some 2 s. */
 const drainedRetryAfterMs = 2000;
-/** Bounds of the time after which a caller that cold upstreams could not serve comes back: most are warm by then. */
-const shortestColdRetryAfterMs = 300;
-const longestColdRetryAfterMs = 2500;
 /** Ends of attempts that say nothing about the upstream. */
 const innocentReasons = new Set(['lostRace', 'abandoned', 'cancelled']);
 
@@ -60,10 +57,7 @@
 	/** A prompt was sent to an engine: peers reckon with it too. */
 	readonly assigned: (serverId: string, prompt: readonly PromptPart[]) => void;
 	readonly quarantine: Pick<Quarantine, 'standingOf'>;
-	/** This host's part of what cold upstreams bear. */
-	readonly coldShare: ColdShare;
-	/** Gives what a cold upstream of a pool bears a second. */
-	readonly coldBearsPerS: (pool: string) => number;
+	readonly cold: ColdUpstreams;
 };
 
 /** Where a request will most likely run, and how soon its first token comes once it is sent. */
@@ -86,7 +80,7 @@
 		options.registry.onDidChange(({server, change}) => {
 			if (change === 'gone') {
 				this.known.delete(server.serverId);
-				options.coldShare.forget(server.serverId);
+				options.cold.forget(server.serverId);
 			}
 
 			if (change === 'gone' || change === 'cold') {
@@ -119,8 +113,8 @@
 		}, nowMs);
 	}
 
-	unavailability({pool, rank}: StagePlan, nowMs: number): Unavailability | undefined {
-		return this.unavailabilityOf([pool]) ?? this.coldUnavailability(pool, rank, nowMs);
+	unavailability(stage: StagePlan, nowMs: number): Unavailability | undefined {
+		return this.unavailabilityOf([stage.pool]) ?? this.options.cold.unavailability(stage, nowMs);
 	}
 
 	/**
@@ -167,10 +161,7 @@
 		const {upstreamId, dispatchId, kind} = attempt.options;
 		const known = this.knownOf(upstreamId, nowMs);
 		if (known) {
-			if (this.options.registry.coldLeftMs(upstreamId, nowMs) > 0) {
-				this.options.coldShare.sent(upstreamId, nowMs);
-			}
-
+			this.options.cold.sent(upstreamId, nowMs);
 			known.candidate.stats.inFlight++;
 			known.signs.sent(dispatchId, nowMs);
 		}
@@ -290,43 +281,11 @@
 
 	/** Servers of the pool that may be chosen; those in doubt only where there are no others. */
 	private usable(stage: StagePlan, excluded: ReadonlySet<string>, nowMs: number): readonly Candidate[] {
-		const all = this.warmEnough(stage, nowMs).filter(candidate => !excluded.has(candidate.upstreamId));
+		const all = this.options.cold.withoutCold(this.candidatesOf(stage.pool, nowMs), stage, nowMs).filter(candidate => !excluded.has(candidate.upstreamId));
 		const sound = all.filter(candidate => !this.isInDoubt(candidate, stage, nowMs));
 		return sound.length > 0 ? this.outliers.withoutEjected(sound, nowMs) : all;
 	}
 
-	/**
-	Upstreams that are not cold; where all are, those that may get something nevertheless. Warm ones are enough as long as
-	there are any, and a cold one is the slower choice.
-	*/
-	private warmEnough({pool, rank}: StagePlan, nowMs: number): readonly Candidate[] {
-		const all = this.candidatesOf(pool, nowMs);
-		if (!this.options.coldShare.isBounded) {
-			return all;
-		}
-
-		const warm = all.filter(({upstreamId}) => this.options.registry.coldLeftMs(upstreamId, nowMs) === 0);
-		return warm.length > 0 ? warm : all.filter(({upstreamId}) => this.coldLeft(upstreamId, pool, nowMs) > reserveOf(rank));
-	}
-
-	private coldLeft(upstreamId: string, pool: string, nowMs: number): number {
-		return this.options.coldShare.left(upstreamId, this.options.coldBearsPerS(pool), nowMs);
-	}
-
-	/** Where all upstreams of a pool are cold and bear no more from this host now: until when. */
-	private coldUnavailability(pool: string, rank: number | undefined, nowMs: number): Unavailability | undefined {
-		const {registry} = this.options;
-		const coldMs = registry.usable(pool).map(({serverId}) => registry.coldLeftMs(serverId, nowMs));
-		const mayWait = coldMs.length === 0 || coldMs.includes(0)
-			|| registry.usable(pool).some(({serverId}) => this.coldLeft(serverId, pool, nowMs) > reserveOf(rank));
-		return mayWait
-			? undefined
-			: {
-				message: `all upstreams of ${pool} are cold and bear no more for now`,
-				retryAfterMs: Math.min(longestColdRetryAfterMs, Math.max(shortestColdRetryAfterMs, Math.min(...coldMs))),
-			};
-	}
-
 	private isInDoubt(candidate: Candidate, stage: StagePlan, nowMs: number): boolean {
 		const {signs} = this.known.get(candidate.upstreamId)!;
 		const usualMs = this.answerTimes.typicalMs(stage.key) ?? defaultAnswerMs;
@@ -373,11 +332,6 @@
 	}
 }
 
-/** Sends to a cold upstream that are kept back for the most urgent work. */
-function reserveOf(rank = 0): number {
-	return rank > 0 ? 1 : 0;
-}
-
 /** What a stage asks of an engine, where it has a prompt. */
 function needOf({pool, prompt, inputBytesByHall}: StagePlan): PromptNeed | undefined {
 	return prompt && {pool, prompt, ...(inputBytesByHall && {inputBytesByHall})};
