--- a/src/request/common/request-machine.test.ts
+++ b/src/request/common/request-machine.test.ts
@@ -123,6 +123,38 @@
 	}
 });
 
+/*
+Seen: a caller was told that its request had not run, though a server had run it and ended in the middle of it.
+How it came about: the request was sent again, the second server said that the results it was to read were lost, and they
+could not be made again in time.
+Cause: with the stage that was begun again its attempts were forgotten, those that may have run as well.
+*/
+t.test('what may have run counts after results were made again: no refusal as not run, and no further attempts', async t => {
+	const lost = (machine: RequestMachine, dispatchId: string) => machine.handle({
+		type: 'end', dispatchId, state: 'unknown', units: 0, digest: 0, runMs: 5, reason: 'cut',
+	}, 10);
+	const begin = () => {
+		const [stage] = planWith().stages;
+		const machine = RequestMachine.create(planWith({
+			needsPreparation: true, rules: directRules, stages: [{...stage, policy: {...stage.policy, maxAttempts: 2}}],
+		}), routerWith({}));
+		machine.handle({type: 'start'}, 0);
+		machine.handle({type: 'prepared', inputs: noInputs}, 1);
+		t.same(typesOf(lost(machine, 'd0')), ['dispatch']);
+		t.same(typesOf(machine.handle({type: 'refused', dispatchId: 'd1', reason: 'inputsGone'}, 20)), ['prepare']);
+		return machine;
+	};
+
+	const failing = begin();
+	const failure = {code: 'preparationFailed', message: 'late'} as const;
+	t.match(failing.handle({type: 'preparationFailed', failure}, 30), [{type: 'finish', result: {outcome: 'failed', isNotRun: false}}, {type: 'close'}]);
+	const stopping = begin();
+	t.same(stopping.handle({type: 'hostStops'}, 30), [], 'nor when its host stops');
+	const goingOn = begin();
+	t.same(typesOf(goingOn.handle({type: 'prepared', inputs: noInputs}, 40)), ['dispatch']);
+	t.match(lost(goingOn, 'd2'), [{type: 'finish', result: {outcome: 'failed', code: 'attemptsExhausted'}}, {type: 'close'}]);
+});
+
 t.test('a request that waits when its host stops is refused as not run', async t => {
 	const machine = RequestMachine.create(planWith({needsPreparation: true}), routerWith({}));
 	machine.handle({type: 'start'}, 0);
