Remember what may have run of a request whose results are made again

Cause: where the results that a request was to read were lost, its stage was begun again in a new run, and the attempts of the former one were forgotten: a request that a server had run and ended in was then refused as not run, and could be tried on more upstreams than its route allows. Change: attempts that may have run go over into the new run, and count while there is none.

--- a/src/request/common/request-machine.ts
+++ b/src/request/common/request-machine.ts
@@ -196,6 +196,7 @@
 			router,
 			input,
 			inputs: index === 0 ? this.inputs : noInputs,
+			earlier: index === 0 ? this.runs.earlier : [],
 			stage: index === 0 ? {...plan.stages[0], inputBytesByHall: this.inputs.bytesByHall} : plan.stages[index],
 			startByMs: latestMs - remainingMs,
 			isLast: index === plan.stages.length - 1,
@@ -288,7 +289,7 @@
 		} else if (this.plan.rules.paysForRefusals && !this.router.mayRetry(this.plan.stages[0], nowMs)) {
 			this.finishWith(failureCodes.overloaded, 'results of the work before the request were lost; the retry budget is spent', nowMs);
 		} else {
-			this.runs.remove(run);
+			this.runs.beginAgain(run);
 			this.prepareOrBegin(nowMs);
 		}
 	}
--- a/src/request/common/stage-run-list.ts
+++ b/src/request/common/stage-run-list.ts
@@ -1,4 +1,5 @@
 /** The runs of a request's stages, as far as they came. */
+import type {Attempt} from './attempt.js';
 import type {StageRun} from './stage-run.js';
 
 /** Holds runs in the order of the stages. */
@@ -8,6 +9,8 @@
 	}
 
 	readonly all: StageRun[] = [];
+	/** Attempts of a run that was taken out, as far as they may have run; all have ended. */
+	earlier: readonly Attempt[] = [];
 
 	get count(): number {
 		return this.all.length;
@@ -25,7 +28,7 @@
 
 	/** Whether any attempt may have run. */
 	get mayHaveRun(): boolean {
-		return this.all.some(run => run.attempts.mayHaveRun);
+		return this.earlier.length > 0 || this.all.some(run => run.attempts.mayHaveRun);
 	}
 
 	/** Whether any attempt has not ended. */
@@ -35,7 +38,7 @@
 
 	/** Whether the end of any attempt is not known, or not known yet. */
 	get isUnsettled(): boolean {
-		return this.all.some(run => run.attempts.hasLive || run.attempts.hasUnknown);
+		return this.earlier.length > 0 || this.all.some(run => run.attempts.hasLive || run.attempts.hasUnknown);
 	}
 
 	/** Whether only the first stage was begun, and no attempt is known to have started. */
@@ -48,10 +51,12 @@
 	}
 
 	/**
-	Takes a run out whose stage is begun again.
+	Takes a run out whose stage is begun again. What may have run of it is remembered: a caller must not be told that its
+	request has not, nor an upstream be tried more often than it may be.
 	@param run - one of the list.
 	*/
-	remove(run: StageRun): void {
+	beginAgain(run: StageRun): void {
+		this.earlier = run.attempts.all.filter(attempt => attempt.mayHaveRun);
 		this.all.splice(this.all.indexOf(run), 1);
 	}
 
--- a/src/request/common/stage-run.ts
+++ b/src/request/common/stage-run.ts
@@ -37,6 +37,8 @@
 	/** Latest time at which the stage may start on an upstream. */
 	readonly startByMs: number;
 	readonly isLast: boolean;
+	/** Attempts of a former run of the stage that may have run: they count as those of this one do. */
+	readonly earlier?: readonly Attempt[];
 	/** Whether the stage was sent before, as when results it was to read were lost: its first send is a repeat then. */
 	readonly isRepeat: boolean;
 	readonly emit: (action: RequestAction) => void;
@@ -64,6 +66,9 @@
 
 	private constructor(private readonly options: StageRunOptions) {
 		this.holding = StageHold.create(options.startMs);
+		for (const attempt of options.earlier ?? []) {
+			this.attempts.add(attempt);
+		}
 	}
 
 	get stage(): StagePlan {
