Tell first tries by what callers' limits show, not by the longest of them

Cause: callers of a route may have time limits of their own; what one had less than the longest was taken for time that had passed. Change: where most callers of a route say the same, that is the limit of all, as before; where they differ, only who has less than nine in ten others counts as returning, from the middle limit.

--- a/src/direct/common/first-tries.ts
+++ b/src/direct/common/first-tries.ts
@@ -1,17 +1,30 @@
 /**
 How long callers of each route wait in all, learned from the time they say they still have: most come for the first
 time and have all of it. What less one has tells how long ago it first asked.
+
+Which way fits is found out for each route. Where most say the same, that is the limit of all, and what is missing has
+passed. Where callers have limits of their own, having less than the longest says nothing: on a route whose limits are spread
+over 15%, half of all first tries would count as a fifth of their target late. Only who has less than nearly all others is
+taken for a returning caller then, one of usual limit.
 */
 
-/** The longest time seen is kept for this long at least, twice as long at most. */
+/** What callers said is kept for this long at least, twice as long at most. */
 const windowMs = 10_000;
 /**
 Below this many requests in the windows the route's own bound stands in, as after a start, when most who come have asked
 before. Few, since taking a first try for a returning one puts it behind others, and the other mistake costs nothing.
 */
 const fewestSeen = 5;
+/** Values kept of each window: enough for a tenth to be told from the rest. */
+const mostKept = 100;
+/** Callers have the same limit where this part of them have the longest one, but for the part that is the way's. */
+const sameShare = 0.5;
+const wayShare = 0.01;
+/** Part of first tries that has less time than is taken for a first try's, where limits differ. */
+const lowShare = 0.1;
 
-type Window = {readonly sinceMs: number; longestMs: number; seen: number};
+/** The times that callers said they still have; never more than the route's bound. */
+type Window = {readonly sinceMs: number; readonly remainingMs: number[]};
 
 /** Learns the limits of callers. */
 export class FirstTries {
@@ -36,11 +49,14 @@
 		}
 
 		const [present, before] = this.windowsOf(route, nowMs);
-		present.longestMs = Math.max(present.longestMs, remainingMs);
-		present.seen++;
-		const isKnown = present.seen + before.seen >= fewestSeen;
-		const limitMs = isKnown ? Math.min(boundMs, Math.max(present.longestMs, before.longestMs)) : boundMs;
-		return Math.max(0, limitMs - remainingMs);
+		const leftMs = Math.min(boundMs, remainingMs);
+		present.remainingMs.push(leftMs);
+		if (present.remainingMs.length > mostKept) {
+			present.remainingMs.shift();
+		}
+
+		const seenMs = [...present.remainingMs, ...before.remainingMs].toSorted((left, right) => left - right);
+		return seenMs.length < fewestSeen ? boundMs - leftMs : sinceOf(leftMs, seenMs);
 	}
 
 	private windowsOf(route: string, nowMs: number): readonly [Window, Window] {
@@ -56,6 +72,22 @@
 	}
 }
 
+/**
+Tells how long ago a caller first asked.
+@param leftMs - the time that it has left.
+@param seenMs - what callers of its route had left, the least first.
+*/
+function sinceOf(leftMs: number, seenMs: readonly number[]): number {
+	const longestMs = seenMs.at(-1)!;
+	const atLongest = seenMs.filter(each => each >= longestMs * (1 - wayShare)).length;
+	if (atLongest >= seenMs.length * sameShare) {
+		return longestMs - leftMs;
+	}
+
+	const isUsual = leftMs >= seenMs[Math.floor(seenMs.length * lowShare)];
+	return isUsual ? 0 : Math.max(0, seenMs[Math.floor(seenMs.length / 2)] - leftMs);
+}
+
 function emptyWindow(sinceMs: number): Window {
-	return {sinceMs, longestMs: 0, seen: 0};
+	return {sinceMs, remainingMs: []};
 }
