Put late steps behind all that can be in time, and give them up once they are hopeless

Cause: a late step came first again when its caller was about to leave, and made what came after late as well: what a burst left behind kept a pool late that could do all. Change: late steps go behind all that can be in time; one whose turn would come after its caller leaves is given up at once, all pieces of it, and its caller told. A pool that stands still is believed to do a quarter of what it can.

--- a/src/preparation/common/batch-machine.ts
+++ b/src/preparation/common/batch-machine.ts
@@ -24,6 +24,8 @@
 const usualDueMs = 500;
 /** With all upstreams at work and nobody waiting, the first is free after this part of a call, divided by their number. */
 const turnShare = 0.5;
+/** A pool that has stood still is believed to do this part of what it can: it stands for a second after a loss of all hosts, and goes on. */
+const leastHopedShare = 0.25;
 /** Tries of one piece before it is given up. */
 const mostTries = 4;
 /** An upstream that is slower than this against its declared times gets work only when the others can't take all. */
@@ -96,6 +98,23 @@
 		return this.waiting.takeAll(pieceFailures.noUpstream);
 	}
 
+	/**
+	Gives up what is late and could not be done before its callers leave, with what waits before it.
+	@param servers - upstreams that may get work.
+	@param capacity - of each.
+	@param nowMs - the time.
+	@returns the pieces; other pieces of the same steps may be at work.
+	*/
+	giveUpLate(servers: readonly UpstreamServer[], capacity: BatchCapacity, nowMs: number): PieceEnd[] {
+		const soundCount = servers.filter(server => this.isSound(server, nowMs)).length;
+		if (soundCount === 0) {
+			return [];
+		}
+
+		const hopedPerMs = Math.max(this.donePerMs(soundCount, capacity, nowMs), leastHopedShare * bestPerMs(soundCount, capacity));
+		return this.waiting.takeHopeless(hopedPerMs, nowMs);
+	}
+
 	/**
 	Gives the calls to make now.
 	@param servers - upstreams of the pool that may get work.
@@ -258,10 +277,13 @@
 			return 0;
 		}
 
-		const fullCallMs = capacity.callMs + (capacity.batchSize * capacity.itemMs);
-		const bestPerMs = (sound.length * capacity.batchSize) / fullCallMs;
-		const perMs = Math.min(bestPerMs, this.throughput.perMs(nowMs) ?? bestPerMs);
-		return (ahead / perMs) + ((turnShare * fullCallMs) / sound.length);
+		return (ahead / this.donePerMs(sound.length, capacity, nowMs)) + ((turnShare * fullCallMs(capacity)) / sound.length);
+	}
+
+	/** Pieces that the pool does in a millisecond: as declared, or less where less is seen while a queue stands. */
+	private donePerMs(soundCount: number, capacity: BatchCapacity, nowMs: number): number {
+		const best = bestPerMs(soundCount, capacity);
+		return Math.min(best, this.throughput.perMs(nowMs) ?? best);
 	}
 
 	private callTo(server: UpstreamServer, capacity: BatchCapacity, halls: ReadonlySet<string>, nowMs: number): BatchCall | undefined {
@@ -305,3 +327,13 @@
 		return state;
 	}
 }
+
+/** Pieces that a pool does in a millisecond in full calls. */
+function bestPerMs(soundCount: number, capacity: BatchCapacity): number {
+	return (soundCount * capacity.batchSize) / fullCallMs(capacity);
+}
+
+/** Time of a call that is full, as declared. */
+function fullCallMs({callMs, batchSize, itemMs}: BatchCapacity): number {
+	return callMs + (batchSize * itemMs);
+}
--- /dev/null
+++ b/src/preparation/common/overloaded-pool.test.ts
@@ -0,0 +1,105 @@
+/**
+Seen: seconds after a burst was over, a pool that could do all that was asked for then did nothing in time: what the burst had left was
+done first, a piece at a time as its callers were about to leave, and made all that came after as late.
+Pattern: two kinds of requests share a pool of batches, one worth nine times the other and ranked before it; a burst asks for more
+than the pool can do, and what it leaves behind stands for seconds. Figures: a deployment's pool of which a hall is drained, 6 upstreams of
+27 pieces a call, 150 ms and 4.77 ms a piece: 580 pieces a second; 26 requests of rank 0 and 35 of rank 2 a second, 8 pieces each, 1.6 times as
+many in the burst; a second and less for the step.
+*/
+import t from 'tap';
+import type {BatchCapacity} from '../../deployment/common/declaration.js';
+import type {UpstreamServer} from '../../deployment/common/upstream-server.js';
+import type {BatchCall} from './batch-call.js';
+import {BatchMachine} from './batch-machine.js';
+import type {BatchWork, PieceOutcome} from './work.js';
+
+const capacity: BatchCapacity = {
+	slots: 1, batchSize: 27, callMs: 150, itemMs: 4.77, roomBytes: 1e9, resultTtlMs: 4000,
+};
+const piecesEach = 8;
+const kinds = [{rank: 0, perS: 26, dueMs: 900}, {rank: 2, perS: 35, dueMs: 800}] as const;
+const burst = {fromMs: 1000, toMs: 5000, factor: 1.6};
+const stepMs = 5;
+
+const servers: UpstreamServer[] = Array.from({length: 6}, (_, index) => ({
+	serverId: `s${index}`, instanceId: `s${index}`, startedMs: 0, pool: 'p', address: '127.0.0.1', port: 1, hall: 'a', slots: 1, isLeaving: false,
+}));
+
+function workOf(workId: string, rank: number, dueMs: number): BatchWork {
+	return {
+		workId, pool: 'p', callerRequestId: workId, contentId: workId, pieceKey: 'k', step: 0, pieces: Array.from({length: piecesEach}, (_, piece) => piece), inputs: undefined,
+		resultBytes: 10, rank, dueMs, lateDueMs: dueMs + 3000, deadlineMs: dueMs + 5000, hall: '', crossingBytes: 0,
+	};
+}
+
+/** Plays the pattern; gives by rank which share of the steps that were asked for between two times was done in time. */
+function play(untilMs: number) {
+	const machine = BatchMachine.create();
+	const calls: BatchCall[] = [];
+	const dueMs = new Map<string, {readonly askedMs: number; readonly dueMs: number; readonly rank: number}>();
+	const doneMs = new Map<string, number>();
+	/** When steps were given up. */
+	const endedMs = new Map<string, number>();
+	const owed = kinds.map(() => 0);
+	for (let nowMs = 0; nowMs < untilMs; nowMs += stepMs) {
+		const factor = nowMs >= burst.fromMs && nowMs < burst.toMs ? burst.factor : 1;
+		for (const [index, kind] of kinds.entries()) {
+			owed[index] += kind.perS * factor * stepMs / 1000;
+			for (; owed[index] >= 1; owed[index]--) {
+				const workId = `${kind.rank}-${dueMs.size}`;
+				dueMs.set(workId, {askedMs: nowMs, dueMs: nowMs + kind.dueMs, rank: kind.rank});
+				machine.add(workOf(workId, kind.rank, nowMs + kind.dueMs), nowMs);
+			}
+		}
+
+		for (const call of calls.splice(0)) {
+			if (nowMs < call.sentMs + call.expectedMs) {
+				calls.push(call);
+				continue;
+			}
+
+			const outcomes = call.pieces.map((_, piece): PieceOutcome => ({ok: true, ref: {handle: `${call.callId}-${piece}`, serverId: call.server.serverId}}));
+			for (const {work} of call.pieces) {
+				doneMs.set(work.workId, nowMs);
+			}
+
+			machine.answered(call, outcomes, capacity, nowMs);
+		}
+
+		calls.push(...machine.nextCalls(servers, capacity, nowMs));
+		for (const {work} of [...machine.giveUpLate(servers, capacity, nowMs), ...machine.sweep(() => true, nowMs)]) {
+			endedMs.set(work.workId, endedMs.get(work.workId) ?? nowMs);
+			machine.cancel(work.workId);
+		}
+	}
+
+	const askedBetween = (rank: number, fromMs: number, toMs: number) =>
+		[...dueMs].filter(([, each]) => each.rank === rank && each.askedMs >= fromMs && each.askedMs < toMs);
+	return {
+		inTimeShare(rank: number, fromMs: number, toMs: number): number {
+			const asked = askedBetween(rank, fromMs, toMs);
+			return asked.filter(([workId, each]) => (doneMs.get(workId) ?? Infinity) <= each.dueMs).length / asked.length;
+		},
+		/** Longest time from asking for a step until it was done or given up. */
+		longestMs(rank: number, fromMs: number, toMs: number): number {
+			return Math.max(...askedBetween(rank, fromMs, toMs).map(([workId, {askedMs}]) => (doneMs.get(workId) ?? endedMs.get(workId) ?? Infinity) - askedMs));
+		},
+	};
+}
+
+t.test('where a pool can\'t do all, the most urgent kind stays in time and the least urgent gives way', async t => {
+	const played = play(16_000);
+	const urgentShare = played.inTimeShare(0, 0, 14_000);
+	t.ok(urgentShare >= 0.95, `rank 0: ${urgentShare}`);
+	const calmShare = played.inTimeShare(2, 0, 800);
+	t.ok(calmShare >= 0.95, `rank 2 before the burst: ${calmShare}`);
+	// What a burst left may hold up what came with it, and for as long as it lasted itself; not what comes after that.
+	const afterShare = played.inTimeShare(2, burst.toMs + (burst.toMs - burst.fromMs), 14_000);
+	t.ok(afterShare >= 0.95, `rank 2 after the burst: ${afterShare}`);
+});
+
+t.test('what is late is done or given up before its caller leaves', async t => {
+	const longestMs = play(16_000).longestMs(2, 0, 10_000);
+	// Due after 0.8 s, useless 3 s after that; the call that it goes in takes a third of a second.
+	t.ok(longestMs <= 4200, `${longestMs}`);
+});
--- a/src/preparation/common/piece-order.ts
+++ b/src/preparation/common/piece-order.ts
@@ -1,6 +1,7 @@
 /** Which pieces go first, and where. */
 import {crossingCostMs} from '../../routing/common/hall-cost.js';
 import type {BatchPiece} from './batch-call.js';
+import type {BatchWork} from './work.js';
 
 /**
 How much later each step of rank counts: a request of the better rank goes first unless it has this much more
@@ -10,17 +11,30 @@
 /** Longest wait for an upstream in the hall of the inputs: about a full call, after which each upstream has been free once. */
 const longestPatienceMs = 300;
 
+/** Later than any due time: puts what is late behind all that can be in time. */
+const lateOffsetMs = 3_600_000;
+
 /**
-Tells how urgent a piece is: what can still be in time goes first, by the time it has left. A step that can't gives way
-until its caller is about to leave, whether it is the first or a later one: when later ones kept their place, a queue
-that was once late stayed so, and all that came after was late as well.
+Tells how urgent a piece is: what can still be in time goes first, by the time it has left. A step that can't is behind all of
+them, whether it is the first or a later one. When late ones came first again as their callers were about to leave, what
+a burst left made all late that came after: of a kind that a pool of six upstreams could do with a sixth to spare, none was in time
+nine seconds after the burst, and all is now from two seconds after it (`overloaded-pool.test`).
 @param item - the piece.
 @param nowMs - the time.
 @returns a time; the earliest goes first.
 */
 export function urgencyOf({work}: BatchPiece, nowMs: number): number {
 	const {dueMs, lateDueMs, rank} = work;
-	return (nowMs <= dueMs ? dueMs : lateDueMs) + (rank * rankPenaltyMs);
+	return (isLate({dueMs}, nowMs) ? lateOffsetMs + lateDueMs : dueMs) + (rank * rankPenaltyMs);
+}
+
+/**
+Tells whether a step can't be in time any more.
+@param work - the step.
+@param nowMs - the time.
+*/
+export function isLate({dueMs}: Pick<BatchWork, 'dueMs'>, nowMs: number): boolean {
+	return nowMs > dueMs;
 }
 
 /**
--- a/src/preparation/common/piece-queue.ts
+++ b/src/preparation/common/piece-queue.ts
@@ -1,7 +1,7 @@
 /** The pieces of all requests that wait for one pool. */
 import {cautions, type Caution} from '../../quarantine/common/quarantine.js';
 import type {BatchPiece, PieceEnd} from './batch-call.js';
-import {urgencyOf} from './piece-order.js';
+import {isLate, urgencyOf} from './piece-order.js';
 import {pieceFailures, type BatchWork, type PieceFailure} from './work.js';
 
 /** Tells how pieces of a request may be handed to an upstream, by the request's content. */
@@ -95,6 +95,29 @@
 		return [...endsOf(expired, pieceFailures.late), ...endsOf([...barred], pieceFailures.failed)];
 	}
 
+	/**
+	Takes out steps that are late and whose turn would come too late for their callers, all pieces of each: who can't be
+	served is told now, not once its time is over.
+	@param perMs - pieces that the pool does in a millisecond.
+	@param nowMs - the time.
+	*/
+	takeHopeless(perMs: number, nowMs: number): PieceEnd[] {
+		this.sort(nowMs);
+		const hopeless = new Set<string>();
+		for (const [index, {work}] of this.pieces.entries()) {
+			if (isLate(work, nowMs) && nowMs + (index / perMs) > work.lateDueMs) {
+				hopeless.add(work.workId);
+			}
+		}
+
+		const taken = this.pieces.filter(({work}) => hopeless.has(work.workId));
+		if (taken.length > 0) {
+			this.remove(new Set(taken));
+		}
+
+		return endsOf(taken, pieceFailures.late);
+	}
+
 	/**
 	Counts the pieces that go before one that is only thought of.
 	@param urgency - of that one.
--- a/src/preparation/node/batch-pool.ts
+++ b/src/preparation/node/batch-pool.ts
@@ -136,6 +136,8 @@
 			for (const call of this.machine.nextCalls(registry.usable(pool), capacity, nowMs)) {
 				void this.run(call, capacity);
 			}
+
+			this.report(this.machine.giveUpLate(registry.usable(pool), capacity, nowMs));
 		}
 
 		if (registry.isPoolDrained(pool)) {
