--- /dev/null
+++ b/src/routing/common/sleep.test.ts
@@ -0,0 +1,99 @@
+/**
+What a host remembers for a time is as old as the world says after a sleep: the clock that all of it is asked with counts the time slept.
+Each part here is asked just before a sleep and just after waking, without a timer having run.
+*/
+import t from 'tap';
+import {ManualClock} from '../../base/common/clock.js';
+import {silentLoggers} from '../../base/common/logger.js';
+import {ServerRegistry} from '../../deployment/common/server-registry.js';
+import {FirstTries} from '../../direct/common/first-tries.js';
+import {FleetMemory} from '../../peers/common/fleet-memory.js';
+import {EndRecord} from '../../quarantine/common/end-record.js';
+import {ColdShare} from './cold-share.js';
+import {ServerSigns} from './server-signs.js';
+import {WindowedBudget} from './windowed-budget.js';
+
+t.test('a budget of repeats: what was sent before a sleep longer than its window allows and costs nothing more', async t => {
+	const clock = ManualClock.create();
+	const budget = WindowedBudget.create({ratio: 0.2, slack: 2, windowMs: 10_000}, () => 1);
+	budget.countFirst(clock.nowMs(), 1000);
+	t.ok(budget.tryWithdraw(clock.nowMs(), 100));
+	t.notOk(budget.tryWithdraw(clock.nowMs(), 100));
+	clock.sleep(11_000);
+	t.notOk(budget.tryWithdraw(clock.nowMs(), 100), 'the first sends are as old as the repeats');
+	t.ok(budget.tryWithdraw(clock.nowMs(), 1));
+});
+
+t.test('an upstream that was left alone is not for longer than it was meant', async t => {
+	const clock = ManualClock.create();
+	const signs = ServerSigns.create();
+	signs.unreachable(clock.nowMs(), 400, 4000);
+	t.ok(signs.isAvoided(clock.nowMs()));
+	clock.sleep(500);
+	t.notOk(signs.isAvoided(clock.nowMs()));
+});
+
+t.test('a bar of a content ends while the host sleeps', async t => {
+	const clock = ManualClock.create();
+	const record = EndRecord.create(1);
+	const contentId = 'c'.repeat(32);
+	record.merge({contentId, ends: [{serverId: 'a', ageMs: 0}], cleared: []}, clock.nowMs());
+	const untilMs = record.barredUntilMs(contentId, clock.nowMs());
+	t.ok(untilMs > clock.nowMs());
+	clock.sleep(untilMs - clock.nowMs());
+	t.ok(record.barredUntilMs(contentId, clock.nowMs()) <= clock.nowMs());
+});
+
+t.test('a server that was cold is warm once it has had the time', async t => {
+	const clock = ManualClock.create();
+	const registry = ServerRegistry.create({log: silentLoggers.for('test'), leavingWithinMs: 2000});
+	registry.replaceAll({
+		revision: 1, servers: [{
+			serverId: 's', instanceId: 's', startedMs: 0, pool: 'p', address: '127.0.0.1', port: 1, hall: 'a', slots: 1, isLeaving: false, coldLeftMs: 3000, revision: 1,
+		}],
+	}, clock.nowMs());
+	t.equal(registry.coldLeftMs('s', clock.nowMs()), 3000);
+	clock.sleep(2000);
+	t.equal(registry.coldLeftMs('s', clock.nowMs()), 1000);
+	clock.sleep(2000);
+	t.equal(registry.coldLeftMs('s', clock.nowMs()), 0);
+});
+
+t.test('sends to a cold upstream are as long ago as the world says', async t => {
+	const clock = ManualClock.create();
+	const share = ColdShare.create({excess: 1.5, tolerance: 5}, () => ({own: 'a', hosts: ['a'], isSettled: true}));
+	while (share.left('s', 4, clock.nowMs()) > 0) {
+		share.sent('s', clock.nowMs());
+	}
+
+	clock.sleep(999);
+	t.equal(share.left('s', 4, clock.nowMs()), 0);
+	clock.sleep(1);
+	t.equal(share.left('s', 4, clock.nowMs()), 5);
+});
+
+t.test('hosts that were met are remembered through a sleep, and forgotten after a very long one', async t => {
+	const clock = ManualClock.create();
+	const memory = FleetMemory.create('own', clock.nowMs());
+	memory.seen(['other'], clock.nowMs());
+	clock.sleep(60_000);
+	t.same(memory.view([], clock.nowMs()).hosts, ['other', 'own']);
+	clock.sleep(600_000);
+	t.same(memory.view([], clock.nowMs()).hosts, ['own']);
+});
+
+t.test('limits of callers that were seen before a long sleep say nothing of those after it', async t => {
+	const clock = ManualClock.create();
+	const tries = FirstTries.create();
+	for (let index = 0; index < 10; index++) {
+		tries.sinceFirstTryMs('r', 9000, 9000, clock.nowMs());
+	}
+
+	t.equal(tries.sinceFirstTryMs('r', 9000, 4000, clock.nowMs()), 5000);
+	clock.sleep(30_000);
+	for (let index = 0; index < 10; index++) {
+		tries.sinceFirstTryMs('r', 9000, 4000, clock.nowMs());
+	}
+
+	t.equal(tries.sinceFirstTryMs('r', 9000, 4000, clock.nowMs()), 0);
+});
