--- a/src/deployment/common/server-registry.ts
+++ b/src/deployment/common/server-registry.ts
@@ -20,6 +20,7 @@
 import type {DroppedRow, FeedChanges, WrittenRow} from './feed.js';
 import type {HallDrainChange, HallDrains} from './hall-drains.js';
 import {listSources, type ListSource} from './list-source.js';
+import {ServerColdness} from './server-coldness.js';
 import {ServerStarts} from './server-starts.js';
 import type {ListedServer, ServerList, UpstreamServer} from './upstream-server.js';
 
@@ -68,8 +69,6 @@
 		| {readonly kind: 'dropped' | 'unreadable'; readonly row: DroppedRow};
 /** An entry that is missing: by which writing, and until when it may come back. */
 type Missing = {readonly revision: number; readonly untilMs: number};
-/** A server that is cold: by which writing, and until when. */
-type Cold = {readonly revision: number; readonly untilMs: number};
 
 /** What the registry is made of. */
 export type ServerRegistryOptions = {
@@ -91,7 +90,7 @@
 	private readonly starts = ServerStarts.create(serverId => this.servers.has(serverId));
 	/** Entries that are missing since the store was away. */
 	private readonly missing = new Map<string, Missing>();
-	private readonly cold = new Map<string, Cold>();
+	private readonly coldness = ServerColdness.create();
 	/** Servers that answered as another one, so that their address is someone else's now. */
 	private readonly replaced = new Set<string>();
 	private views = new Map<string, readonly UpstreamServer[]>();
@@ -164,7 +163,7 @@
 	@param nowMs - the time.
 	*/
 	coldLeftMs(serverId: string, nowMs: number): number {
-		return Math.max(0, (this.cold.get(serverId)?.untilMs ?? 0) - nowMs);
+		return this.coldness.leftMs(serverId, nowMs);
 	}
 
 	/**
@@ -177,8 +176,9 @@
 	hallReturned(hall: string, coldMsOf: (pool: string) => number, revision: number, nowMs: number): void {
 		for (const server of this.servers.values()) {
 			const coldMs = coldMsOf(server.pool);
-			if (server.hall === hall && server.revision < revision && coldMs > 0) {
-				this.turnCold(server, coldMs, revision, nowMs);
+			const mayBeCold = server.hall === hall && server.revision < revision && coldMs > 0;
+			if (mayBeCold && this.coldness.turnCold(server.serverId, coldMs, revision, nowMs)) {
+				this.tell(server, 'cold');
 			}
 		}
 	}
@@ -344,25 +344,7 @@
 			this.tell(server, isLeaving ? 'leaving' : 'joined');
 		}
 
-		this.takeColdness(server, nowMs);
-	}
-
-	/** An entry tells whether its server is cold; one written before a hall was given back does not know. */
-	private takeColdness(server: ListedServer, nowMs: number): void {
-		const {serverId, coldLeftMs, revision} = server;
-		const known = this.cold.get(serverId);
-		if (coldLeftMs !== undefined) {
-			this.turnCold(server, coldLeftMs, revision, nowMs);
-		} else if (known && revision > known.revision) {
-			this.cold.delete(serverId);
-		}
-	}
-
-	private turnCold(server: ListedServer, coldLeftMs: number, revision: number, nowMs: number): void {
-		const {serverId} = server;
-		const wasCold = this.coldLeftMs(serverId, nowMs) > 0;
-		this.cold.set(serverId, {revision, untilMs: nowMs + coldLeftMs});
-		if (!wasCold) {
+		if (this.coldness.read(server, nowMs)) {
 			this.tell(server, 'cold');
 		}
 	}
@@ -399,7 +381,7 @@
 
 	private drop(serverId: string, reason: GoneReason): void {
 		this.missing.delete(serverId);
-		this.cold.delete(serverId);
+		this.coldness.forget(serverId);
 		const server = this.servers.get(serverId);
 		if (server) {
 			this.servers.delete(serverId);
--- a/src/preparation/node/batch-pool.ts
+++ b/src/preparation/node/batch-pool.ts
@@ -238,17 +238,14 @@
 	}
 
 	private sendReleases(): void {
+		const {registry} = this.options;
 		for (const [serverId, handles] of this.releases) {
-			const server = this.options.registry.get(serverId);
-			if (server && this.options.registry.isDrained(server)) {
-				// Nothing more is sent there: the upstream drops the results itself once their time is over.
-				continue;
-			}
-
-			if (server) {
-				void this.sendRelease(server, handles);
-			} else {
+			const server = registry.get(serverId);
+			if (!server) {
 				this.machine.released(serverId, handles);
+			} else if (!registry.isDrained(server)) {
+				// Where its hall is drained nothing more is sent: the upstream drops the results itself once their time is over.
+				void this.sendRelease(server, handles);
 			}
 		}
 
--- a/test/platform/cold-servers.test.ts
+++ b/test/platform/cold-servers.test.ts
@@ -33,6 +33,8 @@
 	return fleet;
 }
 
+const hasMetPeer = ({lines}: RunningEntry) => lines.some(line => line.includes('A peer is connected.'));
+
 /** Servers of the model's pool that are cold for long, and end where more is sent than they bear. */
 async function addCold(fleet: DirectFleet, count: number, hall?: string): Promise<ServerStandin[]> {
 	const servers = await fleet.addServers('model', count, 2, hall);
@@ -58,7 +60,7 @@
 		const [cold] = await addCold(fleet, 1);
 		const first = await fleet.addReadyEntry();
 		const second = await fleet.addReadyEntry();
-		await until(() => [first, second].every(({lines}) => lines.some(line => line.includes('A peer is connected.'))));
+		await until(() => hasMetPeer(first) && hasMetPeer(second));
 		for (const round of ['r', 's', 't']) {
 			const answers = await askMany([first, second], 30, round);
 			t.ok(answers.every(({status}) => status === 200));
