Tell peers of no more drains than a message holds, and ask of a pool's drain what is kept first

Cause: found by reading; more than a thousand rows of halls would have made each beat a message that peers refuse, with its connection. And whether a pool stands in drained halls only was looked up among all servers for each request. Change: the newest thousand are told; a pool with an upstream that may get work is not drained, which is kept.

--- a/src/daemon/node/compose-direct-entry.ts
+++ b/src/daemon/node/compose-direct-entry.ts
@@ -99,7 +99,7 @@
 			isLeaving: isLeaving(),
 			room: roomOf(settings.capacity),
 			storeAgeMs: storeAgeMs(get),
-			...(get(hallDrainsToken).all.length > 0 && {hallDrains: [...get(hallDrainsToken).all]}),
+			...(get(hallDrainsToken).told.length > 0 && {hallDrains: [...get(hallDrainsToken).told]}),
 		}),
 	})));
 }
--- a/src/deployment/common/hall-drains.test.ts
+++ b/src/deployment/common/hall-drains.test.ts
@@ -1,6 +1,6 @@
 import fc from 'fast-check';
 import t from 'tap';
-import type {HallDrain} from '../../wire/common/messages.js';
+import {hallDrainsTold, parseMessage, type HallDrain} from '../../wire/common/messages.js';
 import {HallDrains, mostHalls} from './hall-drains.js';
 import {listSources} from './list-source.js';
 
@@ -79,3 +79,24 @@
 	t.equal(drains.all.length, mostHalls);
 	t.ok(drains.isDrained('kept'));
 });
+
+/*
+Found by reading: beside a message that is longer than peers take, nothing is taken of it, and its connection is closed. More rows
+of halls than a deployment has must not cut its hosts off from each other.
+*/
+t.test('of more drains than a message may hold the newest are told', async t => {
+	const drains = HallDrains.create();
+	const count = hallDrainsTold + 50;
+	for (let index = 1; index <= count; index++) {
+		drains.take([drain(`h${index}`, index)], listSources.store);
+	}
+
+	t.equal(drains.told.length, hallDrainsTold);
+	t.equal(drains.told.at(-1)?.hall, `h${count}`);
+	t.equal(drains.told[0].hall, 'h51');
+	t.ok(drains.isDrained('h1'), 'all are in force here');
+	const beat = {
+		type: 'peerBeat', endpoint: 'e', knownEndpoints: [], deploymentVersion: 1, listRevision: 1, isLeaving: false, hallDrains: drains.told,
+	};
+	t.ok('message' in parseMessage(beat));
+});
--- a/src/deployment/common/hall-drains.ts
+++ b/src/deployment/common/hall-drains.ts
@@ -6,7 +6,7 @@
 */
 import type {InjectionToken} from 'tsyringe';
 import {Emitter} from '../../base/common/emitter.js';
-import type {HallDrain} from '../../wire/common/messages.js';
+import {hallDrainsTold, type HallDrain} from '../../wire/common/messages.js';
 import type {ListSource} from './list-source.js';
 
 /** Halls of which anything is remembered; beyond them, those whose drain ended longest ago are forgotten. */
@@ -32,11 +32,16 @@
 		return this.didChange.event;
 	}
 
-	/** All that is known, for peers: ends of drains as well, since a peer may have heard of the beginning only. */
+	/** All that is known, the one that changed longest ago first. */
 	get all(): readonly HallDrain[] {
 		return [...this.drains.values()];
 	}
 
+	/** What peers are told: ends of drains as well, since a peer may have heard of the beginning only; the newest of too many. */
+	get told(): readonly HallDrain[] {
+		return this.all.slice(-hallDrainsTold);
+	}
+
 	isDrained(hall: string): boolean {
 		return this.drains.get(hall)?.isDrained === true;
 	}
--- a/src/deployment/common/server-registry.ts
+++ b/src/deployment/common/server-registry.ts
@@ -141,6 +141,11 @@
 	@param pool - the pool's name.
 	*/
 	isPoolDrained(pool: string): boolean {
+		// Asked for each request: what is kept for the pool answers nearly always.
+		if (this.usable(pool).length > 0) {
+			return false;
+		}
+
 		const staying = this.stayingIn(pool);
 		return staying.length > 0 && staying.every(server => this.isDrained(server));
 	}
--- a/src/wire/common/messages.ts
+++ b/src/wire/common/messages.ts
@@ -210,6 +210,8 @@
 /** Asks an agent to leave for good. */
 const drainSchema = z.strictObject({type: z.literal('drain'), incarnation: id});
 
+/** Most drains of halls that one message tells; deployments have a few halls. */
+export const hallDrainsTold = 1000;
 const hallDrainSchema = z.strictObject({
 	hall: name,
 	isDrained: z.boolean(),
@@ -237,7 +239,7 @@
 	/** How long ago the store last answered the sender; absent while the sender does not read it. */
 	storeAgeMs: z.number().nonnegative().optional(),
 	/** Beginnings and ends of drains of data halls that the sender knows; absent where it knows none. */
-	hallDrains: z.array(hallDrainSchema).max(1000).optional(),
+	hallDrains: z.array(hallDrainSchema).max(hallDrainsTold).optional(),
 });
 export type PeerBeat = z.infer<typeof peerBeatSchema>;
 /** Asks a peer for what it has in force. */
