--- a/src/deployment/common/server-registry.test.ts
+++ b/src/deployment/common/server-registry.test.ts
@@ -1,7 +1,7 @@
 import t from 'tap';
 import {silentLoggers} from '../../base/common/logger.js';
 import {lapseGraceMs, ServerRegistry} from './server-registry.js';
-import type {ListedServer} from './upstream-server.js';
+import {readToldServers, type ListedServer} from './upstream-server.js';
 
 function server(serverId: string, revision = 1, isLeaving = false): ListedServer {
 	return {
@@ -223,3 +223,15 @@
 	change(registry, 8, {written: [server('a', 8)]});
 	t.same(usable(registry), ['a@200', 'b']);
 });
+
+/*
+Found by reading: a peer's word on a server was taken with any address and port, and a call to such a server could not even be made.
+*/
+t.test('a server that a peer tells with an address that is none is passed over; the others are taken', async t => {
+	const strange = [{address: ''}, {address: 'a b'}, {address: 'example.org'}, {address: '1.2.3.4/'}, {port: 0}, {port: 70_000}, {port: 1.5}, {coldLeftMs: -1}, {coldLeftMs: 1e12}];
+	const {list, unreadableCount} = readToldServers({
+		revision: 9, servers: [...strange.map((change, index) => ({...server(`s${index}`), ...change})), server('sound')],
+	});
+	t.same(list.servers.map(({serverId}) => serverId), ['sound']);
+	t.equal(unreadableCount, strange.length);
+});
--- a/src/peers/common/dial-plan.ts
+++ b/src/peers/common/dial-plan.ts
@@ -25,6 +25,11 @@
 
 	private constructor(private readonly own: string) {}
 
+	/** All addresses; the host's own is none. */
+	get all(): string[] {
+		return [...this.known.keys()];
+	}
+
 	/** Addresses of seeds; the host's own is none. */
 	get seeds(): string[] {
 		return [...this.known].filter(([, {isSeed}]) => isSeed).map(([endpoint]) => endpoint);
--- /dev/null
+++ b/src/peers/node/peer-dials.test.ts
@@ -0,0 +1,37 @@
+/**
+Found by reading, and shown by this test: a peer that told of an address without a port that exists ended the host that heard it, as
+no socket can be made for it; and since hosts tell each other the addresses they know, one host after the other.
+*/
+import t from 'tap';
+import {ManualClock} from '../../base/common/clock.js';
+import {SeededRandom} from '../../base/common/random.js';
+import {PeerDials} from './peer-dials.js';
+
+const strangeEndpoints = ['', 'x', 'a:b', '1.2.3.4', '1.2.3.4:', '1.2.3.4:0', '1.2.3.4:99999', '1.2.3.4:-1', '1.2.3.4:1.5', ':::', '[::1]:80', '999.1.1.1:80', '1.2.3.4:5:6'];
+
+t.test('addresses that can\'t be dialled are passed over', async t => {
+	const clock = ManualClock.create();
+	const dials = PeerDials.create({
+		wire: {
+			identity: {
+				hostId: 'h', incarnation: 'i', role: 'entry', hall: 'a',
+			}, keys: () => [{keyId: 'k', secret: 's'}], clock, random: SeededRandom.create(1),
+		},
+		clock,
+		connected: () => undefined,
+		metEndpoints: () => new Set(),
+	});
+	t.teardown(() => {
+		dials.dispose();
+	});
+	dials.start({address: '127.0.0.1', port: 1});
+	t.doesNotThrow(() => {
+		dials.addKnown(strangeEndpoints);
+		clock.advance(5000);
+		dials.dialDue();
+		clock.advance(5000);
+	});
+	t.same(dials.known, []);
+	dials.addKnown(['127.0.0.1:2']);
+	t.same(dials.known, ['127.0.0.1:2'], 'others are dialled');
+});
--- a/src/peers/node/peer-dials.ts
+++ b/src/peers/node/peer-dials.ts
@@ -43,6 +43,11 @@
 		return this.plan.seeds;
 	}
 
+	/** Addresses that are dialled or will be. */
+	get known(): readonly string[] {
+		return this.plan.all;
+	}
+
 	/** Where this host listens for peers, as peers are told of it; it is not dialled. */
 	get ownEndpoint(): string {
 		return this.own;
