Pass strange addresses over that a peer tells

Cause: addresses of peers and of servers were taken as told; a socket can't be made for a port that does not exist, which ended the host, and the address was passed on to the next one. Change: addresses are read in one place (parseEndpoint); what no connection can be made to is neither dialled nor passed on, one line tells of a peer's own; a told server with such an address is passed over, the others are taken. A test of sleeps named hosts by words, where hosts are named by where they listen: it now gives them addresses.

--- a/src/deployment/common/upstream-server.ts
+++ b/src/deployment/common/upstream-server.ts
@@ -1,5 +1,6 @@
 /** One start of one upstream server, as the platform's list or a peer tells of it. */
 import {z} from 'zod';
+import {addressPattern, mostPort} from '../../wire/common/endpoint.js';
 
 /** An entry that tells more is not believed: servers are cold for seconds. */
 export const longestColdMs = 3_600_000;
@@ -12,8 +13,8 @@
 	/** When it started, in Unix milliseconds; 0 where its entry does not tell: each start then has an `instanceId` of its own. */
 	startedMs: z.number().int().nonnegative(),
 	pool: z.string(),
-	address: z.string(),
-	port: z.number().int().positive(),
+	address: z.string().regex(addressPattern),
+	port: z.number().int().positive().max(mostPort),
 	hall: z.string(),
 	slots: z.number().int().positive(),
 	/** Whether it finishes what it has and wants nothing new. */
--- a/src/peers/common/dial-plan.ts
+++ b/src/peers/common/dial-plan.ts
@@ -4,6 +4,7 @@
 started at once, two connections a pair took 3.4 s until all had met; of that time a host worked for itself alone.
 */
 import {hashText} from '../../base/common/hash.js';
+import {parseEndpoint} from '../../wire/common/endpoint.js';
 
 /** The side of a pair that does not dial first gives the other this long: a start takes a thin host about a second. */
 const yieldMs = 1500;
@@ -36,7 +37,7 @@
 	}
 
 	/**
-	Takes in an address.
+	Takes in an address; one that no connection can be made to is passed over, whoever told it.
 	@param endpoint - where a peer may listen.
 	@param isSeed - whether it is one of the few through which hosts find each other.
 	@param nowMs - the time.
@@ -44,7 +45,7 @@
 	*/
 	add(endpoint: string, isSeed: boolean, nowMs: number): boolean {
 		const known = this.known.get(endpoint);
-		const isNews = endpoint !== this.own && (!known || (isSeed && !known.isSeed));
+		const isNews = endpoint !== this.own && (!known || (isSeed && !known.isSeed)) && parseEndpoint(endpoint) !== undefined;
 		if (isNews) {
 			this.known.set(endpoint, {isSeed, unmetSinceMs: known?.unmetSinceMs ?? nowMs});
 		}
--- a/src/peers/common/fleet-memory.ts
+++ b/src/peers/common/fleet-memory.ts
@@ -3,6 +3,7 @@
 goes on remembering the others, since what all hosts share is not its own just because it sees nobody.
 */
 
+import {parseEndpoint} from '../../wire/common/endpoint.js';
 import type {FleetView} from '../../routing/common/fleet-view.js';
 
 /** A host that nobody has seen for this long is forgotten: longer than any cut that is borne, shorter than a machine is missed. */
@@ -42,7 +43,7 @@
 	seen(endpoints: Iterable<string>, nowMs: number): void {
 		const {size} = this.seenMs;
 		for (const endpoint of endpoints) {
-			if (endpoint !== this.own && endpoint !== '') {
+			if (endpoint !== this.own && parseEndpoint(endpoint)) {
 				this.seenMs.set(endpoint, nowMs);
 				this.metMs ??= nowMs;
 			}
--- a/src/peers/node/peer-dials.ts
+++ b/src/peers/node/peer-dials.ts
@@ -4,6 +4,7 @@
 import {WireClient, type WireClientOptions} from '../../wire/node/wire-client.js';
 import type {WireConnection} from '../../wire/node/wire-connection.js';
 import type {Endpoint} from '../../wire/node/wire-server.js';
+import {parseEndpoint} from '../../wire/common/endpoint.js';
 import {DialPlan} from '../common/dial-plan.js';
 
 /** An address at which nobody answers for this long is forgotten unless it is a seed. */
@@ -116,13 +117,13 @@
 	}
 
 	private dial(endpoint: string): void {
-		if (this.dials.has(endpoint)) {
+		const parsed = parseEndpoint(endpoint);
+		if (!parsed || this.dials.has(endpoint)) {
 			return;
 		}
 
 		const {wire, clock, connected} = this.options;
-		const [address, port] = endpoint.split(':');
-		const client = WireClient.create({address, port: Number(port)}, wire);
+		const client = WireClient.create(parsed, wire);
 		const dial: Dial = {
 			client, openMs: clock.nowMs(), isOpen: false,
 		};
--- a/src/peers/node/peer-mesh.ts
+++ b/src/peers/node/peer-mesh.ts
@@ -5,6 +5,7 @@
 import {Emitter} from '../../base/common/emitter.js';
 import type {Logger} from '../../base/common/logger.js';
 import {encodeFrame} from '../../wire/common/frame-codec.js';
+import {parseEndpoint} from '../../wire/common/endpoint.js';
 import type {Message, PeerBeat} from '../../wire/common/messages.js';
 import type {WireClientOptions} from '../../wire/node/wire-client.js';
 import type {WireConnection} from '../../wire/node/wire-connection.js';
@@ -235,7 +236,8 @@
 
 	/** Where connected peers listen. */
 	private knownEndpoints(): ReadonlySet<string> {
-		this.endpoints ??= new Set([...this.peers.values()].flatMap(({beat}) => beat ? [beat.endpoint] : []));
+		// Strange addresses are not passed on.
+		this.endpoints ??= new Set([...this.peers.values()].flatMap(({beat}) => beat && parseEndpoint(beat.endpoint) ? [beat.endpoint] : []));
 		return this.endpoints;
 	}
 
@@ -314,6 +316,10 @@
 			const {beat} = peer;
 			const isChanged = beat?.isLeaving !== message.isLeaving;
 			peer.beat = message;
+			if (beat === undefined && !parseEndpoint(message.endpoint)) {
+				this.options.log.warn('A peer tells of an address that can\'t be dialled; it is passed over.', {peer: peer.hostId, endpoint: message.endpoint});
+			}
+
 			if (beat?.endpoint !== message.endpoint || beat.room !== message.room) {
 				this.peersChanged();
 			}
--- a/src/routing/common/sleep.test.ts
+++ b/src/routing/common/sleep.test.ts
@@ -74,12 +74,12 @@
 
 t.test('hosts that were met are remembered through a sleep, and forgotten after a very long one', async t => {
 	const clock = ManualClock.create();
-	const memory = FleetMemory.create('own', clock.nowMs());
-	memory.seen(['other'], clock.nowMs());
+	const memory = FleetMemory.create('10.0.0.1:1', clock.nowMs());
+	memory.seen(['10.0.0.2:1'], clock.nowMs());
 	clock.sleep(60_000);
-	t.same(memory.view([], clock.nowMs()).hosts, ['other', 'own']);
+	t.same(memory.view([], clock.nowMs()).hosts, ['10.0.0.1:1', '10.0.0.2:1']);
 	clock.sleep(600_000);
-	t.same(memory.view([], clock.nowMs()).hosts, ['own']);
+	t.same(memory.view([], clock.nowMs()).hosts, ['10.0.0.1:1']);
 });
 
 t.test('limits of callers that were seen before a long sleep say nothing of those after it', async t => {
