--- a/src/wire/common/frame-codec.test.ts
+++ b/src/wire/common/frame-codec.test.ts
@@ -1,3 +1,5 @@
+import {encode} from 'cbor-x';
+import fc from 'fast-check';
 import t from 'tap';
 import {encodeFrame, FrameDecoder} from './frame-codec.js';
 import type {Message} from './messages.js';
@@ -70,3 +72,25 @@
 	const twice = new TextEncoder().encode('....\u00A2dtypedpingdtypedxxxx');
 	t.equal(codeOf(new Uint8Array([0, 0, 0, 21, 0xA2, ...twice.slice(6, 26)])), 'badMessage');
 });
+
+/** A frame around a body. */
+function framed(body: Uint8Array): Uint8Array {
+	const frame = new Uint8Array(4 + body.byteLength);
+	new DataView(frame.buffer).setUint32(0, body.byteLength);
+	frame.set(body, 4);
+	return frame;
+}
+
+t.test('whatever bytes come, there are messages or a problem, and nothing is thrown', async t => {
+	fc.assert(fc.property(fc.array(fc.uint8Array({maxLength: 60}), {maxLength: 4}), pieces => {
+		const decoder = FrameDecoder.create(1024);
+		for (const piece of pieces) {
+			decoder.push(piece);
+		}
+	}), {seed: 1, numRuns: 500});
+	const types = ['peerBeat', 'batchWork', 'batchEnds', 'batchRelease', 'promptsSent', 'promptsPassedOn', 'fatalContents', 'hello'];
+	fc.assert(fc.property(fc.constantFrom(...types), fc.dictionary(fc.string({maxLength: 12}), fc.jsonValue({maxDepth: 3})), (type, fields) => {
+		const read = FrameDecoder.create().push(framed(encode({...fields, type})));
+		t.notOk(read.ok && read.value.length > 0, 'none of them is a message');
+	}), {seed: 2, numRuns: 500});
+});
