--- a/src/deployment/common/hall-drains.test.ts
+++ b/src/deployment/common/hall-drains.test.ts
@@ -100,3 +100,21 @@
 	};
 	t.ok('message' in parseMessage(beat));
 });
+
+/*
+Found by reading: a host that had read the whole table, and knew nothing of a hall, believed a peer that had missed the end of its drain:
+the hall was taken for drained until its row was written again.
+*/
+t.test('what a peer tells that is older than what was read whole brings no drain back, here and at others', async t => {
+	const reader = HallDrains.create();
+	reader.replaceAll([], 100, listSources.store);
+	reader.take([drain('a', 10)], listSources.peer);
+	t.notOk(reader.isDrained('a'));
+	const misled = HallDrains.create();
+	misled.take([drain('a', 10)], listSources.peer);
+	t.ok(misled.isDrained('a'), 'one that has read nothing can\'t know better');
+	misled.take(reader.told, listSources.peer);
+	t.notOk(misled.isDrained('a'), 'until one that does tells it');
+	reader.take([drain('b', 101)], listSources.peer);
+	t.ok(reader.isDrained('b'), 'what is newer counts');
+});
--- a/src/preparation/node/preparer.test.ts
+++ b/src/preparation/node/preparer.test.ts
@@ -173,3 +173,17 @@
 	await preparer.run(true);
 	t.same(given, [2500, 4900, 4900, 4900]);
 });
+
+/*
+Found by reading: a caller that came back was given up the moment its step had to wait for anything, with most of its time left, as
+the time until it would leave was counted from its first try. A caller leaves a try that gives nothing by that try's own time.
+*/
+t.test('a caller that came back is as patient as one that asks for the first time; only what is due counts from its first try', async t => {
+	const workOf = async (sinceFirstTryMs: number): Promise<BatchWork> => new Promise(resolve => {
+		void makePreparer(resolve, {ask: {receivedMs: 10_000, targetMs: 11_000 - sinceFirstTryMs, deadlineMs: 19_000}}).run(false);
+	});
+	const [first, returning] = [await workOf(0), await workOf(4000)];
+	t.equal(returning.dueMs, first.dueMs - 4000);
+	t.equal(returning.lateDueMs, first.lateDueMs);
+	t.ok(returning.lateDueMs > 10_000, `${returning.lateDueMs}`);
+});
