Count a caller's patience from its own try, and answer old news of drains

Cause: (1) the time until a late step is of no use was counted from the caller's first try: one that came back after three targets was given up as soon as anything waited before it. (2) A host that had read the whole table and remembered nothing of a hall took a peer's word for its drain, however old. Change: (1) lateDueMs counts from when this try was received; dueMs counts from the first try as before. (2) HallDrains knows up to which writing all was read; what a peer tells that is older is no news, and where it differs the peers are told how it is.

--- a/src/daemon/node/compose-feeds.ts
+++ b/src/daemon/node/compose-feeds.ts
@@ -29,6 +29,7 @@
 			get(hallDrainsToken).replaceAll(drains, rows.revision, listSources.store);
 		} else {
 			get(hallDrainsToken).take(drains, listSources.store);
+			get(hallDrainsToken).readUpTo(rows.revision);
 		}
 	};
 
--- a/src/deployment/common/hall-drains.test.ts
+++ b/src/deployment/common/hall-drains.test.ts
@@ -118,3 +118,16 @@
 	reader.take([drain('b', 101)], listSources.peer);
 	t.ok(reader.isDrained('b'), 'what is newer counts');
 });
+
+t.test('a host that follows the store knows as much as its last reading, also of ends that it need not remember', async t => {
+	const reader = HallDrains.create();
+	reader.replaceAll([drain('a', 5)], 50, listSources.store);
+	reader.take([drain('a', 60, false)], listSources.store);
+	reader.readUpTo(80);
+	reader.take([drain('a', 55), drain('b', 70)], listSources.peer);
+	t.same(['a', 'b'].filter(hall => reader.isDrained(hall)), []);
+	reader.take([drain('b', 90)], listSources.store);
+	reader.readUpTo(90);
+	reader.take([drain('b', 85, false)], listSources.peer);
+	t.ok(reader.isDrained('b'));
+});
--- a/src/deployment/common/hall-drains.ts
+++ b/src/deployment/common/hall-drains.ts
@@ -2,12 +2,14 @@
 Which data halls are being drained: operators want nothing more to be sent to the servers that stand there.
 
 Each hall has the revision of the writing that began or ended its drain, and the newest writing counts. News come from the
-store's feed and from peers, late, twice and in any order; all hosts that have heard the same news know the same.
+store's feed and from peers, late, twice and in any order; all hosts that have heard the same news know the same. What a peer
+tells that is older than what this host has read of the store is no news, also of a hall that nothing is remembered of; the
+peer, and whoever believed it, is told so.
 */
 import type {InjectionToken} from 'tsyringe';
 import {Emitter} from '../../base/common/emitter.js';
 import {hallDrainsTold, type HallDrain} from '../../wire/common/messages.js';
-import type {ListSource} from './list-source.js';
+import {listSources, type ListSource} from './list-source.js';
 
 /** Halls of which anything is remembered; beyond them, those whose drain ended longest ago are forgotten. */
 export const mostHalls = 100;
@@ -26,6 +28,8 @@
 	private readonly didChange = Emitter.create<HallDrainChange>();
 	/** By hall; the one that changed longest ago first. */
 	private readonly drains = new Map<string, HallDrain>();
+	/** Everything up to this writing of the store was read here. */
+	private readRevision = 0;
 
 	/** Fires when a drain begins or ends. */
 	get onDidChange() {
@@ -57,6 +61,14 @@
 		}
 	}
 
+	/**
+	All that was written up to a writing of the store has been taken.
+	@param revision - the writing.
+	*/
+	readUpTo(revision: number): void {
+		this.readRevision = Math.max(this.readRevision, revision);
+	}
+
 	/**
 	Takes everything that the store holds: drains that it does not hold have ended, whoever missed their end.
 	@param drains - those in force.
@@ -71,6 +83,8 @@
 				this.put({hall, isDrained: false, revision}, source);
 			}
 		}
+
+		this.readUpTo(revision);
 	}
 
 	private put(drain: HallDrain, source: ListSource): void {
@@ -80,6 +94,11 @@
 			return;
 		}
 
+		if (source === listSources.peer && revision <= this.readRevision) {
+			this.answerOldNews(drain);
+			return;
+		}
+
 		this.drains.delete(hall);
 		this.drains.set(hall, drain);
 		this.forgetEnded();
@@ -88,6 +107,14 @@
 		}
 	}
 
+	/** Peers are told how it is, as new as what was read here, where one of them tells otherwise. */
+	private answerOldNews({hall, isDrained}: HallDrain): void {
+		if (isDrained !== this.isDrained(hall)) {
+			this.drains.set(hall, {hall, isDrained: !isDrained, revision: this.readRevision});
+			this.forgetEnded();
+		}
+	}
+
 	private forgetEnded(): void {
 		for (const {hall, isDrained} of this.all) {
 			if (this.drains.size <= mostHalls) {
--- a/src/preparation/node/preparer.ts
+++ b/src/preparation/node/preparer.ts
@@ -182,7 +182,8 @@
 		const {ask} = this;
 		const step = ask.route.steps[work.step];
 		const behindMs = this.preparation.timeBehindMs(work.step, pool => this.options.stepTimes.usualMs(pool) ?? this.callMs(pool));
-		const dueMs = ask.targetMs - ask.afterwardsMs - this.callMs(step.pool) - behindMs;
+		const afterMs = ask.afterwardsMs + this.callMs(step.pool) + behindMs;
+		const dueMs = ask.targetMs - afterMs;
 		const giveUpMs = this.giveUpMs(work);
 		return {
 			...work,
@@ -194,7 +195,8 @@
 			resultBytes: step.resultBytes,
 			rank: ask.rank,
 			dueMs,
-			lateDueMs: Math.min(giveUpMs, dueMs + ((patienceTargets - 1) * ask.route.targetMs)),
+			// A caller leaves by the time of this try, however long ago its first one was.
+			lateDueMs: Math.min(giveUpMs, ask.receivedMs + (patienceTargets * ask.route.targetMs) - afterMs),
 			deadlineMs: giveUpMs,
 			...this.placeOf(work),
 		};
