Split what stood together and join what stood twice

Cause: the registry held the words for its changes, the batch machine what a pool gets done, and two tests the same idle router. Change: server-change.ts, throughput.ts (donePerMs, hopedPerMs), test/idle-router.ts; no decision changes.

--- a/src/deployment/common/server-registry.ts
+++ b/src/deployment/common/server-registry.ts
@@ -20,6 +20,9 @@
 import type {DroppedRow, FeedChanges, WrittenRow} from './feed.js';
 import type {HallDrainChange, HallDrains} from './hall-drains.js';
 import {listSources, type ListSource} from './list-source.js';
+import {
+	changeMessages, goneReasons, type GoneReason, type ServerChange,
+} from './server-change.js';
 import {ServerColdness} from './server-coldness.js';
 import {ServerStarts} from './server-starts.js';
 import type {ListedServer, ServerList, UpstreamServer} from './upstream-server.js';
@@ -35,32 +38,6 @@
 */
 const missingShare = 0.65;
 
-/** Why a server is gone. */
-export const goneReasons = {
-	startedAgain: 'it has started again',
-	dropped: 'its entry was dropped',
-	lapsed: 'its entry did not come back after the store\'s return',
-	unreadable: 'its entry can\'t be read',
-	addressTaken: 'its address answers as another server',
-} as const;
-export type GoneReason = typeof goneReasons[keyof typeof goneReasons];
-
-/** What changed about a server; one that is missing may still come back. */
-export type ServerChange = {
-	readonly server: UpstreamServer;
-	readonly change: 'joined' | 'leaving' | 'missing' | 'cold' | 'gone';
-	/** Where it is gone. */
-	readonly reason?: GoneReason;
-};
-
-const changeMessages = {
-	joined: 'A server is listed.',
-	leaving: 'A server is listed.',
-	missing: 'A server\'s entry is missing; it may still come back.',
-	cold: 'A server is cold; it gets no more than it bears.',
-	gone: 'A server is gone.',
-} as const satisfies Record<ServerChange['change'], string>;
-
 export const serverRegistryToken: InjectionToken<ServerRegistry> = Symbol('ServerRegistry');
 
 /** One change of the list. */
--- a/src/preparation/common/batch-machine.ts
+++ b/src/preparation/common/batch-machine.ts
@@ -13,7 +13,7 @@
 import {rankPenaltyMs} from './piece-order.js';
 import {PieceQueue, type CautionSource} from './piece-queue.js';
 import {readRoom} from './room-reading.js';
-import {Throughput} from './throughput.js';
+import {fullCallMs, Throughput} from './throughput.js';
 import {
 	pieceFailures, type BatchWork, type PieceOutcome,
 } from './work.js';
@@ -24,8 +24,6 @@
 const usualDueMs = 500;
 /** With all upstreams at work and nobody waiting, the first is free after this part of a call, divided by their number. */
 const turnShare = 0.5;
-/** A pool that has stood still is believed to do this part of what it can: it stands for a second after a loss of all hosts, and goes on. */
-const leastHopedShare = 0.25;
 /** Tries of one piece before it is given up. */
 const mostTries = 4;
 /** An upstream that is slower than this against its declared times gets work only when the others can't take all. */
@@ -107,12 +105,7 @@
 	*/
 	giveUpLate(servers: readonly UpstreamServer[], capacity: BatchCapacity, nowMs: number): PieceEnd[] {
 		const soundCount = servers.filter(server => this.isSound(server, nowMs)).length;
-		if (soundCount === 0) {
-			return [];
-		}
-
-		const hopedPerMs = Math.max(this.donePerMs(soundCount, capacity, nowMs), leastHopedShare * bestPerMs(soundCount, capacity));
-		return this.waiting.takeHopeless(hopedPerMs, nowMs);
+		return soundCount === 0 ? [] : this.waiting.takeHopeless(this.throughput.hopedPerMs(soundCount, capacity, nowMs), nowMs);
 	}
 
 	/**
@@ -277,13 +270,7 @@
 			return 0;
 		}
 
-		return (ahead / this.donePerMs(sound.length, capacity, nowMs)) + ((turnShare * fullCallMs(capacity)) / sound.length);
-	}
-
-	/** Pieces that the pool does in a millisecond: as declared, or less where less is seen while a queue stands. */
-	private donePerMs(soundCount: number, capacity: BatchCapacity, nowMs: number): number {
-		const best = bestPerMs(soundCount, capacity);
-		return Math.min(best, this.throughput.perMs(nowMs) ?? best);
+		return (ahead / this.throughput.donePerMs(sound.length, capacity, nowMs)) + ((turnShare * fullCallMs(capacity)) / sound.length);
 	}
 
 	private callTo(server: UpstreamServer, capacity: BatchCapacity, halls: ReadonlySet<string>, nowMs: number): BatchCall | undefined {
@@ -327,13 +314,3 @@
 		return state;
 	}
 }
-
-/** Pieces that a pool does in a millisecond in full calls. */
-function bestPerMs(soundCount: number, capacity: BatchCapacity): number {
-	return (soundCount * capacity.batchSize) / fullCallMs(capacity);
-}
-
-/** Time of a call that is full, as declared. */
-function fullCallMs({callMs, batchSize, itemMs}: BatchCapacity): number {
-	return callMs + (batchSize * itemMs);
-}
--- a/src/quarantine/common/server-ends.test.ts
+++ b/src/quarantine/common/server-ends.test.ts
@@ -1,7 +1,7 @@
 import t from 'tap';
 import {ManualClock} from '../../base/common/clock.js';
 import {Emitter} from '../../base/common/emitter.js';
-import {goneReasons, type GoneReason, type ServerChange} from '../../deployment/common/server-registry.js';
+import {goneReasons, type GoneReason, type ServerChange} from '../../deployment/common/server-change.js';
 import type {UpstreamServer} from '../../deployment/common/upstream-server.js';
 import {addressStates, ServerEnds, type AddressState} from './server-ends.js';
 
--- a/src/quarantine/common/server-ends.ts
+++ b/src/quarantine/common/server-ends.ts
@@ -8,7 +8,8 @@
 import type {Clock} from '../../base/common/clock.js';
 import {DisposableStore, type Disposable} from '../../base/common/disposable.js';
 import {Emitter} from '../../base/common/emitter.js';
-import {goneReasons, type ServerChange, type ServerRegistry} from '../../deployment/common/server-registry.js';
+import {goneReasons, type ServerChange} from '../../deployment/common/server-change.js';
+import type {ServerRegistry} from '../../deployment/common/server-registry.js';
 import type {UpstreamServer} from '../../deployment/common/upstream-server.js';
 
 /** What comes of a connection to an address. */
--- a/src/request/common/request-machine.test.ts
+++ b/src/request/common/request-machine.test.ts
@@ -1,6 +1,5 @@
 import t from 'tap';
-import {clearStanding} from '../../quarantine/common/quarantine.js';
-import {UpstreamStats} from '../../routing/common/upstream-stats.js';
+import {idleRouter} from '../../../test/idle-router.js';
 import {policyDefaults, type EffectivePolicy} from '../../settings/common/schema.js';
 import {agentRules, directRules} from './attempt-rules.js';
 import type {RequestAction} from './request-events.js';
@@ -8,36 +7,7 @@
 import {noInputs, type RequestPlan} from './request-plan.js';
 import type {RequestRouter} from './request-router.js';
 
-const upstreams = ['u1', 'u2', 'u3'];
-
-function routerWith(changes: Partial<RequestRouter>): RequestRouter {
-	let serial = 0;
-	return {
-		choose(_stage, excluded) {
-			const upstreamId = upstreams.find(item => !excluded.has(item));
-			return upstreamId === undefined
-				? undefined
-				: {
-					chosen: {
-						upstreamId, hall: 'a', stats: UpstreamStats.create(), joinedMs: 0,
-					}, scored: [],
-				};
-		},
-		standingOf: () => clearStanding,
-		unavailability: () => undefined,
-		mayRetry: () => true,
-		hedgeDelayMs: () => undefined,
-		mayHedge: () => true,
-		optimisticRunMs: () => 0,
-		optimisticFinishMs: () => 0,
-		didDispatch: () => undefined,
-		didEnd: () => undefined,
-		didBegin: () => undefined,
-		didComplete: () => undefined,
-		newDispatchId: () => `d${serial++}`,
-		...changes,
-	};
-}
+const routerWith = (changes: Partial<RequestRouter>) => idleRouter(['u1', 'u2', 'u3'], changes);
 
 function planWith(changes: Partial<RequestPlan> = {}): RequestPlan {
 	const policy: EffectivePolicy = {...policyDefaults};
--- a/src/request/node/request-runner.test.ts
+++ b/src/request/node/request-runner.test.ts
@@ -3,11 +3,10 @@
 came meanwhile has not been seen when all that was due is due at once.
 */
 import t from 'tap';
+import {idleRouter} from '../../../test/idle-router.js';
 import {ManualClock} from '../../base/common/clock.js';
 import {Emitter} from '../../base/common/emitter.js';
 import {ok, type Outcome} from '../../base/common/outcome.js';
-import {clearStanding} from '../../quarantine/common/quarantine.js';
-import {UpstreamStats} from '../../routing/common/upstream-stats.js';
 import {policyDefaults} from '../../settings/common/schema.js';
 import type {Message} from '../../wire/common/messages.js';
 import {directRules} from '../common/attempt-rules.js';
@@ -42,7 +41,6 @@
 	const received = Emitter.create<UpstreamMessage>();
 	const none = Emitter.create<string>();
 	const sent: Message[] = [];
-	let serial = 0;
 	const runner = RequestRunner.create({
 		onDidReceive: received.event,
 		onDidJoin: none.event,
@@ -53,25 +51,7 @@
 			sent.push(message);
 			return true;
 		},
-	}, {
-		standingOf: () => clearStanding,
-		unavailability: () => undefined,
-		choose: (_stage, excluded) => ({
-			chosen: {
-				upstreamId: excluded.has('u1') ? 'u2' : 'u1', hall: 'a', stats: UpstreamStats.create(), joinedMs: 0,
-			}, scored: [],
-		}),
-		mayRetry: () => true,
-		hedgeDelayMs: () => undefined,
-		mayHedge: () => true,
-		optimisticRunMs: () => 0,
-		optimisticFinishMs: () => 0,
-		didDispatch: () => undefined,
-		didEnd: () => undefined,
-		didBegin: () => undefined,
-		didComplete: () => undefined,
-		newDispatchId: () => `d${serial++}`,
-	}, clock);
+	}, idleRouter(['u1', 'u2']), clock);
 	const results: RequestResult[] = [];
 	let prepared: (outcome: Outcome<PreparedInputs, PreparationFailure>) => void = () => undefined;
 	runner.start(planWith(changes), {
--- /dev/null
+++ b/test/idle-router.ts
@@ -0,0 +1,38 @@
+/** A router for tests of what is above it: allows everything, learns nothing, and names dispatches `d0`, `d1` and so on. */
+import {clearStanding} from '../src/quarantine/common/quarantine.js';
+import type {RequestRouter} from '../src/request/common/request-router.js';
+import {UpstreamStats} from '../src/routing/common/upstream-stats.js';
+
+/**
+Makes one.
+@param upstreams - that are chosen, the first one that is not excluded.
+@param changes - what the test decides itself.
+*/
+export function idleRouter(upstreams: readonly string[], changes: Partial<RequestRouter> = {}): RequestRouter {
+	let serial = 0;
+	return {
+		choose(_stage, excluded) {
+			const upstreamId = upstreams.find(item => !excluded.has(item));
+			return upstreamId === undefined
+				? undefined
+				: {
+					chosen: {
+						upstreamId, hall: 'a', stats: UpstreamStats.create(), joinedMs: 0,
+					}, scored: [],
+				};
+		},
+		standingOf: () => clearStanding,
+		unavailability: () => undefined,
+		mayRetry: () => true,
+		hedgeDelayMs: () => undefined,
+		mayHedge: () => true,
+		optimisticRunMs: () => 0,
+		optimisticFinishMs: () => 0,
+		didDispatch: () => undefined,
+		didEnd: () => undefined,
+		didBegin: () => undefined,
+		didComplete: () => undefined,
+		newDispatchId: () => `d${serial++}`,
+		...changes,
+	};
+}
