Keep in one part which upstreams of a pool may get something, drained or cold

Cause: the router told of drained pools, another part of cold ones, and the door asked the router for the first. Change: PoolAvailability answers for a stage and for pools; the door asks it itself. No decision changes.

--- a/src/daemon/node/compose-direct-entry.ts
+++ b/src/daemon/node/compose-direct-entry.ts
@@ -12,9 +12,9 @@
 import {DeploymentBoard, deploymentBoardToken} from '../../deployment/common/deployment-board.js';
 import {HallDrains, hallDrainsToken} from '../../deployment/common/hall-drains.js';
 import {ServerRegistry, serverRegistryToken} from '../../deployment/common/server-registry.js';
-import {ColdUpstreams} from '../../direct/common/cold-upstreams.js';
 import {DirectRouter} from '../../direct/common/direct-router.js';
 import {EngineChooser} from '../../direct/common/engine-chooser.js';
+import {PoolAvailability} from '../../direct/common/pool-availability.js';
 import {DirectLinks} from '../../direct/node/direct-links.js';
 import {Ingress, ingressToken} from '../../direct/node/ingress.js';
 import {PromptNews} from '../../direct/node/prompt-news.js';
@@ -46,6 +46,7 @@
 import {DirectEntry} from './direct-entry.js';
 
 const enginesToken: InjectionToken<EngineChooser> = Symbol('EngineChooser');
+const availabilityToken: InjectionToken<PoolAvailability> = Symbol('PoolAvailability');
 const routerToken: InjectionToken<DirectRouter> = Symbol('DirectRouter');
 const promptNewsToken: InjectionToken<PromptNews> = Symbol('PromptNews');
 const linksToken: InjectionToken<DirectLinks> = Symbol('DirectLinks');
@@ -126,6 +127,11 @@
 /** Which upstream serves a request, and the calls to it. */
 function registerUpstreams({settings, ports, lifecycle, clock, logOf, register, get, hostCount}: Composition): void {
 	register(enginesToken, () => EngineChooser.create(EngineLoads.create()));
+	register(availabilityToken, () => PoolAvailability.create({
+		registry: get(serverRegistryToken),
+		share: ColdShare.create(settings.cold, nowMs => get(peerMeshToken).fleetView(nowMs)),
+		bearsPerS: pool => get(deploymentBoardToken).current?.pool(pool)?.cold?.bearsPerS ?? 0,
+	}));
 	register(routerToken, () => DirectRouter.create({
 		hall: settings.hall,
 		registry: get(serverRegistryToken),
@@ -138,11 +144,7 @@
 			get(promptNewsToken).add(serverId, prompt);
 		},
 		quarantine: get(quarantineToken),
-		cold: ColdUpstreams.create({
-			registry: get(serverRegistryToken),
-			share: ColdShare.create(settings.cold, nowMs => get(peerMeshToken).fleetView(nowMs)),
-			bearsPerS: pool => get(deploymentBoardToken).current?.pool(pool)?.cold?.bearsPerS ?? 0,
-		}),
+		availability: get(availabilityToken),
 	}));
 	register(promptNewsToken, () => lifecycle.register(PromptNews.create({
 		hostId: settings.hostId,
@@ -224,7 +226,7 @@
 		waits: get(batchDeskToken),
 		likelyPlace: (stage, nowMs) => get(routerToken).likelyPlace(stage, nowMs),
 		standingOf: plan => get(routerToken).standingOf(plan),
-		unavailabilityOf: pools => get(routerToken).unavailabilityOf(pools),
+		unavailabilityOf: pools => get(availabilityToken).ofPools(pools),
 		clock,
 		random: get(randomToken),
 		log: logOf('requests'),
--- a/src/direct/common/direct-router.test.ts
+++ b/src/direct/common/direct-router.test.ts
@@ -10,10 +10,10 @@
 import {EngineLoads} from '../../routing/common/engine-loads.js';
 import {PrefixIndex} from '../../routing/common/prefix-index.js';
 import {ScoreChooser} from '../../routing/common/score-chooser.js';
-import {ColdUpstreams} from './cold-upstreams.js';
 import {makeDirectPlan} from './direct-plan.js';
 import {DirectRouter} from './direct-router.js';
 import {EngineChooser} from './engine-chooser.js';
+import {PoolAvailability} from './pool-availability.js';
 
 const pool = 'engines';
 const route: Route = {
@@ -39,7 +39,7 @@
 		engines: EngineChooser.create(EngineLoads.create()),
 		assigned: () => undefined,
 		quarantine: {standingOf: () => clearStanding},
-		cold: ColdUpstreams.create({
+		availability: PoolAvailability.create({
 			registry, share: ColdShare.create(undefined, () => ({own: '', hosts: [''], isSettled: true})), bearsPerS: () => 0,
 		}),
 	});
--- a/src/direct/common/direct-router.ts
+++ b/src/direct/common/direct-router.ts
@@ -14,8 +14,8 @@
 import {StageEstimates} from '../../routing/common/stage-estimates.js';
 import {UpstreamStats} from '../../routing/common/upstream-stats.js';
 import {WindowedBudget, type RepeatBounds} from '../../routing/common/windowed-budget.js';
-import type {ColdUpstreams} from './cold-upstreams.js';
 import type {EngineChooser, PromptNeed} from './engine-chooser.js';
+import type {PoolAvailability} from './pool-availability.js';
 
 /** Expected answer time until eight answers were measured: in the range of a plain service that answers at once. */
 const defaultAnswerMs = 60;
@@ -39,8 +39,6 @@
 	consecutiveFailures: 6, errorShare: 0.5, slowFactor: 3, baseEjectionMs: 1500, longestEjectionMs: 6000, mostEjectedShare: 0.5,
 };
 
-/** A drain lasts for seconds at least; callers heed up to a third of the time they have left, some 2 s. */
-const drainedRetryAfterMs = 2000;
 /** Ends of attempts that say nothing about the upstream. */
 const innocentReasons = new Set(['lostRace', 'abandoned', 'cancelled']);
 
@@ -57,7 +55,8 @@
 	/** A prompt was sent to an engine: peers reckon with it too. */
 	readonly assigned: (serverId: string, prompt: readonly PromptPart[]) => void;
 	readonly quarantine: Pick<Quarantine, 'standingOf'>;
-	readonly cold: ColdUpstreams;
+	/** Which upstreams may get something at all. */
+	readonly availability: PoolAvailability;
 };
 
 /** Where a request will most likely run, and how soon its first token comes once it is sent. */
@@ -80,7 +79,7 @@
 		options.registry.onDidChange(({server, change}) => {
 			if (change === 'gone') {
 				this.known.delete(server.serverId);
-				options.cold.forget(server.serverId);
+				options.availability.forget(server.serverId);
 			}
 
 			if (change === 'gone' || change === 'cold') {
@@ -114,21 +113,7 @@
 	}
 
 	unavailability(stage: StagePlan, nowMs: number): Unavailability | undefined {
-		return this.unavailabilityOf([stage.pool]) ?? this.options.cold.unavailability(stage, nowMs);
-	}
-
-	/**
-	Tells why requests that need certain pools can't be served for now.
-	@param pools - their names.
-	@returns nothing where each pool has upstreams that may get work, or that may be there in a moment.
-	*/
-	unavailabilityOf(pools: readonly string[]): Unavailability | undefined {
-		const drained = pools.find(pool => this.options.registry.isPoolDrained(pool));
-		return drained === undefined
-			? undefined
-			: {
-				message: `all upstreams of ${drained} stand in data halls that are being drained`, retryAfterMs: drainedRetryAfterMs,
-			};
+		return this.options.availability.ofStage(stage, nowMs);
 	}
 
 	mayRetry(stage: StagePlan, nowMs: number): boolean {
@@ -161,7 +146,7 @@
 		const {upstreamId, dispatchId, kind} = attempt.options;
 		const known = this.knownOf(upstreamId, nowMs);
 		if (known) {
-			this.options.cold.sent(upstreamId, nowMs);
+			this.options.availability.sent(upstreamId, nowMs);
 			known.candidate.stats.inFlight++;
 			known.signs.sent(dispatchId, nowMs);
 		}
@@ -281,7 +266,7 @@
 
 	/** Servers of the pool that may be chosen; those in doubt only where there are no others. */
 	private usable(stage: StagePlan, excluded: ReadonlySet<string>, nowMs: number): readonly Candidate[] {
-		const all = this.options.cold.withoutCold(this.candidatesOf(stage.pool, nowMs), stage, nowMs).filter(candidate => !excluded.has(candidate.upstreamId));
+		const all = this.options.availability.withoutCold(this.candidatesOf(stage.pool, nowMs), stage, nowMs).filter(candidate => !excluded.has(candidate.upstreamId));
 		const sound = all.filter(candidate => !this.isInDoubt(candidate, stage, nowMs));
 		return sound.length > 0 ? this.outliers.withoutEjected(sound, nowMs) : all;
 	}
