--- a/src/direct/common/direct-router.test.ts
+++ b/src/direct/common/direct-router.test.ts
@@ -28,10 +28,10 @@
 	})),
 }, 0);
 
-function makeRouter(): DirectRouter {
+function makeRouter(servers = registry, share = ColdShare.create(undefined, () => ({own: '', hosts: [''], isSettled: true}))): DirectRouter {
 	return DirectRouter.create({
 		hall: 'x',
-		registry,
+		registry: servers,
 		chooser: ScoreChooser.create(SeededRandom.create(1), PrefixIndex.create()),
 		bounds: {ratio: 0.2, slack: 50, windowMs: 10_000},
 		hostCount: () => 1,
@@ -40,7 +40,7 @@
 		assigned: () => undefined,
 		quarantine: {standingOf: () => clearStanding},
 		availability: PoolAvailability.create({
-			registry, share: ColdShare.create(undefined, () => ({own: '', hosts: [''], isSettled: true})), bearsPerS: () => 0,
+			registry: servers, share, bearsPerS: () => 4,
 		}),
 	});
 }
@@ -100,3 +100,23 @@
 	router.heard('e1', 'd', 2000);
 	t.equal(chosenAt(2000, ['e2']), 'e1');
 });
+
+/*
+Found by reading: with one warm server left that had ended, or gave no sign, work went to it again and again while cold ones that
+could have taken some stood idle.
+*/
+t.test('a cold server goes before a warm one that is in doubt, and a sound warm one before both', async t => {
+	const servers = ServerRegistry.create({log: silentLoggers.for('test'), leavingWithinMs: 2000});
+	servers.replaceAll({
+		revision: 1,
+		servers: ['warm', 'cold'].map(serverId => ({
+			serverId, instanceId: serverId, startedMs: 0, pool, address: '127.0.0.1', port: 1, hall: 'x', slots: 64, isLeaving: false, revision: 1, ...(serverId === 'cold' && {coldLeftMs: 60_000}),
+		})),
+	}, 0);
+	const router = makeRouter(servers, ColdShare.create({excess: 1, tolerance: 0}, () => ({own: 'a', hosts: ['a'], isSettled: true})));
+	const choose = (nowMs: number, excluded: readonly string[] = []) => router.choose(stageOf('p', 1000), new Set(excluded), 0, nowMs)?.chosen.upstreamId;
+	t.equal(choose(0), 'warm');
+	t.equal(choose(0, ['warm']), 'cold');
+	router.serverEnded('warm', 1000);
+	t.equal(choose(1000), 'cold');
+});
