Send to sound cold servers before warm ones in doubt, and keep a send back only of several

Cause: (1) cold servers were left out before it was asked which are sound: with one warm one left that had ended, work went to it. (2) One send to a cold server is kept for the most urgent work; where a host's part is one, all other work was refused while it was cold. Change: soundness first, then coldness, doubtful ones last; nothing is kept back of a part of one.

--- a/src/direct/common/direct-router.ts
+++ b/src/direct/common/direct-router.ts
@@ -264,11 +264,12 @@
 		this.known.get(serverId)?.signs.heard(dispatchId, nowMs);
 	}
 
-	/** Servers of the pool that may be chosen; those in doubt only where there are no others. */
+	/** Servers of the pool that may be chosen: sound ones, cold ones only where none of them is warm, those in doubt last. */
 	private usable(stage: StagePlan, excluded: ReadonlySet<string>, nowMs: number): readonly Candidate[] {
-		const all = this.options.availability.withoutCold(this.candidatesOf(stage.pool, nowMs), stage, nowMs).filter(candidate => !excluded.has(candidate.upstreamId));
-		const sound = all.filter(candidate => !this.isInDoubt(candidate, stage, nowMs));
-		return sound.length > 0 ? this.outliers.withoutEjected(sound, nowMs) : all;
+		const {availability} = this.options;
+		const all = this.candidatesOf(stage.pool, nowMs).filter(candidate => !excluded.has(candidate.upstreamId));
+		const sound = availability.withoutCold(all.filter(candidate => !this.isInDoubt(candidate, stage, nowMs)), stage, nowMs);
+		return sound.length > 0 ? this.outliers.withoutEjected(sound, nowMs) : availability.withoutCold(all, stage, nowMs);
 	}
 
 	private isInDoubt(candidate: Candidate, stage: StagePlan, nowMs: number): boolean {
--- a/src/direct/common/pool-availability.ts
+++ b/src/direct/common/pool-availability.ts
@@ -104,8 +104,6 @@
 
 	private bearsMore(serverId: string, {pool, rank = 0}: StagePlan, nowMs: number): boolean {
 		const {share, bearsPerS} = this.options;
-		// One send is kept for the most urgent work.
-		const reserve = rank > 0 ? 1 : 0;
-		return share.left(serverId, bearsPerS(pool), nowMs) > reserve;
+		return share.left(serverId, bearsPerS(pool), {isUrgent: rank === 0}, nowMs) > 0;
 	}
 }
--- a/src/routing/common/cold-share.test.ts
+++ b/src/routing/common/cold-share.test.ts
@@ -104,7 +104,7 @@
 
 	private sendAll(): void {
 		for (const {share, upAtMs} of this.hosts) {
-			while (upAtMs <= this.nowMs && share.left('cold', bearsPerS, this.nowMs) > 0) {
+			while (upAtMs <= this.nowMs && share.left('cold', bearsPerS, {isUrgent: true}, this.nowMs) > 0) {
 				share.sent('cold', this.nowMs);
 				this.sentMs.push(this.nowMs);
 			}
@@ -145,5 +145,16 @@
 
 t.test('what is not bounded is not counted', async t => {
 	const share = ColdShare.create(undefined, () => ({own: 'a', hosts: ['a', 'b'], isSettled: false}));
-	t.equal(share.left('cold', 0, 0), Infinity);
+	t.equal(share.left('cold', 0, {isUrgent: false}, 0), Infinity);
+});
+
+t.test('one send of several is kept for the most urgent work; where there is but one, who comes first has it', async t => {
+	const view = () => ({own: 'a', hosts: ['a'], isSettled: true});
+	const several = ColdShare.create({excess: 2, tolerance: 0}, view);
+	t.equal(several.left('s', 4, {isUrgent: true}, 0), 4);
+	t.equal(several.left('s', 4, {isUrgent: false}, 0), 3);
+	const single = ColdShare.create({excess: 1, tolerance: 0}, view);
+	t.equal(single.left('s', 1, {isUrgent: false}, 0), 1);
+	single.sent('s', 0);
+	t.equal(single.left('s', 1, {isUrgent: true}, 0), 0);
 });
--- a/src/routing/common/cold-share.ts
+++ b/src/routing/common/cold-share.ts
@@ -22,6 +22,12 @@
 	readonly tolerance: number;
 };
 
+/** What is to be sent to a cold upstream. */
+export type ColdWork = {
+	/** Whether it is of the best rank. */
+	readonly isUrgent: boolean;
+};
+
 /** Part of the bound that the senders use together. */
 const usedShare = 0.5;
 /** Hosts that send to one cold upstream: two may be lost at once, and a part of a usual bound is still several requests. */
@@ -56,10 +62,17 @@
 	Tells how many requests this host may still send to a cold upstream now.
 	@param upstreamId - the upstream.
 	@param bearsPerS - requests a second that it bears, as its pool declares.
+	@param work - what would be sent: one send of several is kept for the most urgent work.
 	@param nowMs - the time.
 	*/
-	left(upstreamId: string, bearsPerS: number, nowMs: number): number {
-		return this.bounds ? Math.max(0, this.partOf(upstreamId, bearsPerS, this.bounds, nowMs) - this.recentOf(upstreamId, nowMs).length) : Infinity;
+	left(upstreamId: string, bearsPerS: number, {isUrgent}: ColdWork, nowMs: number): number {
+		if (!this.bounds) {
+			return Infinity;
+		}
+
+		const part = this.partOf(upstreamId, bearsPerS, this.bounds, nowMs);
+		const kept = isUrgent || part === 1 ? 0 : 1;
+		return Math.max(0, part - kept - this.recentOf(upstreamId, nowMs).length);
 	}
 
 	/**
--- a/src/routing/common/sleep.test.ts
+++ b/src/routing/common/sleep.test.ts
@@ -62,14 +62,14 @@
 t.test('sends to a cold upstream are as long ago as the world says', async t => {
 	const clock = ManualClock.create();
 	const share = ColdShare.create({excess: 1.5, tolerance: 5}, () => ({own: 'a', hosts: ['a'], isSettled: true}));
-	while (share.left('s', 4, clock.nowMs()) > 0) {
+	while (share.left('s', 4, {isUrgent: true}, clock.nowMs()) > 0) {
 		share.sent('s', clock.nowMs());
 	}
 
 	clock.sleep(999);
-	t.equal(share.left('s', 4, clock.nowMs()), 0);
+	t.equal(share.left('s', 4, {isUrgent: true}, clock.nowMs()), 0);
 	clock.sleep(1);
-	t.equal(share.left('s', 4, clock.nowMs()), 5);
+	t.equal(share.left('s', 4, {isUrgent: true}, clock.nowMs()), 5);
 });
 
 t.test('hosts that were met are remembered through a sleep, and forgotten after a very long one', async t => {
