Count a server of a hall given back cold for no less time than its entry told; split views of pools and checks at the door off

Cause: (1) giving a hall back set its servers' time to what a start takes, also where an entry had told more. (2) The registry kept the views of pools, the door two checks that differ in nothing but who is asked. Change: (1) the longer time counts (ServerColdness.suspect). (2) PoolViews, doorRefusal; no decision changes.

--- a/src/deployment/common/server-coldness.ts
+++ b/src/deployment/common/server-coldness.ts
@@ -31,7 +31,7 @@
 	*/
 	read({serverId, coldLeftMs, revision}: ListedServer, nowMs: number): boolean {
 		if (coldLeftMs !== undefined) {
-			return this.turnCold(serverId, coldLeftMs, revision, nowMs);
+			return this.set(serverId, nowMs + coldLeftMs, revision, nowMs);
 		}
 
 		const known = this.cold.get(serverId);
@@ -43,21 +43,25 @@
 	}
 
 	/**
-	A server is cold, for all that is known.
+	A server may have turned cold, as its hall was given back.
 	@param serverId - the server.
-	@param forMs - how much longer.
-	@param revision - the writing that shows it.
+	@param forMs - how long it is cold if it has.
+	@param revision - the writing that gave the hall back.
 	@param nowMs - the time.
-	@returns whether it was not before.
+	@returns whether it did not count as cold before.
 	*/
-	turnCold(serverId: string, forMs: number, revision: number, nowMs: number): boolean {
-		const isNews = this.leftMs(serverId, nowMs) === 0;
-		this.cold.set(serverId, {revision, untilMs: nowMs + forMs});
-		return isNews;
+	suspect(serverId: string, forMs: number, revision: number, nowMs: number): boolean {
+		return this.set(serverId, nowMs + Math.max(forMs, this.leftMs(serverId, nowMs)), revision, nowMs);
 	}
 
 	/** A server is gone. */
 	forget(serverId: string): void {
 		this.cold.delete(serverId);
 	}
+
+	private set(serverId: string, untilMs: number, revision: number, nowMs: number): boolean {
+		const isNews = this.leftMs(serverId, nowMs) === 0;
+		this.cold.set(serverId, {revision, untilMs});
+		return isNews;
+	}
 }
--- a/src/deployment/common/server-registry.ts
+++ b/src/deployment/common/server-registry.ts
@@ -20,6 +20,7 @@
 import type {DroppedRow, FeedChanges, WrittenRow} from './feed.js';
 import type {HallDrainChange, HallDrains} from './hall-drains.js';
 import {listSources, type ListSource} from './list-source.js';
+import {PoolViews} from './pool-views.js';
 import {
 	changeMessages, goneReasons, type GoneReason, type ServerChange,
 } from './server-change.js';
@@ -70,7 +71,10 @@
 	private readonly coldness = ServerColdness.create();
 	/** Servers that answered as another one, so that their address is someone else's now. */
 	private readonly replaced = new Set<string>();
-	private views = new Map<string, readonly UpstreamServer[]>();
+	private readonly views = PoolViews.create({
+		servers: this.servers, isMissing: serverId => this.missing.has(serverId), isDrained: server => this.isDrained(server),
+	});
+
 	/** Until when an entry that goes may have lapsed with the store; Infinity while the store does not answer. */
 	private mayReturnUntilMs = 0;
 	private listRevision = 0;
@@ -101,16 +105,7 @@
 	@param pool - the pool's name.
 	*/
 	usable(pool: string): readonly UpstreamServer[] {
-		let view = this.views.get(pool);
-		if (!view) {
-			const staying = this.stayingIn(pool).filter(server => !this.isDrained(server));
-			const listed = staying.filter(({serverId}) => !this.missing.has(serverId));
-			const isMostMissing = staying.length > 2 * listed.length;
-			view = isMostMissing ? staying : listed;
-			this.views.set(pool, view);
-		}
-
-		return view;
+		return this.views.usable(pool);
 	}
 
 	/**
@@ -118,13 +113,7 @@
 	@param pool - the pool's name.
 	*/
 	isPoolDrained(pool: string): boolean {
-		// Asked for each request: what is kept for the pool answers nearly always.
-		if (this.usable(pool).length > 0) {
-			return false;
-		}
-
-		const staying = this.stayingIn(pool);
-		return staying.length > 0 && staying.every(server => this.isDrained(server));
+		return this.views.isDrained(pool);
 	}
 
 	/**
@@ -159,7 +148,7 @@
 		for (const server of this.servers.values()) {
 			const coldMs = coldMsOf(server.pool);
 			const mayBeCold = server.hall === hall && server.revision < revision && coldMs > 0;
-			if (mayBeCold && this.coldness.turnCold(server.serverId, coldMs, revision, nowMs)) {
+			if (mayBeCold && this.coldness.suspect(server.serverId, coldMs, revision, nowMs)) {
 				this.tell(server, 'cold');
 			}
 		}
@@ -266,12 +255,8 @@
 		}
 	}
 
-	private stayingIn(pool: string): ListedServer[] {
-		return [...this.servers.values()].filter(server => server.pool === pool && !server.isLeaving);
-	}
-
 	private drainChanged({hall, isDrained, revision, source}: HallDrainChange): void {
-		this.views = new Map();
+		this.views.changed();
 		const servers = [...this.servers.values()].filter(server => server.hall === hall).length;
 		this.options.log.info(isDrained ? 'A data hall is being drained; nothing more is sent to its servers.' : 'A data hall is not drained any more.', {
 			hall, servers, revision, source,
@@ -321,7 +306,7 @@
 		const known = this.servers.get(serverId);
 		const isLeaving = server.isLeaving || known?.isLeaving === true;
 		this.servers.set(serverId, {...server, isLeaving});
-		this.views = new Map();
+		this.views.changed();
 		if (wasMissing || known?.isLeaving !== isLeaving) {
 			this.tell(server, isLeaving ? 'leaving' : 'joined');
 		}
@@ -349,7 +334,7 @@
 
 		const untilMs = Math.min(this.mayReturnUntilMs, nowMs + (this.options.leavingWithinMs * missingShare));
 		this.missing.set(serverId, {revision, untilMs});
-		this.views = new Map();
+		this.views.changed();
 		this.tell(server, 'missing');
 	}
 
@@ -367,7 +352,7 @@
 		const server = this.servers.get(serverId);
 		if (server) {
 			this.servers.delete(serverId);
-			this.views = new Map();
+			this.views.changed();
 			this.tell(server, 'gone', reason);
 		}
 	}
--- a/src/direct/node/ingress.ts
+++ b/src/direct/node/ingress.ts
@@ -13,11 +13,9 @@
 import type {DeploymentBoard} from '../../deployment/common/deployment-board.js';
 import {admit, type PoolWaits} from '../../preparation/common/admission.js';
 import type {Preparer, PreparationAsk} from '../../preparation/node/preparer.js';
-import {barredText, type Standing} from '../../quarantine/common/quarantine.js';
 import {contentIdOf} from '../../quarantine/common/request-content.js';
 import {requestLogMessages} from '../../request/common/request-log-messages.js';
 import {otherHostMs, type RequestPlan, type StagePlan} from '../../request/common/request-plan.js';
-import type {Unavailability} from '../../request/common/request-router.js';
 import type {RequestRunner} from '../../request/node/request-runner.js';
 import type {Endpoint} from '../../wire/common/endpoint.js';
 import {listenOn} from '../../wire/node/listen.js';
@@ -26,7 +24,8 @@
 import {FirstTries} from '../common/first-tries.js';
 import type {LikelyPlace} from '../common/direct-router.js';
 import type {DirectLinks} from './direct-links.js';
-import {notRunText, sendOwn} from './pass-through-writer.js';
+import {doorRefusal, type DoorChecks} from './door-checks.js';
+import {sendOwn} from './pass-through-writer.js';
 import {readBody} from './read-request.js';
 import {
 	ownStatuses, recognize, type Recognized, type Refusal,
@@ -38,7 +37,7 @@
 /** How often connections are looked through for those past their limits. */
 const checkMs = 1000;
 /** What the door is made of. */
-export type IngressOptions = {
+export type IngressOptions = DoorChecks & {
 	readonly board: DeploymentBoard;
 	readonly links: DirectLinks;
 	readonly runner: RequestRunner;
@@ -46,10 +45,6 @@
 	readonly makePreparer: (ask: PreparationAsk) => Preparer;
 	/** Tells where a request with a shared part will most likely run. */
 	readonly likelyPlace: (stage: StagePlan, nowMs: number) => LikelyPlace;
-	/** Tells whether a request may be sent, by what became of the same content before. */
-	readonly standingOf: (plan: RequestPlan) => Standing;
-	/** Tells why requests that need certain pools can't be served for now. */
-	readonly unavailabilityOf: (pools: readonly string[]) => Unavailability | undefined;
 	/** Waits of the queues for steps. */
 	readonly waits: PoolWaits;
 	readonly clock: Clock;
@@ -219,7 +214,13 @@
 		const {request, response, ask, receivedMs} = arrival;
 		const {links, runner, likelyPlace, clock, log, metrics} = this.options;
 		const plan = this.planOf(arrival);
-		if (this.refuseBarred(arrival, plan) || this.refuseUnavailable(arrival, plan)) {
+		const refusal = doorRefusal(arrival, plan, this.options);
+		if (refusal) {
+			if (refusal.content !== undefined) {
+				metrics.increment('quarantine.refused', 1, {route: plan.pipeline});
+			}
+
+			this.refuse(response, refusal);
 			return;
 		}
 
@@ -248,40 +249,6 @@
 		}).start(runner);
 	}
 
-	/**
-	Refuses a request that no upstream gets for now.
-	@returns whether it was one.
-	*/
-	private refuseBarred({response, ask}: Arrival, plan: RequestPlan): boolean {
-		const standing = this.options.standingOf(plan);
-		if (standing.type !== 'barred') {
-			return false;
-		}
-
-		this.options.metrics.increment('quarantine.refused', 1, {route: plan.pipeline});
-		this.refuse(response, {
-			requestId: ask.requestId, status: ownStatuses.unavailable, reason: notRunText(barredText), retryAfterMs: standing.forMs, content: standing.contentId,
-		});
-		return true;
-	}
-
-	/**
-	Refuses a request for which a pool it needs has no upstream that may get work.
-	@returns whether it was one.
-	*/
-	private refuseUnavailable({response, route, ask}: Arrival, {stages: [stage]}: RequestPlan): boolean {
-		const stepPools = route.steps.filter((_, index) => (ask.pieceCounts[index] ?? 0) > 0).map(({pool}) => pool);
-		const unavailability = this.options.unavailabilityOf([stage.pool, ...stepPools]);
-		if (!unavailability) {
-			return false;
-		}
-
-		this.refuse(response, {
-			requestId: ask.requestId, status: ownStatuses.unavailable, reason: notRunText(unavailability.message), retryAfterMs: unavailability.retryAfterMs,
-		});
-		return true;
-	}
-
 	private planOf({request, index, route, workspace, ask, body, receivedMs}: Arrival): RequestPlan {
 		const {random, unavailabilityOf} = this.options;
 		const pool = choosePool(route, random, each => unavailabilityOf([each]) === undefined);
