Bring about that upstreams that name a limit get more than it allows: a test that fails

Plain calls and streams over three hosts, steps, a host that starts amid it, a pool in which all name one, its end, and limits that can't be read.

--- /dev/null
+++ b/test/platform/server-limit.test.ts
@@ -0,0 +1,172 @@
+/**
+Upstreams that name a limit in their answers, before real entries.
+
+Seen: engines that had named a limit of 1 request a second went on to get what all others got, 12 to 17 in 4 s; nothing of what
+callers saw told of it.
+*/
+import {setTimeout as sleep} from 'node:timers/promises';
+import t, {type Test} from 'tap';
+import {
+	ask, DirectFleet, streamCall, until, type CallerAnswer, type CallerCall, type RunningEntry,
+} from './direct-harness.js';
+import type {ServerStandin} from './upstream-standins.js';
+
+/** The span over which arrivals are counted, and what is allowed in it: one and a half times the limit, and 5 besides. */
+const spanMs = 4000;
+const mostOf = (limitPerS: number) => (1.5 * limitPerS * (spanMs / 1000)) + 5;
+/** All hosts heed a limit this long after an answer named it first. */
+const heededMs = 1000;
+const loadMs = 5200;
+/** Part of the requests that is served where other upstreams have room. */
+const servedShare = 0.99;
+
+type MakeCall = (id: string) => CallerCall;
+
+const plainCall: MakeCall = id => ({path: '/look/1', id});
+const streamOf: MakeCall = id => streamCall('/draft/1', {id, headers: {'prompt-prefix': `${id}a:10,bb:5`}});
+const stepsCall: MakeCall = id => streamCall('/staged/1', {id, headers: {'chunk-count': '2,1', 'chunk-key': `key-${id}`}});
+
+async function makeFleet(t: Test): Promise<DirectFleet> {
+	const fleet = await DirectFleet.create();
+	t.teardown(() => {
+		fleet.dispose();
+	});
+	return fleet;
+}
+
+const countPeers = ({lines}: RunningEntry) => lines.filter(line => line.includes('A peer is connected.')).length;
+
+/** Starts hosts and waits until all have met. */
+async function addHosts(fleet: DirectFleet, count: number): Promise<RunningEntry[]> {
+	const hosts: RunningEntry[] = [];
+	for (let index = 0; index < count; index++) {
+		hosts.push(await fleet.addReadyEntry());
+	}
+
+	await until(() => hosts.every(host => countPeers(host) >= count - 1));
+	return hosts;
+}
+
+/** Sends requests to the hosts in turn, at a steady rate. */
+async function load(hosts: readonly RunningEntry[], makeCall: MakeCall, perS: number, forMs = loadMs): Promise<CallerAnswer[]> {
+	const answers: Array<Promise<CallerAnswer>> = [];
+	const startMs = performance.now();
+	for (let index = 0; performance.now() - startMs < forMs; index++) {
+		answers.push(ask(hosts[index % hosts.length], makeCall(`r${startMs.toFixed(0)}-${index}`)));
+		await sleep(Math.max(0, startMs + ((index + 1) * 1000 / perS) - performance.now()));
+	}
+
+	return Promise.all(answers);
+}
+
+/** Most arrivals in the span, from when all hosts heed the limit. */
+const mostHeeded = (server: ServerStandin) => server.mostWithin(spanMs, (server.arrivedMs.at(0) ?? 0) + heededMs);
+
+function isWithin(t: Test, server: ServerStandin, limitPerS: number): void {
+	const most = mostHeeded(server);
+	t.ok(most <= mostOf(limitPerS), `${server.serverId}: ${most} in 4 s, allowed ${mostOf(limitPerS)}`);
+}
+
+const countServed = (answers: readonly CallerAnswer[]) => answers.filter(({status}) => status === 200).length;
+
+function areServed(t: Test, answers: readonly CallerAnswer[]): void {
+	t.ok(countServed(answers) >= servedShare * answers.length, `${countServed(answers)} of ${answers.length} are served`);
+}
+
+t.test('an upstream that names a limit', async t => {
+	t.test('gets no more plain calls and streams than it names, from all hosts together; others serve the rest', async t => {
+		const fleet = await makeFleet(t);
+		const [plain] = await fleet.addServers('plain', 4);
+		const [engine] = await fleet.addServers('model', 4);
+		plain.limit = '1';
+		engine.limit = '1.0';
+		const hosts = await addHosts(fleet, 3);
+		const [calls, streams] = await Promise.all([load(hosts, plainCall, 40), load(hosts, streamOf, 30)]);
+		for (const server of [plain, engine]) {
+			isWithin(t, server, 1);
+			t.ok(server.arrivedMs.length > 0);
+		}
+
+		areServed(t, [...calls, ...streams]);
+	});
+
+	t.test('gets no more calls of steps and releases than it names', async t => {
+		const fleet = await makeFleet(t);
+		await fleet.addServers('model', 2);
+		const [worker] = await fleet.addServers('stage', 3);
+		worker.limit = '2';
+		const answers = await load(await addHosts(fleet, 3), stepsCall, 20);
+		isWithin(t, worker, 2);
+		areServed(t, answers);
+	});
+
+	t.test('gets no more from a host that starts amid it', async t => {
+		const fleet = await makeFleet(t);
+		const [limited] = await fleet.addServers('plain', 3);
+		limited.limit = '1';
+		const hosts = await addHosts(fleet, 2);
+		const before = load(hosts, plainCall, 30);
+		await sleep(heededMs);
+		const late = await fleet.addReadyEntry();
+		const after = load([late], plainCall, 30, spanMs);
+		isWithin(t, limited, 1);
+		areServed(t, [...await before, ...await after]);
+		isWithin(t, limited, 1);
+	});
+
+	t.test('beside others that do serves what it names; the rest is refused at once, as not run', async t => {
+		const fleet = await makeFleet(t);
+		const servers = await fleet.addServers('plain', 3);
+		for (const server of servers) {
+			server.limit = '2';
+		}
+
+		const answers = await load(await addHosts(fleet, 3), plainCall, 40);
+		for (const server of servers) {
+			isWithin(t, server, 2);
+			t.ok(mostHeeded(server) >= 4, `${mostHeeded(server)} in 4 s: half of what it names at least`);
+		}
+
+		const refused = answers.filter(({status}) => status === 503);
+		t.equal(countServed(answers) + refused.length, answers.length);
+		t.ok(refused.length > 0);
+		for (const {text, headers} of refused) {
+			t.match(text, /^Not run: .*limit/v);
+			t.match(headers, {'retry-after': /^[\d.]+$/v});
+		}
+	});
+
+	t.test('gets its usual part again once it names none any more', async t => {
+		const fleet = await makeFleet(t);
+		const [limited] = await fleet.addServers('plain', 2);
+		limited.limit = '1';
+		const hosts = await addHosts(fleet, 3);
+		await load(hosts, plainCall, 30, 2000);
+		t.ok(limited.arrivedMs.length < 15, `${limited.arrivedMs.length} arrivals under its limit`);
+		limited.limit = undefined;
+		const before = limited.arrivedMs.length;
+		const isBack = () => limited.arrivedMs.length > before + 60;
+		for (let round = 0; round < 15 && !isBack(); round++) {
+			areServed(t, await load(hosts, plainCall, 30, 1000));
+		}
+
+		t.ok(isBack(), 'it gets work as before');
+	});
+
+	t.test('that can\'t be read costs nothing but a line', async t => {
+		const fleet = await makeFleet(t);
+		const servers = await fleet.addServers('plain', 9);
+		const strange = ['abc', '-3', 'NaN', '9'.repeat(400), '', '1,2', '1e999', '0x10', 'Infinity'];
+		for (const [index, server] of servers.entries()) {
+			server.limit = strange[index];
+		}
+
+		const [host] = await addHosts(fleet, 1);
+		const answers = await load([host], plainCall, 60, 2000);
+		t.equal(countServed(answers), answers.length);
+		for (const server of servers) {
+			const told = host.lines.filter(line => line.includes('names a limit that can\'t be read') && line.includes(`"${server.serverId}"`));
+			t.equal(told.length, Math.min(1, server.arrivedMs.length), 'lines of one upstream');
+		}
+	});
+});
--- a/test/platform/upstream-standins.ts
+++ b/test/platform/upstream-standins.ts
@@ -78,6 +78,8 @@
 	mostWhileCold = Infinity;
 	/** How much longer it is cold, as its entry tells. */
 	coldLeftMs = 0;
+	/** What all its answers name as the requests a second that it takes from all hosts together. */
+	limit: string | undefined;
 	/** When requests came, those it rejects included. */
 	readonly arrivedMs: number[] = [];
 	/** Calls of stage work are answered once this has ended. */
@@ -102,7 +104,17 @@
 
 	/** Most requests that came within any one second. */
 	get mostInOneSecond(): number {
-		return Math.max(0, ...this.arrivedMs.map(startMs => this.arrivedMs.filter(atMs => atMs >= startMs && atMs < startMs + 1000).length));
+		return this.mostWithin(1000, -Infinity);
+	}
+
+	/**
+	Tells how many requests came at most within any span.
+	@param spanMs - its length.
+	@param sinceMs - what came before does not count.
+	*/
+	mostWithin(spanMs: number, sinceMs: number): number {
+		const countedMs = this.arrivedMs.filter(atMs => atMs >= sinceMs);
+		return Math.max(0, ...countedMs.map(startMs => countedMs.filter(atMs => atMs >= startMs && atMs < startMs + spanMs).length));
 	}
 
 	dispose(): void {
@@ -118,6 +130,10 @@
 		const body = new TextDecoder().decode(await readBody(request));
 		const path = request.url ?? '';
 		this.arrivedMs.push(performance.now());
+		if (this.limit !== undefined) {
+			response.setHeader('server-limit', this.limit);
+		}
+
 		if (this.coldLeftMs > 0 && this.mostInOneSecond > this.mostWhileCold) {
 			this.end();
 			return;
