Heed the limits that upstreams name, over all hosts together and for every kind of call

What callers saw: nothing; servers in need that named a limit got as much as before, 12 to 17 requests in 4 s where 11 were allowed. Cause: the limit was read nowhere. Each host chooses as if it were alone, and an upstream that gets little looks best to all. Calls of steps asked for no bound at all, so that cold workers of steps were bounded by nothing either. Change: SendBounds answers one question for each kind of call, where it goes out: what may go to this server now, of what all hosts may send. Its sources are drained halls, coldness and limits; SendShare (before: ColdShare) counts for all of them. ServerLimits reads limits from any answer, tells peers what changes, and ends one only by an answer to a call that was sent after the last one with it; the end takes effect host by host. A limit that nobody repeats is looked at by one host after the other. The protocol between hosts is version 5. Why it holds: the sum is bounded by who may send, not by what hosts tell each other; news only say that there is a limit, and a wrong end is taken back by the next answer before it takes effect.

--- a/src/daemon/common/direct-settings.ts
+++ b/src/daemon/common/direct-settings.ts
@@ -1,7 +1,7 @@
 /** Settings of a host whose entry calls upstreams itself; the adapter of a platform makes them of what that platform gives. */
 import type {Endpoint} from '../../wire/common/endpoint.js';
 import type {HostCapacity} from '../../routing/common/host-room.js';
-import type {ColdBounds} from '../../routing/common/cold-share.js';
+import type {ColdBounds} from '../../routing/common/rate-bound.js';
 import type {RepeatBounds} from '../../routing/common/windowed-budget.js';
 
 export type DirectEntrySettings = {
--- a/src/daemon/node/compose-direct-entry.ts
+++ b/src/daemon/node/compose-direct-entry.ts
@@ -11,6 +11,7 @@
 import {newId} from '../../base/node/ids.js';
 import {DeploymentBoard, deploymentBoardToken} from '../../deployment/common/deployment-board.js';
 import {HallDrains, hallDrainsToken} from '../../deployment/common/hall-drains.js';
+import {ServerLimits, serverLimitsToken} from '../../deployment/common/server-limits.js';
 import {ServerRegistry, serverRegistryToken} from '../../deployment/common/server-registry.js';
 import {DirectRouter} from '../../direct/common/direct-router.js';
 import {EngineChooser} from '../../direct/common/engine-chooser.js';
@@ -18,6 +19,7 @@
 import {DirectLinks} from '../../direct/node/direct-links.js';
 import {Ingress, ingressToken} from '../../direct/node/ingress.js';
 import {PromptNews} from '../../direct/node/prompt-news.js';
+import {LimitNews} from '../../peers/node/limit-news.js';
 import {PeerMesh, peerMeshToken} from '../../peers/node/peer-mesh.js';
 import {StateExchange} from '../../peers/node/state-exchange.js';
 import {BatchDesk, batchDeskToken} from '../../preparation/node/batch-desk.js';
@@ -29,10 +31,11 @@
 import {ConnectCheck} from '../../quarantine/node/address-check.js';
 import {QuarantineNews} from '../../quarantine/node/quarantine-news.js';
 import {RequestRunner} from '../../request/node/request-runner.js';
-import {ColdShare} from '../../routing/common/cold-share.js';
 import {EngineLoads} from '../../routing/common/engine-loads.js';
 import {roomOf} from '../../routing/common/host-room.js';
 import {PrefixIndex} from '../../routing/common/prefix-index.js';
+import {SendBounds, sendBoundsToken} from '../../routing/common/send-bounds.js';
+import {SendShare} from '../../routing/common/send-share.js';
 import {ScoreChooser} from '../../routing/common/score-chooser.js';
 import {WindowedBudget} from '../../routing/common/windowed-budget.js';
 import type {WireClientOptions} from '../../wire/node/wire-client.js';
@@ -105,13 +108,21 @@
 	})));
 }
 
-/** What this host knows: the declaration in force and the list of servers. */
-function registerState({settings, logOf, register, get}: Composition): void {
+/** What this host knows: the declaration in force, the list of servers, and the limits that these name. */
+function registerState({settings, metrics, logOf, register, get}: Composition): void {
 	register(deploymentBoardToken, () => DeploymentBoard.create(logOf('declaration')));
 	register(hallDrainsToken, () => HallDrains.create());
 	register(serverRegistryToken, () => ServerRegistry.create({
 		log: logOf('servers'), leavingWithinMs: settings.leavingWithinMs, drains: get(hallDrainsToken),
 	}));
+	register(serverLimitsToken, () => ServerLimits.create({random: get(randomToken), log: logOf('servers'), metrics}));
+	register(sendBoundsToken, () => SendBounds.create({
+		registry: get(serverRegistryToken),
+		limits: get(serverLimitsToken),
+		share: SendShare.create(nowMs => get(peerMeshToken).fleetView(nowMs)),
+		cold: settings.cold,
+		bearsPerS: pool => get(deploymentBoardToken).current?.pool(pool)?.cold?.bearsPerS ?? 0,
+	}));
 }
 
 /** Which requests end the servers that run them. */
@@ -128,9 +139,7 @@
 function registerUpstreams({settings, ports, lifecycle, clock, logOf, register, get, hostCount}: Composition): void {
 	register(enginesToken, () => EngineChooser.create(EngineLoads.create()));
 	register(availabilityToken, () => PoolAvailability.create({
-		registry: get(serverRegistryToken),
-		share: ColdShare.create(settings.cold, nowMs => get(peerMeshToken).fleetView(nowMs)),
-		bearsPerS: pool => get(deploymentBoardToken).current?.pool(pool)?.cold?.bearsPerS ?? 0,
+		registry: get(serverRegistryToken), bounds: get(sendBoundsToken),
 	}));
 	register(routerToken, () => DirectRouter.create({
 		hall: settings.hall,
@@ -157,6 +166,7 @@
 	})));
 	register(linksToken, () => lifecycle.register(DirectLinks.create({
 		registry: get(serverRegistryToken),
+		limits: get(serverLimitsToken),
 		protocol: ports.upstreams,
 		clock,
 		log: logOf('requests'),
@@ -184,6 +194,8 @@
 			pool,
 			board: get(deploymentBoardToken),
 			registry: get(serverRegistryToken),
+			limits: get(serverLimitsToken),
+			bounds: get(sendBoundsToken),
 			protocol: ports.batches,
 			budget: WindowedBudget.create(settings.repeats, hostCount),
 			quarantine: get(quarantineToken),
@@ -256,6 +268,7 @@
 	get(quarantineToken).onDidHearOfEnd(serverId => {
 		get(routerToken).serverEnded(serverId, clock.nowMs());
 	});
+	lifecycle.register(LimitNews.create({limits: get(serverLimitsToken), mesh: get(peerMeshToken), clock}));
 	lifecycle.register(QuarantineNews.create({quarantine: get(quarantineToken), mesh: get(peerMeshToken), clock}));
 	lifecycle.register(setRepeating(clock, () => sweepMs, () => {
 		get(serverRegistryToken).tick(clock.nowMs());
--- a/src/direct/common/direct-router.test.ts
+++ b/src/direct/common/direct-router.test.ts
@@ -6,9 +6,11 @@
 import {clearStanding} from '../../quarantine/common/quarantine.js';
 import {Attempt} from '../../request/common/attempt.js';
 import {attemptStates, type StagePlan} from '../../request/common/request-plan.js';
-import {ColdShare} from '../../routing/common/cold-share.js';
 import {EngineLoads} from '../../routing/common/engine-loads.js';
 import {PrefixIndex} from '../../routing/common/prefix-index.js';
+import type {ColdBounds} from '../../routing/common/rate-bound.js';
+import {SendBounds} from '../../routing/common/send-bounds.js';
+import {SendShare} from '../../routing/common/send-share.js';
 import {ScoreChooser} from '../../routing/common/score-chooser.js';
 import {makeDirectPlan} from './direct-plan.js';
 import {DirectRouter} from './direct-router.js';
@@ -28,7 +30,7 @@
 	})),
 }, 0);
 
-function makeRouter(servers = registry, share = ColdShare.create(undefined, () => ({own: '', hosts: [''], isSettled: true}))): DirectRouter {
+function makeRouter(servers = registry, cold?: ColdBounds): DirectRouter {
 	return DirectRouter.create({
 		hall: 'x',
 		registry: servers,
@@ -40,7 +42,14 @@
 		assigned: () => undefined,
 		quarantine: {standingOf: () => clearStanding},
 		availability: PoolAvailability.create({
-			registry: servers, share, bearsPerS: () => 4,
+			registry: servers,
+			bounds: SendBounds.create({
+				registry: servers,
+				limits: {limitOf: () => undefined, forget: () => undefined},
+				share: SendShare.create(() => ({own: 'a', hosts: ['a'], isSettled: true})),
+				cold,
+				bearsPerS: () => 4,
+			}),
 		}),
 	});
 }
@@ -113,7 +122,7 @@
 			serverId, instanceId: serverId, startedMs: 0, pool, address: '127.0.0.1', port: 1, hall: 'x', slots: 64, isLeaving: false, revision: 1, ...(serverId === 'cold' && {coldLeftMs: 60_000}),
 		})),
 	}, 0);
-	const router = makeRouter(servers, ColdShare.create({excess: 1, tolerance: 0}, () => ({own: 'a', hosts: ['a'], isSettled: true})));
+	const router = makeRouter(servers, {excess: 1, tolerance: 0});
 	const choose = (nowMs: number, excluded: readonly string[] = []) => router.choose(stageOf('p', 1000), new Set(excluded), 0, nowMs)?.chosen.upstreamId;
 	t.equal(choose(0), 'warm');
 	t.equal(choose(0, ['warm']), 'cold');
--- a/src/direct/common/direct-router.ts
+++ b/src/direct/common/direct-router.ts
@@ -79,7 +79,6 @@
 		options.registry.onDidChange(({server, change}) => {
 			if (change === 'gone') {
 				this.known.delete(server.serverId);
-				options.availability.forget(server.serverId);
 			}
 
 			if (change === 'gone' || change === 'cold') {
@@ -146,7 +145,7 @@
 		const {upstreamId, dispatchId, kind} = attempt.options;
 		const known = this.knownOf(upstreamId, nowMs);
 		if (known) {
-			this.options.availability.sent(upstreamId, nowMs);
+			this.options.availability.sent(known.candidate, stage, nowMs);
 			known.candidate.stats.inFlight++;
 			known.signs.sent(dispatchId, nowMs);
 		}
@@ -264,12 +263,12 @@
 		this.known.get(serverId)?.signs.heard(dispatchId, nowMs);
 	}
 
-	/** Servers of the pool that may be chosen: sound ones, cold ones only where none of them is warm, those in doubt last. */
+	/** Servers of the pool that may be chosen: those that may get something now, sound ones first, cold ones only where none of them is warm. */
 	private usable(stage: StagePlan, excluded: ReadonlySet<string>, nowMs: number): readonly Candidate[] {
 		const {availability} = this.options;
 		const all = this.candidatesOf(stage.pool, nowMs).filter(candidate => !excluded.has(candidate.upstreamId));
-		const sound = availability.withoutCold(all.filter(candidate => !this.isInDoubt(candidate, stage, nowMs)), stage, nowMs);
-		return sound.length > 0 ? this.outliers.withoutEjected(sound, nowMs) : availability.withoutCold(all, stage, nowMs);
+		const sound = availability.open(all.filter(candidate => !this.isInDoubt(candidate, stage, nowMs)), stage, nowMs);
+		return sound.length > 0 ? this.outliers.withoutEjected(sound, nowMs) : availability.open(all, stage, nowMs);
 	}
 
 	private isInDoubt(candidate: Candidate, stage: StagePlan, nowMs: number): boolean {
--- a/src/direct/common/pool-availability.ts
+++ b/src/direct/common/pool-availability.ts
@@ -1,26 +1,21 @@
-/** Which upstreams of a pool may get something now, and what callers are told where none may: all are cold, or stand in drained halls. */
+/** Which upstreams of a pool may get something now, and what callers are told where none may: all are cold, limited, or stand in drained halls. */
 import type {ServerRegistry} from '../../deployment/common/server-registry.js';
 import type {StagePlan} from '../../request/common/request-plan.js';
 import type {Unavailability} from '../../request/common/request-router.js';
 import type {Candidate} from '../../routing/common/chooser.js';
-import type {ColdShare} from '../../routing/common/cold-share.js';
+import type {BoundedServer, SendBounds} from '../../routing/common/send-bounds.js';
+import type {BoundedWork} from '../../routing/common/send-share.js';
 
 /** A drain lasts for seconds at least; callers heed up to a third of the time they have left, some 2 s. */
 const drainedRetryAfterMs = 2000;
-/** Bounds of the time after which a caller that cold upstreams could not serve comes back: most are warm by then. */
-const shortestRetryAfterMs = 300;
-const longestRetryAfterMs = 2500;
 
 /** What decides. */
 export type PoolAvailabilityOptions = {
-	readonly registry: Pick<ServerRegistry, 'coldLeftMs' | 'usable' | 'isPoolDrained'>;
-	/** This host's part of what cold upstreams bear. */
-	readonly share: ColdShare;
-	/** Gives what a cold upstream of a pool bears a second. */
-	readonly bearsPerS: (pool: string) => number;
+	readonly registry: Pick<ServerRegistry, 'usable' | 'isPoolDrained'>;
+	readonly bounds: SendBounds;
 };
 
-/** Knows what may be sent where, and follows what this host sends to cold upstreams. */
+/** Knows what may be sent where. */
 export class PoolAvailability {
 	static create(options: PoolAvailabilityOptions): PoolAvailability {
 		return new PoolAvailability(options);
@@ -29,19 +24,26 @@
 	private constructor(private readonly options: PoolAvailabilityOptions) {}
 
 	/**
-	Leaves out cold upstreams. Warm ones are enough as long as there are any, and a cold one is the slower choice; where all are
-	cold, those are left that may get something from this host nevertheless.
+	Leaves out upstreams that may get nothing from this host now, and cold ones as long as there are warm ones, which are the faster choice.
 	@param candidates - upstreams of the stage's pool.
 	@param stage - what is to be sent.
 	@param nowMs - the time.
 	*/
-	withoutCold(candidates: readonly Candidate[], stage: StagePlan, nowMs: number): readonly Candidate[] {
-		if (!this.options.share.isBounded) {
-			return candidates;
-		}
+	open(candidates: readonly Candidate[], stage: StagePlan, nowMs: number): readonly Candidate[] {
+		const {bounds} = this.options;
+		const open = candidates.filter(candidate => bounds.mayGet(serverOf(candidate, stage), workOf(stage), nowMs));
+		const warm = open.filter(candidate => !bounds.isCold(serverOf(candidate, stage), nowMs));
+		return warm.length > 0 ? warm : open;
+	}
 
-		const warm = candidates.filter(({upstreamId}) => this.leftMs(upstreamId, nowMs) === 0);
-		return warm.length > 0 ? warm : candidates.filter(({upstreamId}) => this.bearsMore(upstreamId, stage, nowMs));
+	/**
+	A stage was sent to an upstream.
+	@param candidate - the upstream.
+	@param stage - the stage.
+	@param nowMs - the time.
+	*/
+	sent(candidate: Candidate, stage: StagePlan, nowMs: number): void {
+		this.options.bounds.sent(serverOf(candidate, stage), nowMs);
 	}
 
 	/**
@@ -65,45 +67,30 @@
 	@returns nothing where an upstream may get it, or may be there in a moment.
 	*/
 	ofStage(stage: StagePlan, nowMs: number): Unavailability | undefined {
-		return this.ofPools([stage.pool]) ?? this.ofCold(stage, nowMs);
+		return this.ofPools([stage.pool]) ?? this.ofBounded(stage, nowMs);
 	}
 
-	/**
-	Something was sent to an upstream, cold or not.
-	@param serverId - the upstream.
-	@param nowMs - the time.
-	*/
-	sent(serverId: string, nowMs: number): void {
-		if (this.leftMs(serverId, nowMs) > 0) {
-			this.options.share.sent(serverId, nowMs);
+	/** Why a pool bears no more from this host, where each of its upstreams is bounded. */
+	private ofBounded(stage: StagePlan, nowMs: number): Unavailability | undefined {
+		const {registry, bounds} = this.options;
+		const upstreams = registry.usable(stage.pool);
+		if (upstreams.length === 0 || upstreams.some(upstream => bounds.mayGet(upstream, workOf(stage), nowMs))) {
+			return undefined;
 		}
-	}
 
-	/** An upstream is gone. */
-	forget(serverId: string): void {
-		this.options.share.forget(serverId);
-	}
-
-	/** Until when a pool is cold as a whole and bears no more from this host. */
-	private ofCold(stage: StagePlan, nowMs: number): Unavailability | undefined {
-		const {pool} = stage;
-		const upstreams = this.options.registry.usable(pool);
-		const leftMs = upstreams.map(({serverId}) => this.leftMs(serverId, nowMs));
-		const mayBeSent = upstreams.some(({serverId}, index) => leftMs[index] === 0 || this.bearsMore(serverId, stage, nowMs));
-		return upstreams.length === 0 || mayBeSent
-			? undefined
-			: {
-				message: `all upstreams of ${pool} are cold and bear no more for now`,
-				retryAfterMs: Math.min(longestRetryAfterMs, Math.max(shortestRetryAfterMs, Math.min(...leftMs))),
-			};
+		const isLimited = upstreams.some(upstream => bounds.isLimited(upstream, nowMs));
+		return {
+			message: `all upstreams of ${stage.pool} ${isLimited ? 'get what their limits allow' : 'are cold and bear no more for now'}`,
+			retryAfterMs: bounds.retryAfterMs(upstreams, nowMs),
+		};
 	}
+}
 
-	private leftMs(serverId: string, nowMs: number): number {
-		return this.options.registry.coldLeftMs(serverId, nowMs);
-	}
+/** A stage as bounds see it: any host may send one. */
+function workOf({rank = 0}: StagePlan): BoundedWork {
+	return {isUrgent: rank === 0, isSoleSender: false};
+}
 
-	private bearsMore(serverId: string, {pool, rank = 0}: StagePlan, nowMs: number): boolean {
-		const {share, bearsPerS} = this.options;
-		return share.left(serverId, bearsPerS(pool), {isUrgent: rank === 0}, nowMs) > 0;
-	}
+function serverOf({upstreamId, hall}: Candidate, {pool}: StagePlan): BoundedServer {
+	return {serverId: upstreamId, pool, hall};
 }
--- a/src/direct/common/upstream-protocol.ts
+++ b/src/direct/common/upstream-protocol.ts
@@ -1,5 +1,6 @@
 /** Port to the way a deployment's upstreams speak when a host calls them itself. */
 import type {InjectionToken} from 'tsyringe';
+import type {LimitReading} from '../../deployment/common/server-limits.js';
 import type {UpstreamServer} from '../../deployment/common/upstream-server.js';
 import type {HttpHead} from '../../request/common/request-plan.js';
 import type {HttpCall, RefusalReason} from '../../wire/common/messages.js';
@@ -36,6 +37,11 @@
 	@param callerRequestId - the request's name as its caller gave it.
 	*/
 	readHead(head: HttpHead, callerRequestId: string): HeadReading;
+	/**
+	Reads what an answer says of its server's limit.
+	@param head - status and headers, names in small letters.
+	*/
+	readLimit(head: HttpHead): LimitReading;
 };
 
 type Header = HttpCall['headers'][number];
--- a/src/direct/node/direct-call.ts
+++ b/src/direct/node/direct-call.ts
@@ -27,6 +27,8 @@
 	readonly nowMs: () => number;
 	/** The call is written. */
 	readonly written: () => void;
+	/** The head of an answer has come, whatever it proves. */
+	readonly answered: (head: HttpHead, sentMs: number) => void;
 	readonly emit: (message: Message) => void;
 	/** An event was passed on; where the answer is taken up again, it goes on after this one. */
 	readonly reached: (eventId: string) => void;
@@ -95,6 +97,7 @@
 		const {dispatch, protocol, callerRequestId, isStreaming, nowMs, emit} = this.options;
 		const headers = headersOf(controller);
 		this.head = {status, headers};
+		this.options.answered(this.head, this.sentMs);
 		const reading = protocol.readHead(this.head, callerRequestId);
 		if (reading.kind === 'notRun') {
 			this.refusal = reading.reason;
--- a/src/direct/node/direct-links.ts
+++ b/src/direct/node/direct-links.ts
@@ -5,6 +5,7 @@
 import {Emitter} from '../../base/common/emitter.js';
 import {messageOf} from '../../base/common/errors.js';
 import type {Logger} from '../../base/common/logger.js';
+import type {ServerLimits} from '../../deployment/common/server-limits.js';
 import type {ServerRegistry} from '../../deployment/common/server-registry.js';
 import type {UpstreamServer} from '../../deployment/common/upstream-server.js';
 import {LanePool, type Lane} from '../../deployment/node/lane.js';
@@ -32,6 +33,8 @@
 /** What the links are made of. */
 export type DirectLinksOptions = {
 	readonly registry: ServerRegistry;
+	/** Learns which servers name a limit. */
+	readonly limits: Pick<ServerLimits, 'answered'>;
 	readonly protocol: UpstreamProtocol;
 	readonly clock: Clock;
 	readonly log: Logger;
@@ -193,7 +196,7 @@
 	}
 
 	private callOf({message, http, server, facts, lane}: CallStart): DirectCall {
-		const {clock, protocol, quarantine} = this.options;
+		const {clock, protocol, limits, quarantine} = this.options;
 		const source = {workspace: message.workspace, http};
 		return DirectCall.create({
 			dispatch: message,
@@ -203,6 +206,9 @@
 			isStreaming: facts.isStreaming,
 			nowMs: () => clock.nowMs(),
 			written: facts.written,
+			answered(head, sentMs) {
+				limits.answered(server, protocol.readLimit(head), sentMs, clock.nowMs());
+			},
 			emit: event => {
 				if (event.type === 'end' && event.state === 'completed') {
 					quarantine.completed(source);
--- a/src/preparation/common/batch-machine.test.ts
+++ b/src/preparation/common/batch-machine.test.ts
@@ -231,3 +231,19 @@
 	t.same(machine.nextCalls([server('s')], capacity, 9000).map(call => namesOf(call)), ['live0 live1']);
 	t.match(machine.sweep(() => true, 9000), [{work: {workId: 'over'}}, {work: {workId: 'over'}}]);
 });
+
+t.test('an upstream whose rate is bounded gets no call above it, and counts for the part that it may do', async t => {
+	const allowance = {left: 0, perS: Infinity};
+	const machine = BatchMachine.create(undefined, ({serverId}) => serverId === 'bounded' ? allowance : {left: Infinity, perS: Infinity});
+	const both = [server('bounded'), server('free')];
+	machine.add(workOf('w', 8), 0);
+	t.same(machine.nextCalls(both, capacity, 0).map(call => call.server.serverId), ['free']);
+	allowance.left = 1;
+	allowance.perS = 2;
+	t.same(machine.nextCalls(both, capacity, 0).map(call => call.server.serverId), ['bounded']);
+	machine.add(workOf('next', 4), 0);
+	const waitMs = machine.waitMs([server('bounded')], capacity, 0, 0);
+	allowance.perS = Infinity;
+	// 2 calls of 140 ms a second are 0.28 of what it could do.
+	t.equal(Math.round(waitMs * 0.28), Math.round(machine.waitMs([server('bounded')], capacity, 0, 0)));
+});
--- a/src/preparation/common/batch-machine.ts
+++ b/src/preparation/common/batch-machine.ts
@@ -5,6 +5,7 @@
 import type {BatchCapacity} from '../../deployment/common/declaration.js';
 import type {UpstreamServer} from '../../deployment/common/upstream-server.js';
 import {cautions} from '../../quarantine/common/quarantine.js';
+import type {Allowance} from '../../routing/common/send-bounds.js';
 import type {
 	BatchCall, BatchPiece, CallFailure, PieceEnd,
 } from './batch-call.js';
@@ -35,10 +36,15 @@
 /** How a pool stands: pieces that wait, calls at work, the longest wait, and the room that results take. */
 export type BatchStanding = {readonly waiting: number; readonly calls: number; readonly oldestMs: number; readonly keptBytes: number};
 
+/** Tells what may go to an upstream now, of what all hosts together may send it. */
+export type AllowanceSource = (server: UpstreamServer, nowMs: number) => Allowance;
+
+const secondMs = 1000;
+
 /** Holds the waiting pieces and the calls of one pool. */
 export class BatchMachine {
-	static create(cautionOf: CautionSource = () => cautions.none): BatchMachine {
-		return new BatchMachine(cautionOf);
+	static create(cautionOf: CautionSource = () => cautions.none, allowanceOf: AllowanceSource = () => ({left: Infinity, perS: Infinity})): BatchMachine {
+		return new BatchMachine(cautionOf, allowanceOf);
 	}
 
 	private readonly waiting: PieceQueue;
@@ -46,7 +52,7 @@
 	private readonly throughput = Throughput.create();
 	private lastCallId = 0;
 
-	private constructor(cautionOf: CautionSource) {
+	private constructor(cautionOf: CautionSource, private readonly allowanceOf: AllowanceSource) {
 		this.waiting = PieceQueue.create(cautionOf);
 	}
 
@@ -104,8 +110,9 @@
 	@returns the pieces; other pieces of the same steps may be at work.
 	*/
 	giveUpLate(servers: readonly UpstreamServer[], capacity: BatchCapacity, nowMs: number): PieceEnd[] {
-		const soundCount = servers.filter(server => this.isSound(server, nowMs)).length;
-		return soundCount === 0 ? [] : this.waiting.takeHopeless(this.throughput.hopedPerMs(soundCount, capacity, nowMs), nowMs);
+		const sound = servers.filter(server => this.isSound(server, nowMs));
+		const count = this.countAtWork(sound, capacity, nowMs);
+		return count === 0 ? [] : this.waiting.takeHopeless(this.throughput.hopedPerMs(count, capacity, nowMs), nowMs);
 	}
 
 	/**
@@ -121,10 +128,11 @@
 		}
 
 		this.waiting.sort(nowMs);
-		const free = servers.filter(server => this.stateOf(server).isFree(nowMs))
+		const open = servers.filter(server => this.isOpen(server, nowMs));
+		const free = open.filter(server => this.stateOf(server).isFree(nowMs))
 			.toSorted((left, right) => this.stateOf(left).slownessAt(nowMs) - this.stateOf(right).slownessAt(nowMs));
-		const soundCount = servers.filter(server => this.isSound(server, nowMs)).length;
-		const halls = new Set(servers.filter(server => !this.stateOf(server).isAvoided(nowMs)).map(server => server.hall));
+		const soundCount = open.filter(server => this.isSound(server, nowMs)).length;
+		const halls = new Set(open.filter(server => !this.stateOf(server).isAvoided(nowMs)).map(server => server.hall));
 		for (const server of free) {
 			const isSlow = this.stateOf(server).slownessAt(nowMs) > slowFactor;
 			if (isSlow && this.waiting.size <= soundCount * capacity.batchSize) {
@@ -263,14 +271,30 @@
 			return noServerMs;
 		}
 
-		const free = sound.filter(server => this.stateOf(server).call === undefined).length;
+		const free = sound.filter(server => this.stateOf(server).call === undefined && this.isOpen(server, nowMs)).length;
+		const count = this.countAtWork(sound, capacity, nowMs);
 		const ownKey = nowMs + usualDueMs + (rank * rankPenaltyMs);
 		const ahead = this.waiting.countAhead(ownKey, nowMs);
 		if (free > 0 && ahead === 0) {
 			return 0;
 		}
 
-		return (ahead / this.throughput.donePerMs(sound.length, capacity, nowMs)) + ((turnShare * fullCallMs(capacity)) / sound.length);
+		return (ahead / this.throughput.donePerMs(count, capacity, nowMs)) + ((turnShare * fullCallMs(capacity)) / count);
+	}
+
+	/** Whether an upstream may get one more call now. */
+	private isOpen(server: UpstreamServer, nowMs: number): boolean {
+		return this.allowanceOf(server, nowMs).left > 0;
+	}
+
+	/** How many upstreams these are worth that may get one call after the other: one whose rate is bounded is a part of one. */
+	private countAtWork(servers: readonly UpstreamServer[], capacity: BatchCapacity, nowMs: number): number {
+		let count = 0;
+		for (const server of servers) {
+			count += Math.min(1, this.allowanceOf(server, nowMs).perS * fullCallMs(capacity) / secondMs);
+		}
+
+		return count;
 	}
 
 	private callTo(server: UpstreamServer, capacity: BatchCapacity, halls: ReadonlySet<string>, nowMs: number): BatchCall | undefined {
--- a/src/preparation/node/batch-pool.ts
+++ b/src/preparation/node/batch-pool.ts
@@ -7,12 +7,15 @@
 import {TimeLimit} from '../../base/common/time-limit.js';
 import type {BatchCapacity} from '../../deployment/common/declaration.js';
 import type {DeploymentBoard} from '../../deployment/common/deployment-board.js';
+import type {ServerLimits} from '../../deployment/common/server-limits.js';
 import type {ServerRegistry} from '../../deployment/common/server-registry.js';
 import type {UpstreamServer} from '../../deployment/common/upstream-server.js';
 import {collectAnswer} from '../../deployment/node/collect-answer.js';
 import {LanePool} from '../../deployment/node/lane.js';
 import type {Quarantine} from '../../quarantine/common/quarantine.js';
 import {requestLogMessages} from '../../request/common/request-log-messages.js';
+import type {SendBounds} from '../../routing/common/send-bounds.js';
+import type {BoundedWork} from '../../routing/common/send-share.js';
 import type {WindowedBudget} from '../../routing/common/windowed-budget.js';
 import type {BatchCall, PieceEnd} from '../common/batch-call.js';
 import {BatchMachine} from '../common/batch-machine.js';
@@ -20,21 +23,25 @@
 import {
 	pieceFailures, type BatchWork, type PieceOutcome, type ResultRef,
 } from '../common/work.js';
+import {ResultReleases} from './result-releases.js';
 
 /** How often a queue is looked at while it waits: a fraction of a call's time. */
 const tickMs = 25;
-/** How long releases are gathered before they are sent: far below the time results are kept. */
-const releaseMs = 30;
 /** Connections to one upstream: one for the call at work, one for releases. */
 const mostLanes = 3;
 const releaseLimitMs = 1000;
 const tellMs = 1000;
+/** One host batches a pool for all: what bounds an upstream is its part, and what goes first is decided in the queue. */
+const soleWork: BoundedWork = {isUrgent: true, isSoleSender: true};
 
 /** What a pool's batches are made of. */
 export type BatchPoolOptions = {
 	readonly pool: string;
 	readonly board: DeploymentBoard;
 	readonly registry: ServerRegistry;
+	/** Learns which servers name a limit. */
+	readonly limits: Pick<ServerLimits, 'answered'>;
+	readonly bounds: Pick<SendBounds, 'allowance' | 'sent'>;
 	readonly protocol: BatchProtocol;
 	readonly budget: WindowedBudget;
 	readonly quarantine: Pick<Quarantine, 'brokeOff' | 'cautionOf'>;
@@ -52,15 +59,25 @@
 
 	private readonly machine: BatchMachine;
 	private readonly lanes = new Map<string, LanePool>();
-	private readonly releases = new Map<string, string[]>();
+	private readonly releases: ResultReleases;
 	private readonly owned = DisposableStore.create();
 	private readonly controller = new AbortController();
 	private timer: Disposable | undefined;
 	private toldMs = -Infinity;
-	private releaseTimer: Disposable | undefined;
 
 	private constructor(private readonly options: BatchPoolOptions) {
-		this.machine = BatchMachine.create(contentId => options.quarantine.cautionOf(contentId));
+		this.machine = BatchMachine.create(contentId => options.quarantine.cautionOf(contentId), (server, nowMs) => options.bounds.allowance(server, soleWork, nowMs));
+		this.releases = this.owned.add(ResultReleases.create({
+			registry: options.registry,
+			clock: options.clock,
+			resultTtlMs: () => this.capacity?.resultTtlMs ?? 0,
+			mayGet: server => this.mayRelease(server),
+			send: async (server, handles) => this.sendRelease(server, handles),
+			gone: (serverId, handles) => {
+				this.machine.released(serverId, handles);
+				this.pump();
+			},
+		}));
 		// Each call at work listens: as many as the pool has upstreams.
 		setMaxListeners(0, this.controller.signal);
 		this.owned.add(options.registry.onDidChange(({server, change}) => {
@@ -102,22 +119,12 @@
 	}
 
 	release(refs: readonly ResultRef[]): void {
-		for (const {serverId, handle} of refs) {
-			const handles = this.releases.get(serverId) ?? [];
-			handles.push(handle);
-			this.releases.set(serverId, handles);
-		}
-
-		this.releaseTimer ??= this.options.clock.setTimer(releaseMs, () => {
-			this.releaseTimer = undefined;
-			this.sendReleases();
-		});
+		this.releases.add(refs);
 	}
 
 	dispose(): void {
 		this.owned.dispose();
 		this.timer?.dispose();
-		this.releaseTimer?.dispose();
 		this.controller.abort();
 		for (const pool of this.lanes.values()) {
 			pool.dispose();
@@ -175,7 +182,7 @@
 	}
 
 	private async run(call: BatchCall, capacity: BatchCapacity): Promise<void> {
-		const {clock, protocol, registry, log, metrics, pool} = this.options;
+		const {clock, protocol, registry, limits, bounds, log, metrics, pool} = this.options;
 		const {server} = call;
 		const lane = this.lanesOf(server).acquire(false);
 		if (!lane) {
@@ -188,6 +195,7 @@
 			log.info('Work goes to a server whose entry is missing.', {pool, server: server.serverId, pieces: call.pieces.length});
 		}
 
+		bounds.sent(server, call.sentMs);
 		const limit = TimeLimit.create(clock, call.limitMs - clock.nowMs(), this.controller.signal);
 		const answer = await collectAnswer(lane, optionsOf(protocol.encodeRun(call, clock.nowMs())), limit.signal);
 		const isGivenUp = limit.signal.aborted;
@@ -201,6 +209,10 @@
 		}
 
 		const nowMs = clock.nowMs();
+		if (answer.ok) {
+			limits.answered(server, protocol.readLimit(answer.value), call.sentMs, nowMs);
+		}
+
 		const decoded = answer.ok ? protocol.decodeRun(answer.value, call) : undefined;
 		if (decoded?.ok) {
 			metrics.timing('batch.call', nowMs - call.sentMs, {pool});
@@ -237,25 +249,15 @@
 		}
 	}
 
-	private sendReleases(): void {
-		const {registry} = this.options;
-		for (const [serverId, handles] of this.releases) {
-			const server = registry.get(serverId);
-			if (!server) {
-				this.machine.released(serverId, handles);
-			} else if (!registry.isDrained(server)) {
-				// Where its hall is drained nothing more is sent: the upstream drops the results itself once their time is over.
-				void this.sendRelease(server, handles);
-			}
-		}
-
-		this.releases.clear();
-		this.pump();
+	/** Where an upstream's rate is bounded, a release leaves one send for pieces that wait. */
+	private mayRelease(server: UpstreamServer): boolean {
+		const kept = this.machine.waitingCount > 0 ? 1 : 0;
+		return this.options.bounds.allowance(server, soleWork, this.options.clock.nowMs()).left > kept;
 	}
 
 	private async sendRelease(server: UpstreamServer, handles: readonly string[]): Promise<void> {
 		const lane = this.lanesOf(server).acquire(false);
-		const {protocol, log, pool, clock} = this.options;
+		const {protocol, limits, bounds, log, pool, clock} = this.options;
 		if (!lane) {
 			// All connections are at work: it is tried again with the next releases.
 			this.release(handles.map(handle => ({handle, serverId: server.serverId})));
@@ -263,9 +265,12 @@
 		}
 
 		const limit = TimeLimit.create(clock, releaseLimitMs, this.controller.signal);
+		const sentMs = clock.nowMs();
+		bounds.sent(server, sentMs);
 		const answer = await collectAnswer(lane, optionsOf(protocol.encodeRelease(handles, server)), limit.signal);
 		limit.dispose();
 		if (answer.ok) {
+			limits.answered(server, protocol.readLimit(answer.value), sentMs, clock.nowMs());
 			// Only now is the room there: a call that came before would find none.
 			this.machine.released(server.serverId, handles);
 			this.pump();
--- a/src/routing/common/rendezvous.ts
+++ b/src/routing/common/rendezvous.ts
@@ -10,7 +10,7 @@
 */
 export function rendezvousOrder<T>(key: string, places: readonly T[], nameOf: (place: T) => string): T[] {
 	return places
-		.map(place => ({place, weight: hashText(`${key}\n${nameOf(place)}`)}))
+		.map(place => ({place, weight: weightOf(key, nameOf(place))}))
 		.toSorted((left, right) => right.weight - left.weight)
 		.map(({place}) => place);
 }
@@ -25,7 +25,7 @@
 	let owner: string | undefined;
 	let best = -1;
 	for (const place of places) {
-		const weight = hashText(`${key}\n${place}`);
+		const weight = weightOf(key, place);
 		if (weight > best) {
 			best = weight;
 			owner = place;
@@ -34,3 +34,18 @@
 
 	return owner;
 }
+
+/**
+Gives the position of one place in the order for a key; the first choice has 0.
+@param key - what is placed.
+@param place - the place.
+@param places - names of all places.
+*/
+export function rendezvousRank(key: string, place: string, places: readonly string[]): number {
+	const own = weightOf(key, place);
+	return places.filter(other => weightOf(key, other) > own).length;
+}
+
+function weightOf(key: string, place: string): number {
+	return hashText(`${key}\n${place}`);
+}
--- /dev/null
+++ b/src/routing/common/send-share.test.ts
@@ -0,0 +1,223 @@
+/**
+Pattern: an upstream that is cold, or names a limit, and looks idle, so that every host would send to it all it has, while hosts come, go,
+are cut off from each other in groups, and all start anew. Figures: 31 hosts in three halls with a seed in each; a cold upstream bears 9.1 requests
+a second, 1.5 times that and 5 besides allowed; of a limit one and a half times what it allows in 4 s, and 5 besides; cuts of up to 12 s.
+Hosts tell each other whom they know every 100 ms.
+*/
+import fc from 'fast-check';
+import t from 'tap';
+import {FleetMemory} from '../../peers/common/fleet-memory.js';
+import {
+	boundOfCold, boundOfLimit, perSecondOf, type RateBound,
+} from './rate-bound.js';
+import {SendShare} from './send-share.js';
+
+const bearsPerS = 9.1;
+const bounds = {excess: 1.5, tolerance: 5};
+const mostPerS = (bearsPerS * bounds.excess) + bounds.tolerance;
+const coldBound = boundOfCold(bearsPerS, bounds);
+const secondMs = 1000;
+const limitSpanMs = 4000;
+const mostOfLimit = (perS: number) => (1.5 * perS * limitSpanMs / secondMs) + 5;
+const anyWork = {isUrgent: true, isSoleSender: false};
+const hallCount = 3;
+const stepMs = 50;
+const gossipMs = 100;
+
+type Host = {readonly name: string; readonly hall: number; memory: FleetMemory; share: SendShare; upAtMs: number};
+
+/** Hosts that are cut off for a time: from all others, or only their hall from the other halls. */
+type Cut = {readonly atMs: number; readonly forMs: number; readonly hall: number; readonly isAlone: boolean};
+type Restart = {readonly atMs: number; readonly hosts: readonly number[]; readonly spreadMs: number};
+
+class Fleet {
+	static create(hostCount: number, startMs: readonly number[], bound = coldBound): Fleet {
+		const fleet = new Fleet(bound);
+		for (let index = 0; index < hostCount; index++) {
+			fleet.hosts.push(fleet.makeHost(index, startMs[index] ?? 0));
+		}
+
+		return fleet;
+	}
+
+	readonly hosts: Host[] = [];
+	readonly sentMs: number[] = [];
+	cuts: readonly Cut[] = [];
+	nowMs = 0;
+
+	private constructor(private readonly bound: RateBound) {}
+
+	/** Hosts lose all they knew. */
+	restart({hosts, spreadMs}: Restart): void {
+		for (const [turn, index] of hosts.entries()) {
+			if (index < this.hosts.length) {
+				this.hosts[index] = this.makeHost(index, this.nowMs + ((turn * 97) % (spreadMs + 1)));
+			}
+		}
+	}
+
+	run(untilMs: number, restarts: readonly Restart[]): void {
+		const due = restarts.toSorted((left, right) => left.atMs - right.atMs);
+		for (; this.nowMs < untilMs; this.nowMs += stepMs) {
+			while (due.length > 0 && due[0].atMs <= this.nowMs) {
+				this.restart(due.shift()!);
+			}
+
+			if (this.nowMs % gossipMs === 0) {
+				this.gossip();
+			}
+
+			this.sendAll();
+		}
+	}
+
+	/** Most sends within any span. */
+	mostWithin(spanMs: number): number {
+		let most = 0;
+		let first = 0;
+		for (const [index, atMs] of this.sentMs.entries()) {
+			while (atMs - this.sentMs[first] >= spanMs) {
+				first++;
+			}
+
+			most = Math.max(most, index - first + 1);
+		}
+
+		return most;
+	}
+
+	private makeHost(index: number, upAtMs: number): Host {
+		const name = `10.0.0.${index}:1`;
+		const memory = FleetMemory.create(name, upAtMs);
+		const seeds = Array.from({length: hallCount}, (_, hall) => `10.0.0.${hall}:1`);
+		return {
+			name, hall: index % hallCount, memory, share: SendShare.create(nowMs => memory.view(seeds, nowMs)), upAtMs,
+		};
+	}
+
+	private gossip(): void {
+		const up = this.hosts.filter(({upAtMs}) => upAtMs <= this.nowMs);
+		const met = new Map(up.map(host => [host, up.filter(other => other !== host && this.isMet(host, other)).map(({name}) => name)]));
+		for (const host of up) {
+			for (const other of up.filter(each => met.get(host)!.includes(each.name))) {
+				host.memory.seen([other.name, ...met.get(other)!], this.nowMs);
+			}
+		}
+	}
+
+	private isMet(left: Host, right: Host): boolean {
+		return this.cuts.every(({atMs, forMs, hall, isAlone}) => {
+			const isOver = this.nowMs < atMs || this.nowMs >= atMs + forMs;
+			const touches = left.hall === hall || right.hall === hall;
+			return isOver || !touches || (!isAlone && left.hall === right.hall);
+		});
+	}
+
+	private sendAll(): void {
+		for (const {share, upAtMs} of this.hosts) {
+			while (upAtMs <= this.nowMs && share.left('cold', this.bound, anyWork, this.nowMs) > 0) {
+				share.sent('cold', this.nowMs);
+				this.sentMs.push(this.nowMs);
+			}
+		}
+	}
+}
+
+const cutArbitrary = fc.record({
+	atMs: fc.nat(20_000), forMs: fc.integer({min: 1000, max: 12_000}), hall: fc.nat(hallCount - 1), isAlone: fc.boolean(),
+});
+const restartArbitrary = fc.oneof(
+	fc.record({atMs: fc.nat(20_000), hosts: fc.constant(Array.from({length: 31}, (_, index) => index)), spreadMs: fc.nat(1600)}),
+	fc.record({atMs: fc.nat(20_000), hosts: fc.uniqueArray(fc.nat(30), {maxLength: 12}), spreadMs: fc.nat(1600)}),
+);
+
+const changesArbitrary = fc.tuple(
+	fc.integer({min: 1, max: 31}),
+	fc.array(cutArbitrary, {maxLength: 3}),
+	fc.array(restartArbitrary, {maxLength: 3}),
+	fc.array(fc.nat(15_000), {maxLength: 8}),
+);
+
+function play([hostCount, cuts, restarts, lateStartsMs]: typeof changesArbitrary extends fc.Arbitrary<infer T> ? T : never, bound: RateBound): Fleet {
+	const fleet = Fleet.create(hostCount, Array.from({length: hostCount}, (_, index) => index < hallCount ? 0 : lateStartsMs[index - hallCount] ?? 0), bound);
+	fleet.cuts = cuts;
+	fleet.run(28_000, restarts);
+	return fleet;
+}
+
+t.test('all hosts together send less than a cold upstream bears, whoever is cut off, comes or starts anew', async t => {
+	fc.assert(fc.property(changesArbitrary, changes => {
+		const most = play(changes, coldBound).mostWithin(secondMs);
+		t.ok(most <= mostPerS, `${most} of ${changes[0]} hosts`);
+	}), {seed: 1, numRuns: 40});
+});
+
+t.test('all hosts together send no more than a limit allows, whoever is cut off, comes or starts anew', async t => {
+	fc.assert(fc.property(changesArbitrary, fc.constantFrom(0, 0.2, 0.7, 1, 2, 4, 25), (changes, perS) => {
+		const most = play(changes, boundOfLimit(perS)).mostWithin(limitSpanMs);
+		t.ok(most <= mostOfLimit(perS), `${most} of ${changes[0]} hosts at a limit of ${perS}`);
+	}), {seed: 2, numRuns: 30});
+});
+
+t.test('a cold upstream gets its part, however many hosts there are', async t => {
+	for (const hostCount of [1, 2, 3, 31]) {
+		const fleet = Fleet.create(hostCount, []);
+		fleet.run(hostCount < hallCount ? 40_000 : 10_000, []);
+		t.equal(fleet.mostWithin(secondMs), hostCount === 2 ? 8 : 9, `${hostCount} hosts`);
+	}
+});
+
+t.test('a limited upstream gets half of what it names at least, however many hosts there are', async t => {
+	for (const hostCount of [3, 8, 31, 838]) {
+		for (const perS of [0.2, 0.5, 1, 2, 4, 25]) {
+			const hosts = Array.from({length: hostCount}, (_, index) => `10.0.0.${index}:1`);
+			const bound = boundOfLimit(perS);
+			let sent = 0;
+			for (const own of hosts) {
+				sent += SendShare.create(() => ({own, hosts, isSettled: true})).left('s', bound, anyWork, 0);
+			}
+
+			t.ok(sent * secondMs / bound.windowMs >= perS / 2, `${sent} in ${bound.windowMs} ms of ${hostCount} hosts at a limit of ${perS}`);
+			t.ok(sent <= bound.most);
+		}
+	}
+});
+
+t.test('a host that alone sends work of a kind has the whole bound', async t => {
+	const bound = boundOfLimit(2);
+	const hosts = Array.from({length: 31}, (_, index) => `h${index}`);
+	for (const own of hosts) {
+		const share = SendShare.create(() => ({own, hosts, isSettled: true}));
+		t.equal(share.left('s', bound, {isUrgent: true, isSoleSender: true}, 0), 6);
+	}
+
+	const stranger = SendShare.create(() => ({own: 'h1', hosts, isSettled: false}));
+	t.equal(stranger.left('s', bound, {isUrgent: true, isSoleSender: true}, 0), 0, 'none has it that does not know the others');
+});
+
+t.test('a limit below one request in a window is one in a longer window', async t => {
+	t.equal(boundOfLimit(0.2).most, 1);
+	t.equal(Math.round(boundOfLimit(0.2).windowMs), 6667);
+	t.same(boundOfLimit(0), boundOfLimit(0.2));
+	t.same(boundOfLimit(1), {most: 3, windowMs: 4000});
+	t.equal(perSecondOf(boundOfLimit(4)), 3);
+});
+
+t.test('one send of several is kept while there is urgent work; where there is but one, who comes first has it', async t => {
+	const view = () => ({own: 'a', hosts: ['a'], isSettled: true});
+	const urgent = {isUrgent: true, isSoleSender: false};
+	const other = {isUrgent: false, isSoleSender: false};
+	const several = SendShare.create(view);
+	const bound = {most: 4, windowMs: 1000};
+	t.equal(several.left('s', bound, other, 0), 4, 'nothing urgent was to be sent');
+	t.equal(several.left('s', bound, urgent, 0), 4);
+	t.equal(several.left('s', bound, other, 0), 3);
+	t.equal(several.left('s', bound, other, 10_000), 4, 'nor of late');
+	const single = SendShare.create(view);
+	const one = {most: 1, windowMs: 1000};
+	t.equal(single.left('s', one, urgent, 0), 1);
+	t.equal(single.left('s', one, other, 0), 1);
+	single.sent('s', 0);
+	t.equal(single.left('s', one, urgent, 0), 0);
+	t.equal(single.nextInMs('s', one, 400), 600);
+});
--- a/src/routing/common/sleep.test.ts
+++ b/src/routing/common/sleep.test.ts
@@ -9,7 +9,8 @@
 import {FirstTries} from '../../direct/common/first-tries.js';
 import {FleetMemory} from '../../peers/common/fleet-memory.js';
 import {EndRecord} from '../../quarantine/common/end-record.js';
-import {ColdShare} from './cold-share.js';
+import {boundOfCold} from './rate-bound.js';
+import {SendShare} from './send-share.js';
 import {ServerSigns} from './server-signs.js';
 import {WindowedBudget} from './windowed-budget.js';
 
@@ -61,15 +62,17 @@
 
 t.test('sends to a cold upstream are as long ago as the world says', async t => {
 	const clock = ManualClock.create();
-	const share = ColdShare.create({excess: 1.5, tolerance: 5}, () => ({own: 'a', hosts: ['a'], isSettled: true}));
-	while (share.left('s', 4, {isUrgent: true}, clock.nowMs()) > 0) {
+	const share = SendShare.create(() => ({own: 'a', hosts: ['a'], isSettled: true}));
+	const bound = boundOfCold(4, {excess: 1.5, tolerance: 5});
+	const left = () => share.left('s', bound, {isUrgent: true, isSoleSender: false}, clock.nowMs());
+	while (left() > 0) {
 		share.sent('s', clock.nowMs());
 	}
 
 	clock.sleep(999);
-	t.equal(share.left('s', 4, {isUrgent: true}, clock.nowMs()), 0);
+	t.equal(left(), 0);
 	clock.sleep(1);
-	t.equal(share.left('s', 4, {isUrgent: true}, clock.nowMs()), 5);
+	t.equal(left(), 5);
 });
 
 t.test('hosts that were met are remembered through a sleep, and forgotten after a very long one', async t => {
--- a/src/wire/common/messages.ts
+++ b/src/wire/common/messages.ts
@@ -2,7 +2,7 @@
 import {z} from 'zod';
 
 /** Version of the protocol; both sides must name the same. */
-export const protocolVersion = 4;
+export const protocolVersion = 5;
 
 const id = z.string().min(1).max(128);
 const name = z.string().min(1).max(200);
@@ -334,6 +334,21 @@
 
 export type FatalContents = z.infer<typeof fatalContentsSchema>['contents'];
 
+/** Most limits that one message tells. */
+export const limitsTold = 1000;
+/** Requests a second that upstreams take from all hosts together, as their answers name them. */
+const serverLimitsSchema = z.strictObject({
+	type: z.literal('serverLimits'),
+	limits: z.array(z.strictObject({
+		serverId,
+		perS: z.number().nonnegative(),
+		/** Time since an answer named it. */
+		namedAgoMs: ms,
+		/** Time since a call was sent whose answer no longer named it; absent while it is in force. */
+		endedAgoMs: ms.optional(),
+	})).max(limitsTold),
+});
+
 const messageSchema = z.discriminatedUnion('type', [
 	helloSchema,
 	welcomeSchema,
@@ -365,6 +380,7 @@
 	batchWaitsSchema,
 	batchReleaseSchema,
 	fatalContentsSchema,
+	serverLimitsSchema,
 ]);
 export type Message = z.infer<typeof messageSchema>;
 export type HelloMessage = z.infer<typeof helloSchema>;
--- a/test/platform/server-limit.test.ts
+++ b/test/platform/server-limit.test.ts
@@ -2,7 +2,8 @@
 Upstreams that name a limit in their answers, before real entries.
 
 Seen: engines that had named a limit of 1 request a second went on to get what all others got, 12 to 17 in 4 s; nothing of what
-callers saw told of it.
+callers saw told of it. Cause: no host read the limit; each host counts for itself, though the limit is for all; and calls of steps asked
+for no bound of an upstream at all, not even while it was cold. Proof: the counts below, 34 to 97 in 4 s where 11 and 17 are allowed.
 */
 import {setTimeout as sleep} from 'node:timers/promises';
 import t, {type Test} from 'tap';
