--- a/test/platform/server-limit.test.ts
+++ b/test/platform/server-limit.test.ts
@@ -8,7 +8,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import t, {type Test} from 'tap';
 import {
-	ask, DirectFleet, streamCall, until, type CallerAnswer, type CallerCall, type RunningEntry,
+	ask, configOf, DirectFleet, streamCall, until, type CallerAnswer, type CallerCall, type RunningEntry,
 } from './direct-harness.js';
 import type {ServerStandin} from './upstream-standins.js';
 
@@ -25,8 +25,16 @@
 
 const plainCall: MakeCall = id => ({path: '/look/1', id});
 const streamOf: MakeCall = id => streamCall('/draft/1', {id, headers: {'prompt-prefix': `${id}a:10,bb:5`}});
+const lessUrgentCall: MakeCall = id => ({path: '/open/1', id, key: ''});
 const stepsCall: MakeCall = id => streamCall('/staged/1', {id, headers: {'chunk-count': '2,1', 'chunk-key': `key-${id}`}});
 
+/** The config of the harness, with plain calls of two ranks. */
+function rankedConfig() {
+	const config = configOf(2);
+	const ranks: Readonly<Record<string, number>> = {look: 0, open: 3};
+	return {...config, routes: config.routes.map(route => ({...route, prio: ranks[route.name] ?? route.prio}))};
+}
+
 async function makeFleet(t: Test): Promise<DirectFleet> {
 	const fleet = await DirectFleet.create();
 	t.teardown(() => {
@@ -131,10 +139,8 @@
 		const refused = answers.filter(({status}) => status === 503);
 		t.equal(countServed(answers) + refused.length, answers.length);
 		t.ok(refused.length > 0);
-		for (const {text, headers} of refused) {
-			t.match(text, /^Not run: .*limit/v);
-			t.match(headers, {'retry-after': /^[\d.]+$/v});
-		}
+		t.ok(refused.every(({text}) => /^Not run: .*limit/v.test(text)));
+		t.ok(refused.every(({headers}) => /^[\d.]+$/v.test(String(headers['retry-after']))));
 	});
 
 	t.test('gets its usual part again once it names none any more', async t => {
@@ -171,3 +177,43 @@
 		}
 	});
 });
+
+t.test('a pool whose upstreams all name limits', async t => {
+	t.test('gets the most urgent work first', async t => {
+		const fleet = await makeFleet(t);
+		fleet.store.put('op', 'config', rankedConfig());
+		for (const server of await fleet.addServers('plain', 3)) {
+			server.limit = '2';
+		}
+
+		const hosts = await addHosts(fleet, 3);
+		await load(hosts, plainCall, 30, heededMs);
+		const [urgent] = await Promise.all([load(hosts, plainCall, 3), load(hosts, lessUrgentCall, 30)]);
+		t.ok(countServed(urgent) >= 0.9 * urgent.length, `${countServed(urgent)} of ${urgent.length} that are urgent, half of what the limits allow`);
+	});
+
+	t.test('gets no steps done for what it can\'t take', async t => {
+		const fleet = await makeFleet(t);
+		const engines = await fleet.addServers('model', 3);
+		for (const engine of engines) {
+			engine.limit = '2';
+		}
+
+		const workers = await fleet.addServers('stage', 3);
+		const hosts = await addHosts(fleet, 3);
+		await load(hosts, stepsCall, 24, heededMs);
+		const ids: string[] = [];
+		const answers = await load(hosts, id => {
+			ids.push(id);
+			return stepsCall(id);
+		}, 24);
+		const begun = new Set(workers.flatMap(({stageCalls}) => stageCalls.flat().map(({instanceId}) => instanceId)));
+		const inVain = ids.filter((id, index) => answers[index].status !== 200 && begun.has(id));
+		t.same(inVain, [], 'requests that were refused after their steps');
+		const used = engines.reduce((sum, engine) => sum + mostHeeded(engine), 0);
+		t.ok(used >= 18, `${used} in 4 s, of 24 that the limits allow`);
+		for (const engine of engines) {
+			isWithin(t, engine, 2);
+		}
+	});
+});
