Begin what a pool at its limits can serve, the most urgent first, and spread its sends

What callers saw: where all engines of a pool name limits, requests were refused after their steps were done, less urgent ones were served as often as urgent ones, and after each burst nobody for seconds. Cause: whether a bounded pool takes more was asked only when the request itself was sent, after its steps; sends went to whoever came first, all of a window at its beginning; and a quarter of each limit was left unused, more where a part did not come out even. Change: BoundedAdmission decides at the door: what may be sent, less the sends kept for requests that have begun, less what more urgent work of late asks for within 1.5 s. One whose steps are done waits for the next send. Sends to limited upstreams are spread over their window; a limit is used whole, up to half of what it stands for; the first senders have one send more where it does not come out even. The send of each upstream that was kept for the best rank goes: the door does that now, for cold pools as well. Why it holds: what is begun is counted against what may be sent before anything is spent on it.

--- a/src/daemon/node/compose-direct-entry.ts
+++ b/src/daemon/node/compose-direct-entry.ts
@@ -13,6 +13,7 @@
 import {HallDrains, hallDrainsToken} from '../../deployment/common/hall-drains.js';
 import {ServerLimits, serverLimitsToken} from '../../deployment/common/server-limits.js';
 import {ServerRegistry, serverRegistryToken} from '../../deployment/common/server-registry.js';
+import {BoundedAdmission} from '../../direct/common/bounded-admission.js';
 import {DirectRouter} from '../../direct/common/direct-router.js';
 import {EngineChooser} from '../../direct/common/engine-chooser.js';
 import {PoolAvailability} from '../../direct/common/pool-availability.js';
@@ -239,6 +240,7 @@
 		likelyPlace: (stage, nowMs) => get(routerToken).likelyPlace(stage, nowMs),
 		standingOf: plan => get(routerToken).standingOf(plan),
 		unavailabilityOf: pools => get(availabilityToken).ofPools(pools),
+		admission: BoundedAdmission.create(get(availabilityToken)),
 		clock,
 		random: get(randomToken),
 		log: logOf('requests'),
--- a/src/direct/common/pool-availability.ts
+++ b/src/direct/common/pool-availability.ts
@@ -3,8 +3,7 @@
 import type {StagePlan} from '../../request/common/request-plan.js';
 import type {Unavailability} from '../../request/common/request-router.js';
 import type {Candidate} from '../../routing/common/chooser.js';
-import type {BoundedServer, SendBounds} from '../../routing/common/send-bounds.js';
-import type {BoundedWork} from '../../routing/common/send-share.js';
+import {directWork, type BoundedServer, type SendBounds} from '../../routing/common/send-bounds.js';
 
 /** A drain lasts for seconds at least; callers heed up to a third of the time they have left, some 2 s. */
 const drainedRetryAfterMs = 2000;
@@ -31,7 +30,7 @@
 	*/
 	open(candidates: readonly Candidate[], stage: StagePlan, nowMs: number): readonly Candidate[] {
 		const {bounds} = this.options;
-		const open = candidates.filter(candidate => bounds.mayGet(serverOf(candidate, stage), workOf(stage), nowMs));
+		const open = candidates.filter(candidate => bounds.mayGet(serverOf(candidate, stage), directWork, nowMs));
 		const warm = open.filter(candidate => !bounds.isCold(serverOf(candidate, stage), nowMs));
 		return warm.length > 0 ? warm : open;
 	}
@@ -70,25 +69,45 @@
 		return this.ofPools([stage.pool]) ?? this.ofBounded(stage, nowMs);
 	}
 
-	/** Why a pool bears no more from this host, where each of its upstreams is bounded. */
-	private ofBounded(stage: StagePlan, nowMs: number): Unavailability | undefined {
-		const {registry, bounds} = this.options;
-		const upstreams = registry.usable(stage.pool);
-		if (upstreams.length === 0 || upstreams.some(upstream => bounds.mayGet(upstream, workOf(stage), nowMs))) {
-			return undefined;
+	/**
+	Tells how many requests of any kind this host may send to a pool now.
+	@param pool - the pool.
+	@param nowMs - the time.
+	@returns Infinity where one of its upstreams is not bounded, or where it has none.
+	*/
+	left(pool: string, nowMs: number): number {
+		const upstreams = this.options.registry.usable(pool);
+		let left = upstreams.length === 0 ? Infinity : 0;
+		for (const upstream of upstreams) {
+			left += this.options.bounds.allowance(upstream, directWork, nowMs).left;
+			if (left === Infinity) {
+				break;
+			}
 		}
 
+		return left;
+	}
+
+	/**
+	Says why a pool takes no more from this host for now, each of its upstreams being bounded.
+	@param pool - the pool.
+	@param nowMs - the time.
+	*/
+	boundedText(pool: string, nowMs: number): Unavailability {
+		const {registry, bounds} = this.options;
+		const upstreams = registry.usable(pool);
 		const isLimited = upstreams.some(upstream => bounds.isLimited(upstream, nowMs));
 		return {
-			message: `all upstreams of ${stage.pool} ${isLimited ? 'get what their limits allow' : 'are cold and bear no more for now'}`,
+			message: `all upstreams of ${pool} ${isLimited ? 'get what their limits allow' : 'are cold and bear no more for now'}`,
 			retryAfterMs: bounds.retryAfterMs(upstreams, nowMs),
 		};
 	}
-}
 
-/** A stage as bounds see it: any host may send one. */
-function workOf({rank = 0}: StagePlan): BoundedWork {
-	return {isUrgent: rank === 0, isSoleSender: false};
+	/** Why a pool bears no more from this host; a request whose steps are done waits for the next send instead. */
+	private ofBounded({pool, inputBytesByHall}: StagePlan, nowMs: number): Unavailability | undefined {
+		const isPrepared = inputBytesByHall !== undefined && inputBytesByHall.size > 0;
+		return isPrepared || this.left(pool, nowMs) > 0 ? undefined : this.boundedText(pool, nowMs);
+	}
 }
 
 function serverOf({upstreamId, hall}: Candidate, {pool}: StagePlan): BoundedServer {
--- a/src/direct/node/door-checks.ts
+++ b/src/direct/node/door-checks.ts
@@ -2,8 +2,11 @@
 import {barredText, type Standing} from '../../quarantine/common/quarantine.js';
 import type {RequestPlan} from '../../request/common/request-plan.js';
 import type {Unavailability} from '../../request/common/request-router.js';
+import type {BoundedAdmission} from '../common/bounded-admission.js';
 import {notRunText} from './pass-through-writer.js';
-import {ownStatuses, type Recognized, type Refusal} from './recognize-request.js';
+import {
+	ownStatuses, rankOf, type Recognized, type Refusal,
+} from './recognize-request.js';
 
 /** Who knows. */
 export type DoorChecks = {
@@ -11,6 +14,8 @@
 	readonly standingOf: (plan: RequestPlan) => Standing;
 	/** Tells why requests that need certain pools can't be served for now. */
 	readonly unavailabilityOf: (pools: readonly string[]) => Unavailability | undefined;
+	/** Decides whether a request of a rank may begin that a bounded pool is to serve. */
+	readonly admission: Pick<BoundedAdmission, 'admit' | 'reserve'>;
 };
 
 /**
@@ -18,9 +23,10 @@
 @param request - as recognized.
 @param plan - what would be done.
 @param checks - who knows.
+@param nowMs - the time.
 @returns nothing for one that may be begun.
 */
-export function doorRefusal(request: Pick<Recognized, 'route' | 'ask'>, plan: RequestPlan, {standingOf, unavailabilityOf}: DoorChecks): Refusal | undefined {
+export function doorRefusal(request: Pick<Recognized, 'route' | 'ask' | 'workspace'>, plan: RequestPlan, {standingOf, unavailabilityOf, admission}: DoorChecks, nowMs: number): Refusal | undefined {
 	const {route, ask: {requestId, pieceCounts}} = request;
 	const status = ownStatuses.unavailable;
 	const standing = standingOf(plan);
@@ -31,7 +37,8 @@
 	}
 
 	const stepPools = route.steps.filter((_, index) => (pieceCounts[index] ?? 0) > 0).map(({pool}) => pool);
-	const unavailability = unavailabilityOf([plan.stages[0].pool, ...stepPools]);
+	const [{pool}] = plan.stages;
+	const unavailability = unavailabilityOf([pool, ...stepPools]) ?? admission.admit(pool, rankOf(request), nowMs);
 	return unavailability && {
 		requestId, status, reason: notRunText(unavailability.message), retryAfterMs: unavailability.retryAfterMs,
 	};
--- a/src/direct/node/ingress.ts
+++ b/src/direct/node/ingress.ts
@@ -28,7 +28,7 @@
 import {sendOwn} from './pass-through-writer.js';
 import {readBody} from './read-request.js';
 import {
-	ownStatuses, recognize, type Recognized, type Refusal,
+	ownStatuses, rankOf, recognize, type Recognized, type Refusal,
 } from './recognize-request.js';
 import {ServedRequest} from './served-request.js';
 
@@ -214,7 +214,7 @@
 		const {request, response, ask, receivedMs} = arrival;
 		const {links, runner, likelyPlace, clock, log, metrics} = this.options;
 		const plan = this.planOf(arrival);
-		const refusal = doorRefusal(arrival, plan, this.options);
+		const refusal = doorRefusal(arrival, plan, this.options, receivedMs);
 		if (refusal) {
 			if (refusal.content !== undefined) {
 				metrics.increment('quarantine.refused', 1, {route: plan.pipeline});
@@ -230,6 +230,7 @@
 		}
 
 		const preparer = plan.needsPreparation ? this.preparerFor(arrival, plan, place) : undefined;
+		const reservation = plan.needsPreparation ? this.options.admission.reserve(plan.stages[0].pool) : undefined;
 		this.openIds.add(plan.requestId);
 		ServedRequest.create({
 			plan,
@@ -237,6 +238,7 @@
 			response,
 			links,
 			preparer,
+			reservation,
 			clock,
 			log,
 			metrics,
@@ -327,8 +329,3 @@
 		return `${callerRequestId}~${this.serial}`;
 	}
 }
-
-/** The workspace's rank goes first; among equals the route's decides. */
-function rankOf({workspace, route}: Recognized): number {
-	return (workspace?.rank ?? 0) + route.rank;
-}
--- a/src/direct/node/recognize-request.ts
+++ b/src/direct/node/recognize-request.ts
@@ -61,3 +61,11 @@
 		index, route, workspace, ask,
 	};
 }
+
+/**
+Gives the rank of a request: the workspace's goes first, among equals the route's decides.
+@param request - as recognized.
+*/
+export function rankOf({workspace, route}: Pick<Recognized, 'workspace' | 'route'>): number {
+	return (workspace?.rank ?? 0) + route.rank;
+}
--- a/src/direct/node/served-request.ts
+++ b/src/direct/node/served-request.ts
@@ -1,6 +1,7 @@
 /** One request of a caller, from its start to its last byte: ties its life to connection, preparation, logs and metrics. */
 import type {ServerResponse} from 'node:http';
 import type {Clock} from '../../base/common/clock.js';
+import type {Disposable} from '../../base/common/disposable.js';
 import type {Logger} from '../../base/common/logger.js';
 import type {Metrics} from '../../base/common/metrics.js';
 import {fail} from '../../base/common/outcome.js';
@@ -19,6 +20,8 @@
 	readonly response: ServerResponse;
 	readonly links: DirectLinks;
 	readonly preparer: Preparer | undefined;
+	/** Keeps a send to a bounded pool for the time after the steps; disposing gives it up. */
+	readonly reservation: Disposable | undefined;
 	readonly clock: Clock;
 	readonly log: Logger;
 	readonly metrics: Metrics;
@@ -46,10 +49,11 @@
 	}
 
 	start(runner: RequestRunner): void {
-		const {plan, ask, response, links, preparer, clock} = this.options;
+		const {plan, ask, response, links, preparer, reservation, clock} = this.options;
 		const registration = links.register(plan.requestId, {
 			callerRequestId: ask.requestId, deadlineMs: plan.deadlineMs, isStreaming: plan.isStreaming, resumeAfter: ask.resumeAfter,
 			written() {
+				reservation?.dispose();
 				preparer?.sent();
 			},
 		});
@@ -73,6 +77,7 @@
 			finish: result => {
 				this.isFinished = true;
 				registration.dispose();
+				reservation?.dispose();
 				preparer?.end();
 				this.writer.finish(result);
 				this.report(result);
--- a/src/preparation/node/batch-pool.ts
+++ b/src/preparation/node/batch-pool.ts
@@ -31,8 +31,8 @@
 const mostLanes = 3;
 const releaseLimitMs = 1000;
 const tellMs = 1000;
-/** One host batches a pool for all: what bounds an upstream is its part, and what goes first is decided in the queue. */
-const soleWork: BoundedWork = {isUrgent: true, isSoleSender: true};
+/** One host batches a pool for all: what bounds an upstream is its part. */
+const soleWork: BoundedWork = {isSoleSender: true};
 
 /** What a pool's batches are made of. */
 export type BatchPoolOptions = {
--- a/src/routing/common/rate-bound.ts
+++ b/src/routing/common/rate-bound.ts
@@ -5,6 +5,8 @@
 	/** Requests within any window, one at least. */
 	readonly most: number;
 	readonly windowMs: number;
+	/** Whether the requests are spread over the window: where they all go at its beginning, nobody is served for the rest of it. */
+	readonly isPaced: boolean;
 };
 
 /** Bounds on what a cold upstream gets within a second, as the deployment's settings give them. */
@@ -24,10 +26,12 @@
 const coldShare = 0.5;
 
 /**
-The same of a limit that an upstream names. Two groups of hosts that do not see each other then send one and a half times what it
-names, which it is expected to stand for a few seconds.
+What an upstream that names a limit stands for in any 4 s: one and a half times what the limit allows, and 5 requests besides. Never more
+is sent than the limit itself, and no more than half of this, so that two groups of hosts that do not see each other do no harm.
 */
-const limitShare = 0.75;
+const limitExcess = 1.5;
+const limitTolerance = 5;
+const toleratedShare = 0.5;
 const limitWindowMs = 4000;
 /** An upstream that names less is asked this often nevertheless: only its answers tell that it takes more again. */
 const leastPerS = 0.2;
@@ -38,7 +42,7 @@
 @param bounds - as the settings give them.
 */
 export function boundOfCold(bearsPerS: number, {excess, tolerance}: ColdBounds): RateBound {
-	return {most: Math.max(1, Math.floor(coldShare * ((bearsPerS * excess) + tolerance))), windowMs: secondMs};
+	return {most: Math.max(1, Math.floor(coldShare * ((bearsPerS * excess) + tolerance))), windowMs: secondMs, isPaced: false};
 }
 
 /**
@@ -46,9 +50,10 @@
 @param perS - requests a second that it takes from all hosts together.
 */
 export function boundOfLimit(perS: number): RateBound {
-	const usedPerS = limitShare * Math.max(leastPerS, perS);
-	const most = Math.floor(usedPerS * limitWindowMs / secondMs);
-	return most >= 1 ? {most, windowMs: limitWindowMs} : {most: 1, windowMs: secondMs / usedPerS};
+	const usedPerS = Math.max(leastPerS, perS);
+	const allowed = usedPerS * limitWindowMs / secondMs;
+	const most = Math.floor(Math.min(allowed, toleratedShare * ((limitExcess * allowed) + limitTolerance)));
+	return most >= 1 ? {most, windowMs: limitWindowMs, isPaced: true} : {most: 1, windowMs: secondMs / usedPerS, isPaced: true};
 }
 
 /**
--- a/src/routing/common/send-bounds.ts
+++ b/src/routing/common/send-bounds.ts
@@ -47,6 +47,9 @@
 	readonly perS: number;
 };
 
+/** Work that any host may send. */
+export const directWork: BoundedWork = {isSoleSender: false};
+
 const unbounded: Allowance = {left: Infinity, perS: Infinity};
 const nothing: Allowance = {left: 0, perS: 0};
 
@@ -143,7 +146,8 @@
 		}
 
 		const bounds = this.boundsOf(server, nowMs);
-		return Math.max(...bounds.map(bound => this.options.share.nextInMs(server.serverId, bound, nowMs) ?? bound.windowMs / bound.most));
+		// Where this host sends nothing, another one does.
+		return Math.max(...bounds.map(bound => this.options.share.nextInMs(server.serverId, bound, directWork, nowMs) ?? bound.windowMs / bound.most));
 	}
 
 	private boundsOf(server: BoundedServer, nowMs: number): RateBound[] {
--- a/src/routing/common/send-share.ts
+++ b/src/routing/common/send-share.ts
@@ -4,7 +4,7 @@
 
 The bound holds over all hosts together, whoever is cut off or has just started, and an upstream that gets little looks best to all of
 them at once. So each such upstream has a few senders, the same on every host, chosen by rendezvous hashing; each of them may send
-an equal part, and nobody else sends anything. Weighed against a fixed part for every host: of 18 requests a second and 31 hosts that
+an equal part (the first ones one more, where it does not come out even), and nobody else sends anything. Weighed against a fixed part for every host: of 18 requests a second and 31 hosts that
 is less than one a second each, which either leaves the upstream idle or breaks the bound when all send at once. Weighed against parts
 lent among the hosts that meet: needs messages at the moment at which links fail. A bound that gives many hosts a few requests each has as
 many senders: a host can only send what its own callers ask for.
@@ -15,8 +15,6 @@
 
 /** What is to be sent to a bounded upstream. */
 export type BoundedWork = {
-	/** Whether it is of the best rank. */
-	readonly isUrgent: boolean;
 	/** Whether this host alone sends work of this kind, as the one that batches a pool for all: the whole bound is its part. */
 	readonly isSoleSender: boolean;
 };
@@ -25,8 +23,8 @@
 const fewestSenders = 3;
 /** Requests within a window for each sender, where the bound has as many: its callers come in no order. */
 const usualPart = 3;
-/** One request of several is kept for the most urgent work while there was any of late. */
-const urgentMs = 10_000;
+/** Parts of a window over which the sends of a paced bound are spread. */
+const paceParts = 4;
 /** Sends are remembered for the longest window. */
 const rememberMs = 10_000;
 
@@ -42,8 +40,6 @@
 
 	/** Times of this host's sends of late, by upstream. */
 	private readonly sentMs = new Map<string, number[]>();
-	/** When urgent work was last to be sent, by upstream. */
-	private readonly urgentMs = new Map<string, number>();
 	/** This host's place in the order of senders of each upstream, for the hosts known now. */
 	private readonly ranks = new Map<string, number>();
 	private hosts: readonly string[] = [];
@@ -58,25 +54,32 @@
 	@param nowMs - the time.
 	*/
 	left(upstreamId: string, bound: RateBound, work: BoundedWork, nowMs: number): number {
-		if (work.isUrgent) {
-			this.urgentMs.set(upstreamId, nowMs);
+		const part = this.partOf(upstreamId, bound, work, nowMs);
+		if (part === 0) {
+			return 0;
 		}
 
-		const part = this.partOf(upstreamId, bound, work, nowMs);
-		const isKept = !work.isUrgent && part > 1 && nowMs - (this.urgentMs.get(upstreamId) ?? -Infinity) < urgentMs;
-		return Math.max(0, part - (isKept ? 1 : 0) - this.recentOf(upstreamId, bound.windowMs, nowMs).length);
+		const left = part - this.countRecent(upstreamId, bound.windowMs, nowMs);
+		const pace = paceOf(part, bound);
+		return Math.max(0, Math.min(left, pace.most - this.countRecent(upstreamId, pace.withinMs, nowMs)));
 	}
 
 	/**
 	Tells when this host may send again to an upstream to which it may send nothing more now.
 	@param upstreamId - the upstream.
 	@param bound - over all hosts.
+	@param work - what would be sent.
 	@param nowMs - the time.
 	@returns nothing where its part is none.
 	*/
-	nextInMs(upstreamId: string, bound: RateBound, nowMs: number): number | undefined {
-		const oldestMs = this.recentOf(upstreamId, bound.windowMs, nowMs).at(0);
-		return oldestMs === undefined ? undefined : oldestMs + bound.windowMs - nowMs;
+	nextInMs(upstreamId: string, bound: RateBound, work: BoundedWork, nowMs: number): number | undefined {
+		const part = this.partOf(upstreamId, bound, work, nowMs);
+		if (part === 0) {
+			return undefined;
+		}
+
+		const {most, withinMs} = paceOf(part, bound);
+		return Math.max(this.roomInMs(upstreamId, part, bound.windowMs, nowMs), this.roomInMs(upstreamId, most, withinMs, nowMs));
 	}
 
 	/**
@@ -103,7 +106,19 @@
 	@param nowMs - the time.
 	*/
 	rankOf(upstreamId: string, nowMs: number): number {
-		const {own, hosts} = this.viewOf(nowMs);
+		return this.rankAmong(upstreamId, this.viewOf(nowMs));
+	}
+
+	/**
+	An upstream is gone.
+	@param upstreamId - the upstream.
+	*/
+	forget(upstreamId: string): void {
+		this.sentMs.delete(upstreamId);
+		this.ranks.delete(upstreamId);
+	}
+
+	private rankAmong(upstreamId: string, {own, hosts}: FleetView): number {
 		if (hosts !== this.hosts) {
 			this.hosts = hosts;
 			this.ranks.clear();
@@ -118,19 +133,10 @@
 		return rank;
 	}
 
-	/**
-	An upstream is gone.
-	@param upstreamId - the upstream.
-	*/
-	forget(upstreamId: string): void {
-		this.sentMs.delete(upstreamId);
-		this.urgentMs.delete(upstreamId);
-		this.ranks.delete(upstreamId);
-	}
-
 	/** What this host may send within a window. */
 	private partOf(upstreamId: string, {most}: RateBound, {isSoleSender}: BoundedWork, nowMs: number): number {
-		const {hosts, isSettled} = this.viewOf(nowMs);
+		const view = this.viewOf(nowMs);
+		const {hosts, isSettled} = view;
 		if (!isSettled) {
 			return 0;
 		}
@@ -140,10 +146,31 @@
 		}
 
 		const senderCount = Math.min(hosts.length, most, Math.max(fewestSenders, Math.floor(most / usualPart)));
-		return this.rankOf(upstreamId, nowMs) < senderCount ? Math.floor(most / senderCount) : 0;
+		const rank = this.rankAmong(upstreamId, view);
+		const isAmongFirst = rank < most % senderCount;
+		return rank < senderCount ? Math.floor(most / senderCount) + (isAmongFirst ? 1 : 0) : 0;
+	}
+
+	/** How long until fewer than so many sends lie within a span. */
+	private roomInMs(upstreamId: string, most: number, withinMs: number, nowMs: number): number {
+		const atMs = this.recentOf(upstreamId, withinMs, nowMs).at(-most);
+		return atMs === undefined ? 0 : atMs + withinMs - nowMs;
+	}
+
+	private countRecent(upstreamId: string, withinMs: number, nowMs: number): number {
+		return this.recentOf(upstreamId, withinMs, nowMs).length;
 	}
 
 	private recentOf(upstreamId: string, withinMs: number, nowMs: number): number[] {
 		return (this.sentMs.get(upstreamId) ?? []).filter(atMs => nowMs - atMs < withinMs);
 	}
 }
+
+/** How many sends of a part may come together: one and one of few, a quarter of many within a quarter of the window. */
+function paceOf(part: number, {windowMs, isPaced}: RateBound): {readonly most: number; readonly withinMs: number} {
+	if (!isPaced) {
+		return {most: part, withinMs: windowMs};
+	}
+
+	return part < paceParts ? {most: 1, withinMs: windowMs / part} : {most: Math.ceil(part / paceParts), withinMs: windowMs / paceParts};
+}
