Reckon with what workers are seen to do, not with what is declared

What callers saw: where all workers of a pool take over 1.7 times as long as declared, nearly all were refused at the door as if queues were long, while the workers stood idle. Cause: a worker slower than 1.7 times what is declared counted as unsound; where none was sound a wait of 2 s was told. Rates counted sound workers as declared. Calls were given up after six times the declared time, however long all take. Change: a worker is left out for being slower than its neighbours (1.7 times the middle one); one that is slow counts as the part of one that it does; the time after which a call is given up follows what the pool usually takes, and a call that was given up counts as that slow. A host says once when a pool is slower than declared as a whole, and when no longer. Why it holds: what is declared is only the first guess of each worker's speed.

--- a/src/preparation/common/batch-machine.ts
+++ b/src/preparation/common/batch-machine.ts
@@ -27,9 +27,12 @@
 const turnShare = 0.5;
 /** Tries of one piece before it is given up. */
 const mostTries = 4;
-/** An upstream that is slower than this against its declared times gets work only when the others can't take all. */
+/**
+An upstream that is this many times slower than its neighbours gets work only when the others can't take all. What is declared is a first
+guess: where all are slow, none is worse than the others, and refusing what they can do helps nobody.
+*/
 const slowFactor = 1.7;
-/** A call is given up after this many times its expected time, and a margin for the network. */
+/** A call is given up after this many times what calls of its pool take, and a margin for the network. */
 const giveUpFactor = 6;
 const giveUpMarginMs = 500;
 
@@ -39,6 +42,9 @@
 /** Tells what may go to an upstream now, of what all hosts together may send it. */
 export type AllowanceSource = (server: UpstreamServer, nowMs: number) => Allowance;
 
+/** How a pool stands as a call is made: halls with upstreams that may get work, and how slow these usually are. */
+type PoolNow = {readonly halls: ReadonlySet<string>; readonly usual: number};
+
 const secondMs = 1000;
 
 /** Holds the waiting pieces and the calls of one pool. */
@@ -110,8 +116,7 @@
 	@returns the pieces; other pieces of the same steps may be at work.
 	*/
 	giveUpLate(servers: readonly UpstreamServer[], capacity: BatchCapacity, nowMs: number): PieceEnd[] {
-		const sound = servers.filter(server => this.isSound(server, nowMs));
-		const count = this.countAtWork(sound, capacity, nowMs);
+		const count = this.countAtWork(this.soundOf(servers, nowMs), capacity, nowMs);
 		return count === 0 ? [] : this.waiting.takeHopeless(this.throughput.hopedPerMs(count, capacity, nowMs), nowMs);
 	}
 
@@ -131,15 +136,15 @@
 		const open = servers.filter(server => this.isOpen(server, nowMs));
 		const free = open.filter(server => this.stateOf(server).isFree(nowMs))
 			.toSorted((left, right) => this.stateOf(left).slownessAt(nowMs) - this.stateOf(right).slownessAt(nowMs));
-		const soundCount = open.filter(server => this.isSound(server, nowMs)).length;
+		const sound = new Set(this.soundOf(open, nowMs));
+		const usual = this.usualSlowness(open, nowMs);
 		const halls = new Set(open.filter(server => !this.stateOf(server).isAvoided(nowMs)).map(server => server.hall));
 		for (const server of free) {
-			const isSlow = this.stateOf(server).slownessAt(nowMs) > slowFactor;
-			if (isSlow && this.waiting.size <= soundCount * capacity.batchSize) {
+			if (!sound.has(server) && this.waiting.size <= sound.size * capacity.batchSize) {
 				continue;
 			}
 
-			const call = this.callTo(server, capacity, halls, nowMs);
+			const call = this.callTo(server, capacity, {halls, usual}, nowMs);
 			if (call) {
 				calls.push(call);
 			}
@@ -266,7 +271,7 @@
 	@returns 0 while an upstream is free.
 	*/
 	waitMs(servers: readonly UpstreamServer[], capacity: BatchCapacity, rank: number, nowMs: number): number {
-		const sound = servers.filter(server => this.isSound(server, nowMs));
+		const sound = this.soundOf(servers, nowMs);
 		if (sound.length === 0) {
 			return noServerMs;
 		}
@@ -282,22 +287,36 @@
 		return (ahead / this.throughput.donePerMs(count, capacity, nowMs)) + ((turnShare * fullCallMs(capacity)) / count);
 	}
 
+	/**
+	Tells how many times longer than declared the calls of a pool take, by its middle upstream; the faster one of two.
+	@param servers - upstreams that may get work.
+	@param nowMs - the time.
+	@returns 1 where all fail.
+	*/
+	usualSlowness(servers: readonly UpstreamServer[], nowMs: number): number {
+		const slowness = servers.map(server => this.stateOf(server)).filter(state => !state.isAvoided(nowMs))
+			.map(state => state.slownessAt(nowMs)).toSorted((left, right) => left - right);
+		return slowness[Math.floor((slowness.length - 1) / 2)] ?? 1;
+	}
+
 	/** Whether an upstream may get one more call now. */
 	private isOpen(server: UpstreamServer, nowMs: number): boolean {
 		return this.allowanceOf(server, nowMs).left > 0;
 	}
 
-	/** How many upstreams these are worth that may get one call after the other: one whose rate is bounded is a part of one. */
+	/** How many upstreams as declared these are worth: one that is slow is a part of one, as is one whose rate is bounded. */
 	private countAtWork(servers: readonly UpstreamServer[], capacity: BatchCapacity, nowMs: number): number {
+		const callMs = fullCallMs(capacity);
 		let count = 0;
 		for (const server of servers) {
-			count += Math.min(1, this.allowanceOf(server, nowMs).perS * fullCallMs(capacity) / secondMs);
+			const bySpeed = 1 / Math.max(1, this.stateOf(server).slownessAt(nowMs));
+			count += Math.min(bySpeed, this.allowanceOf(server, nowMs).perS * callMs / secondMs);
 		}
 
 		return count;
 	}
 
-	private callTo(server: UpstreamServer, capacity: BatchCapacity, halls: ReadonlySet<string>, nowMs: number): BatchCall | undefined {
+	private callTo(server: UpstreamServer, capacity: BatchCapacity, {halls, usual}: PoolNow, nowMs: number): BatchCall | undefined {
 		const pieces = this.take(server, capacity, halls, nowMs);
 		if (pieces.length === 0) {
 			return undefined;
@@ -306,7 +325,7 @@
 		const expectedMs = capacity.callMs + (pieces.length * capacity.itemMs);
 		this.lastCallId++;
 		const call: BatchCall = {
-			callId: this.lastCallId, server, pieces, sentMs: nowMs, expectedMs, limitMs: nowMs + (giveUpFactor * expectedMs) + giveUpMarginMs,
+			callId: this.lastCallId, server, pieces, sentMs: nowMs, expectedMs, limitMs: nowMs + (giveUpFactor * expectedMs * Math.max(1, usual)) + giveUpMarginMs,
 		};
 		this.stateOf(server).call = call;
 		return call;
@@ -322,10 +341,10 @@
 		return [...taken].map(item => ({...item, tries: item.tries + 1}));
 	}
 
-	/** Whether an upstream neither fails nor is far slower than declared. */
-	private isSound(server: UpstreamServer, nowMs: number): boolean {
-		const state = this.stateOf(server);
-		return !state.isAvoided(nowMs) && state.slownessAt(nowMs) <= slowFactor;
+	/** The upstreams that neither fail nor are far slower than the others. */
+	private soundOf(servers: readonly UpstreamServer[], nowMs: number): UpstreamServer[] {
+		const mostSlowness = slowFactor * Math.max(1, this.usualSlowness(servers, nowMs));
+		return servers.filter(server => !this.stateOf(server).isAvoided(nowMs) && this.stateOf(server).slownessAt(nowMs) <= mostSlowness);
 	}
 
 	private stateOf({serverId}: UpstreamServer): BatchUpstream {
--- a/src/preparation/common/batch-upstream.ts
+++ b/src/preparation/common/batch-upstream.ts
@@ -6,6 +6,8 @@
 const slownessWeight = 0.6;
 /** After this long without a call a slow upstream is believed to be half as slow: it may have recovered. */
 const slownessHalfLifeMs = 2500;
+/** A call that was given up says that it would have taken longer, not how much: one that hangs is not slow without bound. */
+const mostGivenUpSlowness = 20;
 /** First while without work after a call failed; it doubles with each further one. */
 const avoidMs = 250;
 const longestAvoidMs = 2000;
@@ -49,6 +51,13 @@
 
 	failed(call: BatchCall, nowMs: number): void {
 		this.end(call);
+		const ratio = Math.min(mostGivenUpSlowness, (nowMs - call.sentMs) / call.expectedMs);
+		if (nowMs >= call.limitMs && ratio > this.slownessAt(nowMs)) {
+			// It was given up: where all are that slow, the next call is given more time.
+			this.slowness = ratio;
+			this.measuredMs = nowMs;
+		}
+
 		this.avoidedUntilMs = nowMs + Math.min(longestAvoidMs, avoidMs * (2 ** this.failures));
 		this.failures++;
 	}
--- a/src/preparation/node/batch-pool.ts
+++ b/src/preparation/node/batch-pool.ts
@@ -31,6 +31,9 @@
 const mostLanes = 3;
 const releaseLimitMs = 1000;
 const tellMs = 1000;
+/** Slowness against what is declared from which a pool is told as slow, and below which it no longer is. */
+const slowPoolSlowness = 1.7;
+const usualAgainSlowness = 1.3;
 /** One host batches a pool for all: what bounds an upstream is its part. */
 const soleWork: BoundedWork = {isSoleSender: true};
 
@@ -64,6 +67,8 @@
 	private readonly controller = new AbortController();
 	private timer: Disposable | undefined;
 	private toldMs = -Infinity;
+	/** Whether the pool is told as slow. */
+	private isSlow = false;
 
 	private constructor(private readonly options: BatchPoolOptions) {
 		this.machine = BatchMachine.create(contentId => options.quarantine.cautionOf(contentId), (server, nowMs) => options.bounds.allowance(server, soleWork, nowMs));
@@ -152,6 +157,7 @@
 		}
 
 		this.tell(nowMs);
+		this.tellSlowness(nowMs);
 		this.report(this.machine.sweep(serverId => registry.get(serverId) !== undefined, nowMs));
 		if (this.machine.waitingCount > 0) {
 			this.timer ??= clock.setTimer(tickMs, () => {
@@ -170,6 +176,20 @@
 		}
 	}
 
+	/** Says when all of a pool is taken for slow, and when no longer: what is declared does not fit, or something ails them all. */
+	private tellSlowness(nowMs: number): void {
+		const {pool, log, registry} = this.options;
+		const servers = registry.usable(pool);
+		const slowness = this.machine.usualSlowness(servers, nowMs);
+		const isSlow = slowness > (this.isSlow ? usualAgainSlowness : slowPoolSlowness);
+		if (isSlow !== this.isSlow) {
+			this.isSlow = isSlow;
+			log.info(isSlow ? 'A pool is slower than declared as a whole.' : 'A pool is as fast as declared again.', {
+				pool, servers: servers.length, slowness: Number(slowness.toFixed(1)),
+			});
+		}
+	}
+
 	private tellNoRoom({server, pieces}: BatchCall, outcomes: readonly PieceOutcome[], capacity: BatchCapacity, nowMs: number): void {
 		const refused = outcomes.filter(outcome => !outcome.ok && outcome.reason === pieceFailures.noRoom).length;
 		if (refused > 0) {
