--- a/src/preparation/common/batch-machine.ts
+++ b/src/preparation/common/batch-machine.ts
@@ -5,14 +5,13 @@
 import type {BatchCapacity} from '../../deployment/common/declaration.js';
 import type {UpstreamServer} from '../../deployment/common/upstream-server.js';
 import {cautions} from '../../quarantine/common/quarantine.js';
-import type {Allowance} from '../../routing/common/send-bounds.js';
 import type {
 	BatchCall, BatchPiece, CallFailure, PieceEnd,
 } from './batch-call.js';
-import {BatchUpstream} from './batch-upstream.js';
 import {fillCall} from './call-filling.js';
 import {rankPenaltyMs} from './piece-order.js';
 import {PieceQueue, type CautionSource} from './piece-queue.js';
+import {PoolUpstreams, type AllowanceSource} from './pool-upstreams.js';
 import {readRoom} from './room-reading.js';
 import {fullCallMs, Throughput} from './throughput.js';
 import {
@@ -27,11 +26,6 @@
 const turnShare = 0.5;
 /** Tries of one piece before it is given up. */
 const mostTries = 4;
-/**
-An upstream that is this many times slower than its neighbours gets work only when the others can't take all. What is declared is a first
-guess: where all are slow, none is worse than the others, and refusing what they can do helps nobody.
-*/
-const slowFactor = 1.7;
 /** A call is given up after this many times what calls of its pool take, and a margin for the network. */
 const giveUpFactor = 6;
 const giveUpMarginMs = 500;
@@ -39,14 +33,9 @@
 /** How a pool stands: pieces that wait, calls at work, the longest wait, and the room that results take. */
 export type BatchStanding = {readonly waiting: number; readonly calls: number; readonly oldestMs: number; readonly keptBytes: number};
 
-/** Tells what may go to an upstream now, of what all hosts together may send it. */
-export type AllowanceSource = (server: UpstreamServer, nowMs: number) => Allowance;
-
 /** How a pool stands as a call is made: halls with upstreams that may get work, and how slow these usually are. */
 type PoolNow = {readonly halls: ReadonlySet<string>; readonly usual: number};
 
-const secondMs = 1000;
-
 /** Holds the waiting pieces and the calls of one pool. */
 export class BatchMachine {
 	static create(cautionOf: CautionSource = () => cautions.none, allowanceOf: AllowanceSource = () => ({left: Infinity, perS: Infinity})): BatchMachine {
@@ -54,12 +43,13 @@
 	}
 
 	private readonly waiting: PieceQueue;
-	private readonly upstreams = new Map<string, BatchUpstream>();
+	private readonly upstreams: PoolUpstreams;
 	private readonly throughput = Throughput.create();
 	private lastCallId = 0;
 
-	private constructor(cautionOf: CautionSource, private readonly allowanceOf: AllowanceSource) {
+	private constructor(cautionOf: CautionSource, allowanceOf: AllowanceSource) {
 		this.waiting = PieceQueue.create(cautionOf);
+		this.upstreams = PoolUpstreams.create(allowanceOf);
 	}
 
 	/** Pieces that wait for an upstream. */
@@ -69,7 +59,7 @@
 
 	/** Calls at work. */
 	get callCount(): number {
-		return [...this.upstreams.values()].filter(({call}) => call).length;
+		return this.upstreams.callCount;
 	}
 
 	add(work: BatchWork, nowMs: number): void {
@@ -116,7 +106,7 @@
 	@returns the pieces; other pieces of the same steps may be at work.
 	*/
 	giveUpLate(servers: readonly UpstreamServer[], capacity: BatchCapacity, nowMs: number): PieceEnd[] {
-		const count = this.countAtWork(this.soundOf(servers, nowMs), capacity, nowMs);
+		const count = this.upstreams.countAtWork(this.upstreams.soundOf(servers, nowMs), capacity, nowMs);
 		return count === 0 ? [] : this.waiting.takeHopeless(this.throughput.hopedPerMs(count, capacity, nowMs), nowMs);
 	}
 
@@ -133,12 +123,12 @@
 		}
 
 		this.waiting.sort(nowMs);
-		const open = servers.filter(server => this.isOpen(server, nowMs));
-		const free = open.filter(server => this.stateOf(server).isFree(nowMs))
-			.toSorted((left, right) => this.stateOf(left).slownessAt(nowMs) - this.stateOf(right).slownessAt(nowMs));
-		const sound = new Set(this.soundOf(open, nowMs));
-		const usual = this.usualSlowness(open, nowMs);
-		const halls = new Set(open.filter(server => !this.stateOf(server).isAvoided(nowMs)).map(server => server.hall));
+		const open = servers.filter(server => this.upstreams.isOpen(server, nowMs));
+		const free = open.filter(server => this.upstreams.of(server).isFree(nowMs))
+			.toSorted((left, right) => this.upstreams.of(left).slownessAt(nowMs) - this.upstreams.of(right).slownessAt(nowMs));
+		const sound = new Set(this.upstreams.soundOf(open, nowMs));
+		const usual = this.upstreams.usualSlowness(open, nowMs);
+		const halls = new Set(open.filter(server => !this.upstreams.of(server).isAvoided(nowMs)).map(server => server.hall));
 		for (const server of free) {
 			if (!sound.has(server) && this.waiting.size <= sound.size * capacity.batchSize) {
 				continue;
@@ -162,7 +152,7 @@
 	@returns pieces that have ended; others wait again.
 	*/
 	answered(call: BatchCall, outcomes: readonly PieceOutcome[], capacity: BatchCapacity, nowMs: number): PieceEnd[] {
-		const state = this.stateOf(call.server);
+		const state = this.upstreams.of(call.server);
 		state.answered(call, nowMs);
 		this.throughput.count(outcomes.filter(outcome => outcome.ok).length, nowMs);
 		state.room.learn(readRoom(call, outcomes), capacity, nowMs);
@@ -195,7 +185,7 @@
 	@returns pieces that are given up; others wait again.
 	*/
 	failed(call: BatchCall, reason: CallFailure, nowMs: number): PieceEnd[] {
-		this.stateOf(call.server).failed(call, nowMs);
+		this.upstreams.of(call.server).failed(call, nowMs);
 		const ends: PieceEnd[] = [];
 		for (const item of call.pieces) {
 			// A call that was refused has cost nothing.
@@ -216,10 +206,7 @@
 	@param handles - their names.
 	*/
 	released(serverId: string, handles: readonly string[]): void {
-		const state = this.upstreams.get(serverId);
-		for (const handle of handles) {
-			state?.room.free(handle);
-		}
+		this.upstreams.released(serverId, handles);
 	}
 
 	/**
@@ -229,12 +216,7 @@
 	@returns the pieces that are given up.
 	*/
 	sweep(isKnown: (serverId: string) => boolean, nowMs: number): PieceEnd[] {
-		for (const [serverId, {call}] of this.upstreams) {
-			if (!call && !isKnown(serverId)) {
-				this.upstreams.delete(serverId);
-			}
-		}
-
+		this.upstreams.sweep(isKnown);
 		return this.waiting.sweep(nowMs);
 	}
 
@@ -244,7 +226,7 @@
 	@param nowMs - the time.
 	*/
 	keptAt(serverId: string, nowMs: number): number {
-		return this.upstreams.get(serverId)?.room.takenBytes(nowMs) ?? 0;
+		return this.upstreams.keptAt(serverId, nowMs);
 	}
 
 	/**
@@ -252,13 +234,8 @@
 	@param nowMs - the time.
 	*/
 	describe(nowMs: number): BatchStanding {
-		let keptBytes = 0;
-		for (const {room} of this.upstreams.values()) {
-			keptBytes += room.takenBytes(nowMs);
-		}
-
 		return {
-			waiting: this.waiting.size, calls: this.callCount, oldestMs: Math.round(this.waiting.oldestMs(nowMs)), keptBytes,
+			waiting: this.waiting.size, calls: this.callCount, oldestMs: Math.round(this.waiting.oldestMs(nowMs)), keptBytes: this.upstreams.keptBytes(nowMs),
 		};
 	}
 
@@ -271,13 +248,13 @@
 	@returns 0 while an upstream is free.
 	*/
 	waitMs(servers: readonly UpstreamServer[], capacity: BatchCapacity, rank: number, nowMs: number): number {
-		const sound = this.soundOf(servers, nowMs);
+		const sound = this.upstreams.soundOf(servers, nowMs);
 		if (sound.length === 0) {
 			return noServerMs;
 		}
 
-		const free = sound.filter(server => this.stateOf(server).call === undefined && this.isOpen(server, nowMs)).length;
-		const count = this.countAtWork(sound, capacity, nowMs);
+		const free = sound.filter(server => this.upstreams.of(server).call === undefined && this.upstreams.isOpen(server, nowMs)).length;
+		const count = this.upstreams.countAtWork(sound, capacity, nowMs);
 		const ownKey = nowMs + usualDueMs + (rank * rankPenaltyMs);
 		const ahead = this.waiting.countAhead(ownKey, nowMs);
 		if (free > 0 && ahead === 0) {
@@ -288,32 +265,12 @@
 	}
 
 	/**
-	Tells how many times longer than declared the calls of a pool take, by its middle upstream; the faster one of two.
+	Tells how many times longer than declared the calls of the pool usually take.
 	@param servers - upstreams that may get work.
 	@param nowMs - the time.
-	@returns 1 where all fail.
 	*/
 	usualSlowness(servers: readonly UpstreamServer[], nowMs: number): number {
-		const slowness = servers.map(server => this.stateOf(server)).filter(state => !state.isAvoided(nowMs))
-			.map(state => state.slownessAt(nowMs)).toSorted((left, right) => left - right);
-		return slowness[Math.floor((slowness.length - 1) / 2)] ?? 1;
-	}
-
-	/** Whether an upstream may get one more call now. */
-	private isOpen(server: UpstreamServer, nowMs: number): boolean {
-		return this.allowanceOf(server, nowMs).left > 0;
-	}
-
-	/** How many upstreams as declared these are worth: one that is slow is a part of one, as is one whose rate is bounded. */
-	private countAtWork(servers: readonly UpstreamServer[], capacity: BatchCapacity, nowMs: number): number {
-		const callMs = fullCallMs(capacity);
-		let count = 0;
-		for (const server of servers) {
-			const bySpeed = 1 / Math.max(1, this.stateOf(server).slownessAt(nowMs));
-			count += Math.min(bySpeed, this.allowanceOf(server, nowMs).perS * callMs / secondMs);
-		}
-
-		return count;
+		return this.upstreams.usualSlowness(servers, nowMs);
 	}
 
 	private callTo(server: UpstreamServer, capacity: BatchCapacity, {halls, usual}: PoolNow, nowMs: number): BatchCall | undefined {
@@ -327,33 +284,17 @@
 		const call: BatchCall = {
 			callId: this.lastCallId, server, pieces, sentMs: nowMs, expectedMs, limitMs: nowMs + (giveUpFactor * expectedMs * Math.max(1, usual)) + giveUpMarginMs,
 		};
-		this.stateOf(server).call = call;
+		this.upstreams.of(server).call = call;
 		return call;
 	}
 
 	/** Takes the most urgent pieces for one call out of the queue. */
 	private take(server: UpstreamServer, {batchSize, roomBytes}: BatchCapacity, halls: ReadonlySet<string>, nowMs: number): BatchPiece[] {
-		const leftBytes = this.stateOf(server).room.leftBytes(roomBytes, nowMs);
+		const leftBytes = this.upstreams.of(server).room.leftBytes(roomBytes, nowMs);
 		const taken = fillCall(this.waiting.sendable(), {
 			batchSize, leftBytes, hall: server.hall, halls,
 		}, nowMs);
 		this.waiting.remove(taken);
 		return [...taken].map(item => ({...item, tries: item.tries + 1}));
 	}
-
-	/** The upstreams that neither fail nor are far slower than the others. */
-	private soundOf(servers: readonly UpstreamServer[], nowMs: number): UpstreamServer[] {
-		const mostSlowness = slowFactor * Math.max(1, this.usualSlowness(servers, nowMs));
-		return servers.filter(server => !this.stateOf(server).isAvoided(nowMs) && this.stateOf(server).slownessAt(nowMs) <= mostSlowness);
-	}
-
-	private stateOf({serverId}: UpstreamServer): BatchUpstream {
-		let state = this.upstreams.get(serverId);
-		if (!state) {
-			state = BatchUpstream.create();
-			this.upstreams.set(serverId, state);
-		}
-
-		return state;
-	}
 }
--- a/src/preparation/node/batch-pool.ts
+++ b/src/preparation/node/batch-pool.ts
@@ -13,16 +13,14 @@
 import {collectAnswer} from '../../deployment/node/collect-answer.js';
 import {LanePool} from '../../deployment/node/lane.js';
 import type {Quarantine} from '../../quarantine/common/quarantine.js';
-import {requestLogMessages} from '../../request/common/request-log-messages.js';
 import type {SendBounds} from '../../routing/common/send-bounds.js';
 import type {BoundedWork} from '../../routing/common/send-share.js';
 import type {WindowedBudget} from '../../routing/common/windowed-budget.js';
 import type {BatchCall, PieceEnd} from '../common/batch-call.js';
 import {BatchMachine} from '../common/batch-machine.js';
 import type {BatchProtocol, EncodedCall} from '../common/batch-protocol.js';
-import {
-	pieceFailures, type BatchWork, type PieceOutcome, type ResultRef,
-} from '../common/work.js';
+import type {BatchWork, ResultRef} from '../common/work.js';
+import {PoolLog} from './pool-log.js';
 import {ResultReleases} from './result-releases.js';
 
 /** How often a queue is looked at while it waits: a fraction of a call's time. */
@@ -30,10 +28,6 @@
 /** Connections to one upstream: one for the call at work, one for releases. */
 const mostLanes = 3;
 const releaseLimitMs = 1000;
-const tellMs = 1000;
-/** Slowness against what is declared from which a pool is told as slow, and below which it no longer is. */
-const slowPoolSlowness = 1.7;
-const usualAgainSlowness = 1.3;
 /** One host batches a pool for all: what bounds an upstream is its part. */
 const soleWork: BoundedWork = {isSoleSender: true};
 
@@ -66,11 +60,10 @@
 	private readonly owned = DisposableStore.create();
 	private readonly controller = new AbortController();
 	private timer: Disposable | undefined;
-	private toldMs = -Infinity;
-	/** Whether the pool is told as slow. */
-	private isSlow = false;
+	private readonly log: PoolLog;
 
 	private constructor(private readonly options: BatchPoolOptions) {
+		this.log = PoolLog.create(options);
 		this.machine = BatchMachine.create(contentId => options.quarantine.cautionOf(contentId), (server, nowMs) => options.bounds.allowance(server, soleWork, nowMs));
 		this.releases = this.owned.add(ResultReleases.create({
 			registry: options.registry,
@@ -156,8 +149,7 @@
 			this.report(this.machine.giveUpWaiting());
 		}
 
-		this.tell(nowMs);
-		this.tellSlowness(nowMs);
+		this.log.standing(this.machine, registry.usable(pool), nowMs);
 		this.report(this.machine.sweep(serverId => registry.get(serverId) !== undefined, nowMs));
 		if (this.machine.waitingCount > 0) {
 			this.timer ??= clock.setTimer(tickMs, () => {
@@ -167,40 +159,6 @@
 		}
 	}
 
-	/** A queue that does not empty is told of now and then. */
-	private tell(nowMs: number): void {
-		if (this.machine.waitingCount > 0 && nowMs - this.toldMs >= tellMs) {
-			this.toldMs = nowMs;
-			const {pool, log, registry} = this.options;
-			log.info(requestLogMessages.poolWaits, {pool, servers: registry.usable(pool).length, ...this.machine.describe(nowMs)});
-		}
-	}
-
-	/** Says when all of a pool is taken for slow, and when no longer: what is declared does not fit, or something ails them all. */
-	private tellSlowness(nowMs: number): void {
-		const {pool, log, registry} = this.options;
-		const servers = registry.usable(pool);
-		const slowness = this.machine.usualSlowness(servers, nowMs);
-		const isSlow = slowness > (this.isSlow ? usualAgainSlowness : slowPoolSlowness);
-		if (isSlow !== this.isSlow) {
-			this.isSlow = isSlow;
-			log.info(isSlow ? 'A pool is slower than declared as a whole.' : 'A pool is as fast as declared again.', {
-				pool, servers: servers.length, slowness: Number(slowness.toFixed(1)),
-			});
-		}
-	}
-
-	private tellNoRoom({server, pieces}: BatchCall, outcomes: readonly PieceOutcome[], capacity: BatchCapacity, nowMs: number): void {
-		const refused = outcomes.filter(outcome => !outcome.ok && outcome.reason === pieceFailures.noRoom).length;
-		if (refused > 0) {
-			const {pool, log, metrics} = this.options;
-			log.info('An upstream had no room for results.', {
-				pool, server: server.serverId, pieces: pieces.length, refused, knownBytes: this.machine.keptAt(server.serverId, nowMs), roomBytes: capacity.roomBytes,
-			});
-			metrics.increment('batch.noRoom', refused, {pool});
-		}
-	}
-
 	private async run(call: BatchCall, capacity: BatchCapacity): Promise<void> {
 		const {clock, protocol, registry, limits, bounds, log, metrics, pool} = this.options;
 		const {server} = call;
@@ -237,7 +195,7 @@
 		if (decoded?.ok) {
 			metrics.timing('batch.call', nowMs - call.sentMs, {pool});
 			metrics.increment('batch.pieces', call.pieces.length, {pool});
-			this.tellNoRoom(call, decoded.value, capacity, nowMs);
+			this.log.noRoom(call, decoded.value, this.machine.keptAt(server.serverId, nowMs), capacity);
 			this.report(this.machine.answered(call, decoded.value, capacity, nowMs));
 		} else {
 			const reason = decoded?.error ?? (answer.ok || answer.error.wasWritten ? 'broken' : 'unreachable');
