--- a/src/peers/common/fleet-memory.ts
+++ b/src/peers/common/fleet-memory.ts
@@ -43,7 +43,7 @@
 	seen(endpoints: Iterable<string>, nowMs: number): void {
 		const {size} = this.seenMs;
 		for (const endpoint of endpoints) {
-			if (endpoint !== this.own && parseEndpoint(endpoint)) {
+			if (endpoint !== this.own && (this.seenMs.has(endpoint) || parseEndpoint(endpoint))) {
 				this.seenMs.set(endpoint, nowMs);
 				this.metMs ??= nowMs;
 			}
