Spread what a limited upstream gets over more senders

Cause: three senders a server gave single hosts parts that differ by half and more, so that many had no send left while others had some idle. Change: as many senders as the limit has requests in its window, since these are spread over it; cold upstreams keep three of three each.

--- a/src/routing/common/send-share.ts
+++ b/src/routing/common/send-share.ts
@@ -21,8 +21,12 @@
 
 /** Senders of one upstream at least, as far as its bound has a request for each: two may be lost at once. */
 const fewestSenders = 3;
-/** Requests within a window for each sender, where the bound has as many: its callers come in no order. */
+/**
+Requests within a window for each sender, where the bound has as many. Callers come in no order, so that a sender of what is sent at once has
+several; where sends are spread over the window, more senders come closer to what the callers of each ask for.
+*/
 const usualPart = 3;
+const usualPacedPart = 1;
 /** Parts of a window over which the sends of a paced bound are spread. */
 const paceParts = 4;
 /** Sends are remembered for the longest window. */
@@ -134,7 +138,7 @@
 	}
 
 	/** What this host may send within a window. */
-	private partOf(upstreamId: string, {most}: RateBound, {isSoleSender}: BoundedWork, nowMs: number): number {
+	private partOf(upstreamId: string, {most, isPaced}: RateBound, {isSoleSender}: BoundedWork, nowMs: number): number {
 		const view = this.viewOf(nowMs);
 		const {hosts, isSettled} = view;
 		if (!isSettled) {
@@ -145,7 +149,7 @@
 			return most;
 		}
 
-		const senderCount = Math.min(hosts.length, most, Math.max(fewestSenders, Math.floor(most / usualPart)));
+		const senderCount = Math.min(hosts.length, most, Math.max(fewestSenders, Math.floor(most / (isPaced ? usualPacedPart : usualPart))));
 		const rank = this.rankAmong(upstreamId, view);
 		const isAmongFirst = rank < most % senderCount;
 		return rank < senderCount ? Math.floor(most / senderCount) + (isAmongFirst ? 1 : 0) : 0;
--- a/src/routing/common/sleep.test.ts
+++ b/src/routing/common/sleep.test.ts
@@ -5,11 +5,15 @@
 import t from 'tap';
 import {ManualClock} from '../../base/common/clock.js';
 import {silentLoggers} from '../../base/common/logger.js';
+import {noMetrics} from '../../base/common/metrics.js';
+import {SeededRandom} from '../../base/common/random.js';
+import {ServerLimits} from '../../deployment/common/server-limits.js';
 import {ServerRegistry} from '../../deployment/common/server-registry.js';
 import {FirstTries} from '../../direct/common/first-tries.js';
 import {FleetMemory} from '../../peers/common/fleet-memory.js';
 import {EndRecord} from '../../quarantine/common/end-record.js';
 import {boundOfCold} from './rate-bound.js';
+import {directWork, SendBounds} from './send-bounds.js';
 import {SendShare} from './send-share.js';
 import {ServerSigns} from './server-signs.js';
 import {WindowedBudget} from './windowed-budget.js';
@@ -100,3 +104,23 @@
 
 	t.equal(tries.sinceFirstTryMs('r', 9000, 4000, clock.nowMs()), 0);
 });
+
+t.test('a limit that was named before a sleep is looked at once more, and an end that fell into the sleep has taken effect', async t => {
+	const clock = ManualClock.create();
+	const limits = ServerLimits.create({random: SeededRandom.create(1), log: silentLoggers.for('test'), metrics: noMetrics});
+	const server = {serverId: 's', pool: 'p', hall: 'a'};
+	const bounds = SendBounds.create({
+		registry: {coldLeftMs: () => 0, isDrained: () => false, onDidChange: () => ({dispose: () => undefined})},
+		limits,
+		share: SendShare.create(() => ({own: 'a', hosts: ['a', 'b'], isSettled: false})),
+		cold: undefined,
+		bearsPerS: () => 0,
+	});
+	limits.answered(server, {kind: 'named', perS: 1}, clock.nowMs(), clock.nowMs());
+	t.notOk(bounds.mayGet(server, directWork, clock.nowMs()));
+	clock.sleep(20_000);
+	t.ok(bounds.mayGet(server, directWork, clock.nowMs()));
+	limits.answered(server, {kind: 'none'}, clock.nowMs(), clock.nowMs());
+	clock.sleep(10_000);
+	t.equal(limits.limitOf('s', clock.nowMs()), undefined);
+});
