--- a/src/deployment/common/server-limits.test.ts
+++ b/src/deployment/common/server-limits.test.ts
@@ -161,3 +161,30 @@
 
 	t.equal(limits.all(clock.nowMs()).length, 2000);
 });
+
+/**
+Found by reading: a server that names another limit in each answer, or names one in every other answer, had each of them told to all peers
+and written to the log.
+*/
+t.test('a limit that changes with each answer is told a few times a second, and the last word reaches the peers', async t => {
+	for (const perSOf of [(index: number) => 100 + (index / 1000), (index: number) => index % 2 === 0 ? 100 : undefined]) {
+		const {clock, answered, perS, told} = makeLimits();
+		for (let index = 0; index < 1000; index++) {
+			const limitPerS = perSOf(index);
+			answered(limitPerS === undefined ? none : named(limitPerS));
+			clock.advance(1);
+		}
+
+		t.ok(told.length <= 5, `${told.length} in a second`);
+		clock.advance(500);
+		answered(named(7));
+		t.equal(perS(), 7);
+		t.match(told.at(-1), {perS: 7});
+		t.equal(told.at(-1)!.endedAgoMs, undefined);
+		clock.advance(10);
+		answered(none);
+		clock.advance(500);
+		answered(none);
+		t.not(told.at(-1)!.endedAgoMs, undefined, 'the end as well');
+	}
+});
