Tell peers of changes of one limit no closer than 250 ms, and until they know

What operators saw: nothing yet; found by reading. A server that names another limit in each answer would have had each told to all peers. Cause: a change was told when it came, without a bound. Change: how a limit stands is told at once, or 250 ms after the last telling with the next answer, until it is told; ends as well. Why it holds: each telling counts, and what was not told is remembered as such.

--- a/src/deployment/common/server-limits.ts
+++ b/src/deployment/common/server-limits.ts
@@ -45,13 +45,17 @@
 	readonly perS: number;
 	readonly namedMs: number;
 	/** When the peers last heard of it, from whichever host. */
-	toldMs: number;
+	readonly toldMs: number;
+	/** Whether what they heard is how it stands. */
+	readonly isTold: boolean;
 	/** The call whose answer no longer named it, and until when it is in force nevertheless. */
 	readonly end?: {readonly sentMs: number; readonly untilMs: number};
 };
 
 /** Peers are told this often that a limit is still named: far more often than one is taken for quiet. */
 const tellAgainMs = 5000;
+/** Peers are told of changes of one limit no closer together than this: a server may name another one in each answer. */
+const tellChangeMs = 250;
 /** An end takes effect once so many requests more would have been taken, after this long at least. */
 const requestsUntilEnd = 2;
 const shortestEndMs = 2000;
@@ -154,7 +158,7 @@
 			if (endedAgoMs === undefined) {
 				this.heardNamed(serverId, perS, nowMs - namedAgoMs, {peer, nowMs});
 			} else {
-				this.endedBy(serverId, nowMs - endedAgoMs, nowMs);
+				this.endedBy(serverId, {sentMs: nowMs - endedAgoMs, isTold: true}, nowMs);
 			}
 		}
 	}
@@ -178,19 +182,30 @@
 
 	private named(serverId: string, perS: number, nowMs: number): void {
 		const before = this.known.get(serverId);
-		const isNews = !isInForce(before, perS);
-		const isDue = isNews || nowMs - (before?.toldMs ?? 0) >= tellAgainMs;
-		const known: Known = {perS, namedMs: nowMs, toldMs: isDue ? nowMs : before?.toldMs ?? nowMs};
+		const isTold = before?.isTold === true && isInForce(before, perS);
+		const known: Known = {
+			perS, namedMs: nowMs, toldMs: before?.toldMs ?? -Infinity, isTold,
+		};
 		this.keep(serverId, known);
-		if (isNews) {
+		if (this.tell(serverId, known, nowMs) && !isTold) {
 			this.options.log.info('An upstream names a limit.', {
 				server: serverId, limitPerS: perS, ...(before && {beforePerS: before.perS}),
 			});
 		}
+	}
 
+	/**
+	Tells the peers how a limit stands, unless they know or heard of it a moment ago.
+	@returns whether they were told.
+	*/
+	private tell(serverId: string, known: Known, nowMs: number): boolean {
+		const isDue = nowMs - known.toldMs >= (known.isTold ? tellAgainMs : tellChangeMs);
 		if (isDue) {
+			this.keep(serverId, {...known, toldMs: nowMs, isTold: true});
 			this.didLearn.fire(newsOf(serverId, known, nowMs));
 		}
+
+		return isDue;
 	}
 
 	private heardNamed(serverId: string, perS: number, namedMs: number, {peer, nowMs}: {readonly peer: string; readonly nowMs: number}): void {
@@ -205,29 +220,29 @@
 			});
 		}
 
-		this.keep(serverId, {perS, namedMs, toldMs: nowMs});
+		this.keep(serverId, {
+			perS, namedMs, toldMs: nowMs, isTold: true,
+		});
 	}
 
 	/** An answer of this host named none. */
 	private notNamed(serverId: string, sentMs: number, nowMs: number): void {
-		if (this.endedBy(serverId, sentMs, nowMs)) {
-			this.didLearn.fire(newsOf(serverId, this.known.get(serverId)!, nowMs));
+		this.endedBy(serverId, {sentMs, isTold: false}, nowMs);
+		const known = this.known.get(serverId);
+		if (known?.end && !known.isTold) {
+			this.tell(serverId, known, nowMs);
 		}
 	}
 
-	/**
-	A limit was not named by the answer to a call.
-	@returns whether it ends because of that.
-	*/
-	private endedBy(serverId: string, sentMs: number, nowMs: number): boolean {
+	/** A limit was not named by the answer to a call: it ends because of that, unless it was named since, or ends already. */
+	private endedBy(serverId: string, {sentMs, isTold}: {readonly sentMs: number; readonly isTold: boolean}, nowMs: number): void {
 		const known = this.known.get(serverId);
 		if (known === undefined || known.end !== undefined || sentMs <= known.namedMs) {
-			return false;
+			return;
 		}
 
 		const waitMs = Math.min(longestEndMs, Math.max(shortestEndMs, requestsUntilEnd * secondMs / known.perS));
-		this.keep(serverId, {...known, end: {sentMs, untilMs: nowMs + (waitMs * (1 + this.options.random.next()))}});
-		return true;
+		this.keep(serverId, {...known, isTold, end: {sentMs, untilMs: nowMs + (waitMs * (1 + this.options.random.next()))}});
 	}
 
 	private keep(serverId: string, known: Known): void {
