--- a/src/routing/common/send-share.ts
+++ b/src/routing/common/send-share.ts
@@ -3,11 +3,13 @@
 that its pool declares, or one that names a limit itself.
 
 The bound holds over all hosts together, whoever is cut off or has just started, and an upstream that gets little looks best to all of
-them at once. So each such upstream has a few senders, the same on every host, chosen by rendezvous hashing; each of them may send
-an equal part (the first ones one more, where it does not come out even), and nobody else sends anything. Weighed against a fixed part for every host: of 18 requests a second and 31 hosts that
-is less than one a second each, which either leaves the upstream idle or breaks the bound when all send at once. Weighed against parts
-lent among the hosts that meet: needs messages at the moment at which links fail. A bound that gives many hosts a few requests each has as
-many senders: a host can only send what its own callers ask for.
+them at once. So each such upstream has a few senders, the same on every host, chosen by rendezvous hashing. Each of them may send an equal
+part (the first ones one more, where it does not come out even), and nobody else sends anything. A host can only send what its own callers
+ask for, so that a bound that has a request for each of many hosts has many senders.
+
+Weighed against a fixed part for every host: of 18 requests a second and 31 hosts that is less than one a second each, which either leaves
+the upstream idle or breaks the bound when all send at once. Weighed against parts lent among the hosts that meet: needs messages at the
+moment at which links fail.
 */
 import type {FleetView} from './fleet-view.js';
 import type {RateBound} from './rate-bound.js';
