Go through gathered releases as they stood, so that what can't be sent waits for the next time

What callers saw: seconds in which a host that batched a pool stood still, and what others had handed to it came late or not at all. Cause: a release that found all connections at work was gathered again at once, into the list that was just being gone through: without end. Change: the list is copied before it is gone through. Why it holds: what is gathered while releases are sent is not in the copy.

--- a/src/preparation/node/result-releases.ts
+++ b/src/preparation/node/result-releases.ts
@@ -72,7 +72,9 @@
 
 	private sendAll(): void {
 		const {registry, gone, mayGet, send} = this.options;
-		for (const [serverId, {handles, sinceMs}] of this.gathered) {
+		// What can't be sent is gathered again meanwhile, and is for the next time.
+		const due = [...this.gathered];
+		for (const [serverId, {handles, sinceMs}] of due) {
 			const server = registry.get(serverId);
 			if (server && !registry.isDrained(server) && !mayGet(server) && !this.isOver(sinceMs)) {
 				continue;
