Bring about that upstreams which say that they leave get requests all the same: a test that fails

Callers saw nothing of it until the upstream's end cuts off what it has. The loads that two tests share stand in a file of their own.

--- /dev/null
+++ b/test/platform/leaving-server.test.ts
@@ -0,0 +1,77 @@
+/**
+Upstreams that say in their answers that they leave, before real entries.
+
+Seen: an engine had said in each of its answers for ten seconds that it leaves, and got as many requests as before, also from hosts that had
+passed such answers on.
+*/
+import {setTimeout as sleep} from 'node:timers/promises';
+import t, {type Test} from 'tap';
+import {ask, streamCall, wholeStream} from './direct-harness.js';
+import {
+	addHosts, areServed, load, makeFleet, plainCall, stepsCall, streamOf,
+} from './direct-load.js';
+import type {ServerStandin} from './upstream-standins.js';
+
+/** Nothing new reaches an upstream later than this after an answer said that it leaves. */
+const leavingWithinMs = 2000;
+
+function getsNothingMore(t: Test, server: ServerStandin): void {
+	const saidMs = server.saidLeavingMs ?? Infinity;
+	t.ok(saidMs < Infinity, `${server.serverId} has said so`);
+	t.equal(server.arrivedMs.filter(atMs => atMs > saidMs + leavingWithinMs).length, 0, `calls to ${server.serverId} later than ${leavingWithinMs} ms`);
+}
+
+const busiestOf = (servers: readonly ServerStandin[]) => servers.toSorted((one, other) => other.arrivedMs.length - one.arrivedMs.length)[0];
+
+t.test('an upstream that says in its answers that it leaves', async t => {
+	t.test('gets nothing more of any kind from any host, whatever the store\'s list says', async t => {
+		const fleet = await makeFleet(t);
+		const pools = [await fleet.addServers('plain', 4), await fleet.addServers('model', 4), await fleet.addServers('stage', 4)];
+		const hosts = await addHosts(fleet, 3);
+		fleet.store.mode = 'silent';
+		const loads = [load(hosts, plainCall, 30), load(hosts, streamOf, 20), load(hosts, stepsCall, 20)];
+		await sleep(500);
+		const leaving = pools.map(servers => busiestOf(servers));
+		for (const server of leaving) {
+			server.leave();
+		}
+
+		const answers = await Promise.all(loads);
+		for (const server of leaving) {
+			getsNothingMore(t, server);
+		}
+
+		areServed(t, answers.flat());
+	});
+
+	t.test('goes on with what it has', async t => {
+		const fleet = await makeFleet(t);
+		const [engine] = await fleet.addServers('model', 1, 200);
+		const [host] = await addHosts(fleet, 1);
+		const begun = ask(host, streamCall('/chat/1', {id: 'begun'}));
+		await sleep(300);
+		engine.leave();
+		const [first, told] = await Promise.all([begun, ask(host, streamCall('/chat/1', {id: 'told'}))]);
+		t.equal(first.text, wholeStream);
+		t.equal(told.text, wholeStream);
+	});
+
+	t.test('with all others of its pool leaves callers a quick refusal, and a new one is used as soon as it is listed', async t => {
+		const fleet = await makeFleet(t);
+		const [engine] = await fleet.addServers('model', 1);
+		const [host] = await addHosts(fleet, 1);
+		engine.leave();
+		t.equal((await ask(host, streamCall('/chat/1', {id: 'told'}))).status, 200);
+		const refused = await ask(host, streamCall('/chat/1', {id: 'refused'}));
+		t.equal(refused.status, 503);
+		t.match(refused.text, /^Not run: .*leav/v);
+		t.match(refused.headers['retry-after'], /^[\d.]+$/v);
+		const [next] = await fleet.addServers('model', 1);
+		while ((await ask(host, streamCall('/chat/1', {id: 'later'}))).status !== 200) {
+			await sleep(20);
+		}
+
+		t.equal(next.seen.length, 1);
+		t.equal(engine.seen.length, 1);
+	});
+});
--- a/test/platform/server-limit.test.ts
+++ b/test/platform/server-limit.test.ts
@@ -8,8 +8,8 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import t, {type Test} from 'tap';
 import {
-	ask, DirectFleet, streamCall, until, type CallerAnswer, type CallerCall, type RunningEntry,
-} from './direct-harness.js';
+	addHosts, areServed, countServed, load, makeFleet, plainCall, stepsCall, streamOf,
+} from './direct-load.js';
 import type {ServerStandin} from './upstream-standins.js';
 
 /** The span over which arrivals are counted, and what is allowed in it: one and a half times the limit, and 5 besides. */
@@ -17,48 +17,6 @@
 const mostOf = (limitPerS: number) => (1.5 * limitPerS * (spanMs / 1000)) + 5;
 /** All hosts heed a limit this long after an answer named it first. */
 const heededMs = 1000;
-const loadMs = 5200;
-/** Part of the requests that is served where other upstreams have room. */
-const servedShare = 0.99;
-
-type MakeCall = (id: string) => CallerCall;
-
-const plainCall: MakeCall = id => ({path: '/look/1', id});
-const streamOf: MakeCall = id => streamCall('/draft/1', {id, headers: {'prompt-prefix': `${id}a:10,bb:5`}});
-const stepsCall: MakeCall = id => streamCall('/staged/1', {id, headers: {'chunk-count': '2,1', 'chunk-key': `key-${id}`}});
-
-async function makeFleet(t: Test): Promise<DirectFleet> {
-	const fleet = await DirectFleet.create();
-	t.teardown(() => {
-		fleet.dispose();
-	});
-	return fleet;
-}
-
-const countPeers = ({lines}: RunningEntry) => lines.filter(line => line.includes('A peer is connected.')).length;
-
-/** Starts hosts and waits until all have met. */
-async function addHosts(fleet: DirectFleet, count: number): Promise<RunningEntry[]> {
-	const hosts: RunningEntry[] = [];
-	for (let index = 0; index < count; index++) {
-		hosts.push(await fleet.addReadyEntry());
-	}
-
-	await until(() => hosts.every(host => countPeers(host) >= count - 1));
-	return hosts;
-}
-
-/** Sends requests to the hosts in turn, at a steady rate. */
-async function load(hosts: readonly RunningEntry[], makeCall: MakeCall, perS: number, forMs = loadMs): Promise<CallerAnswer[]> {
-	const answers: Array<Promise<CallerAnswer>> = [];
-	const startMs = performance.now();
-	for (let index = 0; performance.now() - startMs < forMs; index++) {
-		answers.push(ask(hosts[index % hosts.length], makeCall(`r${startMs.toFixed(0)}-${index}`)));
-		await sleep(Math.max(0, startMs + ((index + 1) * 1000 / perS) - performance.now()));
-	}
-
-	return Promise.all(answers);
-}
 
 /** Most arrivals in the span, from when all hosts heed the limit. */
 const mostHeeded = (server: ServerStandin) => server.mostWithin(spanMs, (server.arrivedMs.at(0) ?? 0) + heededMs);
@@ -68,12 +26,6 @@
 	t.ok(most <= mostOf(limitPerS), `${server.serverId}: ${most} in 4 s, allowed ${mostOf(limitPerS)}`);
 }
 
-const countServed = (answers: readonly CallerAnswer[]) => answers.filter(({status}) => status === 200).length;
-
-function areServed(t: Test, answers: readonly CallerAnswer[]): void {
-	t.ok(countServed(answers) >= servedShare * answers.length, `${countServed(answers)} of ${answers.length} are served`);
-}
-
 t.test('an upstream that names a limit', async t => {
 	t.test('gets no more plain calls and streams than it names, from all hosts together; others serve the rest', async t => {
 		const fleet = await makeFleet(t);
--- a/test/platform/upstream-standins.ts
+++ b/test/platform/upstream-standins.ts
@@ -82,10 +82,13 @@
 	limit: string | undefined;
 	/** When requests came, those it rejects included. */
 	readonly arrivedMs: number[] = [];
+	/** When an answer first said that it leaves. */
+	saidLeavingMs: number | undefined;
 	/** Calls of stage work are answered once this has ended. */
 	stageGate: Promise<void> | undefined;
 	/** Requests whose connection closed before their answer was whole. */
 	closedEarly = 0;
+	private isLeaving = false;
 	private server!: StandinServer;
 	private results = 0;
 
@@ -117,6 +120,11 @@
 		return Math.max(0, ...countedMs.map(startMs => countedMs.filter(atMs => atMs >= startMs && atMs < startMs + spanMs).length));
 	}
 
+	/** From now on all its answers say that it leaves; its entry in the store stays as it is. */
+	leave(): void {
+		this.isLeaving = true;
+	}
+
 	dispose(): void {
 		this.server.dispose();
 	}
@@ -134,6 +142,11 @@
 			response.setHeader('server-limit', this.limit);
 		}
 
+		if (this.isLeaving) {
+			this.saidLeavingMs ??= performance.now();
+			response.setHeader('server-leaving', '1');
+		}
+
 		if (this.coldLeftMs > 0 && this.mostInOneSecond > this.mostWhileCold) {
 			this.end();
 			return;
