Bring about that upstreams which ask for rest get requests all the same: a test that fails

Callers were refused after three refusals in some milliseconds, though most upstreams of the pool served.

--- /dev/null
+++ b/test/platform/resting-server.test.ts
@@ -0,0 +1,115 @@
+/**
+Upstreams that turn requests away and ask for rest, before real entries.
+
+Seen: four of 13 engines refused each request at once and asked the host for 3 s of rest; each got from the same host three requests and more in that time, and
+callers were refused after three such refusals, though nine engines served.
+*/
+import {setTimeout as sleep} from 'node:timers/promises';
+import t, {type Test} from 'tap';
+import {ask} from './direct-harness.js';
+import {
+	addHosts, areServed, load, makeFleet, plainCall, stepsCall, streamOf,
+} from './direct-load.js';
+import type {ServerStandin} from './upstream-standins.js';
+
+/** What was under way when the answer came does not count. */
+const graceMs = 500;
+const mostDuringRest = 2;
+
+function isLeftAlone(t: Test, server: ServerStandin): void {
+	t.ok(server.refusals.length > 0, `${server.serverId} has asked for rest`);
+	const most = server.mostDuringRest(graceMs);
+	t.ok(most <= mostDuringRest, `${server.serverId}: ${most} from one host while it rests, allowed ${mostDuringRest}`);
+}
+
+t.test('an upstream that asks for rest', async t => {
+	for (const [what, turnsAway] of [['all', {share: 1, retryAfter: '3'}], ['three in ten', {share: 0.3, retryAfter: '1.5'}]] as const) {
+		t.test(`as it turns ${what} away is left alone by that host, for each kind of call; others serve the rest`, async t => {
+			const fleet = await makeFleet(t);
+			const pools = [await fleet.addServers('plain', 4, 20), await fleet.addServers('model', 4), await fleet.addServers('stage', 3)];
+			const hosts = await addHosts(fleet, 3);
+			const resting = pools.map(([server]) => server);
+			for (const server of pools[2]) {
+				// Steps go to any worker that is free: each of them rests now and then.
+				server.turnsAway = {...turnsAway, share: turnsAway.share / 2};
+			}
+
+			for (const server of resting) {
+				server.turnsAway = turnsAway;
+			}
+
+			const answers = await Promise.all([load(hosts, plainCall, 40), load(hosts, streamOf, 20), load(hosts, stepsCall, 10)]);
+			for (const server of new Set([...resting, ...pools[2].filter(({refusals}) => refusals.length > 0)])) {
+				isLeftAlone(t, server);
+			}
+
+			// All workers of steps may rest at once.
+			areServed(t, answers.slice(0, 2).flat());
+		});
+	}
+
+	t.test('gets its usual part again once its rest is over', async t => {
+		const fleet = await makeFleet(t);
+		const [resting] = await fleet.addServers('plain', 2, 20);
+		resting.turnsAway = {share: 1, retryAfter: '1'};
+		const hosts = await addHosts(fleet, 3);
+		await load(hosts, plainCall, 40, 1000);
+		resting.turnsAway = undefined;
+		await load(hosts, plainCall, 40, 2000);
+		const before = resting.arrivedMs.length;
+		const answers = await load(hosts, plainCall, 40, 1000);
+		areServed(t, answers);
+		const gained = resting.arrivedMs.length - before;
+		t.ok(gained >= answers.length / 4, `${gained} of ${answers.length}: half of its usual part at least`);
+	});
+
+	t.test('beside others that all do leaves callers a quick refusal, and is used once it takes work again', async t => {
+		const fleet = await makeFleet(t);
+		const servers = await fleet.addServers('plain', 3, 20);
+		for (const server of servers) {
+			server.turnsAway = {share: 1, retryAfter: '2'};
+		}
+
+		const hosts = await addHosts(fleet, 3);
+		const refused = await load(hosts, plainCall, 40, 1500);
+		for (const server of servers) {
+			isLeftAlone(t, server);
+			server.turnsAway = undefined;
+		}
+
+		t.ok(refused.every(({status}) => status === 503));
+		t.ok(refused.every(({text}) => text.startsWith('Not run: ')));
+		t.ok(refused.every(({headers}) => /^[\d.]+$/v.test(String(headers['retry-after']))));
+		await sleep(2500);
+		areServed(t, await load(hosts, plainCall, 40, 500));
+	});
+
+	t.test('in words that can\'t be read costs nothing but a line', async t => {
+		const fleet = await makeFleet(t);
+		const strange = ['abc', '-3', 'Wed, 21 Oct 2026 07:28:00 GMT', '', '1,2', '1e9', '0x10', 'Infinity'];
+		const servers = await fleet.addServers('plain', strange.length + 4, 20);
+		for (const [index, retryAfter] of strange.entries()) {
+			servers[index].turnsAway = {share: 0.1, retryAfter};
+		}
+
+		const [host] = await addHosts(fleet, 1);
+		const answers = await load([host], plainCall, 60, 2000);
+		areServed(t, answers);
+		for (const server of servers) {
+			const told = host.lines.filter(line => line.includes('asks for a rest that can\'t be read') && line.includes(`"${server.serverId}"`));
+			t.equal(told.length, Math.min(1, server.refusals.length), 'lines of one upstream');
+		}
+	});
+
+	t.test('for longer than anybody can wait, or for none, is taken at its word', async t => {
+		const fleet = await makeFleet(t);
+		const [long, none] = await fleet.addServers('plain', 3, 20);
+		long.turnsAway = {share: 1, retryAfter: '9'.repeat(400)};
+		none.turnsAway = {share: 1, retryAfter: '0'};
+		const [host] = await addHosts(fleet, 1);
+		areServed(t, await load([host], plainCall, 40, 2500));
+		t.equal(long.refusals.length, 1);
+		t.ok(none.refusals.length > 1);
+		t.equal((await ask(host, plainCall('last'))).status, 200);
+	});
+});
--- a/test/platform/upstream-standins.ts
+++ b/test/platform/upstream-standins.ts
@@ -7,6 +7,17 @@
 /** A request as a server saw it. */
 export type SeenRequest = {readonly id: string; readonly method: string; readonly path: string; readonly headers: IncomingMessage['headers']; readonly body: string};
 
+/** Which requests a server turns away as not run. */
+export type TurnAway = {
+	/** Part of its requests. */
+	readonly share: number;
+	/** Value of the answers' `Retry-After`; none where absent. */
+	readonly retryAfter?: string;
+};
+
+/** A request that was turned away: by which host it was sent, and until when the server wants no more from that host. */
+type Refusal = {readonly host: string; readonly atMs: number; readonly untilMs: number};
+
 /** What a server does with the next requests. */
 export type Fault
 	= | 'none'
@@ -50,6 +61,11 @@
 	}
 }
 
+/** The host that sent a request, as the ids of a load tell; calls of steps and releases come from the one host that batches their pool. */
+function hostOf({headers}: IncomingMessage): string {
+	return String(headers['attempt-id'] ?? '').split('@')[1] ?? 'batches';
+}
+
 /** A server with an id that is new at each start. */
 export class ServerStandin {
 	/**
@@ -82,6 +98,10 @@
 	limit: string | undefined;
 	/** When requests came, those it rejects included. */
 	readonly arrivedMs: number[] = [];
+	/** Which requests it turns away, releases of results included. */
+	turnsAway: TurnAway | undefined;
+	/** Requests that it turned away. */
+	readonly refusals: Refusal[] = [];
 	/** When an answer first said that it leaves. */
 	saidLeavingMs: number | undefined;
 	/** Calls of stage work are answered once this has ended. */
@@ -89,6 +109,9 @@
 	/** Requests whose connection closed before their answer was whole. */
 	closedEarly = 0;
 	private isLeaving = false;
+	/** When requests came, by the host that sent them. */
+	private readonly arrivedFromMs: Array<{readonly host: string; readonly atMs: number}> = [];
+	private awayShare = 0;
 	private server!: StandinServer;
 	private results = 0;
 
@@ -120,6 +143,18 @@
 		return Math.max(0, ...countedMs.map(startMs => countedMs.filter(atMs => atMs >= startMs && atMs < startMs + spanMs).length));
 	}
 
+	/**
+	Tells how many requests came at most from one host while it had been asked for rest.
+	@param graceMs - the rest counts from this long after the answer that asked for it.
+	*/
+	mostDuringRest(graceMs: number): number {
+		const counts = this.refusals.map(({host, atMs, untilMs}) => {
+			const arrivals = this.arrivedFromMs.filter(arrived => arrived.host === host);
+			return arrivals.filter(arrived => arrived.atMs > atMs + graceMs && arrived.atMs < untilMs).length;
+		});
+		return Math.max(0, ...counts);
+	}
+
 	/** From now on all its answers say that it leaves; its entry in the store stays as it is. */
 	leave(): void {
 		this.isLeaving = true;
@@ -137,7 +172,10 @@
 	private async answer(request: IncomingMessage, response: ServerResponse): Promise<void> {
 		const body = new TextDecoder().decode(await readBody(request));
 		const path = request.url ?? '';
-		this.arrivedMs.push(performance.now());
+		const nowMs = performance.now();
+		const host = hostOf(request);
+		this.arrivedMs.push(nowMs);
+		this.arrivedFromMs.push({host, atMs: nowMs});
 		if (this.limit !== undefined) {
 			response.setHeader('server-limit', this.limit);
 		}
@@ -154,6 +192,8 @@
 
 		if (request.headers['expect-instance'] !== this.serverId) {
 			response.writeHead(421, {'instance-id': this.serverId}).end();
+		} else if (this.isTurnedAway()) {
+			this.turnAway(request, response, {host, nowMs});
 		} else if (path === '/v1/stage-run') {
 			await this.stageRun(body, response);
 		} else if (path === '/v1/stage-free') {
@@ -164,6 +204,23 @@
 		}
 	}
 
+	/** The part that is turned away is spread evenly over the requests. */
+	private isTurnedAway(): boolean {
+		this.awayShare += this.turnsAway?.share ?? 0;
+		const isAway = this.awayShare >= 1;
+		this.awayShare -= isAway ? 1 : 0;
+		return isAway;
+	}
+
+	private turnAway(request: IncomingMessage, response: ServerResponse, {host, nowMs}: {readonly host: string; readonly nowMs: number}): void {
+		const retryAfter = this.turnsAway?.retryAfter;
+		const restS = Number(retryAfter);
+		this.refusals.push({host, atMs: nowMs, untilMs: nowMs + (Number.isFinite(restS) ? restS * 1000 : 0)});
+		response.writeHead(503, {
+			'not-executed': '1', 'attempt-id': String(request.headers['attempt-id'] ?? ''), ...(retryAfter !== undefined && {'retry-after': retryAfter}),
+		}).end();
+	}
+
 	private async serve(request: IncomingMessage, response: ServerResponse, body: string): Promise<void> {
 		const id = String(request.headers['attempt-id'] ?? '');
 		if (this.fault === 'full' || this.fault === 'inputsGone') {
