Send nothing to a server for as long as it asks this host for rest

Callers were refused after three refusals in some milliseconds, though most upstreams of the pool served. Cause: the time that a refusal asks for was dropped with the answer, and a server that refuses at once has nothing to do, which is what the choice looks for. Where all of a pool rest, callers are refused at the door with the time until the first is back. Why it holds: the bound stands where limits and coldness stand, which repeats, resumed streams, calls of steps and releases ask alike. Left, its own fault: who refuses and asks for no rest still draws the requests of its pool.

--- a/src/daemon/node/compose-direct-entry.ts
+++ b/src/daemon/node/compose-direct-entry.ts
@@ -14,6 +14,7 @@
 import {LeavingServers, leavingServersToken} from '../../deployment/common/leaving-servers.js';
 import {ServerLimits, serverLimitsToken} from '../../deployment/common/server-limits.js';
 import {ServerNotices, serverNoticesToken} from '../../deployment/common/server-notices.js';
+import {ServerRests, serverRestsToken} from '../../deployment/common/server-rests.js';
 import {ServerRegistry, serverRegistryToken} from '../../deployment/common/server-registry.js';
 import {BoundedAdmission} from '../../direct/common/bounded-admission.js';
 import {DirectRouter} from '../../direct/common/direct-router.js';
@@ -121,10 +122,14 @@
 		log: logOf('servers'), leavingWithinMs: settings.leavingWithinMs, drains: get(hallDrainsToken), leaving: get(leavingServersToken),
 	}));
 	register(serverLimitsToken, () => ServerLimits.create({random: get(randomToken), log: logOf('servers'), metrics}));
-	register(serverNoticesToken, () => ServerNotices.create({limits: get(serverLimitsToken), leaving: get(leavingServersToken)}));
+	register(serverRestsToken, () => ServerRests.create({log: logOf('servers'), metrics}));
+	register(serverNoticesToken, () => ServerNotices.create({
+		limits: get(serverLimitsToken), leaving: get(leavingServersToken), rests: get(serverRestsToken),
+	}));
 	register(sendBoundsToken, () => SendBounds.create({
 		registry: get(serverRegistryToken),
 		limits: get(serverLimitsToken),
+		rests: get(serverRestsToken),
 		share: SendShare.create(nowMs => get(peerMeshToken).fleetView(nowMs)),
 		cold: settings.cold,
 		bearsPerS: pool => get(deploymentBoardToken).current?.pool(pool)?.cold?.bearsPerS ?? 0,
--- a/src/deployment/common/server-notices.ts
+++ b/src/deployment/common/server-notices.ts
@@ -2,6 +2,7 @@
 import type {InjectionToken} from 'tsyringe';
 import type {LeavingServers} from './leaving-servers.js';
 import type {LimitReading, ServerLimits} from './server-limits.js';
+import type {RestReading, ServerRests} from './server-rests.js';
 import type {UpstreamServer} from './upstream-server.js';
 
 /** What one answer says of its server, besides what it answers. */
@@ -9,15 +10,17 @@
 	readonly limit: LimitReading;
 	/** Whether it finishes what it has and wants nothing new. */
 	readonly isLeaving: boolean;
+	readonly rest: RestReading;
 };
 
 /** An answer that says nothing. */
-export const silentNotice: ServerNotice = {limit: {kind: 'silent'}, isLeaving: false};
+export const silentNotice: ServerNotice = {limit: {kind: 'silent'}, isLeaving: false, rest: {kind: 'none'}};
 
 /** Who heeds what servers say. */
 export type ServerNoticesOptions = {
 	readonly limits: Pick<ServerLimits, 'answered'>;
 	readonly leaving: Pick<LeavingServers, 'said'>;
+	readonly rests: Pick<ServerRests, 'answered'>;
 };
 
 export const serverNoticesToken: InjectionToken<ServerNotices> = Symbol('ServerNotices');
@@ -37,8 +40,9 @@
 	@param sentMs - when the call was sent.
 	@param nowMs - the time.
 	*/
-	answered(server: UpstreamServer, {limit, isLeaving}: ServerNotice, sentMs: number, nowMs: number): void {
+	answered(server: UpstreamServer, {limit, isLeaving, rest}: ServerNotice, sentMs: number, nowMs: number): void {
 		this.options.limits.answered(server, limit, sentMs, nowMs);
+		this.options.rests.answered(server, rest, nowMs);
 		if (isLeaving) {
 			this.options.leaving.said(server);
 		}
--- a/src/direct/common/bounded-pool.test.ts
+++ b/src/direct/common/bounded-pool.test.ts
@@ -27,6 +27,7 @@
 		const bounds = SendBounds.create({
 			registry: {coldLeftMs: () => 0, takesNew: () => true, onDidChange: () => ({dispose: () => undefined})},
 			limits: {limitOf: () => ({perS: limitPerS, quietMs: 0}), forget: () => undefined},
+			rests: {leftMs: () => 0, forget: () => undefined},
 			share: SendShare.create(() => ({own, hosts, isSettled: true})),
 			cold: undefined,
 			bearsPerS: () => 0,
--- a/src/direct/common/pool-availability.ts
+++ b/src/direct/common/pool-availability.ts
@@ -1,4 +1,4 @@
-/** Which upstreams of a pool may get something now, and what callers are told where none may: all are cold, limited, leave, or stand in drained halls. */
+/** Which upstreams of a pool may get something now, and what callers are told where none may: all are cold, limited, at rest, leave, or stand in drained halls. */
 import type {ServerRegistry} from '../../deployment/common/server-registry.js';
 import type {StagePlan} from '../../request/common/request-plan.js';
 import type {Unavailability} from '../../request/common/request-router.js';
@@ -96,13 +96,21 @@
 	boundedText(pool: string, nowMs: number): Unavailability {
 		const {registry, bounds} = this.options;
 		const upstreams = registry.usable(pool);
-		const isLimited = upstreams.some(upstream => bounds.isLimited(upstream, nowMs));
 		return {
-			message: `all upstreams of ${pool} ${isLimited ? 'get what their limits allow' : 'are cold and bear no more for now'}`,
+			message: `all upstreams of ${pool} ${this.reasonOf(upstreams, nowMs)}`,
 			retryAfterMs: bounds.retryAfterMs(upstreams, nowMs),
 		};
 	}
 
+	private reasonOf(upstreams: readonly BoundedServer[], nowMs: number): string {
+		const {bounds} = this.options;
+		if (upstreams.some(upstream => bounds.isLimited(upstream, nowMs))) {
+			return 'get what their limits allow';
+		}
+
+		return upstreams.some(upstream => bounds.isResting(upstream, nowMs)) ? 'have asked for rest' : 'are cold and bear no more for now';
+	}
+
 	/** Why a pool bears no more from this host; a request whose steps are done waits for the next send instead. */
 	private ofBounded({pool, inputBytesByHall}: StagePlan, nowMs: number): Unavailability | undefined {
 		const isPrepared = inputBytesByHall !== undefined && inputBytesByHall.size > 0;
--- a/src/preparation/common/batch-machine.ts
+++ b/src/preparation/common/batch-machine.ts
@@ -18,7 +18,7 @@
 	pieceFailures, type BatchWork, type PieceOutcome,
 } from './work.js';
 
-/** Wait told where no upstream is sound: until one is back, about. */
+/** Wait told where no upstream is sound, or all rest: until one is back, about. */
 const noServerMs = 2000;
 /** Time to the due time of a usual piece; it places work that is only thought of in the queue. */
 const usualDueMs = 500;
@@ -249,12 +249,12 @@
 	*/
 	waitMs(servers: readonly UpstreamServer[], capacity: BatchCapacity, rank: number, nowMs: number): number {
 		const sound = this.upstreams.soundOf(servers, nowMs);
-		if (sound.length === 0) {
+		const count = this.upstreams.countAtWork(sound, capacity, nowMs);
+		if (count === 0) {
 			return noServerMs;
 		}
 
 		const free = sound.filter(server => this.upstreams.of(server).call === undefined && this.upstreams.isOpen(server, nowMs)).length;
-		const count = this.upstreams.countAtWork(sound, capacity, nowMs);
 		const ownKey = nowMs + usualDueMs + (rank * rankPenaltyMs);
 		const ahead = this.waiting.countAhead(ownKey, nowMs);
 		if (free > 0 && ahead === 0) {
--- a/src/routing/common/send-bounds.ts
+++ b/src/routing/common/send-bounds.ts
@@ -1,11 +1,12 @@
 /**
 May this go to that server now, of what all hosts together may send it? Asked by each kind of call where it goes out:
 first sends, repeats, hedges and answers taken up again (by the router), calls of steps and releases of results (by the batches). A server
-that leaves or stands in a drained hall gets nothing; one that is cold gets what its pool declares that it bears; one that names a limit gets what it names;
+that leaves, stands in a drained hall or has asked this host for rest gets nothing; one that is cold gets what its pool declares that it bears; one that names a limit gets what it names;
 where several hold, all do.
 */
 import type {InjectionToken} from 'tsyringe';
 import type {ServerLimits} from '../../deployment/common/server-limits.js';
+import type {ServerRests} from '../../deployment/common/server-rests.js';
 import type {ServerRegistry} from '../../deployment/common/server-registry.js';
 import type {UpstreamServer} from '../../deployment/common/upstream-server.js';
 import {
@@ -31,6 +32,8 @@
 export type SendBoundsOptions = {
 	readonly registry: Pick<ServerRegistry, 'coldLeftMs' | 'takesNew' | 'onDidChange'>;
 	readonly limits: Pick<ServerLimits, 'limitOf' | 'forget'>;
+	/** Servers that want nothing from this host for a while. */
+	readonly rests: Pick<ServerRests, 'leftMs' | 'forget'>;
 	/** This host's part of what all may send. */
 	readonly share: SendShare;
 	/** For cold servers, over all hosts together; these are not bounded where absent. */
@@ -66,6 +69,7 @@
 			if (change === 'gone') {
 				options.share.forget(serverId);
 				options.limits.forget(serverId);
+				options.rests.forget(serverId);
 			}
 		});
 	}
@@ -77,7 +81,7 @@
 	@param nowMs - the time.
 	*/
 	allowance(server: BoundedServer, work: BoundedWork, nowMs: number): Allowance {
-		if (!this.options.registry.takesNew(server)) {
+		if (!this.options.registry.takesNew(server) || this.isResting(server, nowMs)) {
 			return nothing;
 		}
 
@@ -129,6 +133,15 @@
 		return this.options.limits.limitOf(serverId, nowMs) !== undefined;
 	}
 
+	/**
+	Tells whether a server has asked this host for rest.
+	@param server - which.
+	@param nowMs - the time.
+	*/
+	isResting({serverId}: BoundedServer, nowMs: number): boolean {
+		return this.options.rests.leftMs(serverId, nowMs) > 0;
+	}
+
 	/**
 	Tells when to come back where none of some servers may get more now.
 	@param servers - none of which may get more from this host.
@@ -139,15 +152,16 @@
 		return Math.min(longestRetryAfterMs, Math.max(shortestRetryAfterMs, soonestMs));
 	}
 
-	/** When a server takes more from any host, about: once it is warm, or at its next request. */
+	/** When a server takes more, about: once it has rested and is warm, or at its next request. */
 	private freeInMs(server: BoundedServer, nowMs: number): number {
+		const restMs = this.options.rests.leftMs(server.serverId, nowMs);
 		if (!this.isLimited(server, nowMs)) {
-			return this.options.registry.coldLeftMs(server.serverId, nowMs);
+			return Math.max(restMs, this.options.registry.coldLeftMs(server.serverId, nowMs));
 		}
 
 		const bounds = this.boundsOf(server, nowMs);
 		// Where this host sends nothing, another one does.
-		return Math.max(...bounds.map(bound => this.options.share.nextInMs(server.serverId, bound, directWork, nowMs) ?? bound.windowMs / bound.most));
+		return Math.max(restMs, ...bounds.map(bound => this.options.share.nextInMs(server.serverId, bound, directWork, nowMs) ?? bound.windowMs / bound.most));
 	}
 
 	private boundsOf(server: BoundedServer, nowMs: number): RateBound[] {
--- a/src/routing/common/sleep.test.ts
+++ b/src/routing/common/sleep.test.ts
@@ -112,6 +112,7 @@
 	const bounds = SendBounds.create({
 		registry: {coldLeftMs: () => 0, takesNew: () => true, onDidChange: () => ({dispose: () => undefined})},
 		limits,
+		rests: {leftMs: () => 0, forget: () => undefined},
 		share: SendShare.create(() => ({own: 'a', hosts: ['a', 'b'], isSettled: false})),
 		cold: undefined,
 		bearsPerS: () => 0,
