Serve a route with several pools from one that takes requests

Callers were refused though another pool of their route had room: a route's pool was chosen by weight among those that are not closed, without asking for rests, coldness and limits. The test failed before: with the heavier pool at rest most of 40 callers were refused; now only the one whose refusal asked for the rest. Change: the choice of the pool asks whether it may get a request now (PoolAvailability.isOpen).

--- a/src/daemon/node/compose-direct-entry.ts
+++ b/src/daemon/node/compose-direct-entry.ts
@@ -252,6 +252,7 @@
 		waits: get(batchDeskToken),
 		likelyPlace: (stage, nowMs) => get(routerToken).likelyPlace(stage, nowMs),
 		standingOf: plan => get(routerToken).standingOf(plan),
+		isOpen: (pool, nowMs) => get(availabilityToken).isOpen(pool, nowMs),
 		unavailabilityOf: pools => get(availabilityToken).ofPools(pools),
 		admission: BoundedAdmission.create(get(availabilityToken)),
 		clock,
--- a/src/direct/common/pool-availability.ts
+++ b/src/direct/common/pool-availability.ts
@@ -59,6 +59,15 @@
 			};
 	}
 
+	/**
+	Tells whether a pool may get a request from this host now, so that a route with several pools is served by one of those that may.
+	@param pool - the pool.
+	@param nowMs - the time.
+	*/
+	isOpen(pool: string, nowMs: number): boolean {
+		return this.ofPools([pool]) === undefined && this.left(pool, nowMs) >= 1;
+	}
+
 	/**
 	Tells why a stage can't be sent for now.
 	@param stage - what is to be sent.
--- a/src/direct/node/door-checks.ts
+++ b/src/direct/node/door-checks.ts
@@ -14,6 +14,8 @@
 	readonly standingOf: (plan: RequestPlan) => Standing;
 	/** Tells why requests that need certain pools can't be served for now. */
 	readonly unavailabilityOf: (pools: readonly string[]) => Unavailability | undefined;
+	/** Tells whether a pool may get a request now. */
+	readonly isOpen: (pool: string, nowMs: number) => boolean;
 	/** Decides whether a request of a rank may begin that a bounded pool is to serve. */
 	readonly admission: Pick<BoundedAdmission, 'admit' | 'reserve'>;
 };
--- a/src/direct/node/ingress.ts
+++ b/src/direct/node/ingress.ts
@@ -252,8 +252,8 @@
 	}
 
 	private planOf({request, index, route, workspace, ask, body, receivedMs}: Arrival): RequestPlan {
-		const {random, unavailabilityOf} = this.options;
-		const pool = choosePool(route, random, each => unavailabilityOf([each]) === undefined);
+		const {random, isOpen} = this.options;
+		const pool = choosePool(route, random, each => isOpen(each, receivedMs));
 		return makeDirectPlan({
 			requestId: this.idFor(ask.requestId),
 			workspace: workspace?.name ?? '',
--- a/test/platform/resting-server.test.ts
+++ b/test/platform/resting-server.test.ts
@@ -7,6 +7,7 @@
 */
 import {setTimeout as sleep} from 'node:timers/promises';
 import t, {type Test} from 'tap';
+import {configOf} from './direct-harness.js';
 import {
 	addHosts, areServed, load, makeFleet, plainCall, stepsCall, streamOf,
 } from './direct-load.js';
@@ -85,6 +86,24 @@
 		areServed(t, await load(hosts, plainCall, 40, 500));
 	});
 
+	t.test('leaves its route the other pool that it has', async t => {
+		const fleet = await makeFleet(t);
+		const config = configOf(2);
+		const trafficSplit = [{backend: 'plain', weightVal: 3}, {backend: 'spare', weightVal: 1}];
+		fleet.store.put('op', 'config', {
+			...config,
+			routes: config.routes.map(({backend, ...route}) => route.name === 'look' ? {...route, trafficSplit} : {...route, backend}),
+			backends: [...config.backends, {name: 'spare', maxConns: 50}],
+		});
+		const [resting] = await fleet.addServers('plain', 1, 20);
+		await fleet.addServers('spare', 1, 20);
+		resting.turnsAway = {share: 1, retryAfter: '60'};
+		const [host] = await addHosts(fleet, 1);
+		const answers = await load([host], plainCall, 40, 1000);
+		t.equal(resting.refusals.length, 1);
+		t.ok(answers.filter(({status}) => status !== 200).length <= 1, 'only the caller that was refused before the rest was known');
+	});
+
 	t.test('in words that can\'t be read costs nothing but a line', async t => {
 		const fleet = await makeFleet(t);
 		const strange = ['abc', '-3', 'Wed, 21 Oct 2026 07:28:00 GMT', '', '1,2', '1e9', '0x10', 'Infinity'];
