Let a stream that has begun wait a moment where its upstreams may get nothing

Callers of resumable streams got a cut answer as soon as their stream broke off while each upstream of the pool had got what its bounds allow, though the next send was due in milliseconds: a hold ended at once with the reason of the bounds. The test failed before (finish instead of a wait). Change: once part of the answer is delivered the stage is held as for any other lack of an upstream.

--- a/src/request/common/request-machine.test.ts
+++ b/src/request/common/request-machine.test.ts
@@ -136,3 +136,36 @@
 	machine.handle({type: 'start'}, 0);
 	t.strictSame(machine.handle({type: 'hostStops'}, 10), []);
 });
+
+/*
+Seen by reading: a stream that broke off while each upstream of its pool had got what its bounds allow failed at once, though the next send was due in some milliseconds.
+*/
+t.test('a stream that breaks off while its upstreams may get nothing waits a moment to be taken up; one that has not begun is refused', async t => {
+	const unavailability = {message: 'all get what their limits allow', retryAfterMs: 300};
+	const makeMachine = () => {
+		const state = {isOpen: true};
+		const router = idleRouter(['u1', 'u2']);
+		const plan = planWith({isStreaming: true, rules: directRules});
+		const machine = RequestMachine.create({...plan, stages: [{...plan.stages[0], kind: 'http'}]}, {
+			...router,
+			choose: (...args) => state.isOpen ? router.choose(...args) : undefined,
+			unavailability: () => state.isOpen ? undefined : unavailability,
+		});
+		return {state, machine};
+	};
+
+	const begun = makeMachine();
+	begun.machine.handle({type: 'start'}, 0);
+	begun.machine.handle({
+		type: 'chunk', dispatchId: 'd0', sequence: 0, units: 1, data: new Uint8Array(3),
+	}, 1);
+	begun.state.isOpen = false;
+	t.strictSame(typesOf(begun.machine.handle({
+		type: 'end', dispatchId: 'd0', state: 'unknown', units: 1, digest: 0, runMs: 1, reason: 'cut',
+	}, 2)), []);
+	begun.state.isOpen = true;
+	t.match(begun.machine.handle({type: 'tick'}, 30), [{type: 'dispatch', message: {dispatchId: 'd1'}}]);
+	const fresh = makeMachine();
+	fresh.state.isOpen = false;
+	t.match(fresh.machine.handle({type: 'start'}, 0), [{type: 'finish', result: {outcome: 'refused', isNotRun: true, retryAfterMs: 300}}, {type: 'close'}]);
+});
--- a/src/request/common/stage-run.ts
+++ b/src/request/common/stage-run.ts
@@ -450,7 +450,9 @@
 			return;
 		}
 
-		const unavailability = this.options.router.unavailability(this.stage, nowMs);
+		// Its caller has part of the answer: a moment's wait is better than an end in the middle.
+		const isBegun = this.answer.units > 0;
+		const unavailability = isBegun ? undefined : this.options.router.unavailability(this.stage, nowMs);
 		if (unavailability) {
 			this.leaveHold(nowMs);
 			this.fail(failureCodes.noUpstream, unavailability.message, unavailability.retryAfterMs);
