--- a/src/deployment/common/server-limits.ts
+++ b/src/deployment/common/server-limits.ts
@@ -12,6 +12,7 @@
 import type {Logger} from '../../base/common/logger.js';
 import type {Metrics} from '../../base/common/metrics.js';
 import type {Random} from '../../base/common/random.js';
+import {ToldOnce} from './told-once.js';
 import type {UpstreamServer} from './upstream-server.js';
 
 /** What an answer says of its server's limit. */
@@ -62,8 +63,6 @@
 const longestEndMs = 10_000;
 /** Limits that are remembered, those of servers that are not listed yet included. */
 const mostLimits = 2000;
-/** Strange limits are told once for each server; beyond this many servers the list is begun anew. */
-const mostStrange = 1000;
 const mostLoggedChars = 80;
 const secondMs = 1000;
 
@@ -86,7 +85,7 @@
 	private readonly didLearn = Emitter.create<LimitNews>();
 	/** By `serverId`; the one learned longest ago first. */
 	private readonly known = new Map<string, Known>();
-	private readonly strange = new Set<string>();
+	private readonly strange = ToldOnce.create();
 
 	private constructor(private readonly options: ServerLimitsOptions) {}
 
@@ -177,7 +176,7 @@
 	*/
 	forget(serverId: string): void {
 		this.known.delete(serverId);
-		this.strange.delete(serverId);
+		this.strange.forget(serverId);
 	}
 
 	private named(serverId: string, perS: number, nowMs: number): void {
@@ -256,16 +255,9 @@
 
 	private tellStrange(serverId: string, pool: string, text: string): void {
 		this.options.metrics.increment('limits.unreadable', 1, {pool});
-		if (this.strange.has(serverId)) {
-			return;
-		}
-
-		if (this.strange.size >= mostStrange) {
-			this.strange.clear();
+		if (this.strange.isFirst(serverId)) {
+			this.options.log.warn('An upstream names a limit that can\'t be read; it is passed over.', {server: serverId, pool, limit: text.slice(0, mostLoggedChars)});
 		}
-
-		this.strange.add(serverId);
-		this.options.log.warn('An upstream names a limit that can\'t be read; it is passed over.', {server: serverId, pool, limit: text.slice(0, mostLoggedChars)});
 	}
 }
 
--- a/src/deployment/common/server-registry.test.ts
+++ b/src/deployment/common/server-registry.test.ts
@@ -1,7 +1,8 @@
 import t from 'tap';
 import {silentLoggers} from '../../base/common/logger.js';
 import {LeavingServers} from './leaving-servers.js';
-import {lapseGraceMs, ServerRegistry} from './server-registry.js';
+import {lapseGraceMs} from './missing-entries.js';
+import {ServerRegistry} from './server-registry.js';
 import {readToldServers, type ListedServer} from './upstream-server.js';
 
 function server(serverId: string, revision = 1, isLeaving = false): ListedServer {
--- a/src/deployment/common/server-registry.ts
+++ b/src/deployment/common/server-registry.ts
@@ -9,10 +9,8 @@
 writing that made it, and the list is complete as of a revision of its own: whatever is older than either is passed
 over, so that history told again brings nothing back.
 
-A host can't tell an outage of the store from a lost path of its own, during which servers may have left. But an
-outage makes entries lapse together, while servers leave one after the other: what is missing gets work only
-where most of its pool is missing, and for less time than a server that left may get any. It is kept for outages in
-which all entries lapse: four such days were worth 0.800 of what callers are owed in the mean, 0.715 without.
+An entry that goes while the store is away may come back for a while (`MissingEntries`). It gets work only where most of its pool is
+missing: without it an outage of the store in which all entries lapse would leave callers nobody to serve them.
 */
 import type {InjectionToken} from 'tsyringe';
 import {Emitter} from '../../base/common/emitter.js';
@@ -21,6 +19,7 @@
 import type {HallDrainChange, HallDrains} from './hall-drains.js';
 import type {LeavingServers} from './leaving-servers.js';
 import {listSources, type ListSource} from './list-source.js';
+import {MissingEntries} from './missing-entries.js';
 import {PoolViews} from './pool-views.js';
 import {
 	changeMessages, goneReasons, type GoneReason, type ServerChange,
@@ -29,25 +28,12 @@
 import {ServerStarts} from './server-starts.js';
 import type {ListedServer, ServerList, UpstreamServer} from './upstream-server.js';
 
-/**
-How long after the store's return a missing entry may still come back.
-The platform's figure: entries of live servers are back within about two seconds.
-*/
-export const lapseGraceMs = 2200;
-/**
-Part of the time within which a server that left must get no more, for which a missing entry may come back, counted
-from when this host learned of it. The rest, 0.7 s of 2 s, is for the sweep that ends it and for the last call to connect.
-*/
-const missingShare = 0.65;
-
 export const serverRegistryToken: InjectionToken<ServerRegistry> = Symbol('ServerRegistry');
 
 /** One change of the list. */
 type Change
 	= | {readonly kind: 'written'; readonly row: WrittenRow<UpstreamServer>}
 		| {readonly kind: 'dropped' | 'unreadable'; readonly row: DroppedRow};
-/** An entry that is missing: by which writing, and until when it may come back. */
-type Missing = {readonly revision: number; readonly untilMs: number};
 
 /** What the registry is made of. */
 export type ServerRegistryOptions = {
@@ -69,8 +55,7 @@
 	private readonly didChange = Emitter.create<ServerChange>();
 	private readonly servers = new Map<string, ListedServer>();
 	private readonly starts = ServerStarts.create(serverId => this.servers.has(serverId));
-	/** Entries that are missing since the store was away. */
-	private readonly missing = new Map<string, Missing>();
+	private readonly missing: MissingEntries;
 	private readonly coldness = ServerColdness.create();
 	/** Servers that answered as another one, so that their address is someone else's now. */
 	private readonly replaced = new Set<string>();
@@ -78,13 +63,12 @@
 		servers: this.servers, isMissing: serverId => this.missing.has(serverId), takesNew: server => this.takesNew(server),
 	});
 
-	/** Until when an entry that goes may have lapsed with the store; Infinity while the store does not answer. */
-	private mayReturnUntilMs = 0;
 	private listRevision = 0;
 	/** Who told what is being taken; for logs. */
 	private source: ListSource = listSources.store;
 
 	private constructor(private readonly options: ServerRegistryOptions) {
+		this.missing = MissingEntries.create(options.leavingWithinMs);
 		options.drains?.onDidChange(change => {
 			this.drainChanged(change);
 		});
@@ -172,7 +156,7 @@
 
 	/** The store does not answer: entries that peers miss may have lapsed. */
 	storeLost(): void {
-		this.mayReturnUntilMs = Infinity;
+		this.missing.storeLost();
 	}
 
 	/**
@@ -180,7 +164,7 @@
 	@param nowMs - the time.
 	*/
 	storeReturned(nowMs: number): void {
-		this.mayReturnUntilMs = nowMs + lapseGraceMs;
+		this.missing.storeReturned(nowMs);
 	}
 
 	/**
@@ -254,10 +238,8 @@
 	@param nowMs - the time.
 	*/
 	tick(nowMs: number): void {
-		for (const [serverId, {untilMs}] of this.missing) {
-			if (nowMs >= untilMs) {
-				this.drop(serverId, goneReasons.lapsed);
-			}
+		for (const serverId of this.missing.overdue(nowMs)) {
+			this.drop(serverId, goneReasons.lapsed);
 		}
 	}
 
@@ -335,7 +317,7 @@
 
 	/** Whether a writing is newer than what is known of a server; where none is known, than the list that lacks it. */
 	private isNews(serverId: string, revision: number): boolean {
-		return revision > (this.missing.get(serverId)?.revision ?? this.servers.get(serverId)?.revision ?? this.listRevision);
+		return revision > (this.missing.revisionOf(serverId) ?? this.servers.get(serverId)?.revision ?? this.listRevision);
 	}
 
 	private miss(serverId: string, revision: number, nowMs: number): void {
@@ -344,13 +326,12 @@
 			return;
 		}
 
-		if (server.isLeaving || nowMs >= this.mayReturnUntilMs) {
+		if (server.isLeaving || !this.missing.mayReturn(nowMs)) {
 			this.drop(serverId, goneReasons.dropped);
 			return;
 		}
 
-		const untilMs = Math.min(this.mayReturnUntilMs, nowMs + (this.options.leavingWithinMs * missingShare));
-		this.missing.set(serverId, {revision, untilMs});
+		this.missing.add(serverId, revision, nowMs);
 		this.views.changed();
 		this.tell(server, 'missing');
 	}
--- a/src/deployment/common/server-rests.ts
+++ b/src/deployment/common/server-rests.ts
@@ -5,6 +5,7 @@
 import type {InjectionToken} from 'tsyringe';
 import type {Logger} from '../../base/common/logger.js';
 import type {Metrics} from '../../base/common/metrics.js';
+import {ToldOnce} from './told-once.js';
 import type {UpstreamServer} from './upstream-server.js';
 
 /** What an answer says of a rest. */
@@ -37,7 +38,7 @@
 	/** By `serverId`. */
 	private readonly untilMs = new Map<string, number>();
 	/** Servers whose strange times were told. */
-	private readonly strange = new Set<string>();
+	private readonly strange = ToldOnce.create();
 
 	private constructor(private readonly options: ServerRestsOptions) {}
 
@@ -83,7 +84,7 @@
 	*/
 	forget(serverId: string): void {
 		this.untilMs.delete(serverId);
-		this.strange.delete(serverId);
+		this.strange.forget(serverId);
 	}
 
 	private rest(serverId: string, pool: string, forMs: number, nowMs: number): void {
@@ -100,15 +101,8 @@
 
 	private tellStrange(serverId: string, pool: string, text: string): void {
 		this.options.metrics.increment('rests.unreadable', 1, {pool});
-		if (this.strange.has(serverId)) {
-			return;
+		if (this.strange.isFirst(serverId)) {
+			this.options.log.warn('An upstream asks for a rest that can\'t be read; it is passed over.', {server: serverId, pool, rest: text.slice(0, mostLoggedChars)});
 		}
-
-		if (this.strange.size >= mostRemembered) {
-			this.strange.clear();
-		}
-
-		this.strange.add(serverId);
-		this.options.log.warn('An upstream asks for a rest that can\'t be read; it is passed over.', {server: serverId, pool, rest: text.slice(0, mostLoggedChars)});
 	}
 }
--- a/src/direct/common/direct-router.ts
+++ b/src/direct/common/direct-router.ts
@@ -28,10 +28,7 @@
 /** First while without new work after a connection failed; a restarted server is listed anew sooner than this doubles. */
 const unreachableMs = 400;
 const longestUnreachableMs = 4000;
-/**
-How long a server that has ended is left alone: entries lapsed 2.4 to 3.6 s after eleven ends. Before, calls were refused a
-connection and made again until then, up to two for one request, each paid out of the budget of repeats.
-*/
+/** How long a server that has ended is left alone: longer than its entry takes to lapse. Each call to it would cost a repeat. */
 const endedMs = 4000;
 /** A repeatable plain call is sent a second time after this share of its target, or when it is unusually slow. */
 const hedgeTargetShare = 0.5;
