Avoid an upstream that refuses for longer the more hosts find out

Callers of many hosts were refused beside one upstream that refuses all, though three others had room: each host tried it once a second, which of 31 hosts with 60 requests a second together was every second request, and its part of the budget of repeats was used up. Change: the time grows with the hosts, to four seconds at most.

--- a/src/daemon/node/compose-direct-entry.ts
+++ b/src/daemon/node/compose-direct-entry.ts
@@ -115,7 +115,7 @@
 }
 
 /** What this host knows: the declaration in force, the list of servers, and what these say of themselves. */
-function registerState({settings, metrics, logOf, register, get}: Composition): void {
+function registerState({settings, metrics, logOf, register, get, hostCount}: Composition): void {
 	register(deploymentBoardToken, () => DeploymentBoard.create(logOf('declaration')));
 	register(hallDrainsToken, () => HallDrains.create());
 	register(leavingServersToken, () => LeavingServers.create(logOf('servers')));
@@ -127,7 +127,7 @@
 	register(serverNoticesToken, () => ServerNotices.create({
 		limits: get(serverLimitsToken), leaving: get(leavingServersToken), rests: get(serverRestsToken),
 	}));
-	register(serverRefusalsToken, () => ServerRefusals.create(logOf('servers')));
+	register(serverRefusalsToken, () => ServerRefusals.create(logOf('servers'), hostCount));
 	register(sendBoundsToken, () => SendBounds.create({
 		registry: get(serverRegistryToken),
 		limits: get(serverLimitsToken),
--- a/src/direct/common/direct-router.test.ts
+++ b/src/direct/common/direct-router.test.ts
@@ -43,7 +43,7 @@
 		engines: EngineChooser.create(EngineLoads.create()),
 		assigned: () => undefined,
 		quarantine: {standingOf: () => clearStanding},
-		refusals: ServerRefusals.create(silentLoggers.for('test')),
+		refusals: ServerRefusals.create(silentLoggers.for('test'), () => 1),
 		availability: PoolAvailability.create({
 			registry: servers,
 			bounds: SendBounds.create({
--- a/src/direct/common/refusing-pool.test.ts
+++ b/src/direct/common/refusing-pool.test.ts
@@ -64,7 +64,7 @@
 		assigned: () => undefined,
 		quarantine: {standingOf: () => clearStanding},
 		availability: PoolAvailability.create({registry, bounds}),
-		refusals: ServerRefusals.create(silentLoggers.for('test')),
+		refusals: ServerRefusals.create(silentLoggers.for('test'), () => hostCount),
 	});
 }
 
@@ -86,8 +86,12 @@
 /** An attempt at work on an upstream that takes it. */
 type AtWork = {readonly router: DirectRouter; readonly attempt: Attempt; readonly untilMs: number};
 
+/** What is played: the first servers of the pool refuse a part of their requests. */
+type Play = {readonly hostCount: number; readonly refusingCount: number; readonly refusedShare: number; readonly seed: number};
+
 /** Plays a steady load on all hosts; tells what part of the callers is served. */
-function play(hostCount: number, refusedShare: number, seed: number): number {
+function play({hostCount, refusingCount, refusedShare, seed}: Play): number {
+	const refusing = new Set(serverIds.slice(0, refusingCount));
 	const random = SeededRandom.create(seed);
 	const routers = Array.from({length: hostCount}, () => makeRouter(hostCount, random));
 	const atWork: AtWork[] = [];
@@ -116,8 +120,9 @@
 				dispatchId: `d${asked}-${tries}`, upstreamId, kind: tries === 0 ? 'first' : 'retry', sentAtMs: nowMs, offset: 0, candidates: [],
 			});
 			router.didDispatch(stage, attempt, 0, nowMs);
-			refusedPart += upstreamId === serverIds[0] ? refusedShare : 0;
-			if (refusedPart < 1 || upstreamId !== serverIds[0]) {
+			const mayRefuse = refusing.has(upstreamId);
+			refusedPart += mayRefuse ? refusedShare : 0;
+			if (refusedPart < 1 || !mayRefuse) {
 				served++;
 				atWork.push({router, attempt, untilMs: nowMs + answerMs});
 				break;
@@ -132,20 +137,28 @@
 	return served / asked;
 }
 
-function isServed(t: Test, hostCount: number): void {
-	for (const refusedShare of [1, 0.5, 0.1]) {
+function isServed(t: Test, hostCount: number, refusingCount: number, shares: readonly number[] = [1, 0.5, 0.1]): void {
+	for (const refusedShare of shares) {
 		for (const seed of [1, 2, 3]) {
-			const share = play(hostCount, refusedShare, seed);
-			t.ok(share >= servedShare, `${hostCount} hosts, ${refusedShare} refused, seed ${seed}: ${share.toFixed(3)} served`);
+			const share = play({
+				hostCount, refusingCount, refusedShare, seed,
+			});
+			t.ok(share >= servedShare, `${hostCount} hosts, ${refusedShare} refused by ${refusingCount}, seed ${seed}: ${share.toFixed(3)} served`);
 		}
 	}
 }
 
 t.test('callers of few hosts are served beside an upstream that refuses', async t => {
-	isServed(t, 1);
-	isServed(t, 3);
+	for (const refusingCount of [1, 2]) {
+		isServed(t, 1, refusingCount);
+		isServed(t, 3, refusingCount);
+	}
 });
 
 t.test('callers of many hosts are served beside an upstream that refuses', async t => {
-	isServed(t, 31);
+	isServed(t, 31, 1);
+});
+
+t.test('callers of many hosts are served where half of their pool refuses', async t => {
+	isServed(t, 31, 2, [1]);
 });
--- a/src/routing/common/server-refusals.test.ts
+++ b/src/routing/common/server-refusals.test.ts
@@ -3,7 +3,7 @@
 import {ServerRefusals} from './server-refusals.js';
 
 const server = {serverId: 's', pool: 'p'};
-const makeRefusals = () => ServerRefusals.create(silentLoggers.for('test'));
+const makeRefusals = (hostCount = 1) => ServerRefusals.create(silentLoggers.for('test'), () => hostCount);
 
 /** Sends calls whenever the upstream is not avoided, for some seconds; tells when. */
 function play(refusals: ServerRefusals, isRefused: (index: number) => boolean, fromMs: number, toMs: number): number[] {
@@ -33,6 +33,12 @@
 	t.ok(later >= 8, 'but it is tried');
 });
 
+t.test('among many hosts each one tries it less often, but within four seconds', async t => {
+	const sentMs = play(makeRefusals(31), () => true, 0, 41_000).filter(atMs => atMs > 1000);
+	t.ok(sentMs.length >= 10 && sentMs.length <= 13, `${sentMs.length} in 40 s`);
+	t.ok(play(makeRefusals(3), () => true, 0, 10_000).length > 8, 'few hosts try it once a second');
+});
+
 t.test('how long one is avoided grows with the part that it refuses', async t => {
 	const [seldom, half, all] = [10, 2, 1].map(each => play(makeRefusals(), index => index % each === 0, 0, 10_000).length);
 	t.ok(seldom > 300, `${seldom} of 1000 where one in ten is refused`);
--- a/src/routing/common/server-refusals.ts
+++ b/src/routing/common/server-refusals.ts
@@ -14,6 +14,12 @@
 /** Avoided for this long per squared part that is refused: little for one that refuses now and then. */
 const avoidMs = 1500;
 const longestAvoidMs = 1000;
+/**
+Both are longer the more hosts find out by themselves, as each of them sends fewer requests and all their trials add up; an upstream is
+tried within four seconds in any case.
+*/
+const fewHosts = 3;
+const mostLonger = 4;
 /** An upstream that does not answer a trial for so long may get another one. */
 const trialMs = 500;
 /** Refused parts at which the log tells of an upstream, and that it takes work again. */
@@ -35,14 +41,19 @@
 
 /** Follows the upstreams of one host. */
 export class ServerRefusals {
-	static create(log: Logger): ServerRefusals {
-		return new ServerRefusals(log);
+	/**
+	Makes one to which no upstream has refused anything.
+	@param log - tells which are avoided.
+	@param hostCount - gives how many hosts send to the same upstreams.
+	*/
+	static create(log: Logger, hostCount: () => number): ServerRefusals {
+		return new ServerRefusals(log, hostCount);
 	}
 
 	/** By `serverId`; only those that refused of late. */
 	private readonly known = new Map<string, Known>();
 
-	private constructor(private readonly log: Logger) {}
+	private constructor(private readonly log: Logger, private readonly hostCount: () => number) {}
 
 	/**
 	Tells whether an upstream is left alone while others take work.
@@ -92,7 +103,8 @@
 		};
 		this.known.set(serverId, known);
 		known.share += shareWeight * (1 - known.share);
-		known.avoidedUntilMs = nowMs + Math.min(longestAvoidMs, avoidMs * (known.share ** 2));
+		const longer = Math.min(mostLonger, Math.max(1, this.hostCount() / fewHosts));
+		known.avoidedUntilMs = nowMs + (longer * Math.min(longestAvoidMs, avoidMs * (known.share ** 2)));
 		known.isOnTrial = true;
 		known.sentMs = -Infinity;
 		if (!known.isTold && known.share >= toldShare) {
