Look for a server that is used again where nobody else takes work

Traced: with nobody ever refusing, the fewest sends to one of four such upstreams in a second are 0 in 14 of 18 seconds with answers of 60 ms, in 12 of 12 with 200 ms: how requests spread over sound upstreams follows small differences of their measured times, so that an even part is no sign of being used. That what is taken ends the avoidance at once stays held by server-refusals.test and direct-router.test.

--- a/test/platform/refusing-server.test.ts
+++ b/test/platform/refusing-server.test.ts
@@ -87,14 +87,15 @@
 		}
 
 		await loadAll(hosts, backWithinMs - 1000);
-		const counts = [...servers].map(([kind, pool]) => ({kind, pool, before: pool.map(({arrivedMs}) => arrivedMs.length)}));
-		await loadAll(hosts, 1000);
-		for (const {kind, pool, before} of counts) {
-			const gained = pool.map(({arrivedMs}, index) => arrivedMs.length - before[index]);
-			const usual = gained.reduce((sum, count) => sum + count, 0) / pool.length;
-			for (const count of gained.slice(0, 2)) {
-				t.ok(count >= usual / 2, `${kind.what}: ${count} sends in a second, half of ${usual} at least`);
+		// How requests spread over sound servers is not even. That they are used shows where nobody else takes work.
+		for (const pool of servers.values()) {
+			for (const other of pool.slice(2)) {
+				other.turnsAway = {share: 1};
 			}
 		}
+
+		for (const answers of await loadAll(hosts, 1000)) {
+			areServed(t, answers);
+		}
 	});
 });
--- a/test/platform/resting-server.test.ts
+++ b/test/platform/resting-server.test.ts
@@ -49,20 +49,17 @@
 		});
 	}
 
-	t.test('gets its usual part again once its rest is over', async t => {
+	t.test('is used again once its rest is over', async t => {
 		const fleet = await makeFleet(t);
-		// With several calls at work on each server at any time, both get about as many.
-		const [resting] = await fleet.addServers('plain', 2, 200);
+		const [resting, other] = await fleet.addServers('plain', 2, 20);
 		resting.turnsAway = {share: 1, retryAfter: '1'};
 		const hosts = await addHosts(fleet, 3);
 		await load(hosts, plainCall, 60, 1000);
 		resting.turnsAway = undefined;
 		await load(hosts, plainCall, 60, 2000);
-		const before = resting.arrivedMs.length;
-		const answers = await load(hosts, plainCall, 60, 1000);
-		areServed(t, answers);
-		const gained = resting.arrivedMs.length - before;
-		t.ok(gained >= answers.length / 4, `${gained} of ${answers.length}: half of its usual part at least`);
+		// How requests spread over sound servers is not even. That it is used shows where nobody else takes work.
+		other.turnsAway = {share: 1};
+		areServed(t, await load(hosts, plainCall, 60, 1000));
 	});
 
 	t.test('beside others that all do leaves callers a quick refusal, and is used once it takes work again', async t => {
