Take in what a server says of itself as soon as the head of its answer has come, for steps as well

Found by reading: calls of steps and releases told it only of whole answers, so that a refusal that asks for rest, or the word that a server leaves, was lost where the rest of the answer was; plain calls and streams read it at the head. One more argument of collectAnswer, given by both calls of the batches. Its test could not be run before, as the argument was not there; the old code asked for answer.ok.

--- a/src/deployment/node/collect-answer.ts
+++ b/src/deployment/node/collect-answer.ts
@@ -3,20 +3,23 @@
 import {joinBytes} from '../../base/common/bytes.js';
 import {messageOf, UnavailableError} from '../../base/common/errors.js';
 import {fail, ok, type Outcome} from '../../base/common/outcome.js';
+import type {Header} from '../../wire/common/messages.js';
 import {headersOf, isFinal} from './answer-head.js';
 import type {Lane} from './lane.js';
 
 /** Largest answer that is kept; a batch's answer names results, and is far smaller. */
 const mostAnswerBytes = 16 * 1024 * 1024;
 
-/** A whole answer. */
-export type WholeAnswer = {
+/** The head of an answer. */
+export type AnswerHead = {
 	readonly status: number;
 	/** Names in small letters. */
-	readonly headers: ReadonlyArray<{readonly name: string; readonly value: string}>;
-	readonly body: Uint8Array;
+	readonly headers: readonly Header[];
 };
 
+/** A whole answer. */
+export type WholeAnswer = AnswerHead & {readonly body: Uint8Array};
+
 /** Why there is no whole answer. */
 export type NoAnswer = {
 	/** Whether the call may have reached the other side. */
@@ -29,9 +32,10 @@
 @param lane - a connection that carries nothing; rests afterwards, or is spent where there is no whole answer.
 @param options - what to send.
 @param signal - gives the call up.
+@param headCame - told of the head at once: what it says of its server holds whatever becomes of the rest.
 @returns the answer, or why there is none.
 */
-export async function collectAnswer(lane: Lane, options: Dispatcher.DispatchOptions, signal: AbortSignal): Promise<Outcome<WholeAnswer, NoAnswer>> {
+export async function collectAnswer(lane: Lane, options: Dispatcher.DispatchOptions, signal: AbortSignal, headCame?: (head: AnswerHead) => void): Promise<Outcome<WholeAnswer, NoAnswer>> {
 	return new Promise(resolve => {
 		let controller: Dispatcher.DispatchController | undefined;
 		let status = 0;
@@ -68,6 +72,7 @@
 					if (isFinal(startedStatus)) {
 						status = startedStatus;
 						headers = headersOf(started);
+						headCame?.({status, headers});
 					}
 				},
 				onResponseData(reading, bytes) {
--- a/src/deployment/node/lane.test.ts
+++ b/src/deployment/node/lane.test.ts
@@ -71,7 +71,9 @@
 		return lane && collectAnswer(lane, {method: 'POST', path, body: 'x'}, signal);
 	};
 
-	return {seen, call, connectionCount: () => connections};
+	return {
+		seen, call, lanes, connectionCount: () => connections,
+	};
 }
 
 type Upstream = Awaited<ReturnType<typeof makeUpstream>>;
@@ -91,6 +93,19 @@
 	return next;
 }
 
+/*
+Found by reading: what a server said of itself in the head of an answer to a call of steps was lost where the rest of the answer was.
+*/
+t.test('the head of an answer is told as soon as it has come, whatever becomes of the rest', async t => {
+	const {lanes} = await makeUpstream(t);
+	const heads: number[] = [];
+	const answer = await collectAnswer(lanes.acquire(true)!, {method: 'POST', path: '/reset/1', body: 'x'}, new AbortController().signal, ({status}) => {
+		heads.push(status);
+	});
+	t.equal(answer.ok, false);
+	t.same(heads, [200]);
+});
+
 t.test('a connection whose call was cut is not handed on', async t => {
 	t.test('a call that comes as another one is given up is served', async t => {
 		const upstream = await makeUpstream(t);
--- a/src/preparation/common/batch-protocol.ts
+++ b/src/preparation/common/batch-protocol.ts
@@ -25,7 +25,7 @@
 	*/
 	decodeRun(answer: EncodedAnswer, call: BatchCall): Outcome<readonly PieceOutcome[], CallFailure>;
 	/** Reads what an answer to any call says of its server. */
-	readNotice(answer: EncodedAnswer): ServerNotice;
+	readNotice(head: Omit<EncodedAnswer, 'body'>): ServerNotice;
 	/** Writes that results are no longer needed by the upstream that made them. */
 	encodeRelease(handles: readonly string[], server: UpstreamServer): EncodedCall;
 };
--- a/src/preparation/node/batch-pool.ts
+++ b/src/preparation/node/batch-pool.ts
@@ -175,7 +175,9 @@
 
 		bounds.sent(server, call.sentMs);
 		const limit = TimeLimit.create(clock, call.limitMs - clock.nowMs(), this.controller.signal);
-		const answer = await collectAnswer(lane, optionsOf(protocol.encodeRun(call, clock.nowMs())), limit.signal);
+		const answer = await collectAnswer(lane, optionsOf(protocol.encodeRun(call, clock.nowMs())), limit.signal, head => {
+			notices.answered(server, protocol.readNotice(head), call.sentMs, clock.nowMs());
+		});
 		const isGivenUp = limit.signal.aborted;
 		limit.dispose();
 		if (this.controller.signal.aborted) {
@@ -187,10 +189,6 @@
 		}
 
 		const nowMs = clock.nowMs();
-		if (answer.ok) {
-			notices.answered(server, protocol.readNotice(answer.value), call.sentMs, nowMs);
-		}
-
 		const decoded = answer.ok ? protocol.decodeRun(answer.value, call) : undefined;
 		if (decoded?.ok) {
 			metrics.timing('batch.call', nowMs - call.sentMs, {pool});
@@ -245,10 +243,11 @@
 		const limit = TimeLimit.create(clock, releaseLimitMs, this.controller.signal);
 		const sentMs = clock.nowMs();
 		bounds.sent(server, sentMs);
-		const answer = await collectAnswer(lane, optionsOf(protocol.encodeRelease(handles, server)), limit.signal);
+		const answer = await collectAnswer(lane, optionsOf(protocol.encodeRelease(handles, server)), limit.signal, head => {
+			notices.answered(server, protocol.readNotice(head), sentMs, clock.nowMs());
+		});
 		limit.dispose();
 		if (answer.ok) {
-			notices.answered(server, protocol.readNotice(answer.value), sentMs, clock.nowMs());
 			// Only now is the room there: a call that came before would find none.
 			this.machine.released(server.serverId, handles);
 			this.pump();
