--- a/src/daemon/node/compose-direct-entry.ts
+++ b/src/daemon/node/compose-direct-entry.ts
@@ -9,13 +9,12 @@
 import {setRepeating} from '../../base/common/clock.js';
 import {randomToken} from '../../base/common/random.js';
 import {newId} from '../../base/node/ids.js';
-import {DeploymentBoard, deploymentBoardToken} from '../../deployment/common/deployment-board.js';
-import {HallDrains, hallDrainsToken} from '../../deployment/common/hall-drains.js';
-import {LeavingServers, leavingServersToken} from '../../deployment/common/leaving-servers.js';
-import {ServerLimits, serverLimitsToken} from '../../deployment/common/server-limits.js';
-import {ServerNotices, serverNoticesToken} from '../../deployment/common/server-notices.js';
-import {ServerRests, serverRestsToken} from '../../deployment/common/server-rests.js';
-import {ServerRegistry, serverRegistryToken} from '../../deployment/common/server-registry.js';
+import {deploymentBoardToken} from '../../deployment/common/deployment-board.js';
+import {hallDrainsToken} from '../../deployment/common/hall-drains.js';
+import {leavingServersToken} from '../../deployment/common/leaving-servers.js';
+import {serverLimitsToken} from '../../deployment/common/server-limits.js';
+import {serverNoticesToken} from '../../deployment/common/server-notices.js';
+import {serverRegistryToken} from '../../deployment/common/server-registry.js';
 import {BoundedAdmission} from '../../direct/common/bounded-admission.js';
 import {DirectRouter} from '../../direct/common/direct-router.js';
 import {EngineChooser} from '../../direct/common/engine-chooser.js';
@@ -39,9 +38,8 @@
 import {EngineLoads} from '../../routing/common/engine-loads.js';
 import {roomOf} from '../../routing/common/host-room.js';
 import {PrefixIndex} from '../../routing/common/prefix-index.js';
-import {SendBounds, sendBoundsToken} from '../../routing/common/send-bounds.js';
-import {ServerRefusals, serverRefusalsToken} from '../../routing/common/server-refusals.js';
-import {SendShare} from '../../routing/common/send-share.js';
+import {sendBoundsToken} from '../../routing/common/send-bounds.js';
+import {serverRefusalsToken} from '../../routing/common/server-refusals.js';
 import {ScoreChooser} from '../../routing/common/score-chooser.js';
 import {WindowedBudget} from '../../routing/common/windowed-budget.js';
 import type {WireClientOptions} from '../../wire/node/wire-client.js';
@@ -50,6 +48,7 @@
 import {
 	declarationFeedToken, registerFeeds, serverFeedToken, storeAgeMs,
 } from './compose-feeds.js';
+import {registerState} from './compose-state.js';
 import {wireOptionsToken, wireServerToken} from './daemon-tokens.js';
 import {beginComposition, type Composition, type PlatformPorts} from './direct-composition.js';
 import {DirectEntry} from './direct-entry.js';
@@ -114,30 +113,6 @@
 	})));
 }
 
-/** What this host knows: the declaration in force, the list of servers, and what these say of themselves. */
-function registerState({settings, metrics, logOf, register, get, hostCount}: Composition): void {
-	register(deploymentBoardToken, () => DeploymentBoard.create(logOf('declaration')));
-	register(hallDrainsToken, () => HallDrains.create());
-	register(leavingServersToken, () => LeavingServers.create(logOf('servers')));
-	register(serverRegistryToken, () => ServerRegistry.create({
-		log: logOf('servers'), leavingWithinMs: settings.leavingWithinMs, drains: get(hallDrainsToken), leaving: get(leavingServersToken),
-	}));
-	register(serverLimitsToken, () => ServerLimits.create({random: get(randomToken), log: logOf('servers'), metrics}));
-	register(serverRestsToken, () => ServerRests.create({log: logOf('servers'), metrics}));
-	register(serverNoticesToken, () => ServerNotices.create({
-		limits: get(serverLimitsToken), leaving: get(leavingServersToken), rests: get(serverRestsToken),
-	}));
-	register(serverRefusalsToken, () => ServerRefusals.create(logOf('servers'), hostCount));
-	register(sendBoundsToken, () => SendBounds.create({
-		registry: get(serverRegistryToken),
-		limits: get(serverLimitsToken),
-		rests: get(serverRestsToken),
-		share: SendShare.create(nowMs => get(peerMeshToken).fleetView(nowMs)),
-		cold: settings.cold,
-		bearsPerS: pool => get(deploymentBoardToken).current?.pool(pool)?.cold?.bearsPerS ?? 0,
-	}));
-}
-
 /** Which requests end the servers that run them. */
 function registerQuarantine({lifecycle, clock, metrics, logOf, register, get}: Composition): void {
 	register(quarantineToken, () => lifecycle.register(Quarantine.create({
--- /dev/null
+++ b/src/deployment/common/server-notices.test.ts
@@ -0,0 +1,44 @@
+import t from 'tap';
+import {noMetrics} from '../../base/common/metrics.js';
+import type {LimitReading} from './server-limits.js';
+import {ServerNotices, silentNotice} from './server-notices.js';
+import type {RestReading} from './server-rests.js';
+import type {UpstreamServer} from './upstream-server.js';
+
+const server: UpstreamServer = {
+	serverId: 's', instanceId: 's', startedMs: 0, pool: 'p', address: '127.0.0.1', port: 1, hall: 'a', slots: 1, isLeaving: false,
+};
+
+t.test('each part of a notice goes to the one that heeds it, with the server that was meant', async t => {
+	const limits: LimitReading[] = [];
+	const rests: RestReading[] = [];
+	const leaving: string[] = [];
+	const counted: string[] = [];
+	const notices = ServerNotices.create({
+		limits: {
+			answered(_, reading) {
+				limits.push(reading);
+			},
+		},
+		leaving: {
+			said({serverId}) {
+				leaving.push(serverId);
+			},
+		},
+		rests: {
+			answered(_, reading) {
+				rests.push(reading);
+			},
+		},
+		metrics: {
+			...noMetrics,
+			increment(name) {
+				counted.push(name);
+			},
+		},
+	});
+	notices.answered(server, {limit: {kind: 'named', perS: 2}, isLeaving: true, rest: {kind: 'asked', forMs: 300}}, 1, 2);
+	t.same([limits, rests, leaving, counted], [[{kind: 'named', perS: 2}], [{kind: 'asked', forMs: 300}], ['s'], ['leaving.said']]);
+	notices.answered(server, silentNotice, 3, 4);
+	t.same([leaving, counted], [['s'], ['leaving.said']], 'another server\'s answer says nothing');
+});
--- a/src/deployment/common/server-notices.ts
+++ b/src/deployment/common/server-notices.ts
@@ -1,5 +1,6 @@
 /** What servers say of themselves in their answers, of whichever kind of call; taken in here for all that heed it. */
 import type {InjectionToken} from 'tsyringe';
+import type {Metrics} from '../../base/common/metrics.js';
 import type {LeavingServers} from './leaving-servers.js';
 import type {LimitReading, ServerLimits} from './server-limits.js';
 import type {RestReading, ServerRests} from './server-rests.js';
@@ -21,6 +22,7 @@
 	readonly limits: Pick<ServerLimits, 'answered'>;
 	readonly leaving: Pick<LeavingServers, 'said'>;
 	readonly rests: Pick<ServerRests, 'answered'>;
+	readonly metrics: Metrics;
 };
 
 export const serverNoticesToken: InjectionToken<ServerNotices> = Symbol('ServerNotices');
@@ -44,6 +46,7 @@
 		this.options.limits.answered(server, limit, sentMs, nowMs);
 		this.options.rests.answered(server, rest, nowMs);
 		if (isLeaving) {
+			this.options.metrics.increment('leaving.said', 1, {pool: server.pool});
 			this.options.leaving.said(server);
 		}
 	}
