Tests of where work goes give the same verdict on a loaded machine

Beside a load of 20 a second cause was traced: "36 of 40 are served; one got 503, Not run: the queues before it are too long", the door's reckoning of time, which is none of what these tests hold.

Targets and time limits of these tests are as patient as those of the test of a drained hall.

--- a/test/platform/direct-harness.ts
+++ b/test/platform/direct-harness.ts
@@ -67,6 +67,12 @@
 	};
 }
 
+/** The same with targets and time limits that no slow machine misses: for tests of where work goes, not when. */
+export function patientConfig(version: number) {
+	const config = configOf(version);
+	return {...config, routes: config.routes.map(route => ({...route, timeoutMs: 60_000, goalMs: 30_000}))};
+}
+
 /** Store, servers and entries of one test. */
 export class DirectFleet {
 	static async create(): Promise<DirectFleet> {
