--- a/test/request-fuzz.ts
+++ b/test/request-fuzz.ts
@@ -1,9 +1,8 @@
 /** Commands of the request fuzzer, and the property they must not break. */
 import fc from 'fast-check';
+import {RequestWorld, settleMicrotasks, type Sabotage} from './request-world.js';
 import {assertNone, commandsOf} from './world-commands.js';
-import {
-	callSteps, RequestWorld, settleMicrotasks, type Sabotage,
-} from './request-world.js';
+import {callSteps} from './world-upstream.js';
 
 /** Time past its last moment within which every request must be answered. */
 const marginMs = 200;
--- /dev/null
+++ b/test/world-entry.ts
@@ -0,0 +1,229 @@
+/** An entry and its callers, in the world of the request fuzzer: real machines of requests around a fake store and fake callers. */
+import type {Clock} from '../src/base/common/clock.js';
+import type {SeededRandom} from '../src/base/common/random.js';
+import {FleetRouter} from '../src/entry/common/fleet-router.js';
+import {MemberTable} from '../src/membership/common/member-table.js';
+import {claimKey} from '../src/request/common/claim.js';
+import {ClaimStore, type GrantedClaim} from '../src/request/common/claim-store.js';
+import type {RequestAction, RequestEvent} from '../src/request/common/request-events.js';
+import {RequestMachine} from '../src/request/common/request-machine.js';
+import {PrefixIndex} from '../src/routing/common/prefix-index.js';
+import {ScoreChooser} from '../src/routing/common/score-chooser.js';
+import type {MemoryTable} from '../src/standins/common/memory-table.js';
+import type {Message} from '../src/wire/common/messages.js';
+import type {CallerRecord, RequestOracle} from './request-oracle.js';
+import type {WorldLink} from './world-link.js';
+import type {WorldUpstream} from './world-upstream.js';
+
+const claimMs = 10_000;
+const claimSpacingMs = 10;
+/** How soon the entry hears that it could not send. */
+const notSentMs = 1;
+
+/** A request that the entry has. */
+export type LiveRequest = {readonly machine: RequestMachine; readonly caller: CallerRecord; granted: GrantedClaim | undefined};
+
+/** What an entry is made of. */
+export type WorldEntryOptions = {
+	readonly clock: Clock;
+	readonly random: SeededRandom;
+	readonly table: MemoryTable;
+	readonly oracle: RequestOracle;
+	/** A number that is new in this world. */
+	readonly nextNumber: () => number;
+	readonly linkTo: (entry: WorldEntry, upstreamId: string) => WorldLink;
+};
+
+/** One entry; its process may die and come back. */
+export class WorldEntry {
+	members!: MemberTable;
+	router!: FleetRouter;
+	/** By request id. */
+	readonly live = new Map<string, LiveRequest>();
+	private incarnation!: string;
+	private claims!: ClaimStore;
+
+	constructor(private readonly options: WorldEntryOptions) {
+		this.start();
+	}
+
+	/** A new process begins, knowing nothing. */
+	start(): void {
+		const {random, table, clock, nextNumber} = this.options;
+		const prefixes = PrefixIndex.create();
+		this.incarnation = `e${nextNumber()}`;
+		this.members = MemberTable.create();
+		this.router = FleetRouter.create({
+			hall: 'a', members: this.members, prefixes, isAdaptive: true, chooser: ScoreChooser.create(random, prefixes), newDispatchId: () => `d${nextNumber()}`,
+		});
+		this.claims = ClaimStore.create({
+			table, clock, writer: this.incarnation, spacingMs: claimSpacingMs,
+		});
+	}
+
+	/** The process dies; its callers get nothing more. */
+	crash(): void {
+		for (const {caller} of this.live.values()) {
+			caller.isEntryLost = true;
+		}
+
+		this.live.clear();
+	}
+
+	/** A caller's request comes. */
+	accept(caller: CallerRecord): void {
+		const {plan} = caller;
+		const live: LiveRequest = {machine: RequestMachine.create(plan, this.router), caller, granted: undefined};
+		this.live.set(plan.requestId, live);
+		this.feed(live, {type: 'start'});
+	}
+
+	/** A caller goes away. */
+	callerGone(live: LiveRequest): void {
+		live.caller.isCallerGone = true;
+		this.feed(live, {type: 'callerGone'});
+	}
+
+	/**
+	A connection to an upstream's agent has come up.
+	@returns whether this agent was not known.
+	*/
+	connected({upstreamId, incarnation}: WorldUpstream): boolean {
+		const isNew = this.members.connected({
+			hostId: upstreamId, incarnation, role: 'agent', hall: 'a', upstreamId, pool: 'pool',
+		}, this.nowMs);
+		if (isNew) {
+			this.router.joined(this.members.all().find(member => member.upstreamId === upstreamId)!);
+		}
+
+		return isNew;
+	}
+
+	/** Takes a message from an upstream's agent. */
+	receive(message: Message, upstreamId: string): void {
+		if (message.type === 'report') {
+			this.members.heard(upstreamId, message.state, this.nowMs);
+		} else if (message.type === 'refused' || message.type === 'started' || message.type === 'chunk' || message.type === 'end') {
+			const live = [...this.live.values()].find(({machine}) => machine.dispatchIds.includes(message.dispatchId));
+			if (live) {
+				this.feed(live, message);
+			}
+		}
+	}
+
+	/** Tells all requests. */
+	broadcast(event: RequestEvent): void {
+		for (const live of [...this.live.values()]) {
+			this.feed(live, event);
+		}
+	}
+
+	/** Wakes the requests whose time has come. */
+	tick(): void {
+		for (const live of [...this.live.values()]) {
+			if (live.machine.wakeAtMs <= this.nowMs) {
+				this.feed(live, {type: 'tick'});
+				if (!live.machine.isClosed && live.machine.wakeAtMs <= this.nowMs) {
+					this.options.oracle.spins.push(live.caller.plan.requestId);
+				}
+			}
+		}
+	}
+
+	private get nowMs(): number {
+		return this.options.clock.nowMs();
+	}
+
+	private feed(live: LiveRequest, event: RequestEvent): void {
+		for (const action of live.machine.handle(event, this.nowMs)) {
+			this.act(live, action);
+		}
+	}
+
+	private act(live: LiveRequest, action: RequestAction): void {
+		switch (action.type) {
+			case 'claim': {
+				void this.claim(live);
+				break;
+			}
+
+			case 'prepare': {
+				throw new Error('Plans of this world need no work before the request.');
+			}
+
+			case 'dispatch': {
+				const link = this.options.linkTo(this, action.upstreamId);
+				if (link.isUp) {
+					link.send(action.message);
+				} else {
+					const {dispatchId} = action.message;
+					this.options.clock.setTimer(notSentMs, () => {
+						this.feed(live, {type: 'notSent', dispatchId});
+					});
+				}
+
+				break;
+			}
+
+			case 'cancel':
+			case 'query':
+			case 'credit': {
+				const {upstreamId, ...message} = action;
+				this.options.linkTo(this, upstreamId).send(message);
+				break;
+			}
+
+			case 'deliver': {
+				live.caller.delivered += new TextDecoder().decode(action.data);
+				live.caller.deliveredUnits += action.units;
+				break;
+			}
+
+			case 'finish': {
+				live.caller.results.push(action.result);
+				live.caller.endedMs = this.nowMs;
+				this.settle(live, action.result.outcome);
+				break;
+			}
+
+			case 'settle': {
+				this.settle(live, action.outcome);
+				break;
+			}
+
+			case 'close': {
+				this.live.delete(live.caller.plan.requestId);
+				break;
+			}
+		}
+	}
+
+	private settle({granted}: LiveRequest, outcome: Parameters<ClaimStore['settle']>[1]): void {
+		if (granted) {
+			void this.claims.settle(granted, outcome);
+		}
+	}
+
+	private async claim(live: LiveRequest): Promise<void> {
+		const {plan, key} = live.caller;
+		const {claims, incarnation, options: {clock}} = this;
+		const claimed = await claims.claim(claimKey('w', key), {
+			writer: incarnation, requestId: plan.requestId, fingerprint: 1, state: 'claimed', claimedAtMs: clock.wallMs(), endsByMs: clock.wallMs() + claimMs,
+		});
+		if (!this.live.has(plan.requestId)) {
+			if (claimed.ok && !live.caller.isEntryLost) {
+				void this.claims.settle(claimed.value, 'refused');
+			}
+
+			return;
+		}
+
+		if (claimed.ok) {
+			live.granted = claimed.value;
+			this.feed(live, {type: 'claimed'});
+		} else {
+			const code = claimed.error.code === 'taken' ? 'duplicateRequest' : 'storeUnavailable';
+			this.feed(live, {type: 'claimRefused', code, message: code});
+		}
+	}
+}
