Hold by tests what becomes of claims while their host sleeps

The list of what a sleep touches had no test for claims. Found by reading, not mended: after a sleep longer than 30 s an outcome that waited for the store is given up without another try, and is read as unknown; DESIGN says so.

--- a/src/request/common/claim-store.test.ts
+++ b/src/request/common/claim-store.test.ts
@@ -110,3 +110,72 @@
 	t.equal(rows.ok ? rows.value.length : 0, 1);
 	sweeper.dispose();
 });
+
+t.test('an outcome that waits for the store while its host sleeps is written once it wakes', async t => {
+	const {clock, table, storeOf, claimOf} = setUp();
+	const store = storeOf('a');
+	const claimed = store.claim(claimKey('w', 'k'), claimOf('a', 'r1'));
+	await pass(clock, 100);
+	const granted = await claimed;
+	t.ok(granted.ok);
+	if (granted.ok) {
+		table.isDown = true;
+		const settled = store.settle(granted.value, 'completed');
+		await pass(clock, 500);
+		clock.sleep(10_000);
+		t.notOk(store.isSettled);
+		table.isDown = false;
+		await pass(clock, 500);
+		t.ok(await settled);
+	}
+
+	const rows = await table.read([claimKey('w', 'k')]);
+	t.match(rows.ok ? rows.value[0].value : '', /"state":"completed"/v);
+});
+
+t.test('a claim that landed although its answer was lost is given back by a host that slept meanwhile', async t => {
+	const {clock, table, storeOf, claimOf} = setUp();
+	table.dieAfterWrite = true;
+	const lost = storeOf('a').claim(claimKey('w', 'k'), claimOf('a', 'r1'));
+	await pass(clock, 100);
+	t.match(await lost, {ok: false, error: {code: 'unavailable'}});
+	clock.sleep(10_000);
+	table.isDown = false;
+	await pass(clock, 3000);
+	const again = storeOf('b').claim(claimKey('w', 'k'), claimOf('b', 'r2'));
+	await pass(clock, 200);
+	t.equal((await again).ok, true, 'nothing ran under the key, so it is free');
+});
+
+t.test('a sweep that its host slept through deletes no claim that was changed meanwhile', async t => {
+	const {clock, table, storeOf, claimOf} = setUp();
+	const store = storeOf('a');
+	const claimed = store.claim(claimKey('w', 'k'), claimOf('a', 'r1'));
+	await pass(clock, 100);
+	const granted = await claimed;
+	t.ok(granted.ok);
+	clock.sleep(keptClaimMs + 2000);
+	const sweeper = ClaimSweeper.create({
+		table: {
+			scan: async range => table.scan(range),
+			async transact(transaction) {
+				clock.sleep(60_000);
+				if (granted.ok) {
+					const settled = store.settle(granted.value, 'completed');
+					await pass(clock, 500);
+					t.ok(await settled);
+				}
+
+				return table.transact(transaction);
+			},
+			read: async keys => table.read(keys),
+		},
+		clock,
+		random: SeededRandom.create(1),
+		isHolder: () => false,
+	});
+	await sweeper.sweep();
+	sweeper.dispose();
+	const rows = await table.read([claimKey('w', 'k')]);
+	t.match(rows.ok ? rows.value[0].value : '', /"state":"completed"/v);
+});
