Let the upstream that gets the next request be the one that rests or leaves

Cause, traced: sends to sound upstreams follow differences of fractions of a per cent in their answer times (docs/design/refusing-upstreams.md, a fault of the product that is written down there), so that also the busiest may get nothing from one moment to the next for five seconds. The test never was to hold that. Change, in the tests alone: whichever upstream of a pool gets the next request refuses it and asks for rest, or says that it leaves. No check is eased; each upstream named has asked for rest, or said so, in every run.

--- a/test/platform/direct-load.ts
+++ b/test/platform/direct-load.ts
@@ -75,8 +75,26 @@
 	return Promise.all(answers);
 }
 
-/** The server that got most: how requests spread over sound servers is not even, and some get none for a while. */
-export const busiestOf = (servers: readonly ServerStandin[]) => servers.toSorted((one, other) => other.arrivedMs.length - one.arrivedMs.length)[0];
+/**
+Has something happen to the server that gets the next request. Sends spread unevenly over sound servers: one that is named before may get none for seconds.
+@param servers - of one pool, which is under load.
+@param act - done before the request is answered.
+@returns the server.
+*/
+export async function atNextRequest(servers: readonly ServerStandin[], act: (server: ServerStandin) => void): Promise<ServerStandin> {
+	return new Promise(resolve => {
+		for (const server of servers) {
+			server.onArrival = () => {
+				for (const each of servers) {
+					each.onArrival = undefined;
+				}
+
+				act(server);
+				resolve(server);
+			};
+		}
+	});
+}
 
 export const countServed = (answers: readonly CallerAnswer[]) => answers.filter(({status}) => status === 200).length;
 
--- a/test/platform/leaving-server.test.ts
+++ b/test/platform/leaving-server.test.ts
@@ -9,7 +9,7 @@
 import t, {type Test} from 'tap';
 import {ask, streamCall, wholeStream} from './direct-harness.js';
 import {
-	addHosts, areServed, busiestOf, load, makeFleet, makePatientFleet, patient, plainCall, stepsCall, streamOf,
+	addHosts, areServed, atNextRequest, load, makeFleet, makePatientFleet, patient, plainCall, stepsCall, streamOf,
 } from './direct-load.js';
 import type {ServerStandin} from './upstream-standins.js';
 
@@ -30,11 +30,9 @@
 		fleet.store.mode = 'silent';
 		const loads = [load(hosts, patient(plainCall), 30), load(hosts, patient(streamOf), 20), load(hosts, patient(stepsCall), 20)];
 		await sleep(500);
-		const leaving = pools.map(servers => busiestOf(servers));
-		for (const server of leaving) {
+		const leaving = await Promise.all(pools.map(async servers => atNextRequest(servers, server => {
 			server.leave();
-		}
-
+		})));
 		const answers = await Promise.all(loads);
 		for (const server of leaving) {
 			getsNothingMore(t, server);
--- a/test/platform/resting-server.test.ts
+++ b/test/platform/resting-server.test.ts
@@ -9,7 +9,7 @@
 import t, {type Test} from 'tap';
 import {configOf} from './direct-harness.js';
 import {
-	addHosts, areServed, busiestOf, load, makeFleet, makePatientFleet, patient, plainCall, stepsCall, streamOf,
+	addHosts, areServed, atNextRequest, load, makeFleet, makePatientFleet, patient, plainCall, stepsCall, streamOf,
 } from './direct-load.js';
 import type {ServerStandin} from './upstream-standins.js';
 
@@ -33,16 +33,18 @@
 			const hosts = await addHosts(fleet, 3);
 			const loads = [load(hosts, patient(plainCall), 40), load(hosts, patient(streamOf), 20), load(hosts, patient(stepsCall), 10, stepsLoadMs)];
 			await sleep(500);
-			const resting = pools.map(servers => busiestOf(servers));
 			for (const server of pools[2]) {
 				// Steps go to any worker that is free: each of them rests now and then.
 				server.turnsAway = {...turnsAway, share: turnsAway.share / 2};
 			}
 
-			for (const server of resting) {
+			const resting = await Promise.all(pools.map(async servers => {
+				const server = await atNextRequest(servers, next => {
+					next.turnsAway = {...turnsAway, share: 1};
+				});
 				server.turnsAway = turnsAway;
-			}
-
+				return server;
+			}));
 			const answers = await Promise.all(loads);
 			for (const server of new Set([...resting, ...pools[2].filter(({refusals}) => refusals.length > 0)])) {
 				isLeftAlone(t, server);
--- a/test/platform/upstream-standins.ts
+++ b/test/platform/upstream-standins.ts
@@ -102,6 +102,8 @@
 	turnsAway: TurnAway | undefined;
 	/** Requests that it turned away. */
 	readonly refusals: Refusal[] = [];
+	/** Called with each request that comes, before it is looked at. */
+	onArrival: (() => void) | undefined;
 	/** When an answer first said that it leaves. */
 	saidLeavingMs: number | undefined;
 	/** Calls of stage work are answered once this has ended. */
@@ -176,6 +178,7 @@
 		const host = hostOf(request);
 		this.arrivedMs.push(nowMs);
 		this.arrivedFromMs.push({host, atMs: nowMs});
+		this.onArrival?.();
 		if (this.limit !== undefined) {
 			response.setHeader('server-limit', this.limit);
 		}
