--- a/src/base/common/sleep-watch.ts
+++ b/src/base/common/sleep-watch.ts
@@ -2,8 +2,8 @@
 Finds out that the machine was suspended: the steady clock does not count that time, the boot clock and the time of day do.
 
 The time of day jumps for other reasons too, so that a jump alone is no sleep: the boot clock decides. It is believed only while
-it keeps step with the steady clock, since what a process can read of it may belong to another machine than its steady clock does
-(as in emulations, where it was seen to run at 0.04 to 5 times the steady clock's speed).
+it keeps step with the steady clock, since what a process can read of it may belong to another machine than its steady clock does,
+as in emulations.
 */
 
 /** What the clocks of a machine tell at one moment. */
--- a/src/direct/common/direct-router.ts
+++ b/src/direct/common/direct-router.ts
@@ -33,7 +33,7 @@
 /** A repeatable plain call is sent a second time after this share of its target, or when it is unusually slow. */
 const hedgeTargetShare = 0.5;
 const hedgeSlowFactor = 1.3;
-/** An error is often the request's own (some kinds fail one time in seven), so more of them are needed than by default. */
+/** An error is often the request's own, so more of them are needed than by default. */
 const outlierOptions: OutlierOptions = {
 	consecutiveFailures: 6, errorShare: 0.5, slowFactor: 3, baseEjectionMs: 1500, longestEjectionMs: 6000, mostEjectedShare: 0.5,
 };
--- a/src/entry/common/fleet-router.ts
+++ b/src/entry/common/fleet-router.ts
@@ -61,16 +61,17 @@
 
 	private constructor(private readonly options: FleetRouterOptions) {}
 
-	/** An agent stands between a request and its upstream; which requests end upstreams is not known here. */
-	/** Agents say themselves what they take; a stage may always wait for one. */
+	/** Agents say themselves when they take more. */
 	retryAfterMs(): undefined {
 		return undefined;
 	}
 
+	/** A stage may always wait for an agent. */
 	unavailability(): undefined {
 		return undefined;
 	}
 
+	/** An agent stands between a request and its upstream; which requests end upstreams is not known here. */
 	standingOf(): Standing {
 		return clearStanding;
 	}
--- a/src/entry/common/fleet-share.ts
+++ b/src/entry/common/fleet-share.ts
@@ -6,7 +6,7 @@
 const shortestPingMs = 500;
 /** What pings and their answers may take of an entry's traffic; with more links, pings come more seldom. */
 const pingBytesPerSecond = 10_000;
-/** One ping with its answer, as measured (docs/CAPACITY.md). */
+/** One ping with its answer, a report of the load. */
 const pingExchangeBytes = 221;
 /** Links an entry keeps; a larger fleet is shared out among the entries. */
 const mostLinks = 96;
--- a/src/peers/common/ask-pace.ts
+++ b/src/peers/common/ask-pace.ts
@@ -4,7 +4,7 @@
 answers gets fewer of them.
 */
 
-/** A peer that was asked is given this long at first: 20 KB, what 1,400 new routes take, need 25 ms on 7 Mbit/s. */
+/** A peer that was asked is given this long at first: many times what an answer of usual size takes on a thin link. */
 const firstWaitMs = 400;
 /** Longest time a peer is given: a silent one is lost after 1.6 s. */
 const longestWaitMs = 1600;
--- a/src/peers/common/fleet-memory.ts
+++ b/src/peers/common/fleet-memory.ts
@@ -8,7 +8,7 @@
 
 /** A host that nobody has seen for this long is forgotten: longer than any cut that is borne, shorter than a machine is missed. */
 const rememberMs = 600_000;
-/** A host that has started knows all others this long after it met the first: 31 hosts that start at once need 1.6 s. */
+/** A host that has started knows all others this long after it met the first, also where all start at once. */
 const settleMs = 2000;
 /**
 A host that has not heard of a seed yet may be cut off from part of the deployment. After this long the seed is taken for gone:
--- a/src/preparation/common/throughput.ts
+++ b/src/preparation/common/throughput.ts
@@ -4,7 +4,7 @@
 const windowMs = 1500;
 /** A queue must have stood this long before its throughput says anything: several calls of each upstream. */
 const shortestMs = 700;
-/** A pool that has stood still is believed to do this part of what it can: it stands for a second after a loss of all hosts, and goes on. */
+/** A pool that has stood still is believed to do this part of what it can: it may have stood still as the hosts were lost, not its upstreams. */
 const leastHopedShare = 0.25;
 
 /** Counts what is done while a queue stands. */
--- a/src/quarantine/common/server-ends.ts
+++ b/src/quarantine/common/server-ends.ts
@@ -37,7 +37,7 @@
 a reset of all connections there is one for each host and server.
 */
 const checkDelaysMs = [30, 200];
-/** How long the list may take to say that the server is gone: entries lapsed 2.4 to 3.6 s after eleven ends on a day. */
+/** How long the list may take to say that the server is gone: longer than its entry takes to lapse. */
 const doubtMs = 5000;
 
 /** Reasons for which a server that nobody expected to leave is gone for good. */
--- a/src/routing/common/engine-loads.ts
+++ b/src/routing/common/engine-loads.ts
@@ -15,7 +15,7 @@
 /** After this long a part counts as kept only by luck, and reading it again is not priced any more. */
 const keptMs = 60_000;
 const mostParts = 30_000;
-/** Between engines that are alike, all hosts take the same one for a new part. 20 ms were tried, without a gain. */
+/** Between engines that are alike, all hosts take the same one for a new part: each further place in the order that they share costs this. */
 const orderStepMs = 3;
 
 /**
--- a/src/routing/common/host-room.ts
+++ b/src/routing/common/host-room.ts
@@ -1,6 +1,6 @@
 /** Which hosts take work for all others: hosts of one deployment may differ in processor and link by many times. */
 
-/** Traffic of shared work for each core it takes, in Mbit/s: a host that batched a pool of 190 pieces a second took a tenth of a core and 7 Mbit/s. */
+/** Traffic of shared work for each core that it takes, in Mbit/s: a host with a thin link counts as one with few cores. */
 const linkMbpsPerCore = 70;
 /** Hosts with less room than this part of the roomiest one's take no shared work. */
 const leastShare = 0.5;
