One property for both worlds of the fuzzers

The fuzzers of requests and of settings wrote the same run of commands twice. worldProperty makes it from the commands, the world and what is looked at in the end.

--- a/test/request-fuzz.ts
+++ b/test/request-fuzz.ts
@@ -1,7 +1,7 @@
 /** Commands of the request fuzzer, and the property they must not break. */
 import fc from 'fast-check';
 import {RequestWorld, settleMicrotasks, type Sabotage} from './request-world.js';
-import {assertNone, commandsOf} from './world-commands.js';
+import {assertNone, commandsOf, worldProperty} from './world-commands.js';
 import {callSteps} from './world-upstream.js';
 
 /** Time past its last moment within which every request must be answered. */
@@ -99,10 +99,5 @@
 @param sabotage - breaks a promise on purpose.
 */
 export function requestProperty(size: number, sabotage?: Sabotage) {
-	return fc.asyncProperty(fc.commands(commands, {maxCommands: size, size: 'max'}), async run => {
-		const world = new RequestWorld(sabotage);
-		await fc.asyncModelRun(() => ({model: {}, real: world}), run);
-		await world.settle();
-		assertNone([...world.oracle.breaches(marginMs), ...world.oracle.unended(), ...world.leaks()]);
-	});
+	return worldProperty(commands, size, () => new RequestWorld(sabotage), world => [...world.oracle.breaches(marginMs), ...world.oracle.unended(), ...world.leaks()]);
 }
--- a/test/settings-fuzz.ts
+++ b/test/settings-fuzz.ts
@@ -6,7 +6,7 @@
 import {SettingsStore} from '../src/settings/common/settings-store.js';
 import {MemoryObjects} from '../src/standins/common/memory-objects.js';
 import {MemoryTable} from '../src/standins/common/memory-table.js';
-import {assertNone, commandsOf} from './world-commands.js';
+import {assertNone, commandsOf, worldProperty} from './world-commands.js';
 
 const hostCount = 3;
 const paths = ['/', '/workspaces/a', '/workspaces/b', '/pools/p'] as const;
@@ -238,10 +238,5 @@
 @param sabotage - breaks a promise on purpose.
 */
 export function settingsProperty(size: number, sabotage?: SettingsSabotage) {
-	return fc.asyncProperty(fc.commands(commands, {maxCommands: size, size: 'max'}), async run => {
-		const world = new SettingsWorld(sabotage);
-		await fc.asyncModelRun(() => ({model: {}, real: world}), run);
-		await world.settle();
-		assertNone(await world.breaches(true));
-	});
+	return worldProperty(commands, size, () => new SettingsWorld(sabotage), async world => world.breaches(true));
 }
--- a/test/world-commands.ts
+++ b/test/world-commands.ts
@@ -1,5 +1,5 @@
 /** Commands of the fuzzers: something happens in a world, then the world is checked. */
-import type fc from 'fast-check';
+import fc from 'fast-check';
 
 /** The model is the world's own oracle, so fast-check's is empty. */
 type Model = Record<string, never>;
@@ -46,3 +46,30 @@
 			await check(world);
 		}));
 }
+
+/** A world that commands move. */
+type MovedWorld = {
+	/** Lets everything come to its end. */
+	settle(): Promise<void>;
+};
+
+/**
+Makes a property: in a new world some commands happen, it comes to its end, and then no promise is broken.
+@param commands - what may happen.
+@param size - most commands in one run.
+@param makeWorld - makes a world.
+@param breaches - tells what is broken in a world that has come to its end.
+*/
+export function worldProperty<World extends MovedWorld>(
+	commands: ReadonlyArray<fc.Arbitrary<fc.AsyncCommand<Model, World>>>,
+	size: number,
+	makeWorld: () => World,
+	breaches: (world: World) => Promise<readonly string[]> | readonly string[],
+) {
+	return fc.asyncProperty(fc.commands([...commands], {maxCommands: size, size: 'max'}), async run => {
+		const world = makeWorld();
+		await fc.asyncModelRun(() => ({model: {}, real: world}), run);
+		await world.settle();
+		assertNone(await breaches(world));
+	});
+}
