--- a/src/preparation/common/work-messages.ts
+++ b/src/preparation/common/work-messages.ts
@@ -15,11 +15,14 @@
 */
 export function messageOfWork(work: BatchWork, nowMs: number): BatchWorkMessage {
 	const {
-		workId, pool, callerRequestId, contentId, pieceKey, step, pieces, inputs, resultBytes, rank, hall, crossingBytes,
+		workId, pool, callerRequestId, contentId, pieceKey, step, pieces, inputs, resultBytes, rank, hall, crossingBytes, requestId, stepKey, workspace,
 	} = work;
 	return {
 		type: 'batchWork', workId, pool, callerRequestId, contentId, pieceKey, step, pieces: [...pieces], resultBytes, rank, hall, crossingBytes,
 		...(inputs && {inputs: [...inputs]}),
+		...(requestId !== undefined && {requestId}),
+		...(stepKey !== undefined && {stepKey}),
+		...(workspace !== undefined && {workspace}),
 		dueInMs: work.dueMs - nowMs,
 		lateDueInMs: work.lateDueMs - nowMs,
 		deadlineInMs: Math.max(0, work.deadlineMs - nowMs),
--- a/src/preparation/common/work.ts
+++ b/src/preparation/common/work.ts
@@ -56,4 +56,9 @@
 	readonly hall: string;
 	/** Bytes transferred between data halls if a piece runs in another one: each piece fetches everything it reads. */
 	readonly crossingBytes: number;
+	/** ID of the request under which its reservations are held; absent if it was admitted without asking the scheduler. */
+	readonly requestId?: string | undefined;
+	/** Identifies the step among all routes, to learn the duration of its items; absent in pools that are not scheduled. */
+	readonly stepKey?: string | undefined;
+	readonly workspace?: string | undefined;
 };
--- a/src/wire/common/messages.ts
+++ b/src/wire/common/messages.ts
@@ -297,6 +297,9 @@
 	deadlineInMs: ms,
 	hall: z.string().max(200),
 	crossingBytes: ms,
+	requestId: id.optional(),
+	stepKey: z.string().max(400).optional(),
+	workspace: z.string().max(200).optional(),
 });
 export type BatchWorkMessage = z.infer<typeof batchWorkSchema>;
 /** Outcomes of pieces; a piece without a handle has failed and has a reason. */
