Ask the scheduler of a pool when it would get to a request

Cause: all hosts admit requests on the same reported waits, which are up to 100 ms old and leave out work that is admitted but not submitted yet.

Change: messages batchAsk, batchQuote and batchForgo. BatchQuotes answers on the scheduler's side and holds the reservations of each host separately, so that those of a lost host can be dropped. A pool creates its ledger with the first ask; none is configured yet, so nothing gives quotes, and no admission uses them. Admission and batching of all pools are as before.

Until the scheduler reports its state, a pool's queue counts as in-time work of rank 0 (BatchPool.stateFor).

--- a/src/daemon/node/compose-direct-entry.ts
+++ b/src/daemon/node/compose-direct-entry.ts
@@ -26,6 +26,7 @@
 import {ServerLimitUpdates} from '../../peers/node/server-limit-updates.js';
 import {PeerMesh, peerMeshToken} from '../../peers/node/peer-mesh.js';
 import {StateExchange} from '../../peers/node/state-exchange.js';
+import {AdmissionAsks, admissionAsksToken} from '../../preparation/node/admission-asks.js';
 import {BatchHandler, batchHandlerToken} from '../../preparation/node/batch-handler.js';
 import {StepTimes} from '../../preparation/common/step-times.js';
 import {BatchPool} from '../../preparation/node/batch-pool.js';
@@ -194,6 +195,12 @@
 			onFinished: ended,
 		}),
 	})));
+	register(admissionAsksToken, () => {
+		const handler = get(batchHandlerToken);
+		return lifecycle.register(AdmissionAsks.create({
+			hostId: settings.hostId, mesh: get(peerMeshToken), clock, log: logOf('batches'), ownerOf: pool => handler.ownerOf(pool), ownPools: handler.quotes,
+		}));
+	});
 }
 
 /** Registers the servers for callers and for the load balancer's readiness checks. */
--- /dev/null
+++ b/src/preparation/common/quote-messages.test.ts
@@ -0,0 +1,9 @@
+import t from 'tap';
+import {maxQuoteMs, parseMessage} from '../../wire/common/messages.js';
+import {messageOfQuote, quoteOfMessage} from './quote-messages.js';
+
+t.test('a quote of a pool without upstreams is sent as a valid message: an infinite time would close the connection', async t => {
+	const message = messageOfQuote({pool: 'p', requestId: 'r'}, {aheadMs: Infinity, callMs: 370, lateAheadMs: undefined});
+	t.same(parseMessage(message), {message});
+	t.same(quoteOfMessage(message), {aheadMs: maxQuoteMs, callMs: 370, lateAheadMs: undefined});
+});
--- a/src/preparation/node/batch-handler.test.ts
+++ b/src/preparation/node/batch-handler.test.ts
@@ -73,6 +73,9 @@
 			},
 			release: () => undefined,
 			waitMs: () => 0,
+			quote: () => undefined,
+			forgo: () => undefined,
+			sweepReservations: () => undefined,
 			dispose: () => undefined,
 		};
 	}
--- a/src/preparation/node/batch-handler.ts
+++ b/src/preparation/node/batch-handler.ts
@@ -20,6 +20,7 @@
 	pieceFailures, type BatchWork, type PieceOutcome, type ResultRef,
 } from '../common/work.js';
 import type {BatchPool} from './batch-pool.js';
+import {BatchQuotes, reservationIdOf} from './batch-quotes.js';
 
 /** Receives the outcomes of the pieces of one work as they arrive, one for each piece. */
 export type PieceListener = (piece: number, outcome: PieceOutcome) => void;
@@ -40,7 +41,7 @@
 export type BatchPeerMesh = Pick<PeerMesh, 'onDidReceive' | 'onDidLose' | 'onDidChange' | 'liveCapacities' | 'send' | 'broadcast'>;
 
 /** Batches of one pool. */
-export type PoolBatches = Pick<BatchPool, 'isIdle' | 'add' | 'cancel' | 'handOver' | 'release' | 'waitMs' | 'dispose'>;
+export type PoolBatches = Pick<BatchPool, 'isIdle' | 'add' | 'cancel' | 'handOver' | 'release' | 'waitMs' | 'quote' | 'forgo' | 'sweepReservations' | 'dispose'>;
 
 /** Dependencies and settings. */
 export type BatchHandlerOptions = {
@@ -72,6 +73,8 @@
 		return new BatchHandler(options);
 	}
 
+	/** Gives quotes for the pools that this host batches. */
+	readonly quotes: BatchQuotes;
 	/** Unfinished work of this host's own requests, by work ID. */
 	private readonly submitted = new Map<string, SubmittedWork>();
 	/** Work of peers held by this host, by work ID. */
@@ -82,11 +85,15 @@
 	private readonly reportedWaits = ReportedWaits.create();
 
 	private constructor(private readonly options: BatchHandlerOptions) {
-		const {mesh} = options;
-		this.disposables.add(setRepeating(options.clock, () => reportIntervalMs, () => {
+		const {mesh, clock, hostId} = options;
+		this.quotes = this.disposables.add(BatchQuotes.create({
+			hostId, mesh, clock, pools: this.pools, isOwner: pool => this.ownerOf(pool) === hostId, poolOf: pool => this.poolOf(pool),
+		}));
+		this.disposables.add(setRepeating(clock, () => reportIntervalMs, () => {
 			// Pieces of failed calls are queued again on the host that made the call, even if another host batches the pool by now.
 			this.handOver();
 			this.reportWaits();
+			this.quotes.sweep();
 		}));
 		this.disposables.add(mesh.onDidReceive(({hostId, message}) => {
 			this.handleMessage(hostId, message);
@@ -116,6 +123,17 @@
 			: this.reportedWaits.waitMs(pool, rank, this.options.clock.nowMs());
 	}
 
+	/**
+	Returns the host that batches for a pool now.
+	@param pool - the pool.
+	*/
+	ownerOf(pool: string): string {
+		const {hostId, capacity, mesh, isLeaving} = this.options;
+		const capacities = mesh.liveCapacities;
+		const isCandidate = !isLeaving() || capacities.size === 0;
+		return rendezvousOwner(pool, highCapacityHosts(isCandidate ? new Map([...capacities, [hostId, capacity]]) : capacities)) ?? hostId;
+	}
+
 	/**
 	Submits work.
 	@param work - pieces of one step.
@@ -190,14 +208,6 @@
 		}
 	}
 
-	/** Returns the host that batches for a pool now. */
-	private ownerOf(pool: string): string {
-		const {hostId, capacity, mesh, isLeaving} = this.options;
-		const capacities = mesh.liveCapacities;
-		const isCandidate = !isLeaving() || capacities.size === 0;
-		return rendezvousOwner(pool, highCapacityHosts(isCandidate ? new Map([...capacities, [hostId, capacity]]) : capacities)) ?? hostId;
-	}
-
 	/** Submits pieces to the host that batches their pool, or queues them here if that host can't be reached. */
 	private submitPieces(submitted: SubmittedWork, pieces: readonly number[]): void {
 		const {hostId, mesh, clock} = this.options;
@@ -208,7 +218,17 @@
 		}
 
 		submitted.owner = hostId;
-		this.poolOf(work.pool).add(work);
+		this.addToPool(hostId, work);
+	}
+
+	/**
+	Queues work in a pool of this host.
+	@param hostId - the host that submitted it.
+	@param work - the work.
+	*/
+	private addToPool(hostId: string, work: BatchWork): void {
+		const {requestId} = work;
+		this.poolOf(work.pool).add(requestId === undefined ? work : {...work, requestId: reservationIdOf(hostId, requestId)});
 	}
 
 	private poolOf(name: string): PoolBatches {
@@ -229,7 +249,7 @@
 				// Pieces of one work may arrive in several messages, as when they were transferred.
 				const held = this.peerWorks.get(message.workId);
 				this.peerWorks.set(message.workId, {hostId, openCount: (held?.openCount ?? 0) + message.pieces.length});
-				this.poolOf(message.pool).add(workOfMessage(message, this.options.clock.nowMs()));
+				this.addToPool(hostId, workOfMessage(message, this.options.clock.nowMs()));
 				break;
 			}
 
--- /dev/null
+++ b/src/preparation/node/batch-pool.test.ts
@@ -0,0 +1,98 @@
+import t from 'tap';
+import {ManualClock} from '../../base/common/clock.js';
+import {Emitter} from '../../base/common/emitter.js';
+import {silentLoggers} from '../../base/common/logger.js';
+import {noMetrics} from '../../base/common/metrics.js';
+import type {AdmissionLedger, LedgerAsk, PoolState} from '../common/quotes.js';
+import type {BatchWork} from '../common/work.js';
+import {BatchPool, type BatchPoolOptions} from './batch-pool.js';
+
+const batch = {
+	slots: 1, batchSize: 10, callMs: 200, itemMs: 15, roomBytes: 1, resultTtlMs: 1000,
+};
+
+/** Records what a pool tells its ledger. */
+class RecordingLedger implements AdmissionLedger {
+	readonly asks: LedgerAsk[] = [];
+	readonly states: PoolState[] = [];
+	readonly submittedSteps: string[] = [];
+	readonly forgone: string[] = [];
+	readonly sweptMs: number[] = [];
+
+	quote(ask: LedgerAsk, state: PoolState) {
+		this.asks.push(ask);
+		this.states.push(state);
+		return {aheadMs: 1, callMs: 2, lateAheadMs: undefined};
+	}
+
+	forgo(requestId: string): void {
+		this.forgone.push(requestId);
+	}
+
+	submitted(requestId: string, stepKey: string): void {
+		this.submittedSteps.push(`${requestId} ${stepKey}`);
+	}
+
+	sweep(nowMs: number): void {
+		this.sweptMs.push(nowMs);
+	}
+}
+
+/** Creates a pool without upstreams: work stays queued. */
+function makePool(clock: ManualClock, ledger: AdmissionLedger, isDeclared = true): BatchPool {
+	const options = {
+		pool: 'p', clock, log: silentLoggers.for('test'), metrics: noMetrics, makeLedger: () => ledger,
+		tracker: {current: {pool: () => isDeclared ? {batch} : undefined}},
+		registry: {
+			onDidChange: Emitter.create().event, usable: () => [], isPoolClosed: () => false, get: () => undefined,
+		},
+		budget: {countFirstSends: () => undefined},
+		quarantine: {handlingOf: () => 'none'},
+		bounds: {allowance: () => ({remaining: Infinity, perS: Infinity})},
+	};
+	return BatchPool.create(options as unknown as BatchPoolOptions);
+}
+
+const ask = {
+	pool: 'p', requestId: 'r', rank: 1, workspace: 'w', steps: [{stepKey: 'route/0', pieces: 2, resultBytes: 10}], readyInMs: 5,
+};
+const work: BatchWork = {
+	workId: 'w', pool: 'p', callerRequestId: 'r', contentId: 'c'.repeat(32), pieceKey: 'k', step: 0, pieces: [0, 1], inputs: undefined, resultBytes: 1, rank: 0,
+	dueMs: 10_000, lateDueMs: 10_000, deadlineMs: 10_000, hall: '', crossingBytes: 0, requestId: 'r', stepKey: 'route/0', workspace: 'w',
+};
+
+t.test('a pool quotes with its queue and the time at which a step is ready on its own clock', async t => {
+	const clock = ManualClock.create(1000);
+	const ledger = new RecordingLedger();
+	const pool = makePool(clock, ledger);
+	t.teardown(() => {
+		pool.dispose();
+	});
+	pool.add(work);
+	t.same(pool.quote(ask), {aheadMs: 1, callMs: 2, lateAheadMs: undefined});
+	const {pool: _, readyInMs, ...asked} = ask;
+	t.same(ledger.asks, [{...asked, readyMs: 1000 + readyInMs}]);
+	t.ok(ledger.states[0].queue.reduce((sum, {serverMs}) => sum + serverMs, 0) > 0);
+});
+
+t.test('a step that is queued is no longer reserved; work of requests that did not ask has no effect on reservations', async t => {
+	const clock = ManualClock.create();
+	const ledger = new RecordingLedger();
+	const pool = makePool(clock, ledger);
+	t.teardown(() => {
+		pool.dispose();
+	});
+	pool.quote(ask);
+	pool.add(work);
+	pool.add({...work, workId: 'w2', requestId: undefined});
+	t.same(ledger.submittedSteps, ['r route/0']);
+	pool.forgo('r');
+	t.same(ledger.forgone, ['r']);
+	clock.advance(7);
+	pool.sweepReservations();
+	t.same(ledger.sweptMs, [7]);
+});
+
+t.test('a pool that is not declared on this host yet gives no quote', async t => {
+	t.equal(makePool(ManualClock.create(), new RecordingLedger(), false).quote(ask), undefined);
+});
--- a/src/preparation/node/batch-pool.ts
+++ b/src/preparation/node/batch-pool.ts
@@ -19,6 +19,10 @@
 import type {BatchCall, FinishedPiece} from '../common/batch-call.js';
 import {BatchScheduler} from '../common/batch-scheduler.js';
 import type {BatchProtocol, EncodedCall} from '../common/batch-protocol.js';
+import type {
+	AdmissionLedger, PoolAsk, PoolState, QueueLoad, Quote,
+} from '../common/quotes.js';
+import {fullCallMs} from '../common/throughput.js';
 import type {BatchWork, ResultRef} from '../common/work.js';
 import {PoolLog} from './pool-log.js';
 import {ResultReleases} from './result-releases.js';
@@ -46,6 +50,8 @@
 	readonly log: Logger;
 	readonly metrics: Metrics;
 	readonly onFinished: (end: FinishedPiece) => void;
+	/** Creates the ledger of the pool's reservations; without it the pool gives no quotes. */
+	readonly makeLedger?: () => AdmissionLedger;
 };
 
 /** Queue, calls and releases of one pool. */
@@ -60,6 +66,8 @@
 	private readonly disposables = DisposableStore.create();
 	private readonly controller = new AbortController();
 	private timer: Disposable | undefined;
+	/** Created with the first ask: pools that no host asks hold no reservations. */
+	private ledger: AdmissionLedger | undefined;
 	private readonly log: PoolLog;
 
 	private constructor(private readonly options: BatchPoolOptions) {
@@ -100,8 +108,41 @@
 		return capacity ? this.scheduler.waitMs(registry.usable(pool), capacity, rank, clock.nowMs()) : 0;
 	}
 
+	/**
+	Returns when the pool would get to the work of a request, and reserves the work.
+	@param ask - what the request asks; its ID is the same as in the work that it submits later, and is unique among all hosts.
+	@returns the quote; undefined if the capacity of the pool is not known or the pool keeps no ledger.
+	*/
+	quote({pool, readyInMs, ...asked}: PoolAsk): Quote | undefined {
+		const {capacity} = this;
+		this.ledger ??= this.options.makeLedger?.();
+		const nowMs = this.options.clock.nowMs();
+		return capacity && this.ledger?.quote({...asked, readyMs: nowMs + readyInMs}, this.stateFor(capacity), nowMs);
+	}
+
+	/**
+	Drops the reservation of a request.
+	@param requestId - ID of the request as in its ask.
+	*/
+	forgo(requestId: string): void {
+		this.ledger?.forgo(requestId);
+	}
+
+	/** Removes reservations that were not used in time. */
+	sweepReservations(): void {
+		this.ledger?.sweep(this.options.clock.nowMs());
+	}
+
+	/**
+	Queues work; the reservation of its step ends.
+	@param work - the work.
+	*/
 	add(work: BatchWork): void {
 		const nowMs = this.options.clock.nowMs();
+		if (work.requestId !== undefined && work.stepKey !== undefined) {
+			this.ledger?.submitted(work.requestId, work.stepKey);
+		}
+
 		this.scheduler.add(work, nowMs);
 		this.options.budget.countFirstSends(nowMs, work.pieces.length);
 		this.schedule();
@@ -133,6 +174,19 @@
 		return this.options.tracker.current?.pool(this.options.pool)?.batch;
 	}
 
+	/** Returns the state of the pool for quotes. All queued pieces count as in-time work of the best rank. */
+	private stateFor(capacity: BatchCapacity): PoolState {
+		const upstreamCount = this.options.registry.usable(this.options.pool).length;
+		const {waitingCount, callCount} = this.scheduler;
+		const callMs = fullCallMs(capacity);
+		const load: QueueLoad = {
+			rank: 0, workspace: '', serverMs: (waitingCount * callMs) / capacity.batchSize, spaceMs: 0, isLate: false,
+		};
+		return {
+			upstreamCount, capacity, queue: [load], hasFree: callCount < upstreamCount, meanHoldMs: callMs,
+		};
+	}
+
 	private schedule(): void {
 		const {registry, clock, pool} = this.options;
 		const {capacity} = this;
--- a/src/wire/common/messages.ts
+++ b/src/wire/common/messages.ts
@@ -302,6 +302,34 @@
 	workspace: z.string().max(200).optional(),
 });
 export type BatchWorkMessage = z.infer<typeof batchWorkSchema>;
+/** Upper bound on the times of a quote, so that they are finite numbers; no request waits for an hour. */
+export const maxQuoteMs = 3_600_000;
+const quoteMs = ms.max(maxQuoteMs);
+/** Asks the host that batches a pool when it would get to the steps of a request, and reserves them there. */
+const batchAskSchema = z.strictObject({
+	type: z.literal('batchAsk'),
+	pool: name,
+	requestId: id,
+	rank: count,
+	workspace: z.string().max(200),
+	steps: z.array(z.strictObject({stepKey: z.string().max(400), pieces: count, resultBytes: count})).min(1).max(256),
+	/** Time until the first of the steps is expected to be submitted, counted from receipt. */
+	readyInMs: ms,
+});
+export type BatchAskMessage = z.infer<typeof batchAskSchema>;
+/** Answers `batchAsk`. */
+const batchQuoteSchema = z.strictObject({
+	type: z.literal('batchQuote'),
+	pool: name,
+	requestId: id,
+	aheadMs: quoteMs,
+	callMs: quoteMs,
+	/** Absent if the pool has no spare capacity for late work. */
+	lateAheadMs: quoteMs.optional(),
+});
+export type BatchQuoteMessage = z.infer<typeof batchQuoteSchema>;
+/** Drops what `batchAsk` reserved: the request was refused or has ended, or no longer waits for the quote. */
+const batchForgoSchema = z.strictObject({type: z.literal('batchForgo'), pool: name, requestId: id});
 /** Outcomes of pieces; a piece without a handle has failed and has a reason. */
 const batchEndsSchema = z.strictObject({
 	type: z.literal('batchEnds'),
@@ -386,6 +414,9 @@
 	promptsSentSchema,
 	promptsPassedOnSchema,
 	batchWorkSchema,
+	batchAskSchema,
+	batchQuoteSchema,
+	batchForgoSchema,
 	batchEndsSchema,
 	batchCancelSchema,
 	batchWaitsSchema,
