Separate the scheduling policy of scheduled pools and report the state that quotes depend on

Cause: a pool orders its queue by due time with 250 ms for each rank, counts all pieces as equal and relies on declared times, so a backlog of seconds has no order and reported waits are wrong. Quotes need the queued load by rank and workspace.

Change: BatchScheduler.create takes an optional third parameter. While the pool is scheduled, ContentionPolicy decides on the order (ContentionOrder), amounts and durations (LearnedTimes) and the size of calls (limitCall); otherwise DefaultPolicy keeps the previous behaviour. poolState returns the load, the effective upstreams, hasFree and the average hold time of results. Canceled pieces in failed calls are not queued again, and an upstream that refused a large result still gets small ones, in scheduled pools only.

--- a/src/preparation/common/batch-call.ts
+++ b/src/preparation/common/batch-call.ts
@@ -14,6 +14,10 @@
 	readonly expectedMs: number;
 	/** Time at which the call times out. */
 	readonly deadlineMs: number;
+	/** Work that the call counts for in the measured throughput, in the unit of the pool's `CallTimes`; the sum of its pieces if absent. */
+	readonly amount?: number | undefined;
+	/** Slowness of the upstream when the call was sent, as a multiple of what was typical of the pool; 1 if absent. */
+	readonly slowness?: number | undefined;
 };
 
 /** Outcome of a piece, reported to the host that submitted it. */
--- a/src/preparation/common/batch-scheduler.ts
+++ b/src/preparation/common/batch-scheduler.ts
@@ -8,22 +8,18 @@
 import type {
 	BatchCall, BatchPiece, CallFailure, FinishedPiece,
 } from './batch-call.js';
-import {selectPieces} from './piece-selection.js';
-import {rankPenaltyMs} from './piece-order.js';
+import {CanceledWorks} from './canceled-works.js';
 import {PieceQueue, type HandlingSource} from './piece-queue.js';
+import {selectPieces} from './piece-selection.js';
+import {PoolEstimates} from './pool-estimates.js';
 import {PoolUpstreams, type AllowanceSource} from './pool-upstreams.js';
+import type {PoolState} from './quotes.js';
+import {PolicySwitch, type ScheduledOptions} from './scheduling-policy.js';
 import {spaceReportOf} from './space-report.js';
-import {fullCallMs, Throughput} from './throughput.js';
 import {
 	pieceFailures, type BatchWork, type PieceOutcome,
 } from './work.js';
 
-/** Wait reported if no upstream is healthy or all are in backoff: roughly the time until one is available again. */
-const noUpstreamWaitMs = 2000;
-/** Time until a typical piece is due; determines the queue position of work whose wait is only estimated. */
-const typicalDueMs = 500;
-/** With all upstreams busy and an empty queue, the first one is free after this share of a call, divided by their number. */
-const firstFreeShare = 0.5;
 /** Attempts at one piece before it fails. */
 const maxAttempts = 4;
 /** A call times out after this multiple of the typical duration of the pool's calls, plus a margin for the network. */
@@ -34,25 +30,43 @@
 export type BatchStatus = {readonly waiting: number; readonly calls: number; readonly oldestMs: number; readonly keptBytes: number};
 
 /**
-State of a pool at the time of a call: data halls with upstreams that accept work, and the typical slowness of these
-upstreams.
+State of a pool at the time of a call: healthy upstreams, the data halls with upstreams that accept work, and the typical
+slowness of these upstreams.
 */
-type PoolConditions = {readonly openHalls: ReadonlySet<string>; readonly typicalSlowness: number};
+type PoolConditions = {
+	readonly healthy: readonly UpstreamServer[];
+	readonly openHalls: ReadonlySet<string>;
+	readonly typicalSlowness: number;
+};
 
 /** Queue and calls in progress of one pool. */
 export class BatchScheduler {
-	static create(handlingOf: HandlingSource = () => pieceHandlings.none, allowanceOf: AllowanceSource = () => ({remaining: Infinity, perS: Infinity})): BatchScheduler {
-		return new BatchScheduler(handlingOf, allowanceOf);
+	/**
+	Creates a scheduler without work.
+	@param handlingOf - returns how the pieces of a request may be sent.
+	@param allowanceOf - returns how much may be sent to an upstream.
+	@param scheduled - absent for a pool that is never scheduled.
+	*/
+	static create(
+		handlingOf: HandlingSource = () => pieceHandlings.none,
+		allowanceOf: AllowanceSource = () => ({remaining: Infinity, perS: Infinity}),
+		scheduled?: ScheduledOptions,
+	): BatchScheduler {
+		return new BatchScheduler(handlingOf, allowanceOf, scheduled);
 	}
 
 	private readonly queue: PieceQueue;
 	private readonly upstreams: PoolUpstreams;
-	private readonly throughput = Throughput.create();
+	private readonly policies: PolicySwitch;
+	private readonly estimates: PoolEstimates;
+	private readonly canceled = CanceledWorks.create();
 	private lastCallId = 0;
 
-	private constructor(handlingOf: HandlingSource, allowanceOf: AllowanceSource) {
+	private constructor(handlingOf: HandlingSource, allowanceOf: AllowanceSource, scheduled: ScheduledOptions | undefined) {
 		this.queue = PieceQueue.create(handlingOf);
 		this.upstreams = PoolUpstreams.create(allowanceOf);
+		this.policies = PolicySwitch.create(scheduled);
+		this.estimates = PoolEstimates.create({queue: this.queue, upstreams: this.upstreams, policies: this.policies});
 	}
 
 	/** Number of pieces that wait for an upstream. */
@@ -67,7 +81,7 @@
 
 	add(work: BatchWork, nowMs: number): void {
 		if (this.queue.size === 0) {
-			this.throughput.startQueue(nowMs);
+			this.estimates.startQueue(nowMs);
 		}
 
 		for (const piece of work.pieces) {
@@ -83,6 +97,7 @@
 	*/
 	cancel(workId: string): void {
 		this.queue.removeWork(workId);
+		this.canceled.add(workId, this.upstreams.calls);
 	}
 
 	/**
@@ -109,8 +124,14 @@
 	@returns the failed pieces; other pieces of the same steps may be in progress.
 	*/
 	failLate(servers: readonly UpstreamServer[], capacity: BatchCapacity, nowMs: number): FinishedPiece[] {
-		const count = this.upstreams.effectiveCount(this.upstreams.healthyOf(servers, nowMs), capacity, nowMs);
-		return count === 0 ? [] : this.queue.takeUnservable(this.throughput.optimisticPiecesPerMs(count, capacity, nowMs), nowMs);
+		const perMs = this.estimates.optimisticAmountPerMs(servers, capacity, nowMs);
+		if (perMs === undefined) {
+			return [];
+		}
+
+		const policy = this.policies.at(nowMs);
+		const amountOf = (item: BatchPiece) => policy.times.amountOf(item, capacity);
+		return this.queue.takeUnservable(policy.orderOf(this.queue.items, capacity), {amountOf, perMs}, nowMs);
 	}
 
 	/**
@@ -125,19 +146,19 @@
 			return calls;
 		}
 
-		this.queue.sort(nowMs);
+		this.queue.sort(this.policies.at(nowMs).orderOf(this.queue.items, capacity), nowMs);
 		const allowed = servers.filter(server => this.upstreams.isAllowed(server, nowMs));
 		const free = allowed.filter(server => this.upstreams.of(server).isFree(nowMs))
 			.toSorted((left, right) => this.upstreams.of(left).slownessAt(nowMs) - this.upstreams.of(right).slownessAt(nowMs));
-		const healthy = new Set(this.upstreams.healthyOf(allowed, nowMs));
+		const healthy = this.upstreams.healthyOf(allowed, nowMs);
 		const typicalSlowness = this.upstreams.typicalSlowness(allowed, nowMs);
 		const openHalls = new Set(allowed.filter(server => !this.upstreams.of(server).isAvoided(nowMs)).map(server => server.hall));
 		for (const server of free) {
-			if (!healthy.has(server) && this.queue.size <= healthy.size * capacity.batchSize) {
+			if (!healthy.includes(server) && this.queue.size <= healthy.length * capacity.batchSize) {
 				continue;
 			}
 
-			const call = this.startCall(server, capacity, {openHalls, typicalSlowness}, nowMs);
+			const call = this.startCall(server, capacity, {healthy, openHalls, typicalSlowness}, nowMs);
 			if (call) {
 				calls.push(call);
 			}
@@ -156,20 +177,21 @@
 	*/
 	completeCall(call: BatchCall, outcomes: readonly PieceOutcome[], capacity: BatchCapacity, nowMs: number): FinishedPiece[] {
 		const state = this.upstreams.of(call.server);
+		const policy = this.policies.at(nowMs);
+		this.estimates.completeCall(call, outcomes, capacity, nowMs);
 		state.completeCall(call, nowMs);
-		this.throughput.record(outcomes.filter(outcome => outcome.ok).length, nowMs);
-		state.space.update(spaceReportOf(call, outcomes), capacity, nowMs);
+		state.space.update(spaceReportOf(call, outcomes), capacity, nowMs, policy.refusedShare);
 		const finished: FinishedPiece[] = [];
 		for (const [index, item] of call.pieces.entries()) {
 			const {work, piece, attempts} = item;
 			const outcome = outcomes[index];
 			if (outcome.ok) {
-				state.space.add(outcome.ref.handle, work.resultBytes, nowMs + capacity.resultTtlMs);
+				state.space.add(outcome.ref.handle, work.resultBytes, call.sentMs, nowMs + capacity.resultTtlMs);
 			}
 
 			const hadNoSpace = !outcome.ok && outcome.reason === pieceFailures.noRoom;
 			const mayRetry = hadNoSpace || (!outcome.ok && outcome.reason === pieceFailures.failed);
-			if (mayRetry && attempts < maxAttempts) {
+			if (mayRetry && attempts < maxAttempts && !(policy.dropsCanceled && this.canceled.has(work.workId))) {
 				// An attempt that found no space cost only a round trip, so it does not count.
 				this.queue.add(hadNoSpace ? {...item, attempts: attempts - 1} : item);
 			} else {
@@ -177,6 +199,7 @@
 			}
 		}
 
+		this.canceled.sweep(this.upstreams.calls);
 		return finished;
 	}
 
@@ -189,17 +212,19 @@
 	*/
 	failCall(call: BatchCall, reason: CallFailure, nowMs: number): FinishedPiece[] {
 		this.upstreams.of(call.server).failCall(call, nowMs);
+		const policy = this.policies.at(nowMs);
 		const finished: FinishedPiece[] = [];
 		for (const item of call.pieces) {
 			// A refused call cost the upstream nothing, so it does not count as an attempt.
 			const attempts = item.attempts - (reason === 'refused' ? 1 : 0);
-			if (attempts >= maxAttempts || nowMs >= item.work.deadlineMs) {
+			if (attempts >= maxAttempts || nowMs >= item.work.deadlineMs || (policy.dropsCanceled && this.canceled.has(item.work.workId))) {
 				finished.push({work: item.work, piece: item.piece, outcome: {ok: false, reason: pieceFailures.failed}});
 			} else {
 				this.queue.add({...item, attempts});
 			}
 		}
 
+		this.canceled.sweep(this.upstreams.calls);
 		return finished;
 	}
 
@@ -207,9 +232,13 @@
 	Frees the space of results that are no longer needed or are lost.
 	@param serverId - the upstream that stores them.
 	@param handles - handles of the results.
+	@param releasedMs - the current time if the results were released; absent if they are lost.
 	*/
-	freeResults(serverId: string, handles: readonly string[]): void {
-		this.upstreams.freeResults(serverId, handles);
+	freeResults(serverId: string, handles: readonly string[], releasedMs?: number): void {
+		const results = this.upstreams.freeResults(serverId, handles, releasedMs ?? 0);
+		if (releasedMs !== undefined) {
+			this.estimates.resultsReleased(results);
+		}
 	}
 
 	/**
@@ -251,20 +280,17 @@
 	@returns the wait in milliseconds; 0 if an upstream is free and nothing that goes first is queued.
 	*/
 	waitMs(servers: readonly UpstreamServer[], capacity: BatchCapacity, rank: number, nowMs: number): number {
-		const healthy = this.upstreams.healthyOf(servers, nowMs);
-		const count = this.upstreams.effectiveCount(healthy, capacity, nowMs);
-		if (count === 0) {
-			return noUpstreamWaitMs;
-		}
-
-		const free = healthy.filter(server => this.upstreams.of(server).call === undefined && this.upstreams.isAllowed(server, nowMs)).length;
-		const urgency = nowMs + typicalDueMs + (rank * rankPenaltyMs);
-		const ahead = this.queue.countAhead(urgency, nowMs);
-		if (free > 0 && ahead === 0) {
-			return 0;
-		}
+		return this.estimates.waitMs(servers, capacity, rank, nowMs);
+	}
 
-		return (ahead / this.throughput.piecesPerMs(count, capacity, nowMs)) + ((firstFreeShare * fullCallMs(capacity)) / count);
+	/**
+	Returns the state that quotes depend on.
+	@param servers - upstreams that accept work.
+	@param capacity - capacity of each upstream.
+	@param nowMs - the current time.
+	*/
+	poolState(servers: readonly UpstreamServer[], capacity: BatchCapacity, nowMs: number): PoolState {
+		return this.estimates.poolState(servers, capacity, nowMs);
 	}
 
 	/**
@@ -276,28 +302,41 @@
 		return this.upstreams.typicalSlowness(servers, nowMs);
 	}
 
-	private startCall(server: UpstreamServer, capacity: BatchCapacity, {openHalls, typicalSlowness}: PoolConditions, nowMs: number): BatchCall | undefined {
-		const pieces = this.takePieces(server, capacity, openHalls, nowMs);
+	private startCall(server: UpstreamServer, capacity: BatchCapacity, conditions: PoolConditions, nowMs: number): BatchCall | undefined {
+		const {pieces, isShortened} = this.takePieces(server, capacity, conditions, nowMs);
 		if (pieces.length === 0) {
 			return undefined;
 		}
 
-		const expectedMs = capacity.callMs + (pieces.length * capacity.itemMs);
+		const expectedMs = this.policies.at(nowMs).times.expectedMs(pieces, capacity);
 		this.lastCallId++;
 		const call: BatchCall = {
-			callId: this.lastCallId, server, pieces, sentMs: nowMs, expectedMs, deadlineMs: nowMs + (timeoutFactor * expectedMs * Math.max(1, typicalSlowness)) + timeoutMarginMs,
+			callId: this.lastCallId, server, pieces, sentMs: nowMs, expectedMs, deadlineMs: nowMs + (timeoutFactor * expectedMs * Math.max(1, conditions.typicalSlowness)) + timeoutMarginMs,
+			slowness: this.upstreams.of(server).slownessAt(nowMs) / conditions.typicalSlowness,
+			...(isShortened && {amount: expectedMs}),
 		};
 		this.upstreams.of(server).call = call;
 		return call;
 	}
 
 	/** Takes the most urgent pieces for one call off the queue. */
-	private takePieces(server: UpstreamServer, {batchSize, roomBytes}: BatchCapacity, openHalls: ReadonlySet<string>, nowMs: number): BatchPiece[] {
+	private takePieces(server: UpstreamServer, capacity: BatchCapacity, {healthy, openHalls}: PoolConditions, nowMs: number) {
+		const policy = this.policies.at(nowMs);
+		const {batchSize, roomBytes} = capacity;
 		const freeBytes = this.upstreams.of(server).space.freeBytes(roomBytes, nowMs);
-		const taken = selectPieces(this.queue.sendable(), {
+		const selected = selectPieces(this.queue.sendable(), {
 			batchSize, freeBytes, hall: server.hall, openHalls,
 		}, nowMs);
-		this.queue.remove(taken);
-		return [...taken].map(item => ({...item, attempts: item.attempts + 1}));
+		const others = healthy.filter(other => other !== server);
+		const taken = policy.limitCall([...selected], {
+			times: policy.times,
+			capacity,
+			slowness: this.upstreams.of(server).slownessAt(nowMs),
+			otherCount: this.upstreams.effectiveCount(others, capacity, nowMs),
+			hasOtherFree: others.some(other => this.upstreams.hasCapacity(other, roomBytes, nowMs)),
+			rest: this.queue.items.filter(item => !selected.has(item)),
+		}, nowMs);
+		this.queue.remove(new Set(taken));
+		return {pieces: taken.map(item => ({...item, attempts: item.attempts + 1})), isShortened: taken.length < selected.size};
 	}
 }
--- a/src/preparation/common/piece-queue.ts
+++ b/src/preparation/common/piece-queue.ts
@@ -1,7 +1,7 @@
 /** Queue of the pieces of all requests that wait for one pool. */
 import {pieceHandlings, type PieceHandling} from '../../quarantine/common/quarantine.js';
 import type {BatchPiece, FinishedPiece} from './batch-call.js';
-import {isLate, urgencyOf} from './piece-order.js';
+import type {PieceOrder} from './piece-order.js';
 import {pieceFailures, type BatchWork, type PieceFailure} from './work.js';
 
 /** Returns how pieces of a request may be sent to an upstream, by the content ID of the request. */
@@ -27,6 +27,11 @@
 		return this.pieces.length;
 	}
 
+	/** The queued pieces, in order after `sort`. */
+	get items(): readonly BatchPiece[] {
+		return this.pieces;
+	}
+
 	add(piece: BatchPiece): void {
 		this.pieces.push(piece);
 	}
@@ -60,11 +65,12 @@
 	/**
 	Sorts the queue, most urgent first. Expired pieces are removed before sorting: after a suspension of the host, the queue
 	may contain nothing else.
+	@param order - the order.
 	@param nowMs - the current time.
 	*/
-	sort(nowMs: number): void {
+	sort(order: PieceOrder, nowMs: number): void {
 		this.dropExpired(nowMs);
-		this.pieces.sort((left, right) => urgencyOf(left, nowMs) - urgencyOf(right, nowMs));
+		this.pieces.sort((left, right) => order.compare(left, right, nowMs));
 	}
 
 	/** Pieces that may be sent in one call. A request that may have crashed upstreams goes alone; all others may be combined. */
@@ -97,18 +103,22 @@
 	}
 
 	/**
-	Removes all pieces of steps that are late and whose turn would come too late for their callers: a caller that can't be
-	served is notified now, not once its time is over.
-	@param perMs - pieces that the pool completes per millisecond.
+	Removes all pieces of steps whose turn would come too late for their callers: a caller that can't be served is notified now,
+	not once its time is over.
+	@param order - the order, which tells the steps that may end.
+	@param rate - amount of work of a piece, and what the pool completes per millisecond.
 	@param nowMs - the current time.
 	*/
-	takeUnservable(perMs: number, nowMs: number): FinishedPiece[] {
-		this.sort(nowMs);
+	takeUnservable(order: PieceOrder, {amountOf, perMs}: {readonly amountOf: (item: BatchPiece) => number; readonly perMs: number}, nowMs: number): FinishedPiece[] {
+		this.sort(order, nowMs);
 		const unservable = new Set<string>();
-		for (const [index, {work}] of this.pieces.entries()) {
-			if (isLate(work, nowMs) && nowMs + (index / perMs) > work.lateDueMs) {
-				unservable.add(work.workId);
+		let ahead = 0;
+		for (const item of this.pieces) {
+			if (order.mayEnd(item, nowMs) && nowMs + (ahead / perMs) > item.work.lateDueMs) {
+				unservable.add(item.work.workId);
 			}
+
+			ahead += amountOf(item);
 		}
 
 		const taken = this.pieces.filter(({work}) => unservable.has(work.workId));
@@ -119,15 +129,6 @@
 		return finishAll(taken, pieceFailures.late);
 	}
 
-	/**
-	Counts the queued pieces that go before a piece of the given urgency.
-	@param urgency - as returned by `urgencyOf`.
-	@param nowMs - the current time.
-	*/
-	countAhead(urgency: number, nowMs: number): number {
-		return this.pieces.filter(item => urgencyOf(item, nowMs) <= urgency).length;
-	}
-
 	/**
 	Returns the longest wait of a queued piece, in milliseconds.
 	@param nowMs - the current time.
--- a/src/preparation/common/pool-upstreams.ts
+++ b/src/preparation/common/pool-upstreams.ts
@@ -2,7 +2,9 @@
 import type {BatchCapacity} from '../../deployment/common/declaration.js';
 import type {UpstreamServer} from '../../deployment/common/upstream-server.js';
 import type {Allowance} from '../../routing/common/send-bounds.js';
+import type {BatchCall} from './batch-call.js';
 import {BatchUpstream} from './batch-upstream.js';
+import type {EndedResult} from './result-space.js';
 import {fullCallMs} from './throughput.js';
 
 /**
@@ -53,12 +55,12 @@
 	Frees the space of results that are no longer needed or are lost.
 	@param serverId - the upstream that stores them.
 	@param handles - handles of the results.
+	@param nowMs - the current time.
+	@returns those of the results that were known.
 	*/
-	freeResults(serverId: string, handles: readonly string[]): void {
+	freeResults(serverId: string, handles: readonly string[], nowMs: number): EndedResult[] {
 		const upstream = this.byId.get(serverId);
-		for (const handle of handles) {
-			upstream?.space.free(handle);
-		}
+		return handles.map(handle => upstream?.space.free(handle, nowMs)).filter(result => result !== undefined);
 	}
 
 	/**
@@ -104,6 +106,22 @@
 		return this.allowanceOf(server, nowMs).remaining > 0;
 	}
 
+	/**
+	Whether an upstream has no call in progress, may be sent one, and has space for another result as large as those that it stores.
+	@param server - the upstream.
+	@param roomBytes - space of the upstream, as declared.
+	@param nowMs - the current time.
+	*/
+	hasCapacity(server: UpstreamServer, roomBytes: number, nowMs: number): boolean {
+		const {call, space} = this.of(server);
+		return call === undefined && this.isAllowed(server, nowMs) && space.freeBytes(roomBytes, nowMs) >= space.largestBytes;
+	}
+
+	/** Calls in progress. */
+	get calls(): BatchCall[] {
+		return [...this.byId.values()].map(({call}) => call).filter(call => call !== undefined);
+	}
+
 	/**
 	Returns the upstreams that neither fail nor are far slower than the others.
 	@param servers - upstreams that accept work.
--- a/src/preparation/common/result-space.ts
+++ b/src/preparation/common/result-space.ts
@@ -11,6 +11,13 @@
 const refusedRetryMs = 250;
 
 type UsedSpace = {readonly bytes: number; readonly untilMs: number};
+type StoredResult = UsedSpace & {
+	/** Start of the call that stored it. */
+	readonly sinceMs: number;
+};
+
+/** A result that no longer uses space. */
+export type EndedResult = {readonly bytes: number; readonly heldMs: number};
 
 /** Space usage derived from the response to a call. */
 export type SpaceReport = {
@@ -26,7 +33,7 @@
 		return new ResultSpace();
 	}
 
-	private readonly results = new Map<string, UsedSpace>();
+	private readonly results = new Map<string, StoredResult>();
 	/** Space used by results unknown to this host; the upstream drops them itself once their retention time has passed. */
 	private unknown: UsedSpace | undefined;
 	/** Space reserved for one refused result until it is tried again. */
@@ -62,15 +69,33 @@
 	Records a stored result.
 	@param handle - handle of the result.
 	@param bytes - its size.
+	@param sinceMs - start of its call.
 	@param untilMs - when the upstream drops it by itself.
 	*/
-	add(handle: string, bytes: number, untilMs: number): void {
-		this.results.set(handle, {bytes, untilMs});
+	add(handle: string, bytes: number, sinceMs: number, untilMs: number): void {
+		this.results.set(handle, {bytes, sinceMs, untilMs});
 	}
 
-	/** Frees the space of a result that was released or lost. */
-	free(handle: string): void {
+	/**
+	Frees the space of a result that was released or lost.
+	@param handle - its handle.
+	@param nowMs - the current time.
+	@returns the result, or undefined if it is unknown.
+	*/
+	free(handle: string, nowMs: number): EndedResult | undefined {
+		const result = this.results.get(handle);
 		this.results.delete(handle);
+		return result && {bytes: result.bytes, heldMs: Math.min(nowMs, result.untilMs) - result.sinceMs};
+	}
+
+	/** Size of the largest result known to be stored. */
+	get largestBytes(): number {
+		let largestBytes = 0;
+		for (const {bytes} of this.results.values()) {
+			largestBytes = Math.max(largestBytes, bytes);
+		}
+
+		return largestBytes;
 	}
 
 	/**
@@ -80,14 +105,15 @@
 	@param report - derived from the response to the call.
 	@param capacity - space of the upstream, and how long it stores results.
 	@param nowMs - the current time.
+	@param refusedShare - share of the refused size that counts as used until then.
 	*/
-	update({storedBytes, refusedBytes}: SpaceReport, capacity: {readonly roomBytes: number; readonly resultTtlMs: number}, nowMs: number): void {
+	update({storedBytes, refusedBytes}: SpaceReport, capacity: {readonly roomBytes: number; readonly resultTtlMs: number}, nowMs: number, refusedShare = 1): void {
 		if (refusedBytes !== undefined) {
 			this.unknown = undefined;
 			this.refused = undefined;
 			const unknownBytes = this.freeBytes(capacity.roomBytes, nowMs) - storedBytes - refusedBytes;
 			this.unknown = {bytes: Math.max(0, unknownBytes), untilMs: nowMs + capacity.resultTtlMs};
-			this.refused = {bytes: refusedBytes, untilMs: nowMs + refusedRetryMs};
+			this.refused = {bytes: refusedShare * refusedBytes, untilMs: nowMs + refusedRetryMs};
 		} else if (this.unknown && storedBytes > 0) {
 			this.unknown = {...this.unknown, bytes: this.unknown.bytes * unknownRetainedShare};
 		}
--- a/src/preparation/common/throughput.ts
+++ b/src/preparation/common/throughput.ts
@@ -1,22 +1,25 @@
-/** Measures how many pieces a pool completes while work is queued, and thus what its upstreams and their space for results really allow. */
+/**
+Measures how much work a pool completes while work is queued, and thus what its upstreams and their space for results really
+allow. The unit is that of the pool's `CallTimes`: pieces, or upstream time in milliseconds.
+*/
 import type {BatchCapacity} from '../../deployment/common/declaration.js';
 
 const windowMs = 1500;
 /** Minimum age of a queue before its throughput is significant: several calls of each upstream. */
 const minQueueAgeMs = 700;
 /**
-Minimum share of the declared throughput that is assumed, even for a pool that made no progress: the cause may be lost
+Minimum share of the expected throughput that is assumed, even for a pool that made no progress: the cause may be lost
 hosts rather than its upstreams.
 */
 const minAssumedShare = 0.25;
 
-/** Counts the pieces completed while a queue exists. */
+/** Sums the work completed while a queue exists. */
 export class Throughput {
 	static create(): Throughput {
 		return new Throughput();
 	}
 
-	private completed: Array<{readonly atMs: number; readonly pieces: number}> = [];
+	private completed: Array<{readonly atMs: number; readonly amount: number}> = [];
 	private queueStartMs = 0;
 
 	/** Starts a new measurement when work is queued after a time without a queue. */
@@ -25,42 +28,41 @@
 		this.completed = [];
 	}
 
-	record(pieces: number, nowMs: number): void {
-		this.completed.push({atMs: nowMs, pieces});
+	record(amount: number, nowMs: number): void {
+		this.completed.push({atMs: nowMs, amount});
 	}
 
 	/**
-	Returns the pieces that a pool completes per millisecond: the declared rate, or the measured one if that is lower while
-	a queue exists.
-	@param upstreams - the number of upstreams that accept work.
-	@param capacity - capacity of each upstream.
+	Returns the work that a pool completes per millisecond: the expected rate, or the measured one if that is lower while a queue
+	exists.
+	@param expectedPerMs - rate with full calls.
+	@param minAmount - work that is assumed to be completed in any case: one piece.
 	@param nowMs - the current time.
 	*/
-	piecesPerMs(upstreams: number, capacity: BatchCapacity, nowMs: number): number {
-		const declaredRate = declaredPerMs(upstreams, capacity);
-		return Math.min(declaredRate, this.measuredPerMs(nowMs) ?? declaredRate);
+	amountPerMs(expectedPerMs: number, minAmount: number, nowMs: number): number {
+		return Math.min(expectedPerMs, this.measuredPerMs(minAmount, nowMs) ?? expectedPerMs);
 	}
 
 	/**
-	Returns an optimistic estimate of the pieces that a pool completes per millisecond, for when few were completed recently.
-	@param upstreams - the number of upstreams that accept work.
-	@param capacity - capacity of each upstream.
+	Returns an optimistic estimate of the work that a pool completes per millisecond, for when little was completed recently.
+	@param expectedPerMs - rate with full calls.
+	@param minAmount - work that is assumed to be completed in any case: one piece.
 	@param nowMs - the current time.
 	*/
-	optimisticPiecesPerMs(upstreams: number, capacity: BatchCapacity, nowMs: number): number {
-		return Math.max(this.piecesPerMs(upstreams, capacity, nowMs), minAssumedShare * declaredPerMs(upstreams, capacity));
+	optimisticAmountPerMs(expectedPerMs: number, minAmount: number, nowMs: number): number {
+		return Math.max(this.amountPerMs(expectedPerMs, minAmount, nowMs), minAssumedShare * expectedPerMs);
 	}
 
-	/** Pieces completed per millisecond; undefined while the queue is too young. */
-	private measuredPerMs(nowMs: number): number | undefined {
+	/** Work completed per millisecond; undefined while the queue is too young. */
+	private measuredPerMs(minAmount: number, nowMs: number): number | undefined {
 		const sinceMs = Math.max(this.queueStartMs, nowMs - windowMs);
 		if (nowMs - sinceMs < minQueueAgeMs) {
 			return undefined;
 		}
 
 		this.completed = this.completed.filter(({atMs}) => atMs > sinceMs);
-		const pieces = this.completed.reduce((sum, item) => sum + item.pieces, 0);
-		return Math.max(1, pieces) / (nowMs - sinceMs);
+		const amount = this.completed.reduce((sum, item) => sum + item.amount, 0);
+		return Math.max(minAmount, amount) / (nowMs - sinceMs);
 	}
 }
 
@@ -71,8 +73,3 @@
 export function fullCallMs({callMs, batchSize, itemMs}: BatchCapacity): number {
 	return callMs + (batchSize * itemMs);
 }
-
-/** Declared number of pieces per millisecond with full calls. */
-function declaredPerMs(upstreams: number, capacity: BatchCapacity): number {
-	return (upstreams * capacity.batchSize) / fullCallMs(capacity);
-}
--- a/src/preparation/node/batch-pool.ts
+++ b/src/preparation/node/batch-pool.ts
@@ -249,7 +249,7 @@
 		timeLimit.dispose();
 		if (response.ok) {
 			// The upstream has freed the space only now: a call sent earlier would find none.
-			this.scheduler.freeResults(server.serverId, handles);
+			this.scheduler.freeResults(server.serverId, handles, clock.nowMs());
 			this.schedule();
 		} else if (!this.controller.signal.aborted) {
 			// Nothing is lost: the upstream drops expired results by itself.
