Give quotes from the ledger of a pool and from the state of its scheduler

Cause: a pool had no ledger, and its quotes were based on a substitute for the state of its scheduler.

Change: each pool has its item times, which its scheduler and its ledger share, and creates its ledger with the first ask. The state that a quote depends on comes from BatchScheduler.poolState. Whether a pool is scheduled follows from the declaration in force, cached by ScheduledPoolsByIndex; in scheduled pools the scheduling policy for contention is in force with this commit. Other pools keep the default policy.

--- a/src/daemon/node/compose-direct-entry.ts
+++ b/src/daemon/node/compose-direct-entry.ts
@@ -28,6 +28,9 @@
 import {StateExchange} from '../../peers/node/state-exchange.js';
 import {AdmissionAsks, admissionAsksToken} from '../../preparation/node/admission-asks.js';
 import {BatchHandler, batchHandlerToken} from '../../preparation/node/batch-handler.js';
+import {ItemTimes} from '../../preparation/common/item-times.js';
+import {PoolLedger} from '../../preparation/common/pool-ledger.js';
+import {ScheduledPoolsByIndex} from '../../preparation/common/scheduled-pools-by-index.js';
 import {StepTimes} from '../../preparation/common/step-times.js';
 import {BatchPool} from '../../preparation/node/batch-pool.js';
 import {Preparer} from '../../preparation/node/preparer.js';
@@ -173,6 +176,12 @@
 
 /** Registers the batches for the preparation of requests. */
 function registerPreparation({settings, ports, lifecycle, clock, metrics, logOf, register, get, isLeaving, hostCount}: Composition): void {
+	const poolsByIndex = ScheduledPoolsByIndex.create();
+	const isScheduled = (pool: string) => {
+		const {current} = get(deploymentTrackerToken);
+		return current !== undefined && poolsByIndex.of(current).has(pool);
+	};
+
 	register(batchHandlerToken, () => lifecycle.register(BatchHandler.create({
 		hostId: settings.hostId,
 		capacity: sharedCapacityOf(settings.capacity),
@@ -180,20 +189,25 @@
 		clock,
 		log: logOf('batches'),
 		isLeaving,
-		makePool: (pool, ended) => BatchPool.create({
-			pool,
-			tracker: get(deploymentTrackerToken),
-			registry: get(serverRegistryToken),
-			notices: get(serverNoticesToken),
-			bounds: get(sendBoundsToken),
-			protocol: ports.batches,
-			budget: WindowedBudget.create(settings.repeats, hostCount),
-			quarantine: get(quarantineToken),
-			clock,
-			log: logOf('batches'),
-			metrics,
-			onFinished: ended,
-		}),
+		makePool(pool, ended) {
+			const itemDurations = ItemTimes.create();
+			return BatchPool.create({
+				pool,
+				tracker: get(deploymentTrackerToken),
+				registry: get(serverRegistryToken),
+				notices: get(serverNoticesToken),
+				bounds: get(sendBoundsToken),
+				protocol: ports.batches,
+				budget: WindowedBudget.create(settings.repeats, hostCount),
+				quarantine: get(quarantineToken),
+				clock,
+				log: logOf('batches'),
+				metrics,
+				onFinished: ended,
+				scheduled: {isScheduled: () => isScheduled(pool), itemDurations},
+				makeLedger: () => PoolLedger.create(itemDurations),
+			});
+		},
 	})));
 	register(admissionAsksToken, () => {
 		const handler = get(batchHandlerToken);
--- a/src/preparation/node/batch-pool.test.ts
+++ b/src/preparation/node/batch-pool.test.ts
@@ -3,6 +3,8 @@
 import {Emitter} from '../../base/common/emitter.js';
 import {silentLoggers} from '../../base/common/logger.js';
 import {noMetrics} from '../../base/common/metrics.js';
+import {ItemTimes} from '../common/item-times.js';
+import {PoolLedger} from '../common/pool-ledger.js';
 import type {AdmissionLedger, LedgerAsk, PoolState} from '../common/quotes.js';
 import type {BatchWork} from '../common/work.js';
 import {BatchPool, type BatchPoolOptions} from './batch-pool.js';
@@ -38,13 +40,13 @@
 	}
 }
 
-/** Creates a pool without upstreams: work stays queued. */
-function makePool(clock: ManualClock, ledger: AdmissionLedger, isDeclared = true): BatchPool {
+/** Creates a pool. Without upstreams, work stays queued. */
+function makePool(clock: ManualClock, ledger: AdmissionLedger, {isDeclared = true, servers = [] as string[]} = {}): BatchPool {
 	const options = {
-		pool: 'p', clock, log: silentLoggers.for('test'), metrics: noMetrics, makeLedger: () => ledger,
+		pool: 'p', clock, log: silentLoggers.for('test'), metrics: noMetrics, makeLedger: () => ledger, scheduled: {isScheduled: () => true, itemDurations: ItemTimes.create()},
 		tracker: {current: {pool: () => isDeclared ? {batch} : undefined}},
 		registry: {
-			onDidChange: Emitter.create().event, usable: () => [], isPoolClosed: () => false, get: () => undefined,
+			onDidChange: Emitter.create().event, usable: () => servers.map(serverId => ({serverId, hall: ''})), isPoolClosed: () => false, get: () => undefined,
 		},
 		budget: {countFirstSends: () => undefined},
 		quarantine: {handlingOf: () => 'none'},
@@ -94,5 +96,17 @@
 });
 
 t.test('a pool that is not declared on this host yet gives no quote', async t => {
-	t.equal(makePool(ManualClock.create(), new RecordingLedger(), false).quote(ask), undefined);
+	t.equal(makePool(ManualClock.create(), new RecordingLedger(), {isDeclared: false}).quote(ask), undefined);
+});
+
+t.test('requests that ask at the same time are not all quoted the same free upstream', async t => {
+	const pool = makePool(ManualClock.create(), PoolLedger.create(ItemTimes.create()), {servers: ['s1']});
+	t.teardown(() => {
+		pool.dispose();
+	});
+	t.equal(pool.quote({...ask, requestId: 'r1'})!.aheadMs, 0);
+	t.ok(pool.quote({...ask, requestId: 'r2'})!.aheadMs > 0);
+	pool.forgo('r1');
+	pool.forgo('r2');
+	t.equal(pool.quote({...ask, requestId: 'r3'})!.aheadMs, 0);
 });
--- a/src/preparation/node/batch-pool.ts
+++ b/src/preparation/node/batch-pool.ts
@@ -19,10 +19,8 @@
 import type {BatchCall, FinishedPiece} from '../common/batch-call.js';
 import {BatchScheduler} from '../common/batch-scheduler.js';
 import type {BatchProtocol, EncodedCall} from '../common/batch-protocol.js';
-import type {
-	AdmissionLedger, PoolAsk, PoolState, QueueLoad, Quote,
-} from '../common/quotes.js';
-import {fullCallMs} from '../common/throughput.js';
+import type {AdmissionLedger, PoolAsk, Quote} from '../common/quotes.js';
+import type {ScheduledOptions} from '../common/scheduling-policy.js';
 import type {BatchWork, ResultRef} from '../common/work.js';
 import {PoolLog} from './pool-log.js';
 import {ResultReleases} from './result-releases.js';
@@ -50,8 +48,10 @@
 	readonly log: Logger;
 	readonly metrics: Metrics;
 	readonly onFinished: (end: FinishedPiece) => void;
-	/** Creates the ledger of the pool's reservations; without it the pool gives no quotes. */
-	readonly makeLedger?: () => AdmissionLedger;
+	/** Whether the pool is a scheduled one, and the learned durations of its items. */
+	readonly scheduled: ScheduledOptions;
+	/** Creates the ledger of the pool's reservations. */
+	readonly makeLedger: () => AdmissionLedger;
 };
 
 /** Queue, calls and releases of one pool. */
@@ -72,7 +72,7 @@
 
 	private constructor(private readonly options: BatchPoolOptions) {
 		this.log = PoolLog.create(options);
-		this.scheduler = BatchScheduler.create(contentId => options.quarantine.handlingOf(contentId), (server, nowMs) => options.bounds.allowance(server, soleSender, nowMs));
+		this.scheduler = BatchScheduler.create(contentId => options.quarantine.handlingOf(contentId), (server, nowMs) => options.bounds.allowance(server, soleSender, nowMs), options.scheduled);
 		this.releases = this.disposables.add(ResultReleases.create({
 			registry: options.registry,
 			clock: options.clock,
@@ -111,13 +111,14 @@
 	/**
 	Returns when the pool would get to the work of a request, and reserves the work.
 	@param ask - what the request asks; its ID is the same as in the work that it submits later, and is unique among all hosts.
-	@returns the quote; undefined if the capacity of the pool is not known or the pool keeps no ledger.
+	@returns the quote; undefined if the capacity of the pool is not known.
 	*/
 	quote({pool, readyInMs, ...asked}: PoolAsk): Quote | undefined {
 		const {capacity} = this;
-		this.ledger ??= this.options.makeLedger?.();
-		const nowMs = this.options.clock.nowMs();
-		return capacity && this.ledger?.quote({...asked, readyMs: nowMs + readyInMs}, this.stateFor(capacity), nowMs);
+		this.ledger ??= this.options.makeLedger();
+		const {registry, clock} = this.options;
+		const nowMs = clock.nowMs();
+		return capacity && this.ledger.quote({...asked, readyMs: nowMs + readyInMs}, this.scheduler.poolState(registry.usable(this.options.pool), capacity, nowMs), nowMs);
 	}
 
 	/**
@@ -174,19 +175,6 @@
 		return this.options.tracker.current?.pool(this.options.pool)?.batch;
 	}
 
-	/** Returns the state of the pool for quotes. All queued pieces count as in-time work of the best rank. */
-	private stateFor(capacity: BatchCapacity): PoolState {
-		const upstreamCount = this.options.registry.usable(this.options.pool).length;
-		const {waitingCount, callCount} = this.scheduler;
-		const callMs = fullCallMs(capacity);
-		const load: QueueLoad = {
-			rank: 0, workspace: '', serverMs: (waitingCount * callMs) / capacity.batchSize, spaceMs: 0, isLate: false,
-		};
-		return {
-			upstreamCount, capacity, queue: [load], hasFree: callCount < upstreamCount, meanHoldMs: callMs,
-		};
-	}
-
 	private schedule(): void {
 		const {registry, clock, pool} = this.options;
 		const {capacity} = this;
