--- a/src/preparation/common/batch-scheduler.ts
+++ b/src/preparation/common/batch-scheduler.ts
@@ -5,9 +5,7 @@
 import type {BatchCapacity} from '../../deployment/common/declaration.js';
 import type {UpstreamServer} from '../../deployment/common/upstream-server.js';
 import {pieceHandlings} from '../../quarantine/common/quarantine.js';
-import type {
-	BatchCall, BatchPiece, CallFailure, FinishedPiece,
-} from './batch-call.js';
+import type {BatchCall, CallFailure, FinishedPiece} from './batch-call.js';
 import {CanceledWorks} from './canceled-works.js';
 import {PieceQueue, type HandlingSource} from './piece-queue.js';
 import {selectPieces} from './piece-selection.js';
@@ -124,14 +122,8 @@
 	@returns the failed pieces; other pieces of the same steps may be in progress.
 	*/
 	failLate(servers: readonly UpstreamServer[], capacity: BatchCapacity, nowMs: number): FinishedPiece[] {
-		const perMs = this.estimates.optimisticAmountPerMs(servers, capacity, nowMs);
-		if (perMs === undefined) {
-			return [];
-		}
-
-		const policy = this.policies.at(nowMs);
-		const amountOf = (item: BatchPiece) => policy.times.amountOf(item, capacity);
-		return this.queue.takeUnservable(policy.orderOf(this.queue.items, capacity), {amountOf, perMs}, nowMs);
+		const rates = this.estimates.queueRates(servers, capacity, nowMs);
+		return rates ? this.queue.takeUnservable(this.policies.at(nowMs).orderOf(capacity), rates, nowMs) : [];
 	}
 
 	/**
@@ -146,7 +138,7 @@
 			return calls;
 		}
 
-		this.queue.sort(this.policies.at(nowMs).orderOf(this.queue.items, capacity), nowMs);
+		this.queue.sort(this.policies.at(nowMs).orderOf(capacity), nowMs);
 		const allowed = servers.filter(server => this.upstreams.isAllowed(server, nowMs));
 		const free = allowed.filter(server => this.upstreams.of(server).isFree(nowMs))
 			.toSorted((left, right) => this.upstreams.of(left).slownessAt(nowMs) - this.upstreams.of(right).slownessAt(nowMs));
@@ -328,14 +320,14 @@
 			batchSize, freeBytes, hall: server.hall, openHalls,
 		}, nowMs);
 		const others = healthy.filter(other => other !== server);
-		const taken = policy.limitCall([...selected], {
+		const taken = policy.limitCall([...selected], () => ({
 			times: policy.times,
 			capacity,
 			slowness: this.upstreams.of(server).slownessAt(nowMs),
 			otherCount: this.upstreams.effectiveCount(others, capacity, nowMs),
 			hasOtherFree: others.some(other => this.upstreams.hasCapacity(other, roomBytes, nowMs)),
 			rest: this.queue.items.filter(item => !selected.has(item)),
-		}, nowMs);
+		}), nowMs);
 		this.queue.remove(new Set(taken));
 		return {pieces: taken.map(item => ({...item, attempts: item.attempts + 1})), isShortened: taken.length < selected.size};
 	}
--- a/src/preparation/common/call-size.ts
+++ b/src/preparation/common/call-size.ts
@@ -62,7 +62,7 @@
 
 function canOthersBegin(pieces: readonly BatchPiece[], {times, capacity, otherCount, hasOtherFree}: CallConditions, nowMs: number): boolean {
 	const perMs = times.amountPerMs(otherCount, capacity);
-	const firstMs = nowMs + (hasOtherFree ? 0 : firstFreeShare * times.fullCallMs(pieces, capacity) / otherCount);
+	const firstMs = nowMs + (hasOtherFree ? 0 : firstFreeShare * times.fullCallMs(capacity) / otherCount);
 	let ahead = 0;
 	for (const item of pieces) {
 		// Late pieces are behind all others.
--- a/src/preparation/common/call-times.ts
+++ b/src/preparation/common/call-times.ts
@@ -7,6 +7,9 @@
 import type {ItemDurations} from './quotes.js';
 import {fullCallMs} from './throughput.js';
 
+/** Weight of the latest call in the average time of items: the average follows a change after about ten calls. */
+const itemFactorWeight = 0.1;
+
 /** Amounts of work, in a unit that depends on the class, and durations of calls. */
 export type CallTimes = {
 	/** Returns the amount of work of one piece. */
@@ -17,8 +20,8 @@
 	amountPerMs(upstreams: number, capacity: BatchCapacity): number;
 	/** Returns the expected duration of a call, in milliseconds. */
 	expectedMs(pieces: readonly BatchPiece[], capacity: BatchCapacity): number;
-	/** Returns the expected duration of a full call with pieces such as the given ones, in milliseconds. */
-	fullCallMs(pieces: readonly BatchPiece[], capacity: BatchCapacity): number;
+	/** Returns the expected duration of a full call with pieces such as those of recent calls, in milliseconds. */
+	fullCallMs(capacity: BatchCapacity): number;
 	/**
 	Learns from a finished call.
 	@param slowness - ratio of actual to expected duration that is typical of the upstream.
@@ -48,7 +51,7 @@
 		return callMs + (pieces.length * itemMs);
 	}
 
-	fullCallMs(_pieces: readonly BatchPiece[], capacity: BatchCapacity): number {
+	fullCallMs(capacity: BatchCapacity): number {
 		return fullCallMs(capacity);
 	}
 
@@ -67,6 +70,9 @@
 		return new LearnedTimes(itemDurations);
 	}
 
+	/** Average ratio of learned to declared duration of the items of recent calls. */
+	private itemFactor = 1;
+
 	private constructor(private readonly itemDurations: ItemDurations) {}
 
 	amountOf({work}: BatchPiece, capacity: BatchCapacity): number {
@@ -85,21 +91,18 @@
 		return this.itemDurations.expectedCallMs(countsOf(pieces), capacity);
 	}
 
-	fullCallMs(pieces: readonly BatchPiece[], capacity: BatchCapacity): number {
-		if (pieces.length === 0) {
-			return fullCallMs(capacity);
-		}
-
-		let sumMs = 0;
-		for (const [stepKey, count] of countsOf(pieces)) {
-			sumMs += count * this.itemDurations.itemMs(stepKey, capacity);
-		}
-
-		return capacity.callMs + (capacity.batchSize * sumMs / pieces.length);
+	fullCallMs(capacity: BatchCapacity): number {
+		return capacity.callMs + (capacity.batchSize * capacity.itemMs * this.itemFactor);
 	}
 
 	record(pieces: readonly BatchPiece[], tookMs: number, slowness: number, capacity: BatchCapacity): void {
-		this.itemDurations.recordCall(countsOf(pieces), tookMs, slowness, capacity);
+		const counts = countsOf(pieces);
+		this.itemDurations.recordCall(counts, tookMs, slowness, capacity);
+		const declaredMs = pieces.length * capacity.itemMs;
+		if (declaredMs > 0) {
+			const learnedMs = this.itemDurations.expectedCallMs(counts, capacity) - capacity.callMs;
+			this.itemFactor += itemFactorWeight * ((learnedMs / declaredMs) - this.itemFactor);
+		}
 	}
 }
 
--- a/src/preparation/common/piece-order.ts
+++ b/src/preparation/common/piece-order.ts
@@ -15,6 +15,12 @@
 const lateOffsetMs = 3_600_000;
 /** Time until a typical piece is due; determines the queue position of work whose wait is only estimated. */
 const typicalDueMs = 500;
+/**
+A step must begin within one full call if it is due within two: it should be done when it is due. In a trial with 2.5 times the
+usual queries beside 16 drafts a second, drafts were done before they were due at a rate of 0.70 with one call, 0.94 with one and a
+half, and 1.00 with two; queries in time went from 0.292 to 0.290. Three calls changed nothing.
+*/
+const urgentCalls = 2;
 /** Groups of `ContentionOrder`, the first to be sent first. */
 const orderGroups = {urgent: 0, inTime: 1, late: 2} as const;
 
@@ -93,7 +99,7 @@
 			return orderGroups.late;
 		}
 
-		return work.dueMs <= nowMs + this.fullCallMs ? orderGroups.urgent : orderGroups.inTime;
+		return work.dueMs <= nowMs + (urgentCalls * this.fullCallMs) ? orderGroups.urgent : orderGroups.inTime;
 	}
 }
 
--- a/src/preparation/common/piece-queue.ts
+++ b/src/preparation/common/piece-queue.ts
@@ -1,12 +1,21 @@
 /** Queue of the pieces of all requests that wait for one pool. */
 import {pieceHandlings, type PieceHandling} from '../../quarantine/common/quarantine.js';
 import type {BatchPiece, FinishedPiece} from './batch-call.js';
-import type {PieceOrder} from './piece-order.js';
+import {isLate, type PieceOrder} from './piece-order.js';
 import {pieceFailures, type BatchWork, type PieceFailure} from './work.js';
 
 /** Returns how pieces of a request may be sent to an upstream, by the content ID of the request. */
 export type HandlingSource = (contentId: string) => PieceHandling;
 
+/** Amounts of work, in the unit of the pool's `CallTimes`. */
+export type QueueRates = {
+	readonly amountOf: (item: BatchPiece) => number;
+	/** Work that the pool completes per millisecond as measured: the turn of late pieces. */
+	readonly latePerMs: number;
+	/** Work that it completes with full calls: no piece that is still in time ends because of a measurement. */
+	readonly fullPerMs: number;
+};
+
 /** Queued pieces in the order in which they are sent. */
 export class PieceQueue {
 	/**
@@ -106,14 +115,15 @@
 	Removes all pieces of steps whose turn would come too late for their callers: a caller that can't be served is notified now,
 	not once its time is over.
 	@param order - the order, which tells the steps that may end.
-	@param rate - amount of work of a piece, and what the pool completes per millisecond.
+	@param rates - amount of work of a piece, and what the pool completes per millisecond.
 	@param nowMs - the current time.
 	*/
-	takeUnservable(order: PieceOrder, {amountOf, perMs}: {readonly amountOf: (item: BatchPiece) => number; readonly perMs: number}, nowMs: number): FinishedPiece[] {
+	takeUnservable(order: PieceOrder, {amountOf, latePerMs, fullPerMs}: QueueRates, nowMs: number): FinishedPiece[] {
 		this.sort(order, nowMs);
 		const unservable = new Set<string>();
 		let ahead = 0;
 		for (const item of this.pieces) {
+			const perMs = isLate(item.work, nowMs) ? latePerMs : fullPerMs;
 			if (order.mayEnd(item, nowMs) && nowMs + (ahead / perMs) > item.work.lateDueMs) {
 				unservable.add(item.work.workId);
 			}
--- a/src/preparation/common/pool-estimates.ts
+++ b/src/preparation/common/pool-estimates.ts
@@ -3,7 +3,7 @@
 import type {UpstreamServer} from '../../deployment/common/upstream-server.js';
 import type {BatchCall} from './batch-call.js';
 import {HoldTime} from './hold-time.js';
-import type {PieceQueue} from './piece-queue.js';
+import type {PieceQueue, QueueRates} from './piece-queue.js';
 import type {PoolUpstreams} from './pool-upstreams.js';
 import {queueLoadOf} from './queue-load.js';
 import type {PoolState} from './quotes.js';
@@ -69,17 +69,26 @@
 	}
 
 	/**
-	Returns an optimistic estimate of the work completed per millisecond, in the unit of the policy's `CallTimes`.
+	Returns the rates by which steps end that can't be served.
 	@param servers - upstreams that accept work.
 	@param capacity - capacity of each upstream.
 	@param nowMs - the current time.
-	@returns the rate; undefined if no upstream is healthy.
+	@returns the rates; undefined if no upstream is healthy.
 	*/
-	optimisticAmountPerMs(servers: readonly UpstreamServer[], capacity: BatchCapacity, nowMs: number): number | undefined {
+	queueRates(servers: readonly UpstreamServer[], capacity: BatchCapacity, nowMs: number): QueueRates | undefined {
 		const {upstreams, policies} = this.sources;
 		const {times} = policies.at(nowMs);
 		const count = upstreams.effectiveCount(upstreams.healthyOf(servers, nowMs), capacity, nowMs);
-		return count === 0 ? undefined : this.throughput.optimisticAmountPerMs(times.amountPerMs(count, capacity), times.typicalAmount(capacity), nowMs);
+		if (count === 0) {
+			return undefined;
+		}
+
+		const fullPerMs = times.amountPerMs(count, capacity);
+		return {
+			amountOf: item => times.amountOf(item, capacity),
+			latePerMs: this.throughput.optimisticAmountPerMs(fullPerMs, times.typicalAmount(capacity), nowMs),
+			fullPerMs,
+		};
 	}
 
 	/**
@@ -100,7 +109,7 @@
 
 		const policy = policies.at(nowMs);
 		const {times} = policy;
-		const order = policy.orderOf(queue.items, capacity);
+		const order = policy.orderOf(capacity);
 		let ahead = 0;
 		for (const item of queue.items) {
 			ahead += order.goesBefore(item, rank, nowMs) ? times.amountOf(item, capacity) : 0;
@@ -111,7 +120,7 @@
 		}
 
 		const perMs = this.throughput.amountPerMs(times.amountPerMs(count, capacity), times.typicalAmount(capacity), nowMs);
-		return (ahead / perMs) + ((firstFreeShare * times.fullCallMs(queue.items, capacity)) / count);
+		return (ahead / perMs) + ((firstFreeShare * times.fullCallMs(capacity)) / count);
 	}
 
 	/**
@@ -124,7 +133,7 @@
 		const {upstreams, queue, policies} = this.sources;
 		const {times} = policies.scheduled;
 		const healthy = upstreams.healthyOf(servers, nowMs);
-		const meanHoldMs = this.holdTime.meanMs(times.fullCallMs(queue.items, capacity));
+		const meanHoldMs = this.holdTime.meanMs(times.fullCallMs(capacity));
 		return {
 			upstreamCount: upstreams.effectiveCount(healthy, capacity, nowMs),
 			capacity,
--- a/src/preparation/common/scheduling-policy.ts
+++ b/src/preparation/common/scheduling-policy.ts
@@ -14,9 +14,9 @@
 	/** Whether the pieces of canceled work in calls that failed are dropped instead of queued again. */
 	readonly dropsCanceled: boolean;
 	/** Returns the order of the queue. */
-	orderOf(queued: readonly BatchPiece[], capacity: BatchCapacity): PieceOrder;
+	orderOf(capacity: BatchCapacity): PieceOrder;
 	/** Returns those of the selected pieces that a call takes. */
-	limitCall(selected: readonly BatchPiece[], conditions: CallConditions, nowMs: number): readonly BatchPiece[];
+	limitCall(selected: readonly BatchPiece[], conditions: () => CallConditions, nowMs: number): readonly BatchPiece[];
 };
 
 /** Policy of pools that are not scheduled. */
@@ -73,12 +73,12 @@
 		return true;
 	}
 
-	orderOf(queued: readonly BatchPiece[], capacity: BatchCapacity): PieceOrder {
-		return ContentionOrder.create(this.times.fullCallMs(queued, capacity));
+	orderOf(capacity: BatchCapacity): PieceOrder {
+		return ContentionOrder.create(this.times.fullCallMs(capacity));
 	}
 
-	limitCall(selected: readonly BatchPiece[], conditions: CallConditions, nowMs: number): readonly BatchPiece[] {
-		return limitCall(selected, conditions, nowMs);
+	limitCall(selected: readonly BatchPiece[], conditions: () => CallConditions, nowMs: number): readonly BatchPiece[] {
+		return limitCall(selected, conditions(), nowMs);
 	}
 }
 
