Bound the work that shortened calls leave to the other upstreams

Cause: calls were shortened for urgent steps as long as the other upstreams could begin the rest before it was due, reckoned with full calls. Their calls were short as well, so a queue built up to the limit of the due times and the pool lost throughput.

Change: a call is shortened only if what is left is at most half a full call of each other upstream.

--- a/src/preparation/common/call-size.test.ts
+++ b/src/preparation/common/call-size.test.ts
@@ -36,6 +36,8 @@
 	t.equal(limitCall([...piecesOf('missed', 2, -100), ...others], conditions, 0).length, 12, 'late even in a call of its own');
 	t.equal(limitCall([...urgent, ...others], {...conditions, otherCount: 0}, 0).length, 12, 'no other upstream');
 	t.equal(limitCall([...urgent, ...others], {...conditions, rest: piecesOf('backlog', 400, 1000)}, 0).length, 12, 'a backlog that the others can\'t begin in time');
+	t.equal(limitCall([...urgent, ...others], {...conditions, rest: piecesOf('soon', 20, 50)}, 0).length, 12, 'work that is due too soon');
+	t.equal(limitCall([...urgent, ...others], {...conditions, rest: piecesOf('backlog', 25, 5000)}, 0).length, 12, 'more than half a call of each other upstream');
 	t.equal(limitCall([...urgent, ...others], {...conditions, rest: piecesOf('late', 400, -1)}, 0).length, 2, 'late work is behind all other');
 	t.equal(limitCall([...urgent, ...others], {...conditions, slowness: 1.2}, 0).length, 2, 'less is in time at a slow upstream');
 	t.equal(limitCall([...urgent, ...others], {...conditions, slowness: 1.5}, 0).length, 12, 'nothing is in time there');
--- a/src/preparation/common/call-size.ts
+++ b/src/preparation/common/call-size.ts
@@ -8,6 +8,14 @@
 const firstFreeShare = 0.5;
 /** The due time of a step, by which it must begin, allows for a call of this share of the maximum number of pieces (`Preparer`). */
 const dueCallShare = 0.5;
+/**
+Work left to the other upstreams, as a share of a full call of each, above which calls are not shortened. Due times alone are no
+sufficient bound, since the calls of the others are short as well. In trials with 12 upstreams and 42 urgent steps a second that
+must begin within 50 ms, beside 300 others a second, the pool was used to 0.82 and served 0.80 of the others without a bound; with
+a whole call it was used to 0.94, with half of one to 0.96, and served all others. Beside 150 to 230 others a second, 0.62 to 0.89
+of the urgent steps were in time with half a call, and 0.06 to 0.17 where no call was shortened.
+*/
+const maxLeftCalls = 0.5;
 
 /** Conditions of a call. */
 export type CallConditions = {
@@ -25,7 +33,7 @@
 
 /**
 Removes the last steps from a call if an earlier one would otherwise be late and the other upstreams can begin everything else in
-time. In all other cases the call keeps all selected pieces: a call with 2 of 12 pieces takes 240 ms instead of 370 ms, so short
+time and without a backlog. In all other cases the call keeps all selected pieces: a call with 2 of 12 pieces takes 240 ms instead of 370 ms, so short
 calls cost a pool with a backlog most of its throughput.
 @param selected - the pieces, most urgent first.
 @param conditions - conditions of the call and the pool.
@@ -75,5 +83,5 @@
 		}
 	}
 
-	return true;
+	return ahead <= maxLeftCalls * perMs * times.fullCallMs(capacity);
 }
--- a/src/preparation/common/scheduled-pool.test.ts
+++ b/src/preparation/common/scheduled-pool.test.ts
@@ -214,6 +214,26 @@
 	t.equal(played.uselessCount, 0);
 });
 
+t.test('urgent steps that have no time to wait: calls are shortened for them, but not at the cost of the pool', async t => {
+	const tight: Kind = {
+		name: 'tight', rank: 0, perS: () => 42, pieces: 3, dueInMs: 20, lateDueInMs: 3000,
+	};
+	for (const [crowdPerS, minTightShare, minUsedShare] of [[150, 0.8, 0], [300, 0, 0.9]] as const) {
+		const crowd: Kind = {
+			name: 'crowd', rank: 2, perS: () => crowdPerS, pieces: 1, dueInMs: 900, lateDueInMs: 4500,
+		};
+		const played = play({
+			kinds: [tight, crowd], capacity: pool1, upstreams: 12, untilMs: 10_000,
+		});
+		const tightShare = played.inTimeShare('tight', 0, 8000);
+		t.ok(tightShare >= minTightShare, `urgent ones in time beside ${crowdPerS} others a second: ${percent(tightShare)}`);
+		const crowdShare = played.inTimeShare('crowd', 0, 8000);
+		t.ok(crowdShare >= 0.99, `others in time: ${percent(crowdShare)}`);
+		const usedShare = played.usedShare(1500, 8000);
+		t.ok(usedShare >= minUsedShare, `used: ${percent(usedShare)}`);
+	}
+});
+
 t.test('items that take 0.3 of the declared time: the pool learns it and its waits and loads follow', async t => {
 	const quick: Kind = {
 		name: 'quick', rank: 2, perS: () => 420, pieces: 1, dueInMs: 900, lateDueInMs: 4000, itemFactor: 0.3,
