Admit chains of steps by the quotes of their pools

Cause: hosts add up the reported waits of the pools of a chain and do not see late backlogs, so requests are refused that would fit, and steps are begun for requests whose last pool has no room in time.

Change: requests with a step in a scheduled pool ask a QuoteSource. A pure decision over the whole chain admits them in time, admits them late behind all other work, or refuses them with the binding pool and a delay. They stay open while they wait; they are dropped if the caller leaves and sent to another host if this one refuses what is unstarted. The work that they submit names its reservation, and a request that ends early forgoes what it did not submit. Steps of requests admitted late count as late from the start, and steps with a quote are not failed before the quoted time. All other requests are decided as before. Refusals are logged and counted with their reason, and explained by `pumicehatch explain`.

Until schedulers answer, the composition uses a source without quotes.

--- a/src/cli/common/explain.test.ts
+++ b/src/cli/common/explain.test.ts
@@ -1,4 +1,5 @@
 import t from 'tap';
+import {requestLogMessages} from '../../request/common/request-log-messages.js';
 import {explainRequest} from './explain.js';
 import {readLogLines} from './log-lines.js';
 import {countVerdicts} from './verdict-counts.js';
@@ -44,16 +45,36 @@
 		tookMs: 2000, preparedMs: 0, firstMs: 0,
 		attempts: '',
 	},
+	{
+		time: at(25), part: 'batches', message: 'Pieces wait for a pool.', host: 'a', pool: 'deep', servers: 11, waiting: 900, oldestMs: 1700,
+	},
+	{
+		time: at(26), part: 'requests', message: requestLogMessages.refusedByQuotes,
+		host: 'a', request: 'r7', route: 'ask', workspace: 'buyers', rank: 2, reason: 'noCapacity', pool: 'deep',
+		predictedMs: 4100, targetMs: 3000, retryAfterMs: 1990, sinceFirstTryMs: 0,
+	},
+	{
+		time: at(27), part: 'requests', message: requestLogMessages.refusedByQuotes,
+		host: 'a', request: 'r8', route: 'ask', workspace: '', rank: 2, reason: 'overTarget', pool: 'deep',
+		predictedMs: 3200, latePredictedMs: 6100, targetMs: 3000, retryAfterMs: 640, sinceFirstTryMs: 0,
+	},
+	{
+		time: at(29), part: 'requests', message: requestLogMessages.ended,
+		host: 'b', request: 'r9', route: 'ask',
+		outcome: 'completed', status: 200,
+		tookMs: 4500, preparedMs: 3900, firstMs: 4200, targetMs: 3000, latePredictedMs: 4400,
+		attempts: 's1 first completed 3900+600',
+	},
 ];
 const {lines, unreadCount, droppedCount} = readLogLines([
-	...rows.toReversed().map((row, index) => index === 2 ? `12.3 entry-b ${JSON.stringify(row)}` : JSON.stringify(row)),
+	...rows.toReversed().map((row, index) => index === 6 ? `12.3 entry-b ${JSON.stringify(row)}` : JSON.stringify(row)),
 	'not a line',
 	'{"level":"warn","part":"logs","message":"Lines were dropped.","count":3}',
 	'',
 ].join('\n'));
 
 t.test('lines of all hosts are ordered by time; unreadable and dropped lines are counted', async t => {
-	t.same(lines.map(({request}) => request), [undefined, 'r1', 'r2', 'r3', 'r4', 'r5', 'r6']);
+	t.same(lines.map(({request}) => request), [undefined, 'r1', 'r2', 'r3', 'r4', 'r5', 'r6', undefined, 'r7', 'r8', 'r9']);
 	t.same([unreadCount, droppedCount], [1, 3]);
 });
 
@@ -64,6 +85,23 @@
 	t.equal(around.length, 1);
 });
 
+/*
+Guards against a refusal by quotes that is explained as missing log lines, or without the pool that an operator has to look at.
+*/
+t.test('a refusal by quotes is explained by the binding pool, the predicted times, the caller\'s share and what it was told', async t => {
+	const [noCapacity, overTarget] = ['r7', 'r8'].map(id => explainRequest(id, lines));
+	t.same([noCapacity.verdict, overTarget.verdict], ['refused', 'refused']);
+	t.match(noCapacity.cause, /demand for pool deep was above its capacity: predicted 4100 ms of a target of 3000 ms, there was no spare capacity/v);
+	t.match(noCapacity.cause, /workspace buyers, rank 2; the caller was asked to retry after 1990 ms; pool deep had 900 pieces waiting for 11 servers/v);
+	t.match(overTarget.cause, /the queue of pool deep was too long: predicted 3200 ms of a target of 3000 ms, behind all other work 6100 ms/v);
+	t.match(overTarget.cause, /workspace none, rank 2; the caller was asked to retry after 640 ms/v);
+});
+
+t.test('a late response of a request that was admitted late is told apart from one that became late', async t => {
+	t.match(explainRequest('r9', lines), {verdict: 'late', cause: /it was admitted behind all other work, predicted 4400 ms/v});
+	t.notMatch(explainRequest('r2', lines).cause, /admitted behind/v);
+});
+
 t.test('late, cut, served and refused requests and those whose caller left are distinguished', async t => {
 	const explanations = ['r2', 'r3', 'r4', 'r5', 'r6'].map(id => explainRequest(id, lines));
 	t.same(explanations.map(({verdict}) => verdict), ['late', 'cut', 'served', 'refused', 'callerLeft']);
@@ -79,6 +117,6 @@
 
 t.test('verdicts are counted by host and route', async t => {
 	t.same(countVerdicts(lines).map(({verdict, host, route, count}) => `${count} ${verdict} ${host} ${route}`).toSorted((a, b) => a < b ? -1 : 1), [
-		'1 callerLeft a quote', '1 cut b quote', '1 late b quote', '1 refused a 401', '1 refused a quote', '1 served a look',
+		'1 callerLeft a quote', '1 cut b quote', '1 late b ask', '1 late b quote', '1 refused a 401', '1 refused a quote', '1 served a look', '2 refused a ask',
 	]);
 });
--- a/src/cli/common/verdicts.ts
+++ b/src/cli/common/verdicts.ts
@@ -1,4 +1,5 @@
 /** Determines the outcome of a request from its last log line, which is recognized by the messages that the components log. */
+import {chainRefusals} from '../../preparation/common/chain-admission.js';
 import {requestLogMessages} from '../../request/common/request-log-messages.js';
 import {numberOf, textOf, type LogLine} from './log-lines.js';
 
@@ -17,13 +18,13 @@
 /** A verdict with its cause. */
 export type RequestVerdict = {readonly verdict: Verdict; readonly cause: string};
 
-const {ended, refusedForPredictedWait, refusedOnAdmission, poolBacklog} = requestLogMessages;
+const {ended, refusedForPredictedWait, refusedByQuotes, refusedOnAdmission, poolBacklog} = requestLogMessages;
 /** Lowest HTTP status that counts as a failure of the upstream. */
 const minServerErrorStatus = 500;
 
 /** Checks whether a line states the outcome of a request. */
 export function isFinal({message}: LogLine): boolean {
-	return message === ended || message === refusedForPredictedWait || message === refusedOnAdmission;
+	return message === ended || message === refusedForPredictedWait || message === refusedByQuotes || message === refusedOnAdmission;
 }
 
 /**
@@ -40,6 +41,10 @@
 			return {verdict: verdicts.refused, cause: `the queues of its steps were too long: ${prediction}; ${retryAdvice}${describeLongestQueue(around)}`};
 		}
 
+		case refusedByQuotes: {
+			return {verdict: verdicts.refused, cause: describeQuotes(last) + describeLongestQueue(around)};
+		}
+
 		case refusedOnAdmission: {
 			const declaration = `declaration ${textOf(last, 'version') || 'none'}`;
 			return {verdict: verdicts.refused, cause: `${textOf(last, 'reason')} (status ${textOf(last, 'status')}, ${declaration})`};
@@ -51,10 +56,28 @@
 	}
 }
 
+/** Describes why the quotes of the pools did not allow a request, and what its caller was told. */
+function describeQuotes(line: LogLine): string {
+	const pool = `pool ${textOf(line, 'pool')}`;
+	const latePredictedMs = textOf(line, 'latePredictedMs');
+	const late = latePredictedMs === '' ? 'there was no spare capacity to serve it late' : `behind all other work ${latePredictedMs} ms, too late for its caller`;
+	const cause = textOf(line, 'reason') === chainRefusals.noCapacity ? `demand for ${pool} was above its capacity` : `the queue of ${pool} was too long`;
+	const sender = `workspace ${textOf(line, 'workspace') || 'none'}, rank ${textOf(line, 'rank')}`;
+	const retryAdvice = `the caller was asked to retry after ${textOf(line, 'retryAfterMs')} ms`;
+	return `${cause}: predicted ${textOf(line, 'predictedMs')} ms of a target of ${textOf(line, 'targetMs')} ms, ${late}; ${sender}; ${retryAdvice}`;
+}
+
+/** Describes that a request was admitted although it was predicted to miss its target; empty for all others. */
+function describeLateAdmission(line: LogLine): string {
+	const latePredictedMs = textOf(line, 'latePredictedMs');
+	return latePredictedMs === '' ? '' : `; it was admitted behind all other work, predicted ${latePredictedMs} ms`;
+}
+
 /** Determines the verdict on a request that was admitted. */
 function verdictOfEnded(last: LogLine, around: readonly LogLine[]): RequestVerdict {
 	if (textOf(last, 'code') === 'callerGone') {
-		return {verdict: verdicts.callerLeft, cause: `its caller disconnected after ${textOf(last, 'tookMs')} ms, ${describeTimeSplit(last)}${describeLongestQueue(around)}`};
+		const cause = `its caller disconnected after ${textOf(last, 'tookMs')} ms, ${describeTimeSplit(last)}`;
+		return {verdict: verdicts.callerLeft, cause: cause + describeLateAdmission(last) + describeLongestQueue(around)};
 	}
 
 	const cause = `${textOf(last, 'reason')}; ${textOf(last, 'attempts') || 'nothing was sent'}`;
@@ -85,7 +108,7 @@
 	const responseTimeMs = responseTimeOf(last);
 	const targetMs = numberOf(last, 'targetMs');
 	return targetMs > 0 && responseTimeMs > targetMs
-		? {verdict: verdicts.late, cause: `${responseTimeMs} ms of a target of ${targetMs} ms, ${describeTimeSplit(last)}${describeLongestQueue(around)}`}
+		? {verdict: verdicts.late, cause: `${responseTimeMs} ms of a target of ${targetMs} ms, ${describeTimeSplit(last)}${describeLateAdmission(last)}${describeLongestQueue(around)}`}
 		: {verdict: verdicts.served, cause: `served within its target: ${attempts}`};
 }
 
--- a/src/daemon/node/compose-direct-entry.ts
+++ b/src/daemon/node/compose-direct-entry.ts
@@ -27,6 +27,7 @@
 import {PeerMesh, peerMeshToken} from '../../peers/node/peer-mesh.js';
 import {StateExchange} from '../../peers/node/state-exchange.js';
 import {BatchHandler, batchHandlerToken} from '../../preparation/node/batch-handler.js';
+import type {QuoteSource} from '../../preparation/common/quotes.js';
 import {StepTimes} from '../../preparation/common/step-times.js';
 import {BatchPool} from '../../preparation/node/batch-pool.js';
 import {Preparer} from '../../preparation/node/preparer.js';
@@ -208,8 +209,10 @@
 
 	const stepTimes = StepTimes.create();
 	const preparerOptions = () => ({
-		stepTimes, handler: get(batchHandlerToken), tracker: get(deploymentTrackerToken), registry: get(serverRegistryToken), clock, log: logOf('preparation'),
+		stepTimes, quotes, handler: get(batchHandlerToken), tracker: get(deploymentTrackerToken), registry: get(serverRegistryToken), clock, log: logOf('preparation'),
 	});
+	// Replaced once schedulers answer asks; until then all requests are decided by the reported waits.
+	const quotes: QuoteSource = {ask: async () => undefined, forgo: () => undefined};
 	const makeRunner = () => {
 		const runner = lifecycle.register(RequestRunner.create(get(linksToken), get(routerToken), clock));
 		get(quarantineToken).onDidBar(() => {
@@ -225,6 +228,7 @@
 		protocol: ports.callers,
 		makePreparer: request => Preparer.create(preparerOptions(), request),
 		waits: get(batchHandlerToken),
+		quotes,
 		predictRun: (stage, nowMs) => get(routerToken).predictRun(stage, nowMs),
 		standingOf: plan => get(routerToken).standingOf(plan),
 		isOpen: (pool, nowMs) => get(availabilityToken).isOpen(pool, nowMs),
--- /dev/null
+++ b/src/direct/node/ingress.test.ts
@@ -0,0 +1,258 @@
+import {
+	request as httpRequest, type ClientRequest, type IncomingMessage, type Server, type ServerResponse,
+} from 'node:http';
+import {setImmediate} from 'node:timers/promises';
+import t, {type Test} from 'tap';
+import {silentLoggers} from '../../base/common/logger.js';
+import {noMetrics} from '../../base/common/metrics.js';
+import {SystemClock} from '../../base/node/system-clock.js';
+import {routeKinds, type Deployment} from '../../deployment/common/declaration.js';
+import {DeploymentTracker} from '../../deployment/common/deployment-tracker.js';
+import type {Quote} from '../../preparation/common/quotes.js';
+import type {Preparer, PreparationRequest} from '../../preparation/node/preparer.js';
+import {outcomes, type RequestPlan, type RequestResult} from '../../request/common/request-plan.js';
+import type {RequestHooks, RequestRunner} from '../../request/node/request-runner.js';
+import type {DirectLinks} from './direct-links.js';
+import {Ingress} from './ingress.js';
+
+const log = silentLoggers.for('test');
+const anyPort = {address: '127.0.0.1', port: 0};
+const idle: Quote = {aheadMs: 0, callMs: 30, lateAheadMs: 0};
+const deployment: Deployment = {
+	version: 1,
+	routes: [{
+		name: 'query', hostName: 'h', pathPrefix: '/', kind: routeKinds.stream, timeoutMs: 60_000, targetMs: 20_000, rank: 0, targets: [{pool: 'model', weight: 1}],
+		maxAttempts: 1, steps: [{pool: 'a', after: [], resultBytes: 1}, {pool: 'a', after: [0], resultBytes: 1}], isPublic: true, hasAffinity: false, isResumable: false,
+	}],
+	pools: [{name: 'model', maxConnections: 1}, {
+		name: 'a', maxConnections: 1, batch: {
+			slots: 1, batchSize: 10, callMs: 20, itemMs: 1, roomBytes: 1, resultTtlMs: 1,
+		},
+	}],
+	limits: {
+		maxHeaderBytes: 10_000, maxBodyBytes: 1000, headerTimeoutMs: 3000, idleTimeoutMs: 3000,
+	},
+};
+
+/** An ingress whose quotes and results of requests are given by the test. */
+class IngressHarness {
+	static async create(t: Test): Promise<IngressHarness> {
+		const harness = new IngressHarness();
+		const {callers} = await harness.ingress.listen(anyPort, anyPort);
+		harness.port = callers.port;
+		t.teardown(() => {
+			harness.ingress.dispose();
+		});
+		return harness;
+	}
+
+	/** Answers to the asks so far, in their order. */
+	readonly answers: Array<(quotes: ReadonlyMap<string, Quote> | undefined) => void> = [];
+	readonly askedIds: string[] = [];
+	readonly forgone: Array<readonly [string, readonly string[]]> = [];
+	/** Requests that were started, with the callbacks to their callers. */
+	readonly started: Array<{readonly plan: RequestPlan; readonly hooks: RequestHooks}> = [];
+	readonly prepared: PreparationRequest[] = [];
+	readonly tracker = DeploymentTracker.create(log);
+	reservedCount = 0;
+	readonly ingress: Ingress;
+	/** Number of responses whose connection was closed. */
+	closedCount = 0;
+	private port = 0;
+
+	private constructor() {
+		const links: Pick<DirectLinks, 'register'> = {register: () => ({dispose: () => undefined})};
+		const preparer: Pick<Preparer, 'end'> = {end: () => undefined};
+		const runner: Pick<RequestRunner, 'start' | 'refuseUnstarted'> = {
+			start: (plan, hooks) => {
+				this.started.push({plan, hooks});
+				return () => undefined;
+			},
+			refuseUnstarted: () => undefined,
+		};
+		this.tracker.offer(deployment, 'store');
+		this.ingress = Ingress.create({
+			deploymentTracker: this.tracker,
+			links: links as DirectLinks,
+			runner: runner as RequestRunner,
+			protocol: {
+				read: headers => ({
+					requestId: headers.find(({name}) => name === 'x-id')?.value ?? '',
+					remainingMs: undefined, key: undefined, forwardedHeaders: [], promptParts: [], pieceCounts: [1, 1], pieceKey: 'k',
+					resumeAfter: undefined, problem: undefined,
+				}),
+			},
+			makePreparer: request => {
+				this.prepared.push(request);
+				return preparer as Preparer;
+			},
+			predictRun: () => ({hall: '', firstTokenMs: 10}),
+			waits: {waitMs: () => 0},
+			quotes: {
+				ask: async ([{requestId}]) => new Promise(resolve => {
+					this.askedIds.push(requestId);
+					this.answers.push(resolve);
+				}),
+				forgo: (requestId, pools) => {
+					this.forgone.push([requestId, pools]);
+				},
+			},
+			standingOf: () => ({type: 'clear'}),
+			unavailabilityOf: () => undefined,
+			isOpen: () => true,
+			admission: {
+				admit: () => undefined,
+				reserve: () => {
+					this.reservedCount++;
+					return {
+						dispose: () => {
+							this.reservedCount--;
+						},
+					};
+				},
+			},
+			clock: SystemClock.create(),
+			random: {next: () => 0, int: () => 0},
+			log,
+			metrics: noMetrics,
+			notReadyReason: () => undefined,
+			isLeaving: () => false,
+		});
+		const {callers} = this.ingress as unknown as {readonly callers: Server};
+		callers.on('request', (_request, response: ServerResponse) => {
+			response.on('close', () => {
+				this.closedCount++;
+			});
+		});
+	}
+
+	/** Sends a request and returns when it waits for its quotes. */
+	async sendWaiting(id: string): Promise<{readonly call: ClientRequest; readonly response: Promise<IncomingMessage>}> {
+		const count = this.answers.length;
+		const call = httpRequest({
+			host: anyPort.address, port: this.port, path: '/', headers: {host: 'h', 'x-id': id}, agent: false,
+		});
+		const response = new Promise<IncomingMessage>(resolve => {
+			call.on('response', received => {
+				received.resume();
+				resolve(received);
+			});
+		});
+		call.on('error', () => undefined);
+		call.end();
+		await this.waitUntil(() => this.answers.length > count);
+		return {call, response};
+	}
+
+	async waitUntil(isTrue: () => boolean): Promise<void> {
+		while (!isTrue()) {
+			await setImmediate();
+		}
+	}
+
+	/** Ends a started request for its caller. */
+	finish(index: number): void {
+		const result: Partial<RequestResult> = {
+			outcome: outcomes.refused, message: 'done', tookMs: 1, stages: [],
+		};
+		this.started[index].hooks.finish(result as RequestResult);
+	}
+}
+
+/*
+Guards against a stopping host that exits while requests wait for quotes, and against a count that never returns to zero.
+*/
+t.test('a request is open while it waits for quotes, and ends exactly once', async t => {
+	const harness = await IngressHarness.create(t);
+	const {response} = await harness.sendWaiting('r');
+	await setImmediate();
+	t.equal(harness.ingress.openCount, 1);
+	t.equal(harness.reservedCount, 1, 'its send to a bounded pool is reserved before others are admitted');
+	harness.answers[0](new Map([['a', idle]]));
+	await harness.waitUntil(() => harness.started.length === 1);
+	t.equal(harness.ingress.openCount, 1);
+	t.match(harness.prepared, [{requestId: 'r', scheduling: {workspace: '', latePredictedMs: undefined}}]);
+	harness.finish(0);
+	t.equal((await response).statusCode, 503);
+	t.same([harness.ingress.openCount, harness.reservedCount, harness.forgone.length], [0, 0, 0]);
+});
+
+t.test('a request that is refused by quotes ends with the delay that it was given', async t => {
+	const harness = await IngressHarness.create(t);
+	const {response} = await harness.sendWaiting('r');
+	harness.answers[0](new Map([['a', {...idle, aheadMs: 50_000, lateAheadMs: undefined}]]));
+	const {statusCode, headers} = await response;
+	t.equal(statusCode, 503);
+	t.ok(Number(headers['retry-after']) > 19 && Number(headers['retry-after']) <= 20, String(headers['retry-after']));
+	t.same([harness.ingress.openCount, harness.reservedCount, harness.started.length], [0, 0, 0]);
+	t.same(harness.forgone, [['r', ['a']]]);
+});
+
+/*
+Guards against work for a caller that left before its request was admitted: nothing would cancel it, as the connection's close has
+passed already.
+*/
+t.test('a request whose caller leaves while it waits for quotes is not started', async t => {
+	const harness = await IngressHarness.create(t);
+	const {call} = await harness.sendWaiting('r');
+	const {call: other} = await harness.sendWaiting('other');
+	call.destroy();
+	other.destroy();
+	await harness.waitUntil(() => harness.closedCount === 2);
+	harness.answers[0](new Map([['a', idle]]));
+	harness.answers[1](undefined);
+	await harness.waitUntil(() => harness.ingress.openCount === 0);
+	t.same([harness.started.length, harness.reservedCount], [0, 0]);
+	t.same(harness.forgone, [['r', ['a']]], 'nothing is reserved without quotes');
+});
+
+/*
+Guards against a request that starts after the host has refused all others and is cut off when the process exits.
+*/
+t.test('a request that waits for quotes when the host refuses what is unstarted is sent to another host', async t => {
+	const harness = await IngressHarness.create(t);
+	const {response} = await harness.sendWaiting('r');
+	harness.ingress.stopAccepting();
+	harness.ingress.refuseUnstarted();
+	harness.answers[0](new Map([['a', idle]]));
+	t.equal((await response).statusCode, 503);
+	t.same([harness.started.length, harness.ingress.openCount, harness.reservedCount], [0, 0, 0]);
+	t.same(harness.forgone, [['r', ['a']]]);
+});
+
+/*
+Guards against a reservation that the second request replaces, and against an open request that is forgotten when the first ends.
+*/
+t.test('requests with the same ID of their callers that wait at the same time have different IDs', async t => {
+	const harness = await IngressHarness.create(t);
+	const responses = [await harness.sendWaiting('r'), await harness.sendWaiting('r')];
+	t.same(harness.askedIds, ['r', 'r~1']);
+	t.equal(harness.ingress.openCount, 2);
+	for (const answer of harness.answers) {
+		answer(undefined);
+	}
+
+	await harness.waitUntil(() => harness.started.length === 2);
+	harness.finish(0);
+	t.equal(harness.ingress.openCount, 1);
+	harness.finish(1);
+	t.equal(harness.ingress.openCount, 0);
+	await Promise.all(responses.map(async ({response}) => response));
+});
+
+/*
+Guards against a request that is admitted by one declaration and prepared by another, in which its route may have other steps.
+*/
+t.test('a request that waits for quotes while the declaration changes keeps the route under which it was received', async t => {
+	const harness = await IngressHarness.create(t);
+	const {response} = await harness.sendWaiting('r');
+	harness.tracker.offer({
+		...deployment, version: 2, routes: [], pools: [],
+	}, 'store');
+	harness.answers[0](new Map([['a', idle]]));
+	await harness.waitUntil(() => harness.started.length === 1);
+	t.match(harness.prepared, [{route: {name: 'query'}, scheduling: {pools: new Set(['a'])}}]);
+	harness.finish(0);
+	await response;
+	t.equal(harness.ingress.openCount, 0);
+});
--- a/src/direct/node/ingress.ts
+++ b/src/direct/node/ingress.ts
@@ -3,16 +3,13 @@
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
 import type {InjectionToken} from 'tsyringe';
-import {setRepeating, type Clock} from '../../base/common/clock.js';
+import {setRepeating} from '../../base/common/clock.js';
 import {DisposableStore, type Disposable} from '../../base/common/disposable.js';
 import {messageOf} from '../../base/common/errors.js';
-import type {Logger} from '../../base/common/logger.js';
-import type {Metrics} from '../../base/common/metrics.js';
-import type {Random} from '../../base/common/random.js';
 import type {CallerLimits} from '../../deployment/common/declaration.js';
 import type {DeploymentTracker} from '../../deployment/common/deployment-tracker.js';
-import {admit, type WaitEstimator} from '../../preparation/common/admission.js';
-import type {Preparer, PreparationRequest} from '../../preparation/node/preparer.js';
+import type {PoolAsk} from '../../preparation/common/quotes.js';
+import type {Preparer, PreparationRequest, RequestScheduling} from '../../preparation/node/preparer.js';
 import {contentIdOf} from '../../quarantine/common/request-content.js';
 import {requestLogMessages} from '../../request/common/request-log-messages.js';
 import {otherHostRetryAfterMs, type RequestPlan, type StagePlan} from '../../request/common/request-plan.js';
@@ -31,6 +28,9 @@
 	hostStatuses, rankOf, resolveRequest, type ResolvedRequest, type Refusal,
 } from './resolve-request.js';
 import {ServedRequest} from './served-request.js';
+import {
+	StepAdmission, type StepAdmissionOptions, type StepRequest, type StepVerdict,
+} from './step-admission.js';
 
 /** Maximum size of a head that is read at all; the declaration's own limit is checked in addition. */
 const maxHeadBytes = 64 * 1024;
@@ -38,7 +38,7 @@
 const connectionCheckMs = 1000;
 
 /** Dependencies of the ingress. */
-export type IngressOptions = AdmissionChecks & {
+export type IngressOptions = AdmissionChecks & StepAdmissionOptions & {
 	readonly deploymentTracker: DeploymentTracker;
 	readonly links: DirectLinks;
 	readonly runner: RequestRunner;
@@ -46,12 +46,6 @@
 	readonly makePreparer: (request: PreparationRequest) => Preparer;
 	/** Predicts where a request with a shared prompt part will most likely run. */
 	readonly predictRun: (stage: StagePlan, nowMs: number) => RunPrediction;
-	/** Waiting times of the queues for preparation steps. */
-	readonly waits: WaitEstimator;
-	readonly clock: Clock;
-	readonly random: Random;
-	readonly log: Logger;
-	readonly metrics: Metrics;
 	/** Returns why this host should receive no new connections, or undefined if it may receive them. */
 	readonly notReadyReason: () => string | undefined;
 	/** Whether the host is leaving, so that responses ask callers to use another connection next time. */
@@ -68,6 +62,17 @@
 	readonly sinceFirstTryMs: number;
 };
 
+/** A request that may run, with what was found out about it on admission. */
+type AdmittedRequest = {
+	readonly received: ReceivedRequest;
+	readonly plan: RequestPlan;
+	readonly prediction: RunPrediction;
+	/** Absent if no step of the request runs in a scheduled pool. */
+	readonly scheduling?: RequestScheduling | undefined;
+	/** Reservation of a send, if one was made before the request was admitted. */
+	readonly reservation?: Disposable;
+};
+
 export const ingressToken: InjectionToken<Ingress> = Symbol('Ingress');
 
 /** Accepts callers' requests and the load balancer's readiness checks. */
@@ -82,12 +87,15 @@
 	/** Ids of the requests that this host is serving, by which messages are matched to their request. */
 	private readonly openIds = new Set<string>();
 	private readonly firstTryEstimator = FirstTryEstimator.create();
+	private readonly stepAdmission: StepAdmission;
 	private serial = 0;
 	private hasStoppedAccepting = false;
+	private isRefusingUnstarted = false;
 	/** Number of requests that are being received or checked. */
 	private receivingCount = 0;
 
 	private constructor(private readonly options: IngressOptions) {
+		this.stepAdmission = StepAdmission.create(options);
 		this.callers = createServer({
 			maxHeaderSize: maxHeadBytes, noDelay: true, requestTimeout: 0, connectionsCheckingInterval: connectionCheckMs,
 		}, (request, response) => {
@@ -137,6 +145,7 @@
 
 	/** Refuses requests that have not been sent to an upstream, as the process is about to exit. */
 	refuseUnstarted(): void {
+		this.isRefusingUnstarted = true;
 		this.options.runner.refuseUnstarted();
 	}
 
@@ -173,9 +182,7 @@
 		}
 
 		if (this.hasStoppedAccepting) {
-			this.refuse(response, {
-				requestId: '', status: hostStatuses.unavailable, reason: 'this host is about to stop', retryAfterMs: otherHostRetryAfterMs,
-			});
+			this.refuse(response, stoppingRefusal(''));
 			return;
 		}
 
@@ -213,8 +220,8 @@
 	}
 
 	private start(received: ReceivedRequest): void {
-		const {request, response, callerRequest, receivedMs} = received;
-		const {links, runner, predictRun, clock, log, metrics} = this.options;
+		const {response, receivedMs} = received;
+		const {predictRun, metrics} = this.options;
 		const plan = this.planOf(received);
 		const refusal = admissionRefusal(received, plan, this.options, receivedMs);
 		if (refusal) {
@@ -227,26 +234,81 @@
 		}
 
 		const prediction = predictRun(plan.stages[0], receivedMs);
-		if (plan.needsPreparation && !this.admitSteps(received, prediction.firstTokenMs)) {
+		if (!plan.needsPreparation) {
+			this.run({received, plan, prediction});
 			return;
 		}
 
-		const preparer = plan.needsPreparation ? this.preparerFor(received, plan, prediction) : undefined;
-		const reservation = plan.needsPreparation ? this.options.admission.reserve(plan.stages[0].pool) : undefined;
+		const {requestId, deadlineMs} = plan;
+		const stepRequest: StepRequest = {
+			...received, requestId, deadlineMs, firstTokenMs: prediction.firstTokenMs,
+		};
+		const asks = this.stepAdmission.asksOf(stepRequest);
+		if (asks.length > 0) {
+			void this.startByQuotes({received, plan, prediction}, stepRequest, asks);
+			return;
+		}
+
+		this.startIfAdmitted({received, plan, prediction}, this.stepAdmission.admitByWaits(stepRequest));
+	}
+
+	/**
+	Starts a request once the schedulers of its pools have answered. It is open meanwhile, and its send to a bounded pool is
+	reserved, as other requests are admitted before the answer is there.
+	*/
+	private async startByQuotes(admitted: AdmittedRequest, stepRequest: StepRequest, asks: readonly PoolAsk[]): Promise<void> {
+		const {received: {response}, plan: {requestId, stages: [{pool}]}} = admitted;
+		const reservation = this.options.admission.reserve(pool);
+		this.openIds.add(requestId);
+		let isStarted = false;
+		try {
+			const verdict = await this.stepAdmission.admitByQuotes(stepRequest, asks, () => response.destroyed || this.isRefusingUnstarted);
+			if (verdict) {
+				isStarted = this.startIfAdmitted({...admitted, reservation}, verdict);
+			} else if (!response.destroyed) {
+				this.refuse(response, stoppingRefusal(stepRequest.callerRequest.requestId));
+			}
+		} catch (error) {
+			this.options.log.error('Could not serve a request.', {reason: messageOf(error)});
+			response.destroy();
+		} finally {
+			if (!isStarted) {
+				reservation.dispose();
+				this.openIds.delete(requestId);
+			}
+		}
+	}
+
+	/** @returns whether the request was started; otherwise it was refused. */
+	private startIfAdmitted(admitted: AdmittedRequest, verdict: StepVerdict): boolean {
+		if (!verdict.isAdmitted) {
+			sendHostResponse(admitted.received.response, hostStatuses.unavailable, 'Not run: the queues before it are too long', verdict.retryAfterMs);
+			return false;
+		}
+
+		this.run({...admitted, scheduling: verdict.scheduling});
+		return true;
+	}
+
+	private run(admitted: AdmittedRequest): void {
+		const {received, plan, scheduling, reservation} = admitted;
+		const {request, response, callerRequest} = received;
+		const {links, runner, clock, log, metrics} = this.options;
 		this.openIds.add(plan.requestId);
 		ServedRequest.create({
 			plan,
 			callerRequest,
 			response,
 			links,
-			preparer,
-			reservation,
+			preparer: plan.needsPreparation ? this.preparerFor(admitted) : undefined,
+			reservation: reservation ?? (plan.needsPreparation ? this.options.admission.reserve(plan.stages[0].pool) : undefined),
 			clock,
 			log,
 			metrics,
 			isHead: request.method === 'HEAD',
 			targetMs: received.route.targetMs,
 			sinceFirstTryMs: Math.round(received.sinceFirstTryMs),
+			latePredictedMs: scheduling?.latePredictedMs,
 			onEnded: () => {
 				this.openIds.delete(plan.requestId);
 			},
@@ -272,37 +334,9 @@
 		}, receivedMs);
 	}
 
-	/**
-	Decides whether the preparation steps of a request can still complete in time, and refuses it if not.
-	@returns whether the request was admitted.
-	*/
-	private admitSteps(received: ReceivedRequest, firstTokenMs: number): boolean {
-		const {response, index, route, callerRequest} = received;
-		const {random, waits, log, metrics} = this.options;
-		const rank = rankOf(received);
-		const admission = admit({
-			index, route, pieceCounts: callerRequest.pieceCounts, rank, firstTokenMs, sinceFirstTryMs: received.sinceFirstTryMs, jitter: random.next(),
-		}, waits);
-		if (admission.isAdmitted) {
-			return true;
-		}
-
-		const {predictedMs, retryAfterMs} = admission;
-		log.info(requestLogMessages.refusedForPredictedWait, {
-			request: callerRequest.requestId,
-			route: route.name,
-			rank,
-			predictedMs: Math.round(predictedMs),
-			targetMs: route.targetMs,
-			retryAfterMs: Math.round(retryAfterMs),
-			sinceFirstTryMs: Math.round(received.sinceFirstTryMs),
-		});
-		metrics.increment('requests.refusedAtDoor', 1, {route: route.name});
-		sendHostResponse(response, hostStatuses.unavailable, 'Not run: the queues before it are too long', retryAfterMs);
-		return false;
-	}
-
-	private preparerFor(received: ReceivedRequest, {requestId, workspace, http, deadlineMs}: RequestPlan, {hall, firstTokenMs}: RunPrediction): Preparer {
+	private preparerFor({received, plan, prediction, scheduling}: AdmittedRequest): Preparer {
+		const {requestId, workspace, http, deadlineMs} = plan;
+		const {hall, firstTokenMs} = prediction;
 		const {route, callerRequest, receivedMs, sinceFirstTryMs} = received;
 		return this.options.makePreparer({
 			requestId,
@@ -318,6 +352,7 @@
 			deadlineMs,
 			hall,
 			firstTokenMs,
+			scheduling,
 		});
 	}
 
@@ -331,3 +366,10 @@
 		return `${callerRequestId}~${this.serial}`;
 	}
 }
+
+/** Refuses a request because this host is about to stop; another host can serve it. */
+function stoppingRefusal(requestId: string): Refusal {
+	return {
+		requestId, status: hostStatuses.unavailable, reason: 'this host is about to stop', retryAfterMs: otherHostRetryAfterMs,
+	};
+}
--- a/src/direct/node/served-request.ts
+++ b/src/direct/node/served-request.ts
@@ -30,6 +30,8 @@
 	readonly targetMs: number;
 	/** How long ago the caller first sent the request. */
 	readonly sinceFirstTryMs: number;
+	/** Predicted time to the first event of a request that was admitted late; otherwise undefined. */
+	readonly latePredictedMs: number | undefined;
 	readonly onEnded: () => void;
 };
 
@@ -93,7 +95,7 @@
 	}
 
 	private logResult(result: RequestResult): void {
-		const {plan, callerRequest, log, metrics} = this.options;
+		const {plan, callerRequest, log, metrics, latePredictedMs} = this.options;
 		const {status} = this.writer;
 		log.info(requestLogMessages.ended, {
 			request: callerRequest.requestId,
@@ -106,6 +108,7 @@
 			status,
 			targetMs: this.options.targetMs,
 			sinceFirstTryMs: this.options.sinceFirstTryMs,
+			latePredictedMs: latePredictedMs === undefined ? undefined : Math.round(latePredictedMs),
 			tookMs: Math.round(result.tookMs),
 			preparedMs: Math.round(this.preparedMs),
 			firstMs: Math.round(this.firstDeliveryMs),
--- a/src/preparation/node/preparer.test.ts
+++ b/src/preparation/node/preparer.test.ts
@@ -6,9 +6,10 @@
 import {DeploymentTracker} from '../../deployment/common/deployment-tracker.js';
 import {ServerRegistry} from '../../deployment/common/server-registry.js';
 import {pieceFailures, type BatchWork, type ResultRef} from '../common/work.js';
+import type {QuoteSource} from '../common/quotes.js';
 import {StepTimes} from '../common/step-times.js';
 import type {PieceListener, WorkHandler} from './batch-handler.js';
-import {Preparer, type PreparationRequest} from './preparer.js';
+import {Preparer, type PreparationRequest, type RequestScheduling} from './preparer.js';
 
 const log = silentLoggers.for('test');
 const route: Route = {
@@ -20,10 +21,10 @@
 const inputsOf = (handle: string) => ({ok: true, value: {handles: [handle], bytesByHall: new Map([['x', 10]])}});
 
 /** Overrides of the defaults. */
-type Overrides = {readonly released?: ResultRef[]; readonly clock?: Clock; readonly stepTimes?: StepTimes; readonly request?: Partial<PreparationRequest>};
+type Overrides = {readonly released?: ResultRef[]; readonly clock?: Clock; readonly stepTimes?: StepTimes; readonly request?: Partial<PreparationRequest>; readonly forgo?: QuoteSource['forgo']};
 
 function makePreparer(submit: (work: BatchWork, listener: PieceListener) => void, changes: Overrides = {}): Preparer {
-	const {released = [], clock = ManualClock.create(), stepTimes = StepTimes.create(), request = {}} = changes;
+	const {released = [], clock = ManualClock.create(), stepTimes = StepTimes.create(), request = {}, forgo = () => undefined} = changes;
 	const handler: WorkHandler = {
 		submit,
 		cancel: () => undefined,
@@ -40,7 +41,7 @@
 		})),
 	}, 0);
 	return Preparer.create({
-		handler, tracker: DeploymentTracker.create(log), registry, clock, log, stepTimes,
+		handler, tracker: DeploymentTracker.create(log), registry, clock, log, stepTimes, quotes: {forgo},
 	}, {
 		requestId: 'r', callerRequestId: 'r', contentId: 'c', route, pieceCounts: [2, 1], pieceKey: 'k', rank: 0,
 		receivedMs: 0, targetMs: 1000, deadlineMs: 5000, hall: '', firstTokenMs: 100, ...request,
@@ -189,3 +190,93 @@
 	t.equal(returning.lateDueMs, first.lateDueMs);
 	t.ok(returning.lateDueMs > 10_000, `${returning.lateDueMs}`);
 });
+
+/** Admission of a request whose first step runs in a scheduled pool. */
+const scheduling: RequestScheduling = {workspace: 'w', pools: new Set(['a']), quotedStartMs: 500};
+
+/** Returns the first work that a request submits. */
+async function firstWorkOf(request: Partial<PreparationRequest>): Promise<BatchWork> {
+	return new Promise(resolve => {
+		void makePreparer(resolve, {request}).run(false);
+	});
+}
+
+/*
+Guards against reservations that stay in the ledger beside the submitted work, which would count it twice, and against changed
+messages for pools that are not scheduled.
+*/
+t.test('work for scheduled pools, and only that, names its reservation, step and workspace', async t => {
+	const works: BatchWork[] = [];
+	const preparer = makePreparer((work, listener) => {
+		works.push(work);
+		for (const piece of work.pieces) {
+			listener(piece, {ok: true, ref: {handle: `${work.pool}${piece}`, serverId: work.pool}});
+		}
+	}, {request: {requestId: 'r~1', scheduling}});
+	await preparer.run(false);
+	t.match(works[0], {requestId: 'r~1', stepKey: 'r#0', workspace: 'w'});
+	t.notOk(['requestId', 'stepKey', 'workspace'].some(field => field in works[1]));
+	t.notOk('requestId' in await firstWorkOf({}), 'no step of the request runs in a scheduled pool');
+});
+
+/*
+Load: callers that leave while a pool is crowded. Guards against work that no one submits any more but that lengthens the quotes of
+others for seconds.
+*/
+t.test('a request that ends early forgoes the reservations of the steps that it has not submitted, once', async t => {
+	const forgone: unknown[] = [];
+	const forgo = (...reservation: unknown[]) => {
+		forgone.push(reservation);
+	};
+
+	const both = {...scheduling, pools: new Set(['a', 'b'])};
+	const waiting = makePreparer(() => undefined, {forgo, request: {scheduling: both}});
+	void waiting.run(false);
+	waiting.end();
+	waiting.end();
+	t.same(forgone, [['r', ['b']]], 'the step in pool a is submitted');
+	makePreparer(() => undefined, {forgo, request: {scheduling: both}}).end();
+	t.same(forgone[1], ['r', ['a', 'b']], 'it never ran');
+	makePreparer(() => undefined, {forgo, request: {scheduling: both, pieceCounts: [0, 1]}}).end();
+	t.same(forgone[2], ['r', ['b']], 'nothing is reserved for steps without pieces');
+	const complete = makePreparer((work, listener) => {
+		for (const piece of work.pieces) {
+			listener(piece, {ok: true, ref: {handle: `${work.pool}${piece}`, serverId: work.pool}});
+		}
+	}, {forgo, request: {scheduling: both}});
+	await complete.run(false);
+	complete.end();
+	makePreparer(() => undefined, {forgo}).end();
+	makePreparer(() => undefined, {forgo, request: {scheduling: {...both, quotedStartMs: undefined}}}).end();
+	t.equal(forgone.length, 3, 'nothing to forgo once all is submitted, where no pool is scheduled, or where there were no quotes');
+});
+
+/*
+Load: a backlog of work that is in time. Guards against a request admitted late whose due time, derived from its target, is still
+ahead: it would go before work that can be in time.
+*/
+t.test('a request that was admitted late has its due time in the past, and keeps the place of late work', async t => {
+	const times = {receivedMs: 10_000, targetMs: 13_000, deadlineMs: 16_000};
+	const inTime = await firstWorkOf({...times, scheduling});
+	const late = await firstWorkOf({...times, scheduling: {...scheduling, latePredictedMs: 2400}});
+	t.ok(inTime.dueMs > 10_000);
+	t.ok(late.dueMs < 10_000, `${late.dueMs}`);
+	t.equal(late.lateDueMs, inTime.lateDueMs);
+	const lateAtLimit = {...scheduling, quotedStartMs: 15_500, latePredictedMs: 5600};
+	const atLimit = await firstWorkOf({...times, route: {...route, kind: routeKinds.once}, scheduling: lateAtLimit});
+	t.equal(atLimit.lateDueMs, 15_900, 'callers of other routes than streams stay until their limit');
+});
+
+/*
+Load: a backlog of more than half of the callers' time. Guards against failing admitted requests before the time for which they
+were quoted, whether they were admitted late or in time.
+*/
+t.test('a request that was quoted a start after half of its caller\'s time does not fail before it', async t => {
+	const deadlineOf = async (quotedStartMs: number | undefined, latePredictedMs?: number) =>
+		(await firstWorkOf({scheduling: {...scheduling, quotedStartMs, latePredictedMs}})).deadlineMs;
+	t.equal(await deadlineOf(undefined), 2500, 'admitted without quotes: half of 5000 ms');
+	t.equal(await deadlineOf(500), 2500);
+	t.equal(await deadlineOf(3000), 3000);
+	t.equal(await deadlineOf(3800, 4200), 3800);
+	t.equal(await deadlineOf(9000), 4900, 'not after its response could still arrive');
+});
--- a/src/preparation/node/preparer.ts
+++ b/src/preparation/node/preparer.ts
@@ -3,16 +3,20 @@
 import type {Disposable} from '../../base/common/disposable.js';
 import type {Logger} from '../../base/common/logger.js';
 import {fail, ok, type Outcome} from '../../base/common/outcome.js';
-import type {Route} from '../../deployment/common/declaration.js';
+import {routeKinds, type Route} from '../../deployment/common/declaration.js';
 import type {DeploymentTracker} from '../../deployment/common/deployment-tracker.js';
 import type {ServerRegistry} from '../../deployment/common/server-registry.js';
 import {failureCodes, type PreparationFailure, type PreparedInputs} from '../../request/common/request-plan.js';
+import {maxWaitTargets} from '../common/chain-admission.js';
 import {fetchTimeMs} from '../common/fetch-time.js';
 import {Preparation} from '../common/preparation.js';
+import type {QuoteSource} from '../common/quotes.js';
+import {stepKeyOf} from '../common/scheduled-pools.js';
 import {
 	pieceFailures, type BatchWork, type PieceOutcome, type ResultRef, type StepWork,
 } from '../common/work.js';
 import type {StepTimes} from '../common/step-times.js';
+import {fullCallMs} from '../common/throughput.js';
 import type {WorkHandler} from './batch-handler.js';
 
 /** Number of failures that are tolerated; the request fails with the next one. */
@@ -20,11 +24,6 @@
 /** Failures that are not retried: another attempt at a piece that is late, or that no upstream accepts, would fail as well. */
 const permanentFailures = new Set<string>([pieceFailures.late, pieceFailures.noUpstream]);
 /**
-Multiple of the target after which late work is useless. Callers of streams disconnect when nothing has arrived for four
-times the target; one of the four is reserved for delivering the response.
-*/
-const maxWaitTargets = 3;
-/**
 Share of its caller's timeout that a request may wait for its first step: after that, a response would rarely arrive in
 time.
 */
@@ -33,6 +32,17 @@
 const minRetryAfterMs = 400;
 const maxRetryAfterMs = 2000;
 
+/** What the preparation of a request depends on in scheduled pools. */
+export type RequestScheduling = {
+	readonly workspace: string;
+	/** Names of the scheduled pools. Work of a request that was admitted by quotes is reserved there until it is submitted. */
+	readonly pools: ReadonlySet<string>;
+	/** Time by which all steps that read no results were quoted to start; undefined if the request was admitted without quotes. */
+	readonly quotedStartMs?: number | undefined;
+	/** Predicted time from the receipt of the request to its first event if it was admitted late; otherwise undefined. */
+	readonly latePredictedMs?: number | undefined;
+};
+
 /** Properties of a request that its preparation depends on. */
 export type PreparationRequest = {
 	readonly requestId: string;
@@ -49,6 +59,8 @@
 	readonly hall: string;
 	/** Approximate time from the end of the preparation to the first token. */
 	readonly firstTokenMs: number;
+	/** Absent if no step of the request runs in a scheduled pool. */
+	readonly scheduling?: RequestScheduling | undefined;
 };
 
 /** Dependencies and settings. */
@@ -60,6 +72,8 @@
 	readonly log: Logger;
 	/** Step durations of all requests of this host. */
 	readonly stepTimes: StepTimes;
+	/** Receives the reservations of requests that end before their steps were submitted. */
+	readonly quotes: Pick<QuoteSource, 'forgo'>;
 };
 
 type Result = Outcome<PreparedInputs, PreparationFailure>;
@@ -72,6 +86,8 @@
 
 	private readonly preparation: Preparation;
 	private readonly openWorkIds = new Set<string>();
+	/** Steps that have not been submitted and whose work is reserved in scheduled pools. */
+	private readonly reservedSteps: Set<number>;
 	/** Settles the current run; absent if there is none. */
 	private settle: ((result: Result) => void) | undefined;
 	/** Number of works submitted so far, used to number them. */
@@ -88,7 +104,10 @@
 	private fetchTimer: Disposable | undefined;
 
 	private constructor(private readonly options: PreparerOptions, private readonly request: PreparationRequest) {
-		this.preparation = Preparation.create(request.route.steps, request.pieceCounts);
+		const {route: {steps}, pieceCounts, scheduling} = request;
+		this.preparation = Preparation.create(steps, pieceCounts);
+		const hasQuotes = scheduling?.quotedStartMs !== undefined;
+		this.reservedSteps = new Set([...steps.keys()].filter(step => pieceCounts[step] !== 0 && hasQuotes && scheduling?.pools.has(steps[step].pool)));
 	}
 
 	/**
@@ -136,6 +155,15 @@
 		}
 
 		this.release(this.preparation.allRefs);
+		this.forgoReservations();
+	}
+
+	private forgoReservations(): void {
+		if (this.reservedSteps.size > 0) {
+			const {requestId, route: {steps}} = this.request;
+			this.options.quotes.forgo(requestId, [...new Set([...this.reservedSteps].map(step => steps[step].pool))]);
+			this.reservedSteps.clear();
+		}
 	}
 
 	/** Submits the work that can start now, and finishes the run if nothing is left. */
@@ -166,6 +194,7 @@
 		this.workCount++;
 		const workId = `${this.request.requestId}/${this.workCount}`;
 		this.openWorkIds.add(workId);
+		this.reservedSteps.delete(work.step);
 		let openCount = work.pieces.length;
 		const {handler, clock, stepTimes} = this.options;
 		const submittedMs = clock.nowMs();
@@ -189,7 +218,9 @@
 		const step = request.route.steps[work.step];
 		const dependentsMs = this.preparation.dependentsMs(work.step, pool => this.options.stepTimes.typicalMs(pool) ?? this.callMs(pool));
 		const remainingMs = request.firstTokenMs + this.callMs(step.pool) + dependentsMs;
+		const isAdmittedLate = request.scheduling?.latePredictedMs !== undefined;
 		const dueMs = request.targetMs - remainingMs;
+		const lastStartMs = this.lastStartMs(work);
 		const waitDeadlineMs = this.waitDeadlineMs(work);
 		return {
 			...work,
@@ -200,27 +231,54 @@
 			pieceKey: request.pieceKey,
 			resultBytes: step.resultBytes,
 			rank: request.rank,
-			dueMs,
-			// A caller disconnects according to the time of this attempt, regardless of when it sent its first one.
-			lateDueMs: Math.min(waitDeadlineMs, request.receivedMs + (maxWaitTargets * request.route.targetMs) - remainingMs),
+			// A request that was admitted late must not delay work that can be in time: its steps count as late from the start.
+			dueMs: isAdmittedLate ? Math.min(dueMs, request.receivedMs - 1) : dueMs,
+			// By its quote the request may start later than half of its caller's time; its turn is not given away on an estimate of the wait.
+			lateDueMs: Math.min(request.scheduling?.quotedStartMs === undefined ? waitDeadlineMs : lastStartMs, this.leavesMs(isAdmittedLate) - remainingMs),
 			deadlineMs: waitDeadlineMs,
 			...this.preferredHallOf(work),
+			...this.schedulingOf(work.step),
 		};
 	}
 
+	/**
+	Returns when the caller is expected to disconnect. That depends on the time of this attempt, regardless of when the caller sent
+	its first one. Only callers of streams disconnect before their time limit; a request that was admitted late was predicted so.
+	*/
+	private leavesMs(isAdmittedLate: boolean): number {
+		const {route, receivedMs, deadlineMs} = this.request;
+		return isAdmittedLate && route.kind !== routeKinds.stream ? deadlineMs : receivedMs + (maxWaitTargets * route.targetMs);
+	}
+
+	/** Returns what identifies a step in a scheduled pool; nothing for steps in other pools. */
+	private schedulingOf(step: number): Pick<BatchWork, 'requestId' | 'stepKey' | 'workspace'> {
+		const {requestId, route, scheduling} = this.request;
+		return scheduling?.pools.has(route.steps[step].pool)
+			? {requestId, stepKey: stepKeyOf(route.name, step), workspace: scheduling.workspace}
+			: {};
+	}
+
 	/**
 	Returns when a queued step fails and its caller is notified: when it could no longer be done before the caller
 	disconnects, or earlier if nothing was done for the request yet, while the caller still has time to retry or to do
 	without the response.
 	*/
-	private waitDeadlineMs({step}: StepWork): number {
+	private waitDeadlineMs(work: StepWork): number {
 		const {request} = this;
-		const neededMs = request.firstTokenMs + this.callMs(request.route.steps[step].pool) + this.preparation.dependentsMs(step, pool => this.callMs(pool));
-		const lastStartMs = request.deadlineMs - neededMs;
-		const unstartedDeadlineMs = request.receivedMs + ((request.deadlineMs - request.receivedMs) * maxUnstartedShare);
+		const lastStartMs = this.lastStartMs(work);
+		const halfTimeMs = request.receivedMs + ((request.deadlineMs - request.receivedMs) * maxUnstartedShare);
+		// A request that was quoted a later start was admitted for it; a full call is the margin of late admission.
+		const quotedStartMs = request.scheduling?.quotedStartMs ?? -Infinity;
+		const unstartedDeadlineMs = Math.max(halfTimeMs, quotedStartMs + this.fullCallMs(request.route.steps[work.step].pool));
 		return this.hasStarted ? lastStartMs : Math.min(lastStartMs, unstartedDeadlineMs);
 	}
 
+	/** Returns when a step must start at the latest for the response to arrive within the caller's limit. */
+	private lastStartMs({step}: StepWork): number {
+		const {firstTokenMs, deadlineMs, route} = this.request;
+		return deadlineMs - (firstTokenMs + this.callMs(route.steps[step].pool) + this.preparation.dependentsMs(step, pool => this.callMs(pool)));
+	}
+
 	/** Returns where a step runs best: where its inputs are stored or, if it has none, where its results are read. */
 	private preferredHallOf({step: index, inputs}: StepWork): {readonly hall: string; readonly crossingBytes: number} {
 		const {steps} = this.request.route;
@@ -245,6 +303,12 @@
 		return batch ? batch.callMs + (batch.itemMs * batch.batchSize / 2) : 0;
 	}
 
+	/** Declared duration of a full call of a pool, in milliseconds. */
+	private fullCallMs(pool: string): number {
+		const batch = this.options.tracker.current?.pool(pool)?.batch;
+		return batch ? fullCallMs(batch) : 0;
+	}
+
 	private handleOutcome(index: number, piece: number, outcome: PieceOutcome): void {
 		const {pool} = this.request.route.steps[index];
 		if (outcome.ok) {
--- a/src/request/common/request-log-messages.ts
+++ b/src/request/common/request-log-messages.ts
@@ -2,6 +2,7 @@
 export const requestLogMessages = {
 	ended: 'A request has ended.',
 	refusedForPredictedWait: 'A request was refused at the door: its steps would wait too long.',
+	refusedByQuotes: 'A request was refused at the door: its pools have no room for it before its caller leaves.',
 	refusedOnAdmission: 'A request was turned away at the door.',
 	poolBacklog: 'Pieces wait for a pool.',
 } as const;
