Admit requests by the quotes of the schedulers of their pools

Cause: the composition admitted all requests by the reported waits, as nothing answered asks when admission by quotes was written.

Change: the ingress and the preparers use AdmissionAsks.

--- a/src/daemon/node/compose-direct-entry.ts
+++ b/src/daemon/node/compose-direct-entry.ts
@@ -28,7 +28,6 @@
 import {StateExchange} from '../../peers/node/state-exchange.js';
 import {AdmissionAsks, admissionAsksToken} from '../../preparation/node/admission-asks.js';
 import {BatchHandler, batchHandlerToken} from '../../preparation/node/batch-handler.js';
-import type {QuoteSource} from '../../preparation/common/quotes.js';
 import {StepTimes} from '../../preparation/common/step-times.js';
 import {BatchPool} from '../../preparation/node/batch-pool.js';
 import {Preparer} from '../../preparation/node/preparer.js';
@@ -216,10 +215,8 @@
 
 	const stepTimes = StepTimes.create();
 	const preparerOptions = () => ({
-		stepTimes, quotes, handler: get(batchHandlerToken), tracker: get(deploymentTrackerToken), registry: get(serverRegistryToken), clock, log: logOf('preparation'),
+		stepTimes, quotes: get(admissionAsksToken), handler: get(batchHandlerToken), tracker: get(deploymentTrackerToken), registry: get(serverRegistryToken), clock, log: logOf('preparation'),
 	});
-	// Replaced once schedulers answer asks; until then all requests are decided by the reported waits.
-	const quotes: QuoteSource = {ask: async () => undefined, forgo: () => undefined};
 	const makeRunner = () => {
 		const runner = lifecycle.register(RequestRunner.create(get(linksToken), get(routerToken), clock));
 		get(quarantineToken).onDidBar(() => {
@@ -235,7 +232,7 @@
 		protocol: ports.callers,
 		makePreparer: request => Preparer.create(preparerOptions(), request),
 		waits: get(batchHandlerToken),
-		quotes,
+		quotes: get(admissionAsksToken),
 		predictRun: (stage, nowMs) => get(routerToken).predictRun(stage, nowMs),
 		standingOf: plan => get(routerToken).standingOf(plan),
 		isOpen: (pool, nowMs) => get(availabilityToken).isOpen(pool, nowMs),
