Name the load in the tests of the chain decision

Cause: some tests of the decision did not say which load they answer.

Change: each names its load and the failure that it guards against.

--- a/src/preparation/common/chain-admission.test.ts
+++ b/src/preparation/common/chain-admission.test.ts
@@ -35,6 +35,10 @@
 const quotes = (front: Quote, deep: Quote) => new Map([['front', front], ['deep', deep]]);
 const idle = quote(0, 0);
 
+/*
+Load: requests with several steps in one pool, beside steps in a pool that is not scheduled. Guards against work that is not reserved,
+or reserved twice, so that other requests are quoted a wait that is too short or too long.
+*/
 t.test('one ask for each scheduled pool holds all steps of the request there', async t => {
 	const route = {
 		...query, steps: [
@@ -96,6 +100,10 @@
 	t.match(decideChain(request, {...times, elapsedMs: 1}, fits, noWaits), {type: 'refused'}, 'time that has passed since the receipt counts');
 });
 
+/*
+Load: a crowd that takes all of one pool of a chain while the others have room. Guards against late work that would only lengthen the
+queue of the full pool.
+*/
 t.test('a request is not admitted late if one pool of its chain has no spare capacity', async t => {
 	t.match(decideChain(request, times, quotes(quote(200, undefined), quote(1300, 1500)), noWaits), {
 		type: 'refused', reason: 'noCapacity', pool: 'front',
@@ -111,6 +119,10 @@
 	t.match(decideChain(request, {...times, sinceFirstTryMs: 801}, quotes(idle, idle), noWaits), {type: 'late'});
 });
 
+/*
+Load: a burst whose refused callers come back. Guards against callers that return before there is room, and against a delay so long that
+they do not return at all.
+*/
 t.test('refused callers are asked to retry once the excess has drained, within their remaining time', async t => {
 	const retryAfterMs = (lateAheadMs: number, changes: Partial<ChainTimes> = {}) => {
 		const decision = decideChain(request, {...times, ...changes}, quotes(idle, quote(1300, lateAheadMs)), noWaits);
@@ -124,6 +136,10 @@
 	t.equal(retryAfterMs(3800, {limitMs: 1500, elapsedMs: 300}), 400);
 });
 
+/*
+Load: a crowded pool that a request does not use, and a chain that leads through a pool that is not scheduled. Guards against waits that
+the request does not have, or that are left out.
+*/
 t.test('steps without pieces take no time, and waits for pools that are not scheduled are added', async t => {
 	t.match(decideChain({...request, pieceCounts: [0, 10]}, times, quotes(quote(9000, undefined), idle), noWaits), {type: 'inTime', predictedMs: 400, startMs: 0});
 	const route = {...query, steps: [{pool: 'plain', after: [], resultBytes: 1}, query.steps[1]]};
@@ -132,6 +148,9 @@
 	});
 });
 
+/*
+Load: idle pools. Guards against steps that are predicted to run at once because the steps that they read are declared after them.
+*/
 t.test('steps may be declared before those whose results they read', async t => {
 	const route = {...query, steps: [{pool: 'deep', after: [1], resultBytes: 1}, {pool: 'front', after: [], resultBytes: 1}]};
 	t.match(decideChain({...request, route, pieceCounts: [10, 1]}, times, quotes(idle, idle), noWaits), {type: 'inTime', predictedMs: 700});
