--- a/src/daemon/node/compose-direct-entry.ts
+++ b/src/daemon/node/compose-direct-entry.ts
@@ -229,7 +229,7 @@
 
 	const stepTimes = StepTimes.create();
 	const preparerOptions = () => ({
-		stepTimes, handler: get(batchHandlerToken), tracker: get(deploymentTrackerToken), registry: get(serverRegistryToken), clock, log: logOf('preparation'),
+		stepTimes, quotes: get(admissionAsksToken), handler: get(batchHandlerToken), tracker: get(deploymentTrackerToken), registry: get(serverRegistryToken), clock, log: logOf('preparation'),
 	});
 	const makeRunner = () => {
 		const runner = lifecycle.register(RequestRunner.create(get(linksToken), get(routerToken), clock));
@@ -246,6 +246,7 @@
 		protocol: ports.callers,
 		makePreparer: request => Preparer.create(preparerOptions(), request),
 		waits: get(batchHandlerToken),
+		quotes: get(admissionAsksToken),
 		predictRun: (stage, nowMs) => get(routerToken).predictRun(stage, nowMs),
 		standingOf: plan => get(routerToken).standingOf(plan),
 		isOpen: (pool, nowMs) => get(availabilityToken).isOpen(pool, nowMs),
