Use the load that upstreams report, where they report a speed

Cause: services send `Server-Load: running,waiting,slots[,speed]`, and the speed changes many times a second. Hosts learned speeds from the durations of their own calls only, which describe a speed that is over; an upstream of a plain pool that was slow once got 2 of 1915 calls in 24 s.

Change: `readNotice` decodes the header, and `ReportedLoads` keeps the last figure of each listed server for this host alone. A figure counts for 300 ms and fades to the usual speed in 300 ms more. Batched pools use it for the order of free upstreams, the expected duration and time-out of a call, and the effective number of upstreams; a failed call outweighs it until a call completes. The choice of a plain upstream multiplies the usual time by it and counts the reported calls; measured times teach nothing while the speed changes, and an upstream without a report for 2 s gets one call. Servers that report no speed are treated as before.

--- a/src/daemon/node/compose-direct-entry.ts
+++ b/src/daemon/node/compose-direct-entry.ts
@@ -38,6 +38,7 @@
 import {EngineLoads} from '../../routing/common/engine-loads.js';
 import {sharedCapacityOf} from '../../routing/common/host-capacity.js';
 import {PrefixIndex} from '../../routing/common/prefix-index.js';
+import {reportedLoadsToken} from '../../routing/common/reported-load.js';
 import {sendBoundsToken} from '../../routing/common/send-bounds.js';
 import {serverRefusalsToken} from '../../routing/common/server-refusals.js';
 import {ScoreChooser} from '../../routing/common/score-chooser.js';
@@ -143,6 +144,7 @@
 		quarantine: get(quarantineToken),
 		availability: get(availabilityToken),
 		refusals: get(serverRefusalsToken),
+		loads: get(reportedLoadsToken),
 	}));
 	register(promptUpdatesToken, () => lifecycle.register(PromptUpdates.create({
 		hostId: settings.hostId,
@@ -185,6 +187,7 @@
 			registry: get(serverRegistryToken),
 			notices: get(serverNoticesToken),
 			bounds: get(sendBoundsToken),
+			loads: get(reportedLoadsToken),
 			protocol: ports.batches,
 			budget: WindowedBudget.create(settings.repeats, hostCount),
 			quarantine: get(quarantineToken),
--- a/src/daemon/node/compose-state.ts
+++ b/src/daemon/node/compose-state.ts
@@ -8,6 +8,7 @@
 import {ServerRegistry, serverRegistryToken} from '../../deployment/common/server-registry.js';
 import {ServerBackoffs, serverBackoffsToken} from '../../deployment/common/server-backoffs.js';
 import {peerMeshToken} from '../../peers/node/peer-mesh.js';
+import {ReportedLoads, reportedLoadsToken} from '../../routing/common/reported-load.js';
 import {SendBounds, sendBoundsToken} from '../../routing/common/send-bounds.js';
 import {SendShare} from '../../routing/common/send-share.js';
 import {ServerRefusals, serverRefusalsToken} from '../../routing/common/server-refusals.js';
@@ -26,8 +27,9 @@
 	}));
 	register(serverLimitsToken, () => ServerLimits.create({random: get(randomToken), log: logOf('servers'), metrics}));
 	register(serverBackoffsToken, () => ServerBackoffs.create({log: logOf('servers'), metrics}));
+	register(reportedLoadsToken, () => ReportedLoads.create({registry: get(serverRegistryToken), log: logOf('servers'), metrics}));
 	register(serverNoticesToken, () => ServerNotices.create({
-		limits: get(serverLimitsToken), leaving: get(leavingServersToken), backoffs: get(serverBackoffsToken), metrics,
+		limits: get(serverLimitsToken), leaving: get(leavingServersToken), backoffs: get(serverBackoffsToken), loads: get(reportedLoadsToken), metrics,
 	}));
 	register(serverRefusalsToken, () => ServerRefusals.create(logOf('servers'), hostCount));
 	register(sendBoundsToken, () => SendBounds.create({
--- a/src/deployment/common/server-notices.test.ts
+++ b/src/deployment/common/server-notices.test.ts
@@ -1,7 +1,7 @@
 import t from 'tap';
 import {noMetrics} from '../../base/common/metrics.js';
 import type {LimitReading} from './server-limits.js';
-import {ServerNotices, emptyNotice} from './server-notices.js';
+import {ServerNotices, emptyNotice, type LoadReading} from './server-notices.js';
 import type {BackoffReading} from './server-backoffs.js';
 import type {UpstreamServer} from './upstream-server.js';
 
@@ -42,3 +42,26 @@
 	notices.handleResponse(server, emptyNotice, 3, 4);
 	t.same([leaving, counted], [['s'], ['leaving.said']], 'an empty notice reports nothing');
 });
+
+// Guards against reported loads that never reach the component that acts on them.
+t.test('a reported load is passed on, and a notice without one reports nothing', async t => {
+	const loads: Array<[string, LoadReading, number]> = [];
+	const ignore = () => undefined;
+	const notices = ServerNotices.create({
+		limits: {handleResponse: ignore},
+		leaving: {handleServerReport: ignore},
+		backoffs: {handleResponse: ignore},
+		loads: {
+			handleResponse({serverId}, reading, nowMs) {
+				loads.push([serverId, reading, nowMs]);
+			},
+		},
+		metrics: noMetrics,
+	});
+	const load: LoadReading = {
+		kind: 'reported', running: 1, waiting: 0, slots: 2, slowness: 1.5,
+	};
+	notices.handleResponse(server, {...emptyNotice, load}, 1, 2);
+	notices.handleResponse(server, emptyNotice, 3, 4);
+	t.same(loads, [['s', load, 2]]);
+});
--- a/src/direct/common/direct-router.ts
+++ b/src/direct/common/direct-router.ts
@@ -11,6 +11,7 @@
 } from '../../routing/common/chooser.js';
 import {medianSlownessOf, OutlierDetector, type OutlierOptions} from '../../routing/common/outlier-detector.js';
 import type {PromptPart} from '../../routing/common/engine-loads.js';
+import type {ReportedLoads} from '../../routing/common/reported-load.js';
 import type {ServerRefusals} from '../../routing/common/server-refusals.js';
 import {ServerLiveness} from '../../routing/common/server-liveness.js';
 import {StageEstimates} from '../../routing/common/stage-estimates.js';
@@ -58,6 +59,8 @@
 	readonly availability: PoolAvailability;
 	/** Which upstreams have recently refused work. */
 	readonly refusals: ServerRefusals;
+	/** What upstreams report about their load; they report nothing if absent. */
+	readonly loads?: Pick<ReportedLoads, 'figureAt' | 'onDidReport'>;
 };
 
 /** The data hall in which a request will most likely run, and the expected time from its send to its first token. */
@@ -88,6 +91,9 @@
 				options.engines.forgetEngine(server.serverId);
 			}
 		});
+		options.loads?.onDidReport(({serverId, load, nowMs}) => {
+			this.knownServerOf(serverId, nowMs)?.candidate.stats.observeLoad(load, nowMs);
+		});
 	}
 
 	standingOf({workspace, http}: RequestPlan): Standing {
@@ -227,8 +233,8 @@
 		if (attempt.state !== attemptStates.notRun) {
 			this.options.refusals.accepted(upstreamId);
 			candidate.stats.observeOutcome(isFailure);
-			if (!isFailure && !stage.prompt) {
-				candidate.stats.observeTime(tookMs, this.responseTimes.typicalMs(stage.key) ?? defaultResponseMs);
+			if (!isFailure && !stage.prompt && candidate.stats.hasSteadySpeedSince(attempt.options.sentAtMs, nowMs)) {
+				candidate.stats.observeTime(tookMs, (this.responseTimes.typicalMs(stage.key) ?? defaultResponseMs) * candidate.stats.reportedSlownessAt(nowMs));
 			}
 
 			const peers = this.candidatesOf(stage.pool, nowMs);
@@ -312,7 +318,7 @@
 		if (!known) {
 			known = {
 				candidate: {
-					upstreamId: server.serverId, hall: server.hall, stats: UpstreamStats.create(), joinedMs: nowMs,
+					upstreamId: server.serverId, hall: server.hall, stats: UpstreamStats.create(atMs => this.options.loads?.figureAt(server.serverId, atMs)), joinedMs: nowMs,
 				},
 				liveness: ServerLiveness.create(),
 			};
--- a/src/preparation/common/batch-scheduler.ts
+++ b/src/preparation/common/batch-scheduler.ts
@@ -11,7 +11,7 @@
 import {selectPieces} from './piece-selection.js';
 import {rankPenaltyMs} from './piece-order.js';
 import {PieceQueue, type HandlingSource} from './piece-queue.js';
-import {PoolUpstreams, type AllowanceSource} from './pool-upstreams.js';
+import {PoolUpstreams, type AllowanceSource, type ReportedSource} from './pool-upstreams.js';
 import {spaceReportOf} from './space-report.js';
 import {fullCallMs, Throughput} from './throughput.js';
 import {
@@ -41,8 +41,8 @@
 
 /** Queue and calls in progress of one pool. */
 export class BatchScheduler {
-	static create(handlingOf: HandlingSource = () => pieceHandlings.none, allowanceOf: AllowanceSource = () => ({remaining: Infinity, perS: Infinity})): BatchScheduler {
-		return new BatchScheduler(handlingOf, allowanceOf);
+	static create(handlingOf: HandlingSource = () => pieceHandlings.none, allowanceOf: AllowanceSource = () => ({remaining: Infinity, perS: Infinity}), reportedOf?: ReportedSource): BatchScheduler {
+		return new BatchScheduler(handlingOf, allowanceOf, reportedOf);
 	}
 
 	private readonly queue: PieceQueue;
@@ -50,9 +50,9 @@
 	private readonly throughput = Throughput.create();
 	private lastCallId = 0;
 
-	private constructor(handlingOf: HandlingSource, allowanceOf: AllowanceSource) {
+	private constructor(handlingOf: HandlingSource, allowanceOf: AllowanceSource, reportedOf?: ReportedSource) {
 		this.queue = PieceQueue.create(handlingOf);
-		this.upstreams = PoolUpstreams.create(allowanceOf);
+		this.upstreams = PoolUpstreams.create(allowanceOf, reportedOf);
 	}
 
 	/** Number of pieces that wait for an upstream. */
@@ -282,10 +282,11 @@
 			return undefined;
 		}
 
-		const expectedMs = capacity.callMs + (pieces.length * capacity.itemMs);
+		const declaredMs = capacity.callMs + (pieces.length * capacity.itemMs);
+		const expectedMs = declaredMs * this.upstreams.of(server).expectedFactorAt(nowMs);
 		this.lastCallId++;
 		const call: BatchCall = {
-			callId: this.lastCallId, server, pieces, sentMs: nowMs, expectedMs, deadlineMs: nowMs + (timeoutFactor * expectedMs * Math.max(1, typicalSlowness)) + timeoutMarginMs,
+			callId: this.lastCallId, server, pieces, sentMs: nowMs, expectedMs, deadlineMs: nowMs + (timeoutFactor * Math.max(expectedMs, declaredMs * Math.max(1, typicalSlowness))) + timeoutMarginMs,
 		};
 		this.upstreams.of(server).call = call;
 		return call;
--- a/src/preparation/common/batch-upstream.ts
+++ b/src/preparation/common/batch-upstream.ts
@@ -15,10 +15,21 @@
 const firstAvoidMs = 250;
 const maxAvoidMs = 2000;
 
+/**
+Returns the ratio of the duration of work at an upstream to the usual one, as the upstream reported it.
+@param nowMs - the current time.
+@returns the ratio, or undefined if there is no recent report.
+*/
+export type ReportedSlowness = (nowMs: number) => number | undefined;
+
 /** Tracks one upstream. */
 export class BatchUpstream {
-	static create(): BatchUpstream {
-		return new BatchUpstream();
+	/**
+	Creates the state of an upstream without calls.
+	@param reportedSlowness - returns what the upstream reports about itself; by default nothing.
+	*/
+	static create(reportedSlowness: ReportedSlowness = () => undefined): BatchUpstream {
+		return new BatchUpstream(reportedSlowness);
 	}
 
 	/** The call in progress. */
@@ -29,6 +40,8 @@
 	private avoidedUntilMs = -Infinity;
 	private failures = 0;
 
+	private constructor(private readonly reportedSlowness: ReportedSlowness) {}
+
 	isFree(nowMs: number): boolean {
 		return this.call === undefined && !this.isAvoided(nowMs);
 	}
@@ -38,9 +51,38 @@
 		return nowMs < this.avoidedUntilMs;
 	}
 
-	/** Ratio of actual to declared call duration. A measured value decays towards 1 while no call is made. */
+	/**
+	Returns the ratio of actual to declared call duration. A recent report replaces the measured value; after a failed call, whichever is
+	larger counts, because an upstream may report a usual speed although its calls time out.
+	@param nowMs - the current time.
+	*/
 	slownessAt(nowMs: number): number {
-		return 1 + ((this.slowness - 1) * (2 ** (-(nowMs - this.measuredMs) / slownessHalfLifeMs)));
+		const reported = this.reportedSlowness(nowMs);
+		const measured = this.measuredSlownessAt(nowMs);
+		if (reported === undefined) {
+			return measured;
+		}
+
+		return this.failures > 0 ? Math.max(reported, measured) : reported;
+	}
+
+	/**
+	Returns the factor by which a recent report lengthens or shortens a call that is sent now.
+	@param nowMs - the current time.
+	@returns the factor; 1 without a report, because measured slowness is relative to the expected duration.
+	*/
+	expectedFactorAt(nowMs: number): number {
+		return this.reportedSlowness(nowMs) ?? 1;
+	}
+
+	/**
+	Returns the capacity of the upstream relative to one that runs as declared. Only an upstream that reports it counts as more than 1: a short call
+	that was measured may have been cheap for another reason.
+	@param nowMs - the current time.
+	*/
+	speedAt(nowMs: number): number {
+		const slowness = this.slownessAt(nowMs);
+		return 1 / (this.reportedSlowness(nowMs) === undefined ? Math.max(1, slowness) : slowness);
 	}
 
 	completeCall(call: BatchCall, nowMs: number): void {
@@ -48,14 +90,14 @@
 		this.failures = 0;
 		this.avoidedUntilMs = -Infinity;
 		const ratio = (nowMs - call.sentMs) / call.expectedMs;
-		this.slowness = (this.slownessAt(nowMs) * (1 - slownessWeight)) + (ratio * slownessWeight);
+		this.slowness = (this.measuredSlownessAt(nowMs) * (1 - slownessWeight)) + (ratio * slownessWeight);
 		this.measuredMs = nowMs;
 	}
 
 	failCall(call: BatchCall, nowMs: number): void {
 		this.clearCall(call);
 		const ratio = Math.min(maxTimedOutSlowness, (nowMs - call.sentMs) / call.expectedMs);
-		if (nowMs >= call.deadlineMs && ratio > this.slownessAt(nowMs)) {
+		if (nowMs >= call.deadlineMs && ratio > this.measuredSlownessAt(nowMs)) {
 			// The call timed out. If all upstreams are that slow, the next call is given more time.
 			this.slowness = ratio;
 			this.measuredMs = nowMs;
@@ -65,6 +107,11 @@
 		this.failures++;
 	}
 
+	/** A measured value decays towards 1 while no call is made. */
+	private measuredSlownessAt(nowMs: number): number {
+		return 1 + ((this.slowness - 1) * (2 ** (-(nowMs - this.measuredMs) / slownessHalfLifeMs)));
+	}
+
 	private clearCall(call: BatchCall): void {
 		if (this.call === call) {
 			this.call = undefined;
--- a/src/preparation/common/pool-upstreams.ts
+++ b/src/preparation/common/pool-upstreams.ts
@@ -16,19 +16,23 @@
 /** Returns how much may be sent to an upstream now, out of what all hosts together may send to it. */
 export type AllowanceSource = (server: UpstreamServer, nowMs: number) => Allowance;
 
+/** Returns the slowness that an upstream reported recently, as a ratio to its usual duration, or undefined. */
+export type ReportedSource = (serverId: string, nowMs: number) => number | undefined;
+
 /** Tracks the upstreams of a pool. */
 export class PoolUpstreams {
 	/**
 	Creates an instance without any state of upstreams.
 	@param allowanceOf - returns how much may be sent to each upstream.
+	@param reportedOf - returns the slowness that an upstream reports; by default none does.
 	*/
-	static create(allowanceOf: AllowanceSource): PoolUpstreams {
-		return new PoolUpstreams(allowanceOf);
+	static create(allowanceOf: AllowanceSource, reportedOf: ReportedSource = () => undefined): PoolUpstreams {
+		return new PoolUpstreams(allowanceOf, reportedOf);
 	}
 
 	private readonly byId = new Map<string, BatchUpstream>();
 
-	private constructor(private readonly allowanceOf: AllowanceSource) {}
+	private constructor(private readonly allowanceOf: AllowanceSource, private readonly reportedOf: ReportedSource) {}
 
 	/** Number of calls in progress. */
 	get callCount(): number {
@@ -42,7 +46,7 @@
 	of({serverId}: UpstreamServer): BatchUpstream {
 		let upstream = this.byId.get(serverId);
 		if (!upstream) {
-			upstream = BatchUpstream.create();
+			upstream = BatchUpstream.create(nowMs => this.reportedOf(serverId, nowMs));
 			this.byId.set(serverId, upstream);
 		}
 
@@ -116,7 +120,7 @@
 
 	/**
 	Returns the capacity of upstreams as a number of upstreams that run as declared: a slow one, or one whose rate is
-	limited, counts as a fraction.
+	limited, counts as a fraction, and one that reports to be faster than usual as more than one.
 	@param servers - the upstreams.
 	@param capacity - declared capacity of each upstream.
 	@param nowMs - the current time.
@@ -125,8 +129,7 @@
 		const callMs = fullCallMs(capacity);
 		let count = 0;
 		for (const server of servers) {
-			const bySpeed = 1 / Math.max(1, this.of(server).slownessAt(nowMs));
-			count += Math.min(bySpeed, this.allowanceOf(server, nowMs).perS * callMs / secondMs);
+			count += Math.min(this.of(server).speedAt(nowMs), this.allowanceOf(server, nowMs).perS * callMs / secondMs);
 		}
 
 		return count;
--- a/src/preparation/node/batch-pool.ts
+++ b/src/preparation/node/batch-pool.ts
@@ -13,6 +13,7 @@
 import {collectResponse} from '../../deployment/node/collect-response.js';
 import {ConnectionPool} from '../../deployment/node/connection-pool.js';
 import type {Quarantine} from '../../quarantine/common/quarantine.js';
+import type {ReportedLoads} from '../../routing/common/reported-load.js';
 import type {SendBounds} from '../../routing/common/send-bounds.js';
 import type {BoundedWork} from '../../routing/common/send-share.js';
 import type {WindowedBudget} from '../../routing/common/windowed-budget.js';
@@ -39,6 +40,8 @@
 	/** Processes what servers report about themselves. */
 	readonly notices: Pick<ServerNotices, 'handleResponse'>;
 	readonly bounds: Pick<SendBounds, 'allowance' | 'sent'>;
+	/** What the servers report about their load. */
+	readonly loads: Pick<ReportedLoads, 'slownessAt'>;
 	readonly protocol: BatchProtocol;
 	readonly budget: WindowedBudget;
 	readonly quarantine: Pick<Quarantine, 'connectionLost' | 'handlingOf'>;
@@ -64,7 +67,11 @@
 
 	private constructor(private readonly options: BatchPoolOptions) {
 		this.log = PoolLog.create(options);
-		this.scheduler = BatchScheduler.create(contentId => options.quarantine.handlingOf(contentId), (server, nowMs) => options.bounds.allowance(server, soleSender, nowMs));
+		this.scheduler = BatchScheduler.create(
+			contentId => options.quarantine.handlingOf(contentId),
+			(server, nowMs) => options.bounds.allowance(server, soleSender, nowMs),
+			(serverId, nowMs) => options.loads.slownessAt(serverId, nowMs),
+		);
 		this.releases = this.disposables.add(ResultReleases.create({
 			registry: options.registry,
 			clock: options.clock,
--- a/src/routing/common/score-chooser.ts
+++ b/src/routing/common/score-chooser.ts
@@ -74,8 +74,12 @@
 
 	private score(candidate: Candidate, need: ChoiceNeed, nowMs: number): ScoredCandidate['scoreMs'] {
 		const {stats} = candidate;
+		if (stats.isTrialDue(nowMs)) {
+			return 0;
+		}
+
 		const slots = Math.max(1, stats.load?.slots ?? need.slots);
-		const answerMs = need.expectedMs * (stats.slowness ?? 1);
+		const answerMs = need.expectedMs * stats.expectedSlownessAt(nowMs);
 		const outstanding = stats.outstanding(nowMs);
 		const waitMs = stats.waitInServiceTimes(need.slots, nowMs) * answerMs;
 		// Even with free slots an upstream slows down a little with each call that it batches.
