Merge the load that upstreams report

Conflicts: the scheduler takes the reported slowness as its fourth parameter; the expected duration of a call is the learned one times what its upstream reports, and its time-out isn't shortened by a fast report.

--- a/src/preparation/common/batch-scheduler.ts
+++ b/src/preparation/common/batch-scheduler.ts
@@ -10,7 +10,7 @@
 import {PieceQueue, type HandlingSource} from './piece-queue.js';
 import {selectPieces} from './piece-selection.js';
 import {PoolEstimates} from './pool-estimates.js';
-import {PoolUpstreams, type AllowanceSource} from './pool-upstreams.js';
+import {PoolUpstreams, type AllowanceSource, type ReportedSource} from './pool-upstreams.js';
 import type {PoolState} from './quotes.js';
 import {PolicySwitch, type ScheduledOptions} from './scheduling-policy.js';
 import {spaceReportOf} from './space-report.js';
@@ -44,13 +44,15 @@
 	@param handlingOf - returns how the pieces of a request may be sent.
 	@param allowanceOf - returns how much may be sent to an upstream.
 	@param scheduled - absent for a pool that is never scheduled.
+	@param reportedOf - returns how slow an upstream reports to be; absent where none reports it.
 	*/
 	static create(
 		handlingOf: HandlingSource = () => pieceHandlings.none,
 		allowanceOf: AllowanceSource = () => ({remaining: Infinity, perS: Infinity}),
 		scheduled?: ScheduledOptions,
+		reportedOf?: ReportedSource,
 	): BatchScheduler {
-		return new BatchScheduler(handlingOf, allowanceOf, scheduled);
+		return new BatchScheduler(handlingOf, allowanceOf, scheduled, reportedOf);
 	}
 
 	private readonly queue: PieceQueue;
@@ -60,9 +62,9 @@
 	private readonly canceled = CanceledWorks.create();
 	private lastCallId = 0;
 
-	private constructor(handlingOf: HandlingSource, allowanceOf: AllowanceSource, scheduled: ScheduledOptions | undefined) {
+	private constructor(handlingOf: HandlingSource, allowanceOf: AllowanceSource, scheduled?: ScheduledOptions, reportedOf?: ReportedSource) {
 		this.queue = PieceQueue.create(handlingOf);
-		this.upstreams = PoolUpstreams.create(allowanceOf);
+		this.upstreams = PoolUpstreams.create(allowanceOf, reportedOf);
 		this.policies = PolicySwitch.create(scheduled);
 		this.estimates = PoolEstimates.create({queue: this.queue, upstreams: this.upstreams, policies: this.policies});
 	}
@@ -300,12 +302,19 @@
 			return undefined;
 		}
 
-		const expectedMs = this.policies.at(nowMs).times.expectedMs(pieces, capacity);
+		const upstream = this.upstreams.of(server);
+		const usualMs = this.policies.at(nowMs).times.expectedMs(pieces, capacity);
+		const expectedMs = usualMs * upstream.expectedFactorAt(nowMs);
 		this.lastCallId++;
 		const call: BatchCall = {
-			callId: this.lastCallId, server, pieces, sentMs: nowMs, expectedMs, deadlineMs: nowMs + (timeoutFactor * expectedMs * Math.max(1, conditions.typicalSlowness)) + timeoutMarginMs,
-			slowness: this.upstreams.of(server).slownessAt(nowMs) / conditions.typicalSlowness,
-			...(isShortened && {amount: expectedMs}),
+			callId: this.lastCallId,
+			server,
+			pieces,
+			sentMs: nowMs,
+			expectedMs,
+			deadlineMs: nowMs + (timeoutFactor * Math.max(expectedMs, usualMs * Math.max(1, conditions.typicalSlowness))) + timeoutMarginMs,
+			slowness: upstream.slownessAt(nowMs) / conditions.typicalSlowness,
+			...(isShortened && {amount: usualMs}),
 		};
 		this.upstreams.of(server).call = call;
 		return call;
--- a/src/preparation/node/batch-pool.test.ts
+++ b/src/preparation/node/batch-pool.test.ts
@@ -51,6 +51,7 @@
 		budget: {countFirstSends: () => undefined},
 		quarantine: {handlingOf: () => 'none'},
 		bounds: {allowance: () => ({remaining: Infinity, perS: Infinity})},
+		loads: {slownessAt: () => undefined},
 	};
 	return BatchPool.create(options as unknown as BatchPoolOptions);
 }
