Quote no wait for space to requests with small results

Where large results waited for space, the ledger quoted that wait to every request of the same or a worse rank, also to those with small or no results, and called the pool without spare capacity for them. The scheduler sends small results meanwhile (selectPieces), so these requests were refused without need.

Results of less than a tenth of the mean size asked for in the last second no longer wait for space; upstream time alone decides for them.

--- a/src/preparation/common/pool-ledger.test.ts
+++ b/src/preparation/common/pool-ledger.test.ts
@@ -393,3 +393,25 @@
 	ledger.submitted('b', 'r#0');
 	t.ok(near(ledger.quote(askOf('a', 2), idle(pool1), 0).callMs, 368), 'more demand than capacity');
 });
+
+t.test('small results do not wait behind large ones for space, since they fit into what the large ones leave', async t => {
+	// The scheduler sends small results while large ones wait for space, so kinds with small results would be refused without need.
+	const ledger = PoolLedger.create(ItemTimes.create());
+	const askOfBytes = (requestId: string, pieces: number, resultBytes: number) => ({...askOf(requestId, 0, 1), steps: [{stepKey: 'r#0', pieces, resultBytes}]});
+	const load = {
+		rank: 0, workspace: 'w', serverMs: 0, spaceMs: 12_000, isLate: false,
+	};
+	const state = {...idle(smallPool), queue: [load], meanHoldMs: 900};
+	ledger.quote(askOfBytes('demand', 100, 1.5e6), state, 0);
+	ledger.submitted('demand', 'r#0');
+	const large = ledger.quote(askOfBytes('large', 1, 1.5e6), state, 10);
+	t.ok(large.aheadMs > 1000, `large: ${large.aheadMs}`);
+	t.ok(large.lateAheadMs! > 1000, `large and late: ${large.lateAheadMs}`);
+	ledger.forgo('large');
+	for (const resultBytes of [0, 20_000]) {
+		const small = ledger.quote(askOfBytes('small', 1, resultBytes), state, 10);
+		t.equal(small.aheadMs, 0, `${resultBytes} bytes`);
+		t.equal(small.lateAheadMs, 0, `${resultBytes} bytes, late`);
+		ledger.forgo('small');
+	}
+});
--- a/src/preparation/common/pool-ledger.ts
+++ b/src/preparation/common/pool-ledger.ts
@@ -29,6 +29,11 @@
 and all with 1.75, with the same use of the space.
 */
 const spaceMargin = 1.75;
+/**
+Results of less than this share of the mean size asked for do not wait for space: where large results wait, an upstream has up to the
+size of one of them left, and the scheduler sends what fits (`selectPieces`). It leaves space for several of them at each upstream.
+*/
+const smallResultShare = 0.1;
 /** Wait quoted if no upstream accepts work: roughly the time until one is available again. */
 const noUpstreamWaitMs = 2000;
 
@@ -88,7 +93,7 @@
 		const steps = this.stepsOf(ask, state.capacity);
 		const own = sumOf(steps.values());
 		const aheadMs = this.aheadMs(ask, own, state, nowMs);
-		const lateAheadMs = this.lateAheadMs(state, aheadMs, nowMs);
+		const lateAheadMs = this.lateAheadMs(own, state, aheadMs, nowMs);
 
 		let demand = this.demand.get(rank);
 		if (!demand) {
@@ -232,17 +237,17 @@
 		return minWaitMs(state) + Math.max(
 			0,
 			backlogMargin * serverMs / Math.max(minCount, upstreamCount - demand.serverMs),
-			spaceMargin * spaceMs / Math.max(minCount, upstreamCount - (demand.resultBytes * spacePerByteMs)),
+			this.needsSpace(own, nowMs) ? spaceMargin * spaceMs / Math.max(minCount, upstreamCount - (demand.resultBytes * spacePerByteMs)) : 0,
 		);
 	}
 
 	/** Time until the pool gets to work behind everything else, in milliseconds; undefined without spare capacity. */
-	private lateAheadMs(state: PoolState, aheadMs: number, nowMs: number): number | undefined {
+	private lateAheadMs(own: Demand, state: PoolState, aheadMs: number, nowMs: number): number | undefined {
 		const {upstreamCount, queue} = state;
 		const spacePerByteMs = spaceMsPerByte(state);
 		const demand = this.demandPerMs(() => true, nowMs);
 		const spareServers = upstreamCount - demand.serverMs;
-		const spareSpace = upstreamCount - (demand.resultBytes * spacePerByteMs);
+		const spareSpace = this.needsSpace(own, nowMs) ? upstreamCount - (demand.resultBytes * spacePerByteMs) : Infinity;
 		if (upstreamCount <= 0 || Math.min(spareServers, spareSpace) < minSpareShare * upstreamCount) {
 			return undefined;
 		}
@@ -261,6 +266,13 @@
 		return Math.max(aheadMs, minWaitMs(state) + Math.max(backlogMargin * all.serverMs / spareServers, spaceMargin * all.spaceMs / spareSpace));
 	}
 
+	/** Whether the results of a request wait for space behind larger ones. */
+	private needsSpace(own: Demand, nowMs: number): boolean {
+		const {pieces, resultBytes} = this.demandPerMs(() => true, nowMs);
+		const meanBytes = pieces > 0 ? resultBytes / pieces : 0;
+		return own.resultBytes > smallResultShare * meanBytes * own.pieces;
+	}
+
 	/**
 	Expected duration of one call, in milliseconds. Calls carry what arrives during one call of each upstream, or the queue if that is
 	more, but at least the largest step of the request.
