Quote finite durations for pools whose calls take no declared time

With callMs and itemMs of 0 the ledger divided 0 by 0 for the expected duration of a call. Such a pool is not a scheduled one, but hosts may see different declarations for a while, and a peer closes its link on a message with NaN.

The queued part of the estimate is 0 where pieces take no upstream time.

The new test fails without the change (callMs was NaN) and passes with it.

--- a/src/preparation/common/pool-ledger.test.ts
+++ b/src/preparation/common/pool-ledger.test.ts
@@ -415,3 +415,14 @@
 		ledger.forgo('small');
 	}
 });
+
+t.test('a quote is a finite number where calls are declared to take no time', async t => {
+	// A peer refuses a message with NaN. Hosts may see different declarations, so a pool may be asked for that is not a scheduled one here.
+	const ledger = PoolLedger.create(ItemTimes.create());
+	const state = {...idle(pool1), capacity: {...pool1.capacity, callMs: 0, itemMs: 0}};
+	const queue = [{
+		rank: 1, workspace: 'w', serverMs: 0, spaceMs: 0, isLate: false,
+	}];
+	ledger.quote(askOf('a', 2), state, 0);
+	t.strictSame(ledger.quote(askOf('b', 2), {...state, queue}, 0), {aheadMs: 0, callMs: 0, lateAheadMs: 0});
+});
--- a/src/preparation/common/pool-ledger.ts
+++ b/src/preparation/common/pool-ledger.ts
@@ -294,7 +294,7 @@
 			queuedMs += load.serverMs;
 		}
 
-		const queued = queuedMs / serverMs / upstreamCount;
+		const queued = serverMs > 0 ? queuedMs / serverMs / upstreamCount : 0;
 		return callMs + (Math.min(batchSize, Math.max(1, largestStep, arriving, queued)) * itemMs);
 	}
 
