Determine the conditions of a call only if it can be shortened

Each free upstream is considered with every message. Where nothing fitted it, as with results that fill the space, the whole queue was still copied to decide on the size of a call without pieces.

Calls of fewer than two pieces are returned before the conditions are determined; they can't be shortened.

--- a/src/preparation/common/contention-policy.test.ts
+++ b/src/preparation/common/contention-policy.test.ts
@@ -5,6 +5,7 @@
 import type {BatchCall} from './batch-call.js';
 import {BatchScheduler} from './batch-scheduler.js';
 import {ItemTimes} from './item-times.js';
+import {ContentionPolicy} from './scheduling-policy.js';
 import {pieceFailures, type BatchWork, type PieceOutcome} from './work.js';
 
 const capacity: BatchCapacity = {
@@ -154,3 +155,17 @@
 	const waitMs = scheduler.waitMs(servers, capacity, 1, 0);
 	t.equal(Math.round(waitMs), 105, 'four pieces at the expected rate of two upstreams, and a quarter of a call');
 });
+
+t.test('the conditions of a call that has nothing to shorten are not determined', async t => {
+	// They are read from the whole queue, and a free upstream for which nothing fits is considered with every message.
+	const policy = ContentionPolicy.create(ItemTimes.create());
+	const conditions = () => {
+		throw new Error('determined');
+	};
+
+	const item = {
+		work: workOf('w', 1), piece: 0, readyMs: 0, attempts: 0,
+	};
+	t.strictSame(policy.limitCall([], conditions, 0), []);
+	t.strictSame(policy.limitCall([item], conditions, 0), [item]);
+});
--- a/src/preparation/common/scheduling-policy.ts
+++ b/src/preparation/common/scheduling-policy.ts
@@ -78,7 +78,8 @@
 	}
 
 	limitCall(selected: readonly BatchPiece[], conditions: () => CallConditions, nowMs: number): readonly BatchPiece[] {
-		return limitCall(selected, conditions(), nowMs);
+		// The conditions are read from the whole queue. A free upstream for which nothing fits is considered with every message.
+		return selected.length < 2 ? selected : limitCall(selected, conditions(), nowMs);
 	}
 }
 
