Recognize first tries on routes with few requests and differing limits

Cause: with fewer than 5 samples of a route its own time limit was used, so where callers' limits differ by 15%, first tries counted as up to 15% of the limit old and their steps were queued as late. With enough samples, the lowest tenth of all first tries was taken for returning callers.

Change: with too few samples of a route, those of its kind are used, as shares of the time limit; the route's own limit counts if callers of the kind have a common limit or are too few. Where limits differ, only a caller below the range of the limits is taken for a returning one: below the median minus 1.5 + 6/n times the distance from the median to the longest, n being the number of samples. With 5 to 19 samples of the route, those of the kind must show it as well. The median of an even number of samples is now the lower one. sinceFirstTryMs takes the route, so calls in existing tests have changed; the assertions have not, except that the one on differing limits now allows no first try after the 20th to be taken for a returning caller (before: 6 of 40).

A multiple of 1.1 was not enough.

--- a/src/direct/node/ingress.ts
+++ b/src/direct/node/ingress.ts
@@ -204,7 +204,7 @@
 		}
 
 		const {route, callerRequest} = resolved;
-		const sinceFirstTryMs = this.firstTryEstimator.sinceFirstTryMs(route.name, route.timeoutMs, callerRequest.remainingMs, receivedMs);
+		const sinceFirstTryMs = this.firstTryEstimator.sinceFirstTryMs(route, callerRequest.remainingMs, receivedMs);
 		this.start({
 			...resolved, request, response, body, receivedMs, sinceFirstTryMs,
 		});
--- a/src/routing/common/suspend.test.ts
+++ b/src/routing/common/suspend.test.ts
@@ -94,16 +94,16 @@
 	const clock = ManualClock.create();
 	const tries = FirstTryEstimator.create();
 	for (let index = 0; index < 10; index++) {
-		tries.sinceFirstTryMs('r', 9000, 9000, clock.nowMs());
+		tries.sinceFirstTryMs({name: 'r', kind: 'stream', timeoutMs: 9000}, 9000, clock.nowMs());
 	}
 
-	t.equal(tries.sinceFirstTryMs('r', 9000, 4000, clock.nowMs()), 5000);
+	t.equal(tries.sinceFirstTryMs({name: 'r', kind: 'stream', timeoutMs: 9000}, 4000, clock.nowMs()), 5000);
 	clock.suspend(30_000);
 	for (let index = 0; index < 10; index++) {
-		tries.sinceFirstTryMs('r', 9000, 4000, clock.nowMs());
+		tries.sinceFirstTryMs({name: 'r', kind: 'stream', timeoutMs: 9000}, 4000, clock.nowMs());
 	}
 
-	t.equal(tries.sinceFirstTryMs('r', 9000, 4000, clock.nowMs()), 0);
+	t.equal(tries.sinceFirstTryMs({name: 'r', kind: 'stream', timeoutMs: 9000}, 4000, clock.nowMs()), 0);
 });
 
 t.test('a limit announced before a suspend is tried again, and a limit whose end fell into the suspend no longer applies', async t => {
