--- a/src/daemon/node/compose-direct-entry.ts
+++ b/src/daemon/node/compose-direct-entry.ts
@@ -189,7 +189,7 @@
 		clock,
 		log: logOf('batches'),
 		isLeaving,
-		makePool(pool, ended) {
+		makePool(pool, onFinished, onInputsFetched) {
 			const itemDurations = ItemTimes.create();
 			return BatchPool.create({
 				pool,
@@ -203,7 +203,8 @@
 				clock,
 				log: logOf('batches'),
 				metrics,
-				onFinished: ended,
+				onFinished,
+				onInputsFetched,
 				scheduled: {isScheduled: () => isScheduled(pool), itemDurations},
 				makeLedger: () => PoolLedger.create(itemDurations),
 			});
--- a/src/deployment/node/collect-response.ts
+++ b/src/deployment/node/collect-response.ts
@@ -20,6 +20,14 @@
 /** A response with its complete body. */
 export type CompleteResponse = ResponseHead & {readonly body: Uint8Array};
 
+/** Listeners during a call. */
+export type CallListeners = {
+	/** Called when the call is written to a connection that is open. */
+	readonly onSent?: () => void;
+	/** Called as soon as the head has arrived: what it states about its server is valid even if the body fails. */
+	readonly onHead?: (head: ResponseHead) => void;
+};
+
 /** Why there is no complete response. */
 export type ResponseFailure = {
 	/** Whether the request may have reached the other side. */
@@ -32,14 +40,14 @@
 @param connection - one that carries no call; it is released afterwards, or discarded if there is no complete response.
 @param options - what to send.
 @param signal - cancels the call.
-@param onHead - called as soon as the head has arrived: what it states about its server is valid even if the body fails.
+@param listeners - called during the call.
 @returns the response, or why there is none.
 */
 export async function collectResponse(
 	connection: PooledConnection,
 	options: Dispatcher.DispatchOptions,
 	signal: AbortSignal,
-	onHead?: (head: ResponseHead) => void,
+	{onHead, onSent}: CallListeners = {},
 ): Promise<Outcome<CompleteResponse, ResponseFailure>> {
 	return new Promise(resolve => {
 		let controller: Dispatcher.DispatchController | undefined;
@@ -72,6 +80,7 @@
 			connection.dispatch(options, {
 				onRequestStart(started) {
 					controller = started;
+					onSent?.();
 				},
 				onResponseStart(started, startedStatus) {
 					if (isFinalStatus(startedStatus)) {
--- a/src/deployment/node/connection-pool.test.ts
+++ b/src/deployment/node/connection-pool.test.ts
@@ -100,8 +100,10 @@
 t.test('the head of a response is reported as soon as it arrives, even if the body fails', async t => {
 	const {pool} = await makeUpstream(t);
 	const heads: number[] = [];
-	const response = await collectResponse(pool.acquire(true)!, {method: 'POST', path: '/reset/1', body: 'x'}, new AbortController().signal, ({status}) => {
-		heads.push(status);
+	const response = await collectResponse(pool.acquire(true)!, {method: 'POST', path: '/reset/1', body: 'x'}, new AbortController().signal, {
+		onHead({status}) {
+			heads.push(status);
+		},
 	});
 	t.equal(response.ok, false);
 	t.same(heads, [200]);
--- a/src/preparation/common/batch-call.ts
+++ b/src/preparation/common/batch-call.ts
@@ -23,5 +23,38 @@
 /** Outcome of a piece, reported to the host that submitted it. */
 export type FinishedPiece = {readonly work: BatchWork; readonly piece: number; readonly outcome: PieceOutcome};
 
+/** Pieces of one work whose inputs must have been fetched by calls in progress, reported to the host that submitted it. */
+export type FetchedPieces = {readonly workId: string; readonly pool: string; readonly pieces: readonly number[]};
+
+/**
+Returns the time after which a call in progress has fetched all inputs of its pieces, if its turn came when it arrived. Full calls
+of each of its steps bound the time of a mixed one.
+@param call - the call.
+@returns the time in milliseconds; undefined if it reads nothing, or if the time is not known for a piece with inputs.
+*/
+export function fetchTimeOf({pieces}: BatchCall): number | undefined {
+	const timesMs = pieces.filter(({work}) => work.inputs !== undefined).map(({work}) => work.inputFetchMs);
+	return timesMs.length === 0 || timesMs.includes(undefined) ? undefined : Math.max(...timesMs.filter(timeMs => timeMs !== undefined));
+}
+
+/**
+Groups the pieces of a call that read inputs by their works.
+@param call - the call.
+*/
+export function fetchedPiecesOf({pieces}: BatchCall): FetchedPieces[] {
+	const byWork = new Map<string, {workId: string; pool: string; pieces: number[]}>();
+	for (const {work: {workId, pool, inputs}, piece} of pieces) {
+		if (inputs === undefined) {
+			continue;
+		}
+
+		const fetched = byWork.get(workId) ?? {workId, pool, pieces: []};
+		fetched.pieces.push(piece);
+		byWork.set(workId, fetched);
+	}
+
+	return [...byWork.values()];
+}
+
 /** Why a call failed for all of its pieces. */
 export type CallFailure = 'refused' | 'unreachable' | 'broken' | 'replaced';
--- a/src/preparation/common/batch-scheduler.test.ts
+++ b/src/preparation/common/batch-scheduler.test.ts
@@ -4,6 +4,7 @@
 import {pieceHandlings, type PieceHandling} from '../../quarantine/common/quarantine.js';
 import type {BatchCall} from './batch-call.js';
 import {BatchScheduler} from './batch-scheduler.js';
+import {ItemTimes} from './item-times.js';
 import {pieceFailures, type BatchWork, type PieceOutcome} from './work.js';
 
 const capacity: BatchCapacity = {
@@ -267,3 +268,77 @@
 	// 2 calls of 140 ms per second are 0.28 of its capacity.
 	t.equal(Math.round(waitMs * 0.28), Math.round(scheduler.waitMs([server('bounded')], capacity, 0, 0)));
 });
+
+const reading = {inputs: ['x'], stepKey: 'r#1', inputFetchMs: 40};
+const makeScheduled = (isScheduled = true) => BatchScheduler.create(undefined, undefined, {isScheduled: () => isScheduled, itemDurations: ItemTimes.create()});
+
+/** Makes the next call of the one upstream and returns it with its fetch time. */
+function startReading(scheduler: BatchScheduler, nowMs: number, {changes = {}, slots = 1}: {readonly changes?: Partial<BatchWork>; readonly slots?: number} = {}) {
+	scheduler.add(workOf(`w${nowMs}`, 2, {
+		...reading, dueMs: nowMs + 1000, lateDueMs: nowMs + 2000, deadlineMs: nowMs + 5000, ...changes,
+	}), nowMs);
+	const [call] = scheduler.nextCalls([server('s')], capacity, nowMs);
+	return {call, fetchMs: scheduler.fetchTimeMs(call, {...capacity, slots}, nowMs)};
+}
+
+/** Makes and completes calls so that the upstream has answered one. */
+function answerOne(scheduler: BatchScheduler, nowMs: number): void {
+	const {call} = startReading(scheduler, nowMs);
+	scheduler.completeCall(call, allDone(call), capacity, nowMs + 140);
+}
+
+/* Guards against inputs that are released while the call that reads them waits at its upstream behind a call of the former scheduler. */
+t.test('inputs count as fetched only once the upstream has answered a call, sent since this host schedules the pool', async t => {
+	const scheduler = makeScheduled();
+	const first = startReading(scheduler, 0);
+	t.equal(first.fetchMs, undefined, 'a call of another host may be ahead');
+	scheduler.completeCall(first.call, allDone(first.call), capacity, 140);
+	const second = startReading(scheduler, 200);
+	t.equal(second.fetchMs, 40);
+	scheduler.takeWaiting();
+	scheduler.completeCall(second.call, allDone(second.call), capacity, 340);
+	const third = startReading(scheduler, 400);
+	t.equal(third.fetchMs, undefined, 'another host scheduled the pool since the answered call was sent');
+	scheduler.completeCall(third.call, allDone(third.call), capacity, 540);
+	t.equal(startReading(scheduler, 600).fetchMs, 40);
+});
+
+/* Guards against inputs that are released while an upstream still runs a call that timed out here, or one of a host out of contact. */
+t.test('inputs do not count as fetched after a call that failed or whose inputs were gone, until one is answered', async t => {
+	for (const end of [
+		(scheduler: BatchScheduler, call: BatchCall) => scheduler.failCall(call, 'broken', 1140),
+		(scheduler: BatchScheduler, call: BatchCall) => scheduler.completeCall(call, call.pieces.map(() => ({ok: false, reason: pieceFailures.inputsGone})), capacity, 1140),
+	]) {
+		const scheduler = makeScheduled();
+		answerOne(scheduler, 0);
+		const {call, fetchMs} = startReading(scheduler, 1000);
+		t.equal(fetchMs, 40);
+		end(scheduler, call);
+		const next = startReading(scheduler, 2000);
+		t.equal(next.fetchMs, undefined);
+		scheduler.completeCall(next.call, allDone(next.call), capacity, 2140);
+		t.equal(startReading(scheduler, 3000).fetchMs, 40);
+	}
+});
+
+/* Guards against a changed behaviour of pools that are not scheduled, and against a time that does not hold for all pieces of a call. */
+t.test('inputs never count as fetched in other pools, with several slots, or where the time of a piece is not known', async t => {
+	const unscheduled = makeScheduled(false);
+	answerOne(unscheduled, 0);
+	t.equal(startReading(unscheduled, 1000).fetchMs, undefined);
+	for (const [options, expected] of [
+		[{}, 40], [{slots: 2}, undefined], [{changes: {inputFetchMs: undefined}}, undefined], [{changes: {inputs: undefined, inputFetchMs: undefined}}, undefined],
+	] as const) {
+		const scheduler = makeScheduled();
+		answerOne(scheduler, 0);
+		t.equal(startReading(scheduler, 1000, options).fetchMs, expected, JSON.stringify(options));
+	}
+
+	const mixed = makeScheduled();
+	answerOne(mixed, 0);
+	mixed.add(workOf('long', 1, {
+		...reading, inputFetchMs: 70, dueMs: 2000, lateDueMs: 3000,
+	}), 1000);
+	mixed.add(workOf('none', 1, {stepKey: 'r#0', dueMs: 2000, lateDueMs: 3000}), 1000);
+	t.equal(startReading(mixed, 1000).fetchMs, 70, 'the longest time in a mixed call');
+});
--- a/src/preparation/common/batch-scheduler.ts
+++ b/src/preparation/common/batch-scheduler.ts
@@ -5,7 +5,9 @@
 import type {BatchCapacity} from '../../deployment/common/declaration.js';
 import type {UpstreamServer} from '../../deployment/common/upstream-server.js';
 import {pieceHandlings} from '../../quarantine/common/quarantine.js';
-import type {BatchCall, CallFailure, FinishedPiece} from './batch-call.js';
+import {
+	fetchTimeOf, type BatchCall, type CallFailure, type FinishedPiece,
+} from './batch-call.js';
 import {CanceledWorks} from './canceled-works.js';
 import {PieceQueue, type HandlingSource} from './piece-queue.js';
 import {selectPieces} from './piece-selection.js';
@@ -59,6 +61,8 @@
 	private readonly estimates: PoolEstimates;
 	private readonly canceled = CanceledWorks.create();
 	private lastCallId = 0;
+	/** Last call made before another host scheduled the pool; 0 if none did. */
+	private lastCallIdBeforeOthers = 0;
 
 	private constructor(handlingOf: HandlingSource, allowanceOf: AllowanceSource, scheduled: ScheduledOptions | undefined) {
 		this.queue = PieceQueue.create(handlingOf);
@@ -103,6 +107,7 @@
 	@returns the pieces, none of which has been started.
 	*/
 	takeWaiting(): FinishedPiece[] {
+		this.lastCallIdBeforeOthers = this.lastCallId;
 		return this.queue.takeAll(pieceFailures.moved);
 	}
 
@@ -159,6 +164,22 @@
 		return calls;
 	}
 
+	/**
+	Returns the time after which a call that is about to be sent has certainly fetched its inputs, provided that it is then still in
+	progress. That requires that its turn comes when it arrives. An upstream with one slot runs one call at a time, and this host sends
+	it one at a time, but a call of the pool's former scheduler, or one of this host that timed out, may still be running there. So the
+	upstream must have answered the previous call, sent since this host schedules the pool. A host that schedules the pool as well, out
+	of contact with this one, shows only in inputs that are gone: the next call is not reported then.
+	@param call - the call.
+	@param capacity - capacity of the pool's upstreams.
+	@param nowMs - the current time.
+	@returns the time in milliseconds; undefined if it is not known, or if the pool is not a scheduled one.
+	*/
+	fetchTimeMs(call: BatchCall, capacity: BatchCapacity, nowMs: number): number | undefined {
+		const isFirstInTurn = capacity.slots === 1 && this.upstreams.of(call.server).answeredCallId > this.lastCallIdBeforeOthers;
+		return isFirstInTurn && this.policies.at(nowMs).reportsFetched ? fetchTimeOf(call) : undefined;
+	}
+
 	/**
 	Handles the response to a call.
 	@param call - the call.
@@ -172,6 +193,7 @@
 		const policy = this.policies.at(nowMs);
 		this.estimates.completeCall(call, outcomes, capacity, nowMs);
 		state.completeCall(call, nowMs);
+		state.answeredCallId = outcomes.some(outcome => !outcome.ok && outcome.reason === pieceFailures.inputsGone) ? 0 : call.callId;
 		state.space.update(spaceReportOf(call, outcomes), capacity, nowMs, policy.refusedShare);
 		const finished: FinishedPiece[] = [];
 		for (const [index, item] of call.pieces.entries()) {
--- a/src/preparation/common/batch-upstream.ts
+++ b/src/preparation/common/batch-upstream.ts
@@ -24,6 +24,11 @@
 	/** The call in progress. */
 	call: BatchCall | undefined;
 	readonly space = ResultSpace.create();
+	/**
+	Number of the last call if it was answered and all of its inputs were found; otherwise 0. The upstream runs one call at a time, so
+	nothing that was sent before that call is still ahead of the next one.
+	*/
+	answeredCallId = 0;
 	private slowness = 1;
 	private measuredMs = 0;
 	private avoidedUntilMs = -Infinity;
@@ -54,6 +59,8 @@
 
 	failCall(call: BatchCall, nowMs: number): void {
 		this.clearCall(call);
+		// The upstream may still be running it.
+		this.answeredCallId = 0;
 		const ratio = Math.min(maxTimedOutSlowness, (nowMs - call.sentMs) / call.expectedMs);
 		if (nowMs >= call.deadlineMs && ratio > this.slownessAt(nowMs)) {
 			// The call timed out. If all upstreams are that slow, the next call is given more time.
--- a/src/preparation/common/preparation.ts
+++ b/src/preparation/common/preparation.ts
@@ -9,7 +9,9 @@
 	readonly declared: PreparationStep;
 	readonly results: Array<ResultRef | undefined>;
 	readonly pending: Set<number>;
-	/** Whether its results were released because every step that reads them is done. */
+	/** Pending pieces whose inputs must have been fetched by calls in progress. */
+	readonly fetched: Set<number>;
+	/** Whether its results were released because every step that reads them is done, or has fetched them. */
 	isReleased: boolean;
 };
 
@@ -31,6 +33,7 @@
 			declared: step,
 			results: Array.from({length: pieceCounts[index] ?? 1}, () => undefined),
 			pending: new Set<number>(),
+			fetched: new Set<number>(),
 			isReleased: false,
 		}));
 	}
@@ -153,7 +156,7 @@
 	*/
 	completePiece(index: number, piece: number, ref: ResultRef): boolean {
 		const step = this.steps[index];
-		step.pending.delete(piece);
+		endPiece(step, piece);
 		if (step.results[piece]) {
 			return false;
 		}
@@ -168,17 +171,51 @@
 	@param piece - its number.
 	*/
 	failPiece(index: number, piece: number): void {
-		this.steps[index].pending.delete(piece);
+		endPiece(this.steps[index], piece);
 	}
 
 	/**
-	Discards inputs of a step that were reported lost.
+	Records that calls in progress must have fetched the inputs of pieces. Once that holds for all pieces of a step that are not done,
+	the step needs its inputs no longer, unless a call fails. Ignored for pieces that were requested with other inputs than the step
+	reads now: they may find these gone.
+	@param index - the step.
+	@param pieces - numbers of the pieces.
+	@param inputs - handles of the inputs with which they were requested.
+	*/
+	handleFetched(index: number, pieces: readonly number[], inputs: readonly string[] | undefined): void {
+		if (this.hasOtherInputs(index, inputs)) {
+			return;
+		}
+
+		const {pending, fetched} = this.steps[index];
+		for (const piece of pieces) {
+			if (pending.has(piece)) {
+				fetched.add(piece);
+			}
+		}
+	}
+
+	/**
+	Whether a step reads other inputs now than those with which a piece was requested: some of them were discarded or computed again.
+	@param index - the step.
+	@param inputs - handles of the inputs with which the piece was requested.
+	*/
+	hasOtherInputs(index: number, inputs: readonly string[] | undefined): boolean {
+		const current = this.inputsOf(this.steps[index]) ?? [];
+		return current.length !== (inputs?.length ?? 0) || current.some((handle, position) => handle !== inputs?.[position]);
+	}
+
+	/**
+	Discards inputs of a step that were reported lost. Released ones are not: `advance` requests them again. They explain the loss, so
+	that of the other inputs only those are discarded whose server is gone.
 	@param index - the step that was to read them.
 	@param isListed - whether a server is still listed; if all of them are, all inputs are computed again.
 	@returns the discarded results.
 	*/
 	discardInputs(index: number, isListed: (serverId: string) => boolean): ResultRef[] {
-		return this.discard(this.steps[index].declared.after, isListed);
+		const {after} = this.steps[index].declared;
+		const stored = after.filter(input => !this.steps[input].isReleased);
+		return this.discard(stored, isListed, stored.length < after.length);
 	}
 
 	/**
@@ -190,22 +227,24 @@
 		return this.discard([...this.steps.keys()].filter(index => this.isFinal(index) && !this.steps[index].isReleased), isListed);
 	}
 
-	/** Requests released results again if they are needed once more because a result that was computed from them is lost. */
+	/** Requests released results again if they are needed once more: a result computed from them is lost, or a call that had fetched them failed. */
 	private renewReleased(): void {
 		for (const [index, step] of [...this.steps.entries()].toReversed()) {
 			if (step.isReleased && this.isNeeded(index)) {
 				step.isReleased = false;
 				step.results.fill(undefined);
+				this.forgetFetched(index);
 			}
 		}
 	}
 
-	private discard(indexes: readonly number[], isListed: (serverId: string) => boolean): ResultRef[] {
+	private discard(indexes: readonly number[], isListed: (serverId: string) => boolean, isExplained = false): ResultRef[] {
 		const refs = indexes.flatMap(index => availableRefs(this.steps[index]));
 		const lost = refs.filter(ref => !isListed(ref.serverId));
-		const discarded = new Set(lost.length > 0 ? lost : refs);
+		const discarded = new Set(lost.length > 0 || isExplained ? lost : refs);
 		for (const index of indexes) {
 			const {results} = this.steps[index];
+			this.forgetFetched(index);
 			for (const [piece, ref] of results.entries()) {
 				if (ref && discarded.has(ref)) {
 					results[piece] = undefined;
@@ -216,6 +255,18 @@
 		return [...discarded];
 	}
 
+	/**
+	Drops what is known of the pieces that read the results of a step, where some of them need these again: the calls of the others may
+	have failed as well.
+	*/
+	private forgetFetched(index: number): void {
+		for (const reader of this.steps) {
+			if (reader.declared.after.includes(index) && !hasRead(reader)) {
+				reader.fetched.clear();
+			}
+		}
+	}
+
 	private isFinal(index: number): boolean {
 		return this.steps.every(({declared}) => !declared.after.includes(index));
 	}
@@ -236,7 +287,7 @@
 	/** Whether something still has to read the results of this step. */
 	private isNeeded(index: number): boolean {
 		return this.isFinal(index) || this.steps.some((other, otherIndex) =>
-			other.declared.after.includes(index) && !isDone(other) && this.isNeeded(otherIndex));
+			other.declared.after.includes(index) && !hasRead(other) && this.isNeeded(otherIndex));
 	}
 
 	private hasInputs({declared}: Step): boolean {
@@ -254,6 +305,16 @@
 	return step.results.every(Boolean);
 }
 
+/** Whether all pieces of a step are done or must have fetched their inputs. */
+function hasRead({results, fetched}: Step): boolean {
+	return results.every((result, piece) => result !== undefined || fetched.has(piece));
+}
+
+function endPiece({pending, fetched}: Step, piece: number): void {
+	pending.delete(piece);
+	fetched.delete(piece);
+}
+
 function availableRefs(step: Step): ResultRef[] {
 	return step.results.filter(ref => ref !== undefined);
 }
--- a/src/preparation/common/scheduling-policy.ts
+++ b/src/preparation/common/scheduling-policy.ts
@@ -13,6 +13,8 @@
 	readonly refusedShare: number;
 	/** Whether the pieces of canceled work in calls that failed are dropped instead of queued again. */
 	readonly dropsCanceled: boolean;
+	/** Whether submitters are notified when the inputs of a call in progress must have been fetched. */
+	readonly reportsFetched: boolean;
 	/** Returns the order of the queue. */
 	orderOf(capacity: BatchCapacity): PieceOrder;
 	/** Returns those of the selected pieces that a call takes. */
@@ -36,6 +38,10 @@
 		return false;
 	}
 
+	get reportsFetched(): boolean {
+		return false;
+	}
+
 	orderOf(): PieceOrder {
 		return this.order;
 	}
@@ -73,6 +79,10 @@
 		return true;
 	}
 
+	get reportsFetched(): boolean {
+		return true;
+	}
+
 	orderOf(capacity: BatchCapacity): PieceOrder {
 		return ContentionOrder.create(this.times.fullCallMs(capacity));
 	}
--- a/src/preparation/common/work-messages.ts
+++ b/src/preparation/common/work-messages.ts
@@ -15,7 +15,7 @@
 */
 export function messageOfWork(work: BatchWork, nowMs: number): BatchWorkMessage {
 	const {
-		workId, pool, callerRequestId, contentId, pieceKey, step, pieces, inputs, resultBytes, rank, hall, crossingBytes, requestId, stepKey, workspace,
+		workId, pool, callerRequestId, contentId, pieceKey, step, pieces, inputs, resultBytes, rank, hall, crossingBytes, requestId, stepKey, workspace, inputFetchMs,
 	} = work;
 	return {
 		type: 'batchWork', workId, pool, callerRequestId, contentId, pieceKey, step, pieces: [...pieces], resultBytes, rank, hall, crossingBytes,
@@ -23,6 +23,7 @@
 		...(requestId !== undefined && {requestId}),
 		...(stepKey !== undefined && {stepKey}),
 		...(workspace !== undefined && {workspace}),
+		...(inputFetchMs !== undefined && {inputFetchMs}),
 		dueInMs: work.dueMs - nowMs,
 		lateDueInMs: work.lateDueMs - nowMs,
 		deadlineInMs: Math.max(0, work.deadlineMs - nowMs),
--- a/src/preparation/common/work.ts
+++ b/src/preparation/common/work.ts
@@ -61,4 +61,9 @@
 	/** Identifies the step among all routes, to learn the duration of its items; absent in pools that are not scheduled. */
 	readonly stepKey?: string | undefined;
 	readonly workspace?: string | undefined;
+	/**
+	Time after which a call in progress has fetched the inputs of its pieces, if it carries only pieces of this step and its turn came
+	when it arrived; absent for steps without inputs and in pools that are not scheduled.
+	*/
+	readonly inputFetchMs?: number | undefined;
 };
--- a/src/preparation/node/batch-handler.test.ts
+++ b/src/preparation/node/batch-handler.test.ts
@@ -5,7 +5,7 @@
 import type {PeerMessage} from '../../peers/node/peer-mesh.js';
 import {rendezvousOwner} from '../../routing/common/rendezvous.js';
 import type {Message} from '../../wire/common/messages.js';
-import type {FinishedPiece} from '../common/batch-call.js';
+import type {FetchedPieces, FinishedPiece} from '../common/batch-call.js';
 import {pieceFailures, type BatchWork, type PieceOutcome} from '../common/work.js';
 import {BatchHandler, type BatchPeerMesh, type PoolBatches} from './batch-handler.js';
 
@@ -15,6 +15,8 @@
 	readonly clock = ManualClock.create();
 	/** Pieces held by each host, by host ID. */
 	readonly queues = new Map<string, FinishedPiece[]>();
+	/** Reports of the pool of each host, by host ID. */
+	readonly reports = new Map<string, {readonly onFinished: (finished: FinishedPiece) => void; readonly onInputsFetched: (fetched: FetchedPieces) => void}>();
 	private readonly meshEvents = new Map<string, {readonly receive: Emitter<PeerMessage>; readonly change: Emitter<void>}>();
 	private readonly capacities = new Map<string, number>();
 	private live: string[] = [];
@@ -36,7 +38,10 @@
 		const handler = BatchHandler.create({
 			hostId, capacity, mesh, clock: this.clock, log: silentLoggers.for('test'),
 			isLeaving: () => !this.live.includes(hostId),
-			makePool: (pool, onFinished) => this.makePool(hostId, pool, onFinished),
+			makePool: (pool, onFinished, onInputsFetched) => {
+				this.reports.set(hostId, {onFinished, onInputsFetched});
+				return this.makePool(hostId, pool, onFinished);
+			},
 		});
 		this.handlers.set(hostId, handler);
 		this.setLive([...this.live, hostId]);
@@ -134,3 +139,48 @@
 	t.equal(hosts.queues.get(other)!.length, 0);
 	t.equal(hosts.queues.get(owner)!.length, 2);
 });
+
+/* Guards against a submitter that is not notified, or that releases inputs of pieces that have to be sent again. */
+t.test('the submitter of a work, a peer or this host, is notified of its unfinished pieces whose inputs were fetched', async t => {
+	const names = ['a', 'b'];
+	const owner = rendezvousOwner('p', names)!;
+	const other = names.find(name => name !== owner)!;
+	const hosts = new Hosts();
+	hosts.add(owner);
+	hosts.add(other);
+	for (const submitter of names) {
+		const fetched: Array<readonly number[]> = [];
+		const workId = `w-${submitter}`;
+		hosts.handlers.get(submitter)!.submit({...work, workId}, () => undefined, pieces => {
+			fetched.push(pieces);
+		});
+		const report = hosts.reports.get(owner)!;
+		report.onInputsFetched({workId, pool: 'p', pieces: [0, 1]});
+		t.same(fetched, [[0, 1]], submitter);
+		report.onFinished({work: {...work, workId}, piece: 0, outcome: {ok: true, ref: {handle: 'x', serverId: 's'}}});
+		report.onInputsFetched({workId, pool: 'p', pieces: [0, 1]});
+		t.same(fetched, [[0, 1], [1]], 'not of a piece that is done');
+		hosts.handlers.get(submitter)!.cancel(workId);
+		report.onInputsFetched({workId, pool: 'p', pieces: [1]});
+		t.equal(fetched.length, 2, 'not of canceled work');
+	}
+});
+
+/* Guards against inputs that are released on the word of a former scheduler while the current one has yet to send the pieces. */
+t.test('fetched inputs reported by a host that no longer holds a work are ignored', async t => {
+	const names = ['a', 'b'];
+	const owner = rendezvousOwner('p', names)!;
+	const other = names.find(name => name !== owner)!;
+	const hosts = new Hosts();
+	const submitter = hosts.add(other);
+	const fetched: Array<readonly number[]> = [];
+	submitter.submit(work, () => undefined, pieces => {
+		fetched.push(pieces);
+	});
+	hosts.add(owner);
+	t.equal(hosts.queues.get(owner)!.length, 2, 'transferred');
+	hosts.reports.get(other)!.onInputsFetched({workId: 'w', pool: 'p', pieces: [0]});
+	t.same(fetched, []);
+	hosts.reports.get(owner)!.onInputsFetched({workId: 'w', pool: 'p', pieces: [1]});
+	t.same(fetched, [[1]]);
+});
--- a/src/preparation/node/batch-handler.ts
+++ b/src/preparation/node/batch-handler.ts
@@ -11,7 +11,7 @@
 import {highCapacityHosts} from '../../routing/common/host-capacity.js';
 import {rendezvousOwner} from '../../routing/common/rendezvous.js';
 import type {BatchEndsMessage, BatchWaitsMessage, Message} from '../../wire/common/messages.js';
-import type {FinishedPiece} from '../common/batch-call.js';
+import type {FetchedPieces, FinishedPiece} from '../common/batch-call.js';
 import {ReportedWaits} from '../common/reported-waits.js';
 import {
 	messageOfFinished, messageOfWork, outcomeOfEnd, workOfMessage,
@@ -25,10 +25,13 @@
 /** Receives the outcomes of the pieces of one work as they arrive, one for each piece. */
 export type PieceListener = (piece: number, outcome: PieceOutcome) => void;
 
+/** Receives the pieces of one work whose inputs must have been fetched by calls in progress. */
+export type FetchListener = (pieces: readonly number[]) => void;
+
 /** Accepts work of requests and releases results. */
 export type WorkHandler = {
 	/** Submits work. */
-	submit(work: BatchWork, listener: PieceListener): void;
+	submit(work: BatchWork, listener: PieceListener, onInputsFetched?: FetchListener): void;
 	/** Cancels work that is not finished. */
 	cancel(workId: string): void;
 	/** Releases results that a pool stores. */
@@ -53,7 +56,7 @@
 	readonly log: Logger;
 	/** Whether this host is about to stop, so that other hosts batch instead. */
 	readonly isLeaving: () => boolean;
-	readonly makePool: (pool: string, onFinished: (finished: FinishedPiece) => void) => PoolBatches;
+	readonly makePool: (pool: string, onFinished: (finished: FinishedPiece) => void, onInputsFetched: (fetched: FetchedPieces) => void) => PoolBatches;
 };
 
 /** Interval at which waits are reported and work queued here for other hosts is transferred: several times per call duration. */
@@ -63,7 +66,13 @@
 type PeerWork = {readonly hostId: string; openCount: number};
 
 /** Work this host submitted: its unfinished pieces, and the host that batches it. */
-type SubmittedWork = {readonly work: BatchWork; readonly listener: PieceListener; readonly openPieces: Set<number>; owner: string};
+type SubmittedWork = {
+	readonly work: BatchWork;
+	readonly listener: PieceListener;
+	readonly onInputsFetched: FetchListener | undefined;
+	readonly openPieces: Set<number>;
+	owner: string;
+};
 
 export const batchHandlerToken: InjectionToken<BatchHandler> = Symbol('BatchHandler');
 
@@ -138,10 +147,12 @@
 	Submits work.
 	@param work - pieces of one step.
 	@param listener - called once with the outcome of each piece.
+	@param onInputsFetched - called, in scheduled pools, with unfinished pieces whose inputs must have been fetched. Their calls may
+	still fail, and the pieces may then be sent again.
 	*/
-	submit(work: BatchWork, listener: PieceListener): void {
+	submit(work: BatchWork, listener: PieceListener, onInputsFetched?: FetchListener): void {
 		const submitted: SubmittedWork = {
-			work, listener, openPieces: new Set(work.pieces), owner: '',
+			work, listener, onInputsFetched, openPieces: new Set(work.pieces), owner: '',
 		};
 		this.submitted.set(work.workId, submitted);
 		this.submitPieces(submitted, work.pieces);
@@ -236,6 +247,8 @@
 		if (!pool) {
 			pool = this.options.makePool(name, finished => {
 				this.handleFinished(finished);
+			}, fetched => {
+				this.handleFetched(fetched);
 			});
 			this.pools.set(name, pool);
 		}
@@ -258,6 +271,11 @@
 				break;
 			}
 
+			case 'batchFetched': {
+				this.notifyFetched(hostId, message);
+				break;
+			}
+
 			case 'batchWaits': {
 				this.handleWaitReports(hostId, message);
 				break;
@@ -301,6 +319,25 @@
 		this.options.mesh.send(peerWork.hostId, messageOfFinished(finished));
 	}
 
+	/** Handles inputs that the calls of this host's own pools must have fetched. */
+	private handleFetched(fetched: FetchedPieces): void {
+		const peerWork = this.peerWorks.get(fetched.workId);
+		if (peerWork === undefined) {
+			this.notifyFetched(this.options.hostId, fetched);
+		} else {
+			this.options.mesh.send(peerWork.hostId, {type: 'batchFetched', ...fetched, pieces: [...fetched.pieces]});
+		}
+	}
+
+	/** Notifies the submitter of a work. Reports of a host that no longer holds the work are ignored: its pieces are sent again elsewhere. */
+	private notifyFetched(hostId: string, {workId, pieces}: FetchedPieces): void {
+		const submitted = this.submitted.get(workId);
+		const open = submitted?.owner === hostId ? pieces.filter(piece => submitted.openPieces.has(piece)) : [];
+		if (open.length > 0) {
+			submitted?.onInputsFetched?.(open);
+		}
+	}
+
 	/** Records reported waits; reports of other hosts than the one that batches a pool are ignored, since only that host knows the wait. */
 	private handleWaitReports(hostId: string, {pools}: BatchWaitsMessage): void {
 		for (const waits of pools) {
--- a/src/preparation/node/batch-pool.test.ts
+++ b/src/preparation/node/batch-pool.test.ts
@@ -1,8 +1,13 @@
-import t from 'tap';
+import {once} from 'node:events';
+import {createServer, type ServerResponse} from 'node:http';
+import type {AddressInfo} from 'node:net';
+import t, {type Test} from 'tap';
 import {ManualClock} from '../../base/common/clock.js';
 import {Emitter} from '../../base/common/emitter.js';
 import {silentLoggers} from '../../base/common/logger.js';
 import {noMetrics} from '../../base/common/metrics.js';
+import {ok, fail} from '../../base/common/outcome.js';
+import type {FetchedPieces} from '../common/batch-call.js';
 import {ItemTimes} from '../common/item-times.js';
 import {PoolLedger} from '../common/pool-ledger.js';
 import type {AdmissionLedger, LedgerAsk, PoolState} from '../common/quotes.js';
@@ -110,3 +115,112 @@
 	pool.forgo('r2');
 	t.equal(pool.quote({...ask, requestId: 'r3'})!.aheadMs, 0);
 });
+
+/** A pool with one upstream, on a loopback port, whose responses the test gives. */
+async function makeServedPool(t: Test) {
+	const clock = ManualClock.create();
+	const pending: ServerResponse[] = [];
+	const server = createServer((request, response) => {
+		request.resume();
+		pending.push(response);
+		server.emit('received');
+	});
+	server.listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	const upstream = {
+		serverId: 's', instanceId: 's', startedMs: 0, pool: 'p', address: '127.0.0.1', port: (server.address() as AddressInfo).port, hall: '', slots: 1, isLeaving: false,
+	};
+	const fetched: FetchedPieces[] = [];
+	let didEnd: () => void = () => undefined;
+	const options = {
+		pool: 'p', clock, log: silentLoggers.for('test'), makeLedger: () => new RecordingLedger(), scheduled: {isScheduled: () => true, itemDurations: ItemTimes.create()},
+		tracker: {current: {pool: () => ({batch: {...batch, roomBytes: 1000}})}},
+		registry: {
+			onDidChange: Emitter.create().event, usable: () => [upstream], isPoolClosed: () => false, isMissing: () => false, get: () => upstream,
+		},
+		notices: {handleResponse: () => undefined},
+		protocol: {
+			encodeRun: () => ({
+				method: 'POST', path: '/', headers: [], body: new Uint8Array(1),
+			}),
+			decodeRun: ({status}: {readonly status: number}, call: {readonly callId: number; readonly pieces: readonly unknown[]}) => status === 503
+				? fail('refused')
+				: ok(call.pieces.map((_, index) => ({ok: true, ref: {handle: `${call.callId}-${index}`, serverId: 's'}}))),
+			readNotice: () => ({}),
+		},
+		metrics: {
+			...noMetrics,
+			increment(name: string) {
+				if (name === 'batch.failed' || name === 'batch.pieces') {
+					didEnd();
+				}
+			},
+		},
+		budget: {countFirstSends: () => undefined},
+		quarantine: {handlingOf: () => 'none', connectionLost: () => undefined},
+		bounds: {allowance: () => ({remaining: Infinity, perS: Infinity}), sent: () => undefined},
+		onFinished: () => undefined,
+		onInputsFetched(report: FetchedPieces) {
+			fetched.push(report);
+		},
+	};
+	const pool = BatchPool.create(options as unknown as BatchPoolOptions);
+	t.teardown(() => {
+		pool.dispose();
+		server.closeAllConnections();
+		server.close();
+	});
+	return {
+		clock, fetched, pool,
+		/** Submits two pieces, and returns once their call has arrived. */
+		async start(workId: string) {
+			const received = once(server, 'received');
+			pool.add({
+				...work, workId, inputs: ['x'], inputFetchMs: 40, dueMs: clock.nowMs() + 10_000, lateDueMs: clock.nowMs() + 10_000, deadlineMs: clock.nowMs() + 10_000,
+			});
+			await received;
+		},
+		/** Responds to the last call, and returns once the pool has handled that. */
+		async respond(status: number) {
+			const ended = new Promise<void>(resolve => {
+				didEnd = resolve;
+			});
+			pending.pop()!.writeHead(status).end();
+			await ended;
+		},
+	};
+}
+
+/*
+Load: a burst in which space for results binds. Guards against reports for calls that waited behind another one, and against reports that
+repeat or come after the response.
+*/
+t.test('inputs are reported as fetched while their call is in progress, after the fetch time, once the turn of the call is certain', async t => {
+	const {clock, fetched, start, respond} = await makeServedPool(t);
+	await start('w1');
+	clock.advance(200);
+	t.same(fetched, [], 'the first call to an upstream may wait behind one of another host');
+	await respond(200);
+	await start('w2');
+	clock.advance(39);
+	t.same(fetched, []);
+	clock.advance(1);
+	t.same(fetched, [{workId: 'w2', pool: 'p', pieces: [0, 1]}]);
+	await respond(200);
+	await start('w3');
+	clock.advance(30);
+	await respond(200);
+	clock.advance(100);
+	t.equal(fetched.length, 1, 'a call that has ended needs no report');
+});
+
+/* Guards against inputs that are released for a call that its upstream refused: nothing was fetched, and the pieces are sent again. */
+t.test('a call that is refused reports no fetched inputs', async t => {
+	const {clock, fetched, start, respond} = await makeServedPool(t);
+	await start('w1');
+	await respond(200);
+	await start('w2');
+	await respond(503);
+	clock.advance(100);
+	t.same(fetched, []);
+});
--- a/src/preparation/node/batch-pool.ts
+++ b/src/preparation/node/batch-pool.ts
@@ -16,7 +16,9 @@
 import type {SendBounds} from '../../routing/common/send-bounds.js';
 import type {BoundedWork} from '../../routing/common/send-share.js';
 import type {WindowedBudget} from '../../routing/common/windowed-budget.js';
-import type {BatchCall, FinishedPiece} from '../common/batch-call.js';
+import {
+	fetchedPiecesOf, type BatchCall, type FetchedPieces, type FinishedPiece,
+} from '../common/batch-call.js';
 import {BatchScheduler} from '../common/batch-scheduler.js';
 import type {BatchProtocol, EncodedCall} from '../common/batch-protocol.js';
 import type {AdmissionLedger, PoolAsk, Quote} from '../common/quotes.js';
@@ -48,6 +50,8 @@
 	readonly log: Logger;
 	readonly metrics: Metrics;
 	readonly onFinished: (end: FinishedPiece) => void;
+	/** Called when the inputs of pieces must have been fetched by a call that is still in progress; only in scheduled pools. */
+	readonly onInputsFetched: (fetched: FetchedPieces) => void;
 	/** Whether the pool is a scheduled one, and the learned durations of its items. */
 	readonly scheduled: ScheduledOptions;
 	/** Creates the ledger of the pool's reservations. */
@@ -217,9 +221,23 @@
 
 		bounds.sent(server, call.sentMs);
 		const timeLimit = TimeLimit.create(clock, call.deadlineMs - clock.nowMs(), this.controller.signal);
-		const response = await collectResponse(connection, requestOptionsOf(protocol.encodeRun(call, clock.nowMs())), timeLimit.signal, head => {
-			notices.handleResponse(server, protocol.readNotice(head), call.sentMs, clock.nowMs());
+		const fetchTimeMs = this.scheduler.fetchTimeMs(call, capacity, clock.nowMs());
+		let fetchTimer: Disposable | undefined;
+		const response = await collectResponse(connection, requestOptionsOf(protocol.encodeRun(call, clock.nowMs())), timeLimit.signal, {
+			onSent: () => {
+				fetchTimer = fetchTimeMs === undefined
+					? undefined
+					: clock.setTimer(fetchTimeMs, () => {
+						this.notifyFetched(call);
+					});
+			},
+			onHead(head) {
+				// A refused call has fetched nothing, and the outcomes of one that ran follow.
+				fetchTimer?.dispose();
+				notices.handleResponse(server, protocol.readNotice(head), call.sentMs, clock.nowMs());
+			},
 		});
+		fetchTimer?.dispose();
 		const hasTimedOut = timeLimit.signal.aborted;
 		timeLimit.dispose();
 		if (this.controller.signal.aborted) {
@@ -267,6 +285,12 @@
 		}
 	}
 
+	private notifyFetched(call: BatchCall): void {
+		for (const fetched of fetchedPiecesOf(call)) {
+			this.options.onInputsFetched(fetched);
+		}
+	}
+
 	/** Whether a release may be sent. Where the rate of an upstream is limited, one send is reserved for queued pieces. */
 	private mayRelease(server: UpstreamServer): boolean {
 		const reserved = this.scheduler.waitingCount > 0 ? 1 : 0;
@@ -285,8 +309,10 @@
 		const timeLimit = TimeLimit.create(clock, releaseTimeoutMs, this.controller.signal);
 		const sentMs = clock.nowMs();
 		bounds.sent(server, sentMs);
-		const response = await collectResponse(connection, requestOptionsOf(protocol.encodeRelease(handles, server)), timeLimit.signal, head => {
-			notices.handleResponse(server, protocol.readNotice(head), sentMs, clock.nowMs());
+		const response = await collectResponse(connection, requestOptionsOf(protocol.encodeRelease(handles, server)), timeLimit.signal, {
+			onHead(head) {
+				notices.handleResponse(server, protocol.readNotice(head), sentMs, clock.nowMs());
+			},
 		});
 		timeLimit.dispose();
 		if (response.ok) {
--- a/src/preparation/node/preparer.test.ts
+++ b/src/preparation/node/preparer.test.ts
@@ -5,10 +5,12 @@
 import {routeKinds, type Route} from '../../deployment/common/declaration.js';
 import {DeploymentTracker} from '../../deployment/common/deployment-tracker.js';
 import {ServerRegistry} from '../../deployment/common/server-registry.js';
-import {pieceFailures, type BatchWork, type ResultRef} from '../common/work.js';
+import {
+	pieceFailures, type BatchWork, type PieceFailure, type ResultRef,
+} from '../common/work.js';
 import type {QuoteSource} from '../common/quotes.js';
 import {StepTimes} from '../common/step-times.js';
-import type {PieceListener, WorkHandler} from './batch-handler.js';
+import type {FetchListener, PieceListener, WorkHandler} from './batch-handler.js';
 import {Preparer, type PreparationRequest, type RequestScheduling} from './preparer.js';
 
 const log = silentLoggers.for('test');
@@ -23,7 +25,7 @@
 /** Overrides of the defaults. */
 type Overrides = {readonly released?: ResultRef[]; readonly clock?: Clock; readonly stepTimes?: StepTimes; readonly request?: Partial<PreparationRequest>; readonly forgo?: QuoteSource['forgo']};
 
-function makePreparer(submit: (work: BatchWork, listener: PieceListener) => void, changes: Overrides = {}): Preparer {
+function makePreparer(submit: WorkHandler['submit'], changes: Overrides = {}): Preparer {
 	const {released = [], clock = ManualClock.create(), stepTimes = StepTimes.create(), request = {}, forgo = () => undefined} = changes;
 	const handler: WorkHandler = {
 		submit,
@@ -280,3 +282,136 @@
 	t.equal(await deadlineOf(3800, 4200), 3800);
 	t.equal(await deadlineOf(9000), 4900, 'not after its response could still arrive');
 });
+
+/** A request with two pieces in pool a, whose results three pieces in pool b read; both pools are scheduled. */
+class ReadingRequest {
+	readonly released: ResultRef[] = [];
+	readonly works: Array<{readonly work: BatchWork; readonly listener: PieceListener; readonly onInputsFetched: FetchListener | undefined}> = [];
+	readonly preparer = makePreparer((work, listener, onInputsFetched) => {
+		this.works.push({work, listener, onInputsFetched});
+	}, {released: this.released, request: {pieceCounts: [2, 3], scheduling: {workspace: 'w', pools: new Set(['a', 'b'])}}});
+
+	readonly result = this.preparer.run(false);
+
+	get releasedHandles(): string[] {
+		return this.released.map(({handle}) => handle);
+	}
+
+	/** Submitted works, as the pool and pieces of each. */
+	get submitted(): string[] {
+		return this.works.map(({work}) => `${work.pool}:${work.pieces.join(',')}`);
+	}
+
+	async complete(index: number, pieces = this.works[index].work.pieces): Promise<void> {
+		const {work, listener} = this.works[index];
+		for (const piece of pieces) {
+			listener(piece, {ok: true, ref: {handle: `${work.pool}${piece}#${index}`, serverId: work.pool}});
+		}
+
+		await this.settle();
+	}
+
+	/** Pieces fail one after another, each in a message of its own. */
+	async fail(index: number, pieces: readonly number[], reason: PieceFailure): Promise<void> {
+		for (const piece of pieces) {
+			this.works[index].listener(piece, {ok: false, reason});
+			await this.settle();
+		}
+	}
+
+	private async settle(): Promise<void> {
+		await new Promise(resolve => {
+			setImmediate(resolve);
+		});
+	}
+}
+
+/*
+Load: a burst in which space for results binds. Guards against results that use space for the whole call that read them at its start,
+and against a release while pieces of the step still wait for a call.
+*/
+t.test('the space of inputs is free once all pieces of the step have fetched them, before the step is done', async t => {
+	const request = new ReadingRequest();
+	await request.complete(0);
+	const {onInputsFetched} = request.works[1];
+	onInputsFetched?.([0, 1]);
+	t.same(request.releasedHandles, [], 'one piece still waits');
+	onInputsFetched?.([2]);
+	t.same(request.releasedHandles, ['a0#0', 'a1#0']);
+	await request.complete(1);
+	t.match(await request.result, {ok: true, value: {handles: ['b0#1', 'b1#1', 'b2#1']}});
+	onInputsFetched?.([0, 1, 2]);
+	request.preparer.end();
+	onInputsFetched?.([0, 1, 2]);
+	t.same(request.releasedHandles, ['a0#0', 'a1#0', 'b0#1', 'b1#1', 'b2#1'], 'each result is released once');
+});
+
+/*
+Guards against a request that fails because its inputs were released: the call failed, its pieces were sent again, and each reports the
+same loss in a message of its own. Three reports in each of four rounds are four failures, of six that are tolerated.
+*/
+t.test('released inputs of a call that failed are computed again, as one failure, and released once', async t => {
+	const request = new ReadingRequest();
+	const handles: string[] = [];
+	for (const round of [0, 1, 2, 3]) {
+		const [inputs, reading] = [2 * round, (2 * round) + 1];
+		await request.complete(inputs);
+		request.works[reading].onInputsFetched?.([0, 1, 2]);
+		handles.push(`a0#${inputs}`, `a1#${inputs}`);
+		t.same(request.releasedHandles, handles);
+		await request.fail(reading, [0, 1, 2], pieceFailures.inputsGone);
+		t.same(request.submitted.slice(reading), ['b:0,1,2', 'a:0,1'], 'the inputs are requested again, and once');
+	}
+
+	await request.complete(8);
+	await request.complete(9);
+	t.match(await request.result, {ok: true, value: {handles: ['b0#9', 'b1#9', 'b2#9']}});
+	request.preparer.end();
+	t.same(request.releasedHandles, [...handles, 'a0#8', 'a1#8', 'b0#9', 'b1#9', 'b2#9']);
+});
+
+/* Guards against new inputs that are discarded, or released, because of reports on a call that read the old ones. */
+t.test('reports on calls with released inputs do not affect the inputs computed since', async t => {
+	const request = new ReadingRequest();
+	await request.complete(0);
+	request.works[1].onInputsFetched?.([0, 1, 2]);
+	await request.fail(1, [0], pieceFailures.inputsGone);
+	await request.complete(2);
+	t.same(request.submitted, ['a:0,1', 'b:0,1,2', 'a:0,1', 'b:0'], 'the other pieces may still be done');
+	request.works[3].onInputsFetched?.([0]);
+	request.works[1].onInputsFetched?.([1, 2]);
+	await request.fail(1, [1], pieceFailures.inputsGone);
+	t.same(request.releasedHandles, ['a0#0', 'a1#0'], 'the new inputs are kept for the piece that is sent again');
+	t.same(request.submitted.slice(4), ['b:1']);
+	await request.complete(1, [2]);
+	request.works[4].onInputsFetched?.([1]);
+	t.same(request.releasedHandles.slice(2), ['a0#2', 'a1#2'], 'the piece that was done with the old inputs needs none');
+	await request.complete(3);
+	await request.complete(4);
+	t.match(await request.result, {ok: true, value: {handles: ['b0#3', 'b1#4', 'b2#1']}});
+});
+
+/* Guards against pieces that are sent with inputs that were released, after their call failed for good for another reason. */
+t.test('released inputs are computed again for a piece that failed for another reason, and not for those that are done', async t => {
+	const request = new ReadingRequest();
+	await request.complete(0);
+	request.works[1].onInputsFetched?.([0, 1, 2]);
+	await request.complete(1, [0, 1]);
+	await request.fail(1, [2], pieceFailures.failed);
+	await request.complete(2);
+	t.same(request.submitted, ['a:0,1', 'b:0,1,2', 'a:0,1', 'b:2']);
+	t.same(request.works[3].work.inputs, ['a0#2', 'a1#2']);
+	request.preparer.end();
+	t.same(request.releasedHandles, ['a0#0', 'a1#0', 'a0#2', 'a1#2', 'b0#1', 'b1#1']);
+});
+
+/* Guards against a release that is sent twice, or a request that is counted as failed, after the request has ended. */
+t.test('inputs that were released are not released again when the request ends, nor by a later report', async t => {
+	const request = new ReadingRequest();
+	await request.complete(0);
+	request.works[1].onInputsFetched?.([0, 1, 2]);
+	request.works[1].listener(0, {ok: false, reason: pieceFailures.inputsGone});
+	request.preparer.end();
+	request.works[1].onInputsFetched?.([0, 1, 2]);
+	t.same(request.releasedHandles, ['a0#0', 'a1#0']);
+});
--- a/src/preparation/node/preparer.ts
+++ b/src/preparation/node/preparer.ts
@@ -8,7 +8,7 @@
 import type {ServerRegistry} from '../../deployment/common/server-registry.js';
 import {failureCodes, type PreparationFailure, type PreparedInputs} from '../../request/common/request-plan.js';
 import {maxWaitTargets} from '../common/chain-admission.js';
-import {fetchTimeMs} from '../common/fetch-time.js';
+import {fetchTimeMs, inputFetchTimeMs} from '../common/fetch-time.js';
 import {Preparation} from '../common/preparation.js';
 import type {QuoteSource} from '../common/quotes.js';
 import {stepKeyOf} from '../common/scheduled-pools.js';
@@ -208,7 +208,9 @@
 				}
 			}
 
-			this.handleOutcome(work.step, piece, outcome);
+			this.handleOutcome(batchWork, piece, outcome);
+		}, pieces => {
+			this.handleFetched(batchWork, pieces);
 		});
 	}
 
@@ -237,7 +239,7 @@
 			lateDueMs: Math.min(request.scheduling?.quotedStartMs === undefined ? waitDeadlineMs : lastStartMs, this.leavesMs(isAdmittedLate) - remainingMs),
 			deadlineMs: waitDeadlineMs,
 			...this.preferredHallOf(work),
-			...this.schedulingOf(work.step),
+			...this.schedulingOf(work),
 		};
 	}
 
@@ -251,13 +253,22 @@
 	}
 
 	/** Returns what identifies a step in a scheduled pool; nothing for steps in other pools. */
-	private schedulingOf(step: number): Pick<BatchWork, 'requestId' | 'stepKey' | 'workspace'> {
+	private schedulingOf({step, inputs}: StepWork): Pick<BatchWork, 'requestId' | 'stepKey' | 'workspace' | 'inputFetchMs'> {
 		const {requestId, route, scheduling} = this.request;
 		return scheduling?.pools.has(route.steps[step].pool)
-			? {requestId, stepKey: stepKeyOf(route.name, step), workspace: scheduling.workspace}
+			? {
+				requestId, stepKey: stepKeyOf(route.name, step), workspace: scheduling.workspace, ...(inputs && {inputFetchMs: this.inputFetchMs(step)}),
+			}
 			: {};
 	}
 
+	private inputFetchMs(index: number): number | undefined {
+		const {steps} = this.request.route;
+		const {pool, after} = steps[index];
+		const step = {pool, inputPools: after.map(input => steps[input].pool), inputBytes: this.preparation.inputBytes(index)};
+		return inputFetchTimeMs(step, this.options.tracker.current);
+	}
+
 	/**
 	Returns when a queued step fails and its caller is notified: when it could no longer be done before the caller
 	disconnects, or earlier if nothing was done for the request yet, while the caller still has time to retry or to do
@@ -309,8 +320,16 @@
 		return batch ? fullCallMs(batch) : 0;
 	}
 
-	private handleOutcome(index: number, piece: number, outcome: PieceOutcome): void {
-		const {pool} = this.request.route.steps[index];
+	/** Releases the inputs of a step once all of its pieces must have fetched them. */
+	private handleFetched({step, inputs}: BatchWork, pieces: readonly number[]): void {
+		if (!this.hasEnded) {
+			this.preparation.handleFetched(step, pieces, inputs);
+			this.release(this.preparation.takeUnneeded());
+		}
+	}
+
+	private handleOutcome(work: BatchWork, piece: number, outcome: PieceOutcome): void {
+		const {pool, step: index} = work;
 		if (outcome.ok) {
 			this.hasStarted = true;
 			const isNeeded = this.preparation.completePiece(index, piece, outcome.ref);
@@ -326,7 +345,9 @@
 				return;
 			}
 
-			this.handleFailure(index, outcome.reason);
+			if (!this.isKnownLoss(work, outcome.reason)) {
+				this.handleFailure(index, outcome.reason);
+			}
 		}
 
 		this.scheduleAdvance();
@@ -348,6 +369,14 @@
 		});
 	}
 
+	/**
+	Whether a piece in a scheduled pool failed because of a loss of inputs that was handled already: its calls are several, and report
+	the same loss at different times. The inputs computed since must be kept.
+	*/
+	private isKnownLoss({step, inputs, stepKey}: BatchWork, reason: string): boolean {
+		return reason === pieceFailures.inputsGone && stepKey !== undefined && this.preparation.hasOtherInputs(step, inputs);
+	}
+
 	private handleFailure(index: number, reason: string): void {
 		// Pieces of one step fail together: they count once.
 		if (this.hasFailed) {
--- a/src/wire/common/messages.ts
+++ b/src/wire/common/messages.ts
@@ -278,6 +278,11 @@
 });
 export type PromptsSentMessage = z.infer<typeof promptsSentSchema>;
 
+/** Upper bound on the times of a quote, so that they are finite numbers; no request waits for an hour. */
+export const maxQuoteMs = 3_600_000;
+const quoteMs = ms.max(maxQuoteMs);
+/** Upper bound on the pieces of a work. */
+const maxWorkPieces = 4096;
 /** Pieces of one step of one request, submitted to the host that batches the work of a pool. */
 const batchWorkSchema = z.strictObject({
 	type: z.literal('batchWork'),
@@ -287,7 +292,7 @@
 	contentId,
 	pieceKey: z.string().max(200),
 	step: count,
-	pieces: z.array(count).min(1).max(4096),
+	pieces: z.array(count).min(1).max(maxWorkPieces),
 	inputs: z.array(z.string().max(256)).max(65_536).optional(),
 	resultBytes: count,
 	rank: count,
@@ -300,11 +305,10 @@
 	requestId: id.optional(),
 	stepKey: z.string().max(400).optional(),
 	workspace: z.string().max(200).optional(),
+	/** Time after which a call in progress has fetched the inputs. */
+	inputFetchMs: quoteMs.optional(),
 });
 export type BatchWorkMessage = z.infer<typeof batchWorkSchema>;
-/** Upper bound on the times of a quote, so that they are finite numbers; no request waits for an hour. */
-export const maxQuoteMs = 3_600_000;
-const quoteMs = ms.max(maxQuoteMs);
 /** Asks the host that batches a pool when it would get to the steps of a request, and reserves them there. */
 const batchAskSchema = z.strictObject({
 	type: z.literal('batchAsk'),
@@ -337,9 +341,14 @@
 	pool: name,
 	ends: z.array(z.strictObject({
 		piece: count, handle: z.string().max(256).optional(), serverId: serverId.optional(), reason: z.string().max(64).optional(),
-	})).max(4096),
+	})).max(maxWorkPieces),
 });
 export type BatchEndsMessage = z.infer<typeof batchEndsSchema>;
+/** Pieces whose calls are still in progress after the time in which their upstreams fetch the inputs. Sent only for works with `inputFetchMs`. */
+const batchFetchedSchema = z.strictObject({
+	type: z.literal('batchFetched'), workId: id, pool: name, pieces: z.array(count).min(1).max(maxWorkPieces),
+});
+export type BatchFetchedMessage = z.infer<typeof batchFetchedSchema>;
 /** Predicted waits of work for the pools that the sender batches, by rank. */
 const batchWaitsSchema = z.strictObject({
 	type: z.literal('batchWaits'),
@@ -418,6 +427,7 @@
 	batchQuoteSchema,
 	batchForgoSchema,
 	batchEndsSchema,
+	batchFetchedSchema,
 	batchCancelSchema,
 	batchWaitsSchema,
 	batchReleaseSchema,
