Decide by the offered load whether a pool has spare capacity for late work

Cause: the demand of the last second leaves out refused work. In a burst of two to three times the capacity of a pool, the demand that remains varies around the capacity and leaves a tenth spare by chance. Requests were then admitted late, and others refused as overTarget with a Retry-After near 600 ms, so that their callers returned into the same burst and were refused for good.

Change: the ledger also keeps the offered load, which is all work asked for in the last second, admitted or not. A repeated ask of the same request counts once. The spare capacity is derived from the larger of the offered and the admitted demand. The wait for work in time (aheadMs) is unchanged. An attempt of the same caller at a later time is another request and counts again.

Tests: src/preparation and src/direct/node, 1,552 assertions, 1,550 pass. All 81 of pool-ledger.test.js pass; with the previous ledger 8 fail, all in the two new tests.

--- a/src/preparation/common/demand-window.ts
+++ b/src/preparation/common/demand-window.ts
@@ -83,3 +83,49 @@
 		return {pieces: Math.max(0, pieces) / windowMs, serverMs: Math.max(0, serverMs) / windowMs, resultBytes: Math.max(0, resultBytes) / windowMs};
 	}
 }
+
+/** Work asked for in the last second, whether or not it was admitted. Each request counts once, however often it asks. */
+export class OfferedLoad {
+	static create(): OfferedLoad {
+		return new OfferedLoad();
+	}
+
+	private readonly window = DemandWindow.create();
+	/** The last ask of each request, oldest first. */
+	private readonly asks = new Map<string, {readonly work: Demand; readonly bucket: DemandBucket}>();
+
+	/**
+	Records what a request asks for now. A former ask of the request must be withdrawn first.
+	@param requestId - the request.
+	@param work - the work.
+	@param nowMs - the current time.
+	*/
+	record(requestId: string, work: Demand, nowMs: number): void {
+		for (const [id, {bucket}] of this.asks) {
+			if (bucket.startMs > nowMs - windowMs) {
+				break;
+			}
+
+			this.asks.delete(id);
+		}
+
+		this.asks.set(requestId, {work, bucket: this.window.record(work, nowMs)});
+	}
+
+	/**
+	Subtracts the last ask of a request, which asks again.
+	@param requestId - the request.
+	*/
+	withdraw(requestId: string): void {
+		const ask = this.asks.get(requestId);
+		if (ask) {
+			ask.bucket.add(ask.work, -1);
+			this.asks.delete(requestId);
+		}
+	}
+
+	/** Returns the offered load of the last second per millisecond. */
+	perMs(nowMs: number): Demand {
+		return this.window.perMs(nowMs);
+	}
+}
--- a/src/preparation/common/pool-ledger.test.ts
+++ b/src/preparation/common/pool-ledger.test.ts
@@ -385,6 +385,65 @@
 	t.strictSame(ledger.quote(askOf('a', 0), {...state, upstreamCount: 0}, 20), {aheadMs: 2000, callMs: 368, lateAheadMs: undefined}, 'no upstream accepts work');
 });
 
+/**
+Guards against late admissions, and refusals that tell callers to return soon, in a burst of which most is refused: the admitted
+demand alone left a tenth of the pool spare by chance.
+*/
+t.test('no late work is quoted while more is offered than the pool can do, whatever is forgone, and it is quoted again a second later', async t => {
+	/** Requests of 2 pieces that the pool can do per millisecond. */
+	const capacityPerMs = 12 / (2 * pieceMs);
+	const offer = (factorAt: (atMs: number) => number, isForgone: (index: number) => boolean, askCount = 1) => {
+		const ledger = PoolLedger.create(ItemTimes.create());
+		const quotes: Array<{readonly atMs: number; readonly isSpare: boolean}> = [];
+		let atMs = 0;
+		for (let index = 0; atMs < 6000; index++) {
+			for (let ask = 0; ask < askCount; ask++) {
+				const {lateAheadMs} = ledger.quote(askOf(`${index}`, 2), idle(pool1), atMs);
+				quotes.push({atMs, isSpare: lateAheadMs !== undefined});
+				if (isForgone(index)) {
+					ledger.forgo(`${index}`);
+				}
+			}
+
+			ledger.submitted(`${index}`, 'r#0');
+			atMs += 1 / (capacityPerMs * factorAt(atMs));
+		}
+
+		return {
+			spareCount: (fromMs: number, toMs: number) => quotes.filter(quote => quote.atMs >= fromMs && quote.atMs < toMs && quote.isSpare).length,
+			fullCount: (fromMs: number, toMs: number) => quotes.filter(quote => quote.atMs >= fromMs && quote.atMs < toMs && !quote.isSpare).length,
+		};
+	};
+
+	const forgone = {
+		none: () => false, all: () => true, half: (index: number) => index % 2 === 1, twoThirds: (index: number) => index % 3 > 0, inRuns: (index: number) => index % 300 < 200,
+	};
+	for (const [name, isForgone] of Object.entries(forgone)) {
+		const burst = offer(atMs => atMs < 4000 ? 2 : 0.5, isForgone);
+		// The last second fills up to nine tenths of the capacity within 450 ms.
+		t.equal(burst.spareCount(500, 4000), 0, `${name} forgone: twice the capacity`);
+		t.ok(burst.fullCount(500, 4000) > 1000);
+		t.equal(burst.fullCount(5000, 6000), 0, `${name} forgone: half of the capacity, after a second`);
+		t.ok(burst.spareCount(5000, 6000) > 50);
+		t.equal(offer(() => 0.75, isForgone).fullCount(0, 6000), 0, `${name} forgone: three quarters of the capacity`);
+		t.equal(offer(() => 0.75, isForgone, 2).fullCount(0, 6000), 0, `${name} forgone: a request that asks again counts once`);
+	}
+});
+
+/** Guards against late work that is quoted a wait at space for which refused requests keep asking. */
+t.test('offered results count against the spare space', async t => {
+	const ledger = PoolLedger.create(ItemTimes.create());
+	const state = {...idle(smallPool), meanHoldMs: 900};
+	const quote = (requestId: string, atMs: number) => ledger.quote({
+		...askOf(requestId, 0), steps: [{stepKey: 'r#0', pieces: 200, resultBytes: 1.5e6}],
+	}, state, atMs).lateAheadMs;
+	t.equal(quote('refused', 0), 0);
+	ledger.forgo('refused');
+	t.equal(quote('next', 10), undefined, 'space for 160 results per second');
+	ledger.forgo('next');
+	t.equal(quote('later', 1010), 0);
+});
+
 t.test('a call is expected to be as full as the demand makes it', async t => {
 	const ledger = PoolLedger.create(ItemTimes.create());
 	const {callMs} = ledger.quote(askOf('a', 2), idle(pool1), 0);
--- a/src/preparation/common/pool-ledger.ts
+++ b/src/preparation/common/pool-ledger.ts
@@ -4,7 +4,9 @@
 the basis of the same queue. See docs/design/hard-load.md.
 */
 import type {BatchCapacity} from '../../deployment/common/declaration.js';
-import {DemandWindow, type Demand, type DemandBucket} from './demand-window.js';
+import {
+	DemandWindow, OfferedLoad, type Demand, type DemandBucket,
+} from './demand-window.js';
 import type {
 	AdmissionLedger, ItemDurations, LedgerAsk, PoolState, Quote,
 } from './quotes.js';
@@ -78,6 +80,7 @@
 	/** Sums by rank and workspace: a quote must not depend on the number of reservations. */
 	private readonly reserved = new Map<number, Map<string, ReservedSum>>();
 	private readonly demand = new Map<number, DemandWindow>();
+	private readonly offered = OfferedLoad.create();
 
 	private constructor(private readonly itemTimes: ItemDurations) {}
 
@@ -90,6 +93,7 @@
 	quote(ask: LedgerAsk, state: PoolState, nowMs: number): Quote {
 		const {requestId, rank, workspace, readyMs} = ask;
 		this.forgo(requestId);
+		this.offered.withdraw(requestId);
 		const steps = this.stepsOf(ask, state.capacity);
 		const own = sumOf(steps.values());
 		const aheadMs = this.aheadMs(ask, own, state, nowMs);
@@ -102,6 +106,7 @@
 		}
 
 		const bucket = demand.record(own, nowMs);
+		this.offered.record(requestId, own, nowMs);
 		if (steps.size > 0) {
 			this.reservations.set(requestId, {
 				rank, workspace, steps, bucket, quotedMs: nowMs, expiresMs: Math.max(readyMs, nowMs + aheadMs) + unusedMs,
@@ -114,7 +119,8 @@
 	}
 
 	/**
-	Drops the reservation of a request that was refused or has ended. What it had not submitted no longer counts as demand.
+	Drops the reservation of a request that was refused or has ended. What it had not submitted no longer counts as demand,
+	but still as offered load.
 	@param requestId - the request.
 	*/
 	forgo(requestId: string): void {
@@ -241,13 +247,17 @@
 		);
 	}
 
-	/** Time until the pool gets to work behind everything else, in milliseconds; undefined without spare capacity. */
+	/**
+	Time until the pool gets to work behind everything else, in milliseconds; undefined without spare capacity. Refused work counts
+	against the spare capacity: in a burst, the admitted demand alone varies around the capacity and leaves a tenth spare by chance.
+	*/
 	private lateAheadMs(own: Demand, state: PoolState, aheadMs: number, nowMs: number): number | undefined {
 		const {upstreamCount, queue} = state;
 		const spacePerByteMs = spaceMsPerByte(state);
-		const demand = this.demandPerMs(() => true, nowMs);
-		const spareServers = upstreamCount - demand.serverMs;
-		const spareSpace = this.needsSpace(own, nowMs) ? upstreamCount - (demand.resultBytes * spacePerByteMs) : Infinity;
+		const admitted = this.demandPerMs(() => true, nowMs);
+		const offered = this.offered.perMs(nowMs);
+		const spareServers = upstreamCount - Math.max(admitted.serverMs, offered.serverMs);
+		const spareSpace = this.needsSpace(own, nowMs) ? upstreamCount - (Math.max(admitted.resultBytes, offered.resultBytes) * spacePerByteMs) : Infinity;
 		if (upstreamCount <= 0 || Math.min(spareServers, spareSpace) < minSpareShare * upstreamCount) {
 			return undefined;
 		}
