--- a/src/preparation/node/batch-pool.test.ts
+++ b/src/preparation/node/batch-pool.test.ts
@@ -160,6 +160,7 @@
 		budget: {countFirstSends: () => undefined},
 		quarantine: {handlingOf: () => 'none', connectionLost: () => undefined},
 		bounds: {allowance: () => ({remaining: Infinity, perS: Infinity}), sent: () => undefined},
+		loads: {slownessAt: () => undefined},
 		onFinished: () => undefined,
 		onInputsFetched(report: FetchedPieces) {
 			fetched.push(report);
