Set due times in scheduled pools without the queues of later pools

Cause: the due time of a step left room for the measured durations of the steps after it, which include their waits. With a backlog of two seconds in the second pool, the first step of a request that was admitted in time counted as late at once and went behind everything else.

Change: where a step and the one that reads its results are both in scheduled pools, the declared duration of a half-full call is used. The wait in the later pool passes while the earlier step waits. Steps of other pools keep their due times.

--- a/src/preparation/node/preparer.test.ts
+++ b/src/preparation/node/preparer.test.ts
@@ -21,10 +21,13 @@
 const inputsOf = (handle: string) => ({ok: true, value: {handles: [handle], bytesByHall: new Map([['x', 10]])}});
 
 /** Overrides of the defaults. */
-type Overrides = {readonly released?: ResultRef[]; readonly clock?: Clock; readonly stepTimes?: StepTimes; readonly request?: Partial<PreparationRequest>; readonly forgo?: QuoteSource['forgo']};
+type Overrides = {
+	readonly released?: ResultRef[]; readonly clock?: Clock; readonly stepTimes?: StepTimes; readonly request?: Partial<PreparationRequest>;
+	readonly forgo?: QuoteSource['forgo']; readonly tracker?: DeploymentTracker;
+};
 
 function makePreparer(submit: (work: BatchWork, listener: PieceListener) => void, changes: Overrides = {}): Preparer {
-	const {released = [], clock = ManualClock.create(), stepTimes = StepTimes.create(), request = {}, forgo = () => undefined} = changes;
+	const {released = [], clock = ManualClock.create(), stepTimes = StepTimes.create(), request = {}, forgo = () => undefined, tracker = DeploymentTracker.create(log)} = changes;
 	const handler: WorkHandler = {
 		submit,
 		cancel: () => undefined,
@@ -41,7 +44,7 @@
 		})),
 	}, 0);
 	return Preparer.create({
-		handler, tracker: DeploymentTracker.create(log), registry, clock, log, stepTimes, quotes: {forgo},
+		handler, tracker, registry, clock, log, stepTimes, quotes: {forgo},
 	}, {
 		requestId: 'r', callerRequestId: 'r', contentId: 'c', route, pieceCounts: [2, 1], pieceKey: 'k', rank: 0,
 		receivedMs: 0, targetMs: 1000, deadlineMs: 5000, hall: '', firstTokenMs: 100, ...request,
@@ -138,6 +141,35 @@
 	t.same(dueMs, [900, 550], 'no call duration is declared; 100 ms are reserved for the model');
 });
 
+/*
+Load: a backlog of two seconds in the later of two scheduled pools, longer than the target. Guards against a first step that counts as
+late as soon as it is queued and therefore goes behind everything, although its request was admitted in time.
+*/
+t.test('a step in a scheduled pool is due early enough for the calls of later scheduled pools, not for their queues', async t => {
+	const stepTimes = StepTimes.create();
+	stepTimes.record('b', 2000);
+	const tracker = DeploymentTracker.create(log);
+	tracker.offer({
+		version: 1, routes: [route], limits: {
+			maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1,
+		},
+		pools: ['a', 'b'].map(name => ({
+			name, maxConnections: 1, batch: {
+				slots: 1, batchSize: 10, callMs: 50, itemMs: 2, roomBytes: 1, resultTtlMs: 1,
+			},
+		})),
+	}, 'store');
+	const dueMsOf = async (pools: ReadonlySet<string> | undefined): Promise<number> => new Promise(resolve => {
+		void makePreparer(({dueMs}) => {
+			resolve(dueMs);
+		}, {stepTimes, tracker, request: {scheduling: pools && {workspace: 'w', pools, quotedStartMs: 0}}}).run(false);
+	});
+	t.equal(await dueMsOf(new Set(['a', 'b'])), 1000 - 100 - 60 - 60, 'two half-full calls and 100 ms for the model');
+	for (const pools of [undefined, new Set(['a']), new Set(['b'])]) {
+		t.equal(await dueMsOf(pools), 1000 - 100 - 60 - 2000, 'measured durations are used unless both pools are scheduled');
+	}
+});
+
 t.test('a step fails when its response could no longer arrive in time, or after half of the caller\'s time if nothing was done yet', async t => {
 	const deadlinesMs: number[] = [];
 	const start = (request: Partial<PreparationRequest>) => {
--- a/src/preparation/node/preparer.ts
+++ b/src/preparation/node/preparer.ts
@@ -216,7 +216,7 @@
 	private batchWorkOf(work: StepWork, workId: string): BatchWork {
 		const {request} = this;
 		const step = request.route.steps[work.step];
-		const dependentsMs = this.preparation.dependentsMs(work.step, pool => this.options.stepTimes.typicalMs(pool) ?? this.callMs(pool));
+		const dependentsMs = this.preparation.dependentsMs(work.step, pool => this.dependentMs(step.pool, pool));
 		const remainingMs = request.firstTokenMs + this.callMs(step.pool) + dependentsMs;
 		const isAdmittedLate = request.scheduling?.latePredictedMs !== undefined;
 		const dueMs = request.targetMs - remainingMs;
@@ -297,6 +297,19 @@
 		return {hall, crossingBytes: this.preparation.inputBytes(index)};
 	}
 
+	/**
+	Returns how long a step that reads the results of another takes, in milliseconds, for the due time of that other step.
+	@param pool - pool of the step whose due time is determined.
+	@param dependentPool - pool of the step that reads its results.
+	*/
+	private dependentMs(pool: string, dependentPool: string): number {
+		const scheduledPools = this.request.scheduling?.pools;
+		// The queue of a later scheduled pool drains while the earlier step waits. With the wait for it, a backlog as long as the target
+		// made first steps late from the start, and scheduled pools send late work last.
+		const usesCallTime = scheduledPools?.has(pool) && scheduledPools.has(dependentPool);
+		return (usesCallTime ? undefined : this.options.stepTimes.typicalMs(dependentPool)) ?? this.callMs(dependentPool);
+	}
+
 	/** Declared duration of a half-full call of a pool, in milliseconds. */
 	private callMs(pool: string): number {
 		const batch = this.options.tracker.current?.pool(pool)?.batch;
