Count requests admitted late as late work in the ledger of their pools

Cause: a request that was admitted late stayed in the ledger as work in time until it submitted its steps. It lengthened the quotes of requests that could be in time and took spare capacity, although its steps go behind theirs. Its reservation also ended before its turn where the late backlog is longer than 3 s.

Change: the host that admits a request late sends batchAdmittedLate to the hosts that gave the quotes. The reservation leaves the demand and the sums of work in time, counts in lateAheadMs only, and ends 3 s after the later of its late start and the time at which its steps are ready. The memory of the host's reservations lasts as long. A lost message leaves things as they were.

--- a/src/direct/node/ingress.test.ts
+++ b/src/direct/node/ingress.test.ts
@@ -96,6 +96,7 @@
 				forgo: (requestId, pools) => {
 					this.forgone.push([requestId, pools]);
 				},
+				admittedLate: () => undefined,
 			},
 			standingOf: () => ({type: 'clear'}),
 			unavailabilityOf: () => undefined,
--- a/src/direct/node/step-admission.test.ts
+++ b/src/direct/node/step-admission.test.ts
@@ -35,6 +35,7 @@
 function createAdmission(quotes: ReadonlyMap<string, Quote> | undefined, {waitMs = 0, answerMs = 0} = {}) {
 	const clock = ManualClock.create();
 	const forgone: Array<readonly [string, readonly string[]]> = [];
+	const admittedLate: Array<readonly [string, readonly string[]]> = [];
 	const asked: PoolAsk[] = [];
 	const logged: Array<readonly [string, unknown]> = [];
 	const counted: string[] = [];
@@ -55,6 +56,9 @@
 			forgo(requestId, pools) {
 				forgone.push([requestId, pools]);
 			},
+			admittedLate(requestId, pools) {
+				admittedLate.push([requestId, pools]);
+			},
 		},
 		clock,
 		random: {next: () => 0, int: () => 0},
@@ -67,7 +71,7 @@
 		},
 	});
 	return {
-		admission, forgone, asked, logged, counted, admit: async (isOver = isOpen) => admission.admitByQuotes(request, admission.asksOf(request), isOver),
+		admission, forgone, admittedLate, asked, logged, counted, admit: async (isOver = isOpen) => admission.admitByQuotes(request, admission.asksOf(request), isOver),
 	};
 }
 
@@ -111,9 +115,13 @@
 });
 
 t.test('a late admission is counted, and its predicted time includes the time of the answer', async t => {
-	const {admit, counted, forgone} = createAdmission(quotesOf({aheadMs: 1200, callMs: 300, lateAheadMs: 2000}), {answerMs: 60});
+	const {admit, counted, forgone, admittedLate} = createAdmission(quotesOf({aheadMs: 1200, callMs: 300, lateAheadMs: 2000}), {answerMs: 60});
 	t.match(await admit(), {isAdmitted: true, scheduling: {latePredictedMs: 60 + 2000 + 300 + 300 + 100, quotedStartMs: 2060}});
 	t.same([counted, forgone], [['requests.admittedLate query'], []]);
+	t.same(admittedLate, [['caller-id~1', ['a', 'b']]], 'the schedulers no longer count it as work in time');
+	const inTime = createAdmission(quotesOf({aheadMs: 50, callMs: 300, lateAheadMs: 2000}));
+	await inTime.admit();
+	t.same(inTime.admittedLate, []);
 });
 
 /*
--- a/src/direct/node/step-admission.ts
+++ b/src/direct/node/step-admission.ts
@@ -138,6 +138,7 @@
 			return {isAdmitted: true, scheduling: {...this.schedulingOf(request), quotedStartMs}};
 		}
 
+		this.options.quotes.admittedLate(request.requestId, [...quotes.keys()]);
 		metrics.increment('requests.admittedLate', 1, {route: route.name});
 		const latePredictedMs = nowMs - receivedMs + decision.latePredictedMs;
 		return {isAdmitted: true, scheduling: {...this.schedulingOf(request), quotedStartMs, latePredictedMs}};
--- a/src/preparation/common/pool-ledger.test.ts
+++ b/src/preparation/common/pool-ledger.test.ts
@@ -385,6 +385,73 @@
 	t.strictSame(ledger.quote(askOf('a', 0), {...state, upstreamCount: 0}, 20), {aheadMs: 2000, callMs: 368, lateAheadMs: undefined}, 'no upstream accepts work');
 });
 
+/*
+Load: a backlog in which requests are admitted late. Guards against late work that counts as work in time until it is submitted, so
+that requests that could be in time are quoted waits behind it and refused.
+*/
+t.test('a request admitted late delays late work only, and is no demand of work in time', async t => {
+	const ledger = PoolLedger.create(ItemTimes.create());
+	const state = {...idle(pool1), hasFree: false};
+	const none = ledger.quote(askOf('none', 0), state, 0);
+	ledger.quote(askOf('a', 100), state, 0);
+	const reserved = ledger.quote(askOf('none', 0), state, 0);
+	t.ok(reserved.aheadMs > none.aheadMs);
+	ledger.admittedLate('a');
+	ledger.admittedLate('a');
+	ledger.admittedLate('unknown');
+	const late = ledger.quote(askOf('none', 0), state, 0);
+	t.equal(late.aheadMs, none.aheadMs);
+	t.ok(near(late.lateAheadMs!, none.lateAheadMs! + (1.05 * 100 * pieceMs / 12)), `${late.lateAheadMs}`);
+	t.ok(near(ledger.demandMsPerMs(1, 0), 0));
+	t.match(ledger.describe(0), [{isLate: true, requests: 1, serverMs: 100 * pieceMs}]);
+	ledger.quote(askOf('b', 50), state, 0);
+	const demand = ledger.demandMsPerMs(1, 0);
+	ledger.forgo('a');
+	t.equal(ledger.demandMsPerMs(1, 0), demand, 'what the late request asked for is not subtracted twice');
+	ledger.forgo('b');
+	t.strictSame(ledger.quote(askOf('none', 0), state, 0), none);
+	t.strictSame(ledger.describe(0), []);
+});
+
+t.test('the steps of a request admitted late end as reservations when they are submitted', async t => {
+	const ledger = PoolLedger.create(ItemTimes.create());
+	const steps = [{stepKey: 'r#0', pieces: 10, resultBytes: 1}, {stepKey: 'r#1', pieces: 20, resultBytes: 1}];
+	ledger.quote({...askOf('a', 0), steps}, idle(pool1), 0);
+	ledger.admittedLate('a');
+	ledger.submitted('a', 'r#1');
+	const [rest] = ledger.describe(0);
+	t.match(rest, {isLate: true, requests: 1, resultBytes: 10});
+	t.ok(near(rest.serverMs, 10 * pieceMs), `${rest.serverMs}`);
+	ledger.submitted('a', 'r#0');
+	t.strictSame(ledger.describe(0), []);
+	t.equal(ledger.quote(askOf('b', 0), idle(pool1), 0).lateAheadMs, 0);
+});
+
+/*
+Load: a backlog of seconds. Guards against reservations of late work that end before its turn, so that more late work is admitted than
+the pools can do before the callers leave.
+*/
+t.test('the reservation of a request admitted late ends 3 s after its late start, or after its steps are ready', async t => {
+	const ledger = PoolLedger.create(ItemTimes.create());
+	const load = {
+		rank: 1, workspace: 'w', serverMs: 48_000, spaceMs: 0, isLate: true,
+	};
+	const {aheadMs, lateAheadMs} = ledger.quote(askOf('a', 12), {...idle(pool1), queue: [load]}, 1000);
+	t.equal(aheadMs, 0);
+	t.ok(lateAheadMs! > 4000);
+	ledger.quote({...askOf('b', 12), readyMs: 20_000}, {...idle(pool1), queue: [load]}, 1000);
+	ledger.admittedLate('a');
+	ledger.admittedLate('b');
+	ledger.sweep(1000 + lateAheadMs! + 2999);
+	t.equal(ledger.describe(0)[0].requests, 2);
+	ledger.sweep(1000 + lateAheadMs! + 3000);
+	t.equal(ledger.describe(0)[0].requests, 1);
+	ledger.sweep(22_999);
+	t.equal(ledger.describe(0).length, 1);
+	ledger.sweep(23_000);
+	t.strictSame(ledger.describe(0), []);
+});
+
 t.test('a call is expected to be as full as the demand makes it', async t => {
 	const ledger = PoolLedger.create(ItemTimes.create());
 	const {callMs} = ledger.quote(askOf('a', 2), idle(pool1), 0);
--- a/src/preparation/common/pool-ledger.ts
+++ b/src/preparation/common/pool-ledger.ts
@@ -41,6 +41,8 @@
 export type LedgerStatus = {
 	readonly rank: number;
 	readonly workspace: string;
+	/** Whether the requests were admitted late. */
+	readonly isLate: boolean;
 	readonly requests: number;
 	/** Reserved upstream time, in milliseconds of one upstream. */
 	readonly serverMs: number;
@@ -62,8 +64,65 @@
 	readonly bucket: DemandBucket;
 	readonly quotedMs: number;
 	readonly expiresMs: number;
+	/** Time at which it ends if its request is admitted late. */
+	readonly lateExpiresMs: number;
+	readonly isLate: boolean;
 };
 
+/** Reservations by rank and workspace: a quote must not depend on their number. */
+class ReservedSums {
+	static create(): ReservedSums {
+		return new ReservedSums();
+	}
+
+	private readonly sums = new Map<number, Map<string, ReservedSum>>();
+
+	/** Adds a reservation. */
+	add(rank: number, workspace: string, {serverMs, resultBytes}: Demand): void {
+		let byWorkspace = this.sums.get(rank);
+		if (!byWorkspace) {
+			byWorkspace = new Map();
+			this.sums.set(rank, byWorkspace);
+		}
+
+		const sum = byWorkspace.get(workspace) ?? {requests: 0, serverMs: 0, resultBytes: 0};
+		sum.requests++;
+		sum.serverMs += serverMs;
+		sum.resultBytes += resultBytes;
+		byWorkspace.set(workspace, sum);
+	}
+
+	/** Subtracts a part of a reservation that remains. */
+	subtract(rank: number, workspace: string, {serverMs, resultBytes}: Demand): void {
+		const sum = this.of(rank, workspace);
+		sum.serverMs -= serverMs;
+		sum.resultBytes -= resultBytes;
+	}
+
+	/** Removes a reservation with what is left of it. */
+	remove(rank: number, workspace: string, rest: Demand): void {
+		this.subtract(rank, workspace, rest);
+		const sum = this.of(rank, workspace);
+		sum.requests--;
+		if (sum.requests === 0) {
+			// Also ends the rounding errors of the sum.
+			this.sums.get(rank)!.delete(workspace);
+		}
+	}
+
+	of(rank: number, workspace: string): ReservedSum {
+		return this.sums.get(rank)!.get(workspace)!;
+	}
+
+	* entries(): Iterable<{readonly rank: number; readonly workspace: string; readonly sum: ReservedSum}> {
+		for (const [rank, byWorkspace] of this.sums) {
+			for (const [workspace, sum] of byWorkspace) {
+				yield {rank, workspace, sum};
+			}
+		}
+	}
+}
+
 /** The reservations in one pool. */
 export class PoolLedger implements AdmissionLedger {
 	/**
@@ -75,8 +134,9 @@
 	}
 
 	private readonly reservations = new Map<string, Reservation>();
-	/** Sums by rank and workspace: a quote must not depend on the number of reservations. */
-	private readonly reserved = new Map<number, Map<string, ReservedSum>>();
+	private readonly reserved = ReservedSums.create();
+	/** Reservations of requests that were admitted late. */
+	private readonly reservedLate = ReservedSums.create();
 	private readonly demand = new Map<number, DemandWindow>();
 
 	private constructor(private readonly itemTimes: ItemDurations) {}
@@ -104,9 +164,16 @@
 		const bucket = demand.record(own, nowMs);
 		if (steps.size > 0) {
 			this.reservations.set(requestId, {
-				rank, workspace, steps, bucket, quotedMs: nowMs, expiresMs: Math.max(readyMs, nowMs + aheadMs) + unusedMs,
+				rank,
+				workspace,
+				steps,
+				bucket,
+				quotedMs: nowMs,
+				expiresMs: Math.max(readyMs, nowMs + aheadMs) + unusedMs,
+				lateExpiresMs: Math.max(readyMs, nowMs + (lateAheadMs ?? aheadMs)) + unusedMs,
+				isLate: false,
 			});
-			this.addReserved(rank, workspace, own);
+			this.reserved.add(rank, workspace, own);
 		}
 
 		const largestStep = Math.max(0, ...[...steps.values()].map(({pieces}) => pieces));
@@ -120,11 +187,33 @@
 	forgo(requestId: string): void {
 		const reservation = this.reservations.get(requestId);
 		if (reservation) {
-			reservation.bucket.add(sumOf(reservation.steps.values()), -1);
+			if (!reservation.isLate) {
+				reservation.bucket.add(sumOf(reservation.steps.values()), -1);
+			}
+
 			this.remove(requestId, reservation);
 		}
 	}
 
+	/**
+	Handles the late admission of a request: its work goes behind all work in time and therefore delays only late work. It is no
+	demand of work in time either.
+	@param requestId - the request.
+	*/
+	admittedLate(requestId: string): void {
+		const reservation = this.reservations.get(requestId);
+		if (!reservation || reservation.isLate) {
+			return;
+		}
+
+		const {rank, workspace, steps, bucket, lateExpiresMs} = reservation;
+		const rest = sumOf(steps.values());
+		bucket.add(rest, -1);
+		this.reserved.remove(rank, workspace, rest);
+		this.reservedLate.add(rank, workspace, rest);
+		this.reservations.set(requestId, {...reservation, isLate: true, expiresMs: lateExpiresMs});
+	}
+
 	/**
 	Handles a step that is queued now and therefore no longer reserved.
 	@param requestId - the request.
@@ -143,9 +232,7 @@
 		}
 
 		reservation.steps.delete(stepKey);
-		const sum = this.reserved.get(reservation.rank)!.get(reservation.workspace)!;
-		sum.serverMs -= step.serverMs;
-		sum.resultBytes -= step.resultBytes;
+		this.sumsOf(reservation).subtract(reservation.rank, reservation.workspace, step);
 	}
 
 	/**
@@ -175,15 +262,17 @@
 	*/
 	describe(nowMs: number): LedgerStatus[] {
 		const oldest = new Map<ReservedSum, number>();
-		for (const {rank, workspace, quotedMs} of this.reservations.values()) {
-			const sum = this.reserved.get(rank)!.get(workspace)!;
+		for (const reservation of this.reservations.values()) {
+			const {rank, workspace, quotedMs} = reservation;
+			const sum = this.sumsOf(reservation).of(rank, workspace);
 			oldest.set(sum, Math.max(oldest.get(sum) ?? 0, nowMs - quotedMs));
 		}
 
-		const sums = [...this.reserved].flatMap(([rank, byWorkspace]) => [...byWorkspace].map(([workspace, sum]) => ({
-			rank, workspace, ...sum, oldestMs: oldest.get(sum) ?? 0,
-		})));
-		return sums.toSorted((left, right) => left.rank - right.rank || left.workspace.localeCompare(right.workspace));
+		const statusesOf = (sums: ReservedSums, isLate: boolean) => [...sums.entries()].map(({rank, workspace, sum}) => ({
+			rank, workspace, isLate, ...sum, oldestMs: oldest.get(sum) ?? 0,
+		}));
+		return [...statusesOf(this.reserved, false), ...statusesOf(this.reservedLate, true)]
+			.toSorted((left, right) => left.rank - right.rank || left.workspace.localeCompare(right.workspace) || Number(left.isLate) - Number(right.isLate));
 	}
 
 	/** Time until the pool gets to work of a rank and workspace, in milliseconds. */
@@ -210,12 +299,8 @@
 			}
 		}
 
-		for (const [reservedRank, byWorkspace] of this.reserved) {
-			for (const [reservedWorkspace, {serverMs, resultBytes}] of byWorkspace) {
-				count({
-					rank: reservedRank, workspace: reservedWorkspace, serverMs, spaceMs: resultBytes * spacePerByteMs,
-				});
-			}
+		for (const {sum: {serverMs, resultBytes}, ...kind} of this.reserved.entries()) {
+			count({...kind, serverMs, spaceMs: resultBytes * spacePerByteMs});
 		}
 
 		// Workspaces of one rank take turns: each goes first only with as much work as the asking one has.
@@ -257,10 +342,8 @@
 			all = add(all, load);
 		}
 
-		for (const byWorkspace of this.reserved.values()) {
-			for (const {serverMs, resultBytes} of byWorkspace.values()) {
-				all = add(all, {serverMs, spaceMs: resultBytes * spacePerByteMs});
-			}
+		for (const {sum: {serverMs, resultBytes}} of [...this.reserved.entries(), ...this.reservedLate.entries()]) {
+			all = add(all, {serverMs, spaceMs: resultBytes * spacePerByteMs});
 		}
 
 		return Math.max(aheadMs, minWaitMs(state) + Math.max(backlogMargin * all.serverMs / spareServers, spaceMargin * all.spaceMs / spareSpace));
@@ -315,33 +398,15 @@
 		return demands;
 	}
 
-	private addReserved(rank: number, workspace: string, {serverMs, resultBytes}: Demand): void {
-		let byWorkspace = this.reserved.get(rank);
-		if (!byWorkspace) {
-			byWorkspace = new Map();
-			this.reserved.set(rank, byWorkspace);
-		}
-
-		const sum = byWorkspace.get(workspace) ?? {requests: 0, serverMs: 0, resultBytes: 0};
-		sum.requests++;
-		sum.serverMs += serverMs;
-		sum.resultBytes += resultBytes;
-		byWorkspace.set(workspace, sum);
-	}
-
 	/** Removes a reservation with its part of the sums. */
-	private remove(requestId: string, {rank, workspace, steps}: Reservation): void {
+	private remove(requestId: string, reservation: Reservation): void {
+		const {rank, workspace, steps} = reservation;
 		this.reservations.delete(requestId);
-		const byWorkspace = this.reserved.get(rank)!;
-		const sum = byWorkspace.get(workspace)!;
-		const {serverMs, resultBytes} = sumOf(steps.values());
-		sum.requests--;
-		sum.serverMs -= serverMs;
-		sum.resultBytes -= resultBytes;
-		if (sum.requests === 0) {
-			// Also ends the rounding errors of the sum.
-			byWorkspace.delete(workspace);
-		}
+		this.sumsOf(reservation).remove(rank, workspace, sumOf(steps.values()));
+	}
+
+	private sumsOf({isLate}: Reservation): ReservedSums {
+		return isLate ? this.reservedLate : this.reserved;
 	}
 }
 
--- a/src/preparation/common/quotes.ts
+++ b/src/preparation/common/quotes.ts
@@ -69,6 +69,8 @@
 	quote(ask: LedgerAsk, state: PoolState, nowMs: number): Quote;
 	/** Drops the reservation of a request that was refused or has ended. */
 	forgo(requestId: string): void;
+	/** Handles the late admission of a request: what it reserved is no longer work in time. */
+	admittedLate(requestId: string): void;
 	/** Handles a step that is queued now and therefore no longer reserved. */
 	submitted(requestId: string, stepKey: string): void;
 	/** Removes reservations that were not used in time. */
@@ -87,4 +89,6 @@
 	ask(asks: readonly PoolAsk[]): Promise<ReadonlyMap<string, Quote> | undefined>;
 	/** Drops the reservations of a request in the given pools. */
 	forgo(requestId: string, pools: readonly string[]): void;
+	/** Reports to the schedulers of the given pools that a request was admitted late on their quotes. */
+	admittedLate(requestId: string, pools: readonly string[]): void;
 };
--- a/src/preparation/node/admission-asks.test.ts
+++ b/src/preparation/node/admission-asks.test.ts
@@ -10,6 +10,7 @@
 import type {BatchWork} from '../common/work.js';
 import {AdmissionAsks} from './admission-asks.js';
 import {BatchHandler, type PoolBatches} from './batch-handler.js';
+import {BatchQuotes, type QuotingPool} from './batch-quotes.js';
 
 /** What a link does with its messages: delivers them immediately, loses them, or holds them until they are released. */
 const links = {up: 'up', cut: 'cut', held: 'held'} as const;
@@ -20,6 +21,8 @@
 	readonly lose = Emitter.create<string>();
 	/** IDs of the reservations by pool, in the order of their quotes. */
 	readonly reserved = new Map<string, Set<string>>();
+	/** IDs of the requests that the pools were told are admitted late. */
+	readonly late: string[] = [];
 	sweepCount = 0;
 	readonly handler: BatchHandler;
 	readonly asks: AdmissionAsks;
@@ -64,6 +67,9 @@
 			forgo(requestId) {
 				ids.delete(requestId);
 			},
+			admittedLate: requestId => {
+				this.late.push(`${name} ${requestId}`);
+			},
 			add({requestId}) {
 				ids.delete(requestId!);
 			},
@@ -302,6 +308,57 @@
 	await checkTimesOut(t, hosts, quotes);
 });
 
+/*
+Guards against reservations of late requests that stay among those in time: each scheduler that gave a quote must be told, also after
+the pool has moved to another host.
+*/
+t.test('the hosts that gave the quotes are told of a late admission', async t => {
+	const hosts = new Hosts(...names);
+	const ownPool = poolOf('a', names);
+	const {asks} = hosts.of('a');
+	await asks.ask([askOf(pool), askOf(ownPool)]);
+	await hosts.of('c').asks.ask([askOf(pool)]);
+	hosts.live.delete('c');
+	asks.admittedLate('r', [pool, ownPool]);
+	t.same([hosts.of('a').late, hosts.of('b').late], [[`${ownPool} a\nr`], [`${pool} a\nr`]], 'the request of another host with the same ID is not concerned');
+	t.equal(hosts.countOf('batchAdmittedLate a b'), 1);
+	asks.admittedLate('r', ['other']);
+	asks.admittedLate('unknown', [pool]);
+	t.equal(hosts.sent.filter(line => line.startsWith('batchAdmittedLate')).length, 1, 'nothing is sent for what was not quoted');
+});
+
+/*
+Load: late requests with a start in several seconds, whose host is lost. Guards against reservations that are forgotten here before the
+ledger drops them, so that those of a lost host would stay.
+*/
+t.test('the reservations of requests admitted late are remembered until they end', async t => {
+	const clock = ManualClock.create();
+	const lose = Emitter.create<string>();
+	const receive = Emitter.create<PeerMessage>();
+	const forgone: string[] = [];
+	const quoting: QuotingPool = {
+		quote: () => ({aheadMs: 0, callMs: 1, lateAheadMs: 10_000}),
+		forgo(requestId) {
+			forgone.push(requestId);
+		},
+		admittedLate: () => undefined,
+		sweepReservations: () => undefined,
+	};
+	const quotes = BatchQuotes.create({
+		hostId: 'b', mesh: {onDidReceive: receive.event, onDidLose: lose.event, send: () => true}, clock,
+		isOwner: () => true, pools: new Map([['p', quoting]]), poolOf: () => quoting,
+	});
+	for (const requestId of ['late', 'inTime']) {
+		receive.fire({hostId: 'a', message: messageOfAsk(askOf('p', requestId))});
+	}
+
+	receive.fire({hostId: 'a', message: {type: 'batchAdmittedLate', pool: 'p', requestId: 'late'}});
+	clock.advance(13_000);
+	quotes.sweep();
+	lose.fire('a');
+	t.same(forgone, ['a\nlate'], 'the ledger holds it until 13 s after its quote');
+});
+
 t.test('the reservations of a lost entry host are dropped, those of others are not', async t => {
 	const hosts = new Hosts(...names);
 	await hosts.of('a').asks.ask([askOf(pool), askOf(poolOf('b', names, pool))]);
--- a/src/preparation/node/admission-asks.ts
+++ b/src/preparation/node/admission-asks.ts
@@ -32,7 +32,7 @@
 	/** Returns the host that schedules a pool. */
 	readonly ownerOf: (pool: string) => string;
 	/** Gives quotes for the pools that this host schedules. */
-	readonly ownPools: Pick<BatchQuotes, 'quote' | 'forgo'>;
+	readonly ownPools: Pick<BatchQuotes, 'quote' | 'forgo' | 'admittedLate'>;
 };
 
 /** Asked hosts by pool. */
@@ -119,6 +119,25 @@
 		}
 	}
 
+	/**
+	Reports a late admission to the hosts that gave the quotes. A lost report has no effect but that the request counts as work in time
+	until it submits its steps.
+	@param requestId - the request.
+	@param pools - the pools that gave quotes.
+	*/
+	admittedLate(requestId: string, pools: readonly string[]): void {
+		const {hostId, mesh, ownPools} = this.options;
+		const hosts = this.complete.get(requestId)?.hosts;
+		for (const pool of pools) {
+			const owner = hosts?.get(pool);
+			if (owner === hostId) {
+				ownPools.admittedLate(pool, requestId);
+			} else if (owner !== undefined) {
+				mesh.send(owner, {type: 'batchAdmittedLate', pool, requestId});
+			}
+		}
+	}
+
 	dispose(): void {
 		this.disposables.dispose();
 		for (const pending of this.pending.values()) {
--- a/src/preparation/node/batch-handler.test.ts
+++ b/src/preparation/node/batch-handler.test.ts
@@ -75,6 +75,7 @@
 			waitMs: () => 0,
 			quote: () => undefined,
 			forgo: () => undefined,
+			admittedLate: () => undefined,
 			sweepReservations: () => undefined,
 			dispose: () => undefined,
 		};
--- a/src/preparation/node/batch-handler.ts
+++ b/src/preparation/node/batch-handler.ts
@@ -41,7 +41,7 @@
 export type BatchPeerMesh = Pick<PeerMesh, 'onDidReceive' | 'onDidLose' | 'onDidChange' | 'liveCapacities' | 'send' | 'broadcast'>;
 
 /** Batches of one pool. */
-export type PoolBatches = Pick<BatchPool, 'isIdle' | 'add' | 'cancel' | 'handOver' | 'release' | 'waitMs' | 'quote' | 'forgo' | 'sweepReservations' | 'dispose'>;
+export type PoolBatches = Pick<BatchPool, 'isIdle' | 'add' | 'cancel' | 'handOver' | 'release' | 'waitMs' | 'quote' | 'forgo' | 'admittedLate' | 'sweepReservations' | 'dispose'>;
 
 /** Dependencies and settings. */
 export type BatchHandlerOptions = {
--- a/src/preparation/node/batch-pool.test.ts
+++ b/src/preparation/node/batch-pool.test.ts
@@ -19,6 +19,7 @@
 	readonly states: PoolState[] = [];
 	readonly submittedSteps: string[] = [];
 	readonly forgone: string[] = [];
+	readonly late: string[] = [];
 	readonly sweptMs: number[] = [];
 
 	quote(ask: LedgerAsk, state: PoolState) {
@@ -31,6 +32,10 @@
 		this.forgone.push(requestId);
 	}
 
+	admittedLate(requestId: string): void {
+		this.late.push(requestId);
+	}
+
 	submitted(requestId: string, stepKey: string): void {
 		this.submittedSteps.push(`${requestId} ${stepKey}`);
 	}
@@ -89,6 +94,8 @@
 	pool.add(work);
 	pool.add({...work, workId: 'w2', requestId: undefined});
 	t.same(ledger.submittedSteps, ['r route/0']);
+	pool.admittedLate('r');
+	t.same(ledger.late, ['r']);
 	pool.forgo('r');
 	t.same(ledger.forgone, ['r']);
 	clock.advance(7);
--- a/src/preparation/node/batch-pool.ts
+++ b/src/preparation/node/batch-pool.ts
@@ -137,6 +137,14 @@
 		this.ledger?.forgo(requestId);
 	}
 
+	/**
+	Handles the late admission of a request.
+	@param requestId - ID of the request as in its ask.
+	*/
+	admittedLate(requestId: string): void {
+		this.ledger?.admittedLate(requestId);
+	}
+
 	/** Removes reservations that were not used in time. */
 	sweepReservations(): void {
 		this.ledger?.sweep(this.options.clock.nowMs());
--- a/src/preparation/node/batch-quotes.ts
+++ b/src/preparation/node/batch-quotes.ts
@@ -11,7 +11,7 @@
 import type {BatchPool} from './batch-pool.js';
 
 /** A pool of this host that gives quotes. */
-export type QuotingPool = Pick<BatchPool, 'quote' | 'forgo' | 'sweepReservations'>;
+export type QuotingPool = Pick<BatchPool, 'quote' | 'forgo' | 'admittedLate' | 'sweepReservations'>;
 
 /** Dependencies of `BatchQuotes`. */
 export type BatchQuotesOptions = {
@@ -33,7 +33,13 @@
 const rememberedMs = 5000;
 
 /** A reservation of a host in one of this host's pools. */
-type Reservation = {readonly pool: string; readonly reservationId: string; readonly untilMs: number};
+type Reservation = {
+	readonly pool: string;
+	readonly reservationId: string;
+	readonly untilMs: number;
+	/** Time until which it is remembered once its request is admitted late. */
+	readonly lateUntilMs: number;
+};
 
 /** Gives quotes for this host's pools, and drops the reservations of hosts that are lost. */
 export class BatchQuotes implements Disposable {
@@ -48,10 +54,25 @@
 	private constructor(private readonly options: BatchQuotesOptions) {
 		const {mesh} = options;
 		this.disposables.add(mesh.onDidReceive(({hostId, message}) => {
-			if (message.type === 'batchAsk') {
-				this.answer(hostId, message);
-			} else if (message.type === 'batchForgo') {
-				this.forgoOf(hostId, message.pool, message.requestId);
+			switch (message.type) {
+				case 'batchAsk': {
+					this.answer(hostId, message);
+					break;
+				}
+
+				case 'batchForgo': {
+					this.forgoOf(hostId, message.pool, message.requestId);
+					break;
+				}
+
+				case 'batchAdmittedLate': {
+					this.admittedLateOf(hostId, message.pool, message.requestId);
+					break;
+				}
+
+				default: {
+					break;
+				}
 			}
 		}));
 		this.disposables.add(mesh.onDidLose(hostId => {
@@ -77,6 +98,15 @@
 		this.forgoOf(this.options.hostId, pool, requestId);
 	}
 
+	/**
+	Handles the late admission of a request of this host.
+	@param pool - the pool.
+	@param requestId - the request.
+	*/
+	admittedLate(pool: string, requestId: string): void {
+		this.admittedLateOf(this.options.hostId, pool, requestId);
+	}
+
 	/** Removes reservations that were not used in time. */
 	sweep(): void {
 		const nowMs = this.options.clock.nowMs();
@@ -120,8 +150,14 @@
 		if (quote) {
 			const held = this.reservations.get(hostId) ?? new Map<string, Reservation>();
 			this.reservations.set(hostId, held);
+			const {readyInMs} = ask;
+			const {aheadMs, lateAheadMs = 0} = quote;
+			const minUntilMs = clock.nowMs() + rememberedMs;
 			held.set(keyOf(ask.pool, ask.requestId), {
-				pool: ask.pool, reservationId, untilMs: clock.nowMs() + Math.max(ask.readyInMs, quote.aheadMs) + rememberedMs,
+				pool: ask.pool,
+				reservationId,
+				untilMs: minUntilMs + Math.max(readyInMs, aheadMs),
+				lateUntilMs: minUntilMs + Math.max(readyInMs, aheadMs, lateAheadMs),
 			});
 		}
 
@@ -133,6 +169,17 @@
 		this.options.pools.get(pool)?.forgo(reservationIdOf(hostId, requestId));
 	}
 
+	private admittedLateOf(hostId: string, pool: string, requestId: string): void {
+		const held = this.reservations.get(hostId);
+		const key = keyOf(pool, requestId);
+		const reservation = held?.get(key);
+		if (reservation) {
+			held!.set(key, {...reservation, untilMs: reservation.lateUntilMs});
+		}
+
+		this.options.pools.get(pool)?.admittedLate(reservationIdOf(hostId, requestId));
+	}
+
 	private dropReservationsOf(hostId: string): void {
 		for (const {pool, reservationId} of this.reservations.get(hostId)?.values() ?? []) {
 			this.options.pools.get(pool)?.forgo(reservationId);
--- a/src/wire/common/messages.ts
+++ b/src/wire/common/messages.ts
@@ -330,6 +330,8 @@
 export type BatchQuoteMessage = z.infer<typeof batchQuoteSchema>;
 /** Drops what `batchAsk` reserved: the request was refused or has ended, or no longer waits for the quote. */
 const batchForgoSchema = z.strictObject({type: z.literal('batchForgo'), pool: name, requestId: id});
+/** Tells that the request behind a quote was admitted late: what `batchAsk` reserved is no longer work in time. */
+const batchAdmittedLateSchema = z.strictObject({type: z.literal('batchAdmittedLate'), pool: name, requestId: id});
 /** Outcomes of pieces; a piece without a handle has failed and has a reason. */
 const batchEndsSchema = z.strictObject({
 	type: z.literal('batchEnds'),
@@ -417,6 +419,7 @@
 	batchAskSchema,
 	batchQuoteSchema,
 	batchForgoSchema,
+	batchAdmittedLateSchema,
 	batchEndsSchema,
 	batchCancelSchema,
 	batchWaitsSchema,
