Bound what messages between hosts contain of callers' IDs and keys

Cause: the ID of a request was its caller's, of any length, and messages with an ID above 128 characters, or a caller's ID or key of pieces above 200, are refused, which closes the link. One caller could cut hosts off from each other.

Change: a caller's ID of more than 100 characters is replaced by a serial one on this host. The upstreams of steps must see the caller's ID and key unchanged, so a request with steps whose ID or key has more than 200 characters is refused with 400. Requests without steps are in no such message and are served as before. A serial ID is no longer given while a caller's own ID equals it.

Several hosts use the same serial IDs, and the scheduler of a pool identified work by its ID alone: outcomes went to the host that had submitted last, and a cancellation dropped the work of others. This could happen with equal or empty IDs of callers before. Pools now hold a peer's work under an ID with the host's.

--- a/src/direct/node/ingress.test.ts
+++ b/src/direct/node/ingress.test.ts
@@ -9,9 +9,11 @@
 import {routeKinds, type Deployment} from '../../deployment/common/declaration.js';
 import {DeploymentTracker} from '../../deployment/common/deployment-tracker.js';
 import type {Quote} from '../../preparation/common/quotes.js';
+import {messageOfWork} from '../../preparation/common/work-messages.js';
 import type {Preparer, PreparationRequest} from '../../preparation/node/preparer.js';
 import {outcomes, type RequestPlan, type RequestResult} from '../../request/common/request-plan.js';
 import type {RequestHooks, RequestRunner} from '../../request/node/request-runner.js';
+import {parseMessage} from '../../wire/common/messages.js';
 import type {DirectLinks} from './direct-links.js';
 import {Ingress} from './ingress.js';
 
@@ -78,7 +80,8 @@
 			protocol: {
 				read: headers => ({
 					requestId: headers.find(({name}) => name === 'x-id')?.value ?? '',
-					remainingMs: undefined, key: undefined, forwardedHeaders: [], promptParts: [], pieceCounts: [1, 1], pieceKey: 'k',
+					remainingMs: undefined, key: undefined, forwardedHeaders: [], promptParts: [], pieceCounts: headers.some(({name}) => name === 'x-plain') ? [] : [1, 1],
+					pieceKey: headers.find(({name}) => name === 'x-key')?.value ?? 'k',
 					resumeAfter: undefined, problem: undefined,
 				}),
 			},
@@ -130,8 +133,15 @@
 	/** Sends a request and returns when it waits for its quotes. */
 	async sendWaiting(id: string): Promise<{readonly call: ClientRequest; readonly response: Promise<IncomingMessage>}> {
 		const count = this.answers.length;
+		const sent = this.send({'x-id': id});
+		await this.waitUntil(() => this.answers.length > count);
+		return sent;
+	}
+
+	/** Sends a request with the given headers. */
+	send(headers: Readonly<Record<string, string>>): {readonly call: ClientRequest; readonly response: Promise<IncomingMessage>} {
 		const call = httpRequest({
-			host: anyPort.address, port: this.port, path: '/', headers: {host: 'h', 'x-id': id}, agent: false,
+			host: anyPort.address, port: this.port, path: '/', headers: {host: 'h', ...headers}, agent: false,
 		});
 		const response = new Promise<IncomingMessage>(resolve => {
 			call.on('response', received => {
@@ -141,7 +151,6 @@
 		});
 		call.on('error', () => undefined);
 		call.end();
-		await this.waitUntil(() => this.answers.length > count);
 		return {call, response};
 	}
 
@@ -241,6 +250,51 @@
 	await Promise.all(responses.map(async ({response}) => response));
 });
 
+/*
+Guards against messages that a peer refuses, which closes its link: one caller with long IDs or keys could cut hosts off from each other.
+*/
+t.test('the longest IDs and keys fit into messages to other hosts, and reach the upstream unchanged', async t => {
+	const harness = await IngressHarness.create(t);
+	const key = 'k'.repeat(200);
+	const ids = ['i'.repeat(100), 'i'.repeat(100), 'i'.repeat(101), 'i'.repeat(200), '~4'];
+	for (const [index, id] of ids.entries()) {
+		harness.send({'x-id': id, 'x-key': key});
+		await harness.waitUntil(() => harness.answers.length > index);
+	}
+
+	t.same(harness.askedIds, [ids[0], `${ids[0]}~1`, '~2', '~3', '~4']);
+	harness.send({'x-id': ids[2]});
+	await harness.waitUntil(() => harness.answers.length > ids.length);
+	t.equal(harness.askedIds.at(-1), '~5', 'the ID of an open request is not given again');
+	for (const [index, answer] of harness.answers.entries()) {
+		answer(undefined);
+		await harness.waitUntil(() => harness.started.length > index);
+	}
+
+	for (const [index, id] of ids.entries()) {
+		const {requestId, callerRequestId, pieceKey, contentId, rank} = harness.prepared[index];
+		t.same([callerRequestId, pieceKey], [id, key]);
+		const message = messageOfWork({
+			workId: `${requestId}/${1e9}`, pool: 'a', callerRequestId, contentId, pieceKey, step: 0, pieces: [0], inputs: undefined, resultBytes: 1, rank,
+			dueMs: 1, lateDueMs: 2, deadlineMs: 3, hall: '', crossingBytes: 0, requestId, stepKey: 'query#0', workspace: '',
+		}, 0);
+		t.same(parseMessage(message), {message});
+	}
+});
+
+t.test('a request with steps whose ID or key is too long for messages to other hosts is refused before any work', async t => {
+	const harness = await IngressHarness.create(t);
+	for (const [name, value] of [['x-id', 'i'.repeat(201)], ['x-key', 'k'.repeat(201)]]) {
+		const {statusCode} = await harness.send({[name]: value}).response;
+		t.equal(statusCode, 400);
+	}
+
+	t.same([harness.askedIds.length, harness.started.length, harness.ingress.openCount], [0, 0, 0]);
+	harness.send({'x-id': 'i'.repeat(201), 'x-key': 'k'.repeat(201), 'x-plain': '1'});
+	await harness.waitUntil(() => harness.started.length === 1);
+	t.equal(harness.started[0].plan.requestId, '~1', 'a request without steps is in no such message');
+});
+
 /*
 Guards against a request that is admitted by one declaration and prepared by another, in which its route may have other steps.
 */
--- a/src/direct/node/ingress.ts
+++ b/src/direct/node/ingress.ts
@@ -25,7 +25,7 @@
 import {sendHostResponse} from './pass-through-writer.js';
 import {readBody} from './read-request.js';
 import {
-	hostStatuses, rankOf, resolveRequest, type ResolvedRequest, type Refusal,
+	hostStatuses, needsPreparation, rankOf, resolveRequest, type ResolvedRequest, type Refusal,
 } from './resolve-request.js';
 import {ServedRequest} from './served-request.js';
 import {
@@ -34,6 +34,11 @@
 
 /** Maximum size of a head that is read at all; the declaration's own limit is checked in addition. */
 const maxHeadBytes = 64 * 1024;
+/**
+Maximum length of a caller's ID that is also the ID on this host. Messages between hosts carry IDs derived from it, with up to 128
+characters, and a host closes the link on which it receives a longer one.
+*/
+const maxOwnIdLength = 100;
 /** Interval at which connections are checked for exceeded time limits. */
 const connectionCheckMs = 1000;
 
@@ -315,7 +320,8 @@
 		}).start(runner);
 	}
 
-	private planOf({request, index, route, workspace, callerRequest, body, receivedMs}: ReceivedRequest): RequestPlan {
+	private planOf(received: ReceivedRequest): RequestPlan {
+		const {request, index, route, workspace, callerRequest, body, receivedMs} = received;
 		const {random, isOpen} = this.options;
 		const pool = choosePool(route, random, each => isOpen(each, receivedMs));
 		return makeDirectPlan({
@@ -329,7 +335,7 @@
 				kind: 'http', method: request.method ?? 'GET', path: request.url ?? '/', headers: [...callerRequest.forwardedHeaders], body,
 			},
 			promptParts: route.hasAffinity ? callerRequest.promptParts : [],
-			needsPreparation: route.steps.length > 0 && callerRequest.pieceCounts.some(count => count > 0),
+			needsPreparation: needsPreparation(received),
 			remainingMs: callerRequest.remainingMs,
 		}, receivedMs);
 	}
@@ -356,14 +362,19 @@
 		});
 	}
 
-	/** Returns the caller's id of the request, made unique on this host if it is empty or in use by another request. */
+	/**
+	Returns the ID of a request on this host: the caller's, made unique if it is in use by another request, or a serial ID if it is
+	empty or too long.
+	*/
 	private uniqueIdFor(callerRequestId: string): string {
-		if (callerRequestId !== '' && !this.openIds.has(callerRequestId)) {
-			return callerRequestId;
+		const ownId = callerRequestId.length > maxOwnIdLength ? '' : callerRequestId;
+		let uniqueId = ownId;
+		while (uniqueId === '' || this.openIds.has(uniqueId)) {
+			this.serial++;
+			uniqueId = `${ownId}~${this.serial}`;
 		}
 
-		this.serial++;
-		return `${callerRequestId}~${this.serial}`;
+		return uniqueId;
 	}
 }
 
--- a/src/direct/node/resolve-request.ts
+++ b/src/direct/node/resolve-request.ts
@@ -3,6 +3,7 @@
 import type {Route, WorkspaceDeclaration} from '../../deployment/common/declaration.js';
 import type {DeploymentIndex} from '../../deployment/common/deployment-index.js';
 import {pairHeaders} from '../../deployment/common/hop-headers.js';
+import {maxCallerRequestIdLength, maxPieceKeyLength} from '../../wire/common/messages.js';
 import type {CallerRequest, CallerProtocol} from '../common/caller-protocol.js';
 import {headBytesOf} from './read-request.js';
 
@@ -57,9 +58,31 @@
 		return {requestId, status: hostStatuses.unauthorized, reason: 'no workspace has this key'};
 	}
 
-	return {
+	const resolved: ResolvedRequest = {
 		index, route, workspace, callerRequest,
 	};
+	const problem = needsPreparation(resolved) ? lengthProblem(callerRequest) : undefined;
+	return problem === undefined ? resolved : {requestId, status: hostStatuses.badRequest, reason: problem};
+}
+
+/**
+Returns whether any step of a request must run before it.
+@param request - the request.
+*/
+export function needsPreparation({route, callerRequest: {pieceCounts}}: Pick<ResolvedRequest, 'route' | 'callerRequest'>): boolean {
+	return route.steps.length > 0 && pieceCounts.some(count => count > 0);
+}
+
+/**
+Returns what is too long in a request with steps. The upstreams of its steps must receive the caller's ID and key unchanged, and a peer
+closes the link on which it receives a message with a longer one.
+*/
+function lengthProblem({requestId, pieceKey}: CallerRequest): string | undefined {
+	if (requestId.length > maxCallerRequestIdLength) {
+		return `the ID of a request with preparation steps has ${maxCallerRequestIdLength} characters at most`;
+	}
+
+	return pieceKey.length > maxPieceKeyLength ? `the key of the pieces has ${maxPieceKeyLength} characters at most` : undefined;
 }
 
 /**
--- a/src/preparation/node/batch-handler.test.ts
+++ b/src/preparation/node/batch-handler.test.ts
@@ -15,6 +15,8 @@
 	readonly clock = ManualClock.create();
 	/** Pieces held by each host, by host ID. */
 	readonly queues = new Map<string, FinishedPiece[]>();
+	/** Reports that pieces of a host's pool are finished, by host ID. */
+	readonly finishers = new Map<string, (finished: FinishedPiece) => void>();
 	private readonly meshEvents = new Map<string, {readonly receive: Emitter<PeerMessage>; readonly change: Emitter<void>}>();
 	private readonly capacities = new Map<string, number>();
 	private live: string[] = [];
@@ -58,6 +60,7 @@
 	private makePool(hostId: string, _pool: string, onFinished: (finished: FinishedPiece) => void): PoolBatches {
 		const queue: FinishedPiece[] = [];
 		this.queues.set(hostId, queue);
+		this.finishers.set(hostId, onFinished);
 		return {
 			get isIdle() {
 				return queue.length === 0;
@@ -65,7 +68,9 @@
 			add(work) {
 				queue.push(...work.pieces.map((piece): FinishedPiece => ({work, piece, outcome: {ok: true, ref: {handle: `${hostId}${piece}`, serverId: 's'}}})));
 			},
-			cancel: () => undefined,
+			cancel(workId) {
+				queue.splice(0, queue.length, ...queue.filter(finished => finished.work.workId !== workId));
+			},
 			handOver() {
 				for (const {work, piece} of queue.splice(0)) {
 					onFinished({work, piece, outcome: {ok: false, reason: pieceFailures.moved}});
@@ -109,6 +114,35 @@
 	t.same(outcomes, []);
 });
 
+/*
+Guards against outcomes that go to the wrong host, and against work that another host's request cancels. Work IDs derive from the IDs
+of requests, which are unique on one host only: callers choose them, and several hosts use the same serial IDs.
+*/
+t.test('work of several hosts with the same ID is kept apart', async t => {
+	const names = ['a', 'b', 'c'];
+	const owner = rendezvousOwner('p', names)!;
+	const hosts = new Hosts();
+	const handlers = new Map(names.map(name => [name, hosts.add(name)]));
+	const outcomes: string[] = [];
+	for (const [name, handler] of handlers) {
+		handler.submit({...work, pieces: [0]}, piece => {
+			outcomes.push(`${name} ${piece}`);
+		});
+	}
+
+	const queue = hosts.queues.get(owner)!;
+	t.equal(queue.length, 3);
+	const [canceling, remaining] = names.filter(name => name !== owner);
+	handlers.get(canceling)!.cancel(work.workId);
+	t.equal(queue.length, 2);
+	for (const finished of queue.splice(0)) {
+		hosts.finishers.get(owner)!(finished);
+	}
+
+	t.same(outcomes.toSorted(), [`${owner} 0`, `${remaining} 0`].toSorted());
+	t.ok(handlers.get(owner)!.isIdle);
+});
+
 t.test('a host with little capacity batches nothing while one with more capacity is live', async t => {
 	const names = ['a', 'b'];
 	const small = rendezvousOwner('p', names)!;
--- a/src/preparation/node/batch-handler.ts
+++ b/src/preparation/node/batch-handler.ts
@@ -59,8 +59,8 @@
 /** Interval at which waits are reported and work queued here for other hosts is transferred: several times per call duration. */
 const reportIntervalMs = 100;
 
-/** A peer whose work this host holds, and the number of its unfinished pieces. */
-type PeerWork = {readonly hostId: string; openCount: number};
+/** Work of a peer that this host holds, with the ID that the peer gave it and the number of its unfinished pieces. */
+type PeerWork = {readonly hostId: string; readonly workId: string; openCount: number};
 
 /** Work this host submitted: its unfinished pieces, and the host that batches it. */
 type SubmittedWork = {readonly work: BatchWork; readonly listener: PieceListener; readonly openPieces: Set<number>; owner: string};
@@ -77,7 +77,7 @@
 	readonly quotes: BatchQuotes;
 	/** Unfinished work of this host's own requests, by work ID. */
 	private readonly submitted = new Map<string, SubmittedWork>();
-	/** Work of peers held by this host, by work ID. */
+	/** Work of peers held by this host, by the ID under which its pools hold it. */
 	private readonly peerWorks = new Map<string, PeerWork>();
 	/** Pools this host batches, or has batched. */
 	private readonly pools = new Map<string, PoolBatches>();
@@ -247,9 +247,11 @@
 		switch (message.type) {
 			case 'batchWork': {
 				// Pieces of one work may arrive in several messages, as when they were transferred.
-				const held = this.peerWorks.get(message.workId);
-				this.peerWorks.set(message.workId, {hostId, openCount: (held?.openCount ?? 0) + message.pieces.length});
-				this.addToPool(hostId, workOfMessage(message, this.options.clock.nowMs()));
+				const {workId, pieces} = message;
+				const heldId = heldWorkIdOf(hostId, workId);
+				const held = this.peerWorks.get(heldId);
+				this.peerWorks.set(heldId, {hostId, workId, openCount: (held?.openCount ?? 0) + pieces.length});
+				this.addToPool(hostId, {...workOfMessage(message, this.options.clock.nowMs()), workId: heldId});
 				break;
 			}
 
@@ -264,8 +266,9 @@
 			}
 
 			case 'batchCancel': {
-				this.peerWorks.delete(message.workId);
-				this.pools.get(message.pool)?.cancel(message.workId);
+				const heldId = heldWorkIdOf(hostId, message.workId);
+				this.peerWorks.delete(heldId);
+				this.pools.get(message.pool)?.cancel(heldId);
 				break;
 			}
 
@@ -298,7 +301,7 @@
 			this.peerWorks.delete(workId);
 		}
 
-		this.options.mesh.send(peerWork.hostId, messageOfFinished(finished));
+		this.options.mesh.send(peerWork.hostId, messageOfFinished({...finished, work: {...finished.work, workId: peerWork.workId}}));
 	}
 
 	/** Records reported waits; reports of other hosts than the one that batches a pool are ignored, since only that host knows the wait. */
@@ -369,3 +372,11 @@
 		}
 	}
 }
+
+/**
+Returns the ID under which this host's pools hold work of a peer. The IDs of works are unique on one host only, and those of this
+host's own works contain no line break.
+*/
+function heldWorkIdOf(hostId: string, workId: string): string {
+	return `${hostId}\n${workId}`;
+}
--- a/src/wire/common/messages.ts
+++ b/src/wire/common/messages.ts
@@ -4,6 +4,10 @@
 /** Version of the protocol; both sides must use the same. */
 export const protocolVersion = 6;
 
+/** Upper bounds on the length of what a caller states about a request with preparation steps: hosts pass it on to each other. */
+export const maxCallerRequestIdLength = 200;
+export const maxPieceKeyLength = 200;
+
 const id = z.string().min(1).max(128);
 const name = z.string().min(1).max(200);
 /** One server process of an upstream: its name in the platform's list, with the time of its start. */
@@ -283,9 +287,9 @@
 	type: z.literal('batchWork'),
 	workId: id,
 	pool: name,
-	callerRequestId: z.string().max(200),
+	callerRequestId: z.string().max(maxCallerRequestIdLength),
 	contentId,
-	pieceKey: z.string().max(200),
+	pieceKey: z.string().max(maxPieceKeyLength),
 	step: count,
 	pieces: z.array(count).min(1).max(4096),
 	inputs: z.array(z.string().max(256)).max(65_536).optional(),
