Sum the load of a queue once for many asks

Cause: each ask for a quote built a string key for each queued piece. In a burst there are thousands of pieces and a thousand asks a second.

Change: the sums are used until the queue changes or 10 ms pass, so added work counts at once, as its reservation ends then. The sum itself is made by work and builds one key for each.

--- a/src/preparation/common/contention-policy.test.ts
+++ b/src/preparation/common/contention-policy.test.ts
@@ -5,6 +5,7 @@
 import type {BatchCall} from './batch-call.js';
 import {BatchScheduler} from './batch-scheduler.js';
 import {ItemTimes} from './item-times.js';
+import type {ItemDurations} from './quotes.js';
 import {ContentionPolicy} from './scheduling-policy.js';
 import {pieceFailures, type BatchWork, type PieceOutcome} from './work.js';
 
@@ -131,6 +132,46 @@
 	t.equal(scheduler.poolState(servers, capacity, 0).hasFree, true);
 });
 
+/*
+Load: a burst of thousands of pieces and a thousand asks a second. Guards against a sum over the whole queue for each ask, and against
+a sum that lacks added work: its reservation ends at that time, so nothing would count it.
+*/
+t.test('the load of a queue is summed again only if the queue has changed or 10 ms have passed', async t => {
+	const itemTimes = ItemTimes.create();
+	let sumCount = 0;
+	const itemDurations: ItemDurations = {
+		itemMs: (...step) => itemTimes.itemMs(...step),
+		serverMs(...step) {
+			sumCount++;
+			return itemTimes.serverMs(...step);
+		},
+		expectedCallMs: (...call) => itemTimes.expectedCallMs(...call),
+		recordCall: () => undefined,
+	};
+	const scheduler = BatchScheduler.create(undefined, undefined, {isScheduled: () => true, itemDurations});
+	const check = (nowMs: number, expected: {readonly sums: number; readonly serverMs: number; readonly isLate?: boolean}, changedCapacity = capacity) => {
+		sumCount = 0;
+		const {queue} = scheduler.poolState([], changedCapacity, nowMs);
+		t.same([sumCount, queue.map(({serverMs, isLate}) => [serverMs, isLate])], [expected.sums, [[expected.serverMs, expected.isLate ?? false]]]);
+	};
+
+	scheduler.add(workOf('a', 40, {dueMs: 25}), 0);
+	check(0, {sums: 1, serverMs: 40 * 35});
+	check(9, {sums: 0, serverMs: 40 * 35});
+	check(10, {sums: 1, serverMs: 40 * 35});
+	check(11, {sums: 1, serverMs: 40 * 45}, {...capacity, itemMs: 20});
+	scheduler.add(workOf('b', 2, {dueMs: 25}), 11);
+	check(11, {sums: 2, serverMs: 42 * 35});
+	check(12, {sums: 0, serverMs: 42 * 35});
+	scheduler.cancel('a');
+	check(12, {sums: 1, serverMs: 2 * 35});
+	check(26, {sums: 1, serverMs: 2 * 35, isLate: true});
+	scheduler.add(workOf('c', 1, {dueMs: 25}), 26);
+	check(26, {sums: 2, serverMs: 3 * 35, isLate: true});
+	scheduler.nextCalls([server], capacity, 26);
+	t.same(scheduler.poolState([], capacity, 26).queue, [], 'what is sent is no longer queued');
+});
+
 t.test('an upstream whose space is used up is not free', async t => {
 	const scheduler = createScheduler();
 	scheduler.add(workOf('big', 3, {resultBytes: 300}), 0);
--- a/src/preparation/common/piece-queue.ts
+++ b/src/preparation/common/piece-queue.ts
@@ -27,6 +27,7 @@
 	}
 
 	private pieces: BatchPiece[] = [];
+	private changeCount = 0;
 	/** Pieces whose deadline passed in the queue; the next sweep fails them. */
 	private expired: BatchPiece[] = [];
 
@@ -36,12 +37,18 @@
 		return this.pieces.length;
 	}
 
+	/** Number that differs after each change of what is queued, regardless of its order. */
+	get revision(): number {
+		return this.changeCount;
+	}
+
 	/** The queued pieces, in order after `sort`. */
 	get items(): readonly BatchPiece[] {
 		return this.pieces;
 	}
 
 	add(piece: BatchPiece): void {
+		this.changeCount++;
 		this.pieces.push(piece);
 	}
 
@@ -50,7 +57,7 @@
 	@param taken - the pieces.
 	*/
 	remove(taken: ReadonlySet<BatchPiece>): void {
-		this.pieces = this.pieces.filter(item => !taken.has(item));
+		this.replaceAll(this.pieces.filter(item => !taken.has(item)));
 	}
 
 	/**
@@ -58,7 +65,7 @@
 	@param workId - ID of the work.
 	*/
 	removeWork(workId: string): void {
-		this.pieces = this.pieces.filter(({work}) => work.workId !== workId);
+		this.replaceAll(this.pieces.filter(({work}) => work.workId !== workId));
 	}
 
 	/**
@@ -67,7 +74,7 @@
 	*/
 	takeAll(reason: PieceFailure): FinishedPiece[] {
 		const taken = finishAll(this.pieces, reason);
-		this.pieces = [];
+		this.replaceAll([]);
 		return taken;
 	}
 
@@ -157,11 +164,16 @@
 		return handling === pieceHandlings.none || handling === pieceHandlings.alone;
 	}
 
+	private replaceAll(pieces: BatchPiece[]): void {
+		this.changeCount++;
+		this.pieces = pieces;
+	}
+
 	private dropExpired(nowMs: number): void {
 		const expired = this.pieces.filter(({work}) => nowMs >= work.deadlineMs);
 		if (expired.length > 0) {
 			this.expired.push(...expired);
-			this.pieces = this.pieces.filter(({work}) => nowMs < work.deadlineMs);
+			this.replaceAll(this.pieces.filter(({work}) => nowMs < work.deadlineMs));
 		}
 	}
 }
--- a/src/preparation/common/pool-estimates.ts
+++ b/src/preparation/common/pool-estimates.ts
@@ -5,8 +5,8 @@
 import {HoldTime} from './hold-time.js';
 import type {PieceQueue, QueueRates} from './piece-queue.js';
 import type {PoolUpstreams} from './pool-upstreams.js';
-import {queueLoadOf} from './queue-load.js';
-import type {PoolState} from './quotes.js';
+import {queueLoadOf, type LoadFactors} from './queue-load.js';
+import type {PoolState, QueueLoad} from './quotes.js';
 import type {EndedResult} from './result-space.js';
 import type {PolicySwitch} from './scheduling-policy.js';
 import {Throughput} from './throughput.js';
@@ -17,9 +17,18 @@
 /** With all upstreams busy and an empty queue, the first one is free after this share of a call, divided by their number. */
 const firstFreeShare = 0.5;
 
+/**
+Time for which the sums of an unchanged queue are used: pieces become late and learned durations change meanwhile, by little. In a
+burst there are a thousand asks a second and thousands of pieces.
+*/
+const loadLifetimeMs = 10;
+
 /** Parts of a scheduler that the estimates depend on. */
 export type EstimateSources = {readonly queue: PieceQueue; readonly upstreams: PoolUpstreams; readonly policies: PolicySwitch};
 
+/** Load of the queue as last summed, with what it was summed from. */
+type SummedLoad = {readonly revision: number; readonly capacity: BatchCapacity; readonly atMs: number; readonly queue: readonly QueueLoad[]};
+
 /** Estimates of one pool. */
 export class PoolEstimates {
 	static create(sources: EstimateSources): PoolEstimates {
@@ -28,6 +37,7 @@
 
 	private readonly throughput = Throughput.create();
 	private readonly holdTime = HoldTime.create();
+	private summedLoad: SummedLoad | undefined;
 
 	private constructor(private readonly sources: EstimateSources) {
 		// The unit of the measured throughput depends on the policy.
@@ -130,16 +140,32 @@
 	@param nowMs - the current time.
 	*/
 	poolState(servers: readonly UpstreamServer[], capacity: BatchCapacity, nowMs: number): PoolState {
-		const {upstreams, queue, policies} = this.sources;
+		const {upstreams, policies} = this.sources;
 		const {times} = policies.scheduled;
 		const healthy = upstreams.healthyOf(servers, nowMs);
 		const meanHoldMs = this.holdTime.meanMs(times.fullCallMs(capacity));
 		return {
 			upstreamCount: upstreams.effectiveCount(healthy, capacity, nowMs),
 			capacity,
-			queue: queueLoadOf(queue.items, {times, capacity, meanHoldMs}, nowMs),
+			queue: this.queueLoad({times, capacity, meanHoldMs}, nowMs),
 			hasFree: healthy.some(server => upstreams.hasCapacity(server, capacity.roomBytes, nowMs)),
 			meanHoldMs,
 		};
 	}
+
+	/** Sums the queue, unless it has not changed in the meantime. */
+	private queueLoad(factors: LoadFactors, nowMs: number): readonly QueueLoad[] {
+		const {items, revision} = this.sources.queue;
+		const {capacity} = factors;
+		const last = this.summedLoad;
+		if (last?.revision === revision && last.capacity === capacity && nowMs - last.atMs < loadLifetimeMs) {
+			return last.queue;
+		}
+
+		const queue = queueLoadOf(items, factors, nowMs);
+		this.summedLoad = {
+			revision, capacity, atMs: nowMs, queue,
+		};
+		return queue;
+	}
 }
--- a/src/preparation/common/queue-load.ts
+++ b/src/preparation/common/queue-load.ts
@@ -4,6 +4,7 @@
 import type {CallTimes} from './call-times.js';
 import {isLate} from './piece-order.js';
 import type {QueueLoad} from './quotes.js';
+import type {BatchWork} from './work.js';
 
 /** What the upstream time and the space of a piece depend on. */
 export type LoadFactors = {
@@ -14,6 +15,8 @@
 	readonly meanHoldMs: number;
 };
 
+type LoadSum = {-readonly [Key in keyof QueueLoad]: QueueLoad[Key]};
+
 /**
 Returns the load of a queue, with one entry for each combination of rank, workspace and lateness that occurs.
 @param pieces - the queued pieces.
@@ -21,10 +24,21 @@
 @param nowMs - the current time.
 */
 export function queueLoadOf(pieces: readonly BatchPiece[], {times, capacity, meanHoldMs}: LoadFactors, nowMs: number): QueueLoad[] {
-	const loads = new Map<string, {rank: number; workspace: string; serverMs: number; spaceMs: number; isLate: boolean}>();
+	// All pieces of a work have the same load, and a work may have thousands.
+	const counts = new Map<BatchWork, {readonly item: BatchPiece; count: number}>();
 	for (const item of pieces) {
-		const {rank, workspace = '', resultBytes} = item.work;
-		const late = isLate(item.work, nowMs);
+		const counted = counts.get(item.work);
+		if (counted) {
+			counted.count++;
+		} else {
+			counts.set(item.work, {item, count: 1});
+		}
+	}
+
+	const loads = new Map<string, LoadSum>();
+	for (const [work, {item, count}] of counts) {
+		const {rank, workspace = '', resultBytes} = work;
+		const late = isLate(work, nowMs);
 		const key = `${rank} ${late} ${workspace}`;
 		let load = loads.get(key);
 		if (!load) {
@@ -34,8 +48,8 @@
 			loads.set(key, load);
 		}
 
-		load.serverMs += times.amountOf(item, capacity);
-		load.spaceMs += capacity.roomBytes > 0 ? meanHoldMs * resultBytes / capacity.roomBytes : 0;
+		load.serverMs += count * times.amountOf(item, capacity);
+		load.spaceMs += capacity.roomBytes > 0 ? count * meanHoldMs * resultBytes / capacity.roomBytes : 0;
 	}
 
 	return [...loads.values()];
