Log the reservations of a pool once a second

Cause: reservations lengthen quotes but are in no queue, and nothing showed them to an operator. PoolLedger.describe was used by tests only.

Change: a pool with reservations logs the number of requests, their upstream time by rank, those admitted late, and the age of the oldest.

--- a/src/preparation/common/pool-ledger.ts
+++ b/src/preparation/common/pool-ledger.ts
@@ -6,7 +6,7 @@
 import type {BatchCapacity} from '../../deployment/common/declaration.js';
 import {DemandWindow, type Demand, type DemandBucket} from './demand-window.js';
 import type {
-	AdmissionLedger, ItemDurations, LedgerAsk, PoolState, Quote,
+	AdmissionLedger, ItemDurations, LedgerAsk, LedgerStatus, PoolState, Quote,
 } from './quotes.js';
 import {fullCallMs} from './throughput.js';
 
@@ -37,20 +37,6 @@
 /** Wait quoted if no upstream accepts work: roughly the time until one is available again. */
 const noUpstreamWaitMs = 2000;
 
-/** Reserved work of one rank and workspace, for logs and metrics. */
-export type LedgerStatus = {
-	readonly rank: number;
-	readonly workspace: string;
-	/** Whether the requests were admitted late. */
-	readonly isLate: boolean;
-	readonly requests: number;
-	/** Reserved upstream time, in milliseconds of one upstream. */
-	readonly serverMs: number;
-	readonly resultBytes: number;
-	/** Age of the oldest reservation. */
-	readonly oldestMs: number;
-};
-
 /** Amounts of the two resources of a pool, in milliseconds of one upstream, or rates of use, in upstreams. */
 type Resources = {readonly serverMs: number; readonly spaceMs: number};
 
--- a/src/preparation/common/quotes.ts
+++ b/src/preparation/common/quotes.ts
@@ -63,6 +63,20 @@
 	recordCall(counts: ReadonlyMap<string | undefined, number>, tookMs: number, slowness: number, capacity: BatchCapacity): void;
 };
 
+/** Reserved work of one rank and workspace, for logs and metrics. */
+export type LedgerStatus = {
+	readonly rank: number;
+	readonly workspace: string;
+	/** Whether the requests were admitted late. */
+	readonly isLate: boolean;
+	readonly requests: number;
+	/** Reserved upstream time, in milliseconds of one upstream. */
+	readonly serverMs: number;
+	readonly resultBytes: number;
+	/** Age of the oldest reservation. */
+	readonly oldestMs: number;
+};
+
 /** Work that requests have reserved in a pool and have not submitted yet. */
 export type AdmissionLedger = {
 	/** Returns when the pool would get to what a request asks, and reserves it at once. A repeated call replaces the reservation. */
@@ -75,6 +89,8 @@
 	submitted(requestId: string, stepKey: string): void;
 	/** Removes reservations that were not used in time. */
 	sweep(nowMs: number): void;
+	/** Returns the reserved work by rank, workspace and lateness. */
+	describe(nowMs: number): LedgerStatus[];
 };
 
 /** What one request asks of one pool, as sent to its scheduler. */
--- a/src/preparation/node/batch-pool.test.ts
+++ b/src/preparation/node/batch-pool.test.ts
@@ -1,7 +1,7 @@
 import t from 'tap';
 import {ManualClock} from '../../base/common/clock.js';
 import {Emitter} from '../../base/common/emitter.js';
-import {silentLoggers} from '../../base/common/logger.js';
+import {silentLoggers, type LogFields} from '../../base/common/logger.js';
 import {noMetrics} from '../../base/common/metrics.js';
 import {ItemTimes} from '../common/item-times.js';
 import {PoolLedger} from '../common/pool-ledger.js';
@@ -43,12 +43,16 @@
 	sweep(nowMs: number): void {
 		this.sweptMs.push(nowMs);
 	}
+
+	describe() {
+		return [];
+	}
 }
 
 /** Creates a pool. Without upstreams, work stays queued. */
-function makePool(clock: ManualClock, ledger: AdmissionLedger, {isDeclared = true, servers = [] as string[]} = {}): BatchPool {
+function makePool(clock: ManualClock, ledger: AdmissionLedger, {isDeclared = true, servers = [] as string[], log = silentLoggers.for('test')} = {}): BatchPool {
 	const options = {
-		pool: 'p', clock, log: silentLoggers.for('test'), metrics: noMetrics, makeLedger: () => ledger, scheduled: {isScheduled: () => true, itemDurations: ItemTimes.create()},
+		pool: 'p', clock, log, metrics: noMetrics, makeLedger: () => ledger, scheduled: {isScheduled: () => true, itemDurations: ItemTimes.create()},
 		tracker: {current: {pool: () => isDeclared ? {batch} : undefined}},
 		registry: {
 			onDidChange: Emitter.create().event, usable: () => servers.map(serverId => ({serverId, hall: ''})), isPoolClosed: () => false, get: () => undefined,
@@ -118,3 +122,47 @@
 	pool.forgo('r2');
 	t.equal(pool.quote({...ask, requestId: 'r3'})!.aheadMs, 0);
 });
+
+/*
+Guards against quotes that an operator can't explain: reservations lengthen them and are in no queue.
+*/
+t.test('a pool with reservations logs them once a second, and none once there are none', async t => {
+	const clock = ManualClock.create();
+	const lines: Array<readonly [string, LogFields | undefined]> = [];
+	const log = {
+		...silentLoggers.for('test'),
+		info(sentence: string, fields?: LogFields) {
+			lines.push([sentence, fields]);
+		},
+	};
+	const pool = makePool(clock, PoolLedger.create(ItemTimes.create()), {servers: ['s1'], log});
+	t.teardown(() => {
+		pool.dispose();
+	});
+	pool.sweepReservations();
+	t.same(lines, [], 'nothing has asked');
+	for (const [requestId, rank, workspace] of [['r1', 10, 'w'], ['r2', 2, 'v'], ['r3', 2, 'w'], ['late', 2, 'w']] as const) {
+		pool.quote({
+			...ask, requestId, rank, workspace,
+		});
+	}
+
+	pool.admittedLate('late');
+	for (let elapsedMs = 0; elapsedMs < 2000; elapsedMs += 100) {
+		pool.sweepReservations();
+		clock.advance(100);
+	}
+
+	// Each request has 2 pieces, with 200 ms / 10 + 15 ms of an upstream for each.
+	const fields = {
+		pool: 'p', requests: 3, serverMsByRank: '2:140 10:70', lateRequests: 1, lateServerMs: 70,
+	};
+	const sentence = 'Requests have reserved work in a pool.';
+	t.same(lines, [[sentence, {...fields, oldestMs: 0}], [sentence, {...fields, oldestMs: 1000}]]);
+	for (const requestId of ['r1', 'r2', 'r3', 'late']) {
+		pool.forgo(requestId);
+	}
+
+	pool.sweepReservations();
+	t.equal(lines.length, 2);
+});
--- a/src/preparation/node/batch-pool.ts
+++ b/src/preparation/node/batch-pool.ts
@@ -145,9 +145,13 @@
 		this.ledger?.admittedLate(requestId);
 	}
 
-	/** Removes reservations that were not used in time. */
+	/** Removes reservations that were not used in time, and logs the others. */
 	sweepReservations(): void {
-		this.ledger?.sweep(this.options.clock.nowMs());
+		if (this.ledger) {
+			const nowMs = this.options.clock.nowMs();
+			this.ledger.sweep(nowMs);
+			this.log.logReservations(this.ledger, nowMs);
+		}
 	}
 
 	/**
--- a/src/preparation/node/pool-log.ts
+++ b/src/preparation/node/pool-log.ts
@@ -1,6 +1,6 @@
 /**
-Log lines and metrics of one batched pool: queues that persist, calls that are slow across the pool, and results without
-space.
+Log lines and metrics of one batched pool: queues that persist, reservations, calls that are slow across the pool, and results
+without space.
 */
 import type {Logger} from '../../base/common/logger.js';
 import type {Metrics} from '../../base/common/metrics.js';
@@ -9,9 +9,10 @@
 import {requestLogMessages} from '../../request/common/request-log-messages.js';
 import type {BatchCall} from '../common/batch-call.js';
 import type {BatchScheduler} from '../common/batch-scheduler.js';
+import type {AdmissionLedger, LedgerStatus} from '../common/quotes.js';
 import {pieceFailures, type PieceOutcome} from '../common/work.js';
 
-/** Interval at which a queue that does not empty is logged. */
+/** Interval at which a queue that does not empty, or reservations, are logged. */
 const logIntervalMs = 1000;
 /** Ratio of actual to declared call duration above which a pool is logged as slow, and below which it no longer is. */
 const slowThreshold = 1.7;
@@ -31,6 +32,7 @@
 	}
 
 	private lastLoggedMs = -Infinity;
+	private lastReservationsMs = -Infinity;
 	/** Whether the pool was last logged as slow. */
 	private isSlow = false;
 
@@ -52,6 +54,39 @@
 		this.logSlowness(scheduler.typicalSlowness(servers, nowMs), servers.length);
 	}
 
+	/**
+	Logs the reservations of a pool that has any, at most once per interval.
+	@param ledger - the reservations.
+	@param nowMs - the current time.
+	*/
+	logReservations(ledger: Pick<AdmissionLedger, 'describe'>, nowMs: number): void {
+		if (nowMs - this.lastReservationsMs < logIntervalMs) {
+			return;
+		}
+
+		const statuses = ledger.describe(nowMs);
+		if (statuses.length === 0) {
+			return;
+		}
+
+		this.lastReservationsMs = nowMs;
+		const inTime = statuses.filter(({isLate}) => !isLate);
+		const late = statuses.filter(({isLate}) => isLate);
+		const serverMsByRank = new Map<number, number>();
+		for (const {rank, serverMs} of inTime) {
+			serverMsByRank.set(rank, (serverMsByRank.get(rank) ?? 0) + serverMs);
+		}
+
+		this.options.log.info('Requests have reserved work in a pool.', {
+			pool: this.options.pool,
+			requests: sumOf(inTime, 'requests'),
+			serverMsByRank: [...serverMsByRank].map(([rank, serverMs]) => `${rank}:${Math.round(serverMs)}`).join(' '),
+			lateRequests: sumOf(late, 'requests'),
+			lateServerMs: Math.round(sumOf(late, 'serverMs')),
+			oldestMs: Math.round(Math.max(...statuses.map(({oldestMs}) => oldestMs))),
+		});
+	}
+
 	/**
 	Logs results for which an upstream had no space.
 	@param call - the call that was answered.
@@ -81,3 +116,7 @@
 		}
 	}
 }
+
+function sumOf(statuses: readonly LedgerStatus[], field: 'requests' | 'serverMs'): number {
+	return statuses.reduce((sum, status) => sum + status[field], 0);
+}
