--- a/src/preparation/common/pool-ledger.ts
+++ b/src/preparation/common/pool-ledger.ts
@@ -8,7 +8,7 @@
 	DemandWindow, OfferedLoad, type Demand, type DemandBucket,
 } from './demand-window.js';
 import type {
-	AdmissionLedger, ItemDurations, LedgerAsk, PoolState, Quote,
+	AdmissionLedger, ItemDurations, LedgerAsk, LedgerStatus, PoolState, Quote,
 } from './quotes.js';
 import {fullCallMs} from './throughput.js';
 
@@ -39,18 +39,6 @@
 /** Wait quoted if no upstream accepts work: roughly the time until one is available again. */
 const noUpstreamWaitMs = 2000;
 
-/** Reserved work of one rank and workspace, for logs and metrics. */
-export type LedgerStatus = {
-	readonly rank: number;
-	readonly workspace: string;
-	readonly requests: number;
-	/** Reserved upstream time, in milliseconds of one upstream. */
-	readonly serverMs: number;
-	readonly resultBytes: number;
-	/** Age of the oldest reservation. */
-	readonly oldestMs: number;
-};
-
 /** Amounts of the two resources of a pool, in milliseconds of one upstream, or rates of use, in upstreams. */
 type Resources = {readonly serverMs: number; readonly spaceMs: number};
 
@@ -64,8 +52,65 @@
 	readonly bucket: DemandBucket;
 	readonly quotedMs: number;
 	readonly expiresMs: number;
+	/** Time at which it ends if its request is admitted late. */
+	readonly lateExpiresMs: number;
+	readonly isLate: boolean;
 };
 
+/** Reservations by rank and workspace: a quote must not depend on their number. */
+class ReservedSums {
+	static create(): ReservedSums {
+		return new ReservedSums();
+	}
+
+	private readonly sums = new Map<number, Map<string, ReservedSum>>();
+
+	/** Adds a reservation. */
+	add(rank: number, workspace: string, {serverMs, resultBytes}: Demand): void {
+		let byWorkspace = this.sums.get(rank);
+		if (!byWorkspace) {
+			byWorkspace = new Map();
+			this.sums.set(rank, byWorkspace);
+		}
+
+		const sum = byWorkspace.get(workspace) ?? {requests: 0, serverMs: 0, resultBytes: 0};
+		sum.requests++;
+		sum.serverMs += serverMs;
+		sum.resultBytes += resultBytes;
+		byWorkspace.set(workspace, sum);
+	}
+
+	/** Subtracts a part of a reservation that remains. */
+	subtract(rank: number, workspace: string, {serverMs, resultBytes}: Demand): void {
+		const sum = this.of(rank, workspace);
+		sum.serverMs -= serverMs;
+		sum.resultBytes -= resultBytes;
+	}
+
+	/** Removes a reservation with what is left of it. */
+	remove(rank: number, workspace: string, rest: Demand): void {
+		this.subtract(rank, workspace, rest);
+		const sum = this.of(rank, workspace);
+		sum.requests--;
+		if (sum.requests === 0) {
+			// Also ends the rounding errors of the sum.
+			this.sums.get(rank)!.delete(workspace);
+		}
+	}
+
+	of(rank: number, workspace: string): ReservedSum {
+		return this.sums.get(rank)!.get(workspace)!;
+	}
+
+	* entries(): Iterable<{readonly rank: number; readonly workspace: string; readonly sum: ReservedSum}> {
+		for (const [rank, byWorkspace] of this.sums) {
+			for (const [workspace, sum] of byWorkspace) {
+				yield {rank, workspace, sum};
+			}
+		}
+	}
+}
+
 /** The reservations in one pool. */
 export class PoolLedger implements AdmissionLedger {
 	/**
@@ -77,8 +122,9 @@
 	}
 
 	private readonly reservations = new Map<string, Reservation>();
-	/** Sums by rank and workspace: a quote must not depend on the number of reservations. */
-	private readonly reserved = new Map<number, Map<string, ReservedSum>>();
+	private readonly reserved = ReservedSums.create();
+	/** Reservations of requests that were admitted late. */
+	private readonly reservedLate = ReservedSums.create();
 	private readonly demand = new Map<number, DemandWindow>();
 	private readonly offered = OfferedLoad.create();
 
@@ -109,9 +155,16 @@
 		this.offered.record(requestId, own, nowMs);
 		if (steps.size > 0) {
 			this.reservations.set(requestId, {
-				rank, workspace, steps, bucket, quotedMs: nowMs, expiresMs: Math.max(readyMs, nowMs + aheadMs) + unusedMs,
+				rank,
+				workspace,
+				steps,
+				bucket,
+				quotedMs: nowMs,
+				expiresMs: Math.max(readyMs, nowMs + aheadMs) + unusedMs,
+				lateExpiresMs: Math.max(readyMs, nowMs + (lateAheadMs ?? aheadMs)) + unusedMs,
+				isLate: false,
 			});
-			this.addReserved(rank, workspace, own);
+			this.reserved.add(rank, workspace, own);
 		}
 
 		const largestStep = Math.max(0, ...[...steps.values()].map(({pieces}) => pieces));
@@ -126,11 +179,33 @@
 	forgo(requestId: string): void {
 		const reservation = this.reservations.get(requestId);
 		if (reservation) {
-			reservation.bucket.add(sumOf(reservation.steps.values()), -1);
+			if (!reservation.isLate) {
+				reservation.bucket.add(sumOf(reservation.steps.values()), -1);
+			}
+
 			this.remove(requestId, reservation);
 		}
 	}
 
+	/**
+	Handles the late admission of a request: its work goes behind all work in time and therefore delays only late work. It is no
+	demand of work in time either.
+	@param requestId - the request.
+	*/
+	admittedLate(requestId: string): void {
+		const reservation = this.reservations.get(requestId);
+		if (!reservation || reservation.isLate) {
+			return;
+		}
+
+		const {rank, workspace, steps, bucket, lateExpiresMs} = reservation;
+		const rest = sumOf(steps.values());
+		bucket.add(rest, -1);
+		this.reserved.remove(rank, workspace, rest);
+		this.reservedLate.add(rank, workspace, rest);
+		this.reservations.set(requestId, {...reservation, isLate: true, expiresMs: lateExpiresMs});
+	}
+
 	/**
 	Handles a step that is queued now and therefore no longer reserved.
 	@param requestId - the request.
@@ -149,9 +224,7 @@
 		}
 
 		reservation.steps.delete(stepKey);
-		const sum = this.reserved.get(reservation.rank)!.get(reservation.workspace)!;
-		sum.serverMs -= step.serverMs;
-		sum.resultBytes -= step.resultBytes;
+		this.sumsOf(reservation).subtract(reservation.rank, reservation.workspace, step);
 	}
 
 	/**
@@ -181,15 +254,17 @@
 	*/
 	describe(nowMs: number): LedgerStatus[] {
 		const oldest = new Map<ReservedSum, number>();
-		for (const {rank, workspace, quotedMs} of this.reservations.values()) {
-			const sum = this.reserved.get(rank)!.get(workspace)!;
+		for (const reservation of this.reservations.values()) {
+			const {rank, workspace, quotedMs} = reservation;
+			const sum = this.sumsOf(reservation).of(rank, workspace);
 			oldest.set(sum, Math.max(oldest.get(sum) ?? 0, nowMs - quotedMs));
 		}
 
-		const sums = [...this.reserved].flatMap(([rank, byWorkspace]) => [...byWorkspace].map(([workspace, sum]) => ({
-			rank, workspace, ...sum, oldestMs: oldest.get(sum) ?? 0,
-		})));
-		return sums.toSorted((left, right) => left.rank - right.rank || left.workspace.localeCompare(right.workspace));
+		const statusesOf = (sums: ReservedSums, isLate: boolean) => [...sums.entries()].map(({rank, workspace, sum}) => ({
+			rank, workspace, isLate, ...sum, oldestMs: oldest.get(sum) ?? 0,
+		}));
+		return [...statusesOf(this.reserved, false), ...statusesOf(this.reservedLate, true)]
+			.toSorted((left, right) => left.rank - right.rank || left.workspace.localeCompare(right.workspace) || Number(left.isLate) - Number(right.isLate));
 	}
 
 	/** Time until the pool gets to work of a rank and workspace, in milliseconds. */
@@ -216,12 +291,8 @@
 			}
 		}
 
-		for (const [reservedRank, byWorkspace] of this.reserved) {
-			for (const [reservedWorkspace, {serverMs, resultBytes}] of byWorkspace) {
-				count({
-					rank: reservedRank, workspace: reservedWorkspace, serverMs, spaceMs: resultBytes * spacePerByteMs,
-				});
-			}
+		for (const {sum: {serverMs, resultBytes}, ...kind} of this.reserved.entries()) {
+			count({...kind, serverMs, spaceMs: resultBytes * spacePerByteMs});
 		}
 
 		// Workspaces of one rank take turns: each goes first only with as much work as the asking one has.
@@ -267,10 +338,8 @@
 			all = add(all, load);
 		}
 
-		for (const byWorkspace of this.reserved.values()) {
-			for (const {serverMs, resultBytes} of byWorkspace.values()) {
-				all = add(all, {serverMs, spaceMs: resultBytes * spacePerByteMs});
-			}
+		for (const {sum: {serverMs, resultBytes}} of [...this.reserved.entries(), ...this.reservedLate.entries()]) {
+			all = add(all, {serverMs, spaceMs: resultBytes * spacePerByteMs});
 		}
 
 		return Math.max(aheadMs, minWaitMs(state) + Math.max(backlogMargin * all.serverMs / spareServers, spaceMargin * all.spaceMs / spareSpace));
@@ -325,33 +394,15 @@
 		return demands;
 	}
 
-	private addReserved(rank: number, workspace: string, {serverMs, resultBytes}: Demand): void {
-		let byWorkspace = this.reserved.get(rank);
-		if (!byWorkspace) {
-			byWorkspace = new Map();
-			this.reserved.set(rank, byWorkspace);
-		}
-
-		const sum = byWorkspace.get(workspace) ?? {requests: 0, serverMs: 0, resultBytes: 0};
-		sum.requests++;
-		sum.serverMs += serverMs;
-		sum.resultBytes += resultBytes;
-		byWorkspace.set(workspace, sum);
-	}
-
 	/** Removes a reservation with its part of the sums. */
-	private remove(requestId: string, {rank, workspace, steps}: Reservation): void {
+	private remove(requestId: string, reservation: Reservation): void {
+		const {rank, workspace, steps} = reservation;
 		this.reservations.delete(requestId);
-		const byWorkspace = this.reserved.get(rank)!;
-		const sum = byWorkspace.get(workspace)!;
-		const {serverMs, resultBytes} = sumOf(steps.values());
-		sum.requests--;
-		sum.serverMs -= serverMs;
-		sum.resultBytes -= resultBytes;
-		if (sum.requests === 0) {
-			// Also ends the rounding errors of the sum.
-			byWorkspace.delete(workspace);
-		}
+		this.sumsOf(reservation).remove(rank, workspace, sumOf(steps.values()));
+	}
+
+	private sumsOf({isLate}: Reservation): ReservedSums {
+		return isLate ? this.reservedLate : this.reserved;
 	}
 }
 
--- a/src/preparation/common/quotes.ts
+++ b/src/preparation/common/quotes.ts
@@ -63,16 +63,34 @@
 	recordCall(counts: ReadonlyMap<string | undefined, number>, tookMs: number, slowness: number, capacity: BatchCapacity): void;
 };
 
+/** Reserved work of one rank and workspace, for logs and metrics. */
+export type LedgerStatus = {
+	readonly rank: number;
+	readonly workspace: string;
+	/** Whether the requests were admitted late. */
+	readonly isLate: boolean;
+	readonly requests: number;
+	/** Reserved upstream time, in milliseconds of one upstream. */
+	readonly serverMs: number;
+	readonly resultBytes: number;
+	/** Age of the oldest reservation. */
+	readonly oldestMs: number;
+};
+
 /** Work that requests have reserved in a pool and have not submitted yet. */
 export type AdmissionLedger = {
 	/** Returns when the pool would get to what a request asks, and reserves it at once. A repeated call replaces the reservation. */
 	quote(ask: LedgerAsk, state: PoolState, nowMs: number): Quote;
 	/** Drops the reservation of a request that was refused or has ended. */
 	forgo(requestId: string): void;
+	/** Handles the late admission of a request: what it reserved is no longer work in time. */
+	admittedLate(requestId: string): void;
 	/** Handles a step that is queued now and therefore no longer reserved. */
 	submitted(requestId: string, stepKey: string): void;
 	/** Removes reservations that were not used in time. */
 	sweep(nowMs: number): void;
+	/** Returns the reserved work by rank, workspace and lateness. */
+	describe(nowMs: number): LedgerStatus[];
 };
 
 /** What one request asks of one pool, as sent to its scheduler. */
@@ -87,4 +105,6 @@
 	ask(asks: readonly PoolAsk[]): Promise<ReadonlyMap<string, Quote> | undefined>;
 	/** Drops the reservations of a request in the given pools. */
 	forgo(requestId: string, pools: readonly string[]): void;
+	/** Reports to the schedulers of the given pools that a request was admitted late on their quotes. */
+	admittedLate(requestId: string, pools: readonly string[]): void;
 };
--- a/src/preparation/node/batch-handler.test.ts
+++ b/src/preparation/node/batch-handler.test.ts
@@ -70,7 +70,9 @@
 			add(work) {
 				queue.push(...work.pieces.map((piece): FinishedPiece => ({work, piece, outcome: {ok: true, ref: {handle: `${hostId}${piece}`, serverId: 's'}}})));
 			},
-			cancel: () => undefined,
+			cancel(workId) {
+				queue.splice(0, queue.length, ...queue.filter(finished => finished.work.workId !== workId));
+			},
 			handOver() {
 				for (const {work, piece} of queue.splice(0)) {
 					onFinished({work, piece, outcome: {ok: false, reason: pieceFailures.moved}});
@@ -80,6 +82,7 @@
 			waitMs: () => 0,
 			quote: () => undefined,
 			forgo: () => undefined,
+			admittedLate: () => undefined,
 			sweepReservations: () => undefined,
 			dispose: () => undefined,
 		};
@@ -113,6 +116,35 @@
 	t.same(outcomes, []);
 });
 
+/*
+Guards against outcomes that go to the wrong host, and against work that another host's request cancels. Work IDs derive from the IDs
+of requests, which are unique on one host only: callers choose them, and several hosts use the same serial IDs.
+*/
+t.test('work of several hosts with the same ID is kept apart', async t => {
+	const names = ['a', 'b', 'c'];
+	const owner = rendezvousOwner('p', names)!;
+	const hosts = new Hosts();
+	const handlers = new Map(names.map(name => [name, hosts.add(name)]));
+	const outcomes: string[] = [];
+	for (const [name, handler] of handlers) {
+		handler.submit({...work, pieces: [0]}, piece => {
+			outcomes.push(`${name} ${piece}`);
+		});
+	}
+
+	const queue = hosts.queues.get(owner)!;
+	t.equal(queue.length, 3);
+	const [canceling, remaining] = names.filter(name => name !== owner);
+	handlers.get(canceling)!.cancel(work.workId);
+	t.equal(queue.length, 2);
+	for (const finished of queue.splice(0)) {
+		hosts.reports.get(owner)!.onFinished(finished);
+	}
+
+	t.same(outcomes.toSorted(), [`${owner} 0`, `${remaining} 0`].toSorted());
+	t.ok(handlers.get(owner)!.isIdle);
+});
+
 t.test('a host with little capacity batches nothing while one with more capacity is live', async t => {
 	const names = ['a', 'b'];
 	const small = rendezvousOwner('p', names)!;
@@ -155,13 +187,15 @@
 			fetched.push(pieces);
 		});
 		const report = hosts.reports.get(owner)!;
-		report.onInputsFetched({workId, pool: 'p', pieces: [0, 1]});
+		// The pool holds the work of a peer under an ID of its own.
+		const held = hosts.queues.get(owner)!.at(-1)!.work;
+		report.onInputsFetched({workId: held.workId, pool: 'p', pieces: [0, 1]});
 		t.same(fetched, [[0, 1]], submitter);
-		report.onFinished({work: {...work, workId}, piece: 0, outcome: {ok: true, ref: {handle: 'x', serverId: 's'}}});
-		report.onInputsFetched({workId, pool: 'p', pieces: [0, 1]});
+		report.onFinished({work: held, piece: 0, outcome: {ok: true, ref: {handle: 'x', serverId: 's'}}});
+		report.onInputsFetched({workId: held.workId, pool: 'p', pieces: [0, 1]});
 		t.same(fetched, [[0, 1], [1]], 'not of a piece that is done');
 		hosts.handlers.get(submitter)!.cancel(workId);
-		report.onInputsFetched({workId, pool: 'p', pieces: [1]});
+		report.onInputsFetched({workId: held.workId, pool: 'p', pieces: [1]});
 		t.equal(fetched.length, 2, 'not of canceled work');
 	}
 });
@@ -181,6 +215,7 @@
 	t.equal(hosts.queues.get(owner)!.length, 2, 'transferred');
 	hosts.reports.get(other)!.onInputsFetched({workId: 'w', pool: 'p', pieces: [0]});
 	t.same(fetched, []);
-	hosts.reports.get(owner)!.onInputsFetched({workId: 'w', pool: 'p', pieces: [1]});
+	const held = hosts.queues.get(owner)!.at(-1)!.work;
+	hosts.reports.get(owner)!.onInputsFetched({workId: held.workId, pool: 'p', pieces: [1]});
 	t.same(fetched, [[1]]);
 });
--- a/src/preparation/node/batch-handler.ts
+++ b/src/preparation/node/batch-handler.ts
@@ -44,7 +44,7 @@
 export type BatchPeerMesh = Pick<PeerMesh, 'onDidReceive' | 'onDidLose' | 'onDidChange' | 'liveCapacities' | 'send' | 'broadcast'>;
 
 /** Batches of one pool. */
-export type PoolBatches = Pick<BatchPool, 'isIdle' | 'add' | 'cancel' | 'handOver' | 'release' | 'waitMs' | 'quote' | 'forgo' | 'sweepReservations' | 'dispose'>;
+export type PoolBatches = Pick<BatchPool, 'isIdle' | 'add' | 'cancel' | 'handOver' | 'release' | 'waitMs' | 'quote' | 'forgo' | 'admittedLate' | 'sweepReservations' | 'dispose'>;
 
 /** Dependencies and settings. */
 export type BatchHandlerOptions = {
@@ -62,8 +62,8 @@
 /** Interval at which waits are reported and work queued here for other hosts is transferred: several times per call duration. */
 const reportIntervalMs = 100;
 
-/** A peer whose work this host holds, and the number of its unfinished pieces. */
-type PeerWork = {readonly hostId: string; openCount: number};
+/** Work of a peer that this host holds, with the ID that the peer gave it and the number of its unfinished pieces. */
+type PeerWork = {readonly hostId: string; readonly workId: string; openCount: number};
 
 /** Work this host submitted: its unfinished pieces, and the host that batches it. */
 type SubmittedWork = {
@@ -86,7 +86,7 @@
 	readonly quotes: BatchQuotes;
 	/** Unfinished work of this host's own requests, by work ID. */
 	private readonly submitted = new Map<string, SubmittedWork>();
-	/** Work of peers held by this host, by work ID. */
+	/** Work of peers held by this host, by the ID under which its pools hold it. */
 	private readonly peerWorks = new Map<string, PeerWork>();
 	/** Pools this host batches, or has batched. */
 	private readonly pools = new Map<string, PoolBatches>();
@@ -260,9 +260,11 @@
 		switch (message.type) {
 			case 'batchWork': {
 				// Pieces of one work may arrive in several messages, as when they were transferred.
-				const held = this.peerWorks.get(message.workId);
-				this.peerWorks.set(message.workId, {hostId, openCount: (held?.openCount ?? 0) + message.pieces.length});
-				this.addToPool(hostId, workOfMessage(message, this.options.clock.nowMs()));
+				const {workId, pieces} = message;
+				const heldId = heldWorkIdOf(hostId, workId);
+				const held = this.peerWorks.get(heldId);
+				this.peerWorks.set(heldId, {hostId, workId, openCount: (held?.openCount ?? 0) + pieces.length});
+				this.addToPool(hostId, {...workOfMessage(message, this.options.clock.nowMs()), workId: heldId});
 				break;
 			}
 
@@ -282,8 +284,9 @@
 			}
 
 			case 'batchCancel': {
-				this.peerWorks.delete(message.workId);
-				this.pools.get(message.pool)?.cancel(message.workId);
+				const heldId = heldWorkIdOf(hostId, message.workId);
+				this.peerWorks.delete(heldId);
+				this.pools.get(message.pool)?.cancel(heldId);
 				break;
 			}
 
@@ -316,7 +319,7 @@
 			this.peerWorks.delete(workId);
 		}
 
-		this.options.mesh.send(peerWork.hostId, messageOfFinished(finished));
+		this.options.mesh.send(peerWork.hostId, messageOfFinished({...finished, work: {...finished.work, workId: peerWork.workId}}));
 	}
 
 	/** Handles inputs that the calls of this host's own pools must have fetched. */
@@ -325,7 +328,9 @@
 		if (peerWork === undefined) {
 			this.notifyFetched(this.options.hostId, fetched);
 		} else {
-			this.options.mesh.send(peerWork.hostId, {type: 'batchFetched', ...fetched, pieces: [...fetched.pieces]});
+			this.options.mesh.send(peerWork.hostId, {
+				type: 'batchFetched', ...fetched, workId: peerWork.workId, pieces: [...fetched.pieces],
+			});
 		}
 	}
 
@@ -406,3 +411,11 @@
 		}
 	}
 }
+
+/**
+Returns the ID under which this host's pools hold work of a peer. The IDs of works are unique on one host only, and those of this
+host's own works contain no line break.
+*/
+function heldWorkIdOf(hostId: string, workId: string): string {
+	return `${hostId}\n${workId}`;
+}
--- a/src/preparation/node/batch-pool.ts
+++ b/src/preparation/node/batch-pool.ts
@@ -141,9 +141,21 @@
 		this.ledger?.forgo(requestId);
 	}
 
-	/** Removes reservations that were not used in time. */
+	/**
+	Handles the late admission of a request.
+	@param requestId - ID of the request as in its ask.
+	*/
+	admittedLate(requestId: string): void {
+		this.ledger?.admittedLate(requestId);
+	}
+
+	/** Removes reservations that were not used in time, and logs the others. */
 	sweepReservations(): void {
-		this.ledger?.sweep(this.options.clock.nowMs());
+		if (this.ledger) {
+			const nowMs = this.options.clock.nowMs();
+			this.ledger.sweep(nowMs);
+			this.log.logReservations(this.ledger, nowMs);
+		}
 	}
 
 	/**
