Repeat open reservations to the new scheduler of a pool

Cause: when another host becomes the scheduler of a pool, queued work moves to it, but not the reservations of requests whose steps are not submitted yet. For about a second its quotes were too short, and what hosts admitted by them made earlier requests late.

Change: the entry host remembers what its requests have reserved in each pool and have not submitted (OpenReservations), and repeats it with the new message batchReserve when the scheduler of the pool changes. PoolLedger.reserve holds it without a quote; it replaces the reservation of the request and is no demand. A host that no longer schedules a pool drops its reservations there. A host that does not schedule the pool yet holds them for 1 s. Schedulers are compared at each change among the peers and every 100 ms, since no event tells a host that it is about to stop itself.

The test of a scheduler that is killed between two asks expected a quote of 0 ms and one reservation at the new scheduler, which is the fault; it now expects 100 ms and two.

--- a/src/direct/node/ingress.test.ts
+++ b/src/direct/node/ingress.test.ts
@@ -96,6 +96,7 @@
 					this.askedIds.push(requestId);
 					this.answers.push(resolve);
 				}),
+				submitted: () => undefined,
 				forgo: (requestId, pools) => {
 					this.forgone.push([requestId, pools]);
 				},
--- a/src/direct/node/step-admission.test.ts
+++ b/src/direct/node/step-admission.test.ts
@@ -53,6 +53,7 @@
 				clock.advance(answerMs);
 				return quotes;
 			},
+			submitted: () => undefined,
 			forgo(requestId, pools) {
 				forgone.push([requestId, pools]);
 			},
--- a/src/preparation/common/pool-ledger.test.ts
+++ b/src/preparation/common/pool-ledger.test.ts
@@ -347,6 +347,43 @@
 	t.strictSame(ledger.describe(3700), []);
 });
 
+/*
+Guards against a new scheduler that doesn't count what was admitted by the former one, that counts work of the last seconds as asked for
+at once, and that keeps reservations after it has lost the pool.
+*/
+t.test('work reserved without a quote counts until it is submitted or ends, but not as demand', async t => {
+	const ledger = PoolLedger.create(ItemTimes.create());
+	const aheadMs = (nowMs = 0) => {
+		const {aheadMs} = ledger.quote(askOf('probe', 0), idle(pool1), nowMs);
+		ledger.forgo('probe');
+		return aheadMs;
+	};
+
+	const reservedMs = 12 * pieceMs * 1.05 / 12;
+	const {capacity} = pool1;
+	ledger.quote(askOf('a', 24), idle(pool1), 0);
+	ledger.reserve(askOf('a', 12), false, capacity, 0);
+	t.ok(near(aheadMs(), reservedMs), 'it replaces the reservation of the request');
+	t.equal(ledger.demandMsPerMs(Infinity, 0), 0);
+	ledger.reserve(askOf('b', 12), true, capacity, 0);
+	t.ok(near(aheadMs(), reservedMs), 'late work delays only late work');
+	t.strictSame(ledger.describe(0).map(({isLate, requests}) => ({isLate, requests})), [{isLate: false, requests: 1}, {isLate: true, requests: 1}]);
+	ledger.submitted('a', askOf('a', 12).steps[0].stepKey);
+	ledger.forgo('b');
+	t.strictSame(ledger.describe(0), []);
+	t.equal(ledger.demandMsPerMs(Infinity, 0), 0, 'what was not counted is not subtracted');
+	ledger.reserve({...askOf('c', 12), readyMs: 700}, false, capacity, 0);
+	ledger.sweep(3699);
+	t.ok(near(aheadMs(3699), reservedMs));
+	ledger.sweep(3700);
+	t.equal(aheadMs(3700), 0);
+	ledger.quote(askOf('d', 12), idle(pool1), 3700);
+	ledger.reserve(askOf('e', 12), true, capacity, 3700);
+	ledger.dropReservations();
+	t.strictSame(ledger.describe(3700), []);
+	t.equal(aheadMs(3700), 0);
+});
+
 t.test('demand is that of better ranks in the last second, without what was forgone, and leaves a quarter of the pool to a rank', async t => {
 	const ledger = PoolLedger.create(ItemTimes.create());
 	for (let index = 0; index < 100; index++) {
--- a/src/preparation/common/pool-ledger.ts
+++ b/src/preparation/common/pool-ledger.ts
@@ -5,7 +5,7 @@
 */
 import type {BatchCapacity} from '../../deployment/common/declaration.js';
 import {
-	DemandWindow, OfferedLoad, type Demand, type DemandBucket,
+	DemandBucket, DemandWindow, OfferedLoad, type Demand,
 } from './demand-window.js';
 import type {
 	AdmissionLedger, ItemDurations, LedgerAsk, LedgerStatus, PoolState, Quote,
@@ -13,7 +13,7 @@
 import {fullCallMs} from './throughput.js';
 
 /** Reservations end this long after they should have been used: their request or its host is gone. */
-const unusedMs = 3000;
+export const unusedMs = 3000;
 /** Share of a pool that is left to each rank, so that no kind of request is starved by more urgent ones. */
 const minRankShare = 0.25;
 /** Share of a pool that must be spare for late work to be admitted. */
@@ -171,6 +171,41 @@
 		return {aheadMs, callMs: this.callMs(largestStep, state, nowMs), lateAheadMs};
 	}
 
+	/**
+	Reserves work without a quote. It replaces the reservation of the request. The work was asked of another scheduler before, up to
+	some seconds ago, so it counts neither as demand nor as offered load of the last second.
+	@param ask - the request and its steps in this pool.
+	@param isLate - whether the request was admitted late.
+	@param capacity - the capacity of the pool.
+	@param nowMs - the current time.
+	*/
+	reserve(ask: LedgerAsk, isLate: boolean, capacity: BatchCapacity, nowMs: number): void {
+		const {requestId, rank, workspace, readyMs} = ask;
+		this.forgo(requestId);
+		const steps = this.stepsOf(ask, capacity);
+		if (steps.size === 0) {
+			return;
+		}
+
+		const work = sumOf(steps.values());
+		// The bucket belongs to no window.
+		const bucket = DemandBucket.create(nowMs);
+		bucket.add(work, 1);
+		const expiresMs = Math.max(readyMs, nowMs) + unusedMs;
+		const reservation: Reservation = {
+			rank, workspace, steps, bucket, quotedMs: nowMs, expiresMs, lateExpiresMs: expiresMs, isLate,
+		};
+		this.reservations.set(requestId, reservation);
+		this.sumsOf(reservation).add(rank, workspace, work);
+	}
+
+	/** Drops all reservations, as when another host schedules the pool now. The demand remains, and ends with its second. */
+	dropReservations(): void {
+		for (const [requestId, reservation] of this.reservations) {
+			this.remove(requestId, reservation);
+		}
+	}
+
 	/**
 	Drops the reservation of a request that was refused or has ended. What it had not submitted no longer counts as demand,
 	but still as offered load.
--- a/src/preparation/common/quote-messages.ts
+++ b/src/preparation/common/quote-messages.ts
@@ -1,6 +1,8 @@
 /** Conversion of asks and quotes to and from messages between hosts. Times are sent as durations, since clocks differ. */
-import {maxQuoteMs, type BatchAskMessage, type BatchQuoteMessage} from '../../wire/common/messages.js';
-import type {PoolAsk, Quote} from './quotes.js';
+import {
+	maxQuoteMs, type BatchAskMessage, type BatchQuoteMessage, type BatchReserveMessage,
+} from '../../wire/common/messages.js';
+import type {PoolAsk, Quote, RepeatedReservation} from './quotes.js';
 
 /**
 Creates the message that asks the scheduler of a pool for a quote.
@@ -20,6 +22,22 @@
 	return ask;
 }
 
+/**
+Creates the message that repeats open reservations to a new scheduler. Times above the bound of quotes, also infinite ones, are sent as
+the bound.
+@param pool - the pool.
+@param reservations - what is reserved there, at most as many as fit in one message.
+*/
+export function messageOfReservations(pool: string, reservations: readonly RepeatedReservation[]): BatchReserveMessage {
+	return {
+		type: 'batchReserve',
+		pool,
+		reservations: reservations.map(({requestId, rank, workspace, steps, readyInMs, isLate}) => ({
+			requestId, rank, workspace, steps: steps.map(({stepKey, pieces, resultBytes}) => ({stepKey, pieces, resultBytes})), readyInMs: Math.min(readyInMs, maxQuoteMs), isLate,
+		})),
+	};
+}
+
 /**
 Creates the message that answers an ask. Times above the bound of the message, also infinite ones, are sent as the bound.
 @param ask - the ask.
--- a/src/preparation/common/quotes.ts
+++ b/src/preparation/common/quotes.ts
@@ -81,6 +81,10 @@
 export type AdmissionLedger = {
 	/** Returns when the pool would get to what a request asks, and reserves it at once. A repeated call replaces the reservation. */
 	quote(ask: LedgerAsk, state: PoolState, nowMs: number): Quote;
+	/** Reserves work without a quote, as when its pool had another scheduler before. It replaces the reservation of the request. */
+	reserve(ask: LedgerAsk, isLate: boolean, capacity: BatchCapacity, nowMs: number): void;
+	/** Drops all reservations. */
+	dropReservations(): void;
 	/** Drops the reservation of a request that was refused or has ended. */
 	forgo(requestId: string): void;
 	/** Handles the late admission of a request: what it reserved is no longer work in time. */
@@ -96,6 +100,12 @@
 /** What one request asks of one pool, as sent to its scheduler. */
 export type PoolAsk = Omit<LedgerAsk, 'readyMs'> & {readonly pool: string; readonly readyInMs: number};
 
+/** What one request has reserved in one pool, as repeated to a new scheduler of the pool. */
+export type RepeatedReservation = Omit<PoolAsk, 'pool'> & {
+	/** Whether the request was admitted late. */
+	readonly isLate: boolean;
+};
+
 /** Asks the schedulers of pools. */
 export type QuoteSource = {
 	/**
@@ -105,6 +115,8 @@
 	ask(asks: readonly PoolAsk[]): Promise<ReadonlyMap<string, Quote> | undefined>;
 	/** Drops the reservations of a request in the given pools. */
 	forgo(requestId: string, pools: readonly string[]): void;
+	/** Handles the submission of a step: it is no longer reserved. */
+	submitted(requestId: string, pool: string, stepKey: string): void;
 	/** Reports to the schedulers of the given pools that a request was admitted late on their quotes. */
 	admittedLate(requestId: string, pools: readonly string[]): void;
 };
--- a/src/preparation/node/admission-asks.test.ts
+++ b/src/preparation/node/admission-asks.test.ts
@@ -19,10 +19,13 @@
 class Host {
 	readonly receive = Emitter.create<PeerMessage>();
 	readonly lose = Emitter.create<string>();
+	readonly change = Emitter.create<void>();
 	/** IDs of the reservations by pool, in the order of their quotes. */
 	readonly reserved = new Map<string, Set<string>>();
 	/** IDs of the requests that the pools were told are admitted late. */
 	readonly late: string[] = [];
+	/** Repeated reservations, as `pool request steps`, with `late` for requests that are admitted late. */
+	readonly repeated: string[] = [];
 	sweepCount = 0;
 	readonly handler: BatchHandler;
 	readonly asks: AdmissionAsks;
@@ -32,15 +35,15 @@
 		const mesh = {
 			onDidReceive: this.receive.event,
 			onDidLose: this.lose.event,
-			onDidChange: Emitter.create<void>().event,
+			onDidChange: this.change.event,
 			get liveCapacities() {
-				return new Map([...hosts.live.keys()].filter(other => other !== hostId).map(other => [other, 1]));
+				return new Map([...hosts.live.keys()].filter(other => other !== hostId && !hosts.leaving.has(other)).map(other => [other, 1]));
 			},
 			send: (to: string, message: Message) => hosts.deliver(hostId, to, message),
 			broadcast: () => undefined,
 		};
 		this.handler = BatchHandler.create({
-			hostId, capacity: 1, mesh, clock, log: silentLoggers.for('test'), isLeaving: () => false, makePool: pool => this.makePool(pool),
+			hostId, capacity: 1, mesh, clock, log: silentLoggers.for('test'), isLeaving: () => hosts.leaving.has(hostId), makePool: pool => this.makePool(pool),
 		});
 		this.asks = AdmissionAsks.create({
 			hostId, mesh, clock, log: silentLoggers.for('test'), ownerOf: pool => this.handler.ownerOf(pool), ownPools: this.handler.quotes,
@@ -64,6 +67,14 @@
 				ids.add(requestId);
 				return {aheadMs, callMs: 370, lateAheadMs: undefined};
 			},
+			reserve: ({requestId, steps, isLate}) => {
+				ids.delete(requestId);
+				ids.add(requestId);
+				this.repeated.push(`${name} ${requestId} ${steps.map(({stepKey}) => stepKey).join(' ')}${isLate ? ' late' : ''}`);
+			},
+			dropReservations() {
+				ids.clear();
+			},
 			forgo(requestId) {
 				ids.delete(requestId);
 			},
@@ -89,6 +100,8 @@
 class Hosts {
 	readonly clock = ManualClock.create();
 	readonly live = new Map<string, Host>();
+	/** Hosts that are about to stop. */
+	readonly leaving = new Set<string>();
 	readonly held: Array<() => void> = [];
 	/** Messages sent, as `type from to`. */
 	readonly sent: string[] = [];
@@ -113,6 +126,19 @@
 		for (const {lose} of this.live.values()) {
 			lose.fire(hostId);
 		}
+
+		this.fireChange();
+	}
+
+	/** Lets a host announce that it is about to stop, or that it isn't any more, as after a restart. */
+	setLeaving(hostId: string, isLeaving: boolean): void {
+		if (isLeaving) {
+			this.leaving.add(hostId);
+		} else {
+			this.leaving.delete(hostId);
+		}
+
+		this.fireChange();
 	}
 
 	deliver(from: string, to: string, message: Message): boolean {
@@ -139,6 +165,22 @@
 	countOf(sent: string): number {
 		return this.sent.filter(line => line === sent).length;
 	}
+
+	/** Lets time pass in steps, so that each host runs its regular checks. */
+	async pass(forMs: number): Promise<void> {
+		for (let passedMs = 0; passedMs < forMs; passedMs += 100) {
+			this.clock.advance(100);
+			await Promise.resolve();
+			await Promise.resolve();
+		}
+	}
+
+	/** Notifies all hosts of a change. */
+	private fireChange(): void {
+		for (const {change} of this.live.values()) {
+			change.fire();
+		}
+	}
 }
 
 /** Returns a pool that a host schedules among the given ones. */
@@ -152,6 +194,11 @@
 	};
 }
 
+function reservationOf(requestId: string) {
+	const {pool, ...reservation} = askOf('', requestId);
+	return {...reservation, steps: [...reservation.steps]};
+}
+
 function workOf(pool: string, requestId = 'r'): BatchWork {
 	return {
 		workId: `${requestId}/1`, pool, callerRequestId: requestId, contentId: 'c'.repeat(32), pieceKey: 'k', step: 0, pieces: [0], inputs: undefined, resultBytes: 1, rank: 0,
@@ -218,8 +265,8 @@
 	const owner = rendezvousOwner(pool, ['a', 'c'])!;
 	const asking = owner === 'a' ? 'c' : 'a';
 	const quotes = await hosts.of(asking).asks.ask([askOf(pool, 'r2')]);
-	t.equal(quotes!.get(pool)!.aheadMs, 0);
-	t.equal(hosts.of(owner).reservedCount, 1);
+	t.equal(quotes!.get(pool)!.aheadMs, 100, 'behind the reservation that was repeated to it');
+	t.equal(hosts.of(owner).reservedCount, 2);
 });
 
 t.test('an ask to a scheduler that is killed ends at once', async t => {
@@ -338,6 +385,8 @@
 	const forgone: string[] = [];
 	const quoting: QuotingPool = {
 		quote: () => ({aheadMs: 0, callMs: 1, lateAheadMs: 10_000}),
+		reserve: () => undefined,
+		dropReservations: () => undefined,
 		forgo(requestId) {
 			forgone.push(requestId);
 		},
@@ -382,3 +431,145 @@
 	hosts.clock.advance(100);
 	t.equal(hosts.of('b').sweepCount, 1);
 });
+
+/** `second` schedules the pool when `b` does not, and `entry` only when it is alone. */
+const [second, entry] = rendezvousOwner(pool, ['a', 'c']) === 'a' ? ['a', 'c'] : ['c', 'a'];
+
+/*
+Load: a scheduler that is killed in a burst. Guards against a new scheduler whose quotes are too short, because it doesn't know what
+was admitted before and has not been submitted.
+*/
+t.test('a scheduler killed between admission and submission: the first quote of the new one counts the reservations of two hosts', async t => {
+	const hosts = new Hosts(...names, 'd');
+	const ownedPool = Array.from({length: 100}, (_, index) => `q${index}`).find(name => rendezvousOwner(name, [...names, 'd']) === 'b' && rendezvousOwner(name, ['a', 'c', 'd']) === 'c')!;
+	await hosts.of('a').asks.ask([askOf(ownedPool), askOf(poolOf('d', [...names, 'd']))]);
+	await hosts.of('c').asks.ask([askOf(ownedPool)]);
+	hosts.of('c').asks.admittedLate('r', [ownedPool]);
+	hosts.kill('b');
+	t.same(hosts.of('c').repeated.toSorted(), [`${ownedPool} a\nr route/0`, `${ownedPool} c\nr route/0 late`]);
+	t.equal(hosts.countOf('batchReserve a c'), 1);
+	t.same(hosts.of('d').repeated, [], 'the other pool has the same scheduler as before');
+	const quotes = await hosts.of('d').asks.ask([askOf(ownedPool)]);
+	t.equal(quotes!.get(ownedPool)!.aheadMs, 200);
+	await hosts.pass(1000);
+	t.equal(hosts.countOf('batchReserve a c'), 1, 'repeated once');
+});
+
+/* Guards against reservations that are lost or stay at both hosts when a scheduler stops as planned, and against messages that go to the former one. */
+t.test('a planned stop of the scheduler moves the reservations of other hosts and its own', async t => {
+	const hosts = new Hosts(...names);
+	await hosts.of(entry).asks.ask([askOf(pool)]);
+	await hosts.of('b').asks.ask([askOf(pool)]);
+	hosts.setLeaving('b', true);
+	t.same([hosts.of('b').reservedCount, hosts.of(second).reservedCount], [0, 2]);
+	hosts.of(entry).asks.forgo('r', [pool]);
+	t.equal(hosts.of(second).reservedCount, 1, 'the request ends at the new scheduler');
+	hosts.of('b').handler.submit(workOf(pool), () => undefined);
+	t.equal(hosts.of(second).reservedCount, 0, 'the work ends the reservation');
+});
+
+/* Guards against a host that is about to stop and keeps its own reservations: no event tells it that it schedules no pool any more. */
+t.test('a host that is about to stop hands over without an event', async t => {
+	const hosts = new Hosts(...names);
+	await hosts.of('b').asks.ask([askOf(pool)]);
+	hosts.leaving.add('b');
+	hosts.clock.advance(100);
+	t.same([hosts.of('b').reservedCount, hosts.of(second).reservedCount], [0, 1]);
+});
+
+/* Guards against reservations of requests that no one will submit: they would lengthen the quotes of the new scheduler for 3 s. */
+t.test('a request that ended meanwhile is not repeated, nor one whose reservation has ended', async t => {
+	const hosts = new Hosts(...names);
+	const {asks} = hosts.of(entry);
+	for (const requestId of ['ended', 'open', 'expired']) {
+		await asks.ask([{...askOf(pool, requestId), readyInMs: requestId === 'expired' ? 0 : 1000}]);
+	}
+
+	asks.forgo('ended', [pool]);
+	await hosts.pass(3900);
+	t.equal(asks.openCount, 1, 'reservations end 3 s after their work was expected');
+	hosts.kill('b');
+	t.same(hosts.of(second).repeated, [`${pool} ${entry}\nopen route/0`]);
+	await hosts.pass(100);
+	t.equal(asks.openCount, 0, 'nothing is remembered for longer than the ledger holds it');
+});
+
+/* Guards against work that counts twice: in the queue of the new scheduler and as reserved there. */
+t.test('a step that is already submitted is not repeated', async t => {
+	const hosts = new Hosts(...names);
+	const {asks} = hosts.of(entry);
+	const steps = ['route/0', 'route/1'].map(stepKey => ({stepKey, pieces: 1, resultBytes: 1}));
+	await asks.ask([{...askOf(pool, 'both'), steps}]);
+	await asks.ask([{...askOf(pool, 'one'), steps}]);
+	for (const stepKey of ['route/0', 'route/1']) {
+		asks.submitted('both', pool, stepKey);
+	}
+
+	asks.submitted('one', pool, 'route/0');
+	asks.submitted('unknown', pool, 'route/0');
+	hosts.kill('b');
+	t.same(hosts.of(second).repeated, [`${pool} ${entry}\none route/1`]);
+	asks.submitted('one', pool, 'route/1');
+	t.equal(asks.openCount, 0);
+});
+
+/* Guards against reservations of ended requests that a former scheduler still holds when it schedules the pool again. */
+t.test('ownership that goes back and forth leaves no stale reservation', async t => {
+	const hosts = new Hosts(...names);
+	const {asks} = hosts.of(entry);
+	await asks.ask([askOf(pool, 'r1')]);
+	await asks.ask([askOf(pool, 'r2')]);
+	hosts.setLeaving('b', true);
+	asks.forgo('r1', [pool]);
+	hosts.setLeaving('b', false);
+	t.same([hosts.of('b').reservedCount, hosts.of(second).reservedCount], [1, 0], 'the request that is open, at one host');
+	asks.forgo('r2', [pool]);
+	t.same([hosts.of('b').reservedCount, hosts.of(second).reservedCount], [0, 0]);
+	hosts.setLeaving('b', true);
+	t.equal(hosts.of(second).reservedCount, 0);
+});
+
+/* Guards against reservations that are lost because the new scheduler notices the change later than their host does. */
+t.test('a reservation that arrives before its host schedules the pool is held, for a second', async t => {
+	const hosts = new Hosts(...names);
+	const reserve = () => hosts.deliver(entry, second, {type: 'batchReserve', pool, reservations: [{...reservationOf('early'), isLate: false}]});
+	reserve();
+	await hosts.pass(900);
+	t.equal(hosts.of(second).reservedCount, 1);
+	reserve();
+	hosts.setLeaving('b', true);
+	await hosts.pass(1500);
+	t.equal(hosts.of(second).reservedCount, 1, 'the host schedules the pool now');
+	hosts.setLeaving('b', false);
+	reserve();
+	await hosts.pass(1100);
+	t.equal(hosts.of(second).reservedCount, 0, 'the host did not become the scheduler');
+});
+
+/* Guards against reservations that are taken for held by a scheduler that dropped them when it lost this host. */
+t.test('reservations are repeated to a scheduler that was lost and is connected again', async t => {
+	const hosts = new Hosts(...names);
+	await hosts.of(entry).asks.ask([askOf(pool)]);
+	hosts.of('b').lose.fire(entry);
+	t.equal(hosts.of('b').reservedCount, 0);
+	hosts.of(entry).lose.fire('b');
+	t.equal(hosts.of('b').reservedCount, 1);
+});
+
+/* Load: hundreds of open reservations in a burst. Guards against messages above the bounds of the protocol: the receiver would close the connection. */
+t.test('many reservations are repeated in several messages', async t => {
+	const hosts = new Hosts(...names);
+	const {asks} = hosts.of(entry);
+	for (let index = 0; index < 300; index++) {
+		await asks.ask([askOf(pool, `r${index}`)]);
+	}
+
+	const steps = Array.from({length: 250}, (_, index) => ({stepKey: `route/${index}`, pieces: 1, resultBytes: 1}));
+	for (let index = 0; index < 5; index++) {
+		await asks.ask([{...askOf(pool, `large${index}`), steps}]);
+	}
+
+	hosts.kill('b');
+	t.equal(hosts.of(second).reservedCount, 305);
+	t.equal(hosts.countOf(`batchReserve ${entry} ${second}`), 3, '256 requests, then 44 with 3 large ones, then 2 large ones');
+});
--- a/src/preparation/node/admission-asks.ts
+++ b/src/preparation/node/admission-asks.ts
@@ -1,14 +1,17 @@
 /**
 Asks the hosts that schedule pools when they would get to a request. A set of quotes is complete or is not used: a request for which
-quotes are missing holds no reservations.
+quotes are missing holds no reservations. When another host becomes the scheduler of a pool, the open reservations of this host's
+requests are repeated to it.
 */
 import type {InjectionToken} from 'tsyringe';
-import type {Clock} from '../../base/common/clock.js';
+import {setRepeating, type Clock} from '../../base/common/clock.js';
 import {DisposableStore, type Disposable} from '../../base/common/disposable.js';
 import type {Logger} from '../../base/common/logger.js';
 import type {PeerMesh} from '../../peers/node/peer-mesh.js';
-import type {BatchQuoteMessage} from '../../wire/common/messages.js';
-import {messageOfAsk, quoteOfMessage} from '../common/quote-messages.js';
+import {maxReservations, type BatchQuoteMessage} from '../../wire/common/messages.js';
+import {OpenReservations} from '../common/open-reservations.js';
+import {unusedMs} from '../common/pool-ledger.js';
+import {messageOfAsk, messageOfReservations, quoteOfMessage} from '../common/quote-messages.js';
 import type {PoolAsk, Quote, QuoteSource} from '../common/quotes.js';
 import type {BatchQuotes} from './batch-quotes.js';
 
@@ -22,17 +25,21 @@
 const socketReadDelayMs = 5;
 /** Time for which a complete set is remembered, so that a repeated quote for it is not forgone. A reservation that is not used ends after 3 s. */
 const completeLifetimeMs = 3000;
+/** Interval at which the schedulers of pools are compared: they also change without an event, as when this host is about to stop. */
+const ownerCheckIntervalMs = 100;
+/** A step takes up to 1.3 kB, so that a message is far below the bound of a frame. */
+const repeatBounds = {reservations: maxReservations, steps: 1024};
 
 /** Dependencies of `AdmissionAsks`. */
 export type AdmissionAsksOptions = {
 	readonly hostId: string;
-	readonly mesh: Pick<PeerMesh, 'onDidReceive' | 'onDidLose' | 'send'>;
+	readonly mesh: Pick<PeerMesh, 'onDidReceive' | 'onDidLose' | 'onDidChange' | 'send'>;
 	readonly clock: Clock;
 	readonly log: Logger;
 	/** Returns the host that schedules a pool. */
 	readonly ownerOf: (pool: string) => string;
 	/** Gives quotes for the pools that this host schedules. */
-	readonly ownPools: Pick<BatchQuotes, 'quote' | 'forgo' | 'admittedLate'>;
+	readonly ownPools: Pick<BatchQuotes, 'quote' | 'reserve' | 'forgo' | 'admittedLate'>;
 };
 
 /** Asked hosts by pool. */
@@ -41,6 +48,7 @@
 /** Asks of one request that have not all been answered. */
 type PendingAsks = {
 	readonly requestId: string;
+	readonly asks: readonly PoolAsk[];
 	readonly hosts: AskedHosts;
 	readonly quotes: Map<string, Quote>;
 	readonly resolve: (quotes: ReadonlyMap<string, Quote> | undefined) => void;
@@ -59,6 +67,7 @@
 	private readonly pending = new Map<string, PendingAsks>();
 	/** Requests whose quotes are complete, the oldest first. */
 	private readonly complete = new Map<string, {readonly hosts: AskedHosts; readonly atMs: number}>();
+	private readonly open = OpenReservations.create(unusedMs);
 	/** Hosts that did not answer, with the time until which they are not asked. */
 	private readonly silentUntilMs = new Map<string, number>();
 	private readonly disposables = DisposableStore.create();
@@ -72,6 +81,17 @@
 		this.disposables.add(options.mesh.onDidLose(hostId => {
 			this.handleLostPeer(hostId);
 		}));
+		this.disposables.add(options.mesh.onDidChange(() => {
+			this.repeatReservations();
+		}));
+		this.disposables.add(setRepeating(options.clock, () => ownerCheckIntervalMs, () => {
+			this.repeatReservations();
+		}));
+	}
+
+	/** Number of requests whose reservations are remembered. */
+	get openCount(): number {
+		return this.open.size;
 	}
 
 	/**
@@ -96,7 +116,7 @@
 
 		return new Promise(resolve => {
 			const pending: PendingAsks = {
-				requestId, hosts, resolve, quotes: new Map(), timer: undefined,
+				requestId, asks, hosts, resolve, quotes: new Map(), timer: undefined,
 			};
 			this.pending.set(requestId, pending);
 			this.startTimer(pending);
@@ -128,6 +148,7 @@
 	admittedLate(requestId: string, pools: readonly string[]): void {
 		const {hostId, mesh, ownPools} = this.options;
 		const hosts = this.complete.get(requestId)?.hosts;
+		this.open.admittedLate(requestId);
 		for (const pool of pools) {
 			const owner = hosts?.get(pool);
 			if (owner === hostId) {
@@ -138,6 +159,46 @@
 		}
 	}
 
+	/**
+	Handles the submission of a step: it is not repeated to later schedulers of its pool.
+	@param requestId - the request.
+	@param pool - the pool of the step.
+	@param stepKey - the step.
+	*/
+	submitted(requestId: string, pool: string, stepKey: string): void {
+		this.open.submitted(requestId, pool, stepKey);
+	}
+
+	/**
+	Repeats reservations to the hosts that have become the schedulers of their pools. Without them, the quotes of a new scheduler count
+	only what was asked since, and everything admitted by them delays what was admitted before.
+	*/
+	repeatReservations(): void {
+		const {hostId, mesh, clock, log, ownPools, ownerOf} = this.options;
+		this.open.sweep(clock.nowMs());
+		for (const missing of this.open.missing(ownerOf)) {
+			const {pool, owner} = missing;
+			let repeatedCount = 0;
+			for (const reservations of this.open.partsOf(missing, repeatBounds, clock.nowMs())) {
+				if (owner === hostId) {
+					ownPools.reserve(pool, reservations);
+				} else if (!mesh.send(owner, messageOfReservations(pool, reservations))) {
+					break;
+				}
+
+				repeatedCount += reservations.length;
+				for (const {requestId} of reservations) {
+					this.open.repeated(requestId, pool, owner);
+					this.replaceHost(requestId, pool, owner);
+				}
+			}
+
+			if (repeatedCount > 0) {
+				log.info('Another host schedules a pool now; the reservations of requests were repeated to it.', {host: owner, pool, requests: repeatedCount});
+			}
+		}
+	}
+
 	dispose(): void {
 		this.disposables.dispose();
 		for (const pending of this.pending.values()) {
@@ -174,7 +235,7 @@
 	}
 
 	private addQuote(pending: PendingAsks, pool: string, quote: Quote): void {
-		const {requestId, hosts, quotes} = pending;
+		const {requestId, asks, hosts, quotes} = pending;
 		quotes.set(pool, quote);
 		if (quotes.size < hosts.size) {
 			return;
@@ -190,6 +251,18 @@
 
 			this.complete.delete(oldest);
 		}
+
+		for (const ask of asks) {
+			this.open.add(ask, quotes.get(ask.pool)!, hosts.get(ask.pool)!, nowMs);
+		}
+	}
+
+	/** Later messages about a reservation go to the host to which it was repeated. */
+	private replaceHost(requestId: string, pool: string, hostId: string): void {
+		const complete = this.complete.get(requestId);
+		if (complete) {
+			this.complete.set(requestId, {...complete, hosts: new Map([...complete.hosts, [pool, hostId]])});
+		}
 	}
 
 	private startTimer(pending: PendingAsks): void {
@@ -232,6 +305,9 @@
 				this.fail(pending);
 			}
 		}
+
+		this.open.handleLostPeer(lostId);
+		this.repeatReservations();
 	}
 
 	private isSilent(hostId: string): boolean {
@@ -258,6 +334,7 @@
 		const pending = this.pending.get(requestId);
 		const hosts = pending?.hosts ?? this.complete.get(requestId)?.hosts ?? new Map<string, string>();
 		this.complete.delete(requestId);
+		this.open.delete(requestId);
 		if (pending) {
 			this.end(pending, undefined);
 		}
--- a/src/preparation/node/batch-handler.test.ts
+++ b/src/preparation/node/batch-handler.test.ts
@@ -81,6 +81,8 @@
 			release: () => undefined,
 			waitMs: () => 0,
 			quote: () => undefined,
+			reserve: () => undefined,
+			dropReservations: () => undefined,
 			forgo: () => undefined,
 			admittedLate: () => undefined,
 			sweepReservations: () => undefined,
--- a/src/preparation/node/batch-handler.ts
+++ b/src/preparation/node/batch-handler.ts
@@ -20,7 +20,7 @@
 	pieceFailures, type BatchWork, type PieceOutcome, type ResultRef,
 } from '../common/work.js';
 import type {BatchPool} from './batch-pool.js';
-import {BatchQuotes, reservationIdOf} from './batch-quotes.js';
+import {BatchQuotes, reservationIdOf, type QuotingPool} from './batch-quotes.js';
 
 /** Receives the outcomes of the pieces of one work as they arrive, one for each piece. */
 export type PieceListener = (piece: number, outcome: PieceOutcome) => void;
@@ -44,7 +44,7 @@
 export type BatchPeerMesh = Pick<PeerMesh, 'onDidReceive' | 'onDidLose' | 'onDidChange' | 'liveCapacities' | 'send' | 'broadcast'>;
 
 /** Batches of one pool. */
-export type PoolBatches = Pick<BatchPool, 'isIdle' | 'add' | 'cancel' | 'handOver' | 'release' | 'waitMs' | 'quote' | 'forgo' | 'admittedLate' | 'sweepReservations' | 'dispose'>;
+export type PoolBatches = Pick<BatchPool, 'isIdle' | 'add' | 'cancel' | 'handOver' | 'release' | 'waitMs' | 'dispose'> & QuotingPool;
 
 /** Dependencies and settings. */
 export type BatchHandlerOptions = {
@@ -194,10 +194,11 @@
 	}
 
 	/**
-	Transfers the queues of pools that another host batches now. Two hosts that batch the same pool do not know of each
+	Transfers the queues of pools that another host batches now, and drops their reservations. Two hosts that batch the same pool do not know of each
 	other's results, and the queue of the former host would find no space.
 	*/
 	handOver(): void {
+		this.quotes.dropUnowned();
 		for (const [name, pool] of this.pools) {
 			if (this.ownerOf(name) !== this.options.hostId) {
 				pool.handOver();
--- a/src/preparation/node/batch-pool.test.ts
+++ b/src/preparation/node/batch-pool.test.ts
@@ -24,6 +24,8 @@
 	readonly states: PoolState[] = [];
 	readonly submittedSteps: string[] = [];
 	readonly forgone: string[] = [];
+	readonly reserved: Array<readonly [LedgerAsk, boolean]> = [];
+	dropCount = 0;
 	readonly late: string[] = [];
 	readonly sweptMs: number[] = [];
 
@@ -33,6 +35,14 @@
 		return {aheadMs: 1, callMs: 2, lateAheadMs: undefined};
 	}
 
+	reserve(ask: LedgerAsk, isLate: boolean): void {
+		this.reserved.push([ask, isLate]);
+	}
+
+	dropReservations(): void {
+		this.dropCount++;
+	}
+
 	forgo(requestId: string): void {
 		this.forgone.push(requestId);
 	}
@@ -281,3 +291,24 @@
 	pool.sweepReservations();
 	t.equal(lines.length, 2);
 });
+
+/* Guards against repeated reservations that end at once or never: their times are counted from the receipt, on this host's clock. */
+t.test('repeated reservations are passed to the ledger with the time at which they are ready', async t => {
+	const clock = ManualClock.create();
+	const ledger = new RecordingLedger();
+	const pool = makePool(clock, ledger);
+	clock.advance(100);
+	const reserved = {
+		requestId: 'r', rank: 1, workspace: 'w', steps: [{stepKey: 'r#0', pieces: 1, resultBytes: 1}],
+	};
+	const readyMs = clock.nowMs() + 700;
+	pool.reserve({...reserved, readyInMs: 700, isLate: true});
+	t.same(ledger.reserved, [[{...reserved, readyMs}, true]]);
+	pool.dropReservations();
+	t.equal(ledger.dropCount, 1);
+	const undeclared = makePool(clock, ledger, {isDeclared: false});
+	undeclared.reserve({...reserved, readyInMs: 700, isLate: true});
+	t.equal(ledger.reserved.length, 1, 'nothing is reserved in a pool whose capacity is not known');
+	pool.dispose();
+	undeclared.dispose();
+});
--- a/src/preparation/node/batch-pool.ts
+++ b/src/preparation/node/batch-pool.ts
@@ -22,7 +22,9 @@
 } from '../common/batch-call.js';
 import {BatchScheduler} from '../common/batch-scheduler.js';
 import type {BatchProtocol, EncodedCall} from '../common/batch-protocol.js';
-import type {AdmissionLedger, PoolAsk, Quote} from '../common/quotes.js';
+import type {
+	AdmissionLedger, PoolAsk, Quote, RepeatedReservation,
+} from '../common/quotes.js';
 import type {ScheduledOptions} from '../common/scheduling-policy.js';
 import type {BatchWork, ResultRef} from '../common/work.js';
 import {PoolLog} from './pool-log.js';
@@ -133,6 +135,24 @@
 		return capacity && this.ledger.quote({...asked, readyMs: nowMs + readyInMs}, this.scheduler.poolState(registry.usable(this.options.pool), capacity, nowMs), nowMs);
 	}
 
+	/**
+	Reserves work of a request without a quote; nothing if the capacity of the pool is not known.
+	@param reservation - the work. The ID of its request is the same as in the work that it submits later.
+	*/
+	reserve({readyInMs, isLate, ...reserved}: RepeatedReservation): void {
+		const {capacity} = this;
+		this.ledger ??= this.options.makeLedger();
+		if (capacity) {
+			const nowMs = this.options.clock.nowMs();
+			this.ledger.reserve({...reserved, readyMs: nowMs + readyInMs}, isLate, capacity, nowMs);
+		}
+	}
+
+	/** Drops all reservations. */
+	dropReservations(): void {
+		this.ledger?.dropReservations();
+	}
+
 	/**
 	Drops the reservation of a request.
 	@param requestId - ID of the request as in its ask.
--- a/src/preparation/node/batch-quotes.ts
+++ b/src/preparation/node/batch-quotes.ts
@@ -7,11 +7,11 @@
 import type {PeerMesh} from '../../peers/node/peer-mesh.js';
 import type {BatchAskMessage} from '../../wire/common/messages.js';
 import {askOfMessage, messageOfQuote} from '../common/quote-messages.js';
-import type {PoolAsk, Quote} from '../common/quotes.js';
+import type {PoolAsk, Quote, RepeatedReservation} from '../common/quotes.js';
 import type {BatchPool} from './batch-pool.js';
 
 /** A pool of this host that gives quotes. */
-export type QuotingPool = Pick<BatchPool, 'quote' | 'forgo' | 'admittedLate' | 'sweepReservations'>;
+export type QuotingPool = Pick<BatchPool, 'quote' | 'reserve' | 'dropReservations' | 'forgo' | 'admittedLate' | 'sweepReservations'>;
 
 /** Dependencies of `BatchQuotes`. */
 export type BatchQuotesOptions = {
@@ -31,6 +31,11 @@
 that it holds is forgotten here.
 */
 const rememberedMs = 5000;
+/**
+Time for which reservations are held that were repeated to this host before it schedules their pool. Hosts notice the loss of a
+scheduler at different times: most by its closed connections, the others by its silence.
+*/
+const earlyMs = 1000;
 
 /** A reservation of a host in one of this host's pools. */
 type Reservation = {
@@ -51,6 +56,12 @@
 	/** Reservations by the host that asked, then by pool and request. */
 	private readonly reservations = new Map<string, Map<string, Reservation>>();
 
+	/**
+	Pools with reservations, and the time until which this host holds them without scheduling the pool. Infinite if this host has
+	scheduled the pool since: then they are dropped as soon as it no longer does.
+	*/
+	private readonly heldUntilMs = new Map<string, number>();
+
 	private constructor(private readonly options: BatchQuotesOptions) {
 		const {mesh} = options;
 		this.disposables.add(mesh.onDidReceive(({hostId, message}) => {
@@ -60,6 +71,11 @@
 					break;
 				}
 
+				case 'batchReserve': {
+					this.reserveOf(hostId, message.pool, message.reservations);
+					break;
+				}
+
 				case 'batchForgo': {
 					this.forgoOf(hostId, message.pool, message.requestId);
 					break;
@@ -89,6 +105,30 @@
 		return this.quoteTo(this.options.hostId, ask);
 	}
 
+	/**
+	Holds reservations of requests of this host in a pool that another host scheduled before.
+	@param pool - the pool.
+	@param reservations - what is still reserved.
+	*/
+	reserve(pool: string, reservations: readonly RepeatedReservation[]): void {
+		this.reserveOf(this.options.hostId, pool, reservations);
+	}
+
+	/**
+	Drops the reservations in pools that this host no longer schedules: their hosts repeat them to the new scheduler, and they would be
+	out of date if this host schedules the pool again.
+	*/
+	dropUnowned(): void {
+		const nowMs = this.options.clock.nowMs();
+		for (const [pool, untilMs] of this.heldUntilMs) {
+			if (this.options.isOwner(pool)) {
+				this.heldUntilMs.set(pool, Infinity);
+			} else if (untilMs === Infinity || untilMs <= nowMs) {
+				this.dropReservationsIn(pool);
+			}
+		}
+	}
+
 	/**
 	Drops the reservation of a request of this host.
 	@param pool - the pool.
@@ -153,6 +193,7 @@
 			const {readyInMs} = ask;
 			const {aheadMs, lateAheadMs = 0} = quote;
 			const minUntilMs = clock.nowMs() + rememberedMs;
+			this.heldUntilMs.set(ask.pool, Infinity);
 			held.set(keyOf(ask.pool, ask.requestId), {
 				pool: ask.pool,
 				reservationId,
@@ -164,6 +205,37 @@
 		return quote;
 	}
 
+	private reserveOf(hostId: string, pool: string, reservations: readonly RepeatedReservation[]): void {
+		const {isOwner, poolOf, clock} = this.options;
+		// What is held since this host scheduled the pool before is out of date.
+		this.dropUnowned();
+		const nowMs = clock.nowMs();
+		this.heldUntilMs.set(pool, isOwner(pool) ? Infinity : nowMs + earlyMs);
+		const held = this.reservations.get(hostId) ?? new Map<string, Reservation>();
+		this.reservations.set(hostId, held);
+		for (const reservation of reservations) {
+			const {requestId, readyInMs} = reservation;
+			const reservationId = reservationIdOf(hostId, requestId);
+			poolOf(pool).reserve({...reservation, requestId: reservationId});
+			const untilMs = nowMs + rememberedMs + readyInMs;
+			held.set(keyOf(pool, requestId), {
+				pool, reservationId, untilMs, lateUntilMs: untilMs,
+			});
+		}
+	}
+
+	private dropReservationsIn(pool: string): void {
+		this.heldUntilMs.delete(pool);
+		this.options.pools.get(pool)?.dropReservations();
+		for (const held of this.reservations.values()) {
+			for (const [key, reservation] of held) {
+				if (reservation.pool === pool) {
+					held.delete(key);
+				}
+			}
+		}
+	}
+
 	private forgoOf(hostId: string, pool: string, requestId: string): void {
 		this.reservations.get(hostId)?.delete(keyOf(pool, requestId));
 		this.options.pools.get(pool)?.forgo(reservationIdOf(hostId, requestId));
--- a/src/preparation/node/preparer.test.ts
+++ b/src/preparation/node/preparer.test.ts
@@ -25,11 +25,14 @@
 /** Overrides of the defaults. */
 type Overrides = {
 	readonly released?: ResultRef[]; readonly clock?: Clock; readonly stepTimes?: StepTimes; readonly request?: Partial<PreparationRequest>;
-	readonly forgo?: QuoteSource['forgo']; readonly tracker?: DeploymentTracker;
+	readonly forgo?: QuoteSource['forgo']; readonly onSubmitted?: QuoteSource['submitted']; readonly tracker?: DeploymentTracker;
 };
 
 function makePreparer(submit: WorkHandler['submit'], changes: Overrides = {}): Preparer {
-	const {released = [], clock = ManualClock.create(), stepTimes = StepTimes.create(), request = {}, forgo = () => undefined, tracker = DeploymentTracker.create(log)} = changes;
+	const {
+		released = [], clock = ManualClock.create(), stepTimes = StepTimes.create(), request = {}, forgo = () => undefined, onSubmitted = () => undefined,
+		tracker = DeploymentTracker.create(log),
+	} = changes;
 	const handler: WorkHandler = {
 		submit,
 		cancel: () => undefined,
@@ -46,7 +49,7 @@
 		})),
 	}, 0);
 	return Preparer.create({
-		handler, tracker, registry, clock, log, stepTimes, quotes: {forgo},
+		handler, tracker, registry, clock, log, stepTimes, quotes: {forgo, submitted: onSubmitted},
 	}, {
 		requestId: 'r', callerRequestId: 'r', contentId: 'c', route, pieceCounts: [2, 1], pieceKey: 'k', rank: 0,
 		receivedMs: 0, targetMs: 1000, deadlineMs: 5000, hall: '', firstTokenMs: 100, ...request,
@@ -285,6 +288,28 @@
 	t.equal(forgone.length, 3, 'nothing to forgo once all is submitted, where no pool is scheduled, or where there were no quotes');
 });
 
+/* Guards against steps in the queue whose reservations are repeated to the next scheduler of their pool: their work would count twice. */
+t.test('each reserved step is reported when it is submitted, once', async t => {
+	const reported: unknown[] = [];
+	const onSubmitted = (...step: unknown[]) => {
+		reported.push(step);
+	};
+
+	const submit: WorkHandler['submit'] = (work, listener) => {
+		for (const piece of work.pieces) {
+			listener(piece, {ok: true, ref: {handle: `${work.pool}${piece}`, serverId: work.pool}});
+		}
+	};
+
+	const scheduled = {...scheduling, pools: new Set(['b'])};
+	const preparer = makePreparer(submit, {onSubmitted, request: {scheduling: scheduled}});
+	await preparer.run(false);
+	await preparer.run(true);
+	t.same(reported, [['r', 'b', 'r#1']], 'not again when the results are computed again, and not for pool a, which is not scheduled');
+	await makePreparer(submit, {onSubmitted, request: {scheduling: {...scheduled, quotedStartMs: undefined}}}).run(false);
+	t.equal(reported.length, 1, 'nothing is reserved without quotes');
+});
+
 /*
 Load: a backlog of work that is in time. Guards against a request admitted late whose due time, derived from its target, is still
 ahead: it would go before work that can be in time.
--- a/src/preparation/node/preparer.ts
+++ b/src/preparation/node/preparer.ts
@@ -72,8 +72,8 @@
 	readonly log: Logger;
 	/** Step durations of all requests of this host. */
 	readonly stepTimes: StepTimes;
-	/** Receives the reservations of requests that end before their steps were submitted. */
-	readonly quotes: Pick<QuoteSource, 'forgo'>;
+	/** Receives the steps that are submitted, and the reservations of requests that end before that. */
+	readonly quotes: Pick<QuoteSource, 'forgo' | 'submitted'>;
 };
 
 type Result = Outcome<PreparedInputs, PreparationFailure>;
@@ -194,7 +194,11 @@
 		this.workCount++;
 		const workId = `${this.request.requestId}/${this.workCount}`;
 		this.openWorkIds.add(workId);
-		this.reservedSteps.delete(work.step);
+		if (this.reservedSteps.delete(work.step)) {
+			const {requestId, route} = this.request;
+			this.options.quotes.submitted(requestId, route.steps[work.step].pool, stepKeyOf(route.name, work.step));
+		}
+
 		let openCount = work.pieces.length;
 		const {handler, clock, stepTimes} = this.options;
 		const submittedMs = clock.nowMs();
--- a/src/wire/common/messages.ts
+++ b/src/wire/common/messages.ts
@@ -313,17 +313,17 @@
 	inputFetchMs: quoteMs.optional(),
 });
 export type BatchWorkMessage = z.infer<typeof batchWorkSchema>;
-/** Asks the host that batches a pool when it would get to the steps of a request, and reserves them there. */
-const batchAskSchema = z.strictObject({
-	type: z.literal('batchAsk'),
-	pool: name,
+/** What a request asks of a pool, or has reserved there. */
+const reservationFields = {
 	requestId: id,
 	rank: count,
 	workspace: z.string().max(200),
 	steps: z.array(z.strictObject({stepKey: z.string().max(400), pieces: count, resultBytes: count})).min(1).max(256),
 	/** Time until the first of the steps is expected to be submitted, counted from receipt. */
 	readyInMs: ms,
-});
+};
+/** Asks the host that batches a pool when it would get to the steps of a request, and reserves them there. */
+const batchAskSchema = z.strictObject({type: z.literal('batchAsk'), pool: name, ...reservationFields});
 export type BatchAskMessage = z.infer<typeof batchAskSchema>;
 /** Answers `batchAsk`. */
 const batchQuoteSchema = z.strictObject({
@@ -340,6 +340,15 @@
 const batchForgoSchema = z.strictObject({type: z.literal('batchForgo'), pool: name, requestId: id});
 /** Tells that the request behind a quote was admitted late: what `batchAsk` reserved is no longer work in time. */
 const batchAdmittedLateSchema = z.strictObject({type: z.literal('batchAdmittedLate'), pool: name, requestId: id});
+/** Upper bound on the reservations in one message. */
+export const maxReservations = 256;
+/** Repeats open reservations to a host that has become the one that batches their pool. It is not answered. */
+const batchReserveSchema = z.strictObject({
+	type: z.literal('batchReserve'),
+	pool: name,
+	reservations: z.array(z.strictObject({...reservationFields, isLate: z.boolean()})).min(1).max(maxReservations),
+});
+export type BatchReserveMessage = z.infer<typeof batchReserveSchema>;
 /** Outcomes of pieces; a piece without a handle has failed and has a reason. */
 const batchEndsSchema = z.strictObject({
 	type: z.literal('batchEnds'),
@@ -433,6 +442,7 @@
 	batchQuoteSchema,
 	batchForgoSchema,
 	batchAdmittedLateSchema,
+	batchReserveSchema,
 	batchEndsSchema,
 	batchFetchedSchema,
 	batchCancelSchema,
