--- a/src/preparation/common/demand-window.ts
+++ b/src/preparation/common/demand-window.ts
@@ -129,3 +129,17 @@
 		return this.window.perMs(nowMs);
 	}
 }
+
+/** Adds amounts of work. */
+export function sumOf(demands: Iterable<Demand>): Demand {
+	let pieces = 0;
+	let serverMs = 0;
+	let resultBytes = 0;
+	for (const demand of demands) {
+		pieces += demand.pieces;
+		serverMs += demand.serverMs;
+		resultBytes += demand.resultBytes;
+	}
+
+	return {pieces, serverMs, resultBytes};
+}
--- a/src/preparation/common/pool-ledger.ts
+++ b/src/preparation/common/pool-ledger.ts
@@ -5,11 +5,12 @@
 */
 import type {BatchCapacity} from '../../deployment/common/declaration.js';
 import {
-	DemandBucket, DemandWindow, OfferedLoad, type Demand,
+	DemandBucket, DemandWindow, OfferedLoad, sumOf, type Demand,
 } from './demand-window.js';
 import type {
 	AdmissionLedger, ItemDurations, LedgerAsk, LedgerStatus, PoolState, Quote,
 } from './quotes.js';
+import {ReservedSums, type ReservedSum} from './reserved-sums.js';
 import {fullCallMs} from './throughput.js';
 
 /** Reservations end this long after they should have been used: their request or its host is gone. */
@@ -42,9 +43,6 @@
 /** Amounts of the two resources of a pool, in milliseconds of one upstream, or rates of use, in upstreams. */
 type Resources = {readonly serverMs: number; readonly spaceMs: number};
 
-/** Sum of the reservations of one rank and workspace. */
-type ReservedSum = {requests: number; serverMs: number; resultBytes: number};
-
 type Reservation = {
 	readonly rank: number;
 	readonly workspace: string;
@@ -57,60 +55,6 @@
 	readonly isLate: boolean;
 };
 
-/** Reservations by rank and workspace: a quote must not depend on their number. */
-class ReservedSums {
-	static create(): ReservedSums {
-		return new ReservedSums();
-	}
-
-	private readonly sums = new Map<number, Map<string, ReservedSum>>();
-
-	/** Adds a reservation. */
-	add(rank: number, workspace: string, {serverMs, resultBytes}: Demand): void {
-		let byWorkspace = this.sums.get(rank);
-		if (!byWorkspace) {
-			byWorkspace = new Map();
-			this.sums.set(rank, byWorkspace);
-		}
-
-		const sum = byWorkspace.get(workspace) ?? {requests: 0, serverMs: 0, resultBytes: 0};
-		sum.requests++;
-		sum.serverMs += serverMs;
-		sum.resultBytes += resultBytes;
-		byWorkspace.set(workspace, sum);
-	}
-
-	/** Subtracts a part of a reservation that remains. */
-	subtract(rank: number, workspace: string, {serverMs, resultBytes}: Demand): void {
-		const sum = this.of(rank, workspace);
-		sum.serverMs -= serverMs;
-		sum.resultBytes -= resultBytes;
-	}
-
-	/** Removes a reservation with what is left of it. */
-	remove(rank: number, workspace: string, rest: Demand): void {
-		this.subtract(rank, workspace, rest);
-		const sum = this.of(rank, workspace);
-		sum.requests--;
-		if (sum.requests === 0) {
-			// Also ends the rounding errors of the sum.
-			this.sums.get(rank)!.delete(workspace);
-		}
-	}
-
-	of(rank: number, workspace: string): ReservedSum {
-		return this.sums.get(rank)!.get(workspace)!;
-	}
-
-	* entries(): Iterable<{readonly rank: number; readonly workspace: string; readonly sum: ReservedSum}> {
-		for (const [rank, byWorkspace] of this.sums) {
-			for (const [workspace, sum] of byWorkspace) {
-				yield {rank, workspace, sum};
-			}
-		}
-	}
-}
-
 /** The reservations in one pool. */
 export class PoolLedger implements AdmissionLedger {
 	/**
@@ -453,16 +397,3 @@
 function add(left: Resources | undefined, right: Resources): Resources {
 	return {serverMs: (left?.serverMs ?? 0) + right.serverMs, spaceMs: (left?.spaceMs ?? 0) + right.spaceMs};
 }
-
-function sumOf(demands: Iterable<Demand>): Demand {
-	let pieces = 0;
-	let serverMs = 0;
-	let resultBytes = 0;
-	for (const demand of demands) {
-		pieces += demand.pieces;
-		serverMs += demand.serverMs;
-		resultBytes += demand.resultBytes;
-	}
-
-	return {pieces, serverMs, resultBytes};
-}
