Name the kinds of requests in the tests of scheduled pools in general terms

Cause: the tests used the name of one deployment's kind of request. Change: it is called a report; nothing else changes.

--- a/src/preparation/common/item-times.test.ts
+++ b/src/preparation/common/item-times.test.ts
@@ -10,7 +10,7 @@
 const capacity: BatchCapacity = {
 	slots: 1, batchSize: 12, callMs: 200, itemMs: 14, roomBytes: 1e9, resultTtlMs: 4000,
 };
-const actualFactors: Readonly<Record<string, number>> = {query: 0.3, draft: 1, dossier: 1.4};
+const actualFactors: Readonly<Record<string, number>> = {query: 0.3, draft: 1, report: 1.4};
 
 /** Finishes calls of random mixes; each takes `slowness` times its actual duration, with a deviation of up to a tenth. */
 function finishCalls(times: ItemTimes, count: number, slowness: number, random = SeededRandom.create(1)): void {
--- a/src/preparation/common/pool-ledger.test.ts
+++ b/src/preparation/common/pool-ledger.test.ts
@@ -230,14 +230,14 @@
 t.test('a crowd of low rank beside a few urgent requests: urgent ones are all admitted and in time, and the crowd uses the rest', async t => {
 	const played = play([pool1], [
 		{
-			name: 'dossier', rank: 0, targetMs: 815, pieces: [3], perS: 12,
+			name: 'report', rank: 0, targetMs: 815, pieces: [3], perS: 12,
 		},
 		{
 			name: 'crowd', rank: 2, targetMs: 3000, pieces: [2], perS: 400,
 		},
 	], 10_000);
 	const figures = {
-		urgentAdmitted: played.admittedShare('dossier'), urgentInTime: played.inTimeShare('dossier'), crowdInTime: played.inTimeShare('crowd'), used: played.usedShare(0, 1000, 10_000),
+		urgentAdmitted: played.admittedShare('report'), urgentInTime: played.inTimeShare('report'), crowdInTime: played.inTimeShare('crowd'), used: played.usedShare(0, 1000, 10_000),
 	};
 	t.comment(JSON.stringify(figures));
 	for (const [name, share] of Object.entries(figures)) {
@@ -297,10 +297,10 @@
 t.test('results that fill the space: what is admitted is in time, and the space is used', async t => {
 	// Space for 144 results, held for 0.9 s: 160 per second, of which half again as many are asked for. The upstreams could do 260.
 	const played = play([smallPool], [{
-		name: 'dossier', rank: 0, targetMs: 815, pieces: [2.5], perS: 96, resultBytes: 1.5e6,
+		name: 'report', rank: 0, targetMs: 815, pieces: [2.5], perS: 96, resultBytes: 1.5e6,
 	}], 10_000, 900);
-	const figures = {inTime: played.inTimeShare('dossier'), used: played.usedSpaceShare(0, 1500, 10_000)};
-	t.comment(JSON.stringify({...figures, admitted: played.admittedShare('dossier')}));
+	const figures = {inTime: played.inTimeShare('report'), used: played.usedSpaceShare(0, 1500, 10_000)};
+	t.comment(JSON.stringify({...figures, admitted: played.admittedShare('report')}));
 	t.ok(figures.inTime >= 0.99, `in time: ${figures.inTime}`);
 	t.ok(figures.used >= 0.9, `space used: ${figures.used}`);
 });
--- a/src/preparation/common/scheduled-pool.test.ts
+++ b/src/preparation/common/scheduled-pool.test.ts
@@ -197,18 +197,18 @@
 });
 
 t.test('a burst of twice the capacity: urgent steps are in time, and the pool is used for work that is of use', async t => {
-	const dossier: Kind = {
-		name: 'dossier', rank: 0, perS: () => 42, pieces: 3, dueInMs: 400, lateDueInMs: 3000,
+	const report: Kind = {
+		name: 'report', rank: 0, perS: () => 42, pieces: 3, dueInMs: 400, lateDueInMs: 3000,
 	};
-	// 12 upstreams do 390 pieces a second; dossiers ask for a third of them, the others for 1.7 times as many as there are.
+	// 12 upstreams do 390 pieces a second; reports ask for a third of them, the others for 1.7 times as many as there are.
 	const crowd: Kind = {
 		name: 'crowd', rank: 2, perS: nowMs => nowMs >= burst.fromMs && nowMs < burst.toMs ? 660 : 150, pieces: 1, dueInMs: 1900, lateDueInMs: 4500,
 	};
 	const played = play({
-		kinds: [dossier, crowd], capacity: pool1, upstreams: 12, untilMs: 14_000,
+		kinds: [report, crowd], capacity: pool1, upstreams: 12, untilMs: 14_000,
 	});
-	const urgentShare = played.inTimeShare('dossier', 0, 12_000);
-	t.ok(urgentShare >= 0.99, `dossiers in time: ${percent(urgentShare)}`);
+	const urgentShare = played.inTimeShare('report', 0, 12_000);
+	t.ok(urgentShare >= 0.99, `reports in time: ${percent(urgentShare)}`);
 	const usedShare = played.usedShare(burst.fromMs + 500, burst.toMs);
 	t.ok(usedShare >= 0.9, `used during the burst: ${percent(usedShare)}`);
 	t.equal(played.uselessCount, 0);
@@ -259,23 +259,23 @@
 		slots: 1, batchSize: 8, callMs: 200, itemMs: 21, roomBytes: 18e6, resultTtlMs: 8000,
 	};
 	// 12 upstreams of 18 MB hold 132 results that this host counts on; a result is held for 368 ms and 900 ms more: 104 per second.
-	const dossier: Kind = {
-		name: 'dossier', rank: 0, perS: nowMs => nowMs < 6000 ? 75 : 25, pieces: 2, dueInMs: 800, lateDueInMs: 3500, resultBytes: 1.5e6, releaseAfterMs: 900,
+	const report: Kind = {
+		name: 'report', rank: 0, perS: nowMs => nowMs < 6000 ? 75 : 25, pieces: 2, dueInMs: 800, lateDueInMs: 3500, resultBytes: 1.5e6, releaseAfterMs: 900,
 	};
 	const small: Kind = {
 		name: 'small', rank: 1, perS: () => 40, pieces: 1, dueInMs: 900, lateDueInMs: 6000, resultBytes: 2000, releaseAfterMs: 500,
 	};
 	const played = play({
-		kinds: [dossier, small], capacity, upstreams: 12, untilMs: 10_000,
+		kinds: [report, small], capacity, upstreams: 12, untilMs: 10_000,
 	});
 	const smallShare = played.inTimeShare('small', 0, 8000);
 	t.ok(smallShare >= 0.99, `small ones in time: ${percent(smallShare)}`);
 	t.equal(played.refusedCount, 0);
-	const afterShare = played.inTimeShare('dossier', 8000, 8800);
-	t.ok(afterShare >= 0.99, `dossiers in time after the burst: ${percent(afterShare)}`);
-	const servedShare = played.servedShare('dossier', 1000, 6000);
+	const afterShare = played.inTimeShare('report', 8000, 8800);
+	t.ok(afterShare >= 0.99, `reports in time after the burst: ${percent(afterShare)}`);
+	const servedShare = played.servedShare('report', 1000, 6000);
 	// 104 of 150 results a second find space.
-	t.ok(servedShare >= 0.9 * 104 / 150, `dossiers served: ${percent(servedShare)}`);
+	t.ok(servedShare >= 0.9 * 104 / 150, `reports served: ${percent(servedShare)}`);
 	const {meanHoldMs} = played.scheduler.poolState(played.servers, capacity, 10_000);
 	t.ok(meanHoldMs > 1000 && meanHoldMs < 1600, `held for ${meanHoldMs} ms`);
 });
--- a/src/preparation/common/scheduled-pools.test.ts
+++ b/src/preparation/common/scheduled-pools.test.ts
@@ -32,8 +32,8 @@
 t.test('of the kinds of the example load, only the query schedules its pools', async t => {
 	t.strictSame(poolsOf([routeOf('query', 3008, chain)], pools), ['1', '2', '3']);
 	t.strictSame(poolsOf([routeOf('draft', 1506, withSideStep)], pools), []);
-	t.strictSame(poolsOf([routeOf('dossier', 815, [{pool: '1', after: []}])], pools), []);
-	t.strictSame(poolsOf([routeOf('dossier', 815, [{pool: '1', after: []}]), routeOf('draft', 1506, withSideStep), routeOf('query', 3008, chain)], pools), ['1', '2', '3']);
+	t.strictSame(poolsOf([routeOf('report', 815, [{pool: '1', after: []}])], pools), []);
+	t.strictSame(poolsOf([routeOf('report', 815, [{pool: '1', after: []}]), routeOf('draft', 1506, withSideStep), routeOf('query', 3008, chain)], pools), ['1', '2', '3']);
 });
 
 t.test('a route qualifies from a target of 7/3 of the full calls on its longest chain, in any order of its steps', async t => {
