Read the software version of servers, and log it with each attempt

The logs could not tell the hypotheses of the incident apart: they named the servers of a request's attempts, but not the versions that they run, nor whether a request resumes an earlier one.

Entries of servers now keep their software version, 'A server is listed.' states it, 'A request has ended.' names it behind each server, with the request that is resumed and the event after which. Nothing is decided by it yet.

--- a/src/deployment/common/server-registry.ts
+++ b/src/deployment/common/server-registry.ts
@@ -357,9 +357,9 @@
 	}
 
 	private reportChange(server: ListedServer, change: ServerChange['change'], {reason, source = this.source}: {readonly reason?: GoneReason; readonly source?: ListSource} = {}): void {
-		const {serverId, pool, hall, revision} = server;
+		const {serverId, pool, hall, softwareVersion, revision} = server;
 		this.options.log.info(changeMessages[change], {
-			server: serverId, pool, hall, change, ...(reason !== undefined && {reason}), revision, source,
+			server: serverId, pool, hall, softwareVersion, change, ...(reason !== undefined && {reason}), revision, source,
 		});
 		this.didChange.fire({server, change, ...(reason !== undefined && {reason})});
 	}
--- a/src/deployment/common/upstream-server.ts
+++ b/src/deployment/common/upstream-server.ts
@@ -5,6 +5,9 @@
 /** Maximum remaining cold time that is accepted; servers are cold for seconds, so an entry with a longer time is invalid. */
 export const maxColdMs = 3_600_000;
 
+/** Maximum accepted length of a software version. */
+export const maxSoftwareVersionLength = 200;
+
 export const upstreamServerSchema = z.object({
 	/** Identifies this start of the server; a restarted server has another. Everything known about a server is stored under this id. */
 	serverId: z.string(),
@@ -21,6 +24,8 @@
 	isLeaving: z.boolean(),
 	/** Remaining time for which it is cold, as of the write of its entry; absent if it is not cold. */
 	coldLeftMs: z.number().positive().max(maxColdMs).optional(),
+	/** Version of its software. Versions have no order, only equality; absent if it is not known, which equals no version. */
+	softwareVersion: z.string().min(1).max(maxSoftwareVersionLength).optional(),
 });
 export type UpstreamServer = z.infer<typeof upstreamServerSchema>;
 
--- a/src/direct/common/caller-protocol.ts
+++ b/src/direct/common/caller-protocol.ts
@@ -20,6 +20,8 @@
 	readonly pieceKey: string;
 	/** Id of the last event that the caller has received of an earlier response. */
 	readonly resumeAfter: string | undefined;
+	/** The caller's id of the request whose response delivered the first event of the stream that this one resumes. */
+	readonly resumedRequestId: string | undefined;
 	/** What is wrong with the headers; such a request is rejected. */
 	readonly problem: string | undefined;
 };
--- a/src/direct/common/direct-router.ts
+++ b/src/direct/common/direct-router.ts
@@ -156,6 +156,10 @@
 		return 0;
 	}
 
+	softwareVersionOf(upstreamId: string): string | undefined {
+		return this.options.registry.get(upstreamId)?.softwareVersion;
+	}
+
 	didDispatch(stage: StagePlan, attempt: Attempt, _prefixHash: number, nowMs: number): void {
 		const {upstreamId, dispatchId, kind} = attempt.options;
 		const known = this.knownServerOf(upstreamId, nowMs);
--- a/src/direct/node/ingress.test.ts
+++ b/src/direct/node/ingress.test.ts
@@ -82,7 +82,7 @@
 					requestId: headers.find(({name}) => name === 'x-id')?.value ?? '',
 					remainingMs: undefined, key: undefined, forwardedHeaders: [], promptParts: [], pieceCounts: headers.some(({name}) => name === 'x-plain') ? [] : [1, 1],
 					pieceKey: headers.find(({name}) => name === 'x-key')?.value ?? 'k',
-					resumeAfter: undefined, problem: undefined,
+					resumeAfter: undefined, resumedRequestId: undefined, problem: undefined,
 				}),
 			},
 			makePreparer: request => {
--- a/src/direct/node/served-request.ts
+++ b/src/direct/node/served-request.ts
@@ -99,6 +99,8 @@
 		const {status} = this.writer;
 		log.info(requestLogMessages.ended, {
 			request: callerRequest.requestId,
+			resumedRequest: callerRequest.resumedRequestId,
+			resumeAfter: callerRequest.resumeAfter,
 			route: plan.pipeline,
 			workspace: plan.workspace,
 			version: plan.settingsRevision,
@@ -119,10 +121,11 @@
 	}
 }
 
-/** Formats each attempt as `server kind state reason sentAt+run`, times in milliseconds. */
+/** Formats each attempt as `server(version) kind state reason sentAt+run`, times in milliseconds; without a version that is not known. */
 function attemptsText(result: RequestResult, startMs: number): string {
 	return result.stages.flatMap(stage => stage.attempts).map(attempt => {
 		const sentMs = Math.round(attempt.sentAtMs - startMs);
-		return `${attempt.upstreamId} ${attempt.kind} ${attempt.state} ${attempt.reason} ${sentMs}+${Math.round(attempt.runMs)}`.replaceAll('  ', ' ');
+		const version = attempt.softwareVersion === undefined ? '' : `(${attempt.softwareVersion})`;
+		return `${attempt.upstreamId}${version} ${attempt.kind} ${attempt.state} ${attempt.reason} ${sentMs}+${Math.round(attempt.runMs)}`.replaceAll('  ', ' ');
 	}).join('; ');
 }
--- a/src/entry/common/fleet-router.ts
+++ b/src/entry/common/fleet-router.ts
@@ -206,6 +206,11 @@
 		this.estimates.record(stage.key, tookMs);
 	}
 
+	/** Agents do not report the software version of their upstream. */
+	softwareVersionOf(): undefined {
+		return undefined;
+	}
+
 	newDispatchId(): string {
 		return this.options.newDispatchId();
 	}
--- a/src/request/common/attempt.ts
+++ b/src/request/common/attempt.ts
@@ -13,6 +13,8 @@
 export type AttemptOptions = {
 	readonly dispatchId: string;
 	readonly upstreamId: string;
+	/** Version of the upstream's software when the attempt was sent, if it is known. */
+	readonly softwareVersion?: string;
 	readonly kind: AttemptTrace['kind'];
 	readonly sentAtMs: number;
 	/** Number of units of the answer that earlier attempts had delivered. */
@@ -109,9 +111,11 @@
 
 	/** Returns the record of the attempt that is shown to operators. */
 	trace(): AttemptTrace {
-		const {upstreamId, kind, sentAtMs, candidates} = this.options;
+		const {
+			upstreamId, softwareVersion, kind, sentAtMs, candidates,
+		} = this.options;
 		return {
-			upstreamId, kind, sentAtMs, candidates, state: this.state, reason: this.reason, queueMs: this.queueMs, runMs: this.runMs, units: this.answer.units,
+			upstreamId, softwareVersion, kind, sentAtMs, candidates, state: this.state, reason: this.reason, queueMs: this.queueMs, runMs: this.runMs, units: this.answer.units,
 		};
 	}
 }
--- a/src/request/common/request-plan.ts
+++ b/src/request/common/request-plan.ts
@@ -108,6 +108,7 @@
 /** The record of one attempt that is shown to operators. */
 export type AttemptTrace = {
 	readonly upstreamId: string;
+	readonly softwareVersion?: string | undefined;
 	readonly state: AttemptState;
 	readonly reason: string;
 	readonly kind: 'first' | 'retry' | 'hedge' | 'resume';
--- a/src/request/common/request-router.ts
+++ b/src/request/common/request-router.ts
@@ -34,6 +34,8 @@
 	optimisticRunMs(stages: readonly StagePlan[]): number;
 	/** @returns an optimistic estimate of the time until the stages are finished, with the shortest current queueing times. */
 	optimisticFinishMs(stages: readonly StagePlan[], nowMs: number): number;
+	/** @returns the version of an upstream's software, or `undefined` if it is not known. */
+	softwareVersionOf(upstreamId: string): string | undefined;
 	/** Called when an attempt is sent. */
 	didDispatch(stage: StagePlan, attempt: Attempt, prefixHash: number, nowMs: number): void;
 	/** Called when the first unit of an attempt's answer is received; at most once for each attempt. */
--- a/src/request/common/stage-run.ts
+++ b/src/request/common/stage-run.ts
@@ -422,9 +422,12 @@
 		}
 
 		this.endHold(nowMs);
+		const {upstreamId} = choice.chosen;
+		const softwareVersion = router.softwareVersionOf(upstreamId);
 		const attempt = Attempt.create({
 			dispatchId: router.newDispatchId(),
-			upstreamId: choice.chosen.upstreamId,
+			upstreamId,
+			...(softwareVersion !== undefined && {softwareVersion}),
 			kind,
 			sentAtMs: nowMs,
 			offset: this.isIncremental ? this.answer.units : 0,
@@ -432,7 +435,7 @@
 		});
 		this.attempts.add(attempt);
 		router.didDispatch(this.stage, attempt, plan.prefixHash, nowMs);
-		this.options.emit({type: 'dispatch', upstreamId: attempt.options.upstreamId, message: makeDispatch(this.options, attempt, nowMs)});
+		this.options.emit({type: 'dispatch', upstreamId, message: makeDispatch(this.options, attempt, nowMs)});
 	}
 
 	/**
--- a/test/stub-router.ts
+++ b/test/stub-router.ts
@@ -34,6 +34,7 @@
 		didEnd: () => undefined,
 		didBegin: () => undefined,
 		didComplete: () => undefined,
+		softwareVersionOf: () => undefined,
 		newDispatchId: () => `d${serial++}`,
 		...overrides,
 	};
