--- a/test/platform/direct-harness.ts
+++ b/test/platform/direct-harness.ts
@@ -92,9 +92,22 @@
 		const added: ServerStandin[] = [];
 		for (let index = 0; index < count; index++) {
 			const server = await ServerStandin.create(`${pool}-${this.servers.length}`, stepMs, hall);
-			this.servers.push(server);
+			this.add(server, pool);
+			added.push(server);
+		}
+
+		return added;
+	}
+
+	/** Starts model servers that run a software version, and name it in their events. */
+	async addModels(softwareVersion: string, count: number, stepMs?: number): Promise<ServerStandin[]> {
+		const added: ServerStandin[] = [];
+		for (let index = 0; index < count; index++) {
+			const server = await ServerStandin.create(`model-${this.servers.length}`, stepMs);
+			server.softwareVersion = softwareVersion;
+			server.eventPrefix = `${softwareVersion} `;
+			this.add(server, 'model');
 			added.push(server);
-			this.store.put('servers', server.serverId, server.entry(pool));
 		}
 
 		return added;
@@ -155,6 +168,11 @@
 
 		this.store.dispose();
 	}
+
+	private add(server: ServerStandin, pool: string): void {
+		this.servers.push(server);
+		this.store.put('servers', server.serverId, server.entry(pool));
+	}
 }
 
 /** Returns the status of the host's readiness endpoint, which the load balancer requests. */
--- a/test/platform/server-standin.ts
+++ b/test/platform/server-standin.ts
@@ -46,7 +46,7 @@
 
 const freeSchema = z.object({sessions: z.array(z.string())});
 const runSchema = z.object({entries: z.array(z.record(z.string(), z.unknown()))});
-const eventCount = 5;
+const defaultEventCount = 5;
 
 /** Sends half of a response and ends its connection as the fault says. */
 async function sendPartialResponse(request: IncomingMessage, id: string, fault: Fault): Promise<void> {
@@ -108,6 +108,14 @@
 	leavingReportedMs: number | undefined;
 	/** Calls of stage work get a response only after this promise is resolved. */
 	stageGate: Promise<void> | undefined;
+	/** Version of its software according to its entry. */
+	softwareVersion = 'v1';
+	/** Number of events of a complete stream. */
+	eventCount = defaultEventCount;
+	/** Written before the text of each event. */
+	eventPrefix = '';
+	/** Returns whether the connection of a stream is reset within its third event, given the id of the request that began it. */
+	cutsStream: ((id: string) => boolean) | undefined;
 	/** Number of requests whose connection closed before their response was complete. */
 	closedEarlyCount = 0;
 	private isLeaving = false;
@@ -126,7 +134,7 @@
 	/** Returns the entry that the server has in the store. */
 	entry(pool: string, phase: 'ready' | 'draining' = 'ready') {
 		return {
-			backend: pool, address: this.address, availZone: this.hall, generationNum: 'v1', slotCount: 4, phase, coldLeftMs: this.coldLeftMs, callSeq: 1,
+			backend: pool, address: this.address, availZone: this.hall, generationNum: this.softwareVersion, slotCount: 4, phase, coldLeftMs: this.coldLeftMs, callSeq: 1,
 		};
 	}
 
@@ -276,16 +284,17 @@
 	private async stream(request: IncomingMessage, response: ServerResponse, headers: Record<string, string>): Promise<void> {
 		response.writeHead(200, {...headers, 'content-type': 'text/event-stream'});
 		const first = Number(request.headers['last-event-id'] ?? 0) + 1;
-		for (let index = first; index <= eventCount; index++) {
+		const isCut = this.fault === 'cutStream' || (first === 1 && this.cutsStream?.(headers['attempt-id']) === true);
+		for (let index = first; index <= this.eventCount; index++) {
 			await sleep(this.stepMs);
-			if (this.fault === 'cutStream' && index === 3) {
+			if (isCut && index === 3) {
 				response.write('id: 3\nda');
 				await sleep(this.stepMs);
 				request.socket.resetAndDestroy();
 				return;
 			}
 
-			response.write(`id: ${index}\ndata: event ${index}\n\n`);
+			response.write(`id: ${index}\ndata: ${this.eventPrefix}event ${index}\n\n`);
 		}
 
 		response.end();
