Continue a stream within its response only at the software version that began it

Cause: whether a stream has begun, and where, was no property that the choice of an upstream could see. Any usable upstream was taken for 'resume', for the 'retry' of a begun stream that was held, for the second choice where all were tried, and after results of steps were computed again.

A stage now carries the origin of its stream, pool and software version, from its first event on, whatever the kind of the attempt. The router offers only upstreams that may continue it, before it prefers warm or close ones. An unknown version equals none. If no upstream of the version accepts work, the answer ends at once; a short wait remains where one is listed. A server that keeps its id over its starts counts only while the list is current, and a stream whose server started again before the first event has no known origin.

--- a/src/daemon/node/compose-direct-entry.ts
+++ b/src/daemon/node/compose-direct-entry.ts
@@ -149,6 +149,10 @@
 		availability: get(availabilityToken),
 		refusals: get(serverRefusalsToken),
 		loads: get(reportedLoadsToken),
+		isListCurrent() {
+			const {isCurrent, isOnStandby} = get(serverFeedToken);
+			return isCurrent || isOnStandby;
+		},
 	}));
 	register(promptUpdatesToken, () => lifecycle.register(PromptUpdates.create({
 		hostId: settings.hostId,
--- a/src/direct/common/direct-router.test.ts
+++ b/src/direct/common/direct-router.test.ts
@@ -34,6 +34,7 @@
 
 function makeRouter(servers = registry, cold?: ColdBounds): DirectRouter {
 	return DirectRouter.create({
+		isListCurrent: () => true,
 		hall: 'x',
 		registry: servers,
 		chooser: ScoreChooser.create(SeededRandom.create(1), PrefixIndex.create()),
--- a/src/direct/common/refusing-pool.test.ts
+++ b/src/direct/common/refusing-pool.test.ts
@@ -56,6 +56,7 @@
 		toleratedPerS: () => 0,
 	});
 	return DirectRouter.create({
+		isListCurrent: () => true,
 		hall: 'x',
 		registry,
 		chooser: ScoreChooser.create(random, PrefixIndex.create()),
--- a/src/direct/common/reporting-pool.test.ts
+++ b/src/direct/common/reporting-pool.test.ts
@@ -73,6 +73,7 @@
 	});
 	const loads = ReportedLoads.create({registry, log: silentLoggers.for('test'), metrics: noMetrics});
 	const router = DirectRouter.create({
+		isListCurrent: () => true,
 		hall: 'x',
 		registry,
 		chooser: ScoreChooser.create(random, PrefixIndex.create()),
--- a/src/entry/common/fleet-router.ts
+++ b/src/entry/common/fleet-router.ts
@@ -211,6 +211,15 @@
 		return undefined;
 	}
 
+	/** Agents resume generations of one model version from its tokens, wherever they run. */
+	originOf(): undefined {
+		return undefined;
+	}
+
+	continuationUnavailability(): undefined {
+		return undefined;
+	}
+
 	newDispatchId(): string {
 		return this.options.newDispatchId();
 	}
--- a/src/request/common/request-events.ts
+++ b/src/request/common/request-events.ts
@@ -5,6 +5,7 @@
 import type {
 	HttpResponseHead, PreparationFailure, PreparedInputs, RequestOutcome, RequestResult,
 } from './request-plan.js';
+import type {StreamOrigin} from './stream-origin.js';
 
 /** An event that concerns a request. */
 export type RequestEvent
@@ -42,7 +43,7 @@
 		| {readonly type: 'query'; readonly upstreamId: string; readonly dispatchId: string}
 		| {readonly type: 'credit'; readonly upstreamId: string; readonly dispatchId: string; readonly chunks: number}
 	/** Delivers units of the answer to a streaming caller. */
-		| {readonly type: 'deliver'; readonly units: number; readonly data: Uint8Array; readonly http?: HttpResponseHead}
+		| {readonly type: 'deliver'; readonly units: number; readonly data: Uint8Array; readonly http?: HttpResponseHead; readonly origin?: StreamOrigin}
 	/** Gives the caller its final answer; emitted once. */
 		| {readonly type: 'finish'; readonly result: RequestResult}
 	/** Records the outcome of a request whose caller was given `unknown`; emitted at most once. */
--- a/src/request/common/request-plan.ts
+++ b/src/request/common/request-plan.ts
@@ -3,6 +3,7 @@
 import type {PromptPart} from '../../routing/common/engine-loads.js';
 import type {Header, HttpCall} from '../../wire/common/messages.js';
 import type {AttemptRules} from './attempt-rules.js';
+import type {StreamOrigin} from './stream-origin.js';
 
 /** One stage of a request, with all inherited settings resolved. */
 export type StagePlan = {
@@ -25,6 +26,8 @@
 	readonly prompt?: readonly PromptPart[];
 	/** Size in bytes of the results that the upstream fetches before it runs, by the data hall where they are stored. */
 	readonly inputBytesByHall?: ReadonlyMap<string, number>;
+	/** Where the stream began that the stage continues; only upstreams that may continue it are chosen. */
+	readonly origin?: StreamOrigin;
 };
 
 /** Status and headers of an HTTP answer. */
--- a/src/request/common/request-router.ts
+++ b/src/request/common/request-router.ts
@@ -3,9 +3,14 @@
 import type {Standing} from '../../quarantine/common/quarantine.js';
 import type {Attempt} from './attempt.js';
 import type {RequestPlan, StagePlan} from './request-plan.js';
+import type {StreamOrigin} from './stream-origin.js';
 
 /** Why no upstream of a pool will accept work soon, so that the request is refused instead of held. */
-export type Unavailability = {readonly message: string; readonly retryAfterMs: number};
+export type Unavailability = {
+	readonly message: string;
+	/** Undefined if no time is known after which the request could be served. */
+	readonly retryAfterMs: number | undefined;
+};
 
 /** Chooses upstreams, and updates its statistics from the attempts made. */
 export type RequestRouter = {
@@ -22,6 +27,8 @@
 	choose(stage: StagePlan, excluded: ReadonlySet<string>, prefixHash: number, nowMs: number): Choice | undefined;
 	/** @returns why a stage without an available upstream is to be refused immediately, or `undefined` if it may wait for one. */
 	unavailability(stage: StagePlan, nowMs: number): Unavailability | undefined;
+	/** @returns why no upstream can continue the stream that the stage continues, or `undefined` if one may. */
+	continuationUnavailability(stage: StagePlan): Unavailability | undefined;
 	/** @returns the retry delay for a caller whose request the stage's upstreams refused, or `undefined` if it is not known. */
 	retryAfterMs(stage: StagePlan, nowMs: number): number | undefined;
 	/** @returns whether the budget allows a retry of this stage; if so, the retry is charged to the budget. */
@@ -38,6 +45,8 @@
 	softwareVersionOf(upstreamId: string): string | undefined;
 	/** Called when an attempt is sent. */
 	didDispatch(stage: StagePlan, attempt: Attempt, prefixHash: number, nowMs: number): void;
+	/** @returns the origin of a stream that begins with an attempt, or `undefined` if any upstream may continue it. */
+	originOf(stage: StagePlan, attempt: Attempt): StreamOrigin | undefined;
 	/** Called when the first unit of an attempt's answer is received; at most once for each attempt. */
 	didBegin(stage: StagePlan, attempt: Attempt, nowMs: number): void;
 	/** Called when an attempt has ended; exactly once for each attempt sent. */
--- a/src/request/common/request-state-machine.ts
+++ b/src/request/common/request-state-machine.ts
@@ -2,7 +2,7 @@
 import {barredText} from '../../quarantine/common/quarantine.js';
 import type {RequestAction, RequestEvent} from './request-events.js';
 import {
-	failureCodes, noInputs, otherHostRetryAfterMs, outcomes, type FailureCode, type PreparedInputs, type RequestOutcome, type RequestPlan, type RequestResult,
+	failureCodes, noInputs, otherHostRetryAfterMs, outcomes, type FailureCode, type PreparedInputs, type RequestOutcome, type RequestPlan, type RequestResult, type StagePlan,
 } from './request-plan.js';
 import type {RequestRouter} from './request-router.js';
 import {makeResult} from './request-result.js';
@@ -197,7 +197,7 @@
 			input,
 			inputs: index === 0 ? this.inputs : noInputs,
 			earlierAttempts: index === 0 ? this.runs.earlierAttempts : [],
-			stage: index === 0 ? {...plan.stages[0], inputBytesByHall: this.inputs.bytesByHall} : plan.stages[index],
+			stage: index === 0 ? this.firstStage : plan.stages[index],
 			startByMs: latestMs - remainingMs,
 			isLast: index === plan.stages.length - 1,
 			isRepeat: index === 0 && this.preparationCount > 1,
@@ -214,6 +214,12 @@
 		}
 	}
 
+	/** The first stage with its inputs, and with the origin of its stream if an earlier run has begun it. */
+	private get firstStage(): StagePlan {
+		const {plan: {stages: [stage]}, inputs, runs: {earlierOrigin}} = this;
+		return {...stage, inputBytesByHall: inputs.bytesByHall, ...(earlierOrigin && {origin: earlierOrigin})};
+	}
+
 	private tick(nowMs: number): void {
 		if (this.phase === 'settling' && nowMs >= this.settleByMs) {
 			this.settle(nowMs);
--- a/src/request/common/stage-run-list.ts
+++ b/src/request/common/stage-run-list.ts
@@ -1,6 +1,7 @@
 /** The runs of those stages of a request that were begun. */
 import type {Attempt} from './attempt.js';
 import type {StageRun} from './stage-run.js';
+import type {StreamOrigin} from './stream-origin.js';
 
 /** Holds stage runs in the order of the stages. */
 export class StageRunList {
@@ -11,6 +12,8 @@
 	readonly all: StageRun[] = [];
 	/** Attempts of a removed run that may have run; all of them have ended. */
 	earlierAttempts: readonly Attempt[] = [];
+	/** Origin of the stream that a removed run has begun. */
+	earlierOrigin: StreamOrigin | undefined;
 
 	get count(): number {
 		return this.all.length;
@@ -57,6 +60,7 @@
 	*/
 	removeForRestart(run: StageRun): void {
 		this.earlierAttempts = run.attempts.all.filter(attempt => attempt.mayHaveRun);
+		this.earlierOrigin = run.stage.origin;
 		this.all.splice(this.all.indexOf(run), 1);
 	}
 
--- a/src/request/common/stage-run.ts
+++ b/src/request/common/stage-run.ts
@@ -61,6 +61,8 @@
 	private endMs = 0;
 	private isRecoveryStopped = false;
 	private isHedgeDecided = false;
+	/** The stage with the origin of its stream; set once the stream has begun. */
+	private begunStage: StagePlan | undefined;
 	/** An attempt whose complete answer reports an error. */
 	private errorAttempt: Attempt | undefined;
 
@@ -71,8 +73,9 @@
 		}
 	}
 
+	/** The stage as it is sent; a begun stream has its origin. */
 	get stage(): StagePlan {
-		return this.options.stage;
+		return this.begunStage ?? this.options.stage;
 	}
 
 	get body(): Uint8Array {
@@ -186,7 +189,7 @@
 			this.answer.add(message.units, message.data);
 			if (this.options.isLast && this.options.plan.isStreaming) {
 				this.options.emit({
-					type: 'deliver', units: message.units, data: message.data, ...(attempt.http && {http: attempt.http}),
+					type: 'deliver', units: message.units, data: message.data, ...(attempt.http && {http: attempt.http}), ...(this.stage.origin && {origin: this.stage.origin}),
 				});
 			}
 		}
@@ -315,9 +318,19 @@
 		}
 
 		this.acceptedAttempt = attempt;
+		this.pinOrigin(attempt);
 		this.cancelOthers(attempt, nowMs);
 	}
 
+	/** Binds the stage to the origin of its stream, however it is sent again. */
+	private pinOrigin(attempt: Attempt): void {
+		const {stage, options: {router}} = this;
+		const origin = stage.origin ?? router.originOf(stage, attempt);
+		if (origin !== stage.origin) {
+			this.begunStage = {...stage, origin};
+		}
+	}
+
 	private cancelOthers(kept: Attempt, nowMs: number): void {
 		for (const other of this.attempts.live) {
 			if (other !== kept) {
@@ -456,9 +469,10 @@
 			return;
 		}
 
-		// The caller already has part of the answer: a short wait is better than breaking off the answer.
+		const {router} = this.options;
 		const isBegun = this.answer.units > 0;
-		const unavailability = isBegun ? undefined : this.options.router.unavailability(this.stage, nowMs);
+		// The caller already has part of the answer: a short wait is better than breaking off the answer, unless no upstream can continue it.
+		const unavailability = router.continuationUnavailability(this.stage) ?? (isBegun ? undefined : router.unavailability(this.stage, nowMs));
 		if (unavailability) {
 			this.endHold(nowMs);
 			this.fail(failureCodes.noUpstream, unavailability.message, unavailability.retryAfterMs);
--- a/src/request/node/request-runner.ts
+++ b/src/request/node/request-runner.ts
@@ -9,6 +9,7 @@
 	noInputs, type HttpResponseHead, type PreparationFailure, type PreparedInputs, type RequestOutcome, type RequestPlan, type RequestResult,
 } from '../common/request-plan.js';
 import type {RequestRouter} from '../common/request-router.js';
+import type {StreamOrigin} from '../common/stream-origin.js';
 import type {UpstreamTransport, UpstreamMessage} from '../common/upstream-transport.js';
 
 /** Delay of a timer from which this host is assumed to have been frozen or suspended, and not to have read what arrived meanwhile. */
@@ -33,9 +34,10 @@
 	@param units - the number of units.
 	@param data - the bytes of the units.
 	@param http - status and headers of the upstream's answer.
+	@param origin - where the stream began, if only certain upstreams may continue it.
 	@returns a promise that resolves when the caller can take more, or `undefined` if it can immediately.
 	*/
-	deliver(units: number, data: Uint8Array, http?: HttpResponseHead): Promise<void> | undefined;
+	deliver(units: number, data: Uint8Array, http?: HttpResponseHead, origin?: StreamOrigin): Promise<void> | undefined;
 	/** Gives the caller the final answer. */
 	finish(result: RequestResult): void;
 	/** Records the outcome of a request whose caller was given `unknown`. */
@@ -200,7 +202,7 @@
 			}
 
 			case 'deliver': {
-				running.backpressure = running.hooks.deliver(action.units, action.data, action.http) ?? running.backpressure;
+				running.backpressure = running.hooks.deliver(action.units, action.data, action.http, action.origin) ?? running.backpressure;
 				break;
 			}
 
--- a/test/stub-router.ts
+++ b/test/stub-router.ts
@@ -35,6 +35,8 @@
 		didBegin: () => undefined,
 		didComplete: () => undefined,
 		softwareVersionOf: () => undefined,
+		originOf: () => undefined,
+		continuationUnavailability: () => undefined,
 		newDispatchId: () => `d${serial++}`,
 		...overrides,
 	};
