Let callers resume a stream only at the software version that began it, at any host

Cause: the id that a caller names in 'Resumes' was read nowhere, and which upstream had served an attempt was known to one host until the attempt ended. A resumed stream was a first attempt like any other, at a pool chosen by weight.

The host at which a stream begins now reports its pool and software version, before it delivers the first event, to four hosts that every host computes from the id by rendezvous hashing; a host that does not know a stream asks these. A host that connects is sent the streams that it is to remember, and asked what is open. Ids are digests of workspace and attempt, so they have a fixed length and no workspace can name another one's stream. What is not known within 0.5 s is refused as not run (503), as are a route whose streams can't be resumed, a pool that left the route, and a version of which no upstream accepts work, which is refused at once. Two origins under one id count as none.

Messages between hosts have three new types, which hosts of earlier builds would answer by closing the link; therefore the protocol version rises, and hosts of two builds don't connect to each other during an update.

--- a/src/daemon/node/compose-direct-entry.ts
+++ b/src/daemon/node/compose-direct-entry.ts
@@ -22,6 +22,8 @@
 import {DirectLinks} from '../../direct/node/direct-links.js';
 import {Ingress, ingressToken} from '../../direct/node/ingress.js';
 import {PromptUpdates} from '../../direct/node/prompt-updates.js';
+import {StreamDirectory} from '../../direct/node/stream-directory.js';
+import {StreamResumption} from '../../direct/node/stream-resumption.js';
 import {LeavingServerUpdates} from '../../peers/node/leaving-server-updates.js';
 import {ServerLimitUpdates} from '../../peers/node/server-limit-updates.js';
 import {PeerMesh, peerMeshToken} from '../../peers/node/peer-mesh.js';
@@ -62,6 +64,7 @@
 const availabilityToken: InjectionToken<PoolAvailability> = Symbol('PoolAvailability');
 const routerToken: InjectionToken<DirectRouter> = Symbol('DirectRouter');
 const promptUpdatesToken: InjectionToken<PromptUpdates> = Symbol('PromptUpdates');
+const streamDirectoryToken: InjectionToken<StreamDirectory> = Symbol('StreamDirectory');
 const linksToken: InjectionToken<DirectLinks> = Symbol('DirectLinks');
 
 /** Share of an upstream's connections that all hosts together use; the remainder is reserved for hosts that have just joined. */
@@ -163,6 +166,7 @@
 		},
 		clock,
 	})));
+	register(streamDirectoryToken, () => lifecycle.register(StreamDirectory.create({hostId: settings.hostId, mesh: get(peerMeshToken), clock})));
 	register(linksToken, () => lifecycle.register(DirectLinks.create({
 		registry: get(serverRegistryToken),
 		notices: get(serverNoticesToken),
@@ -252,6 +256,9 @@
 		links: get(linksToken),
 		runner: makeRunner(),
 		protocol: ports.callers,
+		resumption: StreamResumption.create({
+			directory: get(streamDirectoryToken), clock, log: logOf('requests'), metrics,
+		}),
 		makePreparer: request => Preparer.create(preparerOptions(), request),
 		waits: get(batchHandlerToken),
 		quotes: get(admissionAsksToken),
@@ -259,6 +266,7 @@
 		standingOf: plan => get(routerToken).standingOf(plan),
 		isOpen: (pool, nowMs) => get(availabilityToken).isOpen(pool, nowMs),
 		unavailabilityOf: pools => get(availabilityToken).poolsUnavailability(pools),
+		continuationUnavailability: stage => get(routerToken).continuationUnavailability(stage),
 		admission: BoundedAdmission.create(get(availabilityToken)),
 		clock,
 		random: get(randomToken),
@@ -297,6 +305,7 @@
 	}));
 	// Created immediately, so that peers' updates are received before the first request.
 	get(promptUpdatesToken);
+	get(streamDirectoryToken);
 }
 
 /** Creates the entry, and with it the components that it depends on. */
--- a/src/direct/common/direct-plan.ts
+++ b/src/direct/common/direct-plan.ts
@@ -4,6 +4,7 @@
 import {makePrompt} from '../../routing/common/engine-loads.js';
 import {directRules} from '../../request/common/attempt-rules.js';
 import type {RequestPlan} from '../../request/common/request-plan.js';
+import type {StreamOrigin} from '../../request/common/stream-origin.js';
 import {policyDefaults, type EffectivePolicy} from '../../settings/common/schema.js';
 import type {HttpCall} from '../../wire/common/messages.js';
 
@@ -28,6 +29,8 @@
 	readonly promptParts: ReadonlyArray<{readonly id: string; readonly tokens: number}>;
 	readonly needsPreparation: boolean;
 	readonly remainingMs: number | undefined;
+	/** Where the stream began that the request resumes. */
+	readonly origin?: StreamOrigin | undefined;
 };
 
 /**
@@ -84,6 +87,7 @@
 			policy,
 			rank: route.rank,
 			...(isRepeatable && !isStreaming && {targetMs: route.targetMs}),
+			...(options.origin && {origin: options.origin}),
 			...(options.promptParts.length > 0 && {prompt: makePrompt(options.promptParts)}),
 		}],
 		policy,
--- a/src/direct/node/ingress.test.ts
+++ b/src/direct/node/ingress.test.ts
@@ -104,6 +104,8 @@
 			},
 			standingOf: () => ({type: 'clear'}),
 			unavailabilityOf: () => undefined,
+			continuationUnavailability: () => undefined,
+			resumption: {isResumed: () => false, originOf: async () => ({pool: '', softwareVersion: ''}), recordBegun: () => undefined},
 			isOpen: () => true,
 			admission: {
 				admit: () => undefined,
--- a/src/direct/node/ingress.ts
+++ b/src/direct/node/ingress.ts
@@ -13,6 +13,7 @@
 import {contentIdOf} from '../../quarantine/common/request-content.js';
 import {requestLogMessages} from '../../request/common/request-log-messages.js';
 import {otherHostRetryAfterMs, type RequestPlan, type StagePlan} from '../../request/common/request-plan.js';
+import type {StreamOrigin} from '../../request/common/stream-origin.js';
 import type {RequestRunner} from '../../request/node/request-runner.js';
 import type {Endpoint} from '../../wire/common/endpoint.js';
 import {listenOn} from '../../wire/node/listen.js';
@@ -28,6 +29,7 @@
 	hostStatuses, needsPreparation, rankOf, resolveRequest, type ResolvedRequest, type Refusal,
 } from './resolve-request.js';
 import {ServedRequest} from './served-request.js';
+import type {StreamResumption} from './stream-resumption.js';
 import {
 	StepAdmission, type StepAdmissionOptions, type StepRequest, type StepVerdict,
 } from './step-admission.js';
@@ -48,6 +50,7 @@
 	readonly links: DirectLinks;
 	readonly runner: RequestRunner;
 	readonly protocol: CallerProtocol;
+	readonly resumption: Pick<StreamResumption, 'isResumed' | 'originOf' | 'recordBegun'>;
 	readonly makePreparer: (request: PreparationRequest) => Preparer;
 	/** Predicts where a request with a shared prompt part will most likely run. */
 	readonly predictRun: (stage: StagePlan, nowMs: number) => RunPrediction;
@@ -65,6 +68,8 @@
 	readonly receivedMs: number;
 	/** How long ago the caller first sent the request. */
 	readonly sinceFirstTryMs: number;
+	/** Where the stream began that the request resumes. */
+	readonly origin: StreamOrigin | undefined;
 };
 
 /** A request that may run, with what was found out about it on admission. */
@@ -210,9 +215,31 @@
 
 		const {route, callerRequest} = resolved;
 		const sinceFirstTryMs = this.firstTryEstimator.sinceFirstTryMs(route, callerRequest.remainingMs, receivedMs);
-		this.start({
-			...resolved, request, response, body, receivedMs, sinceFirstTryMs,
-		});
+		const received: ReceivedRequest = {
+			...resolved, request, response, body, receivedMs, sinceFirstTryMs, origin: undefined,
+		};
+		if (this.options.resumption.isResumed(resolved)) {
+			await this.startResumed(received);
+		} else {
+			this.start(received);
+		}
+	}
+
+	/** Starts a request that resumes a stream once it is known where the stream began, unless its caller has left or this host is about to stop by then. */
+	private async startResumed(received: ReceivedRequest): Promise<void> {
+		const {response, callerRequest} = received;
+		const origin = await this.options.resumption.originOf(received);
+		if (response.destroyed) {
+			return;
+		}
+
+		if ('status' in origin) {
+			this.refuse(response, origin);
+		} else if (this.isRefusingUnstarted) {
+			this.refuse(response, stoppingRefusal(callerRequest.requestId));
+		} else {
+			this.start({...received, origin});
+		}
 	}
 
 	private refuse(response: ServerResponse, {requestId, status, reason, retryAfterMs, content}: Refusal): void {
@@ -314,6 +341,11 @@
 			targetMs: received.route.targetMs,
 			sinceFirstTryMs: Math.round(received.sinceFirstTryMs),
 			latePredictedMs: scheduling?.latePredictedMs,
+			onStreamBegun: received.origin
+				? undefined
+				: origin => {
+					this.options.resumption.recordBegun(received, origin);
+				},
 			onEnded: () => {
 				this.openIds.delete(plan.requestId);
 			},
@@ -321,9 +353,9 @@
 	}
 
 	private planOf(received: ReceivedRequest): RequestPlan {
-		const {request, index, route, workspace, callerRequest, body, receivedMs} = received;
+		const {request, index, route, workspace, callerRequest, body, receivedMs, origin} = received;
 		const {random, isOpen} = this.options;
-		const pool = choosePool(route, random, each => isOpen(each, receivedMs));
+		const pool = origin?.pool ?? choosePool(route, random, each => isOpen(each, receivedMs));
 		return makeDirectPlan({
 			requestId: this.uniqueIdFor(callerRequest.requestId),
 			workspace: workspace?.name ?? '',
@@ -337,6 +369,7 @@
 			promptParts: route.hasAffinity ? callerRequest.promptParts : [],
 			needsPreparation: needsPreparation(received),
 			remainingMs: callerRequest.remainingMs,
+			origin,
 		}, receivedMs);
 	}
 
--- a/src/direct/node/served-request.ts
+++ b/src/direct/node/served-request.ts
@@ -8,6 +8,7 @@
 import type {Preparer} from '../../preparation/node/preparer.js';
 import {requestLogMessages} from '../../request/common/request-log-messages.js';
 import type {RequestPlan, RequestResult} from '../../request/common/request-plan.js';
+import type {StreamOrigin} from '../../request/common/stream-origin.js';
 import type {RequestRunner} from '../../request/node/request-runner.js';
 import type {CallerRequest} from '../common/caller-protocol.js';
 import type {DirectLinks} from './direct-links.js';
@@ -32,6 +33,8 @@
 	readonly sinceFirstTryMs: number;
 	/** Predicted time to the first event of a request that was admitted late; otherwise undefined. */
 	readonly latePredictedMs: number | undefined;
+	/** Called before the first event of a stream that begins with this request is delivered; absent if the request resumes one. */
+	readonly onStreamBegun: ((origin: StreamOrigin) => void) | undefined;
 	readonly onEnded: () => void;
 };
 
@@ -67,9 +70,13 @@
 				this.preparedMs = clock.nowMs() - plan.startMs;
 				return prepared;
 			},
-			deliver: async (_units, data, http) => {
+			deliver: async (_units, data, http, origin) => {
 				if (this.firstDeliveryMs === 0) {
 					this.firstDeliveryMs = clock.nowMs() - plan.startMs;
+					if (origin) {
+						this.options.onStreamBegun?.(origin);
+					}
+
 					// The upstream has read the prepared results before it sends its first event.
 					preparer?.end();
 				}
--- a/src/routing/common/rendezvous.ts
+++ b/src/routing/common/rendezvous.ts
@@ -47,6 +47,26 @@
 	return nodes.filter(other => weightOf(key, other) > ownWeight).length;
 }
 
+/**
+Returns whether a node is among the most preferred ones for a key. It is faster than `rendezvousRank`, as it compares only until the answer is known.
+@param key - the key to assign.
+@param node - the name of the node.
+@param others - the names of the other nodes.
+@param count - the number of nodes that count as most preferred.
+*/
+export function isAmongFirst(key: string, node: string, others: readonly string[], count: number): boolean {
+	const ownWeight = weightOf(key, node);
+	let preferred = 0;
+	for (const other of others) {
+		preferred += weightOf(key, other) > ownWeight ? 1 : 0;
+		if (preferred >= count) {
+			return false;
+		}
+	}
+
+	return true;
+}
+
 function weightOf(key: string, node: string): number {
 	return hashText(`${key}\n${node}`);
 }
--- a/src/wire/common/messages.ts
+++ b/src/wire/common/messages.ts
@@ -2,7 +2,7 @@
 import {z} from 'zod';
 
 /** Version of the protocol; both sides must use the same. */
-export const protocolVersion = 6;
+export const protocolVersion = 7;
 
 /** Upper bounds on the length of what a caller states about a request with preparation steps: hosts pass it on to each other. */
 export const maxCallerRequestIdLength = 200;
@@ -412,6 +412,25 @@
 	serverIds: z.array(serverId).max(maxLeavingServers),
 });
 
+/** Upper bound on the streams in one message. */
+export const maxBegunStreams = 1000;
+const streamId = z.string().max(64);
+const begunStreamSchema = z.strictObject({
+	streamId,
+	pool: name,
+	softwareVersion: z.string().min(1).max(200),
+	/** Time for which its caller may resume it. */
+	forMs: ms.max(60_000),
+});
+/** Where a stream began that its caller may resume at another host. */
+export type BegunStream = z.infer<typeof begunStreamSchema>;
+/** Streams that began at the sender or that it was told of: reported to the hosts that remember them, or as the answer to `streamAsk`. */
+const streamsBegunSchema = z.strictObject({type: z.literal('streamsBegun'), streams: z.array(begunStreamSchema).min(1).max(maxBegunStreams)});
+/** Asks where a stream began. */
+const streamAskSchema = z.strictObject({type: z.literal('streamAsk'), streamId});
+/** Answers `streamAsk`: the sender does not know the stream. */
+const streamUnknownSchema = z.strictObject({type: z.literal('streamUnknown'), streamId});
+
 const messageSchema = z.discriminatedUnion('type', [
 	helloSchema,
 	welcomeSchema,
@@ -451,6 +470,9 @@
 	fatalContentsSchema,
 	serverLimitsSchema,
 	leavingServersSchema,
+	streamsBegunSchema,
+	streamAskSchema,
+	streamUnknownSchema,
 ]);
 export type Message = z.infer<typeof messageSchema>;
 export type HelloMessage = z.infer<typeof helloSchema>;
