Ignore what arrives of a call after it was canceled

A stream could be resumed after an event that its caller never received, so that events would be missing. All calls of a request write the id of the last event into one field as soon as an event is complete, also a call that was given up after it fell silent; its late events moved the field after another call had taken the stream up, and were forwarded for nothing.

The test sends an event after the cancellation: before, it counted as delivered and was forwarded; now it is neither.

--- a/src/direct/node/direct-call.ts
+++ b/src/direct/node/direct-call.ts
@@ -121,7 +121,7 @@
 
 	/** Called for bytes of the response. Forwards complete events of a stream, and any bytes of another response. */
 	onResponseData(controller: Dispatcher.DispatchController, bytes: Uint8Array): void {
-		if (this.refusal !== undefined || this.isFinished) {
+		if (this.refusal !== undefined || this.isFinished || this.isCancelled) {
 			return;
 		}
 
