Treat an entry with another software version as another start of its server

A stream could be continued at a server that runs another version by then: an entry that was written again under the same id kept the state of the earlier start. And a version that a host of an earlier build leaves out was lost for good: its report and the host's own reading of the entry have one revision, so the second was ignored, and streams of that server were never continued.

Both tests fail without the change.

--- a/src/deployment/common/server-registry.test.ts
+++ b/src/deployment/common/server-registry.test.ts
@@ -274,3 +274,32 @@
 	t.same(list.servers.map(({serverId}) => serverId), ['sound']);
 	t.equal(unreadableCount, malformed.length);
 });
+
+/*
+Guards against a stream that is continued at a server which has started again with another software version: its entry was written anew under the
+same id, and all that was known of the earlier start still counted.
+*/
+t.test('an entry that is written again with another software version is another start of its server', async t => {
+	const registry = withTwo();
+	change(registry, 6, {written: [{...server('a', 6), softwareVersion: 'v1'}]});
+	const changes: string[] = [];
+	registry.onDidChange(({server: {softwareVersion}, change}) => {
+		changes.push(`${softwareVersion} ${change}`);
+	});
+	change(registry, 7, {written: [{...server('a', 7), softwareVersion: 'v2'}]});
+	t.same(changes, ['v1 gone', 'v2 joined']);
+	t.equal(registry.get('a')?.softwareVersion, 'v2');
+});
+
+/*
+Guards against streams that are never continued at a server: a host of an earlier build had reported its entry without a version, and the host's own
+reading of the same entry was ignored as nothing new.
+*/
+t.test('a version is taken from an entry that was known without it, and kept when a later one lacks it', async t => {
+	const registry = withTwo();
+	registry.replaceAll({revision: 5, servers: [{...server('a'), softwareVersion: 'v1'}, server('b')]}, 0);
+	t.equal(registry.get('a')?.softwareVersion, 'v1');
+	t.equal(registry.get('b')?.softwareVersion, undefined);
+	change(registry, 6, {written: [server('a', 6)]});
+	t.equal(registry.get('a')?.softwareVersion, 'v1', 'a start does not change its version');
+});
--- a/src/deployment/common/server-registry.ts
+++ b/src/deployment/common/server-registry.ts
@@ -293,7 +293,7 @@
 		const {serverId, startedMs} = server;
 		const isLaterStart = latest !== undefined && startedMs > latest.startedMs;
 		const isEarlierStart = latest !== undefined && startedMs < latest.startedMs;
-		if (this.replacedIds.has(serverId) || isEarlierStart || (!isLaterStart && !this.isNewer(serverId, server.revision))) {
+		if (this.replacedIds.has(serverId) || isEarlierStart || (!isLaterStart && !this.isNewer(serverId, server.revision) && !this.completesVersion(server))) {
 			return;
 		}
 
@@ -301,11 +301,16 @@
 			this.removeServer(latest.serverId, goneReasons.startedAgain);
 		}
 
+		if (this.hasOtherVersion(server)) {
+			this.removeServer(serverId, goneReasons.startedAgain);
+		}
+
 		this.starts.remember(server);
 		const wasMissing = this.missing.delete(serverId);
 		const known = this.servers.get(serverId);
+		const softwareVersion = server.softwareVersion ?? known?.softwareVersion;
 		const isLeaving = server.isLeaving || known?.isLeaving === true || this.options.leaving?.has(serverId) === true;
-		this.servers.set(serverId, {...server, isLeaving});
+		this.servers.set(serverId, {...server, isLeaving, ...(softwareVersion !== undefined && {softwareVersion})});
 		this.views.invalidate();
 		if (wasMissing || known?.isLeaving !== isLeaving) {
 			this.reportChange(server, isLeaving ? 'leaving' : 'joined');
@@ -316,6 +321,18 @@
 		}
 	}
 
+	/** Returns whether an entry adds the version to the same entry without it, as a host of an earlier build reports it. */
+	private completesVersion({serverId, softwareVersion, revision}: ListedServer): boolean {
+		const known = this.servers.get(serverId);
+		return known?.revision === revision && known.softwareVersion === undefined && softwareVersion !== undefined;
+	}
+
+	/** Returns whether an entry names another software version than before, so that the server has started again. */
+	private hasOtherVersion({serverId, softwareVersion}: ListedServer): boolean {
+		const knownVersion = this.servers.get(serverId)?.softwareVersion;
+		return knownVersion !== undefined && softwareVersion !== undefined && softwareVersion !== knownVersion;
+	}
+
 	/** Returns whether a write is newer than what is known about a server or, if the server is unknown, newer than the list that lacks it. */
 	private isNewer(serverId: string, revision: number): boolean {
 		return revision > (this.missing.revisionOf(serverId) ?? this.servers.get(serverId)?.revision ?? this.listRevision);
--- a/src/direct/common/direct-router.ts
+++ b/src/direct/common/direct-router.ts
@@ -181,7 +181,7 @@
 
 	originOf({pool}: StagePlan, {options: {upstreamId, softwareVersion}}: Attempt): StreamOrigin {
 		const server = this.options.registry.get(upstreamId);
-		const isCertain = server ? this.isCertainStart(server) : !this.restartedIds.has(upstreamId);
+		const isCertain = server ? this.isCertainStart(server) && server.softwareVersion === softwareVersion : !this.restartedIds.has(upstreamId);
 		return {pool, softwareVersion: isCertain ? softwareVersion : undefined};
 	}
 
