Test streams with preparation steps, without prompts, and of servers that start again under their ids

Three more ways in which a stream could get events of two software versions: its results are lost and computed again before it is continued, it has no prompt and the store does not respond, and its server runs another version under the same id, listed or not yet. Checked on a compiled copy: with the currency of the list left out, the third fails.

--- a/src/deployment/common/server-registry.ts
+++ b/src/deployment/common/server-registry.ts
@@ -293,7 +293,7 @@
 		const {serverId, startedMs} = server;
 		const isLaterStart = latest !== undefined && startedMs > latest.startedMs;
 		const isEarlierStart = latest !== undefined && startedMs < latest.startedMs;
-		if (this.replacedIds.has(serverId) || isEarlierStart || (!isLaterStart && !this.isNewer(serverId, server.revision) && !this.completesVersion(server))) {
+		if (this.replacedIds.has(serverId) || isEarlierStart || (!isLaterStart && !this.isNews(server))) {
 			return;
 		}
 
@@ -321,10 +321,11 @@
 		}
 	}
 
-	/** Returns whether an entry adds the version to the same entry without it, as a host of an earlier build reports it. */
-	private completesVersion({serverId, softwareVersion, revision}: ListedServer): boolean {
+	/** Returns whether an entry is newer than what is known, or adds its version to the same entry as a host of an earlier build reported it. */
+	private isNews({serverId, softwareVersion, revision}: ListedServer): boolean {
 		const known = this.servers.get(serverId);
-		return known?.revision === revision && known.softwareVersion === undefined && softwareVersion !== undefined;
+		const addsVersion = known?.revision === revision && known.softwareVersion === undefined && softwareVersion !== undefined;
+		return addsVersion || this.isNewer(serverId, revision);
 	}
 
 	/** Returns whether an entry names another software version than before, so that the server has started again. */
--- a/test/platform/server-standin.ts
+++ b/test/platform/server-standin.ts
@@ -116,6 +116,10 @@
 	eventPrefix = '';
 	/** Returns whether the connection of a stream is reset within its third event, given the id of the request that began it. */
 	cutsStream: ((id: string) => boolean) | undefined;
+	/** Whether the first call that resumes a stream is refused because a result it needs is lost. */
+	losesInputsOfResumed = false;
+	/** Ids of the requests whose resumption was refused. */
+	readonly lostInputIds = new Set<string>();
 	/** Number of requests whose connection closed before their response was complete. */
 	closedEarlyCount = 0;
 	private isLeaving = false;
@@ -239,6 +243,12 @@
 			return;
 		}
 
+		if (this.losesInputsOfResumed && request.headers['last-event-id'] !== undefined && !this.lostInputIds.has(id)) {
+			this.lostInputIds.add(id);
+			response.writeHead(409, {'not-executed': '1', 'attempt-id': id}).end();
+			return;
+		}
+
 		this.seen.push({
 			id, method: request.method ?? '', path: request.url ?? '', headers: request.headers, body,
 		});
@@ -283,6 +293,7 @@
 
 	private async stream(request: IncomingMessage, response: ServerResponse, headers: Record<string, string>): Promise<void> {
 		response.writeHead(200, {...headers, 'content-type': 'text/event-stream'});
+		const {eventPrefix} = this;
 		const first = Number(request.headers['last-event-id'] ?? 0) + 1;
 		const isCut = this.fault === 'cutStream' || (first === 1 && this.cutsStream?.(headers['attempt-id']) === true);
 		for (let index = first; index <= this.eventCount; index++) {
@@ -294,7 +305,7 @@
 				return;
 			}
 
-			response.write(`id: ${index}\ndata: ${this.eventPrefix}event ${index}\n\n`);
+			response.write(`id: ${index}\ndata: ${eventPrefix}event ${index}\n\n`);
 		}
 
 		response.end();
--- a/test/platform/stream-versions.test.ts
+++ b/test/platform/stream-versions.test.ts
@@ -53,6 +53,24 @@
 	}
 }
 
+async function waitUntilLogged(hosts: readonly RunningEntry[], text: string): Promise<void> {
+	await waitUntil(() => hosts.every(({lines}) => lines.some(line => line.includes(text))));
+}
+
+/** Starts streams at two hosts, breaks them off, and resumes all of them at the other host once something has happened. */
+async function readAcross(prefix: string, hosts: readonly RunningEntry[], happen: () => Promise<void>): Promise<StreamOutcome[]> {
+	let happened: Promise<void> | undefined;
+	return Promise.all(Array.from({length: 30}, async (_, index) => readStream({
+		id: `${prefix}-${index}`,
+		hosts: [hosts[index % 2], hosts[(index + 1) % 2]],
+		breaksOffAfter: 2,
+		async beforeResuming() {
+			happened ??= happen();
+			await happened;
+		},
+	})));
+}
+
 function checkNotMixed(t: Test, outcomes: readonly StreamOutcome[]): void {
 	const resumedTries = outcomes.reduce((sum, outcome) => sum + outcome.resumedTries, 0);
 	const continuedTries = outcomes.reduce((sum, outcome) => sum + outcome.continuedTries, 0);
@@ -118,9 +136,7 @@
 	let starting: Promise<void> | undefined;
 	const startLate = async () => {
 		leaveOneOfEach({fleet, old, fresh});
-		const host = await fleet.addReadyEntry();
-		await waitUntil(() => host.lines.filter(line => line.includes('A peer is connected.')).length >= 2);
-		late.push(host);
+		late.push(await fleet.addReadyEntry());
 	};
 
 	const callersOfLate = {
@@ -193,11 +209,96 @@
 	checkNotMixed(t, outcomes);
 });
 
+t.test('a stream with preparation steps is continued at the same software version after its results were computed again', async t => {
+	const {fleet, hosts} = await makeVersionedFleet(t, 2);
+	for (const server of fleet.servers) {
+		server.cutsStream = id => Number(id.split('-')[1]) % 5 === 0;
+		server.losesInputsOfResumed = true;
+	}
+
+	await fleet.addServers('stage', 2, 5);
+	await Promise.all(fleet.servers.map(async ({serverId}) => waitUntilLogged(hosts, `"${serverId}"`)));
+	const outcomes = await readStreams(60, index => ({
+		id: `staged-${index}`,
+		path: '/staged/x',
+		headers: {'chunk-count': '2,1', 'chunk-key': `key-${index}`},
+		hosts: [hosts[index % 2], hosts[(index + 1) % 2]],
+	}));
+	checkNotMixed(t, outcomes);
+	checkAllWhole(t, outcomes);
+	t.ok(fleet.servers.some(({lostInputIds}) => lostInputIds.size > 0), 'results were lost');
+});
+
+t.test('streams without prompts are continued at the same software version while the store does not respond', async t => {
+	const {fleet, hosts} = await makeVersionedFleet(t, 3);
+	for (const server of fleet.servers) {
+		server.cutsStream = id => Number(id.split('-')[1]) % 2 === 0;
+	}
+
+	fleet.store.mode = 'silent';
+	const outcomes = await readStreams(60, index => ({
+		id: `plain-${index}`, headers: {'prompt-prefix': ''}, hosts: [0, 1, 2].map(offset => hosts[(index + offset) % 3]), breaksOffAfter: 5,
+	}));
+	checkNotMixed(t, outcomes);
+	checkAllWhole(t, outcomes);
+});
+
+t.test('a server that starts again under its id continues no stream of its earlier software version', async t => {
+	const fleet = await makeFleet(t);
+	fleet.store.put('op', 'config', longTimeoutConfig(2));
+	const servers = await fleet.addModels('v1.1', 2, stepMs);
+	/** Makes the servers run a version under their ids, at their addresses, before the store lists it. */
+	const run = (version: string) => {
+		for (const server of servers) {
+			server.softwareVersion = version;
+			server.eventPrefix = `${version} `;
+			server.eventCount = eventCount;
+		}
+	};
+
+	const list = async (born: number) => {
+		for (const server of servers) {
+			fleet.store.put('servers', server.serverId, {...server.entry('model'), born});
+		}
+
+		await Promise.all(servers.map(async ({serverId}) => waitUntilLogged(hosts, `"${serverId}@${born}"`)));
+	};
+
+	run('v1.1');
+	const hosts = [await fleet.addEntry(), await fleet.addEntry()];
+	await list(1000);
+	await waitUntilLogged(hosts, 'A peer is connected.');
+
+	const listed = await readAcross('listed', hosts, async () => {
+		run('v1.2');
+		await list(2000);
+	});
+	checkNotMixed(t, listed);
+	t.ok(listed.every(({statuses}) => statuses.at(-1) === 503), 'a listed start of another version is refused');
+
+	const unlisted = await readAcross('unlisted', hosts, async () => {
+		fleet.store.mode = 'busy';
+		fleet.store.forgetHistory();
+		await waitUntilLogged(hosts, 'The store does not answer');
+		run('v1.3');
+	});
+	checkNotMixed(t, unlisted);
+	t.ok(unlisted.every(({statuses}) => statuses.at(-1) === 503), 'a start that may not be listed is refused');
+});
+
 t.test('a stream that no host has seen begin is refused as not run', async t => {
 	const {hosts, fleet} = await makeVersionedFleet(t, 2);
 	const readAs = async (id: string, headers: Record<string, string>) => readStream({id, hosts: [hosts[0]], headers: {'last-event-id': '2', ...headers}});
+	const config = longTimeoutConfig(3);
+	fleet.store.put('op', 'config', {...config, tenantList: [...config.tenantList, {name: 'sellers', apiKeys: ['key-3'], prio: 1}]});
+	await waitUntilLogged(hosts, '"version":3');
+	const [begun] = await readStreams(1, () => ({id: 'other', hosts: [hosts[0]]}));
+	t.ok(begun.isWhole);
 	const seenBefore = fleet.servers.flatMap(({seen}) => seen).length;
 	const outcomes = await Promise.all([
+		readStream({
+			id: 'stranger', hosts: [hosts[0]], key: 'key-3', headers: {'last-event-id': '2', resumes: 'other-0'},
+		}),
 		...Array.from({length: 20}, async (_, index) => readAs(`unknown-${index}`, {resumes: `never-${index}`})),
 		readAs('unnamed', {}),
 		readAs('empty', {resumes: ''}),
