Compute the results of a begun stream again when its next server needs them

The results are released when the first event is delivered. The next server reports that they are gone, and the second preparation waited for pieces whose outcomes were dropped, because the preparation had ended with the first event.

--- a/src/deployment/common/server-registry.ts
+++ b/src/deployment/common/server-registry.ts
@@ -25,7 +25,7 @@
 	changeMessages, goneReasons, type GoneReason, type ServerChange,
 } from './server-change.js';
 import {ServerColdness} from './server-coldness.js';
-import {ServerStarts} from './server-starts.js';
+import {ServerStarts, type Start} from './server-starts.js';
 import type {ListedServer, ServerList, UpstreamServer} from './upstream-server.js';
 
 export const serverRegistryToken: InjectionToken<ServerRegistry> = Symbol('ServerRegistry');
@@ -297,14 +297,7 @@
 			return;
 		}
 
-		if (isLaterStart) {
-			this.removeServer(latest.serverId, goneReasons.startedAgain);
-		}
-
-		if (this.hasOtherVersion(server)) {
-			this.removeServer(serverId, goneReasons.startedAgain);
-		}
-
+		this.removeEarlierStart(server, latest);
 		this.starts.remember(server);
 		const wasMissing = this.missing.delete(serverId);
 		const known = this.servers.get(serverId);
@@ -321,6 +314,14 @@
 		}
 	}
 
+	private removeEarlierStart(server: ListedServer, latest: Start | undefined): void {
+		if (latest !== undefined && server.startedMs > latest.startedMs) {
+			this.removeServer(latest.serverId, goneReasons.startedAgain);
+		} else if (this.hasOtherVersion(server)) {
+			this.removeServer(server.serverId, goneReasons.startedAgain);
+		}
+	}
+
 	/** Returns whether an entry is newer than what is known, or adds its version to the same entry as a host of an earlier build reported it. */
 	private isNews({serverId, softwareVersion, revision}: ListedServer): boolean {
 		const known = this.servers.get(serverId);
--- a/src/preparation/node/preparer.ts
+++ b/src/preparation/node/preparer.ts
@@ -84,7 +84,7 @@
 		return new Preparer(options, request);
 	}
 
-	private readonly preparation: Preparation;
+	private preparation: Preparation;
 	private readonly openWorkIds = new Set<string>();
 	/** Steps that have not been submitted and whose work is reserved in scheduled pools. */
 	private readonly reservedSteps: Set<number>;
@@ -116,7 +116,12 @@
 	@returns the results that the request reads.
 	*/
 	async run(isRetry: boolean): Promise<Result> {
-		if (isRetry) {
+		if (this.hasEnded) {
+			// The request read its results once, and all of them were released.
+			const {route, pieceCounts} = this.request;
+			this.preparation = Preparation.create(route.steps, pieceCounts);
+			this.hasEnded = false;
+		} else if (isRetry) {
 			this.fetchTimer?.dispose();
 			this.release(this.preparation.discardFinals(serverId => this.isListed(serverId)));
 		}
