--- a/src/deployment/common/server-registry.ts
+++ b/src/deployment/common/server-registry.ts
@@ -301,9 +301,8 @@
 		this.starts.remember(server);
 		const wasMissing = this.missing.delete(serverId);
 		const known = this.servers.get(serverId);
-		const softwareVersion = server.softwareVersion ?? known?.softwareVersion;
 		const isLeaving = server.isLeaving || known?.isLeaving === true || this.options.leaving?.has(serverId) === true;
-		this.servers.set(serverId, {...server, isLeaving, ...(softwareVersion !== undefined && {softwareVersion})});
+		this.servers.set(serverId, {...versionOf(known), ...server, isLeaving});
 		this.views.invalidate();
 		if (wasMissing || known?.isLeaving !== isLeaving) {
 			this.reportChange(server, isLeaving ? 'leaving' : 'joined');
@@ -383,3 +382,8 @@
 		this.didChange.fire({server, change, ...(reason !== undefined && {reason})});
 	}
 }
+
+/** Returns the software version of a start, which later entries of it may lack. */
+function versionOf(known: ListedServer | undefined): Pick<ListedServer, 'softwareVersion'> {
+	return known?.softwareVersion === undefined ? {} : {softwareVersion: known.softwareVersion};
+}
--- a/src/direct/node/stream-directory.ts
+++ b/src/direct/node/stream-directory.ts
@@ -101,7 +101,7 @@
 	@param streamId - id of the stream.
 	@returns what is known of the stream, or undefined if no host that answers in time knows it.
 	*/
-	async find(streamId: string): Promise<StreamRecord | undefined> {
+	async lookUp(streamId: string): Promise<StreamRecord | undefined> {
 		return this.origins.get(streamId, this.options.clock.nowMs()) ?? this.ask(streamId);
 	}
 
--- a/src/direct/node/stream-resumption.ts
+++ b/src/direct/node/stream-resumption.ts
@@ -21,7 +21,7 @@
 
 /** Dependencies of `StreamResumption`. */
 export type StreamResumptionOptions = {
-	readonly directory: Pick<StreamDirectory, 'recordBegun' | 'find'>;
+	readonly directory: Pick<StreamDirectory, 'recordBegun' | 'lookUp'>;
 	readonly clock: Clock;
 	readonly log: Logger;
 	readonly metrics: Metrics;
@@ -56,7 +56,7 @@
 			return this.refusal(request, 'notResumable');
 		}
 
-		const record = resumedRequestId ? await this.options.directory.find(streamIdOf(workspace?.name ?? '', resumedRequestId)) : undefined;
+		const record = resumedRequestId ? await this.options.directory.lookUp(streamIdOf(workspace?.name ?? '', resumedRequestId)) : undefined;
 		if (!record?.origin) {
 			return this.refusal(request, 'unknown');
 		}
