Resume a stream that nobody recorded if its pool has had a single software version

Each host now remembers which versions the servers of a pool have had and when each was last listed, and tells hosts that connect. A stream of which nothing is recorded goes on if its pool is the only one of its route and has had a single known version for longer than the stream can have lasted, with 5 s for the views of other hosts. The host must not assume that others know a newer list: its feed is current, or it is connected to most hosts and none reports a newer revision (while the store is away for all). Two recorded origins still count as none.

--- a/src/daemon/node/compose-direct-entry.ts
+++ b/src/daemon/node/compose-direct-entry.ts
@@ -12,6 +12,7 @@
 import {deploymentTrackerToken} from '../../deployment/common/deployment-tracker.js';
 import {hallDrainsToken} from '../../deployment/common/hall-drains.js';
 import {leavingServersToken} from '../../deployment/common/leaving-servers.js';
+import {VersionHistory, versionHistoryToken} from '../../deployment/common/version-history.js';
 import {serverLimitsToken} from '../../deployment/common/server-limits.js';
 import {serverNoticesToken} from '../../deployment/common/server-notices.js';
 import {serverRegistryToken} from '../../deployment/common/server-registry.js';
@@ -25,6 +26,7 @@
 import {StreamDirectory} from '../../direct/node/stream-directory.js';
 import {StreamResumption} from '../../direct/node/stream-resumption.js';
 import {LeavingServerUpdates} from '../../peers/node/leaving-server-updates.js';
+import {VersionHistoryUpdates} from '../../peers/node/version-history-updates.js';
 import {ServerLimitUpdates} from '../../peers/node/server-limit-updates.js';
 import {PeerMesh, peerMeshToken} from '../../peers/node/peer-mesh.js';
 import {StateExchange} from '../../peers/node/state-exchange.js';
@@ -53,7 +55,7 @@
 import {WireServer} from '../../wire/node/wire-server.js';
 import type {DirectEntrySettings} from '../common/direct-settings.js';
 import {
-	declarationFeedToken, registerFeeds, serverFeedToken, storeAgeMs,
+	declarationFeedToken, isListCurrent, isListShared, registerFeeds, serverFeedToken, storeAgeMs,
 } from './compose-feeds.js';
 import {registerState} from './compose-state.js';
 import {wireOptionsToken, wireServerToken} from './daemon-tokens.js';
@@ -133,6 +135,11 @@
 
 /** Registers the choice of the upstream that serves a request, and the calls to upstreams. */
 function registerUpstreams({settings, ports, lifecycle, clock, logOf, register, get, hostCount}: Composition): void {
+	register(versionHistoryToken, () => VersionHistory.create({
+		registry: get(serverRegistryToken),
+		nowMs: () => clock.nowMs(),
+		isListCurrent: () => isListCurrent(get) || isListShared(get, clock.nowMs()),
+	}));
 	register(engineChooserToken, () => EngineChooser.create(EngineLoads.create()));
 	register(availabilityToken, () => PoolAvailability.create({
 		registry: get(serverRegistryToken), bounds: get(sendBoundsToken),
@@ -152,10 +159,7 @@
 		availability: get(availabilityToken),
 		refusals: get(serverRefusalsToken),
 		loads: get(reportedLoadsToken),
-		isListCurrent() {
-			const {isCurrent, isOnStandby} = get(serverFeedToken);
-			return isCurrent || isOnStandby;
-		},
+		isListCurrent: () => isListCurrent(get),
 	}));
 	register(promptUpdatesToken, () => lifecycle.register(PromptUpdates.create({
 		hostId: settings.hostId,
@@ -257,7 +261,7 @@
 		runner: makeRunner(),
 		protocol: ports.callers,
 		resumption: StreamResumption.create({
-			directory: get(streamDirectoryToken), clock, log: logOf('requests'), metrics,
+			directory: get(streamDirectoryToken), history: get(versionHistoryToken), clock, log: logOf('requests'), metrics,
 		}),
 		makePreparer: request => Preparer.create(preparerOptions(), request),
 		waits: get(batchHandlerToken),
@@ -297,6 +301,7 @@
 	get(quarantineToken).onDidServerCrash(serverId => {
 		get(routerToken).serverCrashed(serverId, clock.nowMs());
 	});
+	lifecycle.register(VersionHistoryUpdates.create({history: get(versionHistoryToken), mesh: get(peerMeshToken)}));
 	lifecycle.register(LeavingServerUpdates.create({leaving: get(leavingServersToken), mesh: get(peerMeshToken)}));
 	lifecycle.register(ServerLimitUpdates.create({limits: get(serverLimitsToken), mesh: get(peerMeshToken), clock}));
 	lifecycle.register(QuarantineUpdates.create({quarantine: get(quarantineToken), mesh: get(peerMeshToken), clock}));
--- a/src/daemon/node/compose-feeds.ts
+++ b/src/daemon/node/compose-feeds.ts
@@ -113,3 +113,25 @@
 	const knownMs = agesMs.filter(ageMs => ageMs !== undefined);
 	return knownMs.length === agesMs.length ? Math.max(...knownMs) : undefined;
 }
+
+/**
+Returns whether the list of servers is up to date as far as the store has reported to this host or to those that read for it.
+@param get - resolves components of the composition.
+*/
+export function isListCurrent(get: Composition['get']): boolean {
+	const {isCurrent, isOnStandby} = get(serverFeedToken);
+	return isCurrent || isOnStandby;
+}
+
+/**
+Returns whether no other host can be assumed to have a newer list of servers. While the store is unavailable to all hosts, lists stay as they are; a host
+that is separated from most others can't tell.
+@param get - resolves components of the composition.
+@param nowMs - the current time.
+*/
+export function isListShared(get: Composition['get'], nowMs: number): boolean {
+	const mesh = get(peerMeshToken);
+	const {hosts, isSettled} = mesh.fleetView(nowMs);
+	const isConnected = isSettled && mesh.liveHosts.length >= (hosts.length - 1) / 2;
+	return isConnected && mesh.maxListRevision <= get(serverRegistryToken).revision;
+}
--- /dev/null
+++ b/src/direct/node/stream-resumption.test.ts
@@ -0,0 +1,68 @@
+import t from 'tap';
+import {ManualClock} from '../../base/common/clock.js';
+import {silentLoggers} from '../../base/common/logger.js';
+import {noMetrics} from '../../base/common/metrics.js';
+import {routeKinds, type Route} from '../../deployment/common/declaration.js';
+import type {CallerRequest} from '../common/caller-protocol.js';
+import {streamIdOf, type StreamRecord} from '../common/stream-origins.js';
+import {StreamResumption} from './stream-resumption.js';
+
+const timeoutMs = 8000;
+const remainingMs = 6000;
+const route: Route = {
+	name: 'r', hostName: 'site', pathPrefix: '/', kind: routeKinds.stream, timeoutMs, targetMs: 1000, rank: 0, targets: [{pool: 'p', weight: 1}], maxAttempts: 2, isPublic: false,
+	hasAffinity: false, isResumable: true, steps: [],
+};
+const callerRequest: CallerRequest = {
+	requestId: 'again', remainingMs, key: undefined, forwardedHeaders: [], promptParts: [], pieceCounts: [], pieceKey: '', resumeAfter: '3', resumedRequestId: 'first', problem: undefined,
+};
+const v1 = {pool: 'p', softwareVersion: 'v1'};
+const recordOf = (origin: StreamRecord['origin']): StreamRecord => ({
+	origin, source: 'h', recordedMs: 0, expiresMs: 10_000,
+});
+
+type Known = {readonly record?: StreamRecord; readonly soleVersion?: string; readonly observedMs?: number};
+
+function resumptionOf({record, soleVersion, observedMs = Infinity}: Known): StreamResumption {
+	return StreamResumption.create({
+		directory: {
+			recordBegun: () => undefined,
+			lookUp: async streamId => streamId === streamIdOf('w', 'first') ? record : undefined,
+		},
+		history: {soleVersion: (pool, withinMs) => pool === 'p' && withinMs <= observedMs ? soleVersion : undefined},
+		clock: ManualClock.create(),
+		log: silentLoggers.for('test'),
+		metrics: noMetrics,
+	});
+}
+
+const requestOf = (changes: {route?: Partial<Route>; callerRequest?: Partial<CallerRequest>} = {}) => ({
+	route: {...route, ...changes.route}, workspace: {name: 'w', keys: [], rank: 0}, callerRequest: {...callerRequest, ...changes.callerRequest},
+});
+
+t.test('a stream is resumed where it began, if this is known and its route still allows it', async t => {
+	t.same(await resumptionOf({record: recordOf(v1)}).originOf(requestOf()), v1);
+	t.same(await resumptionOf({record: recordOf(v1), soleVersion: 'v2'}).originOf(requestOf()), v1, 'what is recorded counts');
+	for (const [name, known, request] of [
+		['unknown', {}, requestOf()],
+		['two origins', {record: recordOf(undefined), soleVersion: 'v1'}, requestOf()],
+		['another pool', {record: recordOf({...v1, pool: 'q'})}, requestOf()],
+		['a route without resumption', {record: recordOf(v1)}, requestOf({route: {isResumable: false}})],
+		['a stream of another workspace', {record: recordOf(v1)}, {...requestOf(), workspace: {name: 'v', keys: [], rank: 0}}],
+	] satisfies Array<[string, Known, ReturnType<typeof requestOf>]>) {
+		t.match(await resumptionOf(known).originOf(request), {status: 503, requestId: 'again', reason: /^Not run: /v}, name);
+	}
+});
+
+/*
+Guards against the loss of streams that callers resume without naming the request that began them, in pools that have had a single software version.
+*/
+t.test('a stream of which nothing is recorded is resumed if its pool has had a single version since it can have begun', async t => {
+	for (const resumedRequestId of [undefined, '', 'other']) {
+		const request = requestOf({callerRequest: {resumedRequestId}});
+		t.same(await resumptionOf({soleVersion: 'v1'}).originOf(request), v1);
+		t.match(await resumptionOf({soleVersion: 'v1', observedMs: timeoutMs - remainingMs}).originOf(request), {status: 503}, 'the margin for other hosts\' views is missing');
+		const withTwoPools = requestOf({callerRequest: {resumedRequestId}, route: {targets: [{pool: 'p', weight: 1}, {pool: 'q', weight: 1}]}});
+		t.match(await resumptionOf({soleVersion: 'v1'}).originOf(withTwoPools), {status: 503}, 'it may have begun in another pool');
+	}
+});
--- a/src/direct/node/stream-resumption.ts
+++ b/src/direct/node/stream-resumption.ts
@@ -2,7 +2,8 @@
 import type {Metrics} from '../../base/common/metrics.js';
 import type {Logger} from '../../base/common/logger.js';
 import type {Clock} from '../../base/common/clock.js';
-import {routeKinds} from '../../deployment/common/declaration.js';
+import {routeKinds, type Route} from '../../deployment/common/declaration.js';
+import type {VersionHistory} from '../../deployment/common/version-history.js';
 import {
 	maxStreamLifeMs, streamIdOf, type KnownOrigin, type StreamRecord,
 } from '../common/stream-origins.js';
@@ -12,6 +13,8 @@
 
 /** Added to a caller's time limit, so that a stream is still known to a request that is sent just before it. */
 const lifeMarginMs = 1000;
+/** Added to the age of a stream, as hosts learn of the versions of servers at different times, and callers' time limits differ. */
+const versionChangeMarginMs = 5000;
 /** Why a stream is not resumed; the reasons appear in metrics. */
 const refusals = {
 	notResumable: 'the streams of this route can\'t be resumed',
@@ -22,6 +25,7 @@
 /** Dependencies of `StreamResumption`. */
 export type StreamResumptionOptions = {
 	readonly directory: Pick<StreamDirectory, 'recordBegun' | 'lookUp'>;
+	readonly history: Pick<VersionHistory, 'soleVersion'>;
 	readonly clock: Clock;
 	readonly log: Logger;
 	readonly metrics: Metrics;
@@ -57,17 +61,17 @@
 		}
 
 		const record = resumedRequestId ? await this.options.directory.lookUp(streamIdOf(workspace?.name ?? '', resumedRequestId)) : undefined;
-		if (!record?.origin) {
+		const origin = record ? record.origin : this.soleOriginOf(request);
+		if (!origin) {
 			return this.refusal(request, 'unknown');
 		}
 
-		const {pool} = record.origin;
-		if (route.targets.every(target => target.pool !== pool)) {
+		if (route.targets.every(target => target.pool !== origin.pool)) {
 			return this.refusal(request, 'otherPool');
 		}
 
-		this.logContinued(request, record.origin, record);
-		return record.origin;
+		this.logContinued(request, origin, record);
+		return origin;
 	}
 
 	/**
@@ -81,16 +85,39 @@
 		}
 	}
 
+	/** Returns the only origin that a stream can have of which nothing is recorded, or undefined if there may be several. */
+	private soleOriginOf({route, callerRequest: {remainingMs}}: StreamRequest): KnownOrigin | undefined {
+		if (route.targets.length !== 1) {
+			return undefined;
+		}
+
+		const [{pool}] = route.targets;
+		const softwareVersion = this.options.history.soleVersion(pool, maxStreamAgeMs(route, remainingMs));
+		return softwareVersion === undefined ? undefined : {pool, softwareVersion};
+	}
+
 	private refusal({callerRequest: {requestId}}: StreamRequest, reason: keyof typeof refusals): Refusal {
 		this.options.metrics.increment('streams.resumptions', 1, {outcome: reason});
 		return {requestId, status: hostStatuses.unavailable, reason: notRunText(refusals[reason])};
 	}
 
-	private logContinued({callerRequest: {requestId, resumedRequestId, resumeAfter}}: StreamRequest, {pool, softwareVersion}: KnownOrigin, {source, recordedMs}: StreamRecord): void {
+	private logContinued(request: StreamRequest, {pool, softwareVersion}: KnownOrigin, record: StreamRecord | undefined): void {
+		const {requestId, resumedRequestId, resumeAfter} = request.callerRequest;
 		const {clock, log, metrics} = this.options;
 		metrics.increment('streams.resumptions', 1, {outcome: 'continued'});
 		log.info('A caller resumes a stream.', {
-			request: requestId, resumedRequest: resumedRequestId, resumeAfter, pool, softwareVersion, source, knownForMs: Math.round(clock.nowMs() - recordedMs),
+			request: requestId,
+			resumedRequest: resumedRequestId,
+			resumeAfter,
+			pool,
+			softwareVersion,
+			source: record?.source ?? 'only version',
+			knownForMs: record && Math.round(clock.nowMs() - record.recordedMs),
 		});
 	}
 }
+
+/** Returns how long ago a stream can have begun whose caller waits for its whole time limit; it is assumed to be that of the route. */
+function maxStreamAgeMs({timeoutMs}: Route, remainingMs = 0): number {
+	return Math.max(0, timeoutMs - remainingMs) + versionChangeMarginMs;
+}
--- a/src/peers/node/peer-mesh.ts
+++ b/src/peers/node/peer-mesh.ts
@@ -114,6 +114,11 @@
 		return new Map(this.liveHosts.map(hostId => [hostId, this.peers.get(hostId)?.lastHeartbeat?.room ?? 0]));
 	}
 
+	/** The newest revision of the list of servers that a live host has reported; 0 if there is none. */
+	get maxListRevision(): number {
+		return Math.max(0, ...this.liveHosts.map(hostId => this.peers.get(hostId)?.lastHeartbeat?.listRevision ?? 0));
+	}
+
 	/**
 	Returns the hosts with which this one shares what is limited across all of them.
 	@param nowMs - the current time.
--- a/src/wire/common/messages.ts
+++ b/src/wire/common/messages.ts
@@ -431,6 +431,15 @@
 /** Answers `streamAsk`: the sender does not know the stream. */
 const streamUnknownSchema = z.strictObject({type: z.literal('streamUnknown'), streamId});
 
+/** Upper bound on the software versions in one message. */
+export const maxReportedVersions = 10_000;
+/** The software versions that the sender has observed in each pool; an empty one is not known. */
+const versionHistorySchema = z.strictObject({
+	type: z.literal('versionHistory'),
+	observedForMs: ms,
+	versions: z.array(z.strictObject({pool: name, softwareVersion: z.string().max(200), agoMs: ms})).max(maxReportedVersions),
+});
+
 const messageSchema = z.discriminatedUnion('type', [
 	helloSchema,
 	welcomeSchema,
@@ -473,6 +482,7 @@
 	streamsBegunSchema,
 	streamAskSchema,
 	streamUnknownSchema,
+	versionHistorySchema,
 ]);
 export type Message = z.infer<typeof messageSchema>;
 export type HelloMessage = z.infer<typeof helloSchema>;
