Test only streams that began before the restart of their servers

They were whole and had events of a single version, and what is continued after the restart carries the new version: they began after it, which may be continued. The test now selects the streams by the version of their first event, and checks that there are some; those must all be refused as before.

--- a/test/platform/stream-versions.test.ts
+++ b/test/platform/stream-versions.test.ts
@@ -278,7 +278,10 @@
 		await list(2000);
 	});
 	checkNotMixed(t, listed);
-	t.ok(listed.every(({statuses}) => statuses.at(-1) === 503), 'a listed start of another version is refused');
+	// On a busy machine some of the streams begin only after the restart; these may be continued.
+	const begunBefore = listed.filter(({events}) => events[0].version === 'v1.1');
+	t.ok(begunBefore.length > 0, `${begunBefore.length} streams began before the restart`);
+	t.ok(begunBefore.every(({statuses}) => statuses.at(-1) === 503), 'a listed start of another version is refused');
 
 	const unlisted = await readAcross('unlisted', hosts, async () => {
 		fleet.store.mode = 'busy';
