Shorten what callers name in log lines of resumed streams

A caller can send 8 KB in 'Resumes' and 'Last-Event-Id', and each would have been logged whole with each request.

--- a/src/direct/node/served-request.ts
+++ b/src/direct/node/served-request.ts
@@ -6,7 +6,7 @@
 import type {Metrics} from '../../base/common/metrics.js';
 import {fail} from '../../base/common/outcome.js';
 import type {Preparer} from '../../preparation/node/preparer.js';
-import {requestLogMessages} from '../../request/common/request-log-messages.js';
+import {requestLogMessages, shortenForLog} from '../../request/common/request-log-messages.js';
 import type {RequestPlan, RequestResult} from '../../request/common/request-plan.js';
 import type {StreamOrigin} from '../../request/common/stream-origin.js';
 import type {RequestRunner} from '../../request/node/request-runner.js';
@@ -106,8 +106,8 @@
 		const {status} = this.writer;
 		log.info(requestLogMessages.ended, {
 			request: callerRequest.requestId,
-			resumedRequest: callerRequest.resumedRequestId,
-			resumeAfter: callerRequest.resumeAfter,
+			resumedRequest: shortenForLog(callerRequest.resumedRequestId),
+			resumeAfter: shortenForLog(callerRequest.resumeAfter),
 			route: plan.pipeline,
 			workspace: plan.workspace,
 			version: plan.settingsRevision,
--- a/src/direct/node/stream-resumption.ts
+++ b/src/direct/node/stream-resumption.ts
@@ -7,6 +7,7 @@
 import {
 	maxStreamLifeMs, streamIdOf, type KnownOrigin, type StreamRecord,
 } from '../common/stream-origins.js';
+import {shortenForLog} from '../../request/common/request-log-messages.js';
 import {notRunText} from './pass-through-writer.js';
 import {hostStatuses, type Refusal, type ResolvedRequest} from './resolve-request.js';
 import type {StreamDirectory} from './stream-directory.js';
@@ -107,8 +108,8 @@
 		metrics.increment('streams.resumptions', 1, {outcome: 'continued'});
 		log.info('A caller resumes a stream.', {
 			request: requestId,
-			resumedRequest: resumedRequestId,
-			resumeAfter,
+			resumedRequest: shortenForLog(resumedRequestId),
+			resumeAfter: shortenForLog(resumeAfter),
 			pool,
 			softwareVersion,
 			source: record?.source ?? 'only version',
--- a/src/request/common/request-log-messages.ts
+++ b/src/request/common/request-log-messages.ts
@@ -6,3 +6,14 @@
 	refusedOnAdmission: 'A request was turned away at the door.',
 	poolBacklog: 'Pieces wait for a pool.',
 } as const;
+
+/** Maximum length of a text of a caller in a log line. */
+const maxLoggedChars = 128;
+
+/**
+Shortens a text of a caller for a log line; callers may send long headers.
+@param text - the text.
+*/
+export function shortenForLog(text: string | undefined): string | undefined {
+	return text?.slice(0, maxLoggedChars);
+}
--- a/test/platform/stream-versions.test.ts
+++ b/test/platform/stream-versions.test.ts
@@ -319,5 +319,6 @@
 		readAs('oversized', {resumes: 'x'.repeat(8000)}),
 	]);
 	t.same(outcomes.map(({statuses}) => statuses), outcomes.map(() => [503]));
+	t.ok(hosts[0].lines.every(line => line.length < 1000), 'an oversized id is not logged whole');
 	t.equal(fleet.servers.flatMap(({seen}) => seen).length, seenBefore, 'no server has run any of them');
 });
