--- a/src/daemon/node/compose-direct-entry.ts
+++ b/src/daemon/node/compose-direct-entry.ts
@@ -23,6 +23,7 @@
 import {DirectLinks} from '../../direct/node/direct-links.js';
 import {Ingress, ingressToken} from '../../direct/node/ingress.js';
 import {PromptUpdates} from '../../direct/node/prompt-updates.js';
+import {StreamContinuity} from '../../direct/common/stream-continuity.js';
 import {StreamDirectory} from '../../direct/node/stream-directory.js';
 import {StreamResumption} from '../../direct/node/stream-resumption.js';
 import {LeavingServerUpdates} from '../../peers/node/leaving-server-updates.js';
@@ -67,6 +68,7 @@
 const routerToken: InjectionToken<DirectRouter> = Symbol('DirectRouter');
 const promptUpdatesToken: InjectionToken<PromptUpdates> = Symbol('PromptUpdates');
 const streamDirectoryToken: InjectionToken<StreamDirectory> = Symbol('StreamDirectory');
+const continuityToken: InjectionToken<StreamContinuity> = Symbol('StreamContinuity');
 const linksToken: InjectionToken<DirectLinks> = Symbol('DirectLinks');
 
 /** Share of an upstream's connections that all hosts together use; the remainder is reserved for hosts that have just joined. */
@@ -140,6 +142,7 @@
 		nowMs: () => clock.nowMs(),
 		isListCurrent: () => isListCurrent(get) || isListShared(get, clock.nowMs()),
 	}));
+	register(continuityToken, () => StreamContinuity.create({registry: get(serverRegistryToken), isListCurrent: () => isListCurrent(get)}));
 	register(engineChooserToken, () => EngineChooser.create(EngineLoads.create()));
 	register(availabilityToken, () => PoolAvailability.create({
 		registry: get(serverRegistryToken), bounds: get(sendBoundsToken),
@@ -159,7 +162,7 @@
 		availability: get(availabilityToken),
 		refusals: get(serverRefusalsToken),
 		loads: get(reportedLoadsToken),
-		isListCurrent: () => isListCurrent(get),
+		continuity: get(continuityToken),
 	}));
 	register(promptUpdatesToken, () => lifecycle.register(PromptUpdates.create({
 		hostId: settings.hostId,
@@ -261,7 +264,7 @@
 		runner: makeRunner(),
 		protocol: ports.callers,
 		resumption: StreamResumption.create({
-			directory: get(streamDirectoryToken), history: get(versionHistoryToken), clock, log: logOf('requests'), metrics,
+			directory: get(streamDirectoryToken), history: get(versionHistoryToken), continuity: get(continuityToken), clock, log: logOf('requests'), metrics,
 		}),
 		makePreparer: request => Preparer.create(preparerOptions(), request),
 		waits: get(batchHandlerToken),
@@ -270,7 +273,6 @@
 		standingOf: plan => get(routerToken).standingOf(plan),
 		isOpen: (pool, nowMs) => get(availabilityToken).isOpen(pool, nowMs),
 		unavailabilityOf: pools => get(availabilityToken).poolsUnavailability(pools),
-		continuationUnavailability: stage => get(routerToken).continuationUnavailability(stage),
 		admission: BoundedAdmission.create(get(availabilityToken)),
 		clock,
 		random: get(randomToken),
--- a/src/daemon/node/direct-entry.ts
+++ b/src/daemon/node/direct-entry.ts
@@ -49,6 +49,11 @@
 		});
 	}
 
+	/** All measurements, in the Prometheus text format. */
+	get metricsText(): string {
+		return this.options.metrics.render();
+	}
+
 	get lifecycle(): LifecycleManager {
 		return this.options.lifecycle;
 	}
--- a/src/direct/common/direct-router.test.ts
+++ b/src/direct/common/direct-router.test.ts
@@ -15,6 +15,7 @@
 import {ScoreChooser} from '../../routing/common/score-chooser.js';
 import {refusalReasons} from '../../wire/common/messages.js';
 import {makeDirectPlan} from './direct-plan.js';
+import {StreamContinuity} from './stream-continuity.js';
 import {DirectRouter} from './direct-router.js';
 import {EngineChooser} from './engine-chooser.js';
 import {PoolAvailability} from './pool-availability.js';
@@ -34,7 +35,7 @@
 
 function makeRouter(servers = registry, cold?: ColdBounds): DirectRouter {
 	return DirectRouter.create({
-		isListCurrent: () => true,
+		continuity: StreamContinuity.create({registry, isListCurrent: () => true}),
 		hall: 'x',
 		registry: servers,
 		chooser: ScoreChooser.create(SeededRandom.create(1), PrefixIndex.create()),
--- a/src/direct/common/direct-router.ts
+++ b/src/direct/common/direct-router.ts
@@ -1,5 +1,4 @@
 /** Routing for upstreams without an agent: combines the server list, liveness, statistics and retry budgets. */
-import {goneReasons} from '../../deployment/common/server-change.js';
 import type {ServerRegistry} from '../../deployment/common/server-registry.js';
 import type {UpstreamServer} from '../../deployment/common/upstream-server.js';
 import type {Attempt} from '../../request/common/attempt.js';
@@ -7,7 +6,7 @@
 import {clearStanding, type Quarantine, type Standing} from '../../quarantine/common/quarantine.js';
 import {refusalReasons} from '../../wire/common/messages.js';
 import type {RequestRouter, Unavailability} from '../../request/common/request-router.js';
-import {mayContinue, type StreamOrigin} from '../../request/common/stream-origin.js';
+import type {StreamOrigin} from '../../request/common/stream-origin.js';
 import {
 	makeCandidateSet, type Candidate, type Choice, type UpstreamChooser,
 } from '../../routing/common/chooser.js';
@@ -21,6 +20,7 @@
 import {WindowedBudget, type RepeatBounds} from '../../routing/common/windowed-budget.js';
 import type {EngineChooser, PromptWork} from './engine-chooser.js';
 import type {PoolAvailability} from './pool-availability.js';
+import type {StreamContinuity} from './stream-continuity.js';
 
 /** Expected response time until eight responses have been measured: that of a plain service which responds immediately. */
 const defaultResponseMs = 60;
@@ -41,9 +41,6 @@
 	consecutiveFailures: 6, errorShare: 0.5, slowFactor: 3, baseEjectionMs: 1500, maxEjectionMs: 6000, maxEjectedShare: 0.5,
 };
 
-/** Maximum number of ids of restarted servers that are remembered; they matter only while attempts that were sent before are live. */
-const maxRestartedIds = 1000;
-
 /** Reasons for which an attempt ends without any indication about its upstream. */
 const neutralReasons = new Set(['lostRace', 'abandoned', 'cancelled']);
 
@@ -66,8 +63,8 @@
 	readonly refusals: ServerRefusals;
 	/** What upstreams report about their load; they report nothing if absent. */
 	readonly loads?: Pick<ReportedLoads, 'figureAt' | 'onDidReport'>;
-	/** Whether the list of servers is known to be up to date. */
-	readonly isListCurrent: () => boolean;
+	/** At which upstreams streams may be continued. */
+	readonly continuity: Pick<StreamContinuity, 'serversFor' | 'originOf'>;
 };
 
 /** The data hall in which a request will most likely run, and the expected time from its send to its first token. */
@@ -84,16 +81,10 @@
 	private readonly knownServers = new Map<string, KnownServer>();
 	private readonly budgets = new Map<string, WindowedBudget>();
 	private readonly responseTimes = StageEstimates.create();
-	/** Ids of servers that have started again under the same instance id, oldest first. */
-	private readonly restartedIds = new Set<string>();
 	private readonly outliers = OutlierDetector.create(outlierOptions);
 
 	private constructor(private readonly options: DirectRouterOptions) {
-		options.registry.onDidChange(({server, change, reason}) => {
-			if (reason === goneReasons.startedAgain) {
-				this.rememberRestarted(server.serverId);
-			}
-
+		options.registry.onDidChange(({server, change}) => {
 			if (change === 'gone') {
 				this.knownServers.delete(server.serverId);
 				options.refusals.forget(server.serverId);
@@ -132,10 +123,8 @@
 		}, nowMs);
 	}
 
-	continuationUnavailability({pool, origin}: StagePlan): Unavailability | undefined {
-		return origin === undefined || this.options.registry.usable(pool).some(server => this.mayReceive(origin, server))
-			? undefined
-			: {message: 'no upstream of the software version that began this stream accepts work', retryAfterMs: undefined};
+	canContinue({origin}: StagePlan): boolean {
+		return origin === undefined || this.options.continuity.serversFor(origin).length > 0;
 	}
 
 	unavailability(stage: StagePlan, nowMs: number): Unavailability | undefined {
@@ -179,10 +168,8 @@
 		return this.options.registry.get(upstreamId)?.softwareVersion;
 	}
 
-	originOf({pool}: StagePlan, {options: {upstreamId, softwareVersion}}: Attempt): StreamOrigin {
-		const server = this.options.registry.get(upstreamId);
-		const isCertain = server ? this.isCertainStart(server) && server.softwareVersion === softwareVersion : !this.restartedIds.has(upstreamId);
-		return {pool, softwareVersion: isCertain ? softwareVersion : undefined};
+	originOf({pool}: StagePlan, attempt: Attempt): StreamOrigin {
+		return this.options.continuity.originOf(pool, attempt);
 	}
 
 	didDispatch(stage: StagePlan, attempt: Attempt, _prefixHash: number, nowMs: number): void {
@@ -314,14 +301,6 @@
 		this.knownServers.get(serverId)?.liveness.received(dispatchId, nowMs);
 	}
 
-	private rememberRestarted(serverId: string): void {
-		this.restartedIds.add(serverId);
-		if (this.restartedIds.size > maxRestartedIds) {
-			const [oldest] = this.restartedIds;
-			this.restartedIds.delete(oldest);
-		}
-	}
-
 	/** Servers of the pool that may be chosen now. Suspect servers are included only if there is no other, and cold servers only if no warm one remains. */
 	private usable(stage: StagePlan, excluded: ReadonlySet<string>, nowMs: number): readonly Candidate[] {
 		const {availability} = this.options;
@@ -345,19 +324,7 @@
 	private candidatesFor({pool, origin}: StagePlan, nowMs: number): readonly Candidate[] {
 		return origin === undefined
 			? this.candidatesOf(pool, nowMs)
-			: this.options.registry.usable(pool).filter(server => this.mayReceive(origin, server)).map(server => this.ensureKnown(server, nowMs).candidate);
-	}
-
-	private mayReceive(origin: StreamOrigin, server: UpstreamServer): boolean {
-		return mayContinue(origin, server) && this.isCertainStart(server);
-	}
-
-	/**
-	Returns whether the listed start of a server is the one that runs. A server that keeps its id over its starts also responds to calls that are
-	meant for an earlier one, which may have run another software version.
-	*/
-	private isCertainStart({startedMs}: UpstreamServer): boolean {
-		return startedMs === 0 || this.options.isListCurrent();
+			: this.options.continuity.serversFor(origin).map(server => this.ensureKnown(server, nowMs).candidate);
 	}
 
 	private candidatesOf(pool: string, nowMs: number): readonly Candidate[] {
--- a/src/direct/common/refusing-pool.test.ts
+++ b/src/direct/common/refusing-pool.test.ts
@@ -21,6 +21,7 @@
 import {ServerRefusals} from '../../routing/common/server-refusals.js';
 import {refusalReasons} from '../../wire/common/messages.js';
 import {makeDirectPlan} from './direct-plan.js';
+import {StreamContinuity} from './stream-continuity.js';
 import {DirectRouter} from './direct-router.js';
 import {EngineChooser} from './engine-chooser.js';
 import {PoolAvailability} from './pool-availability.js';
@@ -56,7 +57,7 @@
 		toleratedPerS: () => 0,
 	});
 	return DirectRouter.create({
-		isListCurrent: () => true,
+		continuity: StreamContinuity.create({registry, isListCurrent: () => true}),
 		hall: 'x',
 		registry,
 		chooser: ScoreChooser.create(random, PrefixIndex.create()),
--- a/src/direct/common/reporting-pool.test.ts
+++ b/src/direct/common/reporting-pool.test.ts
@@ -23,6 +23,7 @@
 import {SendShare} from '../../routing/common/send-share.js';
 import {ServerRefusals} from '../../routing/common/server-refusals.js';
 import {makeDirectPlan} from './direct-plan.js';
+import {StreamContinuity} from './stream-continuity.js';
 import {DirectRouter} from './direct-router.js';
 import {EngineChooser} from './engine-chooser.js';
 import {PoolAvailability} from './pool-availability.js';
@@ -73,7 +74,7 @@
 	});
 	const loads = ReportedLoads.create({registry, log: silentLoggers.for('test'), metrics: noMetrics});
 	const router = DirectRouter.create({
-		isListCurrent: () => true,
+		continuity: StreamContinuity.create({registry, isListCurrent: () => true}),
 		hall: 'x',
 		registry,
 		chooser: ScoreChooser.create(random, PrefixIndex.create()),
--- a/src/direct/node/admission-checks.ts
+++ b/src/direct/node/admission-checks.ts
@@ -1,6 +1,6 @@
 /** Checks whether a request is refused on admission, before any work is done for it. */
 import {barredText, type Standing} from '../../quarantine/common/quarantine.js';
-import type {RequestPlan, StagePlan} from '../../request/common/request-plan.js';
+import type {RequestPlan} from '../../request/common/request-plan.js';
 import type {Unavailability} from '../../request/common/request-router.js';
 import type {BoundedAdmission} from '../common/bounded-admission.js';
 import {notRunText} from './pass-through-writer.js';
@@ -14,8 +14,6 @@
 	readonly standingOf: (plan: RequestPlan) => Standing;
 	/** Returns why requests that need the given pools can't be served now, or undefined if they can. */
 	readonly unavailabilityOf: (pools: readonly string[]) => Unavailability | undefined;
-	/** Returns why no upstream can continue the stream that a stage continues, or undefined if one may. */
-	readonly continuationUnavailability: (stage: StagePlan) => Unavailability | undefined;
 	/** Returns whether a request may be sent to a pool now. */
 	readonly isOpen: (pool: string, nowMs: number) => boolean;
 	/** Decides by rank whether a request to a bounded pool may start, and reserves sends for started requests. */
@@ -33,7 +31,7 @@
 export function admissionRefusal(
 	request: Pick<ResolvedRequest, 'route' | 'callerRequest' | 'workspace'>,
 	plan: RequestPlan,
-	{standingOf, unavailabilityOf, continuationUnavailability, admission}: AdmissionChecks,
+	{standingOf, unavailabilityOf, admission}: AdmissionChecks,
 	nowMs: number,
 ): Refusal | undefined {
 	const {route, callerRequest: {requestId, pieceCounts}} = request;
@@ -46,10 +44,9 @@
 	}
 
 	const stepPools = route.steps.filter((_, index) => (pieceCounts[index] ?? 0) > 0).map(({pool}) => pool);
-	const [stage] = plan.stages;
-	const {pool} = stage;
-	const unavailability = unavailabilityOf([pool, ...stepPools]) ?? continuationUnavailability(stage) ?? admission.admit(pool, rankOf(request), nowMs);
+	const [{pool}] = plan.stages;
+	const unavailability = unavailabilityOf([pool, ...stepPools]) ?? admission.admit(pool, rankOf(request), nowMs);
 	return unavailability && {
-		requestId, status, reason: notRunText(unavailability.message), ...(unavailability.retryAfterMs !== undefined && {retryAfterMs: unavailability.retryAfterMs}),
+		requestId, status, reason: notRunText(unavailability.message), retryAfterMs: unavailability.retryAfterMs,
 	};
 }
--- a/src/direct/node/ingress.test.ts
+++ b/src/direct/node/ingress.test.ts
@@ -104,7 +104,6 @@
 			},
 			standingOf: () => ({type: 'clear'}),
 			unavailabilityOf: () => undefined,
-			continuationUnavailability: () => undefined,
 			resumption: {isResumed: () => false, originOf: async () => ({pool: '', softwareVersion: ''}), recordBegun: () => undefined},
 			isOpen: () => true,
 			admission: {
--- a/src/direct/node/ingress.ts
+++ b/src/direct/node/ingress.ts
@@ -24,6 +24,7 @@
 import type {DirectLinks} from './direct-links.js';
 import {admissionRefusal, type AdmissionChecks} from './admission-checks.js';
 import {sendHostResponse} from './pass-through-writer.js';
+import {OpenRequests} from './open-requests.js';
 import {readBody} from './read-request.js';
 import {
 	hostStatuses, needsPreparation, rankOf, resolveRequest, type ResolvedRequest, type Refusal,
@@ -36,11 +37,6 @@
 
 /** Maximum size of a head that is read at all; the declaration's own limit is checked in addition. */
 const maxHeadBytes = 64 * 1024;
-/**
-Maximum length of a caller's ID that is also the ID on this host. Messages between hosts carry IDs derived from it, with up to 128
-characters, and a host closes the link on which it receives a longer one.
-*/
-const maxOwnIdLength = 100;
 /** Interval at which connections are checked for exceeded time limits. */
 const connectionCheckMs = 1000;
 
@@ -94,11 +90,9 @@
 	private readonly callers: Server;
 	private readonly readiness: Server;
 	private readonly disposables = DisposableStore.create();
-	/** Ids of the requests that this host is serving, by which messages are matched to their request. */
-	private readonly openIds = new Set<string>();
+	private readonly openRequests = OpenRequests.create();
 	private readonly firstTryEstimator = FirstTryEstimator.create();
 	private readonly stepAdmission: StepAdmission;
-	private serial = 0;
 	private hasStoppedAccepting = false;
 	private isRefusingUnstarted = false;
 	/** Number of requests that are being received or checked. */
@@ -127,7 +121,7 @@
 
 	/** Number of requests that have not ended. */
 	get openCount(): number {
-		return this.openIds.size + this.receivingCount;
+		return this.openRequests.size + this.receivingCount;
 	}
 
 	/**
@@ -291,7 +285,7 @@
 	private async startByQuotes(admitted: AdmittedRequest, stepRequest: StepRequest, asks: readonly PoolAsk[]): Promise<void> {
 		const {received: {response}, plan: {requestId, stages: [{pool}]}} = admitted;
 		const reservation = this.options.admission.reserve(pool);
-		this.openIds.add(requestId);
+		this.openRequests.add(requestId);
 		let isStarted = false;
 		try {
 			const verdict = await this.stepAdmission.admitByQuotes(stepRequest, asks, () => response.destroyed || this.isRefusingUnstarted);
@@ -306,7 +300,7 @@
 		} finally {
 			if (!isStarted) {
 				reservation.dispose();
-				this.openIds.delete(requestId);
+				this.openRequests.delete(requestId);
 			}
 		}
 	}
@@ -326,7 +320,7 @@
 		const {received, plan, scheduling, reservation} = admitted;
 		const {request, response, callerRequest} = received;
 		const {links, runner, clock, log, metrics} = this.options;
-		this.openIds.add(plan.requestId);
+		this.openRequests.add(plan.requestId);
 		ServedRequest.create({
 			plan,
 			callerRequest,
@@ -347,7 +341,7 @@
 					this.options.resumption.recordBegun(received, origin);
 				},
 			onEnded: () => {
-				this.openIds.delete(plan.requestId);
+				this.openRequests.delete(plan.requestId);
 			},
 		}).start(runner);
 	}
@@ -357,7 +351,7 @@
 		const {random, isOpen} = this.options;
 		const pool = origin?.pool ?? choosePool(route, random, each => isOpen(each, receivedMs));
 		return makeDirectPlan({
-			requestId: this.uniqueIdFor(callerRequest.requestId),
+			requestId: this.openRequests.uniqueIdFor(callerRequest.requestId),
 			workspace: workspace?.name ?? '',
 			route,
 			version: index.version,
@@ -394,21 +388,6 @@
 			scheduling,
 		});
 	}
-
-	/**
-	Returns the ID of a request on this host: the caller's, made unique if it is in use by another request, or a serial ID if it is
-	empty or too long.
-	*/
-	private uniqueIdFor(callerRequestId: string): string {
-		const ownId = callerRequestId.length > maxOwnIdLength ? '' : callerRequestId;
-		let uniqueId = ownId;
-		while (uniqueId === '' || this.openIds.has(uniqueId)) {
-			this.serial++;
-			uniqueId = `${ownId}~${this.serial}`;
-		}
-
-		return uniqueId;
-	}
 }
 
 /** Refuses a request because this host is about to stop; another host can serve it. */
--- a/src/direct/node/served-request.ts
+++ b/src/direct/node/served-request.ts
@@ -7,7 +7,9 @@
 import {fail} from '../../base/common/outcome.js';
 import type {Preparer} from '../../preparation/node/preparer.js';
 import {requestLogMessages, shortenForLog} from '../../request/common/request-log-messages.js';
-import type {RequestPlan, RequestResult} from '../../request/common/request-plan.js';
+import {
+	failureCodes, outcomes, type RequestPlan, type RequestResult,
+} from '../../request/common/request-plan.js';
 import type {StreamOrigin} from '../../request/common/stream-origin.js';
 import type {RequestRunner} from '../../request/node/request-runner.js';
 import type {CallerRequest} from '../common/caller-protocol.js';
@@ -124,8 +126,19 @@
 			attempts: attemptsText(result, plan.startMs),
 		});
 		metrics.increment('requests.ended', 1, {route: plan.pipeline, outcome: result.outcome, code: result.code ?? 'none'});
+		this.countContinuations(result);
 		metrics.timing('requests.took', result.tookMs, {route: plan.pipeline});
 	}
+
+	/** Counts how often the response was to be continued at another server, by what became of it. */
+	private countContinuations({outcome, code, stages}: RequestResult): void {
+		const count = stages.flatMap(stage => stage.attempts).filter(({kind}) => kind === 'resume').length;
+		const isVersionGone = code === failureCodes.versionGone;
+		if (count > 0 || isVersionGone) {
+			const ended = outcome === outcomes.completed ? 'completed' : 'brokenOff';
+			this.options.metrics.increment('streams.continuations', Math.max(1, count), {outcome: isVersionGone ? 'versionGone' : ended});
+		}
+	}
 }
 
 /** Formats each attempt as `server(version) kind state reason sentAt+run`, times in milliseconds; without a version that is not known. */
--- a/src/direct/node/stream-resumption.test.ts
+++ b/src/direct/node/stream-resumption.test.ts
@@ -3,6 +3,7 @@
 import {silentLoggers} from '../../base/common/logger.js';
 import {noMetrics} from '../../base/common/metrics.js';
 import {routeKinds, type Route} from '../../deployment/common/declaration.js';
+import type {UpstreamServer} from '../../deployment/common/upstream-server.js';
 import type {CallerRequest} from '../common/caller-protocol.js';
 import {streamIdOf, type StreamRecord} from '../common/stream-origins.js';
 import {StreamResumption} from './stream-resumption.js';
@@ -17,19 +18,23 @@
 	requestId: 'again', remainingMs, key: undefined, forwardedHeaders: [], promptParts: [], pieceCounts: [], pieceKey: '', resumeAfter: '3', resumedRequestId: 'first', problem: undefined,
 };
 const v1 = {pool: 'p', softwareVersion: 'v1'};
+const server: UpstreamServer = {
+	serverId: 's', instanceId: 's', startedMs: 0, pool: 'p', address: '127.0.0.1', port: 1, hall: 'a', slots: 1, isLeaving: false, softwareVersion: 'v1',
+};
 const recordOf = (origin: StreamRecord['origin']): StreamRecord => ({
 	origin, source: 'h', recordedMs: 0, expiresMs: 10_000,
 });
 
-type Known = {readonly record?: StreamRecord; readonly soleVersion?: string; readonly observedMs?: number};
+type Known = {readonly isVersionGone?: boolean; readonly record?: StreamRecord; readonly soleVersion?: string; readonly observedMs?: number};
 
-function resumptionOf({record, soleVersion, observedMs = Infinity}: Known): StreamResumption {
+function resumptionOf({isVersionGone = false, record, soleVersion, observedMs = Infinity}: Known): StreamResumption {
 	return StreamResumption.create({
 		directory: {
 			recordBegun: () => undefined,
 			lookUp: async streamId => streamId === streamIdOf('w', 'first') ? record : undefined,
 		},
 		history: {soleVersion: (pool, withinMs) => pool === 'p' && withinMs <= observedMs ? soleVersion : undefined},
+		continuity: {serversFor: () => isVersionGone ? [] : [server]},
 		clock: ManualClock.create(),
 		log: silentLoggers.for('test'),
 		metrics: noMetrics,
@@ -47,6 +52,7 @@
 		['unknown', {}, requestOf()],
 		['two origins', {record: recordOf(undefined), soleVersion: 'v1'}, requestOf()],
 		['another pool', {record: recordOf({...v1, pool: 'q'})}, requestOf()],
+		['a version that is gone', {isVersionGone: true, record: recordOf(v1)}, requestOf()],
 		['a route without resumption', {record: recordOf(v1)}, requestOf({route: {isResumable: false}})],
 		['a stream of another workspace', {record: recordOf(v1)}, {...requestOf(), workspace: {name: 'v', keys: [], rank: 0}}],
 	] satisfies Array<[string, Known, ReturnType<typeof requestOf>]>) {
--- a/src/direct/node/stream-resumption.ts
+++ b/src/direct/node/stream-resumption.ts
@@ -8,6 +8,8 @@
 	maxStreamLifeMs, streamIdOf, type KnownOrigin, type StreamRecord,
 } from '../common/stream-origins.js';
 import {shortenForLog} from '../../request/common/request-log-messages.js';
+import {versionGoneText} from '../../request/common/stream-origin.js';
+import type {StreamContinuity} from '../common/stream-continuity.js';
 import {notRunText} from './pass-through-writer.js';
 import {hostStatuses, type Refusal, type ResolvedRequest} from './resolve-request.js';
 import type {StreamDirectory} from './stream-directory.js';
@@ -16,17 +18,19 @@
 const lifeMarginMs = 1000;
 /** Added to the age of a stream, as hosts learn of the versions of servers at different times, and callers' time limits differ. */
 const versionChangeMarginMs = 5000;
-/** Why a stream is not resumed; the reasons appear in metrics. */
+/** Why a stream is not resumed; the keys are outcomes in logs and metrics. */
 const refusals = {
 	notResumable: 'the streams of this route can\'t be resumed',
 	unknown: 'it is not known which software version began this stream',
 	otherPool: 'the pool that began this stream no longer serves its route',
+	versionGone: versionGoneText,
 } as const;
 
 /** Dependencies of `StreamResumption`. */
 export type StreamResumptionOptions = {
 	readonly directory: Pick<StreamDirectory, 'recordBegun' | 'lookUp'>;
 	readonly history: Pick<VersionHistory, 'soleVersion'>;
+	readonly continuity: Pick<StreamContinuity, 'serversFor'>;
 	readonly clock: Clock;
 	readonly log: Logger;
 	readonly metrics: Metrics;
@@ -64,14 +68,18 @@
 		const record = resumedRequestId ? await this.options.directory.lookUp(streamIdOf(workspace?.name ?? '', resumedRequestId)) : undefined;
 		const origin = record ? record.origin : this.soleOriginOf(request);
 		if (!origin) {
-			return this.refusal(request, 'unknown');
+			return this.refusal(request, 'unknown', record);
 		}
 
 		if (route.targets.every(target => target.pool !== origin.pool)) {
-			return this.refusal(request, 'otherPool');
+			return this.refusal(request, 'otherPool', record, origin);
 		}
 
-		this.logContinued(request, origin, record);
+		if (this.options.continuity.serversFor(origin).length === 0) {
+			return this.refusal(request, 'versionGone', record, origin);
+		}
+
+		this.report(request, 'continued', record, origin);
 		return origin;
 	}
 
@@ -97,22 +105,25 @@
 		return softwareVersion === undefined ? undefined : {pool, softwareVersion};
 	}
 
-	private refusal({callerRequest: {requestId}}: StreamRequest, reason: keyof typeof refusals): Refusal {
-		this.options.metrics.increment('streams.resumptions', 1, {outcome: reason});
-		return {requestId, status: hostStatuses.unavailable, reason: notRunText(refusals[reason])};
+	private refusal(request: StreamRequest, outcome: keyof typeof refusals, record?: StreamRecord, origin?: KnownOrigin): Refusal {
+		this.report(request, outcome, record, origin);
+		return {requestId: request.callerRequest.requestId, status: hostStatuses.unavailable, reason: notRunText(refusals[outcome])};
 	}
 
-	private logContinued(request: StreamRequest, {pool, softwareVersion}: KnownOrigin, record: StreamRecord | undefined): void {
-		const {requestId, resumedRequestId, resumeAfter} = request.callerRequest;
+	private report({route, callerRequest}: StreamRequest, outcome: 'continued' | keyof typeof refusals, record?: StreamRecord, origin?: KnownOrigin): void {
 		const {clock, log, metrics} = this.options;
-		metrics.increment('streams.resumptions', 1, {outcome: 'continued'});
-		log.info('A caller resumes a stream.', {
+		const {requestId, resumedRequestId, resumeAfter} = callerRequest;
+		const unrecordedSource = origin && 'only version';
+		metrics.increment('streams.resumptions', 1, {outcome});
+		log.info(outcome === 'continued' ? 'A caller resumes a stream.' : 'A caller\'s stream is not resumed.', {
 			request: requestId,
 			resumedRequest: shortenForLog(resumedRequestId),
 			resumeAfter: shortenForLog(resumeAfter),
-			pool,
-			softwareVersion,
-			source: record?.source ?? 'only version',
+			route: route.name,
+			outcome,
+			pool: origin?.pool,
+			softwareVersion: origin?.softwareVersion,
+			source: record?.source ?? unrecordedSource,
 			knownForMs: record && Math.round(clock.nowMs() - record.recordedMs),
 		});
 	}
--- a/src/entry/common/fleet-router.ts
+++ b/src/entry/common/fleet-router.ts
@@ -216,8 +216,8 @@
 		return undefined;
 	}
 
-	continuationUnavailability(): undefined {
-		return undefined;
+	canContinue(): boolean {
+		return true;
 	}
 
 	newDispatchId(): string {
--- a/src/entry/common/problems.ts
+++ b/src/entry/common/problems.ts
@@ -40,6 +40,7 @@
 	upstreamRejected: 502,
 	deadlineUnreachable: 503,
 	noUpstream: 503,
+	versionGone: 503,
 	overloaded: 503,
 	storeUnavailable: 503,
 	notReady: 503,
--- a/src/request/common/request-plan.ts
+++ b/src/request/common/request-plan.ts
@@ -83,6 +83,8 @@
 	deadlineUnreachable: 'deadlineUnreachable',
 	deadlineExceeded: 'deadlineExceeded',
 	noUpstream: 'noUpstream',
+	/** No upstream of the software version that began the stream accepts work. */
+	versionGone: 'versionGone',
 	overloaded: 'overloaded',
 	storeUnavailable: 'storeUnavailable',
 	duplicateRequest: 'duplicateRequest',
--- a/src/request/common/request-router.ts
+++ b/src/request/common/request-router.ts
@@ -6,11 +6,7 @@
 import type {StreamOrigin} from './stream-origin.js';
 
 /** Why no upstream of a pool will accept work soon, so that the request is refused instead of held. */
-export type Unavailability = {
-	readonly message: string;
-	/** Undefined if no time is known after which the request could be served. */
-	readonly retryAfterMs: number | undefined;
-};
+export type Unavailability = {readonly message: string; readonly retryAfterMs: number};
 
 /** Chooses upstreams, and updates its statistics from the attempts made. */
 export type RequestRouter = {
@@ -27,8 +23,8 @@
 	choose(stage: StagePlan, excluded: ReadonlySet<string>, prefixHash: number, nowMs: number): Choice | undefined;
 	/** @returns why a stage without an available upstream is to be refused immediately, or `undefined` if it may wait for one. */
 	unavailability(stage: StagePlan, nowMs: number): Unavailability | undefined;
-	/** @returns why no upstream can continue the stream that the stage continues, or `undefined` if one may. */
-	continuationUnavailability(stage: StagePlan): Unavailability | undefined;
+	/** @returns whether an upstream that accepts work may continue the stream that the stage continues; true if the stage continues none. */
+	canContinue(stage: StagePlan): boolean;
 	/** @returns the retry delay for a caller whose request the stage's upstreams refused, or `undefined` if it is not known. */
 	retryAfterMs(stage: StagePlan, nowMs: number): number | undefined;
 	/** @returns whether the budget allows a retry of this stage; if so, the retry is charged to the budget. */
--- a/src/request/common/stage-run.ts
+++ b/src/request/common/stage-run.ts
@@ -14,6 +14,7 @@
 import {makeDispatch} from './stage-dispatch.js';
 import {StageHold} from './stage-hold.js';
 import {decideRecovery} from './stage-recovery.js';
+import {versionGoneText} from './stream-origin.js';
 import {makeStageTrace} from './stage-trace.js';
 
 const minServerErrorStatus = 500;
@@ -273,6 +274,15 @@
 		return this.options.isRepeat ? 'retry' : 'first';
 	}
 
+	private get nextAttemptKind(): AttemptTrace['kind'] {
+		return this.isBegun ? 'resume' : 'retry';
+	}
+
+	/** Whether the caller has part of the answer. */
+	private get isBegun(): boolean {
+		return this.answer.units > 0;
+	}
+
 	/** Whether units count as they are received, so that another attempt can resume after the last of them. */
 	private get isIncremental(): boolean {
 		return this.stage.kind === 'generate' || (this.stage.kind === 'http' && this.options.plan.isStreaming);
@@ -401,7 +411,7 @@
 			mayRetry: () => router.mayRetry(this.stage, nowMs),
 		});
 		if (recovery.type === 'again') {
-			this.dispatch(this.answer.units > 0 ? 'resume' : 'retry', nowMs);
+			this.dispatch(this.nextAttemptKind, nowMs);
 		} else {
 			this.fail(recovery.code, recovery.message, recovery.code === failureCodes.overloaded ? router.retryAfterMs(this.stage, nowMs) : undefined);
 		}
@@ -413,7 +423,7 @@
 			const isOutOfTime = nowMs >= this.options.startByMs;
 			this.fail(isOutOfTime ? failureCodes.deadlineExceeded : failureCodes.noUpstream, 'no upstream became available');
 		} else {
-			this.dispatch(this.attempts.count === 0 ? this.firstAttemptKind : 'retry', nowMs);
+			this.dispatch(this.attempts.count === 0 ? this.firstAttemptKind : this.nextAttemptKind, nowMs);
 		}
 	}
 
@@ -470,9 +480,14 @@
 		}
 
 		const {router} = this.options;
-		const isBegun = this.answer.units > 0;
-		// The caller already has part of the answer: a short wait is better than breaking off the answer, unless no upstream can continue it.
-		const unavailability = router.continuationUnavailability(this.stage) ?? (isBegun ? undefined : router.unavailability(this.stage, nowMs));
+		if (!router.canContinue(this.stage)) {
+			this.endHold(nowMs);
+			this.fail(failureCodes.versionGone, versionGoneText);
+			return;
+		}
+
+		// The caller already has part of the answer: a short wait is better than breaking off the answer.
+		const unavailability = this.isBegun ? undefined : router.unavailability(this.stage, nowMs);
 		if (unavailability) {
 			this.endHold(nowMs);
 			this.fail(failureCodes.noUpstream, unavailability.message, unavailability.retryAfterMs);
--- a/src/request/common/stream-origin.ts
+++ b/src/request/common/stream-origin.ts
@@ -7,6 +7,9 @@
 	readonly softwareVersion: string | undefined;
 };
 
+/** Why a stream is not continued, as callers and logs are told. */
+export const versionGoneText = 'no upstream of the software version that began this stream accepts work';
+
 /**
 Returns whether an upstream may continue a stream. What two software versions write does not fit together, and upstreams do not check it.
 @param origin - where the stream began.
--- a/test/platform/direct-harness.ts
+++ b/test/platform/direct-harness.ts
@@ -20,6 +20,9 @@
 /** A started host with its endpoints and log lines. */
 export type RunningEntry = {readonly entry: DirectEntry; readonly callers: Endpoint; readonly readiness: Endpoint; readonly peers: Endpoint; readonly lines: string[]};
 
+/** Settings of a host that tests vary; a host with another secret than the others can't connect to them. */
+export type EntrySettings = {readonly stopGraceMs?: number; readonly wireSecret?: string; readonly hostId?: string};
+
 /** A response as the caller received it; `isWhole` is true if it is complete. */
 export type CallerResponse = {readonly status: number; readonly headers: IncomingHttpHeaders; readonly text: string; readonly isWhole: boolean};
 
@@ -114,12 +117,12 @@
 	}
 
 	/** Starts a host without waiting until it is ready. */
-	async addEntry(stopGraceMs = 4200): Promise<RunningEntry> {
+	async addEntry({stopGraceMs = 4200, wireSecret = 'a secret of the test', hostId = `entry-${this.entries.length}`}: EntrySettings = {}): Promise<RunningEntry> {
 		const log = silentLoggers.for('store');
 		const lines: string[] = [];
 		const store = {address: loopback, port: this.store.port};
 		const entry = composeDirectEntry({
-			hostId: `entry-${this.entries.length}`,
+			hostId,
 			hall: 'hall-a',
 			callers: anyPort,
 			readiness: anyPort,
@@ -131,7 +134,7 @@
 			declarationWithinMs: 2000,
 			leavingWithinMs: 2000,
 			capacity: {cores: 1, linkMbps: 1000},
-			wireSecret: 'a secret of the test',
+			wireSecret,
 		}, {
 			callers: PlatformCallerProtocol.create(),
 			upstreams: PlatformUpstreamProtocol.create(),
@@ -151,8 +154,8 @@
 	}
 
 	/** Starts a host and waits until its readiness endpoint responds with 200 and its log names all servers. */
-	async addReadyEntry(): Promise<RunningEntry> {
-		const running = await this.addEntry();
+	async addReadyEntry(settings: EntrySettings = {}): Promise<RunningEntry> {
+		const running = await this.addEntry(settings);
 		await waitUntil(async () => await readinessOf(running) === 200 && this.servers.every(server => running.lines.some(line => line.includes(`"${server.serverId}"`))));
 		return running;
 	}
@@ -182,6 +185,16 @@
 	return response.status;
 }
 
+/**
+Returns the value of a counter of a host.
+@param entry - the host.
+@param name - name and tags of the counter as the metrics page shows them, without the prefix.
+*/
+export function counterOf({entry}: Pick<RunningEntry, 'entry'>, name: string): number {
+	const line = entry.metricsText.split('\n').find(each => each.startsWith(`pumicehatch_${name} `));
+	return Number(line?.split(' ').at(-1) ?? 0);
+}
+
 /** Waits until a condition is true; bounded only by the timeout of the test. */
 export async function waitUntil(isTrue: () => boolean | Promise<boolean>): Promise<void> {
 	while (!await isTrue()) {
--- a/test/platform/stream-versions.test.ts
+++ b/test/platform/stream-versions.test.ts
@@ -4,96 +4,13 @@
 Guards against streams with events of two software versions: what two versions write doesn't fit together, and servers do not check it.
 */
 import {setTimeout as sleep} from 'node:timers/promises';
-import t, {type Test} from 'tap';
+import t from 'tap';
+import {longTimeoutConfig, waitUntil} from './direct-harness.js';
+import {makeFleet} from './direct-load.js';
+import {readStream} from './stream-caller.js';
 import {
-	longTimeoutConfig, waitUntil, type DirectFleet, type RunningEntry,
-} from './direct-harness.js';
-import {addHosts, makeFleet} from './direct-load.js';
-import type {ServerStandin} from './server-standin.js';
-import {
-	isInOrder, isMixed, readStream, type StreamOutcome, type StreamReading,
-} from './stream-caller.js';
-
-const eventCount = 8;
-const stepMs = 20;
-const perVersion = 3;
-const startSpacingMs = 5;
-
-type VersionedFleet = {readonly fleet: DirectFleet; readonly old: ServerStandin[]; readonly fresh: ServerStandin[]; readonly hosts: RunningEntry[]};
-
-async function makeVersionedFleet(t: Test, hostCount: number): Promise<VersionedFleet> {
-	const fleet = await makeFleet(t);
-	fleet.store.put('op', 'config', longTimeoutConfig(2));
-	const old = await fleet.addModels('v1.1', perVersion, stepMs);
-	const fresh = await fleet.addModels('v1.2', perVersion, stepMs);
-	for (const server of fleet.servers) {
-		server.eventCount = eventCount;
-	}
-
-	return {
-		fleet, old, fresh, hosts: await addHosts(fleet, hostCount),
-	};
-}
-
-/** Starts streams one after the other, and returns their outcomes. */
-async function readStreams(count: number, readingOf: (index: number) => StreamReading): Promise<StreamOutcome[]> {
-	const outcomes: Array<Promise<StreamOutcome>> = [];
-	for (let index = 0; index < count; index++) {
-		outcomes.push(readStream(readingOf(index)));
-		await sleep(startSpacingMs);
-	}
-
-	return Promise.all(outcomes);
-}
-
-/** Makes a server of each version leave. Prompts prefer the servers that have cached them, which hides the fault while these servers stay. */
-function leaveOneOfEach({fleet, old, fresh}: Pick<VersionedFleet, 'fleet' | 'old' | 'fresh'>): void {
-	for (const server of [old[0], fresh[0]]) {
-		fleet.store.put('servers', server.serverId, server.entry('model', 'draining'));
-	}
-}
-
-async function waitUntilLogged(hosts: readonly RunningEntry[], text: string): Promise<void> {
-	await waitUntil(() => hosts.every(({lines}) => lines.some(line => line.includes(text))));
-}
-
-/** Starts streams at two hosts, breaks them off, and resumes all of them at the other host once something has happened after the first event of each. */
-async function readAcross(prefix: string, hosts: readonly RunningEntry[], happen: () => Promise<void>): Promise<StreamOutcome[]> {
-	const count = 30;
-	let begunCount = 0;
-	let happened: Promise<void> | undefined;
-	const happenOnce = async () => {
-		await waitUntil(() => begunCount === count);
-		await happen();
-	};
-
-	return Promise.all(Array.from({length: count}, async (_, index) => readStream({
-		id: `${prefix}-${index}`,
-		hosts: [hosts[index % 2], hosts[(index + 1) % 2]],
-		breaksOffAfter: 2,
-		onFirstEvent() {
-			begunCount++;
-		},
-		async beforeResuming() {
-			happened ??= happenOnce();
-			await happened;
-		},
-	})));
-}
-
-function checkNotMixed(t: Test, outcomes: readonly StreamOutcome[]): void {
-	const resumedTries = outcomes.reduce((sum, outcome) => sum + outcome.resumedTries, 0);
-	const continuedTries = outcomes.reduce((sum, outcome) => sum + outcome.continuedTries, 0);
-	const whole = outcomes.filter(({isWhole, events}) => isWhole && events.length === eventCount).length;
-	t.comment(`${outcomes.length} streams, ${whole} whole, ${continuedTries} of ${resumedTries} continued by their callers`);
-	t.equal(outcomes.filter(outcome => isMixed(outcome)).length, 0, 'no stream has events of two versions');
-	t.equal(outcomes.filter(outcome => !isInOrder(outcome)).length, 0, 'no event is missing or repeated');
-	t.equal(outcomes.filter(({isWhole, events}) => isWhole && events.length < eventCount).length, 0, 'no stream that is cut looks whole');
-}
-
-function checkAllWhole(t: Test, outcomes: readonly StreamOutcome[]): void {
-	t.equal(outcomes.filter(({isWhole}) => !isWhole).length, 0, 'all streams are whole');
-}
+	checkAllWhole, checkNotMixed, countLines, countOf, eventCount, makeVersionedFleet, readAcross, readStreams, stepMs, waitUntilLogged,
+} from './versioned-fleet.js';
 
 t.test('a stream that its server cuts is continued within the response at the same software version', async t => {
 	const {fleet, hosts} = await makeVersionedFleet(t, 1);
@@ -104,75 +21,20 @@
 	const outcomes = await readStreams(80, index => ({id: `cut-${index}`, hosts}));
 	checkNotMixed(t, outcomes);
 	checkAllWhole(t, outcomes);
-});
-
-t.test('streams that callers break off twice are continued at other hosts at the same software version', async t => {
-	const {old, fresh, fleet, hosts} = await makeVersionedFleet(t, 3);
-	let startedCount = 0;
-	const outcomes = await readStreams(60, index => {
-		startedCount++;
-		if (startedCount === 30) {
-			leaveOneOfEach({fleet, old, fresh});
-		}
-
-		return {id: `left-${index}`, hosts: [0, 1, 2].map(offset => hosts[(index + offset) % 3]), breaksOffAfter: 2};
-	});
-	checkNotMixed(t, outcomes);
-	checkAllWhole(t, outcomes);
-});
-
-t.test('streams of a host that is lost are continued at the other hosts at the same software version', async t => {
-	const {hosts} = await makeVersionedFleet(t, 3);
-	let begunCount = 0;
-	const outcomes = await Promise.all(Array.from({length: 60}, async (_, index) => readStream({
-		id: `lost-${index}`,
-		hosts: [hosts[0], hosts[1 + (index % 2)]],
-		onFirstEvent() {
-			begunCount++;
-			if (begunCount === 60) {
-				setTimeout(() => {
-					hosts[0].entry.lifecycle.stopNow();
-				}, stepMs);
-			}
-		},
-	})));
-	checkNotMixed(t, outcomes);
-	checkAllWhole(t, outcomes);
-});
-
-t.test('streams are continued at a host that started after they began, at the same software version', async t => {
-	const {fleet, old, fresh, hosts} = await makeVersionedFleet(t, 2);
-	const late: RunningEntry[] = [];
-	let starting: Promise<void> | undefined;
-	const startLate = async () => {
-		leaveOneOfEach({fleet, old, fresh});
-		late.push(await fleet.addReadyEntry());
-	};
-
-	const callersOfLate = {
-		get callers() {
-			return late[0].callers;
-		},
-	};
-	const outcomes = await readStreams(60, index => ({
-		id: `late-${index}`,
-		hosts: [hosts[index % 2], callersOfLate],
-		breaksOffAfter: 2,
-		async beforeResuming() {
-			starting ??= startLate();
-			await starting;
-		},
-	}));
-	checkNotMixed(t, outcomes);
-	checkAllWhole(t, outcomes);
+	t.equal(countOf(hosts, 'continuations', 'completed'), 32, 'each continuation is counted');
 });
 
 t.test('a stream is not continued once no server of its software version is left', async t => {
 	const {fleet, old, hosts} = await makeVersionedFleet(t, 2);
 	let begunCount = 0;
-	const remove = () => {
+	const remove = async () => {
+		for (const {serverId} of old) {
+			fleet.store.remove('servers', serverId);
+		}
+
+		// The responses break off only when no host can try another server of the version.
+		await waitUntil(() => countLines(hosts, 'A server is gone.') === old.length * hosts.length);
 		for (const server of old) {
-			fleet.store.remove('servers', server.serverId);
 			server.dispose();
 		}
 	};
@@ -183,7 +45,7 @@
 		onFirstEvent() {
 			begunCount++;
 			if (begunCount === 60) {
-				remove();
+				void remove();
 			}
 		},
 	})));
@@ -191,6 +53,13 @@
 	const ofOld = outcomes.filter(({events}) => events[0].version === 'v1.1');
 	t.ok(ofOld.length > 10, `${ofOld.length} streams began at the version that goes`);
 	t.ok(ofOld.every(({isWhole, statuses}) => isWhole || statuses.at(-1) === 503), 'their callers are told that nothing ran');
+	const refused = ofOld.filter(({isWhole}) => !isWhole).length;
+	t.ok(refused > 0);
+	t.equal(countOf(hosts, 'resumptions', 'versionGone'), refused, 'each refusal is counted');
+	t.equal(countLines(hosts, '"outcome":"versionGone"'), refused, 'and logged');
+	const brokenOff = countLines(hosts, '"code":"versionGone"');
+	t.ok(brokenOff > 0, 'responses that end within are logged');
+	t.equal(countOf(hosts, 'continuations', 'versionGone'), brokenOff, 'and counted');
 	checkAllWhole(t, outcomes.filter(({events}) => events[0].version === 'v1.2'));
 });
 
@@ -243,20 +112,6 @@
 	t.ok(fleet.servers.some(({lostInputIds}) => lostInputIds.size > 0), 'results were lost');
 });
 
-t.test('streams without prompts are continued at the same software version while the store does not respond', async t => {
-	const {fleet, hosts} = await makeVersionedFleet(t, 3);
-	for (const server of fleet.servers) {
-		server.cutsStream = id => Number(id.split('-')[1]) % 2 === 0;
-	}
-
-	fleet.store.mode = 'silent';
-	const outcomes = await readStreams(60, index => ({
-		id: `plain-${index}`, headers: {'prompt-prefix': ''}, hosts: [0, 1, 2].map(offset => hosts[(index + offset) % 3]), breaksOffAfter: 5,
-	}));
-	checkNotMixed(t, outcomes);
-	checkAllWhole(t, outcomes);
-});
-
 t.test('a server that starts again under its id continues no stream of its earlier software version', async t => {
 	const fleet = await makeFleet(t);
 	fleet.store.put('op', 'config', longTimeoutConfig(2));
--- a/test/stub-router.ts
+++ b/test/stub-router.ts
@@ -36,7 +36,7 @@
 		didComplete: () => undefined,
 		softwareVersionOf: () => undefined,
 		originOf: () => undefined,
-		continuationUnavailability: () => undefined,
+		canContinue: () => true,
 		newDispatchId: () => `d${serial++}`,
 		...overrides,
 	};
