Archive the software versions of servers in the store, for a loss of all hosts

Cause: the past that shows that a pool had a single version was in the memory of hosts and in what they tell hosts that connect; no host was left that knew it.

One host at a time now keeps it in a row of its own in the store ('versions', 'history'): since when it is complete, which versions may be listed, and when the others last were. It is written under the condition that nobody else has, only when a version is listed for the first time or no longer; each host reads it once when it starts. A pool of several versions is refused as before.

--- a/src/daemon/node/compose-direct-entry.ts
+++ b/src/daemon/node/compose-direct-entry.ts
@@ -23,6 +23,7 @@
 import {DirectLinks} from '../../direct/node/direct-links.js';
 import {Ingress, ingressToken} from '../../direct/node/ingress.js';
 import {PromptUpdates} from '../../direct/node/prompt-updates.js';
+import {VersionArchiver} from '../../deployment/node/version-archiver.js';
 import {StreamContinuity} from '../../direct/common/stream-continuity.js';
 import {StreamDirectory} from '../../direct/node/stream-directory.js';
 import {StreamResumption} from '../../direct/node/stream-resumption.js';
@@ -284,7 +285,7 @@
 }
 
 /** Starts the background work: hosts exchange their state, and outdated state is removed. */
-function synchronizeState({lifecycle, clock, logOf, get}: Composition): void {
+function synchronizeState({settings, ports, lifecycle, clock, logOf, get}: Composition): void {
 	lifecycle.register(StateExchange.create({
 		mesh: get(peerMeshToken),
 		tracker: get(deploymentTrackerToken),
@@ -303,6 +304,17 @@
 	get(quarantineToken).onDidServerCrash(serverId => {
 		get(routerToken).serverCrashed(serverId, clock.nowMs());
 	});
+	const archiver = lifecycle.register(VersionArchiver.create({
+		row: ports.versionArchive,
+		history: get(versionHistoryToken),
+		isWriter: () => get(peerMeshToken).liveHosts.every(hostId => settings.hostId < hostId),
+		clock,
+		log: logOf('servers'),
+	}));
+	get(peerMeshToken).onDidChange(() => {
+		archiver.handleHostsChanged();
+	});
+	archiver.start();
 	lifecycle.register(VersionHistoryUpdates.create({history: get(versionHistoryToken), mesh: get(peerMeshToken)}));
 	lifecycle.register(LeavingServerUpdates.create({leaving: get(leavingServersToken), mesh: get(peerMeshToken)}));
 	lifecycle.register(ServerLimitUpdates.create({limits: get(serverLimitsToken), mesh: get(peerMeshToken), clock}));
--- a/src/daemon/node/direct-composition.ts
+++ b/src/daemon/node/direct-composition.ts
@@ -14,6 +14,7 @@
 import {TextMetrics} from '../../base/node/text-metrics.js';
 import type {FeedSource} from '../../deployment/common/feed.js';
 import type {OperatorRow} from '../../deployment/common/operator-row.js';
+import type {SharedRow} from '../../deployment/common/shared-row.js';
 import type {UpstreamServer} from '../../deployment/common/upstream-server.js';
 import {callerProtocolToken, type CallerProtocol} from '../../direct/common/caller-protocol.js';
 import {upstreamProtocolToken, type UpstreamProtocol} from '../../direct/common/upstream-protocol.js';
@@ -29,6 +30,8 @@
 	readonly batches: BatchProtocol;
 	readonly declarations: FeedSource<OperatorRow>;
 	readonly servers: FeedSource<UpstreamServer>;
+	/** Row in which the software versions of servers are archived. */
+	readonly versionArchive: SharedRow;
 };
 
 /** What the functions that register the components of an entry share. */
--- a/src/deployment/common/version-history.ts
+++ b/src/deployment/common/version-history.ts
@@ -3,6 +3,7 @@
 at that version, whether or not anybody has recorded it.
 */
 import type {InjectionToken} from 'tsyringe';
+import {Emitter} from '../../base/common/emitter.js';
 import type {ServerRegistry} from './server-registry.js';
 
 /** How long versions are remembered; longer than streams last. */
@@ -39,20 +40,31 @@
 	/** When a server of a version was last listed, by pool and version; of versions that are listed, when one was last removed. */
 	private readonly lastListedMs = new Map<string, Map<string, number>>();
 	private observedSinceMs: number | undefined;
+	private readonly didChange = Emitter.create<void>();
 
 	private constructor(private readonly options: VersionHistoryOptions) {
 		options.registry.onDidChange(({server: {serverId, pool, softwareVersion = unknownVersion}, change}) => {
 			const nowMs = options.nowMs();
 			this.observedSinceMs ??= nowMs;
 			this.recordListed(pool, softwareVersion, nowMs);
+			const wasListed = this.listedVersions(pool).has(softwareVersion);
 			if (change === 'gone') {
 				this.listed.delete(serverId);
 			} else {
 				this.listed.set(serverId, {pool, softwareVersion});
 			}
+
+			if (this.listedVersions(pool).has(softwareVersion) !== wasListed) {
+				this.didChange.fire();
+			}
 		});
 	}
 
+	/** Fires when a version of a pool is listed that was not, or no longer. */
+	get onDidChange() {
+		return this.didChange.event;
+	}
+
 	/**
 	Returns the only software version that the servers of a pool have had.
 	@param pool - name of the pool.
--- /dev/null
+++ b/src/deployment/node/version-archiver.test.ts
@@ -0,0 +1,140 @@
+import t from 'tap';
+import {ManualClock} from '../../base/common/clock.js';
+import {Emitter} from '../../base/common/emitter.js';
+import {silentLoggers} from '../../base/common/logger.js';
+import {fail, ok} from '../../base/common/outcome.js';
+import type {SharedRow} from '../common/shared-row.js';
+import type {VersionReport} from '../common/version-history.js';
+import {VersionArchiver} from './version-archiver.js';
+
+/** A row that all hosts of a test share. */
+class Row {
+	text: string | undefined;
+	revision = 0;
+	isAvailable = true;
+	readCount = 0;
+	writeCount = 0;
+	/** Called before each write. */
+	onWrite: (() => void) | undefined;
+
+	open(clock: ManualClock): SharedRow {
+		return {
+			read: async () => {
+				this.readCount++;
+				return this.isAvailable ? ok({text: this.text, revision: this.revision, storeMs: clock.nowMs()}) : fail('unavailable');
+			},
+			write: async (text, expectedRevision) => {
+				this.onWrite?.();
+				if (!this.isAvailable) {
+					return fail('unavailable');
+				}
+
+				if (expectedRevision !== this.revision) {
+					return ok(false);
+				}
+
+				this.text = text;
+				this.revision++;
+				this.writeCount++;
+				return ok(true);
+			},
+			dispose: () => undefined,
+		};
+	}
+}
+
+/** A host whose list the test controls. */
+class Host {
+	readonly clock = ManualClock.create();
+	readonly received: VersionReport[] = [];
+	readonly didChange = Emitter.create<void>();
+	versions = ['v1'];
+	isWriter = true;
+	readonly archiver: VersionArchiver;
+
+	constructor(row: Row) {
+		this.archiver = VersionArchiver.create({
+			row: row.open(this.clock),
+			history: {
+				report: () => ({observedForMs: 1000, versions: this.versions.map(softwareVersion => ({pool: 'p', softwareVersion, agoMs: 0}))}),
+				handlePeerReport: report => {
+					this.received.push(report);
+				},
+				onDidChange: this.didChange.event,
+			},
+			isWriter: () => this.isWriter,
+			clock: this.clock,
+			log: silentLoggers.for('test'),
+		});
+		this.archiver.start();
+	}
+
+	/** Lets time pass, in which calls to the row are made and answered. */
+	async pass(ms: number): Promise<void> {
+		for (let passedMs = 0; passedMs <= ms; passedMs += 10) {
+			this.clock.advance(10);
+			await new Promise(resolve => {
+				setImmediate(resolve);
+			});
+		}
+	}
+}
+
+const versionsOf = ({text}: Row) => [...(text ?? '').matchAll(/"softwareVersion":"(?<version>\w+)"/gv)].map(({groups}) => groups!.version);
+
+/*
+Guards against streams that nobody can resume after all hosts were lost at once: no host that has started knows which versions there were.
+*/
+t.test('a host that starts after the loss of all hosts learns the versions from the archive', async t => {
+	const row = new Row();
+	const first = new Host(row);
+	await first.pass(100);
+	first.versions = ['v1', 'v2'];
+	first.didChange.fire();
+	await first.pass(100);
+	t.same(versionsOf(row), ['v1', 'v2']);
+	first.archiver.dispose();
+	const later = new Host(row);
+	later.versions = ['v2'];
+	await later.pass(100);
+	t.same(later.received.map(({versions}) => versions.map(({softwareVersion}) => softwareVersion)), [['v1', 'v2']]);
+	t.same(versionsOf(row), ['v1', 'v2'], 'and keeps the one that is gone');
+});
+
+t.test('only one host writes, and only what has changed', async t => {
+	const row = new Row();
+	const writer = new Host(row);
+	const other = new Host(row);
+	other.isWriter = false;
+	await Promise.all([writer.pass(200), other.pass(200)]);
+	t.equal(row.writeCount, 1);
+	const {readCount} = row;
+	other.versions = ['v1', 'v2'];
+	other.didChange.fire();
+	writer.didChange.fire();
+	await Promise.all([writer.pass(500), other.pass(500)]);
+	t.equal(row.writeCount, 1, 'the writer has seen nothing new');
+	t.equal(row.readCount, readCount + 1);
+	other.archiver.handleHostsChanged();
+	other.isWriter = true;
+	other.archiver.handleHostsChanged();
+	await other.pass(100);
+	t.same(versionsOf(row), ['v1', 'v2'], 'a host that becomes the writer adds what it knows');
+});
+
+t.test('a write that another host was ahead of is made again, and an outage of the store is waited out', async t => {
+	const row = new Row();
+	row.isAvailable = false;
+	const host = new Host(row);
+	await host.pass(5000);
+	t.ok(row.readCount > 1 && row.readCount < 8, `${row.readCount} reads in an outage of 5 s`);
+	row.isAvailable = true;
+	row.onWrite = () => {
+		row.onWrite = undefined;
+		row.text = JSON.stringify({sinceMs: 0, versions: [{pool: 'p', softwareVersion: 'v0'}]});
+		row.revision++;
+	};
+
+	await host.pass(6000);
+	t.same(versionsOf(row), ['v0', 'v1']);
+});
--- a/test/platform/direct-harness.ts
+++ b/test/platform/direct-harness.ts
@@ -5,6 +5,7 @@
 import {readDeclarationRow, readEvacuationKey} from '../../platform/declaration-rows.js';
 import {readServerRow} from '../../platform/server-rows.js';
 import {PlatformBatchProtocol} from '../../platform/stage-calls.js';
+import {StoreRow} from '../../platform/shared-row.js';
 import {StoreTable} from '../../platform/store-client.js';
 import {PlatformUpstreamProtocol} from '../../platform/upstream-headers.js';
 import {silentLoggers} from '../../src/base/common/logger.js';
@@ -145,6 +146,7 @@
 			servers: StoreTable.create({
 				store, table: 'servers', readRow: readServerRow, log,
 			}),
+			versionArchive: StoreRow.create({store, table: 'versions', key: 'history'}),
 		}, line => {
 			lines.push(line);
 		});
--- a/test/platform/resumed-streams.test.ts
+++ b/test/platform/resumed-streams.test.ts
@@ -3,13 +3,18 @@
 
 Guards against streams with events of two software versions over a caller's tries, and against streams that are lost although servers of their version run.
 */
+import {setTimeout as sleep} from 'node:timers/promises';
 import t from 'tap';
 import {waitUntil, type RunningEntry} from './direct-harness.js';
+import {addHosts, makeFleet} from './direct-load.js';
 import {readStream} from './stream-caller.js';
 import {
-	checkAllWhole, checkNotMixed, countLines, countOf, leaveOneOfEach, makeVersionedFleet, readStreams, stepMs,
+	checkAllWhole, checkNotMixed, countLines, countOf, eventCount, leaveOneOfEach, makeVersionedFleet, readStreams, stepMs, waitUntilLogged,
 } from './versioned-fleet.js';
 
+/** Longer than the margin of 5 s and the time of the route's limit that has passed for callers which state 4.5 s of 5 s. */
+const observationMs = 6500;
+
 /** A host that is started when the first caller needs it. */
 class LateHost {
 	private host: RunningEntry | undefined;
@@ -17,8 +22,12 @@
 
 	constructor(private readonly startHost: () => Promise<RunningEntry>) {}
 
+	get running(): RunningEntry {
+		return this.host!;
+	}
+
 	get callers(): RunningEntry['callers'] {
-		return this.host!.callers;
+		return this.running.callers;
 	}
 
 	async start(): Promise<void> {
@@ -146,3 +155,66 @@
 	t.equal(countOf(all, 'resumptions', 'unknown'), 30, 'each refusal is counted');
 	t.equal(countLines(all, '"outcome":"unknown"'), 30, 'and logged');
 });
+
+/*
+Guards against streams that are lost with all hosts although their servers run on, and against those that are continued then at another version.
+*/
+t.test('streams of the only software version are continued after the loss of all hosts, others are not', async t => {
+	const fleet = await makeFleet(t);
+	const servers = await fleet.addModels('v1.1', 3, stepMs);
+	t.teardown(() => {
+		for (const server of servers) {
+			server.dispose();
+		}
+	});
+	for (const server of servers) {
+		server.eventCount = eventCount;
+	}
+
+	const hosts = await addHosts(fleet, 2);
+	// Hosts claim that there was a single version only for the time in which they have observed it.
+	await sleep(observationMs);
+	const loseAndResume = async (prefix: string, lost: readonly RunningEntry[], change: () => Promise<void>) => {
+		let begunCount = 0;
+		const started = new LateHost(async () => {
+			await change();
+			for (const {entry} of lost) {
+				entry.lifecycle.stopNow();
+			}
+
+			return fleet.addReadyEntry();
+		});
+		const outcomes = await Promise.all(Array.from({length: 30}, async (_, index) => readStream({
+			id: `${prefix}-${index}`,
+			hosts: [lost[index % lost.length], started],
+			isUnnamed: index % 3 === 0,
+			breaksOffAfter: 2,
+			onFirstEvent() {
+				begunCount++;
+			},
+			async beforeResuming() {
+				await waitUntil(() => begunCount === 30);
+				await started.start();
+			},
+		})));
+		return {outcomes, started};
+	};
+
+	const sole = await loseAndResume('sole', hosts, async () => undefined);
+	checkNotMixed(t, sole.outcomes);
+	t.equal(sole.outcomes.filter(({continuedTries}) => continuedTries === 0).length, 0, 'all streams are continued');
+
+	const replaced = await loseAndResume('replaced', [sole.started.running], async () => {
+		const [fresh] = await fleet.addModels('v1.2', 1, stepMs);
+		fresh.eventCount = eventCount;
+		await waitUntilLogged([sole.started.running], `"${fresh.serverId}"`);
+		for (const {serverId} of servers) {
+			fleet.store.remove('servers', serverId);
+		}
+
+		fleet.servers.splice(0, servers.length);
+		await waitUntil(() => fleet.store.textOf('versions', 'history').includes('"lastMs"'));
+	});
+	checkNotMixed(t, replaced.outcomes);
+	t.ok(replaced.outcomes.every(({statuses}) => statuses.at(-1) === 503), 'the version that began them is gone');
+});
--- a/test/platform/store-standin.ts
+++ b/test/platform/store-standin.ts
@@ -1,7 +1,8 @@
 /** Stand-in for the platform's store: rows with one increasing revision; serves all rows of a table, or holds calls until rows change. */
 import {Buffer} from 'node:buffer';
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import {StandinServer, sendJson} from '../../src/standins/node/standin-server.js';
+import {z} from 'zod';
+import {readBody, StandinServer, sendJson} from '../../src/standins/node/standin-server.js';
 
 type Row = {readonly tableName: string; readonly tlsKey: string; readonly val?: string; readonly verNum: number; readonly isGone?: boolean};
 type HeldCall = {readonly table: string; readonly since: number; readonly response: ServerResponse; readonly timer: NodeJS.Timeout};
@@ -9,6 +10,9 @@
 /** Whether the store responds as it should, refuses calls (`busy`), closes their connections (`reset`) or never responds (`silent`). */
 export type StoreMode = 'sound' | 'busy' | 'reset' | 'silent';
 
+const rowKeySchema = z.object({tableName: z.string(), tlsKey: z.string()});
+const transactionSchema = z.object({expectedRev: z.array(rowKeySchema.extend({verNum: z.number()})), write: z.array(rowKeySchema.extend({val: z.string()}))});
+
 /** Stores the rows of the tables `op` and `servers`. */
 export class StoreStandin {
 	static async create(): Promise<StoreStandin> {
@@ -44,6 +48,11 @@
 		});
 	}
 
+	/** Returns the decoded value of a row; empty if there is none. */
+	textOf(table: string, key: string): string {
+		return Buffer.from(this.rows.get(`${table}/${key}`)?.val ?? '', 'base64').toString();
+	}
+
 	/** Drops the history of changes; held calls get status 410. */
 	forgetHistory(): void {
 		this.oldestRevision = this.revision;
@@ -101,7 +110,7 @@
 			}
 
 			case 'sound': {
-				this.read(new URL(request.url ?? '/', 'http://store'), response);
+				void this.respond(request, response);
 
 				break;
 			}
@@ -109,12 +118,37 @@
 		}
 	}
 
+	private async respond(request: IncomingMessage, response: ServerResponse): Promise<void> {
+		const url = new URL(request.url ?? '/', 'http://store');
+		if (url.pathname === '/v1/rows-tx') {
+			this.transact(transactionSchema.parse(JSON.parse(new TextDecoder().decode(await readBody(request)))), response);
+		} else {
+			this.read(url, response);
+		}
+	}
+
+	private transact({expectedRev, write}: z.infer<typeof transactionSchema>, response: ServerResponse): void {
+		const revisionOf = ({tableName, tlsKey}: {readonly tableName: string; readonly tlsKey: string}) => this.rows.get(`${tableName}/${tlsKey}`)?.verNum ?? 0;
+		if (expectedRev.some(row => revisionOf(row) !== row.verNum)) {
+			sendJson(response, 412, {rows: []});
+			return;
+		}
+
+		for (const {tableName, tlsKey, val} of write) {
+			this.write({
+				tableName, tlsKey, val, verNum: this.nextRevision(),
+			});
+		}
+
+		sendJson(response, 200, {verNum: this.revision, nowMs: performance.now()});
+	}
+
 	private read(url: URL, response: ServerResponse): void {
 		const table = url.searchParams.get('tableName') ?? '';
 		if (url.pathname === '/v1/rows-get') {
 			const rows = [...this.rows.values()].filter(row => row.tableName === table && row.isGone !== true);
 			sendJson(response, 200, {
-				rows, hasMore: false, verNum: this.revision, nowMs: 0,
+				rows, hasMore: false, verNum: this.revision, nowMs: performance.now(),
 			});
 			return;
 		}
--- a/test/platform/stream-caller.ts
+++ b/test/platform/stream-caller.ts
@@ -24,6 +24,8 @@
 	readonly path?: string;
 	readonly key?: string;
 	readonly headers?: Record<string, string>;
+	/** Whether the caller does not name the request that began the stream. */
+	readonly isUnnamed?: boolean;
 	/** The caller breaks off a try, except the last one, after this number of events. */
 	readonly breaksOffAfter?: number;
 	/** Called after the first event of the stream. */
@@ -56,7 +58,7 @@
 		const tryId = `${id}-${index}`;
 		const isResumed = beginningId !== undefined;
 		const result = await readOnce(reading, host, {
-			'attempt-id': tryId, ...(beginningId !== undefined && {resumes: beginningId, 'last-event-id': String(events.at(-1)!.id)}),
+			'attempt-id': tryId, ...(beginningId !== undefined && {...(!reading.isUnnamed && {resumes: beginningId}), 'last-event-id': String(events.at(-1)!.id)}),
 		}, {breaksOffAfter: index === hosts.length - 1 ? undefined : reading.breaksOffAfter, onFirstEvent: isResumed ? undefined : onFirstEvent});
 		statuses.push(result.status);
 		events.push(...result.events);
