Move the messages about streams out of the messages of all processes

They stand in a file of their own with the fields that messages share in another; nothing on the wire changes.

--- a/src/direct/node/stream-directory.ts
+++ b/src/direct/node/stream-directory.ts
@@ -6,7 +6,7 @@
 import type {Clock} from '../../base/common/clock.js';
 import {DisposableStore, type Disposable} from '../../base/common/disposable.js';
 import type {PeerMesh} from '../../peers/node/peer-mesh.js';
-import {maxBegunStreams, type BegunStream} from '../../wire/common/messages.js';
+import {maxBegunStreams, type BegunStream} from '../../wire/common/stream-messages.js';
 import {isKeeper, keeperCount, keepersOf} from '../common/stream-keepers.js';
 import {StreamOrigins, type KnownOrigin, type StreamRecord} from '../common/stream-origins.js';
 
--- a/src/peers/node/version-history-updates.ts
+++ b/src/peers/node/version-history-updates.ts
@@ -1,7 +1,7 @@
 /** Reports the software versions that this host has observed to hosts that connect, and applies what they report: a host that has just started knows no past. */
 import {DisposableStore, type Disposable} from '../../base/common/disposable.js';
 import type {VersionHistory} from '../../deployment/common/version-history.js';
-import {maxReportedVersions} from '../../wire/common/messages.js';
+import {maxReportedVersions} from '../../wire/common/stream-messages.js';
 import type {PeerMesh} from './peer-mesh.js';
 
 /** Dependencies of `VersionHistoryUpdates`. */
--- a/src/wire/common/messages.ts
+++ b/src/wire/common/messages.ts
@@ -1,5 +1,11 @@
 /** Messages between the processes of this system. */
 import {z} from 'zod';
+import {
+	bytes, contentId, count, id, ms, name, serverId,
+} from './message-fields.js';
+import {
+	streamAskSchema, streamsBegunSchema, streamUnknownSchema, versionHistorySchema,
+} from './stream-messages.js';
 
 /** Version of the protocol; both sides must use the same. */
 export const protocolVersion = 7;
@@ -8,15 +14,6 @@
 export const maxCallerRequestIdLength = 200;
 export const maxPieceKeyLength = 200;
 
-const id = z.string().min(1).max(128);
-const name = z.string().min(1).max(200);
-/** One server process of an upstream: its name in the platform's list, with the time of its start. */
-const serverId = z.string().min(1).max(256);
-/** Identifies the content of a request; the same for all attempts, whatever their ids. */
-const contentId = z.string().length(32);
-const count = z.number().int().nonnegative();
-const ms = z.number().nonnegative();
-const bytes = z.custom<Uint8Array>(value => value instanceof Uint8Array, 'expected bytes');
 const headerSchema = z.strictObject({name: z.string().max(256), value: z.string().max(16_384)});
 
 /** Roles of processes. */
@@ -412,34 +409,6 @@
 	serverIds: z.array(serverId).max(maxLeavingServers),
 });
 
-/** Upper bound on the streams in one message. */
-export const maxBegunStreams = 1000;
-const streamId = z.string().max(64);
-const begunStreamSchema = z.strictObject({
-	streamId,
-	pool: name,
-	softwareVersion: z.string().min(1).max(200),
-	/** Time for which its caller may resume it. */
-	forMs: ms.max(60_000),
-});
-/** Where a stream began that its caller may resume at another host. */
-export type BegunStream = z.infer<typeof begunStreamSchema>;
-/** Streams that began at the sender or that it was told of: reported to the hosts that remember them, or as the answer to `streamAsk`. */
-const streamsBegunSchema = z.strictObject({type: z.literal('streamsBegun'), streams: z.array(begunStreamSchema).min(1).max(maxBegunStreams)});
-/** Asks where a stream began. */
-const streamAskSchema = z.strictObject({type: z.literal('streamAsk'), streamId});
-/** Answers `streamAsk`: the sender does not know the stream. */
-const streamUnknownSchema = z.strictObject({type: z.literal('streamUnknown'), streamId});
-
-/** Upper bound on the software versions in one message. */
-export const maxReportedVersions = 10_000;
-/** The software versions that the sender has observed in each pool; an empty one is not known. */
-const versionHistorySchema = z.strictObject({
-	type: z.literal('versionHistory'),
-	observedForMs: ms,
-	versions: z.array(z.strictObject({pool: name, softwareVersion: z.string().max(200), agoMs: ms})).max(maxReportedVersions),
-});
-
 const messageSchema = z.discriminatedUnion('type', [
 	helloSchema,
 	welcomeSchema,
