Count and log the sends that are repeated, and those that the budget declines

A report of too many repeats of all hosts could not be traced: a repeat that was declined or paid for left no line of its own, no metric told repeats by pool and kind, and nothing told the part of the slack that a host uses.

The budgets of a host's pools are held by a component of their own, which counts repeats by pool and kind and logs, once a second at most, a budget that is spent with what was sent and the number of hosts that share the slack. What is allowed is unchanged.

--- a/src/daemon/node/compose-direct-entry.ts
+++ b/src/daemon/node/compose-direct-entry.ts
@@ -48,6 +48,7 @@
 import {EngineLoads} from '../../routing/common/engine-loads.js';
 import {sharedCapacityOf} from '../../routing/common/host-capacity.js';
 import {PrefixIndex} from '../../routing/common/prefix-index.js';
+import {RepeatBudgets, repeatBudgetsToken} from '../../routing/common/repeat-budgets.js';
 import {reportedLoadsToken} from '../../routing/common/reported-load.js';
 import {sendBoundsToken} from '../../routing/common/send-bounds.js';
 import {serverRefusalsToken} from '../../routing/common/server-refusals.js';
@@ -137,7 +138,7 @@
 }
 
 /** Registers the choice of the upstream that serves a request, and the calls to upstreams. */
-function registerUpstreams({settings, ports, lifecycle, clock, logOf, register, get, hostCount}: Composition): void {
+function registerUpstreams({settings, ports, lifecycle, clock, metrics, logOf, register, get, hostCount}: Composition): void {
 	register(versionHistoryToken, () => VersionHistory.create({
 		registry: get(serverRegistryToken),
 		nowMs: () => clock.nowMs(),
@@ -148,12 +149,14 @@
 	register(availabilityToken, () => PoolAvailability.create({
 		registry: get(serverRegistryToken), bounds: get(sendBoundsToken),
 	}));
+	register(repeatBudgetsToken, () => RepeatBudgets.create({
+		bounds: settings.repeats, hostCount, log: logOf('requests'), metrics,
+	}));
 	register(routerToken, () => DirectRouter.create({
 		hall: settings.hall,
 		registry: get(serverRegistryToken),
 		chooser: ScoreChooser.create(get(randomToken), PrefixIndex.create()),
-		bounds: settings.repeats,
-		hostCount,
+		repeats: get(repeatBudgetsToken),
 		newDispatchId: newId,
 		engines: get(engineChooserToken),
 		onPromptAssigned(serverId, prompt) {
--- a/src/direct/common/direct-router.test.ts
+++ b/src/direct/common/direct-router.test.ts
@@ -1,5 +1,6 @@
 import t from 'tap';
 import {silentLoggers} from '../../base/common/logger.js';
+import {noMetrics} from '../../base/common/metrics.js';
 import {SeededRandom} from '../../base/common/random.js';
 import {routeKinds, type Route} from '../../deployment/common/declaration.js';
 import {ServerRegistry} from '../../deployment/common/server-registry.js';
@@ -9,6 +10,7 @@
 import {EngineLoads} from '../../routing/common/engine-loads.js';
 import {PrefixIndex} from '../../routing/common/prefix-index.js';
 import type {ColdBounds} from '../../routing/common/rate-bound.js';
+import {RepeatBudgets} from '../../routing/common/repeat-budgets.js';
 import {SendBounds} from '../../routing/common/send-bounds.js';
 import {SendShare} from '../../routing/common/send-share.js';
 import {ServerRefusals} from '../../routing/common/server-refusals.js';
@@ -39,8 +41,9 @@
 		hall: 'x',
 		registry: servers,
 		chooser: ScoreChooser.create(SeededRandom.create(1), PrefixIndex.create()),
-		bounds: {ratio: 0.2, slack: 50, windowMs: 10_000},
-		hostCount: () => 1,
+		repeats: RepeatBudgets.create({
+			bounds: {ratio: 0.2, slack: 50, windowMs: 10_000}, hostCount: () => 1, log: silentLoggers.for('requests'), metrics: noMetrics,
+		}),
 		newDispatchId: () => 'd',
 		engines: EngineChooser.create(EngineLoads.create()),
 		onPromptAssigned: () => undefined,
--- a/src/direct/common/direct-router.ts
+++ b/src/direct/common/direct-router.ts
@@ -12,12 +12,12 @@
 } from '../../routing/common/chooser.js';
 import {medianSlownessOf, OutlierDetector, type OutlierOptions} from '../../routing/common/outlier-detector.js';
 import type {PromptPart} from '../../routing/common/engine-loads.js';
+import type {RepeatBudgets} from '../../routing/common/repeat-budgets.js';
 import type {ReportedLoads} from '../../routing/common/reported-load.js';
 import type {ServerRefusals} from '../../routing/common/server-refusals.js';
 import {ServerLiveness} from '../../routing/common/server-liveness.js';
 import {StageEstimates} from '../../routing/common/stage-estimates.js';
 import {UpstreamStats} from '../../routing/common/upstream-stats.js';
-import {WindowedBudget, type RepeatBounds} from '../../routing/common/windowed-budget.js';
 import type {EngineChooser, PromptWork} from './engine-chooser.js';
 import type {PoolAvailability} from './pool-availability.js';
 import type {StreamContinuity} from './stream-continuity.js';
@@ -49,9 +49,7 @@
 	readonly hall: string;
 	readonly registry: ServerRegistry;
 	readonly chooser: UpstreamChooser;
-	readonly bounds: RepeatBounds;
-	/** Number of hosts that share the retry budget. */
-	readonly hostCount: () => number;
+	readonly repeats: RepeatBudgets;
 	readonly newDispatchId: () => string;
 	readonly engines: EngineChooser;
 	/** Called when a prompt was sent to an engine, so that peers take it into account too. */
@@ -79,7 +77,6 @@
 	}
 
 	private readonly knownServers = new Map<string, KnownServer>();
-	private readonly budgets = new Map<string, WindowedBudget>();
 	private readonly responseTimes = StageEstimates.create();
 	private readonly outliers = OutlierDetector.create(outlierOptions);
 
@@ -138,7 +135,7 @@
 	}
 
 	mayRetry(stage: StagePlan, nowMs: number): boolean {
-		return this.budgetOf(stage.pool).tryWithdraw(nowMs);
+		return this.options.repeats.tryWithdraw(stage.pool, nowMs);
 	}
 
 	mayHedge(stage: StagePlan, nowMs: number): boolean {
@@ -189,7 +186,9 @@
 		}
 
 		if (kind === 'first') {
-			this.budgetOf(stage.pool).countFirstSends(nowMs);
+			this.options.repeats.countFirstSends(stage.pool, nowMs);
+		} else {
+			this.options.repeats.reportSent(stage.pool, kind);
 		}
 	}
 
@@ -350,16 +349,6 @@
 
 		return known;
 	}
-
-	private budgetOf(pool: string): WindowedBudget {
-		let budget = this.budgets.get(pool);
-		if (!budget) {
-			budget = WindowedBudget.create(this.options.bounds, this.options.hostCount);
-			this.budgets.set(pool, budget);
-		}
-
-		return budget;
-	}
 }
 
 /** Returns what a stage requires of an engine, or undefined if it has no prompt. */
--- a/src/direct/common/refusing-pool.test.ts
+++ b/src/direct/common/refusing-pool.test.ts
@@ -7,6 +7,7 @@
 */
 import t, {type Test} from 'tap';
 import {silentLoggers} from '../../base/common/logger.js';
+import {noMetrics} from '../../base/common/metrics.js';
 import {SeededRandom} from '../../base/common/random.js';
 import {routeKinds, type Route} from '../../deployment/common/declaration.js';
 import {ServerRegistry} from '../../deployment/common/server-registry.js';
@@ -16,6 +17,7 @@
 import {EngineLoads} from '../../routing/common/engine-loads.js';
 import {PrefixIndex} from '../../routing/common/prefix-index.js';
 import {ScoreChooser} from '../../routing/common/score-chooser.js';
+import {RepeatBudgets} from '../../routing/common/repeat-budgets.js';
 import {SendBounds} from '../../routing/common/send-bounds.js';
 import {SendShare} from '../../routing/common/send-share.js';
 import {ServerRefusals} from '../../routing/common/server-refusals.js';
@@ -61,8 +63,9 @@
 		hall: 'x',
 		registry,
 		chooser: ScoreChooser.create(random, PrefixIndex.create()),
-		bounds: {ratio: 0.2, slack: 60, windowMs: 10_000},
-		hostCount: () => hostCount,
+		repeats: RepeatBudgets.create({
+			bounds: {ratio: 0.2, slack: 60, windowMs: 10_000}, hostCount: () => hostCount, log: silentLoggers.for('requests'), metrics: noMetrics,
+		}),
 		newDispatchId: () => 'd',
 		engines: EngineChooser.create(EngineLoads.create()),
 		onPromptAssigned: () => undefined,
--- a/src/direct/common/reporting-pool.test.ts
+++ b/src/direct/common/reporting-pool.test.ts
@@ -17,6 +17,7 @@
 import {attemptStates, type StagePlan} from '../../request/common/request-plan.js';
 import {EngineLoads} from '../../routing/common/engine-loads.js';
 import {PrefixIndex} from '../../routing/common/prefix-index.js';
+import {RepeatBudgets} from '../../routing/common/repeat-budgets.js';
 import {ReportedLoads} from '../../routing/common/reported-load.js';
 import {ScoreChooser} from '../../routing/common/score-chooser.js';
 import {SendBounds} from '../../routing/common/send-bounds.js';
@@ -78,8 +79,9 @@
 		hall: 'x',
 		registry,
 		chooser: ScoreChooser.create(random, PrefixIndex.create()),
-		bounds: {ratio: 0.2, slack: 60, windowMs: 10_000},
-		hostCount: () => 1,
+		repeats: RepeatBudgets.create({
+			bounds: {ratio: 0.2, slack: 60, windowMs: 10_000}, hostCount: () => 1, log: silentLoggers.for('requests'), metrics: noMetrics,
+		}),
 		newDispatchId: () => 'd',
 		engines: EngineChooser.create(EngineLoads.create()),
 		onPromptAssigned: () => undefined,
--- a/src/routing/common/windowed-budget.ts
+++ b/src/routing/common/windowed-budget.ts
@@ -14,6 +14,9 @@
 /** Share of the bounds that is used. The margin is needed because the windows of hosts are not aligned, and the bounds apply to the times at which sends arrive. */
 const usedShare = 0.85;
 
+/** State of a budget: what was sent within the window, the repeats that it allows, and the number of hosts that share the slack. */
+export type BudgetState = {readonly repeats: number; readonly firstSends: number; readonly allowed: number; readonly hosts: number};
+
 type WindowBucket = {readonly atMs: number; firstSends: number; repeats: number; hostCount: number};
 
 /** Counts the first sends and repeats to one pool on this host. */
@@ -48,6 +51,21 @@
 	*/
 	tryWithdraw(nowMs: number, count = 1): boolean {
 		const current = this.bucketAt(nowMs);
+		const {repeats, allowed} = this.describe(nowMs);
+		if (repeats + count > allowed) {
+			return false;
+		}
+
+		current.repeats += count;
+		return true;
+	}
+
+	/**
+	Returns the state of the budget.
+	@param nowMs - the current time.
+	*/
+	describe(nowMs: number): BudgetState {
+		this.bucketAt(nowMs);
 		let firstSends = 0;
 		let repeats = 0;
 		// Hosts that are partitioned or have left may have used their part of the slack within this window.
@@ -59,13 +77,9 @@
 		}
 
 		const {ratio, slack} = this.bounds;
-		const allowed = usedShare * ((ratio * firstSends) + (slack / maxHosts));
-		if (repeats + count > allowed) {
-			return false;
-		}
-
-		current.repeats += count;
-		return true;
+		return {
+			repeats, firstSends, allowed: usedShare * ((ratio * firstSends) + (slack / maxHosts)), hosts: maxHosts,
+		};
 	}
 
 	private bucketAt(nowMs: number): WindowBucket {
