--- a/test/platform/direct-harness.ts
+++ b/test/platform/direct-harness.ts
@@ -11,18 +11,27 @@
 import {silentLoggers} from '../../src/base/common/logger.js';
 import {composeDirectEntry} from '../../src/daemon/node/compose-direct-entry.js';
 import type {DirectEntry} from '../../src/daemon/node/direct-entry.js';
+import type {RepeatBounds} from '../../src/routing/common/windowed-budget.js';
 import type {Endpoint} from '../../src/wire/common/endpoint.js';
 import {ServerStandin} from './server-standin.js';
 import {StoreStandin} from './store-standin.js';
 
 const loopback = '127.0.0.1';
 const anyPort: Endpoint = {address: loopback, port: 0};
+const defaultRepeats: RepeatBounds = {ratio: 0.2, slack: 60, windowMs: 10_000};
 
 /** A started host with its endpoints and log lines. */
 export type RunningEntry = {readonly entry: DirectEntry; readonly callers: Endpoint; readonly readiness: Endpoint; readonly peers: Endpoint; readonly lines: string[]};
 
 /** Settings of a host that tests vary; a host with another secret than the others can't connect to them. */
-export type EntrySettings = {readonly stopGraceMs?: number; readonly wireSecret?: string; readonly hostId?: string};
+export type EntrySettings = {
+	readonly stopGraceMs?: number;
+	readonly wireSecret?: string;
+	readonly hostId?: string;
+	/** Where it listens for other hosts; any free port if absent. */
+	readonly peers?: Endpoint;
+	readonly repeats?: RepeatBounds;
+};
 
 /** A response as the caller received it; `isWhole` is true if it is complete. */
 export type CallerResponse = {readonly status: number; readonly headers: IncomingHttpHeaders; readonly text: string; readonly isWhole: boolean};
@@ -118,7 +127,9 @@
 	}
 
 	/** Starts a host without waiting until it is ready. */
-	async addEntry({stopGraceMs = 4200, wireSecret = 'a secret of the test', hostId = `entry-${this.entries.length}`}: EntrySettings = {}): Promise<RunningEntry> {
+	async addEntry({
+		stopGraceMs = 4200, wireSecret = 'a secret of the test', hostId = `entry-${this.entries.length}`, peers = anyPort, repeats = defaultRepeats,
+	}: EntrySettings = {}): Promise<RunningEntry> {
 		const log = silentLoggers.for('store');
 		const lines: string[] = [];
 		const store = {address: loopback, port: this.store.port};
@@ -127,9 +138,9 @@
 			hall: 'hall-a',
 			callers: anyPort,
 			readiness: anyPort,
-			peers: anyPort,
+			peers,
 			seeds: this.entries.map(running => running.peers),
-			repeats: {ratio: 0.2, slack: 60, windowMs: 10_000},
+			repeats,
 			cold: {excess: 1.5, tolerance: 5},
 			stopGraceMs,
 			declarationWithinMs: 2000,
@@ -162,6 +173,17 @@
 		return running;
 	}
 
+	/**
+	Kills a host and starts it again at the same addresses for its peers.
+	@param running - the host.
+	@param settings - its settings.
+	*/
+	async restartEntry(running: RunningEntry, settings: EntrySettings): Promise<RunningEntry> {
+		running.entry.lifecycle.stopNow();
+		this.entries.splice(this.entries.indexOf(running), 1);
+		return this.addReadyEntry({...settings, peers: running.peers});
+	}
+
 	dispose(): void {
 		for (const {entry} of this.entries) {
 			entry.lifecycle.stopNow();
--- a/test/platform/direct-load.ts
+++ b/test/platform/direct-load.ts
@@ -2,7 +2,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {Test} from 'tap';
 import {
-	sendRequest, DirectFleet, longTimeoutConfig, streamCall, waitUntil, type CallerResponse, type CallerCall, type RunningEntry,
+	sendRequest, DirectFleet, longTimeoutConfig, streamCall, waitUntil, type CallerResponse, type CallerCall, type EntrySettings, type RunningEntry,
 } from './direct-harness.js';
 import type {ServerStandin} from './server-standin.js';
 
@@ -45,10 +45,10 @@
 const countPeers = ({lines}: RunningEntry) => lines.filter(line => line.includes('A peer is connected.')).length;
 
 /** Starts hosts and waits until all are connected with each other. */
-export async function addHosts(fleet: DirectFleet, count: number): Promise<RunningEntry[]> {
+export async function addHosts(fleet: DirectFleet, count: number, settingsOf: (index: number) => EntrySettings = () => ({})): Promise<RunningEntry[]> {
 	const hosts: RunningEntry[] = [];
 	for (let index = 0; index < count; index++) {
-		hosts.push(await fleet.addReadyEntry());
+		hosts.push(await fleet.addReadyEntry(settingsOf(index)));
 	}
 
 	await waitUntil(() => hosts.every(host => countPeers(host) >= count - 1));
--- a/test/platform/server-standin.ts
+++ b/test/platform/server-standin.ts
@@ -120,12 +120,17 @@
 	losesInputsOfResumed = false;
 	/** Ids of the requests whose resumption was refused. */
 	readonly lostInputIds = new Set<string>();
+	/** Share of requests that the server runs and whose connection it then resets. */
+	resetShare = 0;
+	/** Arrivals of requests of callers, with the ids that the callers gave them; refused ones included. */
+	readonly arrivedRequests: Array<{readonly id: string; readonly atMs: number}> = [];
 	/** Number of requests whose connection closed before their response was complete. */
 	closedEarlyCount = 0;
 	private isLeaving = false;
 	/** Arrival times of requests, with the host that sent them. */
 	private readonly arrivals: Array<{readonly host: string; readonly atMs: number}> = [];
 	private accumulatedShare = 0;
+	private accumulatedResets = 0;
 	private server!: StandinServer;
 	private resultCount = 0;
 
@@ -190,6 +195,10 @@
 		const host = hostOf(request);
 		this.arrivedMs.push(nowMs);
 		this.arrivals.push({host, atMs: nowMs});
+		if (request.headers['attempt-id'] !== undefined) {
+			this.arrivedRequests.push({id: String(request.headers['attempt-id']), atMs: nowMs});
+		}
+
 		this.onArrival?.();
 		if (this.limit !== undefined) {
 			response.setHeader('server-limit', this.limit);
@@ -227,6 +236,14 @@
 		return isRefused;
 	}
 
+	/** Returns whether to reset the connection of the next request, distributed evenly over the requests. */
+	private shouldReset(): boolean {
+		this.accumulatedResets += this.resetShare;
+		const isReset = this.accumulatedResets >= 1;
+		this.accumulatedResets -= isReset ? 1 : 0;
+		return isReset;
+	}
+
 	private refuse(request: IncomingMessage, response: ServerResponse, {host, nowMs}: {readonly host: string; readonly nowMs: number}): void {
 		const retryAfter = this.refusalPolicy?.retryAfter;
 		const backoffS = Number(retryAfter);
@@ -258,9 +275,14 @@
 		await sleep(this.stepMs);
 		if (body === this.crashesOnBody) {
 			this.crash();
-			return;
+		} else if (this.shouldReset()) {
+			request.socket.resetAndDestroy();
+		} else {
+			await this.respond(request, response, id);
 		}
+	}
 
+	private async respond(request: IncomingMessage, response: ServerResponse, id: string): Promise<void> {
 		const headers = {'attempt-id': this.fault === 'foreign' ? 'someone-else' : id, 'server-stamp': `stamp-${this.serverId}`};
 		switch (this.fault) {
 			case 'silent': {
