Divide the slack of repeats by all known hosts, and give a restarted host none in its first window

Cause: a host derived its part of the slack from the hosts it was connected to, and kept what it had spent in its own process. A host that was cut off for longer than a window, or had just started, took the whole slack; one that restarted took its part anew in each life.

Why it holds: a part is the slack divided by every host that is known, connected or not, and by the seeds that were never reached; the parts of hosts that can't see each other still add up to the whole. A process that is not the first of its host uses no slack until a window has passed since its start, when what the former process sent has left every window; what its own requests allow is its own. A host that knows nobody although it has seeds has no part. Sends count as repeats for as long as any of them can be within the window. A fixed fraction by host and pool makes up for rounding down, so that 838 hosts with a slack of 400 use what they have.

--- a/src/daemon/common/direct-settings.ts
+++ b/src/daemon/common/direct-settings.ts
@@ -15,8 +15,10 @@
 	readonly peers: Endpoint;
 	/** Endpoints at which some of the other hosts may listen for peers. */
 	readonly seeds: readonly Endpoint[];
-	/** Bounds on the retries and hedges of all hosts together. */
+	/** Bounds on the repeated sends of all hosts together. */
 	readonly repeats: RepeatBounds;
+	/** Whether the whole deployment starts for the first time, so that no host has a former process. */
+	readonly isFirstStart: boolean;
 	/** Bounds on what all hosts together send to a cold upstream; unbounded if absent. */
 	readonly cold?: ColdBounds;
 	/** Time from the stop signal until the process is terminated from outside. */
--- a/src/daemon/node/compose-direct-entry.ts
+++ b/src/daemon/node/compose-direct-entry.ts
@@ -52,8 +52,8 @@
 import {reportedLoadsToken} from '../../routing/common/reported-load.js';
 import {sendBoundsToken} from '../../routing/common/send-bounds.js';
 import {serverRefusalsToken} from '../../routing/common/server-refusals.js';
+import {SlackShare} from '../../routing/common/slack-share.js';
 import {ScoreChooser} from '../../routing/common/score-chooser.js';
-import {WindowedBudget} from '../../routing/common/windowed-budget.js';
 import type {WireClientOptions} from '../../wire/node/wire-client.js';
 import {WireServer} from '../../wire/node/wire-server.js';
 import type {DirectEntrySettings} from '../common/direct-settings.js';
@@ -150,7 +150,10 @@
 		registry: get(serverRegistryToken), bounds: get(sendBoundsToken),
 	}));
 	register(repeatBudgetsToken, () => RepeatBudgets.create({
-		bounds: settings.repeats, hostCount, log: logOf('requests'), metrics,
+		bounds: settings.repeats,
+		slack: SlackShare.create({viewOf: nowMs => get(peerMeshToken).fleetView(nowMs), startedMs: clock.nowMs(), isFirstStart: settings.isFirstStart}),
+		log: logOf('requests'),
+		metrics,
 	}));
 	register(routerToken, () => DirectRouter.create({
 		hall: settings.hall,
@@ -196,7 +199,7 @@
 }
 
 /** Registers the batches for the preparation of requests. */
-function registerPreparation({settings, ports, lifecycle, clock, metrics, logOf, register, get, isLeaving, hostCount}: Composition): void {
+function registerPreparation({settings, ports, lifecycle, clock, metrics, logOf, register, get, isLeaving}: Composition): void {
 	const poolsByIndex = ScheduledPoolsByIndex.create();
 	const isScheduled = (pool: string) => {
 		const {current} = get(deploymentTrackerToken);
@@ -220,7 +223,7 @@
 				bounds: get(sendBoundsToken),
 				loads: get(reportedLoadsToken),
 				protocol: ports.batches,
-				budget: WindowedBudget.create(settings.repeats, hostCount),
+				repeats: get(repeatBudgetsToken),
 				quarantine: get(quarantineToken),
 				clock,
 				log: logOf('batches'),
--- a/src/direct/common/bounded-pool.test.ts
+++ b/src/direct/common/bounded-pool.test.ts
@@ -29,7 +29,9 @@
 			registry: {remainingColdMs: () => 0, acceptsNewWork: () => true, onDidChange: () => ({dispose: () => undefined})},
 			limits: {limitOf: () => ({perS: limitPerS, sinceAnnouncedMs: 0}), forget: () => undefined},
 			backoffs: {remainingMs: () => 0, forget: () => undefined},
-			share: SendShare.create(() => ({ownName: own, hosts, isSettled: true})),
+			share: SendShare.create(() => ({
+				ownName: own, hosts, isSettled: true, unseenSeedCount: 0,
+			})),
 			cold: undefined,
 			toleratedPerS: () => 0,
 		});
--- a/src/direct/common/direct-router.test.ts
+++ b/src/direct/common/direct-router.test.ts
@@ -16,6 +16,7 @@
 import {ServerRefusals} from '../../routing/common/server-refusals.js';
 import {ScoreChooser} from '../../routing/common/score-chooser.js';
 import {refusalReasons} from '../../wire/common/messages.js';
+import {SlackShare} from '../../routing/common/slack-share.js';
 import {makeDirectPlan} from './direct-plan.js';
 import {StreamContinuity} from './stream-continuity.js';
 import {DirectRouter} from './direct-router.js';
@@ -42,7 +43,16 @@
 		registry: servers,
 		chooser: ScoreChooser.create(SeededRandom.create(1), PrefixIndex.create()),
 		repeats: RepeatBudgets.create({
-			bounds: {ratio: 0.2, slack: 50, windowMs: 10_000}, hostCount: () => 1, log: silentLoggers.for('requests'), metrics: noMetrics,
+			bounds: {ratio: 0.2, slack: 50, windowMs: 10_000},
+			slack: SlackShare.create({
+				viewOf: () => ({
+					ownName: 'a', hosts: ['a'], isSettled: true, unseenSeedCount: 0,
+				}),
+				startedMs: 0,
+				isFirstStart: true,
+			}),
+			log: silentLoggers.for('requests'),
+			metrics: noMetrics,
 		}),
 		newDispatchId: () => 'd',
 		engines: EngineChooser.create(EngineLoads.create()),
@@ -55,7 +65,9 @@
 				registry: servers,
 				limits: {limitOf: () => undefined, forget: () => undefined},
 				backoffs: {remainingMs: () => 0, forget: () => undefined},
-				share: SendShare.create(() => ({ownName: 'a', hosts: ['a'], isSettled: true})),
+				share: SendShare.create(() => ({
+					ownName: 'a', hosts: ['a'], isSettled: true, unseenSeedCount: 0,
+				})),
 				cold,
 				toleratedPerS: () => 4,
 			}),
--- a/src/direct/common/refusing-pool.test.ts
+++ b/src/direct/common/refusing-pool.test.ts
@@ -22,6 +22,7 @@
 import {SendShare} from '../../routing/common/send-share.js';
 import {ServerRefusals} from '../../routing/common/server-refusals.js';
 import {refusalReasons} from '../../wire/common/messages.js';
+import {SlackShare} from '../../routing/common/slack-share.js';
 import {makeDirectPlan} from './direct-plan.js';
 import {StreamContinuity} from './stream-continuity.js';
 import {DirectRouter} from './direct-router.js';
@@ -43,6 +44,7 @@
 };
 
 function makeRouter(hostCount: number, random: SeededRandom): DirectRouter {
+	const hosts = Array.from({length: hostCount}, (_, index) => `h${index}`);
 	const registry = ServerRegistry.create({log: silentLoggers.for('test'), leavingWithinMs: 2000});
 	registry.replaceAll({
 		revision: 1,
@@ -54,7 +56,9 @@
 		registry,
 		limits: {limitOf: () => undefined, forget: () => undefined},
 		backoffs: {remainingMs: () => 0, forget: () => undefined},
-		share: SendShare.create(() => ({ownName: 'a', hosts: ['a'], isSettled: true})),
+		share: SendShare.create(() => ({
+			ownName: 'a', hosts: ['a'], isSettled: true, unseenSeedCount: 0,
+		})),
 		cold: undefined,
 		toleratedPerS: () => 0,
 	});
@@ -64,7 +68,16 @@
 		registry,
 		chooser: ScoreChooser.create(random, PrefixIndex.create()),
 		repeats: RepeatBudgets.create({
-			bounds: {ratio: 0.2, slack: 60, windowMs: 10_000}, hostCount: () => hostCount, log: silentLoggers.for('requests'), metrics: noMetrics,
+			bounds: {ratio: 0.2, slack: 60, windowMs: 10_000},
+			slack: SlackShare.create({
+				viewOf: () => ({
+					ownName: 'h0', hosts, isSettled: true, unseenSeedCount: 0,
+				}),
+				startedMs: 0,
+				isFirstStart: true,
+			}),
+			log: silentLoggers.for('requests'),
+			metrics: noMetrics,
 		}),
 		newDispatchId: () => 'd',
 		engines: EngineChooser.create(EngineLoads.create()),
--- a/src/direct/common/reporting-pool.test.ts
+++ b/src/direct/common/reporting-pool.test.ts
@@ -23,6 +23,7 @@
 import {SendBounds} from '../../routing/common/send-bounds.js';
 import {SendShare} from '../../routing/common/send-share.js';
 import {ServerRefusals} from '../../routing/common/server-refusals.js';
+import {SlackShare} from '../../routing/common/slack-share.js';
 import {makeDirectPlan} from './direct-plan.js';
 import {StreamContinuity} from './stream-continuity.js';
 import {DirectRouter} from './direct-router.js';
@@ -69,7 +70,9 @@
 		registry,
 		limits: {limitOf: () => undefined, forget: () => undefined},
 		backoffs: {remainingMs: () => 0, forget: () => undefined},
-		share: SendShare.create(() => ({ownName: 'a', hosts: ['a'], isSettled: true})),
+		share: SendShare.create(() => ({
+			ownName: 'a', hosts: ['a'], isSettled: true, unseenSeedCount: 0,
+		})),
 		cold: undefined,
 		toleratedPerS: () => 0,
 	});
@@ -80,7 +83,16 @@
 		registry,
 		chooser: ScoreChooser.create(random, PrefixIndex.create()),
 		repeats: RepeatBudgets.create({
-			bounds: {ratio: 0.2, slack: 60, windowMs: 10_000}, hostCount: () => 1, log: silentLoggers.for('requests'), metrics: noMetrics,
+			bounds: {ratio: 0.2, slack: 60, windowMs: 10_000},
+			slack: SlackShare.create({
+				viewOf: () => ({
+					ownName: 'a', hosts: ['a'], isSettled: true, unseenSeedCount: 0,
+				}),
+				startedMs: 0,
+				isFirstStart: true,
+			}),
+			log: silentLoggers.for('requests'),
+			metrics: noMetrics,
 		}),
 		newDispatchId: () => 'd',
 		engines: EngineChooser.create(EngineLoads.create()),
--- a/src/direct/node/stream-directory.test.ts
+++ b/src/direct/node/stream-directory.test.ts
@@ -59,7 +59,7 @@
 				get liveHosts() {
 					return peersOf();
 				},
-				fleetView: () => ({ownName: hostId, hosts: allNames(), isSettled: isFleetSettled()}),
+				fleetView: () => ({ownName: hostId, hosts: allNames(), isSettled: isFleetSettled(), unseenSeedCount: 0}),
 				send: (to, message) => this.deliver(hostId, to, message),
 			},
 		});
--- a/src/peers/common/fleet-tracker.ts
+++ b/src/peers/common/fleet-tracker.ts
@@ -62,10 +62,13 @@
 	*/
 	view(seeds: readonly string[], nowMs: number): FleetView {
 		this.forgetUnseen(nowMs);
-		const areSeedsKnown = nowMs - this.startMs >= missingSeedTimeoutMs || seeds.every(seed => seed === this.ownEndpoint || this.lastSeenMs.has(seed));
+		const unseenSeedCount = seeds.filter(seed => seed !== this.ownEndpoint && !this.lastSeenMs.has(seed)).length;
+		const areSeedsKnown = nowMs - this.startMs >= missingSeedTimeoutMs || unseenSeedCount === 0;
 		const isSettled = areSeedsKnown && (this.firstSeenMs === undefined || nowMs - this.firstSeenMs >= discoveryMs);
 		this.sortedHosts ??= [this.ownEndpoint, ...this.lastSeenMs.keys()].toSorted();
-		return {ownName: this.ownEndpoint, hosts: this.sortedHosts, isSettled};
+		return {
+			ownName: this.ownEndpoint, hosts: this.sortedHosts, isSettled, unseenSeedCount,
+		};
 	}
 
 	private forgetUnseen(nowMs: number): void {
--- a/src/preparation/node/batch-pool.test.ts
+++ b/src/preparation/node/batch-pool.test.ts
@@ -72,7 +72,7 @@
 		registry: {
 			onDidChange: Emitter.create().event, usable: () => servers.map(serverId => ({serverId, hall: ''})), isPoolClosed: () => false, get: () => undefined,
 		},
-		budget: {countFirstSends: () => undefined},
+		repeats: {countFirstSends: () => undefined},
 		quarantine: {handlingOf: () => 'none'},
 		bounds: {allowance: () => ({remaining: Infinity, perS: Infinity})},
 		loads: {slownessAt: () => undefined},
@@ -178,7 +178,7 @@
 				}
 			},
 		},
-		budget: {countFirstSends: () => undefined},
+		repeats: {countFirstSends: () => undefined},
 		quarantine: {handlingOf: () => 'none', connectionLost: () => undefined},
 		bounds: {allowance: () => ({remaining: Infinity, perS: Infinity}), sent: () => undefined},
 		loads: {slownessAt: () => undefined},
--- a/src/preparation/node/batch-pool.ts
+++ b/src/preparation/node/batch-pool.ts
@@ -13,10 +13,10 @@
 import {collectResponse} from '../../deployment/node/collect-response.js';
 import {ConnectionPool} from '../../deployment/node/connection-pool.js';
 import type {Quarantine} from '../../quarantine/common/quarantine.js';
+import type {RepeatBudgets} from '../../routing/common/repeat-budgets.js';
 import type {ReportedLoads} from '../../routing/common/reported-load.js';
 import type {SendBounds} from '../../routing/common/send-bounds.js';
 import type {BoundedWork} from '../../routing/common/send-share.js';
-import type {WindowedBudget} from '../../routing/common/windowed-budget.js';
 import {
 	fetchedPiecesOf, type BatchCall, type FetchedPieces, type FinishedPiece,
 } from '../common/batch-call.js';
@@ -49,7 +49,7 @@
 	/** What the servers report about their load. */
 	readonly loads: Pick<ReportedLoads, 'slownessAt'>;
 	readonly protocol: BatchProtocol;
-	readonly budget: WindowedBudget;
+	readonly repeats: Pick<RepeatBudgets, 'countFirstSends'>;
 	readonly quarantine: Pick<Quarantine, 'connectionLost' | 'handlingOf'>;
 	readonly clock: Clock;
 	readonly log: Logger;
@@ -189,7 +189,7 @@
 		}
 
 		this.scheduler.add(work, nowMs);
-		this.options.budget.countFirstSends(nowMs, work.pieces.length);
+		this.options.repeats.countFirstSends(work.pool, nowMs, work.pieces.length);
 		this.schedule();
 	}
 
--- a/src/routing/common/fleet-view.ts
+++ b/src/routing/common/fleet-view.ts
@@ -8,4 +8,6 @@
 	readonly hosts: readonly string[];
 	/** Whether this host knows the others well enough to take a share: either there are no others, or it has been in contact with them for a while. */
 	readonly isSettled: boolean;
+	/** Number of seeds, other than this host, that this host has not been in contact with. */
+	readonly unseenSeedCount: number;
 };
--- a/src/routing/common/repeat-budgets.ts
+++ b/src/routing/common/repeat-budgets.ts
@@ -2,7 +2,8 @@
 import type {InjectionToken} from 'tsyringe';
 import type {Logger} from '../../base/common/logger.js';
 import type {Metrics} from '../../base/common/metrics.js';
-import {WindowedBudget, type RepeatBounds} from './windowed-budget.js';
+import type {SlackShare} from './slack-share.js';
+import {usedShare, WindowedBudget, type RepeatBounds} from './windowed-budget.js';
 
 /** Minimum time between two log lines about declined repeats to one pool. */
 const logIntervalMs = 1000;
@@ -13,8 +14,8 @@
 export type RepeatBudgetsOptions = {
 	/** Bounds on all hosts together. */
 	readonly bounds: RepeatBounds;
-	/** Number of hosts that share the slack. */
-	readonly hostCount: () => number;
+	/** This host's part of the slack. */
+	readonly slack: SlackShare;
 	readonly log: Logger;
 	readonly metrics: Metrics;
 };
@@ -76,9 +77,9 @@
 		metrics.increment('repeats.declined', count, {pool});
 		if (nowMs - (this.lastLoggedMs.get(pool) ?? -Infinity) >= logIntervalMs) {
 			this.lastLoggedMs.set(pool, nowMs);
-			const {repeats, firstSends, allowed, hosts} = budget.describe(nowMs);
+			const {repeats, firstSends, allowed, slack} = budget.describe(nowMs);
 			log.info('The budget of repeated sends to a pool is spent.', {
-				pool, repeats, firstSends, allowed: Math.floor(allowed), hosts,
+				pool, repeats, firstSends, allowed: Math.floor(allowed), slack: Math.floor(slack),
 			});
 		}
 	}
@@ -86,7 +87,8 @@
 	private budgetOf(pool: string): WindowedBudget {
 		let budget = this.budgets.get(pool);
 		if (!budget) {
-			budget = WindowedBudget.create(this.options.bounds, this.options.hostCount);
+			const {bounds, slack} = this.options;
+			budget = WindowedBudget.create(bounds, {partAt: nowMs => slack.partOf(pool, usedShare * bounds.slack, nowMs), fromMs: slack.usableFromMs(bounds.windowMs)});
 			this.budgets.set(pool, budget);
 		}
 
--- a/src/routing/common/send-bounds.test.ts
+++ b/src/routing/common/send-bounds.test.ts
@@ -17,7 +17,9 @@
 		registry: {remainingColdMs: () => state.coldLeftMs, acceptsNewWork: () => !state.isDrained, onDidChange: changed.event},
 		limits: {limitOf: () => state.limit, forget: () => undefined},
 		backoffs: {remainingMs: () => state.backoffMs, forget: () => undefined},
-		share: SendShare.create(() => ({ownName: own, hosts, isSettled: state.isSettled})),
+		share: SendShare.create(() => ({
+			ownName: own, hosts, isSettled: state.isSettled, unseenSeedCount: 0,
+		})),
 		cold: {excess: 1.5, tolerance: 5},
 		toleratedPerS: () => 4,
 	});
--- a/src/routing/common/send-share.test.ts
+++ b/src/routing/common/send-share.test.ts
@@ -172,7 +172,9 @@
 		for (const perS of hostCount > 31 ? [1, 25] : [0.2, 0.5, 1, 2, 4, 25]) {
 			const hosts = Array.from({length: hostCount}, (_, index) => `10.0.0.${index}:1`);
 			const bound = limitBound(perS);
-			const shares = hosts.map(own => SendShare.create(() => ({ownName: own, hosts, isSettled: true})));
+			const shares = hosts.map(own => SendShare.create(() => ({
+				ownName: own, hosts, isSettled: true, unseenSeedCount: 0,
+			})));
 			const sentMs: number[] = [];
 			for (let nowMs = 0; nowMs < 20_000; nowMs += stepMs) {
 				for (const share of shares.filter(each => each.remaining('s', bound, anyWork, nowMs) > 0)) {
@@ -194,7 +196,9 @@
 	const hosts = Array.from({length: 31}, (_, index) => `h${index}`);
 	const soleWork = {isSoleSender: true};
 	for (const own of hosts) {
-		const share = SendShare.create(() => ({ownName: own, hosts, isSettled: true}));
+		const share = SendShare.create(() => ({
+			ownName: own, hosts, isSettled: true, unseenSeedCount: 0,
+		}));
 		let sent = 0;
 		for (let nowMs = 0; nowMs < bound.windowMs; nowMs += stepMs) {
 			t.ok(share.remaining('s', bound, soleWork, nowMs) <= 2);
@@ -207,7 +211,9 @@
 		t.equal(sent, bound.maxRequests);
 	}
 
-	const unsettled = SendShare.create(() => ({ownName: 'h1', hosts, isSettled: false}));
+	const unsettled = SendShare.create(() => ({
+		ownName: 'h1', hosts, isSettled: false, unseenSeedCount: 0,
+	}));
 	t.equal(unsettled.remaining('s', bound, soleWork, 0), 0, 'a host that is not settled has no quota');
 });
 
@@ -220,7 +226,9 @@
 });
 
 t.test('the next send is due when the oldest send leaves the window', async t => {
-	const share = SendShare.create(() => ({ownName: 'a', hosts: ['a'], isSettled: true}));
+	const share = SendShare.create(() => ({
+		ownName: 'a', hosts: ['a'], isSettled: true, unseenSeedCount: 0,
+	}));
 	const bound = {maxRequests: 2, windowMs: 1000, isPaced: false};
 	share.sent('s', 0);
 	share.sent('s', 300);
@@ -230,6 +238,8 @@
 	t.equal(share.nextSendInMs('t', paced, anyWork, 400), 0);
 	share.sent('t', 400);
 	t.equal(share.nextSendInMs('t', paced, anyWork, 400), 500, 'half of the window for each of two');
-	const unsettled = SendShare.create(() => ({ownName: 'a', hosts: ['a'], isSettled: false}));
+	const unsettled = SendShare.create(() => ({
+		ownName: 'a', hosts: ['a'], isSettled: false, unseenSeedCount: 0,
+	}));
 	t.equal(unsettled.nextSendInMs('s', bound, anyWork, 400), undefined);
 });
--- a/src/routing/common/suspend.test.ts
+++ b/src/routing/common/suspend.test.ts
@@ -21,7 +21,7 @@
 
 t.test('a retry budget ignores first sends and repeats from before a suspend that is longer than its window', async t => {
 	const clock = ManualClock.create();
-	const budget = WindowedBudget.create({ratio: 0.2, slack: 2, windowMs: 10_000}, () => 1);
+	const budget = WindowedBudget.create({ratio: 0.2, slack: 2, windowMs: 10_000}, {partAt: () => 0.85 * 2, fromMs: -Infinity});
 	budget.countFirstSends(clock.nowMs(), 1000);
 	t.ok(budget.tryWithdraw(clock.nowMs(), 100));
 	t.notOk(budget.tryWithdraw(clock.nowMs(), 100));
@@ -67,7 +67,9 @@
 
 t.test('sends to a cold upstream expire during a suspend', async t => {
 	const clock = ManualClock.create();
-	const share = SendShare.create(() => ({ownName: 'a', hosts: ['a'], isSettled: true}));
+	const share = SendShare.create(() => ({
+		ownName: 'a', hosts: ['a'], isSettled: true, unseenSeedCount: 0,
+	}));
 	const bound = coldUpstreamBound(4, {excess: 1.5, tolerance: 5});
 	const left = () => share.remaining('s', bound, {isSoleSender: false}, clock.nowMs());
 	while (left() > 0) {
@@ -114,7 +116,9 @@
 		registry: {remainingColdMs: () => 0, acceptsNewWork: () => true, onDidChange: () => ({dispose: () => undefined})},
 		limits,
 		backoffs: {remainingMs: () => 0, forget: () => undefined},
-		share: SendShare.create(() => ({ownName: 'a', hosts: ['a', 'b'], isSettled: false})),
+		share: SendShare.create(() => ({
+			ownName: 'a', hosts: ['a', 'b'], isSettled: false, unseenSeedCount: 0,
+		})),
 		cold: undefined,
 		toleratedPerS: () => 0,
 	});
--- a/src/routing/common/windowed-budget.test.ts
+++ b/src/routing/common/windowed-budget.test.ts
@@ -3,7 +3,7 @@
 
 t.test('repeats are limited to a share of first sends plus a part of the slack in any window', async t => {
 	let hosts = 5;
-	const budget = WindowedBudget.create({ratio: 0.2, slack: 50, windowMs: 10_000}, () => hosts);
+	const budget = WindowedBudget.create({ratio: 0.2, slack: 50, windowMs: 10_000}, {partAt: () => 0.85 * 50 / hosts, fromMs: 0});
 	const withdrawAll = (nowMs: number) => {
 		let drawn = 0;
 		while (budget.tryWithdraw(nowMs)) {
@@ -24,7 +24,7 @@
 
 t.test('hosts that left within the window still count, since they may have used their part', async t => {
 	let hosts = 4;
-	const budget = WindowedBudget.create({ratio: 0, slack: 40, windowMs: 10_000}, () => hosts);
+	const budget = WindowedBudget.create({ratio: 0, slack: 40, windowMs: 10_000}, {partAt: () => 0.85 * 40 / hosts, fromMs: 0});
 	budget.countFirstSends(0);
 	hosts = 1;
 	let paid = 0;
--- a/src/routing/common/windowed-budget.ts
+++ b/src/routing/common/windowed-budget.ts
@@ -1,4 +1,4 @@
-/** Limits repeated sends (retries and hedges) in a sliding window to a share of the first sends plus a slack that is divided among all hosts. */
+/** Limits repeated sends in a sliding window to a share of the first sends plus this host's part of a slack. */
 
 /** Bounds on repeated sends, from the deployment's settings. */
 export type RepeatBounds = {
@@ -11,28 +11,35 @@
 
 /** Number of buckets in which a window is counted; an expired bucket is dropped as a whole. */
 const bucketsPerWindow = 20;
-/** Share of the bounds that is used. The margin is needed because the windows of hosts are not aligned, and the bounds apply to the times at which sends arrive. */
-const usedShare = 0.85;
+/** Share of the bounds that hosts use. The margin is needed because the windows of hosts are not aligned, and the bounds apply to the times at which sends arrive. */
+export const usedShare = 0.85;
 
-/** State of a budget: what was sent within the window, the repeats that it allows, and the number of hosts that share the slack. */
-export type BudgetState = {readonly repeats: number; readonly firstSends: number; readonly allowed: number; readonly hosts: number};
+/** This host's part of what may be used of the slack, and the time from which it may be used. */
+export type SlackPart = {
+	/** Returns the part; undefined if it can't be used now, because it isn't known. */
+	readonly partAt: (nowMs: number) => number | undefined;
+	readonly fromMs: number;
+};
+
+/** State of a budget: what was sent within the window, the repeats that it allows, and the part of the slack in them. */
+export type BudgetState = {readonly repeats: number; readonly firstSends: number; readonly allowed: number; readonly slack: number};
 
-type WindowBucket = {readonly atMs: number; firstSends: number; repeats: number; hostCount: number};
+type WindowBucket = {readonly atMs: number; firstSends: number; repeats: number; slack: number};
 
 /** Counts the first sends and repeats to one pool on this host. */
 export class WindowedBudget {
 	/**
 	Creates a budget.
 	@param bounds - the bounds on all hosts together.
-	@param hostCount - returns the number of hosts that share the slack now.
+	@param slackPart - this host's part of the slack.
 	*/
-	static create(bounds: RepeatBounds, hostCount: () => number): WindowedBudget {
-		return new WindowedBudget(bounds, hostCount);
+	static create(bounds: RepeatBounds, slackPart: SlackPart): WindowedBudget {
+		return new WindowedBudget(bounds, slackPart);
 	}
 
 	private readonly buckets: WindowBucket[] = [];
 
-	private constructor(private readonly bounds: RepeatBounds, private readonly hostCount: () => number) {}
+	private constructor(private readonly bounds: RepeatBounds, private readonly slackPart: SlackPart) {}
 
 	/**
 	Records first sends.
@@ -65,38 +72,44 @@
 	@param nowMs - the current time.
 	*/
 	describe(nowMs: number): BudgetState {
+		const isSlackUsable = nowMs >= this.slackPart.fromMs && this.slackPart.partAt(nowMs) !== undefined;
 		this.bucketAt(nowMs);
 		let firstSends = 0;
 		let repeats = 0;
-		// Hosts that are partitioned or have left may have used their part of the slack within this window.
-		let maxHosts = 1;
+		// A part that has grown within the window may still be in use by a host that has left since.
+		let slack = Infinity;
+		const {ratio, windowMs} = this.bounds;
 		for (const bucket of this.buckets) {
-			firstSends += bucket.firstSends;
 			repeats += bucket.repeats;
-			maxHosts = Math.max(maxHosts, bucket.hostCount);
+			// The last bucket holds sends that are older than the window, too: they count as repeats, but allow none.
+			if (bucket.atMs > nowMs - windowMs) {
+				firstSends += bucket.firstSends;
+				slack = Math.min(slack, bucket.slack);
+			}
 		}
 
-		const {ratio, slack} = this.bounds;
+		slack = isSlackUsable ? slack : 0;
 		return {
-			repeats, firstSends, allowed: usedShare * ((ratio * firstSends) + (slack / maxHosts)), hosts: maxHosts,
+			repeats, firstSends, allowed: (usedShare * ratio * firstSends) + slack, slack,
 		};
 	}
 
 	private bucketAt(nowMs: number): WindowBucket {
 		const {windowMs} = this.bounds;
-		while (this.buckets.length > 0 && this.buckets[0].atMs <= nowMs - windowMs) {
+		const bucketMs = windowMs / bucketsPerWindow;
+		while (this.buckets.length > 0 && this.buckets[0].atMs + bucketMs <= nowMs - windowMs) {
 			this.buckets.shift();
 		}
 
 		const last = this.buckets.at(-1);
-		const hostCount = this.hostCount();
-		if (last && nowMs < last.atMs + (windowMs / bucketsPerWindow)) {
-			last.hostCount = Math.max(last.hostCount, hostCount);
+		const slack = this.slackPart.partAt(nowMs) ?? Infinity;
+		if (last && nowMs < last.atMs + bucketMs) {
+			last.slack = Math.min(last.slack, slack);
 			return last;
 		}
 
 		const bucket = {
-			atMs: nowMs, firstSends: 0, repeats: 0, hostCount,
+			atMs: nowMs, firstSends: 0, repeats: 0, slack,
 		};
 		this.buckets.push(bucket);
 		return bucket;
--- a/test/platform/direct-harness.ts
+++ b/test/platform/direct-harness.ts
@@ -31,6 +31,7 @@
 	/** Where it listens for other hosts; any free port if absent. */
 	readonly peers?: Endpoint;
 	readonly repeats?: RepeatBounds;
+	readonly isFirstStart?: boolean;
 };
 
 /** A response as the caller received it; `isWhole` is true if it is complete. */
@@ -128,7 +129,7 @@
 
 	/** Starts a host without waiting until it is ready. */
 	async addEntry({
-		stopGraceMs = 4200, wireSecret = 'a secret of the test', hostId = `entry-${this.entries.length}`, peers = anyPort, repeats = defaultRepeats,
+		stopGraceMs = 4200, wireSecret = 'a secret of the test', hostId = `entry-${this.entries.length}`, peers = anyPort, repeats = defaultRepeats, isFirstStart = true,
 	}: EntrySettings = {}): Promise<RunningEntry> {
 		const log = silentLoggers.for('store');
 		const lines: string[] = [];
@@ -141,6 +142,7 @@
 			peers,
 			seeds: this.entries.map(running => running.peers),
 			repeats,
+			isFirstStart,
 			cold: {excess: 1.5, tolerance: 5},
 			stopGraceMs,
 			declarationWithinMs: 2000,
@@ -181,7 +183,7 @@
 	async restartEntry(running: RunningEntry, settings: EntrySettings): Promise<RunningEntry> {
 		running.entry.lifecycle.stopNow();
 		this.entries.splice(this.entries.indexOf(running), 1);
-		return this.addReadyEntry({...settings, peers: running.peers});
+		return this.addReadyEntry({...settings, peers: running.peers, isFirstStart: false});
 	}
 
 	dispose(): void {
