Reset the connection of a call that is canceled before its response

Closing a connection discards nothing: what was written is still delivered.

A call that is canceled before the head of its response now resets its connection, also a call of a step. Test: the server saw an orderly end before, and sees a reset now.

--- a/src/deployment/node/collect-response.ts
+++ b/src/deployment/node/collect-response.ts
@@ -57,6 +57,10 @@
 		const chunks: Uint8Array[] = [];
 		const abort = () => {
 			if (controller) {
+				if (status === 0) {
+					connection.reset();
+				}
+
 				controller.abort(new UnavailableError('the call was cancelled'));
 			} else {
 				// Not connected yet: closing the connection ends the call as well.
--- a/src/deployment/node/connection-pool.ts
+++ b/src/deployment/node/connection-pool.ts
@@ -113,6 +113,11 @@
 		this.dispose();
 	}
 
+	/** Closes the connection so that bytes of a call that were not received yet are discarded, instead of arriving when the network lets them through. */
+	reset(): void {
+		this.socket?.resetAndDestroy();
+	}
+
 	dispose(): void {
 		if (!this.isDisposed) {
 			this.isDisposed = true;
--- a/src/direct/node/direct-call.test.ts
+++ b/src/direct/node/direct-call.test.ts
@@ -1,9 +1,12 @@
+import {createServer, type AddressInfo} from 'node:net';
+import {setTimeout as sleep} from 'node:timers/promises';
 import type {Dispatcher} from 'undici';
 import t from 'tap';
-import type {PooledConnection} from '../../deployment/node/connection-pool.js';
+import {SystemClock} from '../../base/node/system-clock.js';
+import {PooledConnection} from '../../deployment/node/connection-pool.js';
 import type {DispatchMessage, Message} from '../../wire/common/messages.js';
 import type {UpstreamProtocol} from '../common/upstream-protocol.js';
-import {DirectCall} from './direct-call.js';
+import {DirectCall, type DirectCallOptions} from './direct-call.js';
 
 const dispatch: DispatchMessage = {
 	type: 'dispatch', dispatchId: 'd1', requestId: 'r1', workspace: 'w', pipeline: 'p', stage: 's', stageIndex: 0, startWithinMs: 100, dueInMs: 100, isRepeatable: true,
@@ -20,35 +23,41 @@
 	}),
 };
 
+const callOptions: Omit<DirectCallOptions, 'connection'> = {
+	dispatch,
+	protocol,
+	callerRequestId: 'c1',
+	isStreaming: true,
+	nowMs: () => 0,
+	onWrite: () => undefined,
+	onResponseHead: () => undefined,
+	emit: () => undefined,
+	onEvent: () => undefined,
+	onEnded: () => undefined,
+	onConnectionLost: () => undefined,
+};
+
 /*
 Guards against a stream that is resumed after an event which its caller never received: the events of a call that was given up counted as delivered.
 */
 t.test('events that arrive after a call was canceled are neither forwarded nor counted as delivered', async t => {
 	const eventIds: string[] = [];
 	const emitted: Message[] = [];
-	const connection: Pick<PooledConnection, 'mayBeTruncated' | 'release' | 'discard'> = {
-		mayBeTruncated: () => false, release: () => undefined, discard: () => undefined,
+	const connection: Pick<PooledConnection, 'mayBeTruncated' | 'release' | 'discard' | 'reset'> = {
+		mayBeTruncated: () => false, release: () => undefined, discard: () => undefined, reset: () => undefined,
 	};
 	const controller: Pick<Dispatcher.DispatchController, 'abort' | 'pause' | 'resume' | 'rawHeaders'> = {
 		abort: () => undefined, pause: () => undefined, resume: () => undefined, rawHeaders: [],
 	};
 	const call = DirectCall.create({
-		dispatch,
+		...callOptions,
 		connection: connection as PooledConnection,
-		protocol,
-		callerRequestId: 'c1',
-		isStreaming: true,
-		nowMs: () => 0,
-		onWrite: () => undefined,
-		onResponseHead: () => undefined,
 		emit(message) {
 			emitted.push(message);
 		},
 		onEvent(eventId) {
 			eventIds.push(eventId);
 		},
-		onEnded: () => undefined,
-		onConnectionLost: () => undefined,
 	});
 	const dispatchController = controller as Dispatcher.DispatchController;
 	call.onRequestStart(dispatchController);
@@ -59,3 +68,36 @@
 	t.same(eventIds, ['1']);
 	t.equal(emitted.filter(({type}) => type === 'chunk').length, 1);
 });
+
+/*
+Guards against calls that were given up and arrive later: on a partitioned link they arrived together with the retries that had replaced them once the link was
+restored, because a connection that is closed normally still delivers what was written.
+*/
+t.test('a call that is canceled before its response resets its connection', async t => {
+	const ends: string[] = [];
+	const server = createServer(socket => {
+		socket.on('error', error => {
+			ends.push('code' in error ? String(error.code) : error.message);
+		});
+		socket.on('end', () => {
+			ends.push('end');
+		});
+		socket.resume();
+	});
+	await new Promise<void>(resolve => {
+		server.listen(0, '127.0.0.1', resolve);
+	});
+	t.teardown(() => {
+		server.close();
+	});
+	const {port} = server.address() as AddressInfo;
+	const connection = PooledConnection.create({
+		serverId: 's', instanceId: 's', startedMs: 0, pool: 'p', address: '127.0.0.1', port, hall: 'a', slots: 1, isLeaving: false,
+	}, SystemClock.create());
+	const call = DirectCall.create({...callOptions, connection});
+	connection.dispatch({method: 'POST', path: '/', body: 'x'}, call);
+	await sleep(40);
+	call.cancel();
+	await sleep(150);
+	t.same(ends, ['ECONNRESET']);
+});
--- a/src/direct/node/direct-call.ts
+++ b/src/direct/node/direct-call.ts
@@ -66,6 +66,10 @@
 	/** Cancels the call; whether it may have run is reported by the message that ends it. */
 	cancel(): void {
 		this.isCancelled = true;
+		if (this.head === undefined) {
+			this.options.connection.reset();
+		}
+
 		this.controller?.abort(new UnavailableError('cancelled'));
 	}
 
--- a/src/direct/node/stream-directory.test.ts
+++ b/src/direct/node/stream-directory.test.ts
@@ -59,7 +59,9 @@
 				get liveHosts() {
 					return peersOf();
 				},
-				fleetView: () => ({ownName: hostId, hosts: allNames(), isSettled: isFleetSettled(), unseenSeedCount: 0}),
+				fleetView: () => ({
+					ownName: hostId, hosts: allNames(), isSettled: isFleetSettled(), unseenSeedCount: 0,
+				}),
 				send: (to, message) => this.deliver(hostId, to, message),
 			},
 		});
