Charge pieces of steps that are sent again to the budget of repeats

Pieces of a call that failed were queued and sent again up to four times, refused ones without a limit, and pieces that a request submitted again, or that moved to another host after they had been sent, counted as first sends, which even allowed further repeats.

A piece now carries whether it may have been sent before, also over the move to another host and a second preparation. Such pieces are taken off the queue only as far as the budget of their pool allows; the others wait there until it does or their time is over. Routes and steps of a pool share one budget on a host. The protocol version of hosts rises, as the messages of works have a new field. Tests fail without the change: pieces were sent again whatever the budget.

What a lost host had sent of its queue is still unknown to the submitter, which submits it as new.

--- a/src/preparation/common/batch-call.ts
+++ b/src/preparation/common/batch-call.ts
@@ -3,7 +3,14 @@
 import type {BatchWork, PieceOutcome} from './work.js';
 
 /** One piece of a step, queued or sent. */
-export type BatchPiece = {readonly work: BatchWork; readonly piece: number; readonly readyMs: number; attempts: number};
+export type BatchPiece = {
+	readonly work: BatchWork;
+	readonly piece: number;
+	readonly readyMs: number;
+	attempts: number;
+	/** Whether the piece may have reached an upstream before, so that sending it is a repeat; no if absent. */
+	readonly isRepeat?: boolean;
+};
 
 /** A call to one upstream with one or more pieces. */
 export type BatchCall = {
--- a/src/preparation/common/batch-scheduler.test.ts
+++ b/src/preparation/common/batch-scheduler.test.ts
@@ -232,7 +232,7 @@
 
 t.test('pieces of a request that may crash upstreams are sent alone, wait or are barred; all others are sent as usual', async t => {
 	const handlings = new Map<string, PieceHandling>([['alone', pieceHandlings.alone], ['wait', pieceHandlings.wait], ['barred', pieceHandlings.barred]]);
-	const scheduler = BatchScheduler.create(contentId => handlings.get(contentId) ?? pieceHandlings.none);
+	const scheduler = BatchScheduler.create({handlingOf: contentId => handlings.get(contentId) ?? pieceHandlings.none});
 	for (const [index, workId] of ['wait', 'barred', 'alone', 'a', 'b'].entries()) {
 		scheduler.add(workOf(workId, 1, {dueMs: 500 + index}), 0);
 	}
@@ -255,7 +255,7 @@
 
 t.test('an upstream with a rate limit gets no call beyond the limit, and counts as the corresponding fraction of an upstream', async t => {
 	const allowance = {remaining: 0, perS: Infinity};
-	const scheduler = BatchScheduler.create(undefined, ({serverId}) => serverId === 'bounded' ? allowance : {remaining: Infinity, perS: Infinity});
+	const scheduler = BatchScheduler.create({allowanceOf: ({serverId}) => serverId === 'bounded' ? allowance : {remaining: Infinity, perS: Infinity}});
 	const both = [server('bounded'), server('free')];
 	scheduler.add(workOf('w', 8), 0);
 	t.same(scheduler.nextCalls(both, capacity, 0).map(call => call.server.serverId), ['free']);
@@ -270,7 +270,7 @@
 });
 
 const reading = {inputs: ['x'], stepKey: 'r#1', inputFetchMs: 40};
-const makeScheduled = (isScheduled = true) => BatchScheduler.create(undefined, undefined, {isScheduled: () => isScheduled, itemDurations: ItemTimes.create()});
+const makeScheduled = (isScheduled = true) => BatchScheduler.create({scheduled: {isScheduled: () => isScheduled, itemDurations: ItemTimes.create()}});
 
 /** Makes the next call of the one upstream and returns it with its fetch time. */
 function startReading(scheduler: BatchScheduler, nowMs: number, {changes = {}, slots = 1}: {readonly changes?: Partial<BatchWork>; readonly slots?: number} = {}) {
@@ -342,3 +342,39 @@
 	mixed.add(workOf('none', 1, {stepKey: 'r#0', dueMs: 2000, lateDueMs: 3000}), 1000);
 	t.equal(startReading(mixed, 1000).fetchMs, 70, 'the longest time in a mixed call');
 });
+
+/*
+Guards against pieces that are sent again without limit: pieces of calls that failed were queued and sent again regardless of the budget of repeats.
+*/
+t.test('pieces that are sent again are charged to the budget of repeats, and wait while it is spent', async t => {
+	let budget = 0;
+	const scheduler = BatchScheduler.create({
+		repeats: {
+			available: () => budget,
+			take(count) {
+				budget -= count;
+			},
+		},
+	});
+	scheduler.add(workOf('a', 3), 0);
+	const [broken] = scheduler.nextCalls([server('s')], capacity, 0);
+	t.equal(namesOf(broken), 'a0 a1 a2', 'first sends are not charged');
+	scheduler.failCall(broken, 'broken', 100);
+	scheduler.add(workOf('b', 1), 100);
+	t.equal(namesOf(scheduler.nextCalls([server('t')], capacity, 100)[0]), 'b0', 'others go ahead');
+	budget = 2;
+	t.equal(namesOf(scheduler.nextCalls([server('u')], capacity, 200)[0]), 'a0 a1');
+	t.equal(budget, 0);
+	t.same(scheduler.takeWaiting().map(({piece, outcome}) => [piece, outcome.ok || outcome.reason]), [[2, pieceFailures.movedRepeat]]);
+	scheduler.add(workOf('c', 1, {isRepeat: true}), 300);
+	t.same(scheduler.nextCalls([server('v')], capacity, 300), [], 'a piece that its request submits again is a repeat as well');
+	t.same(scheduler.sweep(() => true, 5000).map(({work}) => work.workId), ['c'], 'it fails when its time is over');
+});
+
+t.test('a call that could not be written makes no repeats of its pieces', async t => {
+	const scheduler = BatchScheduler.create({repeats: {available: () => 0, take: () => undefined}});
+	scheduler.add(workOf('a', 2), 0);
+	const [unreachable] = scheduler.nextCalls([server('s')], capacity, 0);
+	scheduler.failCall(unreachable, 'unreachable', 10);
+	t.equal(namesOf(scheduler.nextCalls([server('t')], capacity, 20)[0]), 'a0 a1');
+});
--- a/src/preparation/common/batch-scheduler.ts
+++ b/src/preparation/common/batch-scheduler.ts
@@ -6,7 +6,7 @@
 import type {UpstreamServer} from '../../deployment/common/upstream-server.js';
 import {pieceHandlings} from '../../quarantine/common/quarantine.js';
 import {
-	fetchTimeOf, type BatchCall, type CallFailure, type FinishedPiece,
+	fetchTimeOf, type BatchCall, type BatchPiece, type CallFailure, type FinishedPiece,
 } from './batch-call.js';
 import {CanceledWorks} from './canceled-works.js';
 import {PieceQueue, type HandlingSource} from './piece-queue.js';
@@ -26,6 +26,34 @@
 const timeoutFactor = 6;
 const timeoutMarginMs = 500;
 
+/** Budget of pieces that are sent again. */
+export type PieceRepeats = {
+	/**
+	Returns how many repeats may be sent now.
+	@param wanted - number of repeats that wait.
+	*/
+	available(wanted: number, nowMs: number): number;
+	/** Takes repeats that are available from the budget. */
+	take(count: number, nowMs: number): void;
+};
+
+const unlimitedRepeats: PieceRepeats = {available: () => Infinity, take: () => undefined};
+const unlimitedAllowance = {remaining: Infinity, perS: Infinity};
+
+/** What a scheduler depends on. */
+export type BatchSchedulerOptions = {
+	/** Returns how the pieces of a request may be sent. */
+	readonly handlingOf?: HandlingSource;
+	/** Returns how much may be sent to an upstream. */
+	readonly allowanceOf?: AllowanceSource;
+	/** Absent for a pool that is never scheduled. */
+	readonly scheduled?: ScheduledOptions;
+	/** Returns how slow an upstream reports to be; absent where none reports it. */
+	readonly reportedOf?: ReportedSource;
+	/** Budget of pieces that are sent again. */
+	readonly repeats?: PieceRepeats;
+};
+
 /** State of a pool: queued pieces, calls in progress, the longest wait, and the space used by results. */
 export type BatchStatus = {readonly waiting: number; readonly calls: number; readonly oldestMs: number; readonly keptBytes: number};
 
@@ -43,18 +71,10 @@
 export class BatchScheduler {
 	/**
 	Creates a scheduler without work.
-	@param handlingOf - returns how the pieces of a request may be sent.
-	@param allowanceOf - returns how much may be sent to an upstream.
-	@param scheduled - absent for a pool that is never scheduled.
-	@param reportedOf - returns how slow an upstream reports to be; absent where none reports it.
+	@param options - sources of what the scheduler depends on; by default nothing is limited.
 	*/
-	static create(
-		handlingOf: HandlingSource = () => pieceHandlings.none,
-		allowanceOf: AllowanceSource = () => ({remaining: Infinity, perS: Infinity}),
-		scheduled?: ScheduledOptions,
-		reportedOf?: ReportedSource,
-	): BatchScheduler {
-		return new BatchScheduler(handlingOf, allowanceOf, scheduled, reportedOf);
+	static create(options: BatchSchedulerOptions = {}): BatchScheduler {
+		return new BatchScheduler(options);
 	}
 
 	private readonly queue: PieceQueue;
@@ -66,11 +86,14 @@
 	/** Last call made before another host scheduled the pool; 0 if none did. */
 	private lastCallIdBeforeOthers = 0;
 
-	private constructor(handlingOf: HandlingSource, allowanceOf: AllowanceSource, scheduled?: ScheduledOptions, reportedOf?: ReportedSource) {
+	private readonly repeats: PieceRepeats;
+
+	private constructor({handlingOf = () => pieceHandlings.none, allowanceOf = () => unlimitedAllowance, scheduled, reportedOf, repeats = unlimitedRepeats}: BatchSchedulerOptions) {
 		this.queue = PieceQueue.create(handlingOf);
 		this.upstreams = PoolUpstreams.create(allowanceOf, reportedOf);
 		this.policies = PolicySwitch.create(scheduled);
 		this.estimates = PoolEstimates.create({queue: this.queue, upstreams: this.upstreams, policies: this.policies});
+		this.repeats = repeats;
 	}
 
 	/** Number of pieces that wait for an upstream. */
@@ -90,7 +113,7 @@
 
 		for (const piece of work.pieces) {
 			this.queue.add({
-				work, piece, readyMs: nowMs, attempts: 0,
+				work, piece, readyMs: nowMs, attempts: 0, isRepeat: work.isRepeat ?? false,
 			});
 		}
 	}
@@ -106,11 +129,11 @@
 
 	/**
 	Removes everything queued, as when another host takes over batching for the pool.
-	@returns the pieces, none of which has been started.
+	@returns the pieces, none of which is in progress.
 	*/
 	takeWaiting(): FinishedPiece[] {
 		this.lastCallIdBeforeOthers = this.lastCallId;
-		return this.queue.takeAll(pieceFailures.moved);
+		return this.queue.takeAll(({isRepeat}) => isRepeat ? pieceFailures.movedRepeat : pieceFailures.moved);
 	}
 
 	/**
@@ -118,7 +141,7 @@
 	@returns the pieces, none of which has been started.
 	*/
 	failWaiting(): FinishedPiece[] {
-		return this.queue.takeAll(pieceFailures.noUpstream);
+		return this.queue.takeAll(() => pieceFailures.noUpstream);
 	}
 
 	/**
@@ -209,7 +232,7 @@
 			const mayRetry = hadNoSpace || (!outcome.ok && outcome.reason === pieceFailures.failed);
 			if (mayRetry && attempts < maxAttempts && !(policy.dropsCanceled && this.canceled.has(work.workId))) {
 				// An attempt that found no space cost only a round trip, so it does not count.
-				this.queue.add(hadNoSpace ? {...item, attempts: attempts - 1} : item);
+				this.queue.add({...item, attempts: attempts - (hadNoSpace ? 1 : 0), isRepeat: true});
 			} else {
 				finished.push({work, piece, outcome});
 			}
@@ -236,7 +259,7 @@
 			if (attempts >= maxAttempts || nowMs >= item.work.deadlineMs || (policy.dropsCanceled && this.canceled.has(item.work.workId))) {
 				finished.push({work: item.work, piece: item.piece, outcome: {ok: false, reason: pieceFailures.failed}});
 			} else {
-				this.queue.add({...item, attempts});
+				this.queue.add({...item, attempts, isRepeat: item.isRepeat === true || reason !== 'unreachable'});
 			}
 		}
 
@@ -342,12 +365,26 @@
 		return call;
 	}
 
+	/** Leaves out pieces that would exceed the budget of repeats; they stay queued until it allows them or their time is over. */
+	private affordable(items: readonly BatchPiece[], nowMs: number): readonly BatchPiece[] {
+		const repeatCount = items.filter(({isRepeat}) => isRepeat).length;
+		let remaining = repeatCount === 0 ? 0 : this.repeats.available(repeatCount, nowMs);
+		if (remaining >= repeatCount) {
+			return items;
+		}
+
+		return items.filter(({isRepeat}) => {
+			remaining -= isRepeat ? 1 : 0;
+			return !isRepeat || remaining >= 0;
+		});
+	}
+
 	/** Takes the most urgent pieces for one call off the queue. */
 	private takePieces(server: UpstreamServer, capacity: BatchCapacity, {healthy, openHalls}: PoolConditions, nowMs: number) {
 		const policy = this.policies.at(nowMs);
 		const {batchSize, roomBytes} = capacity;
 		const freeBytes = this.upstreams.of(server).space.freeBytes(roomBytes, nowMs);
-		const selected = selectPieces(this.queue.sendable(), {
+		const selected = selectPieces(this.affordable(this.queue.sendable(), nowMs), {
 			batchSize, freeBytes, hall: server.hall, openHalls,
 		}, nowMs);
 		const others = healthy.filter(other => other !== server);
@@ -360,6 +397,7 @@
 			rest: this.queue.items.filter(item => !selected.has(item)),
 		}), nowMs);
 		this.queue.remove(new Set(taken));
+		this.repeats.take(taken.filter(({isRepeat}) => isRepeat).length, nowMs);
 		return {pieces: taken.map(item => ({...item, attempts: item.attempts + 1})), isShortened: taken.length < selected.size};
 	}
 }
--- a/src/preparation/common/contention-policy.test.ts
+++ b/src/preparation/common/contention-policy.test.ts
@@ -25,7 +25,7 @@
 }
 
 function createScheduler(isScheduled = () => true, itemDurations = ItemTimes.create()): BatchScheduler {
-	return BatchScheduler.create(undefined, undefined, {isScheduled, itemDurations});
+	return BatchScheduler.create({scheduled: {isScheduled, itemDurations}});
 }
 
 const namesOf = (call: BatchCall) => call.pieces.map(({work, piece}) => `${work.workId}${piece}`).join(' ');
@@ -148,7 +148,7 @@
 		expectedCallMs: (...call) => itemTimes.expectedCallMs(...call),
 		recordCall: () => undefined,
 	};
-	const scheduler = BatchScheduler.create(undefined, undefined, {isScheduled: () => true, itemDurations});
+	const scheduler = BatchScheduler.create({scheduled: {isScheduled: () => true, itemDurations}});
 	const check = (nowMs: number, expected: {readonly sums: number; readonly serverMs: number; readonly isLate?: boolean}, changedCapacity = capacity) => {
 		sumCount = 0;
 		const {queue} = scheduler.poolState([], changedCapacity, nowMs);
--- a/src/preparation/common/piece-queue.ts
+++ b/src/preparation/common/piece-queue.ts
@@ -69,11 +69,11 @@
 	}
 
 	/**
-	Removes all queued pieces; none of them has been started.
-	@param reason - reported as the cause.
+	Removes all queued pieces; none of them is in progress.
+	@param reasonOf - returns what is reported as the cause.
 	*/
-	takeAll(reason: PieceFailure): FinishedPiece[] {
-		const taken = finishAll(this.pieces, reason);
+	takeAll(reasonOf: (item: BatchPiece) => PieceFailure): FinishedPiece[] {
+		const taken = this.pieces.flatMap(item => finishAll([item], reasonOf(item)));
 		this.replaceAll([]);
 		return taken;
 	}
--- a/src/preparation/common/preparation.test.ts
+++ b/src/preparation/common/preparation.test.ts
@@ -67,3 +67,12 @@
 		t.same(preparation.advance().map(({step}) => step), isListed ? [0] : [0, 1]);
 	}
 });
+
+/* Guards against pieces that count as first sends each time they are computed again. */
+t.test('pieces that were requested before are requested again as repeats', async t => {
+	const preparation = Preparation.create(steps, [2, 1, 1, 1]);
+	t.same(preparation.advance().map(({step, isRepeat}) => [step, isRepeat ?? false]), [[0, false], [2, false]]);
+	preparation.failPiece(0, 1);
+	t.match(preparation.advance(), [{step: 0, pieces: [1], isRepeat: true}]);
+	t.ok(Preparation.create(steps, [1, 1, 1, 1], true).advance().every(({isRepeat}) => isRepeat), 'a second preparation repeats everything');
+});
--- a/src/preparation/common/preparation.ts
+++ b/src/preparation/common/preparation.ts
@@ -9,6 +9,8 @@
 	readonly declared: PreparationStep;
 	readonly results: Array<ResultRef | undefined>;
 	readonly pending: Set<number>;
+	/** Pieces that were requested at least once. */
+	readonly requested: Set<number>;
 	/** Pending pieces whose inputs must have been fetched by calls in progress. */
 	readonly fetched: Set<number>;
 	/** Whether its results were released because every step that reads them is done, or has fetched them. */
@@ -21,21 +23,26 @@
 	Creates the state; nothing is requested before `advance`.
 	@param steps - as declared, numbered from 0.
 	@param pieceCounts - number of pieces of each step; a step without pieces is skipped.
+	@param isRepeat - whether all pieces were requested before.
 	*/
-	static create(steps: readonly PreparationStep[], pieceCounts: readonly number[]): Preparation {
-		return new Preparation(steps, pieceCounts);
+	static create(steps: readonly PreparationStep[], pieceCounts: readonly number[], isRepeat = false): Preparation {
+		return new Preparation(steps, pieceCounts, isRepeat);
 	}
 
 	private readonly steps: readonly Step[];
 
-	private constructor(declared: readonly PreparationStep[], pieceCounts: readonly number[]) {
-		this.steps = declared.map((step, index) => ({
-			declared: step,
-			results: Array.from({length: pieceCounts[index] ?? 1}, () => undefined),
-			pending: new Set<number>(),
-			fetched: new Set<number>(),
-			isReleased: false,
-		}));
+	private constructor(declared: readonly PreparationStep[], pieceCounts: readonly number[], isRepeat: boolean) {
+		this.steps = declared.map((step, index) => {
+			const results = Array.from({length: pieceCounts[index] ?? 1}, () => undefined);
+			return {
+				declared: step,
+				results,
+				pending: new Set<number>(),
+				requested: new Set<number>(isRepeat ? results.keys() : []),
+				fetched: new Set<number>(),
+				isReleased: false,
+			};
+		});
 	}
 
 	/** Whether all results that the request reads are available. */
@@ -121,11 +128,23 @@
 				continue;
 			}
 
+			const inputs = this.inputsOf(step);
+			const first = missing.filter(piece => !step.requested.has(piece));
+			const repeated = missing.filter(piece => step.requested.has(piece));
+			if (first.length > 0) {
+				works.push({step: index, pieces: first, inputs});
+			}
+
+			if (repeated.length > 0) {
+				works.push({
+					step: index, pieces: repeated, inputs, isRepeat: true,
+				});
+			}
+
 			for (const piece of missing) {
 				step.pending.add(piece);
+				step.requested.add(piece);
 			}
-
-			works.push({step: index, pieces: missing, inputs: this.inputsOf(step)});
 		}
 
 		return works;
--- a/src/preparation/common/reporting-pool.test.ts
+++ b/src/preparation/common/reporting-pool.test.ts
@@ -57,7 +57,7 @@
 	const loads = ReportedLoads.create({
 		registry: {get: () => servers[0], onDidChange: () => ({dispose: () => undefined})}, log: silentLoggers.for('test'), metrics: noMetrics,
 	});
-	const scheduler = BatchScheduler.create(undefined, undefined, undefined, (serverId, nowMs) => loads.slownessAt(serverId, nowMs));
+	const scheduler = BatchScheduler.create({reportedOf: (serverId, nowMs) => loads.slownessAt(serverId, nowMs)});
 	const slowness = servers.map(() => 1);
 	const calls: Array<{readonly call: BatchCall; readonly startSlowness: number; leftMs: number}> = [];
 	const callCounts = servers.map(() => 0);
@@ -171,7 +171,7 @@
 
 /** Returns the next call of a pool with one upstream that reports the slowness. */
 function nextCallAt(slowness: number | undefined): BatchCall {
-	const scheduler = BatchScheduler.create(undefined, undefined, undefined, () => slowness);
+	const scheduler = BatchScheduler.create({reportedOf: () => slowness});
 	scheduler.add(workOf('w', 0), 0);
 	return scheduler.nextCalls([server], capacity, 0)[0];
 }
@@ -204,7 +204,7 @@
 
 // Guards against a slow upstream getting a call while a faster one is free.
 t.test('the fastest free upstream gets the first call', async t => {
-	const scheduler = BatchScheduler.create(undefined, undefined, undefined, serverId => ({s0: 1.2, s1: 0.8, s2: 1})[serverId]);
+	const scheduler = BatchScheduler.create({reportedOf: serverId => ({s0: 1.2, s1: 0.8, s2: 1})[serverId]});
 	scheduler.add(workOf('w', 0), 0);
 	t.same(scheduler.nextCalls(servers.slice(0, 3), capacity, 0).map(call => call.server.serverId), ['s1']);
 });
--- a/src/preparation/common/scheduled-pool.test.ts
+++ b/src/preparation/common/scheduled-pool.test.ts
@@ -45,7 +45,7 @@
 /** Simulates a load without a network. */
 function play({kinds, capacity, upstreams, untilMs, isScheduled = true}: Load) {
 	const itemTimes = ItemTimes.create();
-	const scheduler = BatchScheduler.create(undefined, undefined, {isScheduled: () => isScheduled, itemDurations: itemTimes});
+	const scheduler = BatchScheduler.create({scheduled: {isScheduled: () => isScheduled, itemDurations: itemTimes}});
 	const servers: UpstreamServer[] = Array.from({length: upstreams}, (_, index) => ({
 		serverId: `s${index}`, instanceId: `s${index}`, startedMs: 0, pool: 'p', address: '127.0.0.1', port: 1, hall: 'a', slots: 1, isLeaving: false,
 	}));
--- a/src/preparation/common/work-messages.ts
+++ b/src/preparation/common/work-messages.ts
@@ -15,7 +15,7 @@
 */
 export function messageOfWork(work: BatchWork, nowMs: number): BatchWorkMessage {
 	const {
-		workId, pool, callerRequestId, contentId, pieceKey, step, pieces, inputs, resultBytes, rank, hall, crossingBytes, requestId, stepKey, workspace, inputFetchMs,
+		workId, pool, callerRequestId, contentId, pieceKey, step, pieces, inputs, resultBytes, rank, hall, crossingBytes, requestId, stepKey, workspace, inputFetchMs, isRepeat,
 	} = work;
 	return {
 		type: 'batchWork', workId, pool, callerRequestId, contentId, pieceKey, step, pieces: [...pieces], resultBytes, rank, hall, crossingBytes,
@@ -24,6 +24,7 @@
 		...(stepKey !== undefined && {stepKey}),
 		...(workspace !== undefined && {workspace}),
 		...(inputFetchMs !== undefined && {inputFetchMs}),
+		...(isRepeat && {isRepeat}),
 		dueInMs: work.dueMs - nowMs,
 		lateDueInMs: work.lateDueMs - nowMs,
 		deadlineInMs: Math.max(0, work.deadlineMs - nowMs),
--- a/src/preparation/common/work.ts
+++ b/src/preparation/common/work.ts
@@ -16,6 +16,8 @@
 	noUpstream: 'noUpstream',
 	/** Not started: another host batches the pool now. */
 	moved: 'moved',
+	/** Like `moved`, but the piece was sent before. */
+	movedRepeat: 'movedRepeat',
 	/** Canceled because the request has ended, or no host could take it. */
 	abandoned: 'abandoned',
 } as const;
@@ -32,6 +34,8 @@
 	readonly pieces: readonly number[];
 	/** Handles of the results that every piece reads; absent for steps that read none and work on the request's key. */
 	readonly inputs: readonly string[] | undefined;
+	/** Whether the pieces were requested before, so that sending them is a repeat; no if absent. */
+	readonly isRepeat?: boolean | undefined;
 };
 
 /** Work of one step, as submitted for batching in its pool. */
--- a/src/preparation/node/batch-handler.ts
+++ b/src/preparation/node/batch-handler.ts
@@ -221,9 +221,9 @@
 	}
 
 	/** Submits pieces to the host that batches their pool, or queues them here if that host can't be reached. */
-	private submitPieces(submitted: SubmittedWork, pieces: readonly number[]): void {
+	private submitPieces(submitted: SubmittedWork, pieces: readonly number[], isRepeat = submitted.work.isRepeat ?? false): void {
 		const {hostId, mesh, clock} = this.options;
-		const work = {...submitted.work, pieces};
+		const work = {...submitted.work, pieces, isRepeat};
 		submitted.owner = this.ownerOf(work.pool);
 		if (submitted.owner !== hostId && mesh.send(submitted.owner, messageOfWork(work, clock.nowMs()))) {
 			return;
@@ -369,8 +369,8 @@
 			return false;
 		}
 
-		if (!outcome.ok && outcome.reason === pieceFailures.moved) {
-			this.submitPieces(submitted, [piece]);
+		if (!outcome.ok && (outcome.reason === pieceFailures.moved || outcome.reason === pieceFailures.movedRepeat)) {
+			this.submitPieces(submitted, [piece], outcome.reason === pieceFailures.movedRepeat);
 			return true;
 		}
 
--- a/src/preparation/node/batch-pool.test.ts
+++ b/src/preparation/node/batch-pool.test.ts
@@ -72,7 +72,9 @@
 		registry: {
 			onDidChange: Emitter.create().event, usable: () => servers.map(serverId => ({serverId, hall: ''})), isPoolClosed: () => false, get: () => undefined,
 		},
-		repeats: {countFirstSends: () => undefined},
+		repeats: {
+			countFirstSends: () => undefined, available: () => Infinity, tryWithdraw: () => true, reportSent: () => undefined,
+		},
 		quarantine: {handlingOf: () => 'none'},
 		bounds: {allowance: () => ({remaining: Infinity, perS: Infinity})},
 		loads: {slownessAt: () => undefined},
@@ -178,7 +180,9 @@
 				}
 			},
 		},
-		repeats: {countFirstSends: () => undefined},
+		repeats: {
+			countFirstSends: () => undefined, available: () => Infinity, tryWithdraw: () => true, reportSent: () => undefined,
+		},
 		quarantine: {handlingOf: () => 'none', connectionLost: () => undefined},
 		bounds: {allowance: () => ({remaining: Infinity, perS: Infinity}), sent: () => undefined},
 		loads: {slownessAt: () => undefined},
--- a/src/preparation/node/batch-pool.ts
+++ b/src/preparation/node/batch-pool.ts
@@ -49,7 +49,7 @@
 	/** What the servers report about their load. */
 	readonly loads: Pick<ReportedLoads, 'slownessAt'>;
 	readonly protocol: BatchProtocol;
-	readonly repeats: Pick<RepeatBudgets, 'countFirstSends'>;
+	readonly repeats: Pick<RepeatBudgets, 'countFirstSends' | 'available' | 'tryWithdraw' | 'reportSent'>;
 	readonly quarantine: Pick<Quarantine, 'connectionLost' | 'handlingOf'>;
 	readonly clock: Clock;
 	readonly log: Logger;
@@ -81,12 +81,20 @@
 
 	private constructor(private readonly options: BatchPoolOptions) {
 		this.log = PoolLog.create(options);
-		this.scheduler = BatchScheduler.create(
-			contentId => options.quarantine.handlingOf(contentId),
-			(server, nowMs) => options.bounds.allowance(server, soleSender, nowMs),
-			options.scheduled,
-			(serverId, nowMs) => options.loads.slownessAt(serverId, nowMs),
-		);
+		this.scheduler = BatchScheduler.create({
+			handlingOf: contentId => options.quarantine.handlingOf(contentId),
+			allowanceOf: (server, nowMs) => options.bounds.allowance(server, soleSender, nowMs),
+			scheduled: options.scheduled,
+			reportedOf: (serverId, nowMs) => options.loads.slownessAt(serverId, nowMs),
+			repeats: {
+				available: (wanted, nowMs) => options.repeats.available(options.pool, nowMs, wanted),
+				take(count, nowMs) {
+					if (count > 0 && options.repeats.tryWithdraw(options.pool, nowMs, count)) {
+						options.repeats.reportSent(options.pool, 'piece', count);
+					}
+				},
+			},
+		});
 		this.releases = this.disposables.add(ResultReleases.create({
 			registry: options.registry,
 			clock: options.clock,
@@ -189,7 +197,10 @@
 		}
 
 		this.scheduler.add(work, nowMs);
-		this.options.repeats.countFirstSends(work.pool, nowMs, work.pieces.length);
+		if (!work.isRepeat) {
+			this.options.repeats.countFirstSends(work.pool, nowMs, work.pieces.length);
+		}
+
 		this.schedule();
 	}
 
--- a/src/preparation/node/preparer.ts
+++ b/src/preparation/node/preparer.ts
@@ -119,7 +119,7 @@
 		if (this.hasEnded) {
 			// The request read its results once, and all of them were released.
 			const {route, pieceCounts} = this.request;
-			this.preparation = Preparation.create(route.steps, pieceCounts);
+			this.preparation = Preparation.create(route.steps, pieceCounts, true);
 			this.hasEnded = false;
 		} else if (isRetry) {
 			this.fetchTimer?.dispose();
--- a/src/routing/common/repeat-budgets.ts
+++ b/src/routing/common/repeat-budgets.ts
@@ -62,6 +62,23 @@
 		return isAllowed;
 	}
 
+	/**
+	Returns how many repeats the budget of a pool allows now.
+	@param pool - the pool.
+	@param nowMs - the current time.
+	@param wanted - the number of repeats that wait for the budget; logged if there are not enough.
+	*/
+	available(pool: string, nowMs: number, wanted: number): number {
+		const budget = this.budgetOf(pool);
+		const {repeats, allowed} = budget.describe(nowMs);
+		const available = Math.max(0, Math.floor(allowed - repeats));
+		if (available < wanted) {
+			this.logSpent(pool, budget, nowMs);
+		}
+
+		return available;
+	}
+
 	/**
 	Counts repeats that are sent, for operators.
 	@param pool - the pool.
@@ -73,12 +90,15 @@
 	}
 
 	private reportDeclined(pool: string, budget: WindowedBudget, nowMs: number, count: number): void {
-		const {log, metrics} = this.options;
-		metrics.increment('repeats.declined', count, {pool});
+		this.options.metrics.increment('repeats.declined', count, {pool});
+		this.logSpent(pool, budget, nowMs);
+	}
+
+	private logSpent(pool: string, budget: WindowedBudget, nowMs: number): void {
 		if (nowMs - (this.lastLoggedMs.get(pool) ?? -Infinity) >= logIntervalMs) {
 			this.lastLoggedMs.set(pool, nowMs);
 			const {repeats, firstSends, allowed, slack} = budget.describe(nowMs);
-			log.info('The budget of repeated sends to a pool is spent.', {
+			this.options.log.info('The budget of repeated sends to a pool is spent.', {
 				pool, repeats, firstSends, allowed: Math.floor(allowed), slack: Math.floor(slack),
 			});
 		}
--- a/src/wire/common/messages.ts
+++ b/src/wire/common/messages.ts
@@ -8,7 +8,7 @@
 } from './stream-messages.js';
 
 /** Version of the protocol; both sides must use the same. */
-export const protocolVersion = 7;
+export const protocolVersion = 8;
 
 /** Upper bounds on the length of what a caller states about a request with preparation steps: hosts pass it on to each other. */
 export const maxCallerRequestIdLength = 200;
@@ -308,6 +308,8 @@
 	workspace: z.string().max(200).optional(),
 	/** Time after which a call in progress has fetched the inputs. */
 	inputFetchMs: quoteMs.optional(),
+	/** Whether the pieces may have been sent before. */
+	isRepeat: z.boolean().optional(),
 });
 export type BatchWorkMessage = z.infer<typeof batchWorkSchema>;
 /** What a request asks of a pool, or has reserved there. */
