Log which parts of prompts the calls share whose connection was lost

The keys of the shared parts (all but the last, 64 at most, in lower case, or a digest if they aren't short hexadecimal numbers) go with a request to its calls, and into the line of a call that broke off.

--- a/src/direct/common/direct-plan.ts
+++ b/src/direct/common/direct-plan.ts
@@ -27,6 +27,8 @@
 	readonly engineSlots: number | undefined;
 	readonly http: HttpCall;
 	readonly promptParts: ReadonlyArray<{readonly id: string; readonly tokens: number}>;
+	/** Keys of the parts that the prompt shares with others. */
+	readonly sharedParts?: readonly string[];
 	readonly needsPreparation: boolean;
 	readonly remainingMs: number | undefined;
 	/** Where the stream began that the request resumes. */
@@ -102,6 +104,7 @@
 		hardDeadlineMs: deadlineMs,
 		input: new Uint8Array(0),
 		http: options.http,
+		...(options.sharedParts !== undefined && options.sharedParts.length > 0 && {sharedParts: options.sharedParts}),
 		prefixHash: 0,
 		seed: 0,
 	};
--- a/src/direct/node/direct-links.ts
+++ b/src/direct/node/direct-links.ts
@@ -24,6 +24,8 @@
 	readonly callerRequestId: string;
 	readonly deadlineMs: number;
 	readonly isStreaming: boolean;
+	/** Keys of the parts that its prompt shares with others. */
+	readonly sharedParts: readonly string[];
 	/** Called when a call is about to be written to an upstream. */
 	readonly onWrite: () => void;
 	/** Id of the last event that was delivered, after which another call resumes the response. */
@@ -217,7 +219,7 @@
 				this.receive(server, event);
 			},
 			onConnectionLost() {
-				quarantine.connectionLost(contentIdOf(source), server, context.callerRequestId);
+				quarantine.connectionLost(contentIdOf(source), server, context.callerRequestId, context.sharedParts);
 			},
 			onEvent(eventId) {
 				context.resumeAfter = eventId;
--- a/src/direct/node/ingress.ts
+++ b/src/direct/node/ingress.ts
@@ -10,6 +10,7 @@
 import type {DeploymentTracker} from '../../deployment/common/deployment-tracker.js';
 import type {PoolAsk} from '../../preparation/common/quotes.js';
 import type {Preparer, PreparationRequest, RequestScheduling} from '../../preparation/node/preparer.js';
+import {sharedPartKeys} from '../../quarantine/common/prompt-parts.js';
 import {contentIdOf} from '../../quarantine/common/request-content.js';
 import {requestLogMessages} from '../../request/common/request-log-messages.js';
 import {otherHostRetryAfterMs, type RequestPlan, type StagePlan} from '../../request/common/request-plan.js';
@@ -361,6 +362,7 @@
 				kind: 'http', method: request.method ?? 'GET', path: request.url ?? '/', headers: [...callerRequest.forwardedHeaders], body,
 			},
 			promptParts: route.hasAffinity ? callerRequest.promptParts : [],
+			sharedParts: sharedPartKeys(callerRequest.promptParts),
 			needsPreparation: needsPreparation(received),
 			remainingMs: callerRequest.remainingMs,
 			origin,
--- a/src/direct/node/served-request.ts
+++ b/src/direct/node/served-request.ts
@@ -58,7 +58,7 @@
 	start(runner: RequestRunner): void {
 		const {plan, callerRequest, response, links, preparer, reservation, clock} = this.options;
 		const registration = links.register(plan.requestId, {
-			callerRequestId: callerRequest.requestId, deadlineMs: plan.deadlineMs, isStreaming: plan.isStreaming, resumeAfter: callerRequest.resumeAfter,
+			callerRequestId: callerRequest.requestId, deadlineMs: plan.deadlineMs, isStreaming: plan.isStreaming, sharedParts: plan.sharedParts ?? [], resumeAfter: callerRequest.resumeAfter,
 			onWrite() {
 				reservation?.dispose();
 				preparer?.handleSent();
--- a/src/quarantine/common/quarantine.ts
+++ b/src/quarantine/common/quarantine.ts
@@ -159,10 +159,13 @@
 	@param contentId - the content id of its request.
 	@param server - the server that ran it.
 	@param requestId - the caller's id of this attempt.
+	@param parts - keys of the parts that its prompt shares with others.
 	*/
-	connectionLost(contentId: string, server: UpstreamServer, requestId: string): void {
+	connectionLost(contentId: string, server: UpstreamServer, requestId: string, parts: readonly string[] = []): void {
 		if (this.options.crashDetector.connectionLost(server)) {
-			this.options.log.info(quarantineLogMessages.connectionLost, {request: requestId, content: contentId, server: server.serverId});
+			this.options.log.info(quarantineLogMessages.connectionLost, {
+				request: requestId, content: contentId, parts: parts.length > 0 ? parts.join(' ') : undefined, server: server.serverId,
+			});
 			this.addHeadDigest(contentId);
 			const contents = this.suspectContents.get(server.serverId) ?? new Set();
 			contents.add(contentId);
--- a/src/request/common/request-plan.ts
+++ b/src/request/common/request-plan.ts
@@ -68,6 +68,8 @@
 	readonly hardDeadlineMs: number;
 	readonly input: Uint8Array;
 	readonly http?: HttpCall;
+	/** Keys of the parts that the request's prompt shares with others; absent if it has none. */
+	readonly sharedParts?: readonly string[];
 	readonly prefixHash: number;
 	readonly seed: number;
 };
