--- a/test/platform/server-standin.ts
+++ b/test/platform/server-standin.ts
@@ -85,6 +85,14 @@
 	crashesOnBody: string | undefined;
 	/** A call of stage work with a piece of this key crashes the server in the same way. */
 	crashesOnPieceKey: string | undefined;
+	/** A request whose prompt has this part crashes the server. */
+	crashesOnPart: string | undefined;
+	/** Number of events of such a request that the server sends before it crashes. */
+	eventsBeforeCrash = 0;
+	/** Called when the server crashes. */
+	onCrash: (() => void) | undefined;
+	/** Whether responses have neither a length nor chunks, and end with their connection. */
+	isUnframed = false;
 	hasCrashed = false;
 	readonly seen: SeenRequest[] = [];
 	/** Received calls of stage work, each with its pieces. */
@@ -183,9 +191,13 @@
 		this.server.dispose();
 	}
 
-	private crash(): void {
-		this.hasCrashed = true;
-		this.dispose();
+	/** Ends the server as a process that crashes does: its connections are cut and nothing listens at its address. */
+	crash(): void {
+		if (!this.hasCrashed) {
+			this.hasCrashed = true;
+			this.dispose();
+			this.onCrash?.();
+		}
 	}
 
 	private async handleRequest(request: IncomingMessage, response: ServerResponse): Promise<void> {
@@ -273,7 +285,7 @@
 			this.closedEarlyCount += response.writableFinished ? 0 : 1;
 		});
 		await sleep(this.stepMs);
-		if (body === this.crashesOnBody) {
+		if (body === this.crashesOnBody || (this.hasFatalPart(request) && this.eventsBeforeCrash === 0)) {
 			this.crash();
 		} else if (this.shouldReset()) {
 			request.socket.resetAndDestroy();
@@ -282,6 +294,11 @@
 		}
 	}
 
+	private hasFatalPart(request: IncomingMessage): boolean {
+		const parts = String(request.headers['prompt-prefix'] ?? '').split(',').map(part => part.split(':')[0]);
+		return this.crashesOnPart !== undefined && parts.includes(this.crashesOnPart);
+	}
+
 	private async respond(request: IncomingMessage, response: ServerResponse, id: string): Promise<void> {
 		const headers = {'attempt-id': this.fault === 'foreign' ? 'someone-else' : id, 'server-stamp': `stamp-${this.serverId}`};
 		switch (this.fault) {
@@ -314,12 +331,23 @@
 	}
 
 	private async stream(request: IncomingMessage, response: ServerResponse, headers: Record<string, string>): Promise<void> {
+		if (this.isUnframed) {
+			response.useChunkedEncodingByDefault = false;
+			response.shouldKeepAlive = false;
+		}
+
 		response.writeHead(200, {...headers, 'content-type': 'text/event-stream'});
+		const lastBeforeCrash = this.hasFatalPart(request) ? this.eventsBeforeCrash : Infinity;
 		const {eventPrefix} = this;
 		const first = Number(request.headers['last-event-id'] ?? 0) + 1;
 		const isCut = this.fault === 'cutStream' || (first === 1 && this.cutsStream?.(headers['attempt-id']) === true);
 		for (let index = first; index <= this.eventCount; index++) {
 			await sleep(this.stepMs);
+			if (index >= first + lastBeforeCrash) {
+				this.crash();
+				return;
+			}
+
 			if (isCut && index === 3) {
 				response.write('id: 3\nda');
 				await sleep(this.stepMs);
