Quarantine parts of prompts under which servers crash

Sound requests that ran on these servers were cut.

Crashes are now counted by each part that prompts share as well (all but the last, in whatever workspace and at whatever place). All shared parts of the calls lost at a crash are suspects; a complete success clears its parts on all hosts. After three crashes that nothing clears within 0.7 s the part is barred on all hosts, on one that starts later too: at the door, at each send and while a request waits for its steps. A sound part that only occurred together with the cause is let in by a trial of one request for all hosts, in which it is the only barred part; a failed trial is repeated after a minute, then after twice as long. A response that ends with its connection clears only if its server is still there 0.3 s later, as a crash ends connections in the same way.

Log lines name the part, counters count bars, and pumicehatch logs quarantine lists parts.

--- a/src/cli/common/quarantine-report.test.ts
+++ b/src/cli/common/quarantine-report.test.ts
@@ -35,3 +35,26 @@
 		},
 	], 'a call whose server did not crash is not listed');
 });
+
+t.test('attempts, server crashes and refusals of one part of prompts are collected, apart from those of contents', async t => {
+	const {connectionLost, partCrashed, partBarred, partLifted} = quarantineLogMessages;
+	const {lines} = readLogLines([
+		line('a', connectionLost, {
+			request: 'r1', content: 'c1', promptParts: 'dead sound', server: 's1',
+		}),
+		line('a', partCrashed, {promptPart: 'dead', server: 's1', ends: 1}),
+		line('a', partCrashed, {promptPart: 'sound', server: 's1', ends: 1}),
+		line('b', partCrashed, {promptPart: 'dead', server: 's2', ends: 2}),
+		line('b', partBarred, {promptPart: 'dead', servers: 's1 s2'}),
+		line('b', partLifted, {promptPart: 'sound'}),
+		line('a', requestLogMessages.refusedOnAdmission, {request: 'r4', promptPart: 'dead', status: 503}),
+	].join('\n'));
+	t.same(reportQuarantine(lines), [
+		{
+			content: 'part dead', state: 'barred', servers: ['s1', 's2'], requests: ['r1'], refusedCount: 1,
+		},
+		{
+			content: 'part sound', state: 'lifted', servers: ['s1'], requests: ['r1'], refusedCount: 0,
+		},
+	]);
+});
--- a/src/cli/common/quarantine-report.ts
+++ b/src/cli/common/quarantine-report.ts
@@ -1,4 +1,4 @@
-/** Reports which requests crashed servers, from the log lines of all hosts. */
+/** Reports which requests, and which parts of prompts, crashed servers, from the log lines of all hosts. */
 import {quarantineLogMessages} from '../../quarantine/common/quarantine-log-messages.js';
 import {requestLogMessages} from '../../request/common/request-log-messages.js';
 import {textOf, type LogLine} from './log-lines.js';
@@ -7,8 +7,9 @@
 export const contentStates = {suspected: 'suspected', barred: 'barred', lifted: 'lifted'} as const;
 export type ContentState = typeof contentStates[keyof typeof contentStates];
 
-/** Report on one request content during which servers crashed. */
+/** Report on one request content, or one part of prompts, during which servers crashed. */
 export type ContentReport = {
+	/** Id of the content, or `part` and the key of the part. */
 	readonly content: string;
 	state: ContentState;
 	/** Server processes that crashed. */
@@ -23,6 +24,9 @@
 	[quarantineLogMessages.barred, contentStates.barred],
 	[quarantineLogMessages.trial, contentStates.barred],
 	[quarantineLogMessages.lifted, contentStates.lifted],
+	[quarantineLogMessages.partBarred, contentStates.barred],
+	[quarantineLogMessages.partTrial, contentStates.barred],
+	[quarantineLogMessages.partLifted, contentStates.lifted],
 ]);
 
 /**
@@ -33,8 +37,7 @@
 export function reportQuarantine(lines: readonly LogLine[]): ContentReport[] {
 	const reports = new Map<string, ContentReport>();
 	for (const line of lines) {
-		const content = textOf(line, 'content');
-		if (content !== '') {
+		for (const content of subjectsOf(line)) {
 			const report = reports.get(content) ?? {
 				content, state: contentStates.suspected, servers: [], requests: [], refusedCount: 0,
 			};
@@ -46,10 +49,18 @@
 	return [...reports.values()].filter(({servers}) => servers.length > 0).toSorted((left, right) => right.servers.length - left.servers.length);
 }
 
+/** The content and the parts that a line is about. The line of a lost call names all shared parts of its prompt. */
+function subjectsOf(line: LogLine): string[] {
+	const content = textOf(line, 'content');
+	const parts = line.message === quarantineLogMessages.connectionLost ? textOf(line, 'promptParts').split(' ') : [textOf(line, 'promptPart')];
+	return [...content === '' ? [] : [content], ...parts.filter(part => part !== '').map(part => `part ${part}`)];
+}
+
 function addLine(report: ContentReport, line: LogLine): void {
 	report.state = stateByMessage.get(line.message) ?? report.state;
 	switch (line.message) {
-		case quarantineLogMessages.serverCrashed: {
+		case quarantineLogMessages.serverCrashed:
+		case quarantineLogMessages.partCrashed: {
 			addOnce(report.servers, textOf(line, 'server'));
 
 			break;
--- a/src/daemon/node/compose-direct-entry.ts
+++ b/src/daemon/node/compose-direct-entry.ts
@@ -42,6 +42,7 @@
 import {Preparer} from '../../preparation/node/preparer.js';
 import {Quarantine, quarantineToken} from '../../quarantine/common/quarantine.js';
 import {CrashDetector} from '../../quarantine/common/crash-detector.js';
+import {PartQuarantine, partQuarantineToken} from '../../quarantine/common/part-quarantine.js';
 import {TcpAddressCheck} from '../../quarantine/node/tcp-address-check.js';
 import {QuarantineUpdates} from '../../quarantine/node/quarantine-updates.js';
 import {RequestRunner} from '../../request/node/request-runner.js';
@@ -69,6 +70,7 @@
 const availabilityToken: InjectionToken<PoolAvailability> = Symbol('PoolAvailability');
 const routerToken: InjectionToken<DirectRouter> = Symbol('DirectRouter');
 const promptUpdatesToken: InjectionToken<PromptUpdates> = Symbol('PromptUpdates');
+const crashDetectorToken: InjectionToken<CrashDetector> = Symbol('CrashDetector');
 const streamDirectoryToken: InjectionToken<StreamDirectory> = Symbol('StreamDirectory');
 const continuityToken: InjectionToken<StreamContinuity> = Symbol('StreamContinuity');
 const linksToken: InjectionToken<DirectLinks> = Symbol('DirectLinks');
@@ -129,8 +131,13 @@
 
 /** Registers the quarantine, which finds out which requests crash the servers that run them. */
 function registerQuarantine({lifecycle, clock, metrics, logOf, register, get}: Composition): void {
+	register(crashDetectorToken, () => lifecycle.register(CrashDetector.create({registry: get(serverRegistryToken), check: TcpAddressCheck.create(), clock})));
+	register(partQuarantineToken, () => lifecycle.register(PartQuarantine.create({
+		crashDetector: get(crashDetectorToken), clock, log: logOf('quarantine'), metrics,
+	})));
 	register(quarantineToken, () => lifecycle.register(Quarantine.create({
-		crashDetector: lifecycle.register(CrashDetector.create({registry: get(serverRegistryToken), check: TcpAddressCheck.create(), clock})),
+		crashDetector: get(crashDetectorToken),
+		parts: get(partQuarantineToken),
 		clock,
 		log: logOf('quarantine'),
 		metrics,
@@ -259,9 +266,12 @@
 	});
 	const makeRunner = () => {
 		const runner = lifecycle.register(RequestRunner.create(get(linksToken), get(routerToken), clock));
-		get(quarantineToken).onDidBar(() => {
-			runner.standingChanged();
-		});
+		for (const {onDidBar} of [get(quarantineToken), get(partQuarantineToken)]) {
+			onDidBar(() => {
+				runner.standingChanged();
+			});
+		}
+
 		return runner;
 	};
 
@@ -324,7 +334,9 @@
 	lifecycle.register(VersionHistoryUpdates.create({history: get(versionHistoryToken), mesh: get(peerMeshToken)}));
 	lifecycle.register(LeavingServerUpdates.create({leaving: get(leavingServersToken), mesh: get(peerMeshToken)}));
 	lifecycle.register(ServerLimitUpdates.create({limits: get(serverLimitsToken), mesh: get(peerMeshToken), clock}));
-	lifecycle.register(QuarantineUpdates.create({quarantine: get(quarantineToken), mesh: get(peerMeshToken), clock}));
+	lifecycle.register(QuarantineUpdates.create({
+		quarantine: get(quarantineToken), parts: get(partQuarantineToken), mesh: get(peerMeshToken), clock,
+	}));
 	lifecycle.register(setRepeating(clock, () => sweepIntervalMs, () => {
 		get(serverRegistryToken).removeOverdue(clock.nowMs());
 	}));
--- a/src/direct/common/direct-router.ts
+++ b/src/direct/common/direct-router.ts
@@ -97,8 +97,8 @@
 		});
 	}
 
-	standingOf({workspace, http}: RequestPlan): Standing {
-		return http ? this.options.quarantine.standingOf({workspace, http}) : clearStanding;
+	standingOf({workspace, http, sharedParts}: RequestPlan): Standing {
+		return http ? this.options.quarantine.standingOf({workspace, http, sharedParts: sharedParts ?? []}) : clearStanding;
 	}
 
 	choose(stage: StagePlan, excluded: ReadonlySet<string>, _prefixHash: number, nowMs: number): Choice | undefined {
--- a/src/direct/node/admission-checks.ts
+++ b/src/direct/node/admission-checks.ts
@@ -1,5 +1,5 @@
 /** Checks whether a request is refused on admission, before any work is done for it. */
-import {barredText, type Standing} from '../../quarantine/common/quarantine.js';
+import {barredTextOf, type Standing} from '../../quarantine/common/quarantine.js';
 import type {RequestPlan} from '../../request/common/request-plan.js';
 import type {Unavailability} from '../../request/common/request-router.js';
 import type {BoundedAdmission} from '../common/bounded-admission.js';
@@ -39,7 +39,7 @@
 	const standing = standingOf(plan);
 	if (standing.type === 'barred') {
 		return {
-			requestId, status, reason: notRunText(barredText), retryAfterMs: standing.forMs, content: standing.contentId,
+			requestId, status, reason: notRunText(barredTextOf(standing)), retryAfterMs: standing.forMs, ...('part' in standing ? {part: standing.part} : {content: standing.contentId}),
 		};
 	}
 
--- a/src/direct/node/direct-links.ts
+++ b/src/direct/node/direct-links.ts
@@ -5,10 +5,12 @@
 import {Emitter} from '../../base/common/emitter.js';
 import {messageOf} from '../../base/common/errors.js';
 import type {Logger} from '../../base/common/logger.js';
+import {isUnframed} from '../../deployment/common/hop-headers.js';
 import type {ServerNotices} from '../../deployment/common/server-notices.js';
 import type {ServerRegistry} from '../../deployment/common/server-registry.js';
 import type {UpstreamServer} from '../../deployment/common/upstream-server.js';
 import {ConnectionPool, type PooledConnection} from '../../deployment/node/connection-pool.js';
+import type {HttpResponseHead} from '../../request/common/request-plan.js';
 import type {UpstreamTransport, UpstreamMessage} from '../../request/common/upstream-transport.js';
 import type {Quarantine} from '../../quarantine/common/quarantine.js';
 import {contentIdOf} from '../../quarantine/common/request-content.js';
@@ -18,6 +20,9 @@
 import type {UpstreamProtocol} from '../common/upstream-protocol.js';
 import {DirectCall} from './direct-call.js';
 
+/** Responses from this status on report no success. */
+const firstErrorStatus = 300;
+
 /** What the links need to know about a request in addition to its dispatches. */
 export type RequestContext = {
 	/** The id that the caller gave the request, which responses repeat. */
@@ -180,7 +185,7 @@
 
 	private startCall(pending: PendingCall): void {
 		const {message: {dispatchId, workspace}, http, server, context, connection} = pending;
-		this.options.quarantine.sent({workspace, http});
+		this.options.quarantine.sent({workspace, http, sharedParts: context.sharedParts});
 		const call = this.makeCall(pending);
 		this.calls.set(dispatchId, call);
 		const options = this.dispatchOptionsOf(pending);
@@ -199,7 +204,9 @@
 
 	private makeCall({message, http, server, context, connection}: PendingCall): DirectCall {
 		const {clock, protocol, notices, quarantine} = this.options;
-		const source = {workspace: message.workspace, http};
+		const source = {workspace: message.workspace, http, sharedParts: context.sharedParts};
+		const sentMs = clock.nowMs();
+		let responseHead: HttpResponseHead | undefined;
 		return DirectCall.create({
 			dispatch: message,
 			connection,
@@ -212,14 +219,18 @@
 				notices.handleResponse(server, protocol.readNotice(head), sentMs, clock.nowMs());
 			},
 			emit: event => {
-				if (event.type === 'end' && event.state === 'completed') {
-					quarantine.completed(source);
+				if (event.type === 'started') {
+					responseHead = event.http;
+				} else if (event.type === 'end' && event.state === 'completed' && responseHead) {
+					quarantine.completed(source, {
+						server, sentMs, isSuccess: responseHead.status < firstErrorStatus, endsWithConnection: isUnframed(responseHead),
+					});
 				}
 
 				this.receive(server, event);
 			},
 			onConnectionLost() {
-				quarantine.connectionLost(contentIdOf(source), server, context.callerRequestId, context.sharedParts);
+				quarantine.connectionLost(contentIdOf(source), server, context.callerRequestId, {parts: context.sharedParts, sentMs});
 			},
 			onEvent(eventId) {
 				context.resumeAfter = eventId;
--- a/src/direct/node/ingress.ts
+++ b/src/direct/node/ingress.ts
@@ -237,10 +237,10 @@
 		}
 	}
 
-	private refuse(response: ServerResponse, {requestId, status, reason, retryAfterMs, content}: Refusal): void {
+	private refuse(response: ServerResponse, {requestId, status, reason, retryAfterMs, content, part}: Refusal): void {
 		const {deploymentTracker, log, metrics} = this.options;
 		log.info(requestLogMessages.refusedOnAdmission, {
-			request: requestId, status, reason, version: deploymentTracker.version, content,
+			request: requestId, status, reason, version: deploymentTracker.version, content, promptPart: part,
 		});
 		metrics.increment('requests.turnedAway', 1, {status: String(status)});
 		sendHostResponse(response, status, reason, retryAfterMs);
@@ -252,7 +252,7 @@
 		const plan = this.planOf(received);
 		const refusal = admissionRefusal(received, plan, this.options, receivedMs);
 		if (refusal) {
-			if (refusal.content !== undefined) {
+			if (refusal.content !== undefined || refusal.part !== undefined) {
 				metrics.increment('quarantine.refused', 1, {route: plan.pipeline});
 			}
 
--- a/src/direct/node/resolve-request.ts
+++ b/src/direct/node/resolve-request.ts
@@ -16,8 +16,10 @@
 
 /** A request that the current declaration allows. */
 export type ResolvedRequest = {readonly index: DeploymentIndex; readonly route: Route; readonly workspace: WorkspaceDeclaration | undefined; readonly callerRequest: CallerRequest};
-/** Why a request is refused; `content` is the content id of a quarantined request. */
-export type Refusal = {readonly requestId: string; readonly status: number; readonly reason: string; readonly retryAfterMs?: number; readonly content?: string};
+/** Why a request is refused; `content` or `part` is what is in quarantine. */
+export type Refusal = {
+	readonly requestId: string; readonly status: number; readonly reason: string; readonly retryAfterMs?: number; readonly content?: string; readonly part?: string;
+};
 
 /**
 Resolves a request to its route and workspace in the declaration.
--- a/src/quarantine/common/quarantine.test.ts
+++ b/src/quarantine/common/quarantine.test.ts
@@ -13,7 +13,8 @@
 import {silentLoggers} from '../../base/common/logger.js';
 import {noMetrics} from '../../base/common/metrics.js';
 import type {UpstreamServer} from '../../deployment/common/upstream-server.js';
-import {Quarantine} from './quarantine.js';
+import {PartQuarantine} from './part-quarantine.js';
+import {Quarantine, type CompletedResponse} from './quarantine.js';
 import {contentIdOf, type ContentSource} from './request-content.js';
 
 const updateDelayMs = 60;
@@ -32,6 +33,10 @@
 	};
 }
 
+const wholeResponse: CompletedResponse = {
+	server: serverOf('live'), sentMs: 0, isSuccess: true, endsWithConnection: false,
+};
+
 /** A host. The test decides whether a server whose connection was lost has crashed. */
 class Host {
 	readonly didCrash = Emitter.create<string>();
@@ -41,20 +46,17 @@
 	readonly quarantine: Quarantine;
 
 	constructor(clock: ManualClock) {
-		this.quarantine = Quarantine.create({
-			crashDetector: {
-				connectionLost: ({serverId}) => {
-					this.suspectServers.add(serverId);
-					return true;
-				},
-				isBeingChecked: serverId => this.suspectServers.has(serverId),
-				onDidCrash: this.didCrash.event,
-				onDidConclude: this.didConclude.event,
+		const crashDetector = {
+			connectionLost: ({serverId}: UpstreamServer) => {
+				this.suspectServers.add(serverId);
+				return true;
 			},
-			clock,
-			log: silentLoggers.for('test'),
-			metrics: noMetrics,
-		});
+			isBeingChecked: (serverId: string) => this.suspectServers.has(serverId),
+			onDidCrash: this.didCrash.event,
+			onDidConclude: this.didConclude.event,
+		};
+		const common = {clock, log: silentLoggers.for('test'), metrics: noMetrics};
+		this.quarantine = Quarantine.create({crashDetector, parts: PartQuarantine.create({crashDetector, ...common}), ...common});
 		this.quarantine.onDidBar(contentId => {
 			this.barred.push(contentId);
 		});
@@ -139,7 +141,7 @@
 
 	clock.advance(updateDelayMs);
 	t.equal(hosts[1].quarantine.standingOf(sourceOf('polled')).type, 'barred');
-	hosts[1].quarantine.completed(sourceOf('polled'));
+	hosts[1].quarantine.completed(sourceOf('polled'), wholeResponse);
 	clock.advance(updateDelayMs);
 	t.same(hosts.map(({quarantine}) => quarantine.standingOf(sourceOf('polled')).type), ['clear', 'clear']);
 });
@@ -155,7 +157,7 @@
 	hosts[1].quarantine.sent(sourceOf('unlucky'));
 	clock.advance(updateDelayMs);
 	t.same(hosts.map(({quarantine}) => quarantine.standingOf(sourceOf('unlucky')).type), ['barred', 'barred', 'barred']);
-	hosts[1].quarantine.completed(sourceOf('unlucky'));
+	hosts[1].quarantine.completed(sourceOf('unlucky'), wholeResponse);
 	clock.advance(updateDelayMs);
 	t.same(hosts.map(({quarantine}) => quarantine.standingOf(sourceOf('unlucky')).type), ['clear', 'clear', 'clear']);
 });
@@ -194,7 +196,7 @@
 			quarantine.connectionLost(contentIdOf(source), serverOf(`live-${body}`), 'r');
 			hosts[index].conclude(`live-${body}`, false);
 		} else {
-			quarantine.completed(source);
+			quarantine.completed(source, wholeResponse);
 		}
 
 		return true;
--- a/src/quarantine/common/quarantine.ts
+++ b/src/quarantine/common/quarantine.ts
@@ -18,8 +18,10 @@
 import {
 	contentIdOf, headDigestOf, headOfContentId, type ContentSource,
 } from './request-content.js';
+import {crashesToBar as crashesToBarPart} from './part-record.js';
 import {quarantineLogMessages} from './quarantine-log-messages.js';
 import type {CrashDetector} from './crash-detector.js';
+import type {PartQuarantine} from './part-quarantine.js';
 
 /** Number of server crashes recorded for one content after which the content is barred. */
 const crashesToBar = 3;
@@ -30,18 +32,37 @@
 const crashesToIsolate = 2;
 /** Number of head digests at which the set is rebuilt from the contents that are still recorded or suspect. */
 const maxHeadDigests = 20_000;
-/** Text about a barred request, for callers and logs. */
-export const barredText = `this request is in quarantine, as ${crashesToBar} servers ended while they ran it`;
+/** Texts about barred requests, for callers and logs. */
+const barredContentText = `this request is in quarantine, as ${crashesToBar} servers ended while they ran it`;
+const barredPartText = `a part of its prompt is in quarantine, as ${crashesToBarPart} servers ended while they ran requests with it`;
 
 /** Whether a request may be sent, judged by the crashes recorded for the same content. */
 export type Standing
 	= | {readonly type: 'clear'}
 	/** The request may have crashed the last server that ran it; a check is under way. */
 		| {readonly type: 'inDoubt'}
-		| {readonly type: 'barred'; readonly forMs: number; readonly contentId: string};
+		| {readonly type: 'barred'; readonly forMs: number; readonly contentId: string}
+		| {readonly type: 'barred'; readonly forMs: number; readonly part: string};
+
+export type BarredStanding = Extract<Standing, {type: 'barred'}>;
 
 export const clearStanding: Standing = {type: 'clear'};
 
+/** The parts that a prompt shares with others, and when its request was sent to a server. */
+export type SentPrompt = {readonly parts: readonly string[]; readonly sentMs: number};
+
+const noPrompt: SentPrompt = {parts: [], sentMs: 0};
+
+/** A complete response to a request. */
+export type CompletedResponse = {
+	readonly server: UpstreamServer;
+	/** When the request was sent to the server. */
+	readonly sentMs: number;
+	readonly isSuccess: boolean;
+	/** Whether only the end of its connection shows that the response is complete. */
+	readonly endsWithConnection: boolean;
+};
+
 /** How a piece of a request may be sent to a server that processes pieces of several requests in one call. */
 export const pieceHandlings = {
 	none: 'none',
@@ -62,11 +83,21 @@
 /** Dependencies of the quarantine. */
 export type QuarantineOptions = {
 	readonly crashDetector: Pick<CrashDetector, 'connectionLost' | 'isBeingChecked' | 'onDidCrash' | 'onDidConclude'>;
+	/** Quarantine of the parts that prompts share. */
+	readonly parts: PartQuarantine;
 	readonly clock: Clock;
 	readonly log: Logger;
 	readonly metrics: Metrics;
 };
 
+/**
+Returns the text about a request that is barred.
+@param standing - why it is barred.
+*/
+export function barredTextOf(standing: BarredStanding): string {
+	return 'part' in standing ? barredPartText : barredContentText;
+}
+
 /** Decides which requests may be sent, by the server crashes recorded for their content. */
 export class Quarantine implements Disposable {
 	static create(options: QuarantineOptions): Quarantine {
@@ -113,6 +144,11 @@
 	@param source - the request.
 	*/
 	standingOf(source: ContentSource): Standing {
+		const barred = this.options.parts.barredPartOf(source.sharedParts ?? []);
+		if (barred) {
+			return {type: 'barred', ...barred};
+		}
+
 		if (!this.mayBeRecorded(source)) {
 			return clearStanding;
 		}
@@ -143,6 +179,7 @@
 	@param source - the request.
 	*/
 	sent(source: ContentSource): void {
+		this.options.parts.sent(source.sharedParts ?? []);
 		if (this.mayBeRecorded(source)) {
 			const {clock, log} = this.options;
 			const contentId = contentIdOf(source);
@@ -159,13 +196,14 @@
 	@param contentId - the content id of its request.
 	@param server - the server that ran it.
 	@param requestId - the caller's id of this attempt.
-	@param parts - keys of the parts that its prompt shares with others.
+	@param prompt - the parts that its prompt shares with others and when it was sent; absent for a call without a prompt.
 	*/
-	connectionLost(contentId: string, server: UpstreamServer, requestId: string, parts: readonly string[] = []): void {
+	connectionLost(contentId: string, server: UpstreamServer, requestId: string, {parts, sentMs}: SentPrompt = noPrompt): void {
 		if (this.options.crashDetector.connectionLost(server)) {
 			this.options.log.info(quarantineLogMessages.connectionLost, {
-				request: requestId, content: contentId, parts: parts.length > 0 ? parts.join(' ') : undefined, server: server.serverId,
+				request: requestId, content: contentId, promptParts: parts.length > 0 ? parts.join(' ') : undefined, server: server.serverId,
 			});
+			this.options.parts.connectionLost(server.serverId, parts, sentMs);
 			this.addHeadDigest(contentId);
 			const contents = this.suspectContents.get(server.serverId) ?? new Set();
 			contents.add(contentId);
@@ -176,8 +214,16 @@
 	/**
 	Called when a request got a complete response: it did not cause the crashes recorded for its content, which no longer count.
 	@param source - the request.
+	@param response - properties of the response on which it depends what it proves.
 	*/
-	completed(source: ContentSource): void {
+	completed(source: ContentSource, {server, sentMs, isSuccess, endsWithConnection}: CompletedResponse): void {
+		const {parts} = this.options;
+		if (isSuccess && endsWithConnection) {
+			parts.completedWithConnection(source.sharedParts ?? [], server, sentMs);
+		} else if (isSuccess) {
+			parts.completed(source.sharedParts ?? []);
+		}
+
 		if (!this.mayBeRecorded(source)) {
 			return;
 		}
--- a/src/quarantine/common/request-content.ts
+++ b/src/quarantine/common/request-content.ts
@@ -7,6 +7,8 @@
 	/** Part of the content, so that one workspace can't get the requests of another one quarantined. */
 	readonly workspace: string;
 	readonly http: Pick<HttpCall, 'method' | 'path' | 'headers' | 'body'>;
+	/** Keys of the parts that its prompt shares with others; they do not identify the content. */
+	readonly sharedParts?: readonly string[];
 };
 
 /**
--- a/src/quarantine/node/quarantine-updates.test.ts
+++ b/src/quarantine/node/quarantine-updates.test.ts
@@ -2,6 +2,7 @@
 import {ManualClock} from '../../base/common/clock.js';
 import {Emitter} from '../../base/common/emitter.js';
 import {MeshStandin} from '../../../test/mesh-standin.js';
+import type {PartCrashes} from '../common/part-record.js';
 import type {ContentCrashes} from '../common/crash-record.js';
 import {QuarantineUpdates} from './quarantine-updates.js';
 
@@ -12,7 +13,16 @@
 	const observed = Emitter.create<ContentCrashes>();
 	const received: Array<readonly ContentCrashes[]> = [];
 	const mesh = MeshStandin.create();
+	const observedParts = Emitter.create<PartCrashes>();
+	const receivedParts: Array<readonly PartCrashes[]> = [];
 	QuarantineUpdates.create({
+		parts: {
+			onDidObserve: observedParts.event,
+			handlePeerReport(parts) {
+				receivedParts.push(parts);
+			},
+			all: () => [],
+		},
 		quarantine: {
 			onDidObserve: observed.event,
 			handlePeerReport(contents) {
@@ -24,7 +34,7 @@
 		clock,
 	});
 	return {
-		clock, observed, received, mesh,
+		clock, observed, received, mesh, observedParts, receivedParts,
 	};
 }
 
@@ -47,3 +57,15 @@
 	mesh.connect('late');
 	t.same(mesh.sent.map(({to, message}) => [to, message.type === 'fatalContents' ? message.contents.length : 0]), [['late', 500], ['late', 500], ['late', 100]]);
 });
+
+t.test('crashes of parts are broadcast to all peers, and are received unchanged', async t => {
+	const {clock, observedParts, receivedParts, mesh} = makeUpdates();
+	const update: PartCrashes = {
+		part: 'ab', crashes: [{serverId: 's@1', ageMs: 5, sentAgeMs: 90}], cleared: ['r@1'], trials: {count: 2, ageMs: 7},
+	};
+	observedParts.fire(update);
+	clock.advance(10);
+	t.equal(mesh.sent.length, 1);
+	mesh.receive('peer', mesh.sent[0].message);
+	t.same(receivedParts, [[update]]);
+});
--- a/src/request/common/request-state-machine.ts
+++ b/src/request/common/request-state-machine.ts
@@ -1,5 +1,5 @@
 /** The state machine of one request at its entry. It makes all decisions: events and the time go in, actions come out. */
-import {barredText} from '../../quarantine/common/quarantine.js';
+import {barredTextOf} from '../../quarantine/common/quarantine.js';
 import type {RequestAction, RequestEvent} from './request-events.js';
 import {
 	failureCodes, noInputs, otherHostRetryAfterMs, outcomes, type FailureCode, type PreparedInputs, type RequestOutcome, type RequestPlan, type RequestResult, type StagePlan,
@@ -349,7 +349,7 @@
 	private refuseIfBarred(nowMs: number): void {
 		const standing = this.router.standingOf(this.plan);
 		if (standing.type === 'barred' && !this.runs.mayHaveRun && this.phase !== 'claiming') {
-			this.finishFailed(failureCodes.quarantined, barredText, nowMs, standing.forMs);
+			this.finishFailed(failureCodes.quarantined, barredTextOf(standing), nowMs, standing.forMs);
 		}
 	}
 
--- a/src/request/common/stage-run.ts
+++ b/src/request/common/stage-run.ts
@@ -2,7 +2,7 @@
 import {
 	refusalReasons, type ChunkMessage, type EndMessage, type RefusedMessage, type StartedMessage,
 } from '../../wire/common/messages.js';
-import {barredText, type Standing} from '../../quarantine/common/quarantine.js';
+import {barredTextOf, type Standing} from '../../quarantine/common/quarantine.js';
 import {Attempt} from './attempt.js';
 import {AttemptList} from './attempt-list.js';
 import type {RequestAction} from './request-events.js';
@@ -470,7 +470,7 @@
 			this.hold(kind, nowMs);
 		} else if (!this.attempts.hasLive) {
 			this.endHold(nowMs);
-			this.fail(failureCodes.quarantined, barredText, standing.forMs);
+			this.fail(failureCodes.quarantined, barredTextOf(standing), standing.forMs);
 		}
 	}
 
--- a/src/wire/common/messages.ts
+++ b/src/wire/common/messages.ts
@@ -3,6 +3,7 @@
 import {
 	bytes, contentId, count, id, ms, name, serverId,
 } from './message-fields.js';
+import {fatalContentsSchema, fatalPartsSchema} from './quarantine-messages.js';
 import {
 	streamAskSchema, streamsBegunSchema, streamUnknownSchema, versionHistorySchema,
 } from './stream-messages.js';
@@ -375,19 +376,6 @@
 	type: z.literal('batchRelease'), pool: name, refs: z.array(z.strictObject({handle: z.string().max(256), serverId})).max(65_536),
 });
 
-/** Server crashes that the sender knows of, by the content of the request that was running. */
-const fatalContentsSchema = z.strictObject({
-	type: z.literal('fatalContents'),
-	contents: z.array(z.strictObject({
-		contentId,
-		ends: z.array(z.strictObject({serverId, ageMs: ms})).max(64),
-		cleared: z.array(serverId).max(64),
-		trials: z.strictObject({count, ageMs: ms}).optional(),
-	})).max(10_000),
-});
-
-export type FatalContents = z.infer<typeof fatalContentsSchema>['contents'];
-
 /** Upper bound on the limits in one message. */
 export const maxServerLimits = 1000;
 /** Rate limits of upstreams, in requests per second from all hosts together, as announced in their responses. */
@@ -448,6 +436,7 @@
 	batchWaitsSchema,
 	batchReleaseSchema,
 	fatalContentsSchema,
+	fatalPartsSchema,
 	serverLimitsSchema,
 	leavingServersSchema,
 	streamsBegunSchema,
--- a/test/platform/crashing-part.test.ts
+++ b/test/platform/crashing-part.test.ts
@@ -4,6 +4,7 @@
 Guards against requests that crash server after server although no two of them are alike: what hosts remembered of a crash was bound to the whole content of a request, so each
 crash was the first one of its content. Requests with one part of a prompt crashed 28 engines; before the fix, the scenes below sent 11 to 36 of them later than allowed.
 */
+import {Buffer} from 'node:buffer';
 import {setTimeout as sleep} from 'node:timers/promises';
 import t, {type Test} from 'tap';
 import {
@@ -41,6 +42,7 @@
 class CrashingPool {
 	readonly all: ServerStandin[] = [];
 	readonly crashedMs: number[] = [];
+	isStopped = false;
 
 	constructor(private readonly fleet: DirectFleet, private readonly scene: Pick<Scene, 'eventsBeforeCrash' | 'isUnframed'>) {}
 
@@ -52,6 +54,10 @@
 			server.onCrash = () => {
 				this.crashedMs.push(performance.now());
 				setTimeout(() => {
+					if (this.isStopped) {
+						return;
+					}
+
 					this.fleet.store.remove('servers', server.serverId);
 					void this.start(1);
 				}, respawnMs).unref();
@@ -72,6 +78,9 @@
 	const fleet = await makeFleet(t);
 	fleet.store.put('op', 'config', longTimeoutConfig(2));
 	const pool = new CrashingPool(fleet, scene);
+	t.teardown(() => {
+		pool.isStopped = true;
+	});
 	await pool.start(serverCount);
 	return {fleet, pool, hosts: await addHosts(fleet, hostCount)};
 }
