--- a/test/platform/server-standin.ts
+++ b/test/platform/server-standin.ts
@@ -97,6 +97,8 @@
 	readonly seen: SeenRequest[] = [];
 	/** Received calls of stage work, each with its pieces. */
 	readonly stageCalls: Array<ReadonlyArray<Record<string, unknown>>> = [];
+	/** The same with refused calls. */
+	readonly stageArrivals: Array<ReadonlyArray<Record<string, unknown>>> = [];
 	readonly releasedResults: string[] = [];
 	/** While the server is cold, it crashes once it gets more requests than this within a second. */
 	maxPerSecondWhileCold = Infinity;
@@ -363,6 +365,7 @@
 
 	private async stageRun(body: string, response: ServerResponse): Promise<void> {
 		const {entries} = runSchema.parse(JSON.parse(body));
+		this.stageArrivals.push(entries);
 		if (this.fault === 'full') {
 			response.writeHead(503, {'not-executed': '1'}).end();
 			return;
