Reset the caller's connection when a response that ends with it is cut off

A stream whose upstream sent neither a length nor chunks is passed on in the same way, so that only the end of the connection ends it. When its upstream broke off inside an event and the stream could not be continued, the host closed the caller's connection after the last whole event: 40 of 40 such streams looked whole to their callers. A response of the same kind that was cut off for another reason looked whole as well.

Such a response now resets the connection, which can't be taken for its end. Test: none of them looks whole; it fails without the change.

--- a/src/direct/node/pass-through-writer.ts
+++ b/src/direct/node/pass-through-writer.ts
@@ -49,6 +49,8 @@
 	}
 
 	private isHeadWritten = false;
+	/** Whether only the end of the connection ends the response. */
+	private isUnframed = false;
 	private writtenStatus = 0;
 
 	private constructor(private readonly response: ServerResponse, private readonly isHead: boolean) {}
@@ -112,8 +114,7 @@
 
 	private finishFailed(result: RequestResult): void {
 		if (this.isHeadWritten) {
-			// Part of the response has been sent: only closing the connection shows the caller that it is incomplete.
-			this.response.destroy();
+			this.cutOff();
 			return;
 		}
 
@@ -126,6 +127,15 @@
 		}
 	}
 
+	/** Shows the caller, who has part of the response, that it is incomplete: a response that ends with its connection looks complete unless that is reset. */
+	private cutOff(): void {
+		if (this.isUnframed) {
+			this.response.socket?.resetAndDestroy();
+		}
+
+		this.response.destroy();
+	}
+
 	private writeHead({status, headers}: HttpResponseHead, bodyBytes: number | undefined): void {
 		this.isHeadWritten = true;
 		this.writtenStatus = status;
@@ -133,6 +143,7 @@
 		const rawHeaders = forwarded.flatMap(({name, value}) => [name, value]);
 		if (isUnframed({headers}) && !this.isHead && !bodylessStatuses.has(status)) {
 			// Only the close of the upstream's connection marked the end of the response. Framing added here would assert that the response is complete.
+			this.isUnframed = true;
 			this.response.useChunkedEncodingByDefault = false;
 			this.response.shouldKeepAlive = false;
 		} else if (bodyBytes !== undefined && !this.isHead) {
--- a/test/platform/server-standin.ts
+++ b/test/platform/server-standin.ts
@@ -126,6 +126,8 @@
 	eventPrefix = '';
 	/** Returns whether the connection of a stream is reset within its third event, given the id of the request that began it. */
 	cutsStream: ((id: string) => boolean) | undefined;
+	/** Whether the connection of such a stream is closed normally instead of reset. */
+	closesCutStreams = false;
 	/** Whether the first call that resumes a stream is refused because a result it needs is lost. */
 	losesInputsOfResumed = false;
 	/** Ids of the requests whose resumption was refused. */
@@ -353,7 +355,12 @@
 			if (isCut && index === 3) {
 				response.write('id: 3\nda');
 				await sleep(this.stepMs);
-				request.socket.resetAndDestroy();
+				if (this.closesCutStreams) {
+					request.socket.end();
+				} else {
+					request.socket.resetAndDestroy();
+				}
+
 				return;
 			}
 
