Share the entries of the two records of crashes, and name the budget of pieces

The records of contents and of parts kept, expired and evicted their entries in the same way; they share one class now. What a scheduler needs of the budget of repeats stands in a file of its own.

--- a/src/preparation/common/batch-scheduler.ts
+++ b/src/preparation/common/batch-scheduler.ts
@@ -10,6 +10,7 @@
 } from './batch-call.js';
 import {CanceledWorks} from './canceled-works.js';
 import {PieceQueue, type HandlingSource} from './piece-queue.js';
+import {unlimitedRepeats, type PieceRepeats} from './piece-repeats.js';
 import {selectPieces} from './piece-selection.js';
 import {PoolEstimates} from './pool-estimates.js';
 import {PoolUpstreams, type AllowanceSource, type ReportedSource} from './pool-upstreams.js';
@@ -26,18 +27,6 @@
 const timeoutFactor = 6;
 const timeoutMarginMs = 500;
 
-/** Budget of pieces that are sent again. */
-export type PieceRepeats = {
-	/**
-	Returns how many repeats may be sent now.
-	@param wanted - number of repeats that wait.
-	*/
-	available(wanted: number, nowMs: number): number;
-	/** Takes repeats that are available from the budget. */
-	take(count: number, nowMs: number): void;
-};
-
-const unlimitedRepeats: PieceRepeats = {available: () => Infinity, take: () => undefined};
 const unlimitedAllowance = {remaining: Infinity, perS: Infinity};
 
 /** What a scheduler depends on. */
--- a/src/preparation/node/batch-pool.ts
+++ b/src/preparation/node/batch-pool.ts
@@ -25,6 +25,7 @@
 import type {
 	AdmissionLedger, PoolAsk, Quote, RepeatedReservation,
 } from '../common/quotes.js';
+import {pieceRepeatsOf} from '../common/piece-repeats.js';
 import type {ScheduledOptions} from '../common/scheduling-policy.js';
 import type {BatchWork, ResultRef} from '../common/work.js';
 import {PoolLog} from './pool-log.js';
@@ -86,14 +87,7 @@
 			allowanceOf: (server, nowMs) => options.bounds.allowance(server, soleSender, nowMs),
 			scheduled: options.scheduled,
 			reportedOf: (serverId, nowMs) => options.loads.slownessAt(serverId, nowMs),
-			repeats: {
-				available: (wanted, nowMs) => options.repeats.available(options.pool, nowMs, wanted),
-				take(count, nowMs) {
-					if (count > 0 && options.repeats.tryWithdraw(options.pool, nowMs, count)) {
-						options.repeats.reportSent(options.pool, 'piece', count);
-					}
-				},
-			},
+			repeats: pieceRepeatsOf(options.repeats, options.pool),
 		});
 		this.releases = this.disposables.add(ResultReleases.create({
 			registry: options.registry,
--- a/src/quarantine/common/crash-record.ts
+++ b/src/quarantine/common/crash-record.ts
@@ -7,6 +7,8 @@
 order hosts report to each other.
 */
 
+import {CrashEntries, dropOldest} from './crash-entries.js';
+
 /** What is recorded for one content, as hosts send it to each other. */
 export type ContentCrashes = {
 	readonly contentId: string;
@@ -20,13 +22,8 @@
 
 /** Retention of a content after its last crash or trial request; longer than the longest time for which it is barred. */
 export const retentionMs = 7_200_000;
-/** Maximum number of recorded contents, about 300 bytes each. Beyond it, contents that are not barred are evicted first. */
+/** Maximum number of recorded contents, about 300 bytes each. */
 const maxContents = 10_000;
-/**
-Maximum number of crashes recorded for one content, and of those cleared for it. There is a limit because a content that is
-requested all day is present at many crashes.
-*/
-const maxCrashes = 64;
 
 /**
 How long a content is barred before its first trial request. A harmless content that was only present at crashes is served again
@@ -52,10 +49,11 @@
 		return new CrashRecord(crashesToBar);
 	}
 
-	/** By content id; the least recently changed first. */
-	private readonly entries = new Map<string, Entry>();
+	private readonly entries: CrashEntries<Entry>;
 
-	private constructor(private readonly crashesToBar: number) {}
+	private constructor(private readonly crashesToBar: number) {
+		this.entries = CrashEntries.create({maxEntries: maxContents, isBarred: ({crashes}) => crashes.size >= crashesToBar});
+	}
 
 	get size(): number {
 		return this.entries.size;
@@ -67,12 +65,12 @@
 	@param nowMs - the current time.
 	*/
 	crashCountOf(contentId: string, nowMs: number): number {
-		return this.liveEntry(contentId, nowMs)?.crashes.size ?? 0;
+		return this.entries.get(contentId, nowMs)?.crashes.size ?? 0;
 	}
 
 	/** The ids of all recorded contents, expired ones included. */
 	get contentIds(): Iterable<string> {
-		return this.entries.keys();
+		return this.entries.keys;
 	}
 
 	/**
@@ -82,7 +80,7 @@
 	@returns a time in the past if the content is not barred, or if a trial request may be sent.
 	*/
 	barredUntilMs(contentId: string, nowMs: number): number {
-		const entry = this.liveEntry(contentId, nowMs);
+		const entry = this.entries.get(contentId, nowMs);
 		if (!entry || entry.crashes.size < this.crashesToBar) {
 			return -Infinity;
 		}
@@ -98,7 +96,7 @@
 	@returns the update for peers, or `undefined` if the content has too few crashes to be barred.
 	*/
 	recordTrial(contentId: string, nowMs: number): ContentCrashes | undefined {
-		const entry = this.liveEntry(contentId, nowMs);
+		const entry = this.entries.get(contentId, nowMs);
 		return entry && entry.crashes.size >= this.crashesToBar
 			? this.merge({
 				contentId, ends: [], cleared: [], trials: {count: entry.trialCount + 1, ageMs: 0},
@@ -113,7 +111,7 @@
 	@returns the part that was not known here, or `undefined` if there was none.
 	*/
 	merge({contentId, ends, cleared, trials}: ContentCrashes, nowMs: number): ContentCrashes | undefined {
-		const entry = this.liveEntry(contentId, nowMs) ?? emptyEntry();
+		const entry = this.entries.get(contentId, nowMs) ?? emptyEntry();
 		const newlyCleared = cleared.filter(serverId => !entry.cleared.has(serverId));
 		for (const serverId of newlyCleared) {
 			entry.crashes.delete(serverId);
@@ -135,7 +133,10 @@
 			return undefined;
 		}
 
-		this.storeEntry(contentId, entry, nowMs);
+		dropOldest(entry.crashes);
+		dropOldest(entry.cleared);
+		entry.expiresAtMs = retentionMs + (entry.crashes.size > 0 ? lastEventMs(entry) : nowMs);
+		this.entries.store(contentId, entry);
 		return {
 			contentId, ends: newCrashes, cleared: newlyCleared, ...(hasNewTrials && {trials}),
 		};
@@ -147,7 +148,7 @@
 	@param nowMs - the current time.
 	*/
 	crashedServersOf(contentId: string, nowMs: number): string[] {
-		return [...this.liveEntry(contentId, nowMs)?.crashes.keys() ?? []];
+		return [...this.entries.get(contentId, nowMs)?.crashes.keys() ?? []];
 	}
 
 	/**
@@ -155,7 +156,7 @@
 	@param nowMs - the current time.
 	*/
 	all(nowMs: number): ContentCrashes[] {
-		const live = [...this.entries].filter(([, {crashes, expiresAtMs}]) => crashes.size > 0 && nowMs < expiresAtMs);
+		const live = this.entries.live(nowMs).filter(([, {crashes}]) => crashes.size > 0);
 		return live.map(([contentId, {crashes, cleared, trialCount, lastTrialMs}]) => ({
 			contentId,
 			ends: [...crashes].map(([serverId, crashedMs]) => ({serverId, ageMs: nowMs - crashedMs})),
@@ -163,44 +164,6 @@
 			...(trialCount > 0 && {trials: {count: trialCount, ageMs: nowMs - lastTrialMs}}),
 		}));
 	}
-
-	private liveEntry(contentId: string, nowMs: number): Entry | undefined {
-		const entry = this.entries.get(contentId);
-		if (entry && nowMs >= entry.expiresAtMs) {
-			this.entries.delete(contentId);
-			return undefined;
-		}
-
-		return entry;
-	}
-
-	private storeEntry(contentId: string, entry: Entry, nowMs: number): void {
-		dropOldest(entry);
-		entry.expiresAtMs = retentionMs + (entry.crashes.size > 0 ? lastEventMs(entry) : nowMs);
-		this.entries.delete(contentId);
-		this.entries.set(contentId, entry);
-		this.evict();
-	}
-
-	private evict(): void {
-		for (const [contentId, {crashes}] of this.entries) {
-			if (this.entries.size <= maxContents) {
-				return;
-			}
-
-			if (crashes.size < this.crashesToBar) {
-				this.entries.delete(contentId);
-			}
-		}
-
-		for (const contentId of this.entries.keys()) {
-			if (this.entries.size <= maxContents) {
-				return;
-			}
-
-			this.entries.delete(contentId);
-		}
-	}
 }
 
 function emptyEntry(): Entry {
@@ -213,22 +176,3 @@
 function lastEventMs({crashes, lastTrialMs}: Entry): number {
 	return Math.max(lastTrialMs, ...crashes.values());
 }
-
-/** Drops the oldest crashes, and the oldest cleared ones, beyond the maximum. */
-function dropOldest({crashes, cleared}: Entry): void {
-	for (const serverId of crashes.keys()) {
-		if (crashes.size <= maxCrashes) {
-			break;
-		}
-
-		crashes.delete(serverId);
-	}
-
-	for (const serverId of cleared) {
-		if (cleared.size <= maxCrashes) {
-			break;
-		}
-
-		cleared.delete(serverId);
-	}
-}
--- a/src/quarantine/common/part-record.ts
+++ b/src/quarantine/common/part-record.ts
@@ -5,6 +5,8 @@
 that the result does not depend on how late, how often or in which order hosts report to each other.
 */
 
+import {CrashEntries, dropOldest} from './crash-entries.js';
+
 /** What is recorded for one part, as hosts send it to each other. */
 export type PartCrashes = {
 	readonly part: string;
@@ -18,10 +20,8 @@
 
 /** Retention of a part after its last crash or trial request; longer than the longest time for which it is barred. */
 const retentionMs = 7_200_000;
-/** Maximum number of recorded parts. Beyond it, parts that are not barred are evicted first. */
+/** Maximum number of recorded parts. */
 const maxParts = 10_000;
-/** Maximum number of crashes recorded for one part, and of those cleared for it. */
-const maxCrashes = 64;
 
 /** Number of crashes after which a part is barred unless a request with it completes. */
 export const crashesToBar = 3;
@@ -57,8 +57,7 @@
 		return new PartRecord();
 	}
 
-	/** By part; the least recently changed first. */
-	private readonly entries = new Map<string, Entry>();
+	private readonly entries = CrashEntries.create<Entry>({maxEntries: maxParts, isBarred: ({crashes}) => crashes.size >= crashesToBar});
 
 	get size(): number {
 		return this.entries.size;
@@ -76,7 +75,7 @@
 			return undefined;
 		}
 
-		const entry = this.entries.get(part)!;
+		const entry = this.entries.get(part, nowMs)!;
 		const lastCrashMs = Math.max(...[...entry.crashes.values()].map(({crashedMs}) => crashedMs));
 		// A trial request from before the part was barred belongs to an earlier bar, which was lifted.
 		const isTried = entry.trialCount > 0 && entry.lastTrialMs >= barredFromMs - clockToleranceMs;
@@ -100,7 +99,7 @@
 	@returns undefined if it has too few crashes.
 	*/
 	barredFromMs(part: string, nowMs: number): number | undefined {
-		const entry = this.liveEntry(part, nowMs);
+		const entry = this.entries.get(part, nowMs);
 		if (!entry || entry.crashes.size < crashesToBar) {
 			return undefined;
 		}
@@ -115,7 +114,7 @@
 	@param nowMs - the current time.
 	*/
 	crashedServersOf(part: string, nowMs: number): string[] {
-		return [...this.liveEntry(part, nowMs)?.crashes.keys() ?? []];
+		return [...this.entries.get(part, nowMs)?.crashes.keys() ?? []];
 	}
 
 	/**
@@ -125,7 +124,7 @@
 	@returns the update for peers.
 	*/
 	recordTrial(part: string, nowMs: number): PartCrashes | undefined {
-		const count = (this.liveEntry(part, nowMs)?.trialCount ?? 0) + 1;
+		const count = (this.entries.get(part, nowMs)?.trialCount ?? 0) + 1;
 		return this.merge({
 			part, crashes: [], cleared: [], trials: {count, ageMs: 0},
 		}, nowMs);
@@ -138,7 +137,7 @@
 	@returns the part that was not known here, or `undefined` if there was none.
 	*/
 	merge({part, crashes, cleared, trials}: PartCrashes, nowMs: number): PartCrashes | undefined {
-		const entry = this.liveEntry(part, nowMs) ?? emptyEntry();
+		const entry = this.entries.get(part, nowMs) ?? emptyEntry();
 		const newlyCleared = cleared.filter(serverId => !entry.cleared.has(serverId));
 		for (const serverId of newlyCleared) {
 			entry.crashes.delete(serverId);
@@ -166,7 +165,10 @@
 			return undefined;
 		}
 
-		this.storeEntry(part, entry, nowMs);
+		dropOldest(entry.crashes);
+		dropOldest(entry.cleared);
+		entry.expiresAtMs = nowMs + retentionMs;
+		this.entries.store(part, entry);
 		return {
 			part, crashes: newCrashes, cleared: newlyCleared, ...(hasNewTrials && {trials}),
 		};
@@ -177,7 +179,7 @@
 	@param nowMs - the current time.
 	*/
 	all(nowMs: number): PartCrashes[] {
-		const live = [...this.entries].filter(([, {crashes, expiresAtMs}]) => crashes.size > 0 && nowMs < expiresAtMs);
+		const live = this.entries.live(nowMs).filter(([, {crashes}]) => crashes.size > 0);
 		return live.map(([part, {crashes, cleared, trialCount, lastTrialMs}]) => ({
 			part,
 			crashes: [...crashes].map(([serverId, {crashedMs, sentMs}]) => ({serverId, ageMs: Math.max(0, nowMs - crashedMs), sentAgeMs: Math.max(0, nowMs - sentMs)})),
@@ -185,39 +187,6 @@
 			...(trialCount > 0 && {trials: {count: trialCount, ageMs: nowMs - lastTrialMs}}),
 		}));
 	}
-
-	private liveEntry(part: string, nowMs: number): Entry | undefined {
-		const entry = this.entries.get(part);
-		if (entry && nowMs >= entry.expiresAtMs) {
-			this.entries.delete(part);
-			return undefined;
-		}
-
-		return entry;
-	}
-
-	private storeEntry(part: string, entry: Entry, nowMs: number): void {
-		dropOldest(entry.crashes);
-		dropOldest(entry.cleared);
-		entry.expiresAtMs = nowMs + retentionMs;
-		this.entries.delete(part);
-		this.entries.set(part, entry);
-		this.evict();
-	}
-
-	private evict(): void {
-		for (const isEvictable of [({crashes}: Entry) => crashes.size < crashesToBar, () => true]) {
-			for (const [part, entry] of this.entries) {
-				if (this.entries.size <= maxParts) {
-					return;
-				}
-
-				if (isEvictable(entry)) {
-					this.entries.delete(part);
-				}
-			}
-		}
-	}
 }
 
 function emptyEntry(): Entry {
@@ -225,13 +194,3 @@
 		crashes: new Map(), cleared: new Set(), trialCount: 0, lastTrialMs: -Infinity, expiresAtMs: 0,
 	};
 }
-
-function dropOldest(items: Map<string, unknown> | Set<string>): void {
-	for (const key of items.keys()) {
-		if (items.size <= maxCrashes) {
-			return;
-		}
-
-		items.delete(key);
-	}
-}
