Log the status and framing of each attempt, and what the caller received of its response

From the log of an incident it could not be told whether the last attempt of a stream that ended early was an error response or one without a length, nor whether the caller had part of the response by then. attempts names status, framing and units of each; the end of a request states what its caller received (ending, deliveredUnits), and responses.ended counts it.

--- a/src/direct/node/pass-through-writer.ts
+++ b/src/direct/node/pass-through-writer.ts
@@ -42,6 +42,17 @@
 	return `Not run: ${reason}.`;
 }
 
+/** What a caller received of its response; the values appear in logs and metrics. */
+export const responseEndings = {
+	/** A whole response of an upstream, or one of this host. */
+	whole: 'whole',
+	/** Part of a response, then the end of the connection. */
+	cutOff: 'cutOff',
+	/** Nothing more, since the caller had left. */
+	callerGone: 'callerGone',
+} as const;
+export type ResponseEnding = typeof responseEndings[keyof typeof responseEndings];
+
 /** Writes the response to one request. */
 export class PassThroughWriter {
 	static create(response: ServerResponse, isHead: boolean): PassThroughWriter {
@@ -49,8 +60,7 @@
 	}
 
 	private isHeadWritten = false;
-	/** Whether only the end of the connection ends the response. */
-	private isUnframed = false;
+	private isUnframedResponse = false;
 	private writtenStatus = 0;
 
 	private constructor(private readonly response: ServerResponse, private readonly isHead: boolean) {}
@@ -60,6 +70,11 @@
 		return this.writtenStatus;
 	}
 
+	/** Whether only the end of the connection ends the response. */
+	get isUnframed(): boolean {
+		return this.isUnframedResponse;
+	}
+
 	/**
 	Writes data of a response as it arrives.
 	@param data - the next bytes of the body.
@@ -95,27 +110,32 @@
 	/**
 	Completes the response.
 	@param result - result of the request.
+	@returns what the caller received.
 	*/
-	finish(result: RequestResult): void {
+	finish(result: RequestResult): ResponseEnding {
 		const {response} = this;
 		if (response.destroyed) {
-			return;
+			return responseEndings.callerGone;
 		}
 
 		if (result.outcome !== outcomes.completed) {
-			this.finishFailed(result);
-		} else if (this.isHeadWritten) {
+			return this.finishFailed(result);
+		}
+
+		if (this.isHeadWritten) {
 			response.end();
 		} else if (result.http) {
 			this.writeHead(result.http, result.body.byteLength);
 			response.end(result.body);
 		}
+
+		return responseEndings.whole;
 	}
 
-	private finishFailed(result: RequestResult): void {
+	private finishFailed(result: RequestResult): ResponseEnding {
 		if (this.isHeadWritten) {
 			this.cutOff();
-			return;
+			return responseEndings.cutOff;
 		}
 
 		if (result.outcome === outcomes.refused) {
@@ -125,6 +145,8 @@
 			this.writtenStatus = result.code === failureCodes.deadlineExceeded ? gatewayTimeout : badGateway;
 			sendHostResponse(this.response, this.writtenStatus, `No whole answer: ${result.message}.`);
 		}
+
+		return responseEndings.whole;
 	}
 
 	/** Shows the caller, who has part of the response, that it is incomplete: a response that ends with its connection looks complete unless that is reset. */
@@ -143,7 +165,7 @@
 		const rawHeaders = forwarded.flatMap(({name, value}) => [name, value]);
 		if (isUnframed({headers}) && !this.isHead && !bodylessStatuses.has(status)) {
 			// Only the close of the upstream's connection marked the end of the response. Framing added here would assert that the response is complete.
-			this.isUnframed = true;
+			this.isUnframedResponse = true;
 			this.response.useChunkedEncodingByDefault = false;
 			this.response.shouldKeepAlive = false;
 		} else if (bodyBytes !== undefined && !this.isHead) {
--- a/src/direct/node/served-request.ts
+++ b/src/direct/node/served-request.ts
@@ -14,7 +14,7 @@
 import type {RequestRunner} from '../../request/node/request-runner.js';
 import type {CallerRequest} from '../common/caller-protocol.js';
 import type {DirectLinks} from './direct-links.js';
-import {PassThroughWriter} from './pass-through-writer.js';
+import {PassThroughWriter, type ResponseEnding} from './pass-through-writer.js';
 
 /** The request and the dependencies needed to serve it. */
 export type ServedRequestOptions = {
@@ -49,6 +49,7 @@
 	private readonly writer: PassThroughWriter;
 	private preparedMs = 0;
 	private firstDeliveryMs = 0;
+	private deliveredUnits = 0;
 	private isFinished = false;
 
 	private constructor(private readonly options: ServedRequestOptions) {
@@ -72,7 +73,8 @@
 				this.preparedMs = clock.nowMs() - plan.startMs;
 				return prepared;
 			},
-			deliver: async (_units, data, http, origin) => {
+			deliver: async (units, data, http, origin) => {
+				this.deliveredUnits += units;
 				if (this.firstDeliveryMs === 0) {
 					this.firstDeliveryMs = clock.nowMs() - plan.startMs;
 					if (origin) {
@@ -90,8 +92,7 @@
 				registration.dispose();
 				reservation?.dispose();
 				preparer?.end();
-				this.writer.finish(result);
-				this.logResult(result);
+				this.logResult(result, this.writer.finish(result));
 				this.options.onEnded();
 			},
 			settle: () => undefined,
@@ -103,7 +104,7 @@
 		});
 	}
 
-	private logResult(result: RequestResult): void {
+	private logResult(result: RequestResult, ending: ResponseEnding): void {
 		const {plan, callerRequest, log, metrics, latePredictedMs} = this.options;
 		const {status} = this.writer;
 		log.info(requestLogMessages.ended, {
@@ -117,6 +118,8 @@
 			code: result.code,
 			reason: result.code === undefined ? undefined : result.message,
 			status,
+			ending,
+			deliveredUnits: this.deliveredUnits,
 			targetMs: this.options.targetMs,
 			sinceFirstTryMs: this.options.sinceFirstTryMs,
 			latePredictedMs: latePredictedMs === undefined ? undefined : Math.round(latePredictedMs),
@@ -126,6 +129,7 @@
 			attempts: attemptsText(result, plan.startMs),
 		});
 		metrics.increment('requests.ended', 1, {route: plan.pipeline, outcome: result.outcome, code: result.code ?? 'none'});
+		metrics.increment('responses.ended', 1, {ending, framing: this.writer.isUnframed ? 'connection' : 'message'});
 		this.countContinuations(result);
 		metrics.timing('requests.took', result.tookMs, {route: plan.pipeline});
 	}
@@ -141,11 +145,16 @@
 	}
 }
 
-/** Formats each attempt as `server(version) kind state reason sentAt+run`, times in milliseconds; without a version that is not known. */
+/**
+Formats each attempt as `server(version) kind state status unframed units reason sentAt+run`, times in milliseconds. Left out are what is not known, `unframed` for
+responses with a length or chunks, and the units (`3u`) of attempts that delivered none.
+*/
 function attemptsText(result: RequestResult, startMs: number): string {
 	return result.stages.flatMap(stage => stage.attempts).map(attempt => {
 		const sentMs = Math.round(attempt.sentAtMs - startMs);
 		const version = attempt.softwareVersion === undefined ? '' : `(${attempt.softwareVersion})`;
-		return `${attempt.upstreamId}${version} ${attempt.kind} ${attempt.state} ${attempt.reason} ${sentMs}+${Math.round(attempt.runMs)}`.replaceAll('  ', ' ');
+		const response = [attempt.status, attempt.isUnframed ? 'unframed' : '', attempt.units > 0 ? `${attempt.units}u` : ''];
+		return [`${attempt.upstreamId}${version}`, attempt.kind, attempt.state, ...response, attempt.reason, `${sentMs}+${Math.round(attempt.runMs)}`]
+			.filter(part => part !== undefined && part !== '').join(' ');
 	}).join('; ');
 }
--- a/src/request/common/attempt.ts
+++ b/src/request/common/attempt.ts
@@ -1,5 +1,6 @@
 /** One attempt at a stage: its state, and the answer received from its upstream, checked chunk by chunk. */
 import {extendDigest} from '../../base/common/hash.js';
+import {isUnframed} from '../../deployment/common/hop-headers.js';
 import type {ChunkMessage, EndMessage} from '../../wire/common/messages.js';
 import {StageAnswer} from './stage-answer.js';
 import {
@@ -116,6 +117,7 @@
 		} = this.options;
 		return {
 			upstreamId, softwareVersion, kind, sentAtMs, candidates, state: this.state, reason: this.reason, queueMs: this.queueMs, runMs: this.runMs, units: this.answer.units,
+			...(this.http && {status: this.http.status, isUnframed: isUnframed(this.http)}),
 		};
 	}
 }
--- a/src/request/common/request-plan.ts
+++ b/src/request/common/request-plan.ts
@@ -123,6 +123,10 @@
 	readonly queueMs: number;
 	readonly runMs: number;
 	readonly units: number;
+	/** Status of the upstream's HTTP response, if it has sent one. */
+	readonly status?: number | undefined;
+	/** Whether only the close of the upstream's connection ends that response. */
+	readonly isUnframed?: boolean | undefined;
 	readonly candidates: ReadonlyArray<{readonly upstreamId: string; readonly scoreMs: number}>;
 };
 
