--- /dev/null
+++ b/src/request/common/begun-answers.test.ts
@@ -0,0 +1,214 @@
+/** Tests what may follow a response that has begun, with servers that behave in every way in the calls that continue it. */
+import fc from 'fast-check';
+import t from 'tap';
+import {stubRouter} from '../../../test/stub-router.js';
+import {extendDigest} from '../../base/common/hash.js';
+import {policyDefaults} from '../../settings/common/schema.js';
+import type {DispatchMessage} from '../../wire/common/messages.js';
+import {directRules} from './attempt-rules.js';
+import type {RequestAction, RequestEvent} from './request-events.js';
+import {RequestStateMachine} from './request-state-machine.js';
+import {
+	noInputs, type HttpResponseHead, type RequestPlan, type RequestResult,
+} from './request-plan.js';
+
+const eventCount = 5;
+/** Stands for the body of a response that is no event of the stream. */
+const foreignByte = 0xEE;
+const eventBytes = (from: number) => Uint8Array.from({length: eventCount - from}, (_, index) => from + index + 1);
+const streamMediaType = 'text/event-stream';
+
+/** How a server answers a call. */
+type Behavior
+	= | {readonly kind: 'refused'; readonly reason: 'inputsGone' | 'queueFull'}
+		/** Sends events, then the connection is lost. */
+		| {readonly kind: 'lost'; readonly events: number}
+		| {readonly kind: 'whole'}
+		/** Sends another response than the stream. */
+		| {readonly kind: 'other'; readonly status: number; readonly mediaType: string; readonly hasBody: boolean; readonly isCut: boolean};
+
+/** What a caller received. */
+type Received = {readonly head: HttpResponseHead | undefined; readonly body: readonly number[]; readonly result: RequestResult | undefined};
+
+function planOf(isRepeatable: boolean): RequestPlan {
+	const policy = {...policyDefaults, maxAttempts: 3};
+	return {
+		requestId: 'r', workspace: 'w', pipeline: 'p', policy, isRepeatable, settingsRevision: 1, needsClaim: false, needsPreparation: true, rules: directRules, isStreaming: true,
+		startMs: 0, deadlineMs: 10_000, hardDeadlineMs: 10_000, input: new Uint8Array(0), prefixHash: 0, seed: 0,
+		stages: [{
+			name: 's', index: 0, kind: 'http', pool: 'q', slots: 1, key: 's', budgetKey: 's', policy,
+		}],
+		http: {
+			kind: 'http', method: 'POST', path: '/', headers: [], body: new Uint8Array(0),
+		},
+	};
+}
+
+function headOf(status: number, mediaType: string) {
+	return {status, headers: [{name: 'content-type', value: mediaType}, {name: 'transfer-encoding', value: 'chunked'}]};
+}
+
+/** Returns the messages of a call to a server. */
+function messagesOf({dispatchId, call}: DispatchMessage, behavior: Behavior): RequestEvent[] {
+	if (behavior.kind === 'refused') {
+		return [{type: 'refused', dispatchId, reason: behavior.reason}];
+	}
+
+	const offset = call.kind === 'http' ? call.resumeOffset ?? 0 : 0;
+	const head = behavior.kind === 'other' ? headOf(behavior.status, behavior.mediaType) : headOf(200, streamMediaType);
+	const data = behavior.kind === 'other'
+		? Uint8Array.from(behavior.hasBody ? [foreignByte] : [])
+		: eventBytes(offset).subarray(0, behavior.kind === 'lost' ? behavior.events : eventCount);
+	const isWhole = behavior.kind === 'other' ? !behavior.isCut : behavior.kind === 'whole';
+	const messages: RequestEvent[] = [{
+		type: 'started', dispatchId, queueMs: 0, http: head,
+	}];
+	let digest = 0;
+	for (const [index, byte] of data.entries()) {
+		const unit = Uint8Array.of(byte);
+		digest = extendDigest(digest, unit);
+		messages.push({
+			type: 'chunk', dispatchId, sequence: offset + index, units: 1, data: unit,
+		});
+	}
+
+	messages.push({
+		type: 'end', dispatchId, state: isWhole ? 'completed' : 'unknown', units: offset + data.byteLength, digest, runMs: 1,
+	});
+	return messages;
+}
+
+/** Serves a request from servers that behave as given, one behavior for each call; further calls are lost. */
+function serve(isRepeatable: boolean, behaviors: readonly Behavior[]): Received {
+	const machine = RequestStateMachine.create(planOf(isRepeatable), stubRouter(['u1', 'u2', 'u3', 'u4']));
+	const remaining = [...behaviors];
+	const body: number[] = [];
+	let head: HttpResponseHead | undefined;
+	let result: RequestResult | undefined;
+	let nowMs = 0;
+	const pending: RequestEvent[] = [{type: 'start'}];
+	const perform = (action: RequestAction) => {
+		switch (action.type) {
+			case 'prepare': {
+				pending.push({type: 'prepared', inputs: noInputs});
+				break;
+			}
+
+			case 'dispatch': {
+				pending.push(...messagesOf(action.message, remaining.shift() ?? {kind: 'lost', events: 0}));
+				break;
+			}
+
+			case 'deliver': {
+				head ??= action.http;
+				body.push(...action.data);
+				break;
+			}
+
+			case 'finish': {
+				result = action.result;
+				break;
+			}
+
+			default: {
+				break;
+			}
+		}
+	};
+
+	for (let event = pending.shift(); event; event = pending.shift()) {
+		nowMs++;
+		for (const action of machine.handle(event, nowMs)) {
+			perform(action);
+		}
+	}
+
+	// A response of which nothing was delivered is written at its end.
+	return head === undefined && result?.outcome === 'completed' ? {head: result.http, body: [...result.body], result} : {head, body, result};
+}
+
+/** Returns what is wrong with what a caller received, or undefined. */
+function problemOf({head, body, result}: Received): string | undefined {
+	if (!result) {
+		return 'the request has not ended';
+	}
+
+	if (head?.status !== 200 || head.headers[0].value !== streamMediaType) {
+		return body.every(byte => byte === foreignByte) ? undefined : 'events in a response that is no stream';
+	}
+
+	if (body.some((byte, index) => byte !== index + 1)) {
+		return `the body is no part of the stream: ${body.join(' ')}`;
+	}
+
+	return result.outcome === 'completed' && body.length < eventCount ? `a response that ends after event ${body.length} is complete` : undefined;
+}
+
+const begun: Behavior = {kind: 'lost', events: 2};
+const otherResponses: ReadonlyArray<readonly [number, string]> = [
+	[500, 'text/plain'],
+	[500, streamMediaType],
+	[502, 'text/plain'],
+	[404, 'text/plain'],
+	[413, 'text/plain'],
+	[301, 'text/plain'],
+	[204, streamMediaType],
+	[206, streamMediaType],
+	[200, 'text/html'],
+];
+
+/*
+Guards against a response that lacks events and looks complete: a response of a server that is not the rest of the stream ended it, and its body was passed on.
+*/
+t.test('a begun stream is neither ended nor continued by a response that is not the rest of it', async t => {
+	for (const [status, mediaType] of otherResponses) {
+		for (const hasBody of [true, false]) {
+			for (const isCut of [false, true]) {
+				const other: Behavior = {
+					kind: 'other', status, mediaType, hasBody, isCut,
+				};
+				t.equal(problemOf(serve(true, [begun, other, other])), undefined, JSON.stringify(other));
+			}
+		}
+	}
+});
+
+/*
+Guards against a response that lacks events and looks complete: after results were computed again it was no longer known that the stream had begun, so that the error
+response of the next server counted as the result of the request.
+*/
+t.test('a begun stream is not ended by an error response after its results were computed again', async t => {
+	const lost: Behavior = {kind: 'refused', reason: 'inputsGone'};
+	for (const hasBody of [true, false]) {
+		const error: Behavior = {
+			kind: 'other', status: 500, mediaType: 'text/plain', hasBody, isCut: false,
+		};
+		t.equal(problemOf(serve(true, [begun, lost, error])), undefined, `${hasBody ? 'with' : 'without'} a body`);
+	}
+});
+
+/** How often a server sends the rest of the stream, or breaks off within it, among all behaviors. */
+const behaviorArbitrary: fc.Arbitrary<Behavior> = fc.oneof(
+	{weight: 2, arbitrary: fc.record({kind: fc.constant('lost' as const), events: fc.nat(eventCount)})},
+	{weight: 1, arbitrary: fc.record({kind: fc.constant('whole' as const)})},
+	{weight: 1, arbitrary: fc.record({kind: fc.constant('refused' as const), reason: fc.constantFrom('inputsGone' as const, 'queueFull' as const)})},
+	{
+		weight: 2, arbitrary: fc.tuple(fc.constantFrom(...otherResponses), fc.boolean(), fc.boolean()).map(([[status, mediaType], hasBody, isCut]) => ({
+			kind: 'other' as const, status, mediaType, hasBody, isCut,
+		})),
+	},
+);
+
+/* Guards against any response that looks complete and lacks events, or has bytes that are not of the stream, whatever servers do. */
+t.test('a response that ends as complete has all events of the stream, whatever its servers do', async t => {
+	let completeCount = 0;
+	fc.assert(fc.property(fc.boolean(), fc.array(behaviorArbitrary, {maxLength: 6}), (isRepeatable, behaviors) => {
+		const received = serve(isRepeatable, behaviors);
+		completeCount += received.result?.outcome === 'completed' && received.body.length === eventCount ? 1 : 0;
+		const problem = problemOf(received);
+		if (problem !== undefined) {
+			throw new Error(problem);
+		}
+	}), {seed: 66, numRuns: 3000});
+	t.ok(completeCount > 300, `${completeCount} of 3000 streams are whole`);
+});
