Continue a begun response only with the rest of it

Callers of a stream whose server broke off got the error response of the next server in its place: the body of a 500 or 404 stood behind the events that had been delivered, and its end ended the response, which looked complete. A 204, 413 or 301 without a body ended it as well.

Cause: a call that continues a response was handled like one that begins it. Any bytes counted as the next part, and any orderly end as the end of the whole, whatever the status.

A response continues another one only if it has its status and media type. After a 4xx it is cut at once, as another server would say the same. Errors that come before the first event are no part of the answer either, so that a repeatable stream is tried again after a 500 with a body as it was after one without.

--- a/src/request/common/stage-answer.ts
+++ b/src/request/common/stage-answer.ts
@@ -1,5 +1,6 @@
 /** The answer of one stage as it is received: its chunks in order, and their number of units. */
 import {joinBytes} from '../../base/common/bytes.js';
+import type {HttpResponseHead} from './request-plan.js';
 
 const maxAnswerBytes = 32 * 1024 * 1024;
 
@@ -9,6 +10,8 @@
 		return new StageAnswer();
 	}
 
+	/** Head of the response that began the answer, if it has one. */
+	head: HttpResponseHead | undefined;
 	private readonly chunks: Uint8Array[] = [];
 	private unitCount = 0;
 
--- a/src/request/common/stage-run.ts
+++ b/src/request/common/stage-run.ts
@@ -5,6 +5,7 @@
 import {barredTextOf, type Standing} from '../../quarantine/common/quarantine.js';
 import {Attempt} from './attempt.js';
 import {AttemptList} from './attempt-list.js';
+import {continuationProblem, isSuccess} from './continuation.js';
 import type {RequestAction} from './request-events.js';
 import {
 	attemptStates, failureCodes, type AttemptState, type AttemptTrace, type FailureCode, type PreparedInputs, type RequestPlan, type StagePlan, type StageTrace,
@@ -17,6 +18,7 @@
 import {versionGoneText} from './stream-origin.js';
 import {makeStageTrace} from './stage-trace.js';
 
+const minClientErrorStatus = 400;
 const minServerErrorStatus = 500;
 
 /** The status of a stage run. */
@@ -56,6 +58,8 @@
 	readonly attempts = AttemptList.create();
 	/** The attempt whose units count; set once an attempt has delivered any. */
 	private acceptedAttempt: Attempt | undefined;
+	/** Attempts whose units are part of the answer. */
+	private readonly contributors = new Set<Attempt>();
 	private answer = StageAnswer.create();
 	private receivedBytes = 0;
 	private readonly holding: StageHold;
@@ -185,7 +189,7 @@
 			});
 		}
 
-		if (this.isIncremental) {
+		if (this.isPart(attempt)) {
 			this.accept(attempt, nowMs);
 			this.answer.add(message.units, message.data);
 			if (this.options.isLast && this.options.plan.isStreaming) {
@@ -293,7 +297,17 @@
 	}
 
 	private isUseful(attempt: Attempt): boolean {
-		return this.status.type === 'done' && (attempt === this.acceptedAttempt || (this.isIncremental && attempt.answer.units > 0));
+		return this.status.type === 'done' && (attempt === this.acceptedAttempt || this.contributors.has(attempt));
+	}
+
+	/** Whether the units of an attempt count as they are received: those of an error do not, as another attempt may follow it. */
+	private isPart(attempt: Attempt): boolean {
+		return this.isIncremental && (attempt === this.acceptedAttempt || (this.isBegun ? this.continuationProblemOf(attempt) === undefined : isSuccess(attempt.http)));
+	}
+
+	/** Returns why the response to an attempt is not the rest of the answer that the caller has begun to receive, or undefined if it is, or if there is none. */
+	private continuationProblemOf(attempt: Attempt): string | undefined {
+		return this.isBegun && attempt !== this.acceptedAttempt ? continuationProblem(this.answer.head, attempt.http) : undefined;
 	}
 
 	/** Whether the units of another attempt already count. */
@@ -328,6 +342,8 @@
 		}
 
 		this.acceptedAttempt = attempt;
+		this.contributors.add(attempt);
+		this.answer.head ??= attempt.http;
 		this.pinOrigin(attempt);
 		this.cancelOthers(attempt, nowMs);
 	}
@@ -352,6 +368,12 @@
 
 	/** Handles a complete answer. An answer that reports an error is kept in `errorAttempt` while another attempt may succeed. */
 	private completeAnswerReceived(attempt: Attempt, nowMs: number): void {
+		const problem = this.continuationProblemOf(attempt);
+		if (problem !== undefined) {
+			this.continuationRejected(attempt, problem, nowMs);
+			return;
+		}
+
 		const isError = (attempt.http?.status ?? 0) >= minServerErrorStatus;
 		if (!isError || !this.options.plan.rules.retriesErrorAnswers || !this.options.plan.isRepeatable || this.acceptedAttempt) {
 			this.endAttempt(attempt, attemptStates.completed, '', nowMs);
@@ -364,9 +386,21 @@
 		this.recover(failureCodes.upstreamFailed, 'the upstream answered with an error', nowMs);
 	}
 
+	/** Handles a complete response that is not the rest of the answer which the caller has begun to receive. */
+	private continuationRejected(attempt: Attempt, problem: string, nowMs: number): void {
+		this.endAttempt(attempt, attemptStates.failed, problem, nowMs);
+		const status = attempt.http?.status ?? 0;
+		if (status >= minClientErrorStatus && status < minServerErrorStatus) {
+			// Other upstreams would reject the request as well.
+			this.failUnlessLive(failureCodes.upstreamRejected, problem);
+		} else {
+			this.recover(failureCodes.upstreamFailed, problem, nowMs);
+		}
+	}
+
 	private complete(attempt: Attempt, nowMs: number): void {
 		this.cancelOthers(attempt, nowMs);
-		if (!this.isIncremental) {
+		if (!this.isBegun) {
 			this.answer = attempt.answer;
 		}
 
