Keep what a caller has received of a response when its results are computed again

Cause: what the caller had received was known to the run of the stage alone, and computing the results again replaced that run. The new one took the stream for one that had not begun, and kept the error response as the result of the request; as the caller had the head already, all that was left of it to write was the end.

--- a/src/request/common/request-state-machine.ts
+++ b/src/request/common/request-state-machine.ts
@@ -197,6 +197,7 @@
 			input,
 			inputs: index === 0 ? this.inputs : noInputs,
 			earlierAttempts: index === 0 ? this.runs.earlierAttempts : [],
+			begunAnswer: index === 0 ? this.runs.begunAnswer : undefined,
 			stage: index === 0 ? this.firstStage : plan.stages[index],
 			startByMs: latestMs - remainingMs,
 			isLast: index === plan.stages.length - 1,
--- a/src/request/common/stage-run-list.ts
+++ b/src/request/common/stage-run-list.ts
@@ -1,5 +1,6 @@
 /** The runs of those stages of a request that were begun. */
 import type {Attempt} from './attempt.js';
+import type {StageAnswer} from './stage-answer.js';
 import type {StageRun} from './stage-run.js';
 import type {StreamOrigin} from './stream-origin.js';
 
@@ -12,6 +13,8 @@
 	readonly all: StageRun[] = [];
 	/** Attempts of a removed run that may have run; all of them have ended. */
 	earlierAttempts: readonly Attempt[] = [];
+	/** What the caller has received of the answer from a removed run. */
+	begunAnswer: StageAnswer | undefined;
 	/** Origin of the stream that a removed run has begun. */
 	earlierOrigin: StreamOrigin | undefined;
 
@@ -55,11 +58,12 @@
 
 	/**
 	Removes a run whose stage is begun again. Its attempts that may have run are kept, so that the caller is not told that its
-	request has not run, and the stage does not exceed its maximum number of attempts.
+	request has not run, and the stage does not exceed its maximum number of attempts; what the caller has received is kept, so that it is continued.
 	@param run - a run in the list.
 	*/
 	removeForRestart(run: StageRun): void {
 		this.earlierAttempts = run.attempts.all.filter(attempt => attempt.mayHaveRun);
+		this.begunAnswer = run.begunAnswer;
 		this.earlierOrigin = run.stage.origin;
 		this.all.splice(this.all.indexOf(run), 1);
 	}
--- a/src/request/common/stage-run.ts
+++ b/src/request/common/stage-run.ts
@@ -42,6 +42,8 @@
 	readonly isLast: boolean;
 	/** Attempts of an earlier run of the stage that may have run; they count like the attempts of this run. */
 	readonly earlierAttempts?: readonly Attempt[];
+	/** What the caller has received of the answer from an earlier run of the stage; this run continues it. */
+	readonly begunAnswer?: StageAnswer | undefined;
 	/** Whether the stage was sent before, for example when results it was to read were lost; its first attempt is then a retry. */
 	readonly isRepeat: boolean;
 	readonly emit: (action: RequestAction) => void;
@@ -60,7 +62,7 @@
 	private acceptedAttempt: Attempt | undefined;
 	/** Attempts whose units are part of the answer. */
 	private readonly contributors = new Set<Attempt>();
-	private answer = StageAnswer.create();
+	private answer: StageAnswer;
 	private receivedBytes = 0;
 	private readonly holding: StageHold;
 	private endMs = 0;
@@ -73,6 +75,7 @@
 
 	private constructor(private readonly options: StageRunOptions) {
 		this.holding = StageHold.create(options.startMs);
+		this.answer = options.begunAnswer ?? StageAnswer.create();
 		for (const attempt of options.earlierAttempts ?? []) {
 			this.attempts.add(attempt);
 		}
@@ -87,6 +90,11 @@
 		return this.answer.body;
 	}
 
+	/** What the caller has received of the answer; undefined if it has received nothing. */
+	get begunAnswer(): StageAnswer | undefined {
+		return this.isBegun && this.isIncremental ? this.answer : undefined;
+	}
+
 	get unitCount(): number {
 		return this.answer.units;
 	}
@@ -275,7 +283,7 @@
 	}
 
 	private get firstAttemptKind(): AttemptTrace['kind'] {
-		return this.options.isRepeat ? 'retry' : 'first';
+		return this.options.isRepeat ? this.nextAttemptKind : 'first';
 	}
 
 	private get nextAttemptKind(): AttemptTrace['kind'] {
