--- a/src/request/common/stage-run.ts
+++ b/src/request/common/stage-run.ts
@@ -344,6 +344,11 @@
 		}
 	}
 
+	/** Returns why a response without units does not end the answer that the caller has begun to receive: a server that has lost the stream may send the same. */
+	private emptyContinuationProblemOf(attempt: Attempt): string | undefined {
+		return this.isBegun && attempt !== this.acceptedAttempt && attempt.http ? 'a response without events does not show that the stream is complete' : undefined;
+	}
+
 	private accept(attempt: Attempt, nowMs: number): void {
 		if (this.acceptedAttempt === attempt) {
 			return;
@@ -376,7 +381,7 @@
 
 	/** Handles a complete answer. An answer that reports an error is kept in `errorAttempt` while another attempt may succeed. */
 	private completeAnswerReceived(attempt: Attempt, nowMs: number): void {
-		const problem = this.continuationProblemOf(attempt);
+		const problem = this.continuationProblemOf(attempt) ?? this.emptyContinuationProblemOf(attempt);
 		if (problem !== undefined) {
 			this.continuationRejected(attempt, problem, nowMs);
 			return;
--- a/test/platform/server-standin.ts
+++ b/test/platform/server-standin.ts
@@ -114,6 +114,8 @@
 	readonly refusals: Refusal[] = [];
 	/** Called for each request before it is handled. */
 	onArrival: (() => void) | undefined;
+	/** Sends the response to a request that the server runs, instead of the server. */
+	responder: ((request: IncomingMessage, response: ServerResponse) => Promise<void>) | undefined;
 	/** Time of the first response that reported that the server is leaving. */
 	leavingReportedMs: number | undefined;
 	/** Calls of stage work get a response only after this promise is resolved. */
@@ -290,6 +292,11 @@
 		response.on('close', () => {
 			this.closedEarlyCount += response.writableFinished ? 0 : 1;
 		});
+		if (this.responder) {
+			await this.responder(request, response);
+			return;
+		}
+
 		await sleep(this.stepMs);
 		if (body === this.crashesOnBody || (this.hasFatalPart(request) && this.eventsBeforeCrash === 0)) {
 			this.crash();
