Keep the results of a second preparation until they are sent

Callers saw streams with steps that were continued at another server fall silent and end cut off after some 4 s with "work of step 0 came to nothing: late", while nothing was busy.

Cause: each send starts a timer that releases the results once the server must have fetched them. A begun stream holds none, but its resumption started the timer as well. When the server reported its results lost, the preparation began anew and left that timer running (it was disposed only where the request had not begun). It expired some 20 ms into the second preparation and released results of that one, which no server had fetched. They were computed again at once, or were gone when the next server was to read them. Each such time cost a whole further preparation from the budget of repeats of the pool; with the budget spent, the pieces of the next stream waited for it until their deadline.

Any timer of an earlier send now ends when a preparation begins. The new test fails without that: the results are computed a second time.

--- a/src/preparation/node/preparer.test.ts
+++ b/src/preparation/node/preparer.test.ts
@@ -131,6 +131,48 @@
 	t.same(released.map(({handle}) => handle), ['b0#2', 'a0#3', 'a1#3', 'b0#4'], 'each result is released once');
 });
 
+/*
+Guards against results of a second preparation that are released as soon as they are computed, and computed again: the stream had begun, was sent to another
+server, and the time for that server to fetch the first results ended during the second preparation.
+*/
+t.test('results of a second preparation are released only after the request was sent again', async t => {
+	const clock = ManualClock.create();
+	const released: ResultRef[] = [];
+	const works: Array<{readonly work: BatchWork; readonly listener: PieceListener}> = [];
+	const preparer = makePreparer((work, listener) => {
+		works.push({work, listener});
+	}, {released, clock});
+	const completeLast = async () => {
+		const {work, listener} = works.at(-1)!;
+		for (const piece of work.pieces) {
+			listener(piece, {ok: true, ref: {handle: `${work.pool}${piece}#${works.length}`, serverId: work.pool}});
+		}
+
+		await new Promise(resolve => {
+			setImmediate(resolve);
+		});
+	};
+
+	const first = preparer.run(false);
+	await completeLast();
+	await completeLast();
+	t.same(await first, inputsOf('b0#2'));
+	preparer.handleSent();
+	preparer.end();
+	preparer.handleSent();
+	const second = preparer.run(true);
+	await completeLast();
+	clock.advance(100);
+	await completeLast();
+	t.same(works.map(({work}) => `${work.pool}:${work.pieces.join(',')}`), ['a:0,1', 'b:0', 'a:0,1', 'b:0']);
+	t.same(await second, inputsOf('b0#4'));
+	clock.advance(100);
+	t.same(released.map(({handle}) => handle), ['a0#1', 'a1#1', 'b0#2', 'a0#3', 'a1#3'], 'the result that the request reads is kept');
+	preparer.handleSent();
+	clock.advance(100);
+	t.same(released.at(-1)?.handle, 'b0#4');
+});
+
 t.test('a step is due early enough for the measured duration of the steps that depend on it', async t => {
 	const dueMs: number[] = [];
 	const stepTimes = StepTimes.create();
--- a/src/preparation/node/preparer.ts
+++ b/src/preparation/node/preparer.ts
@@ -116,13 +116,14 @@
 	@returns the results that the request reads.
 	*/
 	async run(isRetry: boolean): Promise<Result> {
+		// It would release results of this run that no upstream has fetched.
+		this.fetchTimer?.dispose();
 		if (this.hasEnded) {
 			// The request read its results once, and all of them were released.
 			const {route, pieceCounts} = this.request;
 			this.preparation = Preparation.create(route.steps, pieceCounts, true);
 			this.hasEnded = false;
 		} else if (isRetry) {
-			this.fetchTimer?.dispose();
 			this.release(this.preparation.discardFinals(serverId => this.isListed(serverId)));
 		}
 
