Fail responses without a length whose connection was reset at an agent

A caller of a plain service got the first part of its response with status 200 and `X-Outcome: completed`; a request that runs at most once got it too, and each repeat of its key got the stored part. A worker's broken response became the input of the next stage.

Cause: `HttpDriver` took the end that undici reports for the end of the response. Undici reports a response that has neither a length nor chunks as complete when its connection is reset.

The agent's connections now record whether the other side has closed them in order (its FIN has been read). The end of a response that only the close of its connection ends is passed on only after such a close, and is an error otherwise, so that the call ends like one whose connection was lost. Responses with a length, in chunks or without a body are not concerned.

--- /dev/null
+++ b/src/agent/node/http-driver.test.ts
@@ -0,0 +1,130 @@
+import {createServer, type AddressInfo, type Socket} from 'node:net';
+import t, {type Test} from 'tap';
+import type {CallEnd} from '../../request/common/gate-actions.js';
+import type {DispatchMessage, UpstreamCall} from '../../wire/common/messages.js';
+import {HttpDriver} from './http-driver.js';
+
+const callCount = 20;
+const encoder = new TextEncoder();
+const decoder = new TextDecoder();
+
+/** What the upstream does with its connection once the driver has received the first bytes of the response. */
+type Ending = (socket: Socket, stopListening: () => Promise<void>) => Promise<void> | void;
+
+/** What the driver reported about one call. */
+type DriverReport = {readonly end: CallEnd; readonly text: string; readonly status: number | undefined};
+
+const httpCall: UpstreamCall = {
+	kind: 'http', method: 'GET', path: '/', headers: [], body: new Uint8Array(0),
+};
+const runCall: UpstreamCall = {kind: 'run', input: encoder.encode('{}')};
+
+function dispatchOf(call: UpstreamCall, isRepeatable: boolean): DispatchMessage {
+	return {
+		type: 'dispatch', dispatchId: 'dispatch-1', requestId: 'request-1', workspace: 'buyers', pipeline: 'stock', stage: 'stock', stageIndex: 0,
+		startWithinMs: 1000, dueInMs: 1000, isRepeatable, settingsRevision: 1, weight: 1, creditChunks: 64, call,
+	};
+}
+
+/** Makes one call to a new upstream that writes the given bytes, and ends its connection in the given way after they have arrived. */
+async function runCallTo(t: Test, bytes: string, ending: Ending, {call = httpCall, isRepeatable = true} = {}): Promise<DriverReport> {
+	const sockets: Socket[] = [];
+	const server = createServer(socket => {
+		sockets.push(socket);
+		socket.on('error', () => {
+			// Some of these connections are reset on purpose.
+		});
+		socket.once('data', () => {
+			socket.write(bytes);
+		});
+	});
+	await new Promise<void>(resolve => {
+		server.listen(0, '127.0.0.1', resolve);
+	});
+	const driver = HttpDriver.create(`http://127.0.0.1:${(server.address() as AddressInfo).port}`);
+	const stopListening = async () => new Promise<void>(resolve => {
+		server.close();
+		// The listening socket is closed in a later turn of the event loop.
+		setImmediate(resolve);
+	});
+	t.teardown(() => {
+		driver.dispose();
+		server.close();
+		for (const socket of sockets) {
+			socket.destroy();
+		}
+	});
+
+	let text = '';
+	let status: number | undefined;
+	const end = await driver.run(dispatchOf(call, isRepeatable), {
+		started(http) {
+			status = http?.status;
+			if (bytes.endsWith('\r\n\r\n')) {
+				void ending(sockets[0], stopListening);
+			}
+		},
+		chunk(_units, data) {
+			text += decoder.decode(data);
+			void ending(sockets[0], stopListening);
+		},
+		async ready() {
+			// Accepts everything at once.
+		},
+	}, new AbortController().signal);
+	return {end, text, status};
+}
+
+async function countCompleted(run: () => Promise<DriverReport>): Promise<number> {
+	let count = 0;
+	for (let number = 0; number < callCount; number++) {
+		const {end} = await run();
+		count += end.state === 'completed' ? 1 : 0;
+	}
+
+	return count;
+}
+
+const reset: Ending = socket => {
+	socket.resetAndDestroy();
+};
+
+const close: Ending = socket => {
+	socket.end();
+};
+
+const keepOpen: Ending = () => {
+	// The length of the response ends it.
+};
+
+// Guards against taking the reset of a connection for the end of a response that has neither a length nor chunks: the HTTP client reports such a response as complete.
+t.test('a response without a length whose connection is reset is not complete', async t => {
+	const bytes = 'HTTP/1.1 200 OK\r\ncontent-type: text/plain\r\n\r\nhalf of the ans';
+	t.equal(await countCompleted(async () => runCallTo(t, bytes, reset)), 0);
+	t.equal(await countCompleted(async () => runCallTo(t, bytes, reset, {call: runCall})), 0);
+	t.equal((await runCallTo(t, bytes, reset, {isRepeatable: false})).end.state, 'unknown', 'work that may not run again');
+});
+
+t.test('a response is complete by its length, by its chunks, by the orderly close of its connection, or as it has no body', async t => {
+	const whole = [
+		['HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nwhole', keepOpen],
+		['HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n', keepOpen],
+		['HTTP/1.1 200 OK\r\n\r\nwhole', close],
+		['HTTP/1.0 200 OK\r\n\r\nwhole', close],
+	] as const;
+	for (const [bytes, ending] of whole) {
+		t.match(await runCallTo(t, bytes, ending), {end: {state: 'completed'}, text: 'whole', status: 200}, bytes);
+	}
+
+	t.match(await runCallTo(t, 'HTTP/1.1 204 No Content\r\n\r\n', keepOpen), {end: {state: 'completed'}, text: '', status: 204});
+	t.match(await runCallTo(t, 'HTTP/1.1 304 Not Modified\r\n\r\n', keepOpen), {end: {state: 'completed'}, text: '', status: 304});
+	t.match(await runCallTo(t, 'HTTP/1.1 200 OK\r\n\r\n', keepOpen, {call: {...httpCall, method: 'HEAD'}}), {end: {state: 'completed'}, text: '', status: 200});
+});
+
+t.test('a response with a length or in chunks whose connection ends early is not complete', async t => {
+	for (const bytes of ['HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nhalf', 'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\nhalf\r\n']) {
+		for (const ending of [reset, close]) {
+			t.match(await runCallTo(t, bytes, ending), {end: {state: 'failed'}});
+		}
+	}
+});
--- a/src/agent/node/http-driver.ts
+++ b/src/agent/node/http-driver.ts
@@ -1,5 +1,5 @@
 /** Driver for workers and plain services: one HTTP call each, whose response is forwarded as it arrives. */
-import {Pool, type Dispatcher} from 'undici';
+import type {Dispatcher, Pool} from 'undici';
 import {z} from 'zod';
 import type {CallEnd} from '../../request/common/gate-actions.js';
 import type {DispatchMessage, Header} from '../../wire/common/messages.js';
@@ -7,6 +7,7 @@
 	CallSink, OrderResult, UpstreamDriver, UpstreamState,
 } from '../common/upstream-driver.js';
 import {callEndOfError} from './http-errors.js';
+import {makeUpstreamPool} from './upstream-client.js';
 
 const callTimeoutMs = 2000;
 const statusOk = 200;
@@ -20,7 +21,7 @@
 /** Calls a worker or a plain service on the host of the agent. */
 export class HttpDriver implements UpstreamDriver {
 	static create(origin: string): HttpDriver {
-		return new HttpDriver(new Pool(origin, {bodyTimeout: 0, headersTimeout: 0}));
+		return new HttpDriver(makeUpstreamPool(origin));
 	}
 
 	private constructor(private readonly pool: Pool) {}
