Fail responses without a length at an agent whose upstream's process is gone

A caller of a plain service whose process crashed got the first part of its response with status 200 and `X-Outcome: completed`, and so did repeats of its key. A crashed worker's broken response became the input of the next stage.

Cause: a response that has neither a length nor chunks ends with its connection, and the kernel closes the connections of a process that crashes in order, too. Nothing compared the two ends.

When the connection of such a response is closed in order, the agent opens a TCP connection to the upstream, within 400 ms. If that fails, the process is gone, and the call ends like one whose connection was lost. The check begins when the close is read, not when the body has been forwarded, since a reader that waits for credit may come to the end much later.

--- a/src/agent/node/http-driver.test.ts
+++ b/src/agent/node/http-driver.test.ts
@@ -89,6 +89,12 @@
 	socket.resetAndDestroy();
 };
 
+/** The close of all sockets of a process that crashes. */
+const crash: Ending = async (socket, stopListening) => {
+	await stopListening();
+	socket.end();
+};
+
 const close: Ending = socket => {
 	socket.end();
 };
@@ -105,6 +111,15 @@
 	t.equal((await runCallTo(t, bytes, reset, {isRepeatable: false})).end.state, 'unknown', 'work that may not run again');
 });
 
+// Guards against taking the end of a crashed process for the end of its response: the kernel closes the connections of a process in order, so the close alone proves nothing.
+t.test('a response without a length is not complete if the process of its upstream is gone directly after', async t => {
+	const bytes = 'HTTP/1.1 200 OK\r\ncontent-type: text/plain\r\n\r\nhalf of the ans';
+	t.equal(await countCompleted(async () => runCallTo(t, bytes, crash)), 0);
+	t.equal(await countCompleted(async () => runCallTo(t, bytes, crash, {call: runCall})), 0);
+	t.equal((await runCallTo(t, bytes, crash, {isRepeatable: false})).end.state, 'unknown', 'work that may not run again');
+	t.match(await runCallTo(t, 'HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nwhole', crash), {end: {state: 'completed'}}, 'its length proves that it is complete');
+});
+
 t.test('a response is complete by its length, by its chunks, by the orderly close of its connection, or as it has no body', async t => {
 	const whole = [
 		['HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nwhole', keepOpen],
--- a/src/agent/node/upstream-client.ts
+++ b/src/agent/node/upstream-client.ts
@@ -1,34 +1,47 @@
-/** An HTTP client of one connection to an upstream that accepts a response without a length only if its connection was closed in order. */
+/** HTTP connections of an agent to its upstream, on which a response without a length ends only if it is proven to be complete. */
 import {
 	buildConnector, Client, DecoratorHandler, Pool, type Dispatcher,
 } from 'undici';
 import {UnavailableError} from '../../base/common/errors.js';
-import {isUnframed, pairHeaders} from '../../deployment/common/hop-headers.js';
+import {isUnframed} from '../../deployment/common/hop-headers.js';
+import {isListening} from '../../deployment/node/server-liveness.js';
 
 /** Statuses of responses that have no body, and so need no length. */
 const bodilessStatuses = new Set([204, 304]);
 
+/** Time in which an upstream on the agent's own host accepts a connection if its process is there. */
+const livenessTimeoutMs = 400;
+const defaultHttpPort = 80;
+
 /**
 Returns whether only the close of the connection ends a response.
 @param method - of the request.
 @param status - of the response.
-@param rawHeaders - of the response: name, value, name, value…
+@param headersByName - of the response, names in lower case.
 */
-export function endsWithConnection(method: string, status: number, rawHeaders: ReadonlyArray<string | Uint8Array>): boolean {
-	const headers = pairHeaders(rawHeaders).map(({name, value}) => ({name: name.toLowerCase(), value}));
+function endsWithConnection(method: string, status: number, headersByName: Readonly<Record<string, string | string[] | undefined>>): boolean {
+	const headers = Object.entries(headersByName).map(([name, value]) => ({name, value: String(value ?? '')}));
 	return method !== 'HEAD' && !bodilessStatuses.has(status) && isUnframed({headers});
 }
 
 /**
-Turns the end of a response into an error if only the close of the connection ends it and the connection was not closed in order.
+Turns the end of a response that only the close of its connection ends into an error, unless the response is proven to be complete.
 @param handler - receives the response.
 @param method - of the request.
-@param wasClosedInOrder - returns whether the other side has closed the connection in order.
+@param isProvenComplete - called when the connection has ended.
 */
-function requireOrderlyEnd(handler: Dispatcher.DispatchHandler, method: string, wasClosedInOrder: () => boolean): Dispatcher.DispatchHandler {
+function requireProvenEnd(handler: Dispatcher.DispatchHandler, method: string, isProvenComplete: () => Promise<boolean>): Dispatcher.DispatchHandler {
 	// Handlers that the library passes may have its older form, which this class translates.
 	const receiver: Dispatcher.DispatchHandler = new DecoratorHandler(handler);
 	let needsClose = false;
+	const endIfProven = async (...[controller, trailers]: Parameters<NonNullable<Dispatcher.DispatchHandler['onResponseEnd']>>) => {
+		if (await isProvenComplete()) {
+			receiver.onResponseEnd?.(controller, trailers);
+		} else {
+			receiver.onResponseError?.(controller, new UnavailableError('the connection or the upstream was lost before the response was complete'));
+		}
+	};
+
 	return {
 		onRequestStart(controller, context) {
 			receiver.onRequestStart?.(controller, context);
@@ -36,16 +49,16 @@
 		onRequestUpgrade(...upgrade) {
 			receiver.onRequestUpgrade?.(...upgrade);
 		},
-		onResponseStart(controller, status, ...head) {
-			needsClose = endsWithConnection(method, status, Array.isArray(controller.rawHeaders) ? controller.rawHeaders : []);
-			receiver.onResponseStart?.(controller, status, ...head);
+		onResponseStart(controller, status, headers, message) {
+			needsClose = endsWithConnection(method, status, headers);
+			receiver.onResponseStart?.(controller, status, headers, message);
 		},
 		onResponseData(controller, bytes) {
 			receiver.onResponseData?.(controller, bytes);
 		},
 		onResponseEnd(controller, trailers) {
-			if (needsClose && !wasClosedInOrder()) {
-				receiver.onResponseError?.(controller, new UnavailableError('the connection was lost before the response was complete'));
+			if (needsClose) {
+				void endIfProven(controller, trailers);
 			} else {
 				receiver.onResponseEnd?.(controller, trailers);
 			}
@@ -60,6 +73,7 @@
 class UpstreamClient extends Client {
 	/** Whether the other side has closed the current connection in order. */
 	private wasClosedInOrder = false;
+	private readonly url: URL;
 
 	constructor(origin: string | URL, options: Client.Options) {
 		const connect = buildConnector({});
@@ -77,10 +91,17 @@
 				});
 			},
 		});
+		this.url = new URL(origin);
 	}
 
 	override dispatch(options: Dispatcher.DispatchOptions, handler: Dispatcher.DispatchHandler): boolean {
-		return super.dispatch(options, requireOrderlyEnd(handler, options.method, () => this.wasClosedInOrder));
+		return super.dispatch(options, requireProvenEnd(handler, options.method, async () => this.isProvenComplete()));
+	}
+
+	/** A process that crashes closes its connections in order as well, so it must still be there directly after. */
+	private async isProvenComplete(): Promise<boolean> {
+		const {hostname, port} = this.url;
+		return this.wasClosedInOrder && isListening(hostname.replaceAll(/^\[|\]$/gv, ''), Number(port || defaultHttpPort), livenessTimeoutMs);
 	}
 }
 
--- a/test/fleet-endings.test.ts
+++ b/test/fleet-endings.test.ts
@@ -89,3 +89,20 @@
 	t.match(await call(origin, 'services/stock/reservations', options), {status: 409, body: {code: 'duplicateRequest', outcome: 'unknown'}});
 	t.equal(service.callCount, callCount, 'the repeat has run nothing');
 });
+
+// Guards against a caller's getting the first part of a service's response as the whole of it when the service crashes: the kernel closes its connections in order.
+t.test('a caller gets no part of a service\'s response as complete whose process has crashed', async t => {
+	const {service, origin} = await startService(t);
+	service.respond = async socket => {
+		socket.write('HTTP/1.1 200 OK\r\ncontent-type: text/plain\r\n\r\nhalf of the ans');
+		await sleep(readMs);
+		service.server.close();
+		await sleep(readMs);
+		socket.end();
+	};
+
+	const options = {body: '{}', headers: {'idempotency-key': 'crash-1', 'not-repeatable': 'true'}};
+	t.match(await call(origin, 'services/stock/reservations', options), {status: 504, body: {outcome: 'unknown'}});
+	t.match(await call(origin, 'services/stock/reservations', options), {status: 409, body: {code: 'duplicateRequest', outcome: 'unknown'}});
+	t.equal(service.callCount, 1, 'the repeat has run nothing');
+});
