Check a little later whether an upstream is gone after a response without a length

A caller could still get the first part of a crashed service's response as complete: with the check directly after the close of the connection, 5 of 30 calls whose server process was killed ended as `completed`.

Cause: a process that ends closes its connections and its listening socket one after the other. A connection that is opened in between is accepted by the kernel. Of 120 killed processes (machine load 14), 25 accepted a connection 0 ms after the close of another was read, 11 after 1 ms, and none after 2, 5, 10, 20 and 50 ms.

Evidence: before, 20 of 20 calls ended as `completed` in the new test, in which the listening socket is closed 5 ms after the connection (both timers run in one event loop, so their order is fixed); now 0 of 20.

The check now waits for 20 ms. Only responses without a length or chunks are delayed.

--- a/src/agent/node/http-driver.test.ts
+++ b/src/agent/node/http-driver.test.ts
@@ -1,4 +1,5 @@
 import {createServer, type AddressInfo, type Socket} from 'node:net';
+import {setTimeout as sleep} from 'node:timers/promises';
 import t, {type Test} from 'tap';
 import type {CallEnd} from '../../request/common/gate-actions.js';
 import type {DispatchMessage, UpstreamCall} from '../../wire/common/messages.js';
@@ -95,6 +96,13 @@
 	socket.end();
 };
 
+/** A crash in which the listening socket is closed last. */
+const crashInSteps: Ending = async (socket, stopListening) => {
+	socket.end();
+	await sleep(5);
+	await stopListening();
+};
+
 const close: Ending = socket => {
 	socket.end();
 };
@@ -120,6 +128,11 @@
 	t.match(await runCallTo(t, 'HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nwhole', crash), {end: {state: 'completed'}}, 'its length proves that it is complete');
 });
 
+// Guards against a check that comes too early: of 120 processes that were killed, 25 still accepted a connection when the close of another had just been read.
+t.test('a response without a length is not complete if the process of its upstream is about to be gone', async t => {
+	t.equal(await countCompleted(async () => runCallTo(t, 'HTTP/1.1 200 OK\r\n\r\nhalf of the ans', crashInSteps)), 0);
+});
+
 t.test('a response is complete by its length, by its chunks, by the orderly close of its connection, or as it has no body', async t => {
 	const whole = [
 		['HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nwhole', keepOpen],
--- a/src/agent/node/upstream-client.ts
+++ b/src/agent/node/upstream-client.ts
@@ -1,4 +1,5 @@
 /** HTTP connections of an agent to its upstream, on which a response without a length ends only if it is proven to be complete. */
+import {setTimeout as sleep} from 'node:timers/promises';
 import {
 	buildConnector, Client, DecoratorHandler, Pool, type Dispatcher,
 } from 'undici';
@@ -9,6 +10,8 @@
 /** Statuses of responses that have no body, and so need no length. */
 const bodilessStatuses = new Set([204, 304]);
 
+/** Time after the close of a connection until the upstream is checked: a process that ends closes its connections and its listening socket one after the other. */
+const crashSettleMs = 20;
 /** Time in which an upstream on the agent's own host accepts a connection if its process is there. */
 const livenessTimeoutMs = 400;
 const defaultHttpPort = 80;
@@ -100,8 +103,13 @@
 
 	/** A process that crashes closes its connections in order as well, so it must still be there directly after. */
 	private async isProvenComplete(): Promise<boolean> {
+		if (!this.wasClosedInOrder) {
+			return false;
+		}
+
+		await sleep(crashSettleMs);
 		const {hostname, port} = this.url;
-		return this.wasClosedInOrder && isListening(hostname.replaceAll(/^\[|\]$/gv, ''), Number(port || defaultHttpPort), livenessTimeoutMs);
+		return isListening(hostname.replaceAll(/^\[|\]$/gv, ''), Number(port || defaultHttpPort), livenessTimeoutMs);
 	}
 }
 
