Know a response with transfer codings that do not end in chunks as one without a length

A caller got the first part of a response as complete when its server answered with `Transfer-Encoding: gzip`, `identity`, `chunked, gzip` or an empty value, and its connection was reset or its process crashed.

Cause: `isUnframed` took each `Transfer-Encoding` for chunks.

Responses whose last coding is `chunked`, in one field or several, still complete on a connection that stays open.

`isUnframed` is shared with the hosts that call servers directly, which get the same rule.

--- a/src/agent/node/http-driver.test.ts
+++ b/src/agent/node/http-driver.test.ts
@@ -133,6 +133,22 @@
 	t.equal(await countCompleted(async () => runCallTo(t, 'HTTP/1.1 200 OK\r\n\r\nhalf of the ans', crashInSteps)), 0);
 });
 
+// Guards against taking every `Transfer-Encoding` for chunks: with other codings, or with others after `chunked`, a response ends with its connection.
+t.test('a response with transfer codings that do not end in chunks is not complete if its connection is lost', async t => {
+	for (const fields of [
+		'transfer-encoding: gzip', 'transfer-encoding: identity', 'transfer-encoding: chunked, gzip', 'transfer-encoding: chunked\r\ntransfer-encoding: gzip', 'transfer-encoding:',
+	]) {
+		for (const ending of [reset, crash]) {
+			t.match(await runCallTo(t, `HTTP/1.1 200 OK\r\n${fields}\r\n\r\nhalf of the ans`, ending), {end: {state: 'failed'}}, fields);
+		}
+	}
+
+	for (const fields of ['transfer-encoding: gzip, chunked', 'transfer-encoding: gzip\r\ntransfer-encoding: chunked', 'Transfer-Encoding: Chunked']) {
+		const bytes = `HTTP/1.1 200 OK\r\n${fields}\r\n\r\n5\r\nwhole\r\n0\r\n\r\n`;
+		t.match(await runCallTo(t, bytes, keepOpen), {end: {state: 'completed'}, text: 'whole'}, fields);
+	}
+});
+
 t.test('a response is complete by its length, by its chunks, by the orderly close of its connection, or as it has no body', async t => {
 	const whole = [
 		['HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nwhole', keepOpen],
--- a/src/deployment/common/hop-headers.ts
+++ b/src/deployment/common/hop-headers.ts
@@ -27,11 +27,13 @@
 }
 
 /**
-Returns whether a response declares neither a length nor chunked encoding, so that only the close of its connection ends it.
+Returns whether a response declares neither a length nor chunks, so that only the close of its connection ends it. With transfer codings
+of which `chunked` is not the last, it does so too, and a length does not apply (RFC 9112, 6.3).
 @param head - its headers, names in lower case.
 */
 export function isUnframed({headers}: {readonly headers: readonly Header[]}): boolean {
-	return !headers.some(({name}) => name === 'content-length' || name === 'transfer-encoding');
+	const codings = headers.filter(({name}) => name === 'transfer-encoding').flatMap(({value}) => value.split(','));
+	return codings.length === 0 ? !headers.some(({name}) => name === 'content-length') : codings.at(-1)!.trim().toLowerCase() !== 'chunked';
 }
 
 /**
