--- /dev/null
+++ b/test/platform/program.ts
@@ -0,0 +1,64 @@
+/** Bundles the program as it is deployed and runs it as a host in a process of its own. */
+import {spawn, spawnSync, type ChildProcess} from 'node:child_process';
+import {once} from 'node:events';
+import process from 'node:process';
+import {fileURLToPath} from 'node:url';
+import type {Test} from 'tap';
+import {z} from 'zod';
+import type {Endpoint} from '../../src/wire/common/endpoint.js';
+
+const projectRoot = fileURLToPath(new URL('../../..', import.meta.url));
+export const startedMessage = 'The entry has started.';
+const lineSchema = z.looseObject({message: z.string(), callers: z.string().optional()});
+
+/** A started program; `exit` resolves to its exit code and signal. */
+export type RunningProgram = {readonly child: ChildProcess; readonly exit: Promise<unknown[]>; readonly readOutput: () => string};
+
+/** Returns the settings file that the platform writes for a single host. */
+function settingsOf(storePort: number, graceS: number) {
+	return {
+		nodeName: 'entry-1',
+		ipAddr: '127.0.0.1',
+		availZone: 'hall-a',
+		portRange: [0, 0],
+		seedNodes: [],
+		listenAddrs: {frontend: '127.0.0.1:0', ready: '127.0.0.1:0'},
+		timingBounds: {
+			graceS, configApplyMs: 2000, drainMs: 2000, retryRatio: 0.2, retryWindowS: 10, retrySlack: 60,
+		},
+		reqLimits: {cpuFraction: 1, cpuCores: 1, linkMbps: 1000},
+		platform: {address: `127.0.0.1:${storePort}`},
+	};
+}
+
+/**
+Bundles and starts the program; it is killed at the end of the test.
+@param t - the test.
+@param storePort - port of the store on loopback.
+@param graceS - seconds that a planned stop gives open requests.
+*/
+export function runProgram(t: Test, storePort: number, graceS = 4): RunningProgram {
+	const folder = t.testdir({settings: JSON.stringify(settingsOf(storePort, graceS))});
+	const built = spawnSync(process.execPath, ['scripts/bundle.js', folder], {cwd: projectRoot, encoding: 'utf8'});
+	t.equal(built.status, 0, built.stderr);
+	process.env.PUMICEHATCH_BOOT = `${folder}/settings`;
+	process.env.PUMICEHATCH_WIRE_SECRET = 'a secret of the test';
+	const child = spawn(process.execPath, [`${folder}/main.cjs`], {stdio: ['ignore', 'pipe', 'pipe']});
+	t.teardown(() => child.kill('SIGKILL'));
+	let output = '';
+	const appendOutput = (chunk: unknown) => {
+		output += String(chunk);
+	};
+
+	child.stdout.on('data', appendOutput);
+	child.stderr.on('data', appendOutput);
+	return {child, exit: once(child, 'exit'), readOutput: () => output};
+}
+
+/** Reads the endpoint for callers from the log line of the start. */
+export function callerEndpointOf(output: string): Endpoint {
+	const started = output.split('\n').filter(line => line.startsWith('{')).map(line => lineSchema.parse(JSON.parse(line)))
+		.find(({message}) => message === startedMessage);
+	const [address, port] = started!.callers!.split(':');
+	return {address, port: Number(port)};
+}
--- a/test/platform/server-standin.ts
+++ b/test/platform/server-standin.ts
@@ -359,6 +359,10 @@
 		const isCut = this.fault === 'cutStream' || (first === 1 && this.cutsStream?.(headers['attempt-id']) === true);
 		for (let index = first; index <= this.eventCount; index++) {
 			await sleep(this.stepMs);
+			if (response.destroyed) {
+				return;
+			}
+
 			if (index >= first + lastBeforeCrash) {
 				this.crash();
 				return;
