--- a/src/agent/node/upstream-client.ts
+++ b/src/agent/node/upstream-client.ts
@@ -4,29 +4,13 @@
 	buildConnector, Client, DecoratorHandler, Pool, type Dispatcher,
 } from 'undici';
 import {UnavailableError} from '../../base/common/errors.js';
-import {isUnframed} from '../../deployment/common/hop-headers.js';
-import {isListening} from '../../deployment/node/server-liveness.js';
+import {endsWithConnection} from '../../deployment/common/hop-headers.js';
+import {crashSettleMs, isListening} from '../../deployment/node/server-liveness.js';
 
-/** Statuses of responses that have no body, and so need no length. */
-const bodilessStatuses = new Set([204, 304]);
-
-/** Time after the close of a connection until the upstream is checked: a process that ends closes its connections and its listening socket one after the other. */
-const crashSettleMs = 20;
 /** Time in which an upstream on the agent's own host accepts a connection if its process is there. */
 const livenessTimeoutMs = 400;
 const defaultHttpPort = 80;
 
-/**
-Returns whether only the close of the connection ends a response.
-@param method - of the request.
-@param status - of the response.
-@param headersByName - of the response, names in lower case.
-*/
-function endsWithConnection(method: string, status: number, headersByName: Readonly<Record<string, string | string[] | undefined>>): boolean {
-	const headers = Object.entries(headersByName).map(([name, value]) => ({name, value: String(value ?? '')}));
-	return method !== 'HEAD' && !bodilessStatuses.has(status) && isUnframed({headers});
-}
-
 /**
 Turns the end of a response that only the close of its connection ends into an error, unless the response is proven to be complete.
 @param handler - receives the response.
@@ -53,7 +37,7 @@
 			receiver.onRequestUpgrade?.(...upgrade);
 		},
 		onResponseStart(controller, status, headers, message) {
-			needsClose = endsWithConnection(method, status, headers);
+			needsClose = endsWithConnection(method, {status, headers: Object.entries(headers).map(([name, value]) => ({name, value: String(value ?? '')}))});
 			receiver.onResponseStart?.(controller, status, headers, message);
 		},
 		onResponseData(controller, bytes) {
--- a/src/deployment/node/connection-pool.ts
+++ b/src/deployment/node/connection-pool.ts
@@ -6,7 +6,7 @@
 import type {Header} from '../../wire/common/messages.js';
 import {isUnframed} from '../common/hop-headers.js';
 import type {UpstreamServer} from '../common/upstream-server.js';
-import {isListening} from './server-liveness.js';
+import {crashSettleMs, isListening} from './server-liveness.js';
 
 /** Maximum time for opening a connection: hosts are a few milliseconds apart, and a lost first packet is resent only after a second. */
 const connectTimeoutMs = 400;
@@ -18,9 +18,7 @@
 /** A call that may run at most once does not use a connection that has been idle for longer: the upstream may have closed it meanwhile. */
 const maxFreshIdleMs = 200;
 
-/** How long after the end of a connection its server is checked: a process that crashes closes its sockets one after another. */
-const livenessCheckDelayMs = 10;
-/** Time limit of that check: a lost first packet is resent after a second. */
+/** Time limit of the check whether a server still listens: a lost first packet is resent after a second. */
 const livenessCheckTimeoutMs = 1200;
 
 /** A keep-alive connection that carries one call at a time. */
@@ -99,7 +97,7 @@
 	*/
 	async isServerListening(): Promise<boolean> {
 		await new Promise<void>(resolve => {
-			this.clock.setTimer(livenessCheckDelayMs, resolve);
+			this.clock.setTimer(crashSettleMs, resolve);
 		});
 		return isListening(this.server.address, this.server.port, livenessCheckTimeoutMs);
 	}
--- a/src/deployment/node/server-liveness.ts
+++ b/src/deployment/node/server-liveness.ts
@@ -1,6 +1,9 @@
 /** Finds out whether a process listens at an address. */
 import {connect} from 'node:net';
 
+/** Time after the close of a connection until its server is checked: a process that ends closes its connections and its listening socket one after the other. */
+export const crashSettleMs = 20;
+
 /**
 Returns whether a process listens at an address, by opening a connection that carries nothing.
 @param address - IP address.
