Send responses of entry hosts with a length

A caller of HTTP/1.0 whose response was broken off by a planned stop of its host (or by its end) got 3.9 MB of 25 MB with status 200, `X-Outcome: completed` and an orderly close of the connection, which looks complete.

Cause: responses were sent without `Content-Length`. Callers of HTTP/1.1 got them in chunks, which show that the last one is missing; HTTP/1.0 has no chunks, so only the close of the connection ended them.

All responses but event streams, which end with an event, are sent with their length. Responses to HEAD and with 204 or 304 stay without one.

--- a/src/entry/node/callers-api.ts
+++ b/src/entry/node/callers-api.ts
@@ -19,7 +19,7 @@
 	checkJsonBody, forwardedHeaders, readCallerHeaders, type CallerHeaders,
 } from './caller-request.js';
 import {
-	attachApp, hasToken, makeApp, readBody, sendJson, sendProblem,
+	attachApp, hasToken, makeApp, readBody, sendJson, sendProblem, sendText,
 } from './http-common.js';
 
 /** Difference between the clocks of hosts that is allowed for when a claim expires. */
@@ -236,10 +236,9 @@
 			}));
 		} else if (claim.state === outcomes.completed && claim.answer) {
 			const {status, contentType, text} = claim.answer;
-			response.writeHead(status, {
+			sendText(response, status, {
 				'content-type': contentType, 'x-request-id': claim.requestId, 'x-outcome': claim.state, 'idempotent-replay': 'true',
-			});
-			response.end(text);
+			}, text);
 		} else {
 			const outcome = claim.state === 'claimed' ? outcomes.unknown : claim.state;
 			sendProblem(response, problemOf('duplicateRequest', 'the key was used before; this is what became of that request', {
--- a/src/entry/node/http-common.ts
+++ b/src/entry/node/http-common.ts
@@ -1,4 +1,5 @@
 /** Shared by the HTTP interfaces for callers and operators: servers, bodies, tokens, errors. */
+import {Buffer} from 'node:buffer';
 import {createHash, timingSafeEqual} from 'node:crypto';
 import {
 	createServer, type IncomingMessage, type Server, type ServerOptions, type ServerResponse,
@@ -159,8 +160,19 @@
 @param body - value to serialize.
 */
 export function sendJson(response: ServerResponse, status: number, body: unknown): void {
-	const text = JSON.stringify(body);
-	response.writeHead(status, {'content-type': 'application/json; charset=utf-8'});
+	sendText(response, status, {'content-type': 'application/json; charset=utf-8'}, JSON.stringify(body));
+}
+
+/**
+Sends a response of text.
+@param response - the response to write.
+@param status - HTTP status.
+@param headers - headers besides its length.
+@param text - its body.
+*/
+export function sendText(response: ServerResponse, status: number, headers: Readonly<Record<string, string>>, text: string): void {
+	// To a caller of HTTP/1.0, which knows no chunks, a response without a length that is broken off looks complete.
+	response.writeHead(status, {...headers, 'content-length': Buffer.byteLength(text)});
 	response.end(text);
 }
 
@@ -176,12 +188,11 @@
 	}
 
 	const {retryAfterMs, requestId} = problem;
-	response.writeHead(problem.status, {
+	sendText(response, problem.status, {
 		'content-type': 'application/problem+json; charset=utf-8',
 		// The remainder of an oversized body is not read, so the connection can't be reused.
 		...(problem.code === 'bodyTooLarge' && {connection: 'close'}),
 		...(requestId !== undefined && {'x-request-id': requestId}),
 		...(retryAfterMs !== undefined && {'retry-after': String(Math.ceil(retryAfterMs / 1000))}),
-	});
-	response.end(JSON.stringify(problem));
+	}, JSON.stringify(problem));
 }
--- a/src/entry/node/response-writer.ts
+++ b/src/entry/node/response-writer.ts
@@ -6,6 +6,8 @@
 import {sendJson, sendProblem} from './http-common.js';
 
 const statusOk = 200;
+/** Statuses of responses that have no body and no length. */
+const bodilessStatuses = new Set([204, 304]);
 
 /** Options of a response. */
 export type ResponseWriterOptions = {
@@ -88,7 +90,7 @@
 		this.setHeaders(result);
 		const headers = new Headers((result.http?.headers ?? []).filter(({name}) => name !== 'content-length').map(({name, value}) => [name, value]));
 		this.response.setHeaders(headers);
-		this.response.writeHead(status);
+		this.response.writeHead(status, this.hasBody(status) ? {'content-length': result.body.byteLength} : {});
 		this.response.end(result.body);
 		const text = new TextDecoder().decode(result.body);
 		return {status, contentType: headers.get('content-type') ?? 'application/octet-stream', text};
@@ -125,6 +127,10 @@
 		};
 	}
 
+	private hasBody(status: number): boolean {
+		return this.response.req.method !== 'HEAD' && !bodilessStatuses.has(status);
+	}
+
 	private setHeaders(result: RequestResult): void {
 		this.response.setHeader('x-request-id', this.options.requestId);
 		this.response.setHeader('x-outcome', result.outcome);
--- a/test/fleet-endings.test.ts
+++ b/test/fleet-endings.test.ts
@@ -1,14 +1,20 @@
+import {Buffer} from 'node:buffer';
 import {
-	createServer, type AddressInfo, type Server, type Socket,
+	connect, createServer, type AddressInfo, type Server, type Socket,
 } from 'node:net';
+import {text} from 'node:stream/consumers';
 import {setTimeout as sleep} from 'node:timers/promises';
 import t, {type Test} from 'tap';
 import {upstreamDriverToken} from '../src/agent/common/upstream-driver.js';
 import {HttpDriver} from '../src/agent/node/http-driver.js';
-import {call, smallFleet, startFleet} from './fleet-harness.js';
+import {
+	call, readStatus, smallFleet, startFleet, waitUntil,
+} from './fleet-harness.js';
 
 /** Time between the bytes of a response and the end of its connection, so that the bytes are read before. */
 const readMs = 30;
+/** More than the sockets between a host and its caller buffer. */
+const largeBodyBytes = 24 * 1024 * 1024;
 
 /** A plain service that writes bytes of the test's choice. */
 type RawService = {
@@ -106,3 +112,93 @@
 	t.match(await call(origin, 'services/stock/reservations', options), {status: 409, body: {code: 'duplicateRequest', outcome: 'unknown'}});
 	t.equal(service.callCount, 1, 'the repeat has run nothing');
 });
+
+/** Sends a request over a plain socket that reads nothing until the host has stopped. Returns the head of the response and the number of bytes of its body. */
+async function readAfterStop(t: Test, version: '1.0' | '1.1') {
+	const {service, fleet, origin} = await startService(t);
+	service.respond = socket => {
+		socket.write(`HTTP/1.1 200 OK\r\ncontent-length: ${largeBodyBytes}\r\n\r\n`);
+		socket.write('x'.repeat(largeBodyBytes));
+	};
+
+	const {hostname, port} = new URL(origin);
+	const caller = connect(Number(port), hostname);
+	t.teardown(() => {
+		caller.destroy();
+	});
+	caller.pause();
+	caller.write(`GET /v1/workspaces/buyers/services/stock/lots HTTP/${version}\r\nhost: a\r\nauthorization: Bearer demo-buyers\r\ndeadline-ms: 20000\r\n\r\n`);
+	await waitUntil(() => service.callCount > 0);
+	await waitUntil(async () => (await readStatus(fleet, 0)).requestsInFlight === 0);
+	await fleet.entries[0].lifecycle.stop();
+	const received: Uint8Array[] = [];
+	await new Promise<void>(resolve => {
+		caller.on('data', data => {
+			received.push(data);
+		});
+		caller.on('error', () => {
+			// A reset shows as well that the response is not complete.
+		});
+		caller.on('close', () => {
+			resolve();
+		});
+		caller.resume();
+	});
+	const bytes = Buffer.concat(received);
+	const headBytes = bytes.indexOf('\r\n\r\n') + 4;
+	return {head: bytes.subarray(0, headBytes).toString(), body: bytes.subarray(headBytes)};
+}
+
+/** Sends a request of HTTP/1.0. Returns the head and the body of the response. */
+async function callOld(origin: string, requestLine: string, fields: string[] = []) {
+	const {hostname, port} = new URL(origin);
+	const caller = connect(Number(port), hostname);
+	caller.write([`${requestLine} HTTP/1.0`, 'authorization: Bearer demo-buyers', ...fields, '', ''].join('\r\n'));
+	const [head, body] = (await text(caller)).split('\r\n\r\n');
+	return {head, body};
+}
+
+// Guards against responses to callers of HTTP/1.0 that end only with their connection: one that a stop of the host breaks off looks complete.
+t.test('a caller can tell that a stop of the host has broken off its response', async t => {
+	for (const version of ['1.0', '1.1'] as const) {
+		const {head, body} = await readAfterStop(t, version);
+		t.ok(body.byteLength < largeBodyBytes, 'the response was broken off');
+		t.match(head, new RegExp(`content-length: ${largeBodyBytes}`, 'iv'));
+	}
+});
+
+t.test('responses to a caller of HTTP/1.0 have a length, unless they have no body', async t => {
+	const {service, origin} = await startService(t);
+	service.respond = socket => {
+		socket.write('HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nwhole');
+	};
+
+	const path = '/v1/workspaces/buyers/services/stock/reservations';
+	const fields = ['content-length: 0', 'idempotency-key: old-1', 'not-repeatable: true'];
+	for (const isReplay of [false, true]) {
+		await waitUntil(async () => {
+			const {head, body} = await callOld(origin, `POST ${path}`, fields);
+			if (/idempotent-replay/iv.test(head) !== isReplay) {
+				return false;
+			}
+
+			t.match(head, /content-length: 5/iv);
+			t.equal(body, 'whole');
+			return true;
+		});
+	}
+
+	const problem = await callOld(origin, 'GET /v1/workspaces/buyers/services/nothing/x');
+	t.match(problem.head, new RegExp(`content-length: ${problem.body.length}`, 'iv'));
+	const health = await callOld(origin, 'GET /healthz');
+	t.match(health.head, new RegExp(`content-length: ${health.body.length}`, 'iv'));
+	for (const status of ['204 No Content', '304 Not Modified']) {
+		service.respond = socket => {
+			socket.write(`HTTP/1.1 ${status}\r\n\r\n`);
+		};
+
+		const {head} = await callOld(origin, 'GET /v1/workspaces/buyers/services/stock/lots');
+		t.match(head, new RegExp(`^HTTP/1.1 ${status}`, 'v'));
+		t.notMatch(head, /content-length/iv);
+	}
+});
--- a/test/fleet-harness.ts
+++ b/test/fleet-harness.ts
@@ -95,6 +95,7 @@
 
 const statusSchema = z.looseObject({
 	settingsRevision: z.number(),
+	requestsInFlight: z.number(),
 	hosts: z.array(z.looseObject({hostId: z.string(), revision: z.number()})),
 	upstreams: z.array(z.looseObject({upstreamId: z.string(), state: z.string(), inFlight: z.number()})),
 });
