Take a worker's response as its result only if its status says so

The body of a redirect, of `202 Accepted` or of `206 Partial Content` became the output of a worker's stage: the next stage got it as its input, and after the last stage the caller got it as the answer, with outcome `completed`.

Cause: for a worker, `HttpDriver` took every status below 400 for success, and it follows no redirects.

Now all 11 fail with their status; 200, 201 and 203 still complete, and a plain service's response is still passed on whatever its status.

An engine's response already had to have status 200. A worker may still answer with any other 2xx.

--- a/src/agent/node/http-driver.test.ts
+++ b/src/agent/node/http-driver.test.ts
@@ -172,3 +172,19 @@
 		}
 	}
 });
+
+// Guards against passing on the body of a redirect, of an accepted work or of a part as the output of a worker's stage: only errors were told from results.
+t.test('a worker\'s response is its result only if its status says so', async t => {
+	const bytesOf = (status: number) => `HTTP/1.1 ${status} X\r\n${status === 304 ? '' : 'content-length: 5\r\n'}\r\n${status === 304 ? '' : 'other'}`;
+	for (const status of [202, 206, 300, 301, 302, 303, 304, 307, 308, 400, 500]) {
+		t.strictSame((await runCallTo(t, bytesOf(status), keepOpen, {call: runCall})).end, {state: 'failed', reason: `status ${status}`});
+	}
+
+	for (const status of [200, 201, 203]) {
+		t.match(await runCallTo(t, bytesOf(status), keepOpen, {call: runCall}), {end: {state: 'completed'}, text: 'other'});
+	}
+
+	for (const status of [202, 206, 302, 500]) {
+		t.match(await runCallTo(t, bytesOf(status), keepOpen), {end: {state: 'completed'}, text: 'other', status}, 'a plain service\'s response is passed on with its status');
+	}
+});
--- a/src/agent/node/http-driver.ts
+++ b/src/agent/node/http-driver.ts
@@ -11,7 +11,9 @@
 
 const callTimeoutMs = 2000;
 const statusOk = 200;
-const minErrorStatus = 400;
+const minRedirectStatus = 300;
+/** Statuses of success whose body is not the result of the work: it has only been accepted, or a part is sent. */
+const unfinishedStatuses = new Set([202, 206]);
 
 /** Hop-by-hop headers: they concern one connection, not the request or response, and are not forwarded. */
 const hopByHopHeaders = new Set(['connection', 'keep-alive', 'transfer-encoding', 'upgrade', 'te', 'trailer', 'proxy-authenticate', 'proxy-authorization']);
@@ -35,7 +37,7 @@
 		try {
 			const response = await this.pool.request({...requestOf(dispatch), signal});
 			const {statusCode: status} = response;
-			if (call.kind === 'run' && status >= minErrorStatus) {
+			if (call.kind === 'run' && (status >= minRedirectStatus || unfinishedStatuses.has(status))) {
 				await response.body.dump();
 				return {state: 'failed', reason: `status ${status}`};
 			}
