Send HTTP/1.0 callers a response once it is complete, with its length

A caller that speaks HTTP/1.0 can't receive chunks, so a stream ended with its connection for it, also where its server had sent chunks. A host that was killed in the midst of the stream left a part that looked complete. The writer now collects such a response and sends it with a length when it is complete; a failure before is an error with a status, 502 or 504 once something has arrived, as the request has run.

--- a/src/direct/node/pass-through-writer.ts
+++ b/src/direct/node/pass-through-writer.ts
@@ -1,6 +1,7 @@
 /** Writes an upstream's response to the caller unchanged, or a response of the host where the upstream gave none. */
 import {Buffer} from 'node:buffer';
 import type {ServerResponse} from 'node:http';
+import {joinBytes} from '../../base/common/bytes.js';
 import {endToEndHeaders} from '../../deployment/common/hop-headers.js';
 import {
 	failureCodes, outcomes, type HttpResponseHead, type RequestResult,
@@ -58,23 +59,25 @@
 	}
 
 	private isHeadWritten = false;
-	private isUnframedResponse = false;
 	private writtenStatus = 0;
-
-	private constructor(private readonly response: ServerResponse, private readonly isHead: boolean) {}
+	/** Whether the caller's version of HTTP has chunks; a response without them would have to end with its connection, and look complete if this process ends. */
+	private readonly canReceiveChunks: boolean;
+	/** What has arrived of a response that is sent with its length, once it is complete. */
+	private readonly collected: Uint8Array[] = [];
+	private collectedHead: HttpResponseHead | undefined;
+
+	private constructor(private readonly response: ServerResponse, private readonly isHead: boolean) {
+		const {httpVersionMajor, httpVersionMinor} = response.req;
+		this.canReceiveChunks = httpVersionMajor > 1 || (httpVersionMajor === 1 && httpVersionMinor >= 1);
+	}
 
 	/** The HTTP status sent to the caller; 0 before one is sent. */
 	get status(): number {
 		return this.writtenStatus;
 	}
 
-	/** Whether only the end of the connection ends the response. */
-	get isUnframed(): boolean {
-		return this.isUnframedResponse;
-	}
-
 	/**
-	Writes data of a response as it arrives.
+	Writes data of a response as it arrives, or collects it for a caller that can't receive chunks.
 	@param data - the next bytes of the body.
 	@param http - head of the upstream's response; only the first one given is used.
 	@returns a promise that resolves when more can be written, or undefined if more can be written immediately.
@@ -85,6 +88,12 @@
 			return undefined;
 		}
 
+		if (!this.canReceiveChunks) {
+			this.collectedHead ??= http;
+			this.collected.push(data);
+			return undefined;
+		}
+
 		if (!this.isHeadWritten && http) {
 			this.writeHead(http, undefined);
 		}
@@ -122,9 +131,10 @@
 
 		if (this.isHeadWritten) {
 			response.end();
+		} else if (this.collectedHead) {
+			this.sendWhole(this.collectedHead, joinBytes(this.collected));
 		} else if (result.http) {
-			this.writeHead(result.http, result.body.byteLength);
-			response.end(result.body);
+			this.sendWhole(result.http, result.body);
 		}
 
 		return responseEndings.whole;
@@ -136,7 +146,8 @@
 			return responseEndings.cutOff;
 		}
 
-		if (result.outcome === outcomes.refused) {
+		// A request of which something has arrived has run.
+		if (result.outcome === outcomes.refused && this.collected.length === 0) {
 			this.writtenStatus = unavailable;
 			sendHostResponse(this.response, unavailable, notRunText(result.message), result.retryAfterMs ?? defaultRetryAfterMs);
 		} else {
@@ -147,24 +158,23 @@
 		return responseEndings.whole;
 	}
 
-	/** Shows the caller, who has part of the response, that it is incomplete: a response that ends with its connection looks complete unless that is reset. */
+	/** Ends the connection before the last chunk, which shows the caller that its response is incomplete. */
 	private cutOff(): void {
-		if (this.isUnframed) {
-			this.response.socket?.resetAndDestroy();
-		}
-
 		this.response.destroy();
 	}
 
+	private sendWhole(http: HttpResponseHead, body: Uint8Array): void {
+		this.writeHead(http, body.byteLength);
+		this.response.end(body);
+	}
+
+	/** Writes the head of a response with the given length, or of one in chunks. */
 	private writeHead({status, headers}: HttpResponseHead, bodyBytes: number | undefined): void {
 		this.isHeadWritten = true;
 		this.writtenStatus = status;
 		const forwarded = endToEndHeaders(headers).filter(({name}) => this.isHead || name !== 'content-length');
 		const rawHeaders = forwarded.flatMap(({name, value}) => [name, value]);
-		if (bodyBytes === undefined) {
-			// Sent in chunks, unless the caller's version of HTTP has none: a response that ends with its connection looks complete if this process ends.
-			this.isUnframedResponse = !this.response.useChunkedEncodingByDefault;
-		} else if (!this.isHead) {
+		if (bodyBytes !== undefined && !this.isHead) {
 			rawHeaders.push('content-length', String(bodyBytes));
 		}
 
--- a/src/direct/node/served-request.ts
+++ b/src/direct/node/served-request.ts
@@ -136,7 +136,7 @@
 			attempts: attemptsText(result, plan.startMs),
 		});
 		metrics.increment('requests.ended', 1, {route: plan.pipeline, outcome: result.outcome, code: result.code ?? 'none'});
-		metrics.increment('responses.ended', 1, {ending, framing: this.writer.isUnframed ? 'connection' : 'message'});
+		metrics.increment('responses.ended', 1, {ending});
 		this.countContinuations(result);
 		metrics.timing('requests.took', result.tookMs, {route: plan.pipeline});
 	}
--- a/test/platform/killed-hosts.test.ts
+++ b/test/platform/killed-hosts.test.ts
@@ -3,24 +3,18 @@
 
 The connections of a process that ends are closed in order, so a response must not end with its connection: its caller would take the part that it has for the whole.
 */
-import {connect} from 'node:net';
 import t, {type Test} from 'tap';
 import {
-	completeStream, longTimeoutConfig, sendRequest, streamCall, waitUntil, type CallerResponse, type RunningEntry,
+	completeStream, sendRequest, streamCall, waitUntil, type CallerResponse,
 } from './direct-harness.js';
 import {makeLongTimeoutFleet} from './direct-load.js';
-import {
-	callerEndpointOf, runProgram, startedMessage, type RunningProgram,
-} from './program.js';
+import {startHost} from './program.js';
+import {sendRaw, type Host} from './raw-caller.js';
 import {ServerStandin} from './server-standin.js';
-import {StoreStandin} from './store-standin.js';
 
 const streamCount = 8;
 const lastChunk = '\r\n0\r\n\r\n';
 
-type Host = Pick<RunningEntry, 'callers'>;
-type RawResponse = {text: string; end: 'open' | 'inOrder' | 'reset'};
-
 /** Starts a model server whose streams have no length unless stated, and last until they are ended by the test. */
 async function makeModel(t: Test, isUnframed: boolean, eventCount: number): Promise<ServerStandin> {
 	const server = await ServerStandin.create('model-0', 10);
@@ -32,41 +26,9 @@
 	return server;
 }
 
-/** Runs the program as the only host of a model server. */
-async function startProgram(t: Test, server: ServerStandin, graceS: number): Promise<RunningProgram & Host> {
-	const store = await StoreStandin.create();
-	t.teardown(() => {
-		store.dispose();
-	});
-	store.put('op', 'config', longTimeoutConfig(1));
-	store.put('servers', server.serverId, server.entry('model'));
-	const program = runProgram(t, store.port, graceS);
-	await waitUntil(() => [server.serverId, startedMessage, 'in force'].every(text => program.readOutput().includes(text)));
-	return {...program, callers: callerEndpointOf(program.readOutput())};
-}
-
-/** Sends a request for a stream as bytes, and collects what comes back. */
-function sendRaw({callers}: Host, path: string): RawResponse {
-	const response: RawResponse = {text: '', end: 'open'};
-	const socket = connect({host: callers.address, port: callers.port});
-	socket.setEncoding('utf8');
-	socket.on('data', (text: string) => {
-		response.text += text;
-	});
-	socket.on('end', () => {
-		response.end = 'inOrder';
-	});
-	socket.on('error', () => {
-		response.end = 'reset';
-	});
-	const headers = ['Host: site.example', 'Attempt-Id: raw', 'Deadline-Ms: 30000', 'Authorization: Bearer key-1', 'Accept: text/event-stream', 'Content-Length: 1'];
-	socket.write([`POST ${path} HTTP/1.1`, ...headers, '', 'x'].join('\r\n'));
-	return response;
-}
-
 /** Returns what the callers of several streams have received once the host has been ended, which happens when all of them have got events. */
 async function endWhileStreaming(host: Host, path: string, endHost: () => Promise<unknown>) {
-	const raw = Array.from({length: streamCount}, () => sendRaw(host, path));
+	const raw = Array.from({length: streamCount}, () => sendRaw(host, {path}));
 	const pending = Array.from({length: streamCount}, async (_, index): Promise<Pick<CallerResponse, 'isWhole'>> => {
 		try {
 			return await sendRequest(host, streamCall(path, {id: `s${index}`, deadlineMs: 30_000}));
@@ -90,7 +52,7 @@
 // Guards against a stream without a length that looks complete to its caller because its host was killed.
 for (const isUnframed of [true, false]) {
 	t.test(`a stream ${isUnframed ? 'without a length' : 'in chunks'} does not look complete when its host is killed`, async t => {
-		const program = await startProgram(t, await makeModel(t, isUnframed, 100_000), 4);
+		const program = await startHost(t, await makeModel(t, isUnframed, 100_000));
 		checkNoneLooksWhole(t, await endWhileStreaming(program, '/chat/1', async () => {
 			program.child.kill('SIGKILL');
 			await program.exit;
@@ -100,7 +62,7 @@
 
 // Guards against the same when a planned stop takes longer than its open requests are given.
 t.test('a stream without a length does not look complete when its host stops before its end', async t => {
-	const program = await startProgram(t, await makeModel(t, true, 100_000), 0.3);
+	const program = await startHost(t, await makeModel(t, true, 100_000), 0.3);
 	checkNoneLooksWhole(t, await endWhileStreaming(program, '/draft/1', async () => {
 		program.child.kill('SIGTERM');
 		await program.exit;
@@ -126,7 +88,7 @@
 // Guards against a planned stop that cuts off what it has the time to complete.
 t.test('a stream without a length that ends in time is delivered whole by a host that stops', async t => {
 	const server = await makeModel(t, true, 5);
-	const program = await startProgram(t, server, 30);
+	const program = await startHost(t, server, 30);
 	const pending = Array.from({length: streamCount}, async (_, index) => sendRequest(program, streamCall('/chat/1', {id: `s${index}`, deadlineMs: 30_000})));
 	await waitUntil(() => server.seen.length === streamCount);
 	program.child.kill('SIGTERM');
--- a/test/platform/program.ts
+++ b/test/platform/program.ts
@@ -6,6 +6,9 @@
 import type {Test} from 'tap';
 import {z} from 'zod';
 import type {Endpoint} from '../../src/wire/common/endpoint.js';
+import {longTimeoutConfig, waitUntil} from './direct-harness.js';
+import type {ServerStandin} from './server-standin.js';
+import {StoreStandin} from './store-standin.js';
 
 const projectRoot = fileURLToPath(new URL('../../..', import.meta.url));
 export const startedMessage = 'The entry has started.';
@@ -62,3 +65,21 @@
 	const [address, port] = started!.callers!.split(':');
 	return {address, port: Number(port)};
 }
+
+/**
+Runs the program as the only host of a model server, and waits until it can serve requests.
+@param t - the test; the program is killed at its end.
+@param server - the server.
+@param graceS - seconds that a planned stop gives open requests.
+*/
+export async function startHost(t: Test, server: ServerStandin, graceS?: number): Promise<RunningProgram & {readonly callers: Endpoint}> {
+	const store = await StoreStandin.create();
+	t.teardown(() => {
+		store.dispose();
+	});
+	store.put('op', 'config', longTimeoutConfig(1));
+	store.put('servers', server.serverId, server.entry('model'));
+	const program = runProgram(t, store.port, graceS);
+	await waitUntil(() => [server.serverId, startedMessage, 'in force'].every(text => program.readOutput().includes(text)));
+	return {...program, callers: callerEndpointOf(program.readOutput())};
+}
--- a/test/platform/server-standin.ts
+++ b/test/platform/server-standin.ts
@@ -144,6 +144,8 @@
 	resetShare = 0;
 	/** Arrivals of requests of callers, with the ids that the callers gave them; refused ones included. */
 	readonly arrivedRequests: Array<{readonly id: string; readonly atMs: number}> = [];
+	/** Number of events sent in all streams. */
+	sentEventCount = 0;
 	/** Number of requests whose connection closed before their response was complete. */
 	closedEarlyCount = 0;
 	private isLeaving = false;
@@ -392,6 +394,7 @@
 			}
 
 			response.write(`${idLine(index)}data: ${eventPrefix}event ${index}\n\n`);
+			this.sentEventCount++;
 		}
 
 		response.end();
