End a call whose reader is paused when its connection ends

Callers of the whole host saw their connections break: the process ended with an uncaught AssertionError of the HTTP client. The call itself never ended.

Cause: a reader whose credit is used up, as its caller reads slowly, pauses the HTTP client. The client takes the end of a connection that isn't kept, and a reset of it, for the end of the response, and asserts first that it isn't paused. It does so in a listener of the socket, so the error reaches no handler of the call; the host has no handler for it.

Evidence: five new tests with one chunk of credit, in which the server closes or resets the connection after the chunk was forwarded. A process of its own, with only the call and no handler, ended with exit code 1. A whole host was not brought to this: its caller has to leave about 10 MB unread on loopback, and three attempts with stalled callers paused no reader.

Why it works: the reader is resumed before the client handles the end of the connection, when all received bytes have been read; from then on nothing pauses it. After a reset it can't be resumed, so the error gets a code that the client doesn't know and reports as the failure of the call. Empty data, which the client reports when it is resumed, isn't forwarded any more.

--- a/src/deployment/node/connection-pool.ts
+++ b/src/deployment/node/connection-pool.ts
@@ -17,6 +17,8 @@
 const keepAliveMarginMs = 300;
 /** A call that may run at most once does not use a connection that has been idle for longer: the upstream may have closed it meanwhile. */
 const maxFreshIdleMs = 200;
+/** Code of the error of a connection that was lost; one that undici doesn't know. */
+const resetCode = 'UPSTREAM_CONNECTION_LOST';
 
 /** Time limit of the check whether a server still listens: a lost first packet is resent after a second. */
 const livenessCheckTimeoutMs = 1200;
@@ -30,6 +32,9 @@
 	/** Whether the connection was reset, by the other side or by the network. */
 	wasReset = false;
 
+	/** Called before the HTTP client handles that the upstream has closed the connection; a call whose reader is paused resumes it here. */
+	onWillEnd: (() => void) | undefined;
+
 	/** Whether a call is in progress on this connection. */
 	isBusy = false;
 	/** Whether its call has just ended: the client is then inside a callback and may be about to close the connection. */
@@ -115,6 +120,7 @@
 	/** Marks the connection as idle after a call that ended normally; the upstream may still close it after the response. */
 	release(): void {
 		this.isBusy = false;
+		this.onWillEnd = undefined;
 		this.isSettling = true;
 		this.idleSinceMs = this.clock.nowMs();
 		queueMicrotask(() => {
@@ -125,6 +131,7 @@
 	/** Closes the connection after a call that was aborted by either side: a later call on it would be lost as well. */
 	discard(): void {
 		this.isBusy = false;
+		this.onWillEnd = undefined;
 		this.dispose();
 	}
 
@@ -146,9 +153,16 @@
 	private watchSocket(socket: Socket): void {
 		this.socket = socket;
 		socket.setNoDelay(true);
-		// Runs before undici's own listener, which treats the data received so far as the complete response.
-		socket.prependListener('error', () => {
+		/*
+		Both run before undici's own listeners. To undici the end of the connection, and also a reset with this code, ends a response without a framing; it then
+		throws out of the listener if the response's reader is paused. A reset is no such end, and a paused reader can't be resumed after it.
+		*/
+		socket.prependListener('error', error => {
 			this.wasReset = true;
+			Object.assign(error, {code: resetCode});
+		});
+		socket.prependListener('end', () => {
+			this.onWillEnd?.();
 		});
 	}
 }
--- a/src/direct/node/direct-call.test.ts
+++ b/src/direct/node/direct-call.test.ts
@@ -1,7 +1,7 @@
-import {createServer, type AddressInfo} from 'node:net';
+import {createServer, type AddressInfo, type Socket} from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {Dispatcher} from 'undici';
-import t from 'tap';
+import t, {type Test} from 'tap';
 import {SystemClock} from '../../base/node/system-clock.js';
 import {PooledConnection} from '../../deployment/node/connection-pool.js';
 import {refusalReasons, type DispatchMessage, type Message} from '../../wire/common/messages.js';
@@ -208,3 +208,88 @@
 	t.same(await endInOrder({notRun: true, isListening: false}), ['discarded', 'refused']);
 	t.same(await endInOrder({isStreaming: true, body: 'id: 1\nda'}), ['discarded', 'lost', 'unknown']);
 });
+
+/** Makes a call with credit for one chunk to a server that sends the given bytes, and ends the connection once they were forwarded. */
+async function callUntilPaused(t: Test, bytes: string, endConnection: (socket: Socket) => void): Promise<Message[]> {
+	const emitted: Message[] = [];
+	const server = createServer(socket => {
+		socket.on('error', () => undefined);
+		socket.once('data', () => {
+			socket.write(bytes);
+		});
+	});
+	await new Promise<void>(resolve => {
+		server.listen(0, '127.0.0.1', resolve);
+	});
+	t.teardown(() => {
+		server.close();
+	});
+	const accepted = new Promise<Socket>(resolve => {
+		server.once('connection', resolve);
+	});
+	const connection = PooledConnection.create({
+		serverId: 's', instanceId: 's', startedMs: 0, pool: 'p', address: '127.0.0.1', port: (server.address() as AddressInfo).port, hall: 'a', slots: 1, isLeaving: false,
+	}, SystemClock.create());
+	let hasEnded = false;
+	await new Promise<void>(resolve => {
+		const call = DirectCall.create({
+			...callOptions,
+			dispatch: {...dispatch, creditChunks: 1},
+			connection,
+			isStreaming: false,
+			emit(message) {
+				emitted.push(message);
+				if (message.type === 'chunk' && !hasEnded) {
+					hasEnded = true;
+					void accepted.then(endConnection);
+				} else if (message.type === 'end') {
+					resolve();
+				}
+			},
+		});
+		connection.dispatch({method: 'POST', path: '/', body: 'x'}, call);
+	});
+	await sleep(20);
+	connection.dispose();
+	return emitted;
+}
+
+const closeNormally = (socket: Socket) => {
+	socket.end();
+};
+
+const closeWithReset = (socket: Socket) => {
+	socket.resetAndDestroy();
+};
+
+const pausedCalls = [
+	{
+		name: 'a response without a framing is closed', head: '', endConnection: closeNormally, state: 'completed',
+	},
+	{
+		name: 'a response without a framing is reset', head: '', endConnection: closeWithReset, state: 'unknown',
+	},
+	{
+		name: 'a part of a response is closed', head: 'Connection: close\r\nContent-Length: 9\r\n', endConnection: closeNormally, state: 'unknown',
+	},
+	{
+		name: 'a part of a response is reset', head: 'Connection: close\r\nContent-Length: 9\r\n', endConnection: closeWithReset, state: 'unknown',
+	},
+	{
+		name: 'a part of a chunk is closed', head: 'Connection: close\r\nTransfer-Encoding: chunked\r\n', endConnection: closeNormally, state: 'unknown',
+	},
+] as const;
+
+/*
+Guards against a host that ends when a server closes the connection of a response which the host has stopped reading, as its caller reads slowly: the HTTP
+client threw outside of any call, and the call never ended.
+*/
+for (const {name, head, endConnection, state} of pausedCalls) {
+	t.test(`a call ends once if its reader is paused when the connection of ${name}`, async t => {
+		const body = head.includes('chunked') ? '9\r\nhello' : 'hello';
+		const emitted = await callUntilPaused(t, `HTTP/1.1 200 OK\r\n${head}\r\n${body}`, endConnection);
+		t.same(emitted.filter(({type}) => type === 'end').map(message => message.type === 'end' && message.state), [state]);
+		const text = emitted.map(message => message.type === 'chunk' ? new TextDecoder().decode(message.data) : '').join('');
+		t.equal(text, 'hello');
+	});
+}
--- a/src/direct/node/direct-call.ts
+++ b/src/direct/node/direct-call.ts
@@ -62,6 +62,8 @@
 	/** Whether the response has ended; whether it is complete may still be checked. */
 	private hasResponseEnded = false;
 	private isFinished = false;
+	/** Whether the upstream has closed the connection; what was received until then is read without credit. */
+	private isConnectionEnding = false;
 
 	private constructor(private readonly options: DirectCallOptions) {
 		this.sentMs = options.nowMs();
@@ -98,6 +100,11 @@
 			return;
 		}
 
+		this.options.connection.onWillEnd = () => {
+			this.isConnectionEnding = true;
+			controller.resume();
+		};
+
 		this.options.onWrite();
 	}
 
@@ -134,7 +141,8 @@
 
 	/** Called for bytes of the response. Forwards complete events of a stream, and any bytes of another response. */
 	onResponseData(controller: Dispatcher.DispatchController, bytes: Uint8Array): void {
-		if (this.refusal !== undefined || this.foreignReason !== undefined || this.isFinished || this.isCancelled) {
+		// Resuming the reader can report empty data.
+		if (bytes.byteLength === 0 || this.refusal !== undefined || this.foreignReason !== undefined || this.isFinished || this.isCancelled) {
 			return;
 		}
 
@@ -226,7 +234,7 @@
 		this.units += units;
 		this.digest = extendDigest(this.digest, data);
 		this.remainingCredit--;
-		if (this.remainingCredit <= 0) {
+		if (this.remainingCredit <= 0 && !this.isConnectionEnding) {
 			this.controller?.pause();
 		}
 
