Refuse responses with transfer codings that are not decoded

A caller got a 2xx whose body was the server's in another coding, without the header that names the coding; with an unknown coding, whatever had been received when the connection was closed passed for the whole body. The same held for the responses of stage servers.

Cause: the HTTP client decodes chunks only, in `Transfer-Encoding: gzip, chunked` too, and ends a response with other codings with its connection. The check of the head knew `Content-Encoding` only, and `Transfer-Encoding` isn't passed on, as it applies to one connection.

Why it works: a response whose transfer codings are not exactly `chunked` is aborted at its head, like one with a content encoding. A refusal that its head proves still counts.

--- a/src/deployment/common/hop-headers.ts
+++ b/src/deployment/common/hop-headers.ts
@@ -48,6 +48,15 @@
 	return isUnframed(head) && method !== 'HEAD' && !bodylessStatuses.has(head.status);
 }
 
+/**
+Returns whether a response has a transfer coding besides chunked. The HTTP client doesn't decode it, and the header that names it applies to one connection.
+@param head - its headers, names in lower case.
+*/
+export function hasUndecodedCoding({headers}: {readonly headers: readonly Header[]}): boolean {
+	const codings = headers.filter(({name}) => name === 'transfer-encoding').map(({value}) => value.trim().toLowerCase());
+	return codings.length > 0 && codings.join(',') !== 'chunked';
+}
+
 /**
 Converts a flat list of names and values to headers.
 @param flat - name, value, name, value…
--- a/src/deployment/node/collect-response.ts
+++ b/src/deployment/node/collect-response.ts
@@ -4,6 +4,7 @@
 import {messageOf, UnavailableError} from '../../base/common/errors.js';
 import {fail, ok, type Outcome} from '../../base/common/outcome.js';
 import type {Header} from '../../wire/common/messages.js';
+import {hasUndecodedCoding} from '../common/hop-headers.js';
 import {headersOf, isFinalStatus} from './response-head.js';
 import type {PooledConnection} from './connection-pool.js';
 
@@ -91,6 +92,9 @@
 						status = startedStatus;
 						headers = headersOf(started);
 						onHead?.({status, headers});
+						if (hasUndecodedCoding({headers})) {
+							started.abort(new UnavailableError('the response body has a transfer coding that is not decoded'));
+						}
 					}
 				},
 				onResponseData(reading, bytes) {
--- a/src/direct/node/direct-call.test.ts
+++ b/src/direct/node/direct-call.test.ts
@@ -209,8 +209,8 @@
 	t.same(await endInOrder({isStreaming: true, body: 'id: 1\nda'}), ['discarded', 'lost', 'unknown']);
 });
 
-/** Makes a call with credit for one chunk to a server that sends the given bytes, and ends the connection once they were forwarded. */
-async function callUntilPaused(t: Test, bytes: string, endConnection: (socket: Socket) => void): Promise<Message[]> {
+/** Makes a call to a server that sends the given bytes, and ends the connection once some were forwarded. The reader pauses when its credit is used up. */
+async function callAndEnd(t: Test, bytes: string, endConnection: (socket: Socket) => void, creditChunks: number): Promise<Message[]> {
 	const emitted: Message[] = [];
 	const server = createServer(socket => {
 		socket.on('error', () => undefined);
@@ -234,7 +234,7 @@
 	await new Promise<void>(resolve => {
 		const call = DirectCall.create({
 			...callOptions,
-			dispatch: {...dispatch, creditChunks: 1},
+			dispatch: {...dispatch, creditChunks},
 			connection,
 			isStreaming: false,
 			emit(message) {
@@ -287,9 +287,19 @@
 for (const {name, head, endConnection, state} of pausedCalls) {
 	t.test(`a call ends once if its reader is paused when the connection of ${name}`, async t => {
 		const body = head.includes('chunked') ? '9\r\nhello' : 'hello';
-		const emitted = await callUntilPaused(t, `HTTP/1.1 200 OK\r\n${head}\r\n${body}`, endConnection);
+		const emitted = await callAndEnd(t, `HTTP/1.1 200 OK\r\n${head}\r\n${body}`, endConnection, 1);
 		t.same(emitted.filter(({type}) => type === 'end').map(message => message.type === 'end' && message.state), [state]);
 		const text = emitted.map(message => message.type === 'chunk' ? new TextDecoder().decode(message.data) : '').join('');
 		t.equal(text, 'hello');
 	});
 }
+
+/*
+Guards against a body that is still encoded and reaches the caller as the server's, without the header that names its coding: that applies to one connection.
+*/
+t.test('a response with a transfer coding besides chunked belongs to no call', async t => {
+	for (const coding of ['gzip, chunked', 'gzip\r\nTransfer-Encoding: chunked', 'chunked, gzip', 'gzip', 'xchunked']) {
+		const emitted = await callAndEnd(t, `HTTP/1.1 200 OK\r\nTransfer-Encoding: ${coding}\r\n\r\n4\r\n\u001F\u008B\u0008a\r\n0\r\n\r\n`, closeNormally, 64);
+		t.same(emitted.map(message => message.type === 'end' ? message.state : message.type), ['unknown'], coding.replace('\r\n', ', '));
+	}
+});
--- a/src/direct/node/direct-call.ts
+++ b/src/direct/node/direct-call.ts
@@ -2,7 +2,7 @@
 import type {Dispatcher} from 'undici';
 import {messageOf, UnavailableError} from '../../base/common/errors.js';
 import {extendDigest} from '../../base/common/hash.js';
-import {endsWithConnection} from '../../deployment/common/hop-headers.js';
+import {endsWithConnection, hasUndecodedCoding} from '../../deployment/common/hop-headers.js';
 import {headersOf, isFinalStatus} from '../../deployment/node/response-head.js';
 import type {PooledConnection} from '../../deployment/node/connection-pool.js';
 import type {HttpResponseHead} from '../../request/common/request-plan.js';
@@ -40,6 +40,10 @@
 	readonly onUnproven: () => void;
 };
 
+function undecodedReasonOf(head: HttpResponseHead): string | undefined {
+	return hasUndecodedCoding(head) ? 'the body has a transfer coding, so it is not the server\'s' : undefined;
+}
+
 /** Handles one call until it ends; emits `refused` or `end` exactly once. */
 export class DirectCall implements Dispatcher.DispatchHandler {
 	static create(options: DirectCallOptions): DirectCall {
@@ -124,9 +128,10 @@
 			return;
 		}
 
-		if (classification.kind === 'foreign') {
-			this.foreignReason = classification.reason;
-			controller.abort(new UnavailableError(classification.reason));
+		const foreignReason = classification.kind === 'foreign' ? classification.reason : undecodedReasonOf(this.head);
+		if (foreignReason !== undefined) {
+			this.foreignReason = foreignReason;
+			controller.abort(new UnavailableError(foreignReason));
 			return;
 		}
 
