Compare events, not comments, with the last event of a stream that is continued

A gap was not seen where the ids began at another number than 1, or where the caller had resumed the stream.

Blocks without data are no events now, the first event of a call is compared wherever it stands, and ids count events once one has followed another.

--- a/src/direct/common/event-sequence.test.ts
+++ b/src/direct/common/event-sequence.test.ts
@@ -1,5 +1,5 @@
 import t from 'tap';
-import {EventSequence} from './event-sequence.js';
+import {EventSequence, hasEvents} from './event-sequence.js';
 
 const event = (id: string | undefined) => new TextEncoder().encode(`${id === undefined ? '' : `id: ${id}\n`}data: x\n\n`);
 
@@ -36,5 +36,19 @@
 	t.ok(follows([], '9', '7'), 'how its ids rise is not known');
 	t.notOk(follows([], '1', '7'));
 	t.ok(follows(['8'], '9', '7'));
+	t.notOk(follows(['8', '9'], '11', '7'), 'ids count events after a resumption too');
+	t.notOk(follows(['0', '1'], '3'), 'and from any first id');
+	t.ok(follows(['3'], '6'));
 	t.equal(sequenceOf(['8', '9'], '7').lastId, '9');
 });
+
+/* Guards against streams that can't be continued, or begin again, because a comment took the place of the last event. */
+t.test('comments are no events', async t => {
+	const bytes = (text: string) => new TextEncoder().encode(text);
+	const sequence = sequenceOf(['1', '2']);
+	sequence.append(bytes(': keep-alive\n\n'));
+	t.equal(sequence.lastId, '2');
+	t.notOk(hasEvents(bytes(': keep-alive\n\nretry: 100\n\n')));
+	t.equal(sequence.joinProblem(bytes(': here again\n\nid: 3\ndata: x\n\n')), undefined);
+	t.ok(sequence.joinProblem(bytes(': here again\n\nid: 1\ndata: x\n\n')));
+});
--- a/src/direct/common/event-sequence.ts
+++ b/src/direct/common/event-sequence.ts
@@ -11,12 +11,11 @@
 	}
 
 	private hasBegun: boolean;
-	/** Whether the ids count events: each so far is the previous one plus 1, the first one is 1. */
-	private isCounting: boolean;
+	/** Whether the ids count events, as far as is known: each delivered one is the previous one plus 1; unknown before two ids follow one another. */
+	private isCounting: boolean | undefined;
 
 	private constructor(private lastEventId: string | undefined) {
 		this.hasBegun = lastEventId !== undefined;
-		this.isCounting = !this.hasBegun;
 	}
 
 	/** Id of the last event; undefined if there is none, or if it has no id. */
@@ -26,11 +25,14 @@
 
 	/**
 	Adds events that are delivered.
-	@param events - one or more complete events.
+	@param events - one or more complete events, and comments.
 	*/
 	append(events: Uint8Array): void {
 		for (const id of idsOf(events)) {
-			this.isCounting &&= Number(id) === Number(this.lastEventId ?? 0) + 1;
+			if (this.hasBegun) {
+				this.isCounting = this.isCounting !== false && Number(id) === Number(this.lastEventId) + 1;
+			}
+
 			this.lastEventId = id;
 			this.hasBegun = true;
 		}
@@ -54,13 +56,21 @@
 
 		const [last, first] = [Number(lastId), Number(firstId)];
 		const isNumbered = Number.isSafeInteger(last) && Number.isSafeInteger(first);
-		const isAfter = isNumbered ? first > last && (!this.isCounting || first === last + 1) : firstId !== lastId;
+		const isAfter = isNumbered ? first > last && (this.isCounting !== true || first === last + 1) : firstId !== lastId;
 		return isAfter ? undefined : `event "${firstId}" does not follow event "${lastId}"`;
 	}
 }
 
-/** Returns the id of each event, undefined for an event that has none. */
-function idsOf(events: Uint8Array): Array<string | undefined> {
-	const texts = new TextDecoder().decode(events).split(/(?<=\n\n)/v);
-	return texts.filter(text => text.trim() !== '').map(text => /^id: ?(?<id>[^\n]*)$/mv.exec(text)?.groups?.id);
+/**
+Returns whether a part of a stream has an event, and not only comments.
+@param part - one or more complete blocks of the stream.
+*/
+export function hasEvents(part: Uint8Array): boolean {
+	return idsOf(part).length > 0;
+}
+
+/** Returns the id of each event, undefined for an event that has none. Blocks without data are comments or settings of the stream. */
+function idsOf(part: Uint8Array): Array<string | undefined> {
+	const blocks = new TextDecoder().decode(part).split('\n\n');
+	return blocks.filter(block => /^data(?::|$)/mv.test(block)).map(block => /^id: ?(?<id>[^\n]*)$/mv.exec(block)?.groups?.id);
 }
--- a/src/direct/node/direct-call.ts
+++ b/src/direct/node/direct-call.ts
@@ -9,6 +9,7 @@
 import {
 	refusalReasons, type DispatchMessage, type Message, type RefusalReason,
 } from '../../wire/common/messages.js';
+import {hasEvents} from '../common/event-sequence.js';
 import {EventSplitter} from '../common/event-splitter.js';
 import type {UpstreamProtocol} from '../common/upstream-protocol.js';
 
@@ -58,6 +59,8 @@
 	private refusal: RefusalReason | undefined;
 	/** Why the response does not belong to this call, or does not follow what the caller has. */
 	private foreignReason: string | undefined;
+	/** Whether an event of the response has been compared with what the caller has. */
+	private hasJoined = false;
 	/** Number of units that were forwarded. */
 	private units = 0;
 	private digest = 0;
@@ -160,7 +163,7 @@
 		if (this.splitter.isEventTooLarge) {
 			controller.abort(new UnavailableError('an event is larger than is taken'));
 		} else if (events) {
-			this.foreignReason = this.units === 0 ? this.options.joinProblem(events.data) : undefined;
+			this.checkJoin(events.data);
 			if (this.foreignReason === undefined) {
 				this.forward(events.data, events.units);
 			} else {
@@ -228,6 +231,14 @@
 		}
 	}
 
+	/** Compares the first event of the call with what the caller has. */
+	private checkJoin(events: Uint8Array): void {
+		if (!this.hasJoined && hasEvents(events)) {
+			this.hasJoined = true;
+			this.foreignReason = this.options.joinProblem(events);
+		}
+	}
+
 	private endAsLost(reason: string): void {
 		this.options.onConnectionLost();
 		this.end('unknown', reason);
--- a/test/platform/server-standin.ts
+++ b/test/platform/server-standin.ts
@@ -136,6 +136,8 @@
 	closesCutStreams = false;
 	/** Returns the id of the first event of a call that resumes a stream after the given one, or undefined if its events have no ids; absent: the next one. */
 	resumesAt: ((lastId: number) => number | undefined) | undefined;
+	/** Whether a comment follows the events of a stream before it is cut. */
+	sendsComments = false;
 	/** Whether the first call that resumes a stream is refused because a result it needs is lost. */
 	losesInputsOfResumed = false;
 	/** Ids of the requests whose resumption was refused. */
@@ -382,6 +384,11 @@
 			}
 
 			if (isCut && index === 3) {
+				if (this.sendsComments) {
+					response.write(': keep-alive\n\n');
+					await sleep(this.stepMs);
+				}
+
 				response.write('id: 3\nda');
 				await sleep(this.stepMs);
 				if (this.closesCutStreams) {
--- a/test/platform/stream-continuations.test.ts
+++ b/test/platform/stream-continuations.test.ts
@@ -31,3 +31,18 @@
 		t.same(responses.filter(({text}) => !completeStream.startsWith(text)), [], 'what callers received is the beginning of the stream');
 	});
 }
+
+/* Guards against a stream that is not continued, as a comment without an id took the place of the last event. */
+t.test('a stream is continued after a comment', async t => {
+	const fleet = await makeLongTimeoutFleet(t);
+	for (const server of await fleet.addServers('model', 3, 5)) {
+		server.cutsStream = () => true;
+		server.sendsComments = true;
+	}
+
+	const [host] = await addHosts(fleet, 1);
+	for (let index = 0; index < 5; index++) {
+		const {isWhole, text} = await sendRequest(host, streamCall('/draft/1', {id: `c${index}`}));
+		t.same({isWhole, text: text.replaceAll(': keep-alive\n\n', '')}, {isWhole: true, text: completeStream});
+	}
+});
