Refuse a request without preparation after a few reports of lost results

Cause: the report began the stage anew, which forgets refusals, although there was nothing to compute again. It counts as any other refusal there now. The new test fails without it.

--- a/src/request/common/request-state-machine.test.ts
+++ b/src/request/common/request-state-machine.test.ts
@@ -169,3 +169,12 @@
 	fresh.state.isOpen = false;
 	t.match(fresh.machine.handle({type: 'start'}, 0), [{type: 'finish', result: {outcome: 'refused', isNotRun: true, retryAfterMs: 300}}, {type: 'close'}]);
 });
+
+/* Guards against a request that is sent again and again until its budget is spent: results that nothing prepares can't be computed again, and each such refusal began the stage anew. */
+t.test('a request without preparation is refused after a few servers reported that results are lost', async t => {
+	const machine = RequestStateMachine.create(planWith({rules: directRules}), routerWith({}));
+	machine.handle({type: 'start'}, 0);
+	machine.handle({type: 'refused', dispatchId: 'd0', reason: 'inputsGone'}, 1);
+	machine.handle({type: 'refused', dispatchId: 'd1', reason: 'inputsGone'}, 2);
+	t.match(machine.handle({type: 'refused', dispatchId: 'd2', reason: 'inputsGone'}, 3), [{type: 'finish', result: {outcome: 'refused', isNotRun: true}}, {type: 'close'}]);
+});
--- a/src/request/common/stage-run.ts
+++ b/src/request/common/stage-run.ts
@@ -159,7 +159,7 @@
 		}
 
 		this.endAttempt(attempt, attemptStates.notRun, message.reason, nowMs);
-		if (message.reason === refusalReasons.inputsGone && !this.attempts.hasLive) {
+		if (message.reason === refusalReasons.inputsGone && this.options.plan.needsPreparation && !this.attempts.hasLive) {
 			this.status = {type: 'inputsGone'};
 		} else if (message.reason === refusalReasons.outOfTime && nowMs >= this.options.startByMs) {
 			this.failUnlessLive(failureCodes.deadlineExceeded, 'no upstream could start the work in time');
