Know the attempts of a stage that was begun again until its request ends

Each request whose results were computed again stayed in the memory of its host for good, with its answer, as the ids of the earlier dispatches were not removed; found by the review (1 entry left after one such request). If the second preparation failed, the log showed no attempt at all, and continuations were not counted. The list of runs keeps those that it removed. The new test fails without it in both assertions.

--- a/src/request/common/begun-answers.test.ts
+++ b/src/request/common/begun-answers.test.ts
@@ -212,3 +212,27 @@
 	}), {seed: 66, numRuns: 3000});
 	t.ok(completeCount > 300, `${completeCount} of 3000 streams are whole`);
 });
+
+/* Guards against requests that are kept in memory for ever, and against a log that does not show what was tried: a run of a stage that is begun again was forgotten. */
+t.test('the attempts of a stage that is begun again are known until the request ends', async t => {
+	const machine = RequestStateMachine.create(planOf(true), stubRouter(['u1', 'u2', 'u3', 'u4']));
+	const [lost] = messagesOf({dispatchId: 'd1'} as DispatchMessage, {kind: 'refused', reason: 'inputsGone'});
+	const events: RequestEvent[] = [
+		{type: 'start'},
+		{type: 'prepared', inputs: noInputs},
+		{
+			type: 'started', dispatchId: 'd0', queueMs: 0, http: headOf(200, streamMediaType),
+		},
+		{
+			type: 'chunk', dispatchId: 'd0', sequence: 0, units: 1, data: Uint8Array.of(1),
+		},
+		{
+			type: 'end', dispatchId: 'd0', state: 'unknown', units: 1, digest: 0, runMs: 1,
+		},
+		lost,
+		{type: 'preparationFailed', failure: {code: 'preparationFailed', message: 'late'}},
+	];
+	const actions = events.flatMap((event, nowMs) => machine.handle(event, nowMs));
+	t.match(actions.find(({type}) => type === 'finish'), {result: {outcome: 'failed', stages: [{attempts: [{kind: 'first'}, {kind: 'resume'}]}]}});
+	t.same(machine.dispatchIds, ['d0', 'd1']);
+});
--- a/src/request/common/request-state-machine.ts
+++ b/src/request/common/request-state-machine.ts
@@ -302,7 +302,7 @@
 	}
 
 	private complete(run: StageRun, nowMs: number): void {
-		this.finish(makeResult(this.plan, this.runs.all, {
+		this.finish(makeResult(this.plan, this.runs.traced, {
 			outcome: outcomes.completed, message: 'completed', nowMs, last: run,
 		}));
 		this.close();
@@ -317,7 +317,7 @@
 			this.runs.abandon(nowMs);
 		}
 
-		this.finish(makeResult(this.plan, this.runs.all, {
+		this.finish(makeResult(this.plan, this.runs.traced, {
 			outcome: this.failedOutcome(), message, nowMs, code, retryAfterMs,
 		}));
 		if (this.runs.hasLive) {
--- a/src/request/common/stage-run-list.ts
+++ b/src/request/common/stage-run-list.ts
@@ -17,6 +17,8 @@
 	begunAnswer: StageAnswer | undefined;
 	/** Origin of the stream that a removed run has begun. */
 	earlierOrigin: StreamOrigin | undefined;
+	/** Runs that were removed, as their stage was begun again; none of their attempts is live. */
+	private readonly removed: StageRun[] = [];
 
 	get count(): number {
 		return this.all.length;
@@ -27,9 +29,14 @@
 		return this.all.at(-1);
 	}
 
-	/** Ids of all dispatches. */
+	/** Ids of all dispatches, including those of removed runs. */
 	get dispatchIds(): string[] {
-		return this.all.flatMap(run => run.attempts.dispatchIds);
+		return [...this.removed, ...this.all].flatMap(run => run.attempts.dispatchIds);
+	}
+
+	/** The runs whose traces tell what became of the request: a removed one only where its stage was not begun again. */
+	get traced(): readonly StageRun[] {
+		return this.count === 0 ? this.removed.slice(-1) : this.all;
 	}
 
 	/** Whether any attempt may have run. */
@@ -66,6 +73,7 @@
 		this.begunAnswer = run.begunAnswer;
 		this.earlierOrigin = run.stage.origin;
 		this.all.splice(this.all.indexOf(run), 1);
+		this.removed.push(run);
 	}
 
 	/**
