Deliver nothing after the final answer

On hosts with agents, tokens of a pipeline that may not be repeated arrived after its caller had been told at the deadline that the outcome is unknown; writing them behind the finished response was an unhandled rejection, which ends the process.

The state machine emits no delivery once the answer is final. The new test fails without it.

--- a/src/request/common/request-state-machine.test.ts
+++ b/src/request/common/request-state-machine.test.ts
@@ -1,5 +1,6 @@
 import t from 'tap';
 import {stubRouter} from '../../../test/stub-router.js';
+import {extendDigest} from '../../base/common/hash.js';
 import {policyDefaults, type EffectivePolicy} from '../../settings/common/schema.js';
 import {agentRules, directRules} from './attempt-rules.js';
 import type {RequestAction} from './request-events.js';
@@ -178,3 +179,18 @@
 	machine.handle({type: 'refused', dispatchId: 'd1', reason: 'inputsGone'}, 2);
 	t.match(machine.handle({type: 'refused', dispatchId: 'd2', reason: 'inputsGone'}, 3), [{type: 'finish', result: {outcome: 'refused', isNotRun: true}}, {type: 'close'}]);
 });
+
+/* Guards against units that are written behind the final answer: on hosts with agents that ended the process. */
+t.test('nothing is delivered after the final answer, while work that may not be repeated goes on', async t => {
+	const plan = planWith({isRepeatable: false, isStreaming: true});
+	const machine = RequestStateMachine.create({...plan, stages: [{...plan.stages[0], kind: 'generate'}]}, routerWith({}));
+	machine.handle({type: 'start'}, 0);
+	machine.handle({type: 'started', dispatchId: 'd0', queueMs: 0}, 10);
+	t.match(machine.handle({type: 'tick'}, 1500), [{type: 'finish', result: {outcome: 'unknown'}}, {type: 'cancel'}]);
+	t.same(typesOf(machine.handle({
+		type: 'chunk', dispatchId: 'd0', sequence: 0, units: 1, data: new Uint8Array(3),
+	}, 1510)), []);
+	t.match(machine.handle({
+		type: 'end', dispatchId: 'd0', state: 'completed', units: 1, digest: extendDigest(0, new Uint8Array(3)), runMs: 5,
+	}, 1520), [{type: 'settle', outcome: 'completed'}, {type: 'close'}]);
+});
--- a/src/request/common/request-state-machine.ts
+++ b/src/request/common/request-state-machine.ts
@@ -86,12 +86,15 @@
 	*/
 	handle(event: RequestEvent, nowMs: number): RequestAction[] {
 		this.actions = [];
-		if (!this.isClosed) {
-			this.applyEvent(event, nowMs);
-			this.advance(nowMs);
+		if (this.isClosed) {
+			return this.actions;
 		}
 
-		return this.actions;
+		const isAnswered = this.phase === 'settling';
+		this.applyEvent(event, nowMs);
+		this.advance(nowMs);
+		// Nothing follows the final answer, although work that may not be repeated goes on.
+		return isAnswered ? this.actions.filter(({type}) => type !== 'deliver') : this.actions;
 	}
 
 	private applyEvent(event: RequestEvent, nowMs: number): void {
