Store a service's response for repeats only if a repeat gets the same bytes

A repeat of a completed request that runs at most once got status 200, `X-Outcome: completed` and other bytes than the first response: U+FFFD for each byte that is not UTF-8, no byte order mark, or coded bytes (gzip, for instance) without their `Content-Encoding`.

Cause: a claim stores a response as text with its status and content type. Every body was decoded to text, and no other header is stored.

--- a/src/entry/node/response-writer.ts
+++ b/src/entry/node/response-writer.ts
@@ -1,4 +1,5 @@
 /** Writes the response to one request to its caller: complete, streamed, or an error. */
+import {Buffer, isUtf8} from 'node:buffer';
 import type {ServerResponse} from 'node:http';
 import type {StoredResponse} from '../../request/common/claim.js';
 import {outcomes, type RequestResult} from '../../request/common/request-plan.js';
@@ -6,6 +7,7 @@
 import {sendJson, sendProblem} from './http-common.js';
 
 const statusOk = 200;
+const identityCoding = 'identity';
 /** Statuses of responses that have no body and no length. */
 const bodilessStatuses = new Set([204, 304]);
 
@@ -92,8 +94,7 @@
 		this.response.setHeaders(headers);
 		this.response.writeHead(status, this.hasBody(status) ? {'content-length': result.body.byteLength} : {});
 		this.response.end(result.body);
-		const text = new TextDecoder().decode(result.body);
-		return {status, contentType: headers.get('content-type') ?? 'application/octet-stream', text};
+		return storedResponseOf(status, headers, result.body);
 	}
 
 	private finishFailed(result: RequestResult): void {
@@ -157,6 +158,20 @@
 	}
 }
 
+/**
+Returns the response to store for repeats of a request. It has no headers but the content type, and its body is text: of other responses
+none is stored, since a repeat would get other bytes than the first caller.
+*/
+function storedResponseOf(status: number, headers: Headers, body: Uint8Array): StoredResponse | undefined {
+	const coding = headers.get('content-encoding') ?? identityCoding;
+	if (coding.toLowerCase() !== identityCoding || !isUtf8(body)) {
+		return undefined;
+	}
+
+	// A `TextDecoder` would remove a byte order mark.
+	return {status, contentType: headers.get('content-type') ?? 'application/octet-stream', text: Buffer.from(body).toString()};
+}
+
 function round(valueMs: number): number {
 	return Math.round(valueMs * 10) / 10;
 }
--- a/test/fleet-endings.test.ts
+++ b/test/fleet-endings.test.ts
@@ -5,6 +5,7 @@
 import {text} from 'node:stream/consumers';
 import {setTimeout as sleep} from 'node:timers/promises';
 import t, {type Test} from 'tap';
+import {request} from 'undici';
 import {upstreamDriverToken} from '../src/agent/common/upstream-driver.js';
 import {HttpDriver} from '../src/agent/node/http-driver.js';
 import {
@@ -202,3 +203,50 @@
 		t.notMatch(head, /content-length/iv);
 	}
 });
+
+// Guards against a repeat's getting other bytes than the first response had: responses are stored as text with their content type alone, so bytes that are not UTF-8 were replaced, and a content coding was lost.
+t.test('a repeat gets the bytes of the first response, or what became of its request', async t => {
+	const {service, origin} = await startService(t);
+	const path = `${origin}/v1/workspaces/buyers/services/stock/reservations`;
+	const callTwice = async (key: string, fields: string, body: Uint8Array) => {
+		service.respond = socket => {
+			socket.write(`HTTP/1.1 200 OK\r\n${fields}content-length: ${body.byteLength}\r\n\r\n`);
+			socket.write(body);
+		};
+
+		const headers = {authorization: 'Bearer demo-buyers', 'idempotency-key': key, 'not-repeatable': 'true'};
+		const send = async () => {
+			const response = await request(path, {method: 'POST', headers, body: '{}'});
+			return {status: response.statusCode, headers: response.headers, body: Buffer.from(await response.body.arrayBuffer())};
+		};
+
+		const first = await send();
+		t.strictSame(first.body, Buffer.from(body));
+		let repeat = await send();
+		await waitUntil(async () => {
+			repeat = await send();
+			return !repeat.body.includes('requestInProgress');
+		});
+		return repeat;
+	};
+
+	for (const [key, fields, body] of [
+		['binary', 'content-type: application/pdf\r\n', Buffer.from([0x25, 0x50, 0xFF, 0xFE, 0x80])],
+		['coded', 'content-type: text/plain\r\ncontent-encoding: x-rot13\r\n', Buffer.from('jubyr')],
+	] as const) {
+		const repeat = await callTwice(key, fields, body);
+		t.match({...repeat, body: String(repeat.body)}, {status: 409, body: /"code":"duplicateRequest".*"outcome":"completed"/v}, key);
+	}
+
+	for (const [key, fields, body] of [
+		['text', 'content-type: text/plain\r\n', Buffer.from('gr\u{FC}n')],
+		['byte-order-mark', 'content-type: text/plain\r\n', Buffer.from('\u{FEFF}a')],
+		['identity', 'content-encoding: identity\r\n', Buffer.from('whole')],
+	] as const) {
+		const repeat = await callTwice(key, fields, body);
+		t.match(repeat, {status: 200, headers: {'idempotent-replay': 'true'}});
+		t.strictSame(repeat.body, body);
+	}
+
+	t.equal(service.callCount, 5, 'no repeat has run anything');
+});
