--- a/src/agent/node/http-driver.test.ts
+++ b/src/agent/node/http-driver.test.ts
@@ -149,6 +149,7 @@
 	}
 });
 
+// Guards against failing complete responses: of those without a body nothing but the head comes, and the connection stays open.
 t.test('a response is complete by its length, by its chunks, by the orderly close of its connection, or as it has no body', async t => {
 	const whole = [
 		['HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nwhole', keepOpen],
@@ -165,6 +166,7 @@
 	t.match(await runCallTo(t, 'HTTP/1.1 200 OK\r\n\r\n', keepOpen, {call: {...httpCall, method: 'HEAD'}}), {end: {state: 'completed'}, text: '', status: 200});
 });
 
+// Guards against taking a connection's end for the end of a response that states its own.
 t.test('a response with a length or in chunks whose connection ends early is not complete', async t => {
 	for (const bytes of ['HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nhalf', 'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\nhalf\r\n']) {
 		for (const ending of [reset, close]) {
--- a/test/fleet-endings.test.ts
+++ b/test/fleet-endings.test.ts
@@ -9,7 +9,7 @@
 import {upstreamDriverToken} from '../src/agent/common/upstream-driver.js';
 import {HttpDriver} from '../src/agent/node/http-driver.js';
 import {
-	call, readStatus, smallFleet, startFleet, waitUntil,
+	call, readEvents, readStatus, smallFleet, startFleet, waitUntil,
 } from './fleet-harness.js';
 
 /** Time between the bytes of a response and the end of its connection, so that the bytes are read before. */
@@ -168,6 +168,7 @@
 	}
 });
 
+// Guards against single kinds of responses that are still sent without a length.
 t.test('responses to a caller of HTTP/1.0 have a length, unless they have no body', async t => {
 	const {service, origin} = await startService(t);
 	service.respond = socket => {
@@ -250,3 +251,95 @@
 
 	t.equal(service.callCount, 5, 'no repeat has run anything');
 });
+
+// Guards against an event stream that states its end although its agent was lost, or its host stopped, in the midst of it.
+t.test('an event stream states its end only if all of its tokens have been sent', async t => {
+	const fleet = await startFleet({...smallFleet, entries: 1});
+	t.teardown(() => {
+		fleet.dispose();
+	});
+	const origin = fleet.callersOrigin(0);
+	const path = 'pipelines/quote/requests';
+	const body = JSON.stringify({lot: 'teak-17', wish: 'planks of 40 mm'});
+	const expected = String((await call(origin, path, {body, headers: {'x-request-id': 'same'}})).body.answer);
+
+	/** Opens a stream over a plain socket, and runs an action once some of its tokens have arrived. */
+	const streamUntil = async (version: '1.0' | '1.1', act: () => Promise<void> | void) => {
+		const {hostname, port} = new URL(origin);
+		const caller = connect(Number(port), hostname);
+		caller.write([
+			`POST /v1/workspaces/buyers/${path} HTTP/${version}`,
+			'host: a',
+			'authorization: Bearer demo-buyers',
+			'accept: text/event-stream',
+			'connection: close',
+			'deadline-ms: 20000',
+			'x-request-id: same',
+			`content-length: ${body.length}`,
+			'',
+			body,
+		].join('\r\n'));
+		let received = '';
+		let hasActed = false;
+		await new Promise<void>(resolve => {
+			caller.on('data', data => {
+				received += String(data);
+				if (!hasActed && received.split('event: chunk').length > 3) {
+					hasActed = true;
+					void act();
+				}
+			});
+			caller.on('error', () => {
+				// A reset shows as well that the stream is not complete.
+			});
+			caller.on('close', () => {
+				resolve();
+			});
+		});
+		t.ok(hasActed);
+		return received;
+	};
+
+	const loseAgent = async () => {
+		const victim = fleet.poolOf('models').find(upstream => upstream.engine!.state.batch.size > 0)!;
+		victim.daemon.lifecycle.stopNow();
+		await fleet.restartAgent(victim);
+	};
+
+	const resumed = await streamUntil('1.0', loseAgent);
+	t.strictSame(readEvents(resumed.slice(resumed.indexOf('\r\n\r\n') + 4)), {answer: expected, last: 'end'});
+	const finished = await streamUntil('1.1', async () => fleet.entries[0].lifecycle.stop());
+	t.match(finished, /event: end\n/v, 'a planned stop waits for the stream');
+	t.ok(finished.endsWith('0\r\n\r\n'));
+});
+
+// Guards against an end event, or a last chunk, that a host writes while it ends.
+t.test('an event stream does not state its end if its host ends', async t => {
+	for (const version of ['1.0', '1.1'] as const) {
+		const fleet = await startFleet({...smallFleet, entries: 1});
+		t.teardown(() => {
+			fleet.dispose();
+		});
+		const {hostname, port} = new URL(fleet.callersOrigin(0));
+		const caller = connect(Number(port), hostname);
+		caller.write([
+			`POST /v1/workspaces/buyers/pipelines/quote/requests HTTP/${version}`, 'host: a', 'authorization: Bearer demo-buyers', 'accept: text/event-stream', 'content-length: 2', '', '{}',
+		].join('\r\n'));
+		let received = '';
+		await new Promise<void>(resolve => {
+			caller.on('data', data => {
+				received += String(data);
+				fleet.entries[0].lifecycle.stopNow();
+			});
+			caller.on('error', () => {
+				// A reset shows as well that the stream is not complete.
+			});
+			caller.on('close', () => {
+				resolve();
+			});
+		});
+		t.match(received, /event: chunk/v);
+		t.notMatch(received, /event: (?:end|error)/v);
+		t.notOk(received.endsWith('0\r\n\r\n'));
+	}
+});
