Fail a call alone whose response has more headers than an agent forwards

A plain service's response with more than 200 headers, or with a name of more than 256 characters, ended all calls of an entry host at the same agent: a caller whose request runs at most once got 504 in place of its complete response. After a request that runs at most once every later call at the agent failed too, while its entry asked for the outcome on each new connection (up to 60 s).

Cause: the agent sent these headers in a message that the entry host refuses as invalid, by closing the connection.

The agent checks the headers against the schema of the message; if they don't fit, only their call ends, as failed or unknown.

--- a/src/agent/node/http-driver.ts
+++ b/src/agent/node/http-driver.ts
@@ -1,8 +1,9 @@
 /** Driver for workers and plain services: one HTTP call each, whose response is forwarded as it arrives. */
 import type {Dispatcher, Pool} from 'undici';
 import {z} from 'zod';
+import {UnavailableError} from '../../base/common/errors.js';
 import type {CallEnd} from '../../request/common/gate-actions.js';
-import type {DispatchMessage, Header} from '../../wire/common/messages.js';
+import {headersSchema, type DispatchMessage, type Header} from '../../wire/common/messages.js';
 import type {
 	CallSink, OrderResult, UpstreamDriver, UpstreamState,
 } from '../common/upstream-driver.js';
@@ -42,8 +43,14 @@
 				return {state: 'failed', reason: `status ${status}`};
 			}
 
+			const headers = headersOf(response);
+			if (call.kind === 'http' && !headersSchema.safeParse(headers).success) {
+				await response.body.dump();
+				throw new UnavailableError('the response has more or longer headers than are forwarded');
+			}
+
 			// The response of a plain service is forwarded whatever its status, because the call did run.
-			sink.started(call.kind === 'http' ? {status, headers: headersOf(response)} : undefined);
+			sink.started(call.kind === 'http' ? {status, headers} : undefined);
 			for await (const bytes of response.body) {
 				if (bytes instanceof Uint8Array) {
 					sink.chunk(1, bytes);
--- a/src/wire/common/messages.ts
+++ b/src/wire/common/messages.ts
@@ -16,6 +16,8 @@
 export const maxPieceKeyLength = 200;
 
 const headerSchema = z.strictObject({name: z.string().max(256), value: z.string().max(16_384)});
+/** Headers of a request or a response. A message with others is refused, and its connection is closed. */
+export const headersSchema = z.array(headerSchema).max(200);
 
 /** Roles of processes. */
 export const roles = {entry: 'entry', agent: 'agent'} as const;
@@ -67,7 +69,7 @@
 	kind: z.literal('http'),
 	method: z.string().regex(/^[A-Z]{1,20}$/v),
 	path: z.string().max(8192),
-	headers: z.array(headerSchema).max(200),
+	headers: headersSchema,
 	body: bytes,
 	/** Handles of results that the upstream reads before the call. */
 	inputs: z.array(z.string().max(256)).max(4096).optional(),
@@ -133,7 +135,7 @@
 	type: z.literal('started'),
 	dispatchId: id,
 	queueMs: ms,
-	http: z.strictObject({status: count, headers: z.array(headerSchema).max(200)}).optional(),
+	http: z.strictObject({status: count, headers: headersSchema}).optional(),
 });
 const chunkSchema = z.strictObject({
 	type: z.literal('chunk'),
--- a/test/fleet-endings.test.ts
+++ b/test/fleet-endings.test.ts
@@ -205,6 +205,33 @@
 	}
 });
 
+// Guards against one response's ending all calls at its agent: an entry host closed the connection when it received more headers than a message may have, and received them again on each new one.
+t.test('a response with more headers than are forwarded ends only its own call', async t => {
+	const {service, origin} = await startService(t);
+	for (const fields of ['x-a: 1\r\n'.repeat(201), `${'x'.repeat(257)}: 1\r\n`]) {
+		service.respond = async socket => {
+			await sleep(readMs);
+			socket.write('HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nwhole');
+		};
+
+		const other = call(origin, 'services/stock/other', {body: '{}'});
+		const {callCount} = service;
+		await waitUntil(() => service.callCount > callCount);
+		service.respond = socket => {
+			socket.write(`HTTP/1.1 200 OK\r\n${fields}content-length: 5\r\n\r\nother`);
+		};
+
+		t.match(await call(origin, 'services/stock/lots', {body: '{}'}), {status: 504, body: {code: 'resultUnknown', outcome: 'unknown'}});
+		t.match(await other, {status: 200, text: 'whole'});
+		t.match(await call(origin, 'services/stock/lots', {method: 'GET'}), {status: 502, body: {outcome: 'failed'}});
+		service.respond = socket => {
+			socket.write('HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nwhole');
+		};
+
+		t.match(await call(origin, 'services/stock/lots', {method: 'GET'}), {status: 200, text: 'whole'}, 'a later call');
+	}
+});
+
 // Guards against a repeat's getting other bytes than the first response had: responses are stored as text with their content type alone, so bytes that are not UTF-8 were replaced, and a content coding was lost.
 t.test('a repeat gets the bytes of the first response, or what became of its request', async t => {
 	const {service, origin} = await startService(t);
