Refuse a service's request that does not fit into a message

A caller of a plain service whose request had more than 200 headers, a header name of more than 256 characters or a path of more than 8192 ended the calls that its host had in progress at each agent the request was sent to: another caller's repeatable request failed with 502.

Cause: the entry host sent the request in a message that the agents refuse as invalid, by closing the connection, and then retried it.

The entry host checks the call against the schema of the message and refuses it with 400 and the invalid part as `place`; nothing is sent.

--- a/src/entry/node/callers-api.ts
+++ b/src/entry/node/callers-api.ts
@@ -9,7 +9,7 @@
 import {outcomes, type RequestPlan, type RequestResult} from '../../request/common/request-plan.js';
 import {WorkspaceLimiter} from '../../routing/common/workspace-limiter.js';
 import type {SettingsService} from '../../settings/common/settings-service.js';
-import type {HttpCall} from '../../wire/common/messages.js';
+import {httpCallSchema, type HttpCall} from '../../wire/common/messages.js';
 import type {Accounting} from '../common/accounting.js';
 import {Planner} from '../common/planner.js';
 import {problemOf, type Problem} from '../common/problems.js';
@@ -94,6 +94,15 @@
 		}
 
 		const {headers, body, requestId} = parsed;
+		const http = httpCallOf(request, parsed);
+		const invalidField = http && httpCallSchema.safeParse(http).error?.issues.at(0)?.path.at(0);
+		if (invalidField !== undefined) {
+			sendProblem(response, problemOf('badRequest', 'the method, the path or a header is too long to be forwarded, or there are too many headers', {
+				place: String(invalidField), requestId, outcome: outcomes.refused, notRun: true,
+			}));
+			return;
+		}
+
 		const plan = this.planner.plan({
 			requestId,
 			workspace: target.workspace,
@@ -103,7 +112,7 @@
 			hasIdempotencyKey: headers.idempotencyKey !== undefined,
 			isStreaming: headers.isStreaming && !target.http,
 			input: body,
-			http: httpCallOf(request, parsed),
+			http,
 		}, this.options.clock.nowMs());
 		if (!plan.ok) {
 			sendProblem(response, problemOf(plan.error.code, plan.error.message, {requestId, outcome: outcomes.refused, notRun: true}));
--- a/src/wire/common/messages.ts
+++ b/src/wire/common/messages.ts
@@ -65,7 +65,8 @@
 	resumeOffset: count,
 });
 const runCallSchema = z.strictObject({kind: z.literal('run'), input: bytes});
-const httpCallSchema = z.strictObject({
+/** A call of a service. A message with another is refused, and its connection is closed. */
+export const httpCallSchema = z.strictObject({
 	kind: z.literal('http'),
 	method: z.string().regex(/^[A-Z]{1,20}$/v),
 	path: z.string().max(8192),
--- a/test/fleet-endings.test.ts
+++ b/test/fleet-endings.test.ts
@@ -232,6 +232,29 @@
 	}
 });
 
+// Guards against one request's ending all calls of its host at the agents it is sent to: an agent closed the connection when it received a call that no message may have.
+t.test('a request of a service that can\'t be forwarded is refused and ends no other call', async t => {
+	const {service, origin} = await startService(t);
+	service.respond = async socket => {
+		await sleep(5 * readMs);
+		socket.write('HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nwhole');
+	};
+
+	const manyHeaders = Object.fromEntries(Array.from({length: 201}, (_, index) => [`x-${index}`, '1']));
+	for (const [place, path, headers] of [
+		['headers', 'lots', manyHeaders],
+		['headers', 'lots', {['x'.repeat(257)]: '1'}],
+		['path', 'x'.repeat(8200), {}],
+	] as const) {
+		service.callCount = 0;
+		const other = call(origin, 'services/stock/other', {method: 'GET'});
+		await waitUntil(() => service.callCount > 0);
+		t.match(await call(origin, `services/stock/${path}`, {method: 'GET', headers}), {status: 400, body: {code: 'badRequest', place, notRun: true}});
+		t.match(await other, {status: 200, text: 'whole'});
+		t.equal(service.callCount, 1, 'the other call ran once');
+	}
+});
+
 // Guards against a repeat's getting other bytes than the first response had: responses are stored as text with their content type alone, so bytes that are not UTF-8 were replaced, and a content coding was lost.
 t.test('a repeat gets the bytes of the first response, or what became of its request', async t => {
 	const {service, origin} = await startService(t);
