Test responses that end with their connection with a server process that is killed

The tests of crashed servers so far ended stand-ins in the test's own process, which close their listening socket first. The new one kills a server in a process of its own, whose sockets the system closes, in the midst of five streams without a length, three times.

--- a/test/platform/unframed-responses.test.ts
+++ b/test/platform/unframed-responses.test.ts
@@ -1,9 +1,14 @@
 /** Tests responses of servers that declare neither a length nor chunks, with real hosts, where a server crashes. */
+import {spawn} from 'node:child_process';
+import {once} from 'node:events';
+import process from 'node:process';
+import {fileURLToPath} from 'node:url';
 import t, {type Test} from 'tap';
 import {
 	completeStream, counterOf, longTimeoutConfig, sendRequest, streamCall, waitUntil, type CallerCall, type CallerResponse, type DirectFleet, type RunningEntry,
 } from './direct-harness.js';
 import {makeFleet} from './direct-load.js';
+import {sendRaw} from './raw-caller.js';
 import type {ServerStandin} from './server-standin.js';
 
 const requestCount = 5;
@@ -140,3 +145,23 @@
 		t.match(await send(host, {method: 'POST', path: '/book/1'}), {status: 200, isWhole: true, text: 'half of it'});
 	}
 });
+
+// Guards against half a stream that looks complete because the process of its server was killed: the system closes its sockets in order.
+t.test('streams without a length do not look complete when the process of their server is killed', async t => {
+	for (let round = 0; round < 3; round++) {
+		const fleet = await makeFleet(t);
+		fleet.store.put('op', 'config', longTimeoutConfig(2));
+		const host = await fleet.addEntry();
+		const child = spawn(process.execPath, [fileURLToPath(new URL('server-program.js', import.meta.url)), 'model-0'], {stdio: ['ignore', 'pipe', 'inherit']});
+		t.teardown(() => child.kill('SIGKILL'));
+		const [entry] = await once(child.stdout, 'data') as [Uint8Array];
+		fleet.store.put('servers', 'model-0', JSON.parse(new TextDecoder().decode(entry)));
+		await waitUntil(() => host.lines.some(line => line.includes('"model-0"')));
+		const raw = Array.from({length: requestCount}, () => sendRaw(host, {path: '/chat/1'}));
+		await waitUntil(() => raw.every(({text}) => text.includes('event 2')));
+		child.kill('SIGKILL');
+		await waitUntil(() => raw.every(({end}) => end !== 'open'));
+		t.equal(raw.filter(({text}) => /transfer-encoding: chunked/iv.test(text) && !text.includes('\r\n0\r\n\r\n')).length, requestCount, 'none has a last chunk');
+		t.equal(counterOf(host, 'responses_unproven_total{pool="model"}'), requestCount);
+	}
+});
