Know a reset that arrives together with the last data of a response

A caller got the first part of a response without a framing as the whole one, although its server's connection had been reset.

Cause: if data and the reset of a connection arrive before the host reads them, as when its event loop is busy for a moment, Node reports an orderly end instead of an error, and the HTTP client completes the response. The host took only an error for a reset.

Why it works: a socket that was reset has no peer any more, while one that the peer has closed still has, so the address tells the two apart at the end. Nothing reads it earlier, which would keep it.

--- a/src/deployment/node/connection-pool.ts
+++ b/src/deployment/node/connection-pool.ts
@@ -162,6 +162,8 @@
 			Object.assign(error, {code: resetCode});
 		});
 		socket.prependListener('end', () => {
+			// Node reports a reset that arrives together with data as an orderly end. Only a socket that was reset has no peer any more.
+			this.wasReset ||= socket.remoteAddress === undefined;
 			this.onWillEnd?.();
 		});
 	}
