Give up a response that does not continue a stream at its head, and count time that was useful

It is rejected and canceled when its head arrives.

After results were computed again, the time of the server that began the stream counted as wasted (10 ms useful, 100 wasted in place of 110 and 0). An attempt now knows that its units are part of the answer. begun-answers.test has both.

--- a/src/request/common/attempt.ts
+++ b/src/request/common/attempt.ts
@@ -36,6 +36,8 @@
 	/** When the upstream was last known to be working: the last `started` message or chunk, at first the time of sending. */
 	lastReceivedMs: number;
 	isCancelled = false;
+	/** Whether its units are part of the answer of the stage. */
+	isPartOfAnswer = false;
 	http: HttpResponseHead | undefined;
 	/** The part of the answer that this attempt delivered. */
 	readonly answer = StageAnswer.create();
--- a/src/request/common/begun-answers.test.ts
+++ b/src/request/common/begun-answers.test.ts
@@ -213,10 +213,9 @@
 	t.ok(completeCount > 300, `${completeCount} of 3000 streams are whole`);
 });
 
-/* Guards against requests that are kept in memory for ever, and against a log that does not show what was tried: a run of a stage that is begun again was forgotten. */
-t.test('the attempts of a stage that is begun again are known until the request ends', async t => {
+/** Begins a stream of which one event is delivered, and loses its server; the next call is `d1`. */
+function beginAndLose(): RequestStateMachine {
 	const machine = RequestStateMachine.create(planOf(true), stubRouter(['u1', 'u2', 'u3', 'u4']));
-	const [lost] = messagesOf({dispatchId: 'd1'} as DispatchMessage, {kind: 'refused', reason: 'inputsGone'});
 	const events: RequestEvent[] = [
 		{type: 'start'},
 		{type: 'prepared', inputs: noInputs},
@@ -227,12 +226,52 @@
 			type: 'chunk', dispatchId: 'd0', sequence: 0, units: 1, data: Uint8Array.of(1),
 		},
 		{
-			type: 'end', dispatchId: 'd0', state: 'unknown', units: 1, digest: 0, runMs: 1,
+			type: 'end', dispatchId: 'd0', state: 'unknown', units: 1, digest: 0, runMs: 100,
 		},
-		lost,
+	];
+	for (const [nowMs, event] of events.entries()) {
+		machine.handle(event, nowMs);
+	}
+
+	return machine;
+}
+
+/* Guards against a caller that waits for the next event while the body of an error response goes on. */
+t.test('a response that does not continue a stream is given up at its head', async t => {
+	t.match(beginAndLose().handle({
+		type: 'started', dispatchId: 'd1', queueMs: 0, http: headOf(500, 'text/plain'),
+	}, 10), [{type: 'cancel', dispatchId: 'd1'}, {type: 'dispatch', message: {dispatchId: 'd2'}}]);
+});
+
+/* Guards against time of servers that counts as wasted although the events of their attempts were delivered. */
+t.test('the attempt that began a stream counts as useful after its results were computed again', async t => {
+	const machine = beginAndLose();
+	const data = Uint8Array.of(2);
+	const events: RequestEvent[] = [
+		{type: 'refused', dispatchId: 'd1', reason: 'inputsGone'},
+		{type: 'prepared', inputs: noInputs},
+		{
+			type: 'started', dispatchId: 'd2', queueMs: 0, http: headOf(200, streamMediaType),
+		},
+		{
+			type: 'chunk', dispatchId: 'd2', sequence: 1, units: 1, data,
+		},
+		{
+			type: 'end', dispatchId: 'd2', state: 'completed', units: 2, digest: extendDigest(0, data), runMs: 10,
+		},
+	];
+	const actions = events.flatMap((event, index) => machine.handle(event, 10 + index));
+	t.match(actions.find(({type}) => type === 'finish'), {result: {outcome: 'completed', stages: [{usefulMs: 110, wastedMs: 0}]}});
+});
+
+/* Guards against requests that are kept in memory for ever, and against a log that does not show what was tried: a run of a stage that is begun again was forgotten. */
+t.test('the attempts of a stage that is begun again are known until the request ends', async t => {
+	const machine = beginAndLose();
+	const events: RequestEvent[] = [
+		{type: 'refused', dispatchId: 'd1', reason: 'inputsGone'},
 		{type: 'preparationFailed', failure: {code: 'preparationFailed', message: 'late'}},
 	];
-	const actions = events.flatMap((event, nowMs) => machine.handle(event, nowMs));
+	const actions = events.flatMap((event, index) => machine.handle(event, 10 + index));
 	t.match(actions.find(({type}) => type === 'finish'), {result: {outcome: 'failed', stages: [{attempts: [{kind: 'first'}, {kind: 'resume'}]}]}});
 	t.same(machine.dispatchIds, ['d0', 'd1']);
 });
--- a/src/request/common/stage-run.ts
+++ b/src/request/common/stage-run.ts
@@ -60,8 +60,6 @@
 	readonly attempts = AttemptList.create();
 	/** The attempt whose units count; set once an attempt has delivered any. */
 	private acceptedAttempt: Attempt | undefined;
-	/** Attempts whose units are part of the answer. */
-	private readonly contributors = new Set<Attempt>();
 	private answer: StageAnswer;
 	private receivedBytes = 0;
 	private readonly holding: StageHold;
@@ -175,6 +173,7 @@
 			attempt.lastReceivedMs = nowMs;
 			attempt.queueMs = message.queueMs;
 			attempt.http = message.http ?? attempt.http;
+			this.rejectUnlessContinuation(attempt, nowMs);
 		}
 	}
 
@@ -305,7 +304,7 @@
 	}
 
 	private isUseful(attempt: Attempt): boolean {
-		return this.status.type === 'done' && (attempt === this.acceptedAttempt || this.contributors.has(attempt));
+		return this.status.type === 'done' && (attempt === this.acceptedAttempt || attempt.isPartOfAnswer);
 	}
 
 	/** Whether the units of an attempt count as they are received: those of an error do not, as another attempt may follow it. */
@@ -355,7 +354,7 @@
 		}
 
 		this.acceptedAttempt = attempt;
-		this.contributors.add(attempt);
+		attempt.isPartOfAnswer = true;
 		this.answer.head ??= attempt.http;
 		this.pinOrigin(attempt);
 		this.cancelOthers(attempt, nowMs);
@@ -381,9 +380,9 @@
 
 	/** Handles a complete answer. An answer that reports an error is kept in `errorAttempt` while another attempt may succeed. */
 	private completeAnswerReceived(attempt: Attempt, nowMs: number): void {
-		const problem = this.continuationProblemOf(attempt) ?? this.emptyContinuationProblemOf(attempt);
+		const problem = this.emptyContinuationProblemOf(attempt);
 		if (problem !== undefined) {
-			this.continuationRejected(attempt, problem, nowMs);
+			this.rejectContinuation(attempt, problem, nowMs);
 			return;
 		}
 
@@ -399,8 +398,16 @@
 		this.recover(failureCodes.upstreamFailed, 'the upstream answered with an error', nowMs);
 	}
 
-	/** Handles a complete response that is not the rest of the answer which the caller has begun to receive. */
-	private continuationRejected(attempt: Attempt, problem: string, nowMs: number): void {
+	/** Ends an attempt whose response is not the rest of the answer, without waiting for its end: the caller waits for the next event. */
+	private rejectUnlessContinuation(attempt: Attempt, nowMs: number): void {
+		const problem = this.continuationProblemOf(attempt);
+		if (problem !== undefined) {
+			this.cancel(attempt);
+			this.rejectContinuation(attempt, problem, nowMs);
+		}
+	}
+
+	private rejectContinuation(attempt: Attempt, problem: string, nowMs: number): void {
 		this.endAttempt(attempt, attemptStates.failed, problem, nowMs);
 		const status = attempt.http?.status ?? 0;
 		if (status >= minClientErrorStatus && status < minServerErrorStatus) {
