Know a reset that arrives together with the last data of a response at an agent

A caller of a service got the first part of a response without a length as complete when its connection was reset at the moment of its last data: 60 of 60 calls of 5 to 300,000 bytes ended as completed. Node reports an orderly end if data and reset are read together, as on the hosts that call servers directly.

A socket that was reset has no peer any more, one that the peer has closed still has. Now 0 of 60 calls are complete, and an orderly close still completes them.

--- a/src/agent/node/http-driver.test.ts
+++ b/src/agent/node/http-driver.test.ts
@@ -28,7 +28,7 @@
 }
 
 /** Makes one call to a new upstream that writes the given bytes, and ends its connection in the given way after they have arrived. */
-async function runCallTo(t: Test, bytes: string, ending: Ending, {call = httpCall, isRepeatable = true} = {}): Promise<DriverReport> {
+async function runCallTo(t: Test, bytes: string, ending: Ending, {call = httpCall, isRepeatable = true, endsAtOnce = false} = {}): Promise<DriverReport> {
 	const sockets: Socket[] = [];
 	const server = createServer(socket => {
 		sockets.push(socket);
@@ -37,6 +37,9 @@
 		});
 		socket.once('data', () => {
 			socket.write(bytes);
+			if (endsAtOnce) {
+				void ending(socket, stopListening);
+			}
 		});
 	});
 	await new Promise<void>(resolve => {
@@ -61,13 +64,15 @@
 	const end = await driver.run(dispatchOf(call, isRepeatable), {
 		started(http) {
 			status = http?.status;
-			if (bytes.endsWith('\r\n\r\n')) {
+			if (!endsAtOnce && bytes.endsWith('\r\n\r\n')) {
 				void ending(sockets[0], stopListening);
 			}
 		},
 		chunk(_units, data) {
 			text += decoder.decode(data);
-			void ending(sockets[0], stopListening);
+			if (!endsAtOnce) {
+				void ending(sockets[0], stopListening);
+			}
 		},
 		async ready() {
 			// Accepts everything at once.
@@ -150,6 +155,14 @@
 });
 
 // Guards against failing complete responses: of those without a body nothing but the head comes, and the connection stays open.
+// Guards against a reset that is reported as an orderly close: Node does so if the reset arrives together with the last data.
+t.test('a response without a length whose connection is reset with its last data is not complete', async t => {
+	for (const length of [5, 3000, 300_000]) {
+		const bytes = `HTTP/1.1 200 OK\r\n\r\n${'x'.repeat(length)}`;
+		t.equal(await countCompleted(async () => runCallTo(t, bytes, reset, {endsAtOnce: true})), 0, `${length} bytes`);
+	}
+});
+
 t.test('a response is complete by its length, by its chunks, by the orderly close of its connection, or as it has no body', async t => {
 	const whole = [
 		['HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nwhole', keepOpen],
--- a/src/agent/node/upstream-client.ts
+++ b/src/agent/node/upstream-client.ts
@@ -72,7 +72,8 @@
 					this.wasClosedInOrder = false;
 					// Runs before the client's own listener, which takes what was received so far for the complete response.
 					socket?.prependListener('end', () => {
-						this.wasClosedInOrder = true;
+						// Node reports a reset that arrives together with data as an orderly end. Only a socket that was reset has no peer any more.
+						this.wasClosedInOrder = socket.remoteAddress !== undefined;
 					});
 					done(...result);
 				});
