Check a result against what was delivered before a begun response ends as complete

It now compares the result with the units that it delivered and the status that it sent; if they differ, the connection is cut, and the log has an error with the request.

--- a/src/direct/node/pass-through-writer.ts
+++ b/src/direct/node/pass-through-writer.ts
@@ -49,6 +49,8 @@
 	cutOff: 'cutOff',
 	/** Nothing more, since the caller had left. */
 	callerGone: 'callerGone',
+	/** Part of a response, then the end of the connection, since the result was not about what had been delivered; always a fault of this host. */
+	mismatched: 'mismatched',
 } as const;
 export type ResponseEnding = typeof responseEndings[keyof typeof responseEndings];
 
@@ -60,6 +62,7 @@
 
 	private isHeadWritten = false;
 	private writtenStatus = 0;
+	private deliveredUnits = 0;
 	/** Whether the caller's version of HTTP has chunks; a response without them would have to end with its connection, and look complete if this process ends. */
 	private readonly canReceiveChunks: boolean;
 	/** What has arrived of a response that is sent with its length, once it is complete. */
@@ -78,16 +81,18 @@
 
 	/**
 	Writes data of a response as it arrives, or collects it for a caller that can't receive chunks.
+	@param units - number of units in the data.
 	@param data - the next bytes of the body.
 	@param http - head of the upstream's response; only the first one given is used.
 	@returns a promise that resolves when more can be written, or undefined if more can be written immediately.
 	*/
-	deliver(data: Uint8Array, http: HttpResponseHead | undefined): Promise<void> | undefined {
+	deliver(units: number, data: Uint8Array, http: HttpResponseHead | undefined): Promise<void> | undefined {
 		const {response} = this;
 		if (response.destroyed) {
 			return undefined;
 		}
 
+		this.deliveredUnits += units;
 		if (!this.canReceiveChunks) {
 			this.collectedHead ??= http;
 			this.collected.push(data);
@@ -130,8 +135,10 @@
 		}
 
 		if (this.isHeadWritten) {
-			response.end();
-		} else if (this.collectedHead) {
+			return this.finishBegun(result);
+		}
+
+		if (this.collectedHead) {
 			this.sendWhole(this.collectedHead, joinBytes(this.collected));
 		} else if (result.http) {
 			this.sendWhole(result.http, result.body);
@@ -140,6 +147,17 @@
 		return responseEndings.whole;
 	}
 
+	/** Ends a response of which the caller has a part, if the result is about this part and the status that it has. */
+	private finishBegun({units, http}: RequestResult): ResponseEnding {
+		if (units !== this.deliveredUnits || http?.status !== this.writtenStatus) {
+			this.cutOff();
+			return responseEndings.mismatched;
+		}
+
+		this.response.end();
+		return responseEndings.whole;
+	}
+
 	private finishFailed(result: RequestResult): ResponseEnding {
 		if (this.isHeadWritten) {
 			this.cutOff();
--- a/src/direct/node/served-request.ts
+++ b/src/direct/node/served-request.ts
@@ -15,7 +15,7 @@
 import type {CallerRequest} from '../common/caller-protocol.js';
 import {EventSequence} from '../common/event-sequence.js';
 import type {DirectLinks} from './direct-links.js';
-import {PassThroughWriter, type ResponseEnding} from './pass-through-writer.js';
+import {PassThroughWriter, responseEndings, type ResponseEnding} from './pass-through-writer.js';
 
 /** The request and the dependencies needed to serve it. */
 export type ServedRequestOptions = {
@@ -92,7 +92,7 @@
 					preparer?.end();
 				}
 
-				return this.writer.deliver(data, http);
+				return this.writer.deliver(units, data, http);
 			},
 			finish: result => {
 				this.isFinished = true;
@@ -135,6 +135,10 @@
 			firstMs: Math.round(this.firstDeliveryMs),
 			attempts: attemptsText(result, plan.startMs),
 		});
+		if (ending === responseEndings.mismatched) {
+			log.error('A response was cut off, since its result does not match what was delivered.', {request: callerRequest.requestId, deliveredUnits: this.deliveredUnits, units: result.units});
+		}
+
 		metrics.increment('requests.ended', 1, {route: plan.pipeline, outcome: result.outcome, code: result.code ?? 'none'});
 		metrics.increment('responses.ended', 1, {ending});
 		this.countContinuations(result);
