--- a/test/platform/broken-off-streams.test.ts
+++ b/test/platform/broken-off-streams.test.ts
@@ -35,6 +35,9 @@
 	readonly cut?: Cut;
 	/** Number of events sent before the cut. */
 	readonly eventsBeforeCut?: number;
+	/** Where a call that continues a stream begins instead of behind the last event of its caller. */
+	readonly start?: 'again' | 'repeat' | 'gap';
+	readonly hasNoIds?: boolean;
 	/** Whether the connection stays open after a whole response with a framing. */
 	readonly isKept?: boolean;
 };
@@ -136,14 +139,28 @@
 	'an error that is cut after its head': cutErrorAnswer('afterHead'),
 	'an error that is cut in its body': cutErrorAnswer('boundary'),
 	'an error that is cut before its last bytes': cutErrorAnswer('end'),
+	'a stream that begins again': successAnswer({start: 'again'}),
+	'a stream that repeats an event': successAnswer({start: 'repeat'}),
+	'a stream that leaves out an event': successAnswer({start: 'gap'}),
+	'a stream without ids': successAnswer({hasNoIds: true}),
 };
 
+/** Returns the first event that an answer sends, given the last event that the caller of the stream has; 0 if it has none. */
+function firstEventOf({start}: Answer, lastEvent: number): number {
+	if (lastEvent === 0 || start === undefined) {
+		return lastEvent + 1;
+	}
+
+	return {again: 1, repeat: lastEvent, gap: lastEvent + 2}[start];
+}
+
 const answerKindNames = Object.keys(answerKinds);
 
 /** The pieces of the body that a server sends: events, or a text. */
-function piecesOf({body}: Answer, id: string, firstEvent: number): string[] {
+function piecesOf({body, hasNoIds}: Answer, id: string, firstEvent: number): string[] {
 	if (body === 'events') {
-		return eventsOf(id, firstEvent);
+		const events = eventsOf(id, firstEvent);
+		return hasNoIds && firstEvent > 1 ? events.map(event => event.slice(event.indexOf('\n') + 1)) : events;
 	}
 
 	return body.text === '' ? [] : [body.text];
@@ -204,7 +221,7 @@
 
 async function sendAnswer(answer: Answer, request: IncomingMessage, response: ServerResponse): Promise<void> {
 	const requestId = String(request.headers['attempt-id']);
-	const firstEvent = Number(request.headers['last-event-id'] ?? 0) + 1;
+	const firstEvent = firstEventOf(answer, Number(request.headers['last-event-id'] ?? 0));
 	const {socket} = request;
 	if (answer.isKept && answer.cut === undefined && answer.framing !== 'none') {
 		const pieces = piecesOf(answer, requestId, firstEvent);
