Know a gap behind the first event of a stream that counts its events

Callers could get a stream without its second event that looked complete, if its server broke off behind the first one and the next left one out: one id does not show how ids rise.

Cause: ids counted events only once one had followed another. Change: a stream whose first id is 0 or 1 counts its events until its ids show otherwise. One that numbers tokens is cut visibly in the worst case, and its caller resumes it.

--- a/src/direct/common/event-sequence.test.ts
+++ b/src/direct/common/event-sequence.test.ts
@@ -38,6 +38,11 @@
 	t.ok(follows(['8'], '9', '7'));
 	t.notOk(follows(['8', '9'], '11', '7'), 'ids count events after a resumption too');
 	t.notOk(follows(['0', '1'], '3'), 'and from any first id');
+	t.notOk(follows(['1'], '3'), 'a stream that begins with 1 or 0 counts its events');
+	t.notOk(follows(['0'], '2'));
+	t.notOk(follows(['3', '4'], '6'), 'another first id says nothing, the next one does');
+	t.ok(follows(['1'], '2'));
+	t.ok(follows(['1', '4'], '7'), 'until its ids show otherwise');
 	t.ok(follows(['3'], '6'));
 	t.equal(sequenceOf(['8', '9'], '7').lastId, '9');
 });
--- a/src/direct/common/event-sequence.ts
+++ b/src/direct/common/event-sequence.ts
@@ -1,5 +1,8 @@
 /** The events of a stream that a caller has, over all calls that deliver them; shows whether the events of another call follow them. */
 
+/** First ids of streams whose ids count events. */
+const firstCounts = new Set(['0', '1']);
+
 /** Ids of the events of one stream, in the order in which they were delivered. */
 export class EventSequence {
 	/**
@@ -29,9 +32,7 @@
 	*/
 	append(events: Uint8Array): void {
 		for (const id of idsOf(events)) {
-			if (this.hasBegun) {
-				this.isCounting = this.isCounting !== false && Number(id) === Number(this.lastEventId) + 1;
-			}
+			this.isCounting = this.hasBegun ? this.isCounting !== false && Number(id) === Number(this.lastEventId) + 1 : firstCounts.has(id ?? '') || undefined;
 
 			this.lastEventId = id;
 			this.hasBegun = true;
