Read the rest of a request before a response to it closes the connection

What callers saw: a host that stops, or that refuses a body over the limit, answers before it has read the body, and closes the connection. A caller that sends its whole body before it reads got a reset instead of the response: no refusal reached it.

Cause: Node.js closes the socket as soon as such a response is written. A socket that is closed while it holds unread data resets the connection, and what the caller had not read yet is lost.

--- a/src/direct/node/pass-through-writer.ts
+++ b/src/direct/node/pass-through-writer.ts
@@ -2,6 +2,7 @@
 import {Buffer} from 'node:buffer';
 import type {ServerResponse} from 'node:http';
 import {joinBytes} from '../../base/common/bytes.js';
+import {endResponse} from '../../base/node/closing-response.js';
 import {endToEndHeaders} from '../../deployment/common/hop-headers.js';
 import {
 	failureCodes, outcomes, type HttpResponseHead, type RequestResult,
@@ -30,7 +31,7 @@
 		'content-length': Buffer.byteLength(body),
 		...(retryAfterMs !== undefined && {'retry-after': (retryAfterMs / 1000).toFixed(2)}),
 	});
-	response.end(body);
+	endResponse(response, body);
 }
 
 /**
--- a/src/entry/node/http-common.ts
+++ b/src/entry/node/http-common.ts
@@ -8,6 +8,7 @@
 import {App} from '@tinyhttp/app';
 import {messageOf} from '../../base/common/errors.js';
 import {fail, ok, type Outcome} from '../../base/common/outcome.js';
+import {endResponse} from '../../base/node/closing-response.js';
 import type {TlsMaterial} from '../../wire/node/wire-server.js';
 import {problemOf, type Problem} from '../common/problems.js';
 
@@ -173,7 +174,7 @@
 export function sendText(response: ServerResponse, status: number, headers: Readonly<Record<string, string>>, text: string): void {
 	// To a caller of HTTP/1.0, which knows no chunks, a response without a length that is broken off looks complete.
 	response.writeHead(status, {...headers, 'content-length': Buffer.byteLength(text)});
-	response.end(text);
+	endResponse(response, text);
 }
 
 /**
@@ -188,10 +189,12 @@
 	}
 
 	const {retryAfterMs, requestId} = problem;
+	if (problem.code === 'bodyTooLarge') {
+		response.shouldKeepAlive = false;
+	}
+
 	sendText(response, problem.status, {
 		'content-type': 'application/problem+json; charset=utf-8',
-		// The remainder of an oversized body is not read, so the connection can't be reused.
-		...(problem.code === 'bodyTooLarge' && {connection: 'close'}),
 		...(requestId !== undefined && {'x-request-id': requestId}),
 		...(retryAfterMs !== undefined && {'retry-after': String(Math.ceil(retryAfterMs / 1000))}),
 	}, JSON.stringify(problem));
