Report each caller connection that ends before a response was written out

A connection that ended with an open request left no line that names the request: parse errors were logged at the level debug, errors while a request was handled without an ID, and a request whose last bytes were lost with its connection was logged as whole. CallerConnections, used by both kinds of hosts, keeps the open requests of each connection and writes one line and one count (connections.endedEarly) for each that ends before its response was written out, with the ID, the cause (callerGone, clientError, headerTimeout, plannedStop, exception, cutOff) and the code of the error. An error while a request is handled is logged with its ID. No other behaviour changes.

--- a/src/daemon/node/compose-entry.ts
+++ b/src/daemon/node/compose-entry.ts
@@ -127,6 +127,7 @@
 		server: components.resolve(wireServerToken),
 		clock: components.resolve(clockToken),
 		log: components.resolve(loggerFactoryToken).for('entry'),
+		metrics: components.resolve(metricsToken),
 		lifecycle,
 		tls: secrets.callersTls,
 		bootstrapTokenHash: secrets.bootstrapToken === undefined ? undefined : hashToken(secrets.bootstrapToken),
--- a/src/direct/node/ingress.ts
+++ b/src/direct/node/ingress.ts
@@ -17,6 +17,7 @@
 import type {StreamOrigin} from '../../request/common/stream-origin.js';
 import type {RequestRunner} from '../../request/node/request-runner.js';
 import type {Endpoint} from '../../wire/common/endpoint.js';
+import {CallerConnections, connectionEndings} from '../../wire/node/caller-connections.js';
 import {listenOn} from '../../wire/node/listen.js';
 import type {CallerProtocol} from '../common/caller-protocol.js';
 import {choosePool, makeDirectPlan} from '../common/direct-plan.js';
@@ -24,7 +25,7 @@
 import type {RunPrediction} from '../common/direct-router.js';
 import type {DirectLinks} from './direct-links.js';
 import {admissionRefusal, type AdmissionChecks} from './admission-checks.js';
-import {sendHostResponse} from './pass-through-writer.js';
+import {responseEndings, sendHostResponse} from './pass-through-writer.js';
 import {OpenRequests} from './open-requests.js';
 import {readBody} from './read-request.js';
 import {
@@ -90,6 +91,7 @@
 
 	private readonly callers: Server;
 	private readonly readiness: Server;
+	private readonly connections: CallerConnections;
 	private readonly disposables = DisposableStore.create();
 	private readonly openRequests = OpenRequests.create();
 	private readonly firstTryEstimator = FirstTryEstimator.create();
@@ -103,13 +105,10 @@
 		this.stepAdmission = StepAdmission.create(options);
 		this.callers = createServer({
 			maxHeaderSize: maxHeadBytes, noDelay: true, requestTimeout: 0, connectionsCheckingInterval: connectionCheckMs,
-		}, (request, response) => {
-			void this.handle(request, response);
 		});
-		this.callers.on('clientError', (error, socket) => {
-			// The bytes are not a valid HTTP request: nothing was run, and other connections are not affected.
-			options.log.debug('A caller sent bytes that are not a valid HTTP request.', {reason: error.message});
-			socket.destroy();
+		this.connections = CallerConnections.create({server: this.callers, log: options.log, metrics: options.metrics});
+		this.callers.on('request', (request, response) => {
+			void this.handle(request, response);
 		});
 		this.readiness = createServer((_request, response) => {
 			const reason = options.notReadyReason();
@@ -156,6 +155,7 @@
 
 	dispose(): void {
 		this.disposables.dispose();
+		this.connections.attributeAllToStop();
 		this.callers.close();
 		this.readiness.close();
 		this.callers.closeAllConnections();
@@ -173,13 +173,18 @@
 		try {
 			await this.serve(request, response);
 		} catch (error) {
-			this.options.log.error('Could not serve a request.', {reason: messageOf(error)});
-			response.destroy();
+			this.fail(response, error);
 		} finally {
 			this.receivingCount--;
 		}
 	}
 
+	private fail(response: ServerResponse, error: unknown): void {
+		this.options.log.error('Could not serve a request.', {request: this.connections.requestIdOf(response), reason: messageOf(error)});
+		this.connections.attribute(response, connectionEndings.exception);
+		response.destroy();
+	}
+
 	private async serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
 		const receivedMs = this.options.clock.nowMs();
 		if (this.options.isLeaving()) {
@@ -197,6 +202,7 @@
 			return;
 		}
 
+		this.connections.identify(response, resolved.callerRequest.requestId);
 		const body = await readBody(request, resolved.index.deployment.limits.maxBodyBytes);
 		if (body === 'gone') {
 			return;
@@ -296,8 +302,7 @@
 				this.refuse(response, stoppingRefusal(stepRequest.callerRequest.requestId));
 			}
 		} catch (error) {
-			this.options.log.error('Could not serve a request.', {reason: messageOf(error)});
-			response.destroy();
+			this.fail(response, error);
 		} finally {
 			if (!isStarted) {
 				reservation.dispose();
@@ -341,7 +346,11 @@
 				: origin => {
 					this.options.resumption.recordBegun(received, origin);
 				},
-			onEnded: () => {
+			onEnded: ending => {
+				if (ending === responseEndings.cutOff || ending === responseEndings.mismatched) {
+					this.connections.attribute(response, connectionEndings.cutOff);
+				}
+
 				this.openRequests.delete(plan.requestId);
 			},
 		}).start(runner);
--- a/src/direct/node/served-request.ts
+++ b/src/direct/node/served-request.ts
@@ -38,7 +38,8 @@
 	readonly latePredictedMs: number | undefined;
 	/** Called before the first event of a stream that begins with this request is delivered; absent if the request resumes one. */
 	readonly onStreamBegun: ((origin: StreamOrigin) => void) | undefined;
-	readonly onEnded: () => void;
+	/** Called when the request has ended, with what its caller received. */
+	readonly onEnded: (ending: ResponseEnding) => void;
 };
 
 /** Serves one request. */
@@ -99,8 +100,9 @@
 				registration.dispose();
 				reservation?.dispose();
 				preparer?.end();
-				this.logResult(result, this.writer.finish(result));
-				this.options.onEnded();
+				const ending = this.writer.finish(result);
+				this.logResult(result, ending);
+				this.options.onEnded(ending);
 			},
 			settle: () => undefined,
 		});
--- a/src/entry/node/callers-api.ts
+++ b/src/entry/node/callers-api.ts
@@ -9,6 +9,7 @@
 import {outcomes, type RequestPlan, type RequestResult} from '../../request/common/request-plan.js';
 import {WorkspaceLimiter} from '../../routing/common/workspace-limiter.js';
 import type {SettingsService} from '../../settings/common/settings-service.js';
+import type {CallerConnections} from '../../wire/node/caller-connections.js';
 import {httpCallSchema, type HttpCall} from '../../wire/common/messages.js';
 import type {Accounting} from '../common/accounting.js';
 import {Planner} from '../common/planner.js';
@@ -35,6 +36,7 @@
 	readonly clock: Clock;
 	readonly incarnation: string;
 	readonly log: Logger;
+	readonly connections: CallerConnections;
 	/** Returns why this host accepts no requests, or undefined if it does. */
 	readonly notReadyReason: () => string | undefined;
 	/** Whether a planned stop was announced: the load balancer should send no more requests, but those that arrive are still accepted. */
@@ -94,6 +96,7 @@
 		}
 
 		const {headers, body, requestId} = parsed;
+		this.options.connections.identify(response, requestId);
 		const http = httpCallOf(request, parsed);
 		const invalidField = http && httpCallSchema.safeParse(http).error?.issues.at(0)?.path.at(0);
 		if (invalidField !== undefined) {
--- a/src/entry/node/entry-service.ts
+++ b/src/entry/node/entry-service.ts
@@ -4,12 +4,14 @@
 import type {Disposable} from '../../base/common/disposable.js';
 import {lifecyclePhases, type LifecycleManager} from '../../base/common/lifecycle.js';
 import type {Logger} from '../../base/common/logger.js';
+import type {Metrics} from '../../base/common/metrics.js';
 import type {MemberTable} from '../../membership/common/member-table.js';
 import type {PlacementService} from '../../placement/common/placement-service.js';
 import type {ClaimStore} from '../../request/common/claim-store.js';
 import type {SettingsService} from '../../settings/common/settings-service.js';
 import type {SettingsSync} from '../../settings/node/settings-sync.js';
 import type {Identity} from '../../wire/common/messages.js';
+import {CallerConnections} from '../../wire/node/caller-connections.js';
 import {listenOn} from '../../wire/node/listen.js';
 import type {Endpoint, TlsMaterial, WireServer} from '../../wire/node/wire-server.js';
 import {type Accounting, type EntryReport} from '../common/accounting.js';
@@ -44,6 +46,7 @@
 	readonly server: WireServer;
 	readonly clock: Clock;
 	readonly log: Logger;
+	readonly metrics: Metrics;
 	readonly lifecycle: LifecycleManager;
 	readonly tls: TlsMaterial | undefined;
 	readonly bootstrapTokenHash: string | undefined;
@@ -60,13 +63,16 @@
 
 	private readonly callersServer: Server;
 	private readonly operatorsServer: Server;
+	private readonly connections: CallerConnections;
 	private hasStoppedAccepting = false;
 
 	private constructor(private readonly options: EntryOptions) {
 		this.callersServer = makeHttpServer(options.tls);
 		this.operatorsServer = makeHttpServer(options.tls);
+		this.connections = CallerConnections.create({server: this.callersServer, log: options.log, metrics: options.metrics});
 		CallersApi.create({
 			...options,
+			connections: this.connections,
 			incarnation: options.identity.incarnation,
 			notReadyReason: () => this.notReadyReason(),
 			isStopAnnounced: () => options.lifecycle.phase !== lifecyclePhases.running,
@@ -120,6 +126,7 @@
 	}
 
 	dispose(): void {
+		this.connections.attributeAllToStop();
 		this.callersServer.close();
 		this.callersServer.closeAllConnections();
 		this.operatorsServer.close();
