Answer whole requests when bytes that are no request follow them

Callers whose connection carried something invalid behind a whole request got no answer to that request, although it had been passed on: the HTTP server's clientError destroyed the socket (as did a CONNECT, which has no listener). Now the responses that are owed go out in order, then 400 (431 for a head over the limit, 408 for one that does not arrive in time, 413 for chunk extensions without end) and the connection closes; a current request whose body is invalid is answered in the same way and does not run. Node's parser stays in its error state, so nothing behind the error is taken for a request. The connection is read for up to a second after its last response: closed with unread bytes it would be reset, and the caller might discard the response. Only public API is used: the open responses of each connection are kept by CallerConnections. A request with an unknown Expect is answered (417) through the same list. A caller that closes its side has left, as before.

Both kinds of hosts use the class.

--- a/src/direct/node/ingress.ts
+++ b/src/direct/node/ingress.ts
@@ -106,7 +106,9 @@
 		this.callers = createServer({
 			maxHeaderSize: maxHeadBytes, noDelay: true, requestTimeout: 0, connectionsCheckingInterval: connectionCheckMs,
 		});
-		this.connections = CallerConnections.create({server: this.callers, log: options.log, metrics: options.metrics});
+		this.connections = CallerConnections.create({
+			server: this.callers, clock: options.clock, log: options.log, metrics: options.metrics,
+		});
 		this.callers.on('request', (request, response) => {
 			void this.handle(request, response);
 		});
--- a/src/entry/node/entry-service.ts
+++ b/src/entry/node/entry-service.ts
@@ -69,7 +69,9 @@
 	private constructor(private readonly options: EntryOptions) {
 		this.callersServer = makeHttpServer(options.tls);
 		this.operatorsServer = makeHttpServer(options.tls);
-		this.connections = CallerConnections.create({server: this.callersServer, log: options.log, metrics: options.metrics});
+		this.connections = CallerConnections.create({
+			server: this.callersServer, clock: options.clock, log: options.log, metrics: options.metrics,
+		});
 		CallersApi.create({
 			...options,
 			connections: this.connections,
--- a/src/wire/node/caller-connections.test.ts
+++ b/src/wire/node/caller-connections.test.ts
@@ -1,9 +1,10 @@
 import {Buffer} from 'node:buffer';
 import {createServer, type IncomingMessage, type ServerResponse} from 'node:http';
 import {connect, type Socket} from 'node:net';
-import {setImmediate} from 'node:timers/promises';
+import {setImmediate, setTimeout as sleep} from 'node:timers/promises';
 import t, {type Test} from 'tap';
 import type {Logger, LogFields} from '../../base/common/logger.js';
+import {SystemClock} from '../../base/node/system-clock.js';
 import {CallerConnections, connectionEndings} from './caller-connections.js';
 import {listenOn} from './listen.js';
 
@@ -69,6 +70,7 @@
 		};
 		this.connections = CallerConnections.create({
 			server: this.server,
+			clock: SystemClock.create(),
 			log,
 			metrics: {
 				increment: (name, _by, tags) => {
@@ -140,3 +142,94 @@
 	await waitUntil(() => harness.ends.length === 1 && whole.isClosed);
 	t.match(harness.ends, [{request: 'slow', ending: 'plannedStop', isEnded: true}]);
 });
+
+const invalidTails: Array<readonly [name: string, bytes: string, status: number]> = [
+	['bytes that are no request', 'this is no request\r\n\r\n', 400],
+	['a head over the limit', requestOf('large', `X: ${'x'.repeat(40_000)}\r\n`), 431],
+	['half a head', 'GET /half HTTP/1.1\r\nHost:', 408],
+	['a chunked body that is invalid', 'POST /chunked HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nGET /smuggled HTTP/1.1\r\nHost: h\r\n\r\n', 400],
+	['a body with a length and chunks', 'POST /both HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /smuggled HTTP/1.1\r\nHost: h\r\n\r\n', 400],
+	['a request to open a tunnel', 'CONNECT smuggled:1 HTTP/1.1\r\nHost: h\r\n\r\nGET /smuggled HTTP/1.1\r\nHost: h\r\n\r\n', 400],
+];
+for (const [name, tail, status] of invalidTails) {
+	/* Guards against whole requests that get no answer because of what their caller sent behind them. */
+	t.test(`a whole request gets its response, and then ${status}, when ${name} follows it`, async t => {
+		const harness = await Harness.create(t, 100);
+		const caller = harness.call();
+		caller.socket.write(requestOf('whole') + tail, 'latin1');
+		await waitUntil(() => harness.seen.length > 0);
+		// Time for the server to read everything, and for the time limit of the head.
+		await sleep(300);
+		t.notOk(caller.isClosed);
+		const [{response}] = harness.seen;
+		response.write('a');
+		response.end('b');
+		await waitUntil(() => caller.isClosed);
+		t.same(caller.statuses, [200, status]);
+		t.ok(caller.text.indexOf('a\r\n') < caller.text.indexOf(`HTTP/1.1 ${status}`), 'in order');
+		t.notOk(harness.paths.includes('/smuggled'));
+		t.same(harness.ends, [], 'all were answered');
+	});
+
+	t.test(`${name} alone is answered with ${status}`, async t => {
+		const harness = await Harness.create(t, 100);
+		const caller = harness.call();
+		caller.socket.write(tail, 'latin1');
+		await waitUntil(() => caller.isClosed);
+		t.same(caller.statuses, [status]);
+		t.notOk(harness.paths.includes('/smuggled'));
+	});
+}
+
+/* Guards against a large response that stalls because a request behind it took the connection's events away. */
+t.test('a response larger than all buffers is written whole when a request to open a tunnel follows its request', async t => {
+	const harness = await Harness.create(t);
+	const caller = await harness.send(`${requestOf('whole')}CONNECT a:1 HTTP/1.1\r\nHost: h\r\n\r\n`, 1);
+	const [{response}] = harness.seen;
+	const part = Buffer.alloc(1024 * 1024);
+	for (let index = 0; index < 16; index++) {
+		if (!response.write(part)) {
+			await new Promise(resolve => {
+				response.once('drain', resolve);
+			});
+		}
+	}
+
+	response.end();
+	await waitUntil(() => caller.isClosed);
+	t.same(caller.statuses, [200, 400]);
+	t.ok(caller.text.length > 16 * part.byteLength);
+});
+
+t.test('a connection on which nothing was sent closes without a response', async t => {
+	const harness = await Harness.create(t, 100);
+	const caller = harness.call();
+	await waitUntil(() => caller.isClosed);
+	t.equal(caller.text, '');
+});
+
+/* Guards against a request that gets no answer because bytes follow it on a connection that was to close. */
+t.test('a request of HTTP/1.0, or one that closes its connection, gets its response when bytes follow it', async t => {
+	const harness = await Harness.create(t);
+	for (const [index, head] of ['GET /old HTTP/1.0\r\n\r\n', requestOf('closing', 'Connection: close\r\n')].entries()) {
+		const caller = await harness.send(`${head}no request`, index + 1);
+		harness.seen[index].response.end('x');
+		await waitUntil(() => caller.isClosed);
+		t.same(caller.statuses, [200], head);
+	}
+});
+
+t.test('expectations are answered in order', async t => {
+	const harness = await Harness.create(t);
+	const caller = await harness.send(requestOf('whole') + requestOf('other', 'Expect: more\r\n'), 1);
+	harness.seen[0].response.end('x');
+	await waitUntil(() => caller.isClosed);
+	t.same(caller.statuses, [200, 417]);
+	const patient = await harness.send(requestOf('patient', 'Content-Length: 1\r\nExpect: 100-continue\r\n'), 2);
+	await waitUntil(() => patient.text.includes('100 Continue'));
+	patient.socket.write('x');
+	harness.seen[1].response.end('x');
+	await waitUntil(() => patient.statuses.length === 1);
+	t.same(patient.statuses, [200]);
+	t.same(harness.ends, []);
+});
--- a/src/wire/node/caller-connections.ts
+++ b/src/wire/node/caller-connections.ts
@@ -1,6 +1,14 @@
-/** Observes the connections of callers: which requests are open on each, and how a connection ends whose responses are not all written out. */
-import type {IncomingMessage, Server, ServerResponse} from 'node:http';
+/**
+Owns the ends of callers' connections: answers that are owed are written in order before a connection closes because of what its caller
+sent, and each connection that ends before a response was written out is reported.
+*/
+import {Buffer} from 'node:buffer';
+import {
+	STATUS_CODES, type IncomingMessage, type Server, type ServerResponse,
+} from 'node:http';
+import type {Duplex} from 'node:stream';
 import type {Socket} from 'node:net';
+import type {Clock} from '../../base/common/clock.js';
 import type {Logger} from '../../base/common/logger.js';
 import type {Metrics} from '../../base/common/metrics.js';
 
@@ -25,15 +33,37 @@
 type Cause = {readonly ending: ConnectionEnding; readonly code?: string | undefined};
 
 /** A request whose response has not been written out. */
-type Exchange = {readonly request: IncomingMessage; readonly response: ServerResponse; requestId: string; isWritten: boolean; cause?: Cause};
+type Exchange = {
+	readonly request: IncomingMessage; readonly response: ServerResponse; requestId: string; isWritten: boolean; cause?: Cause;
+	/** Whether the rest of the request is invalid, so that it does not run. */
+	isRejected: boolean;
+};
 
 /** One connection, with its open exchanges in the order of their requests. */
-type Connection = {readonly exchanges: Exchange[]; cause?: Cause};
+type Connection = {
+	readonly socket: Socket;
+	readonly exchanges: Exchange[];
+	cause?: Cause;
+	/** Status for what the caller sent behind its valid requests; the connection closes after it. */
+	failureStatus?: number;
+	isFailureSent: boolean;
+};
 
 /** Dependencies of the observation. */
-export type CallerConnectionsOptions = {readonly server: Server; readonly log: Logger; readonly metrics: Metrics};
+export type CallerConnectionsOptions = {readonly server: Server; readonly clock: Clock; readonly log: Logger; readonly metrics: Metrics};
 
 const timeoutCode = 'ERR_HTTP_REQUEST_TIMEOUT';
+const badRequest = 400;
+const expectationFailed = 417;
+/** Statuses for what is no valid request, by the code of the error; others get 400. */
+const failureStatuses: ReadonlyMap<string, number> = new Map([[timeoutCode, 408], ['HPE_HEADER_OVERFLOW', 431], ['HPE_CHUNK_EXTENSIONS_OVERFLOW', 413]]);
+/** Code of the error when a caller closes its side within a request. */
+const endWithinRequestCode = 'HPE_INVALID_EOF_STATE';
+/**
+Time for which a connection is still read after its last response: if it were closed with unread bytes, the caller's side would
+be reset and might discard the response.
+*/
+const lingerMs = 1000;
 
 /** Keeps the open connections of one HTTP server. */
 export class CallerConnections {
@@ -45,7 +75,7 @@
 		return new CallerConnections(options);
 	}
 
-	private readonly connections = new Map<Socket, Connection>();
+	private readonly connections = new Map<Duplex, Connection>();
 
 	private constructor(private readonly options: CallerConnectionsOptions) {
 		const {server} = options;
@@ -59,9 +89,20 @@
 		server.on('request', (request: IncomingMessage, response: ServerResponse) => {
 			this.begin(request, response);
 		});
-		server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
+		server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
 			this.handleClientError(error, socket);
 		});
+		// Without a listener the server answers such a request itself, and its response is unknown here.
+		server.on('checkExpectation', (request: IncomingMessage, response: ServerResponse) => {
+			this.begin(request, response);
+			response.shouldKeepAlive = false;
+			response.writeHead(expectationFailed, {'content-length': 0});
+			response.end();
+		});
+		// Without a listener the connection would be destroyed, also with earlier requests at work.
+		server.on('connect', (_request: IncomingMessage, socket) => {
+			this.handleConnect(socket);
+		});
 	}
 
 	/**
@@ -104,19 +145,23 @@
 	}
 
 	private open(socket: Socket): Connection {
-		const connection: Connection = {exchanges: []};
+		const connection: Connection = {socket, exchanges: [], isFailureSent: false};
 		this.connections.set(socket, connection);
 		socket.on('close', () => {
 			this.connections.delete(socket);
+			// Responses that wait behind another one get no event of their own.
+			for (const exchange of [...connection.exchanges]) {
+				this.end(exchange, connection);
+			}
 		});
 		return connection;
 	}
 
 	private begin(request: IncomingMessage, response: ServerResponse): void {
-		const connection = this.connections.get(request.socket) ?? this.open(request.socket);
 		const {socket} = request;
+		const connection = this.connections.get(socket) ?? this.open(socket);
 		const exchange: Exchange = {
-			request, response, requestId: '', isWritten: false,
+			request, response, requestId: '', isWritten: false, isRejected: connection.failureStatus !== undefined,
 		};
 		connection.exchanges.push(exchange);
 		response.once('finish', () => {
@@ -124,13 +169,24 @@
 			exchange.isWritten = !socket.destroyed;
 		});
 		response.once('close', () => {
-			connection.exchanges.splice(connection.exchanges.indexOf(exchange), 1);
-			if (!exchange.isWritten) {
-				this.report(exchange, connection);
-			}
+			this.end(exchange, connection);
 		});
 	}
 
+	private end(exchange: Exchange, connection: Connection): void {
+		const index = connection.exchanges.indexOf(exchange);
+		if (index === -1) {
+			return;
+		}
+
+		connection.exchanges.splice(index, 1);
+		if (!exchange.isWritten) {
+			this.report(exchange, connection);
+		}
+
+		this.sendFailure(connection);
+	}
+
 	private report(exchange: Exchange, connection: Connection): void {
 		const {ending, code} = exchange.cause ?? connection.cause ?? {ending: connectionEndings.callerGone};
 		const {request, response, requestId} = exchange;
@@ -140,19 +196,91 @@
 		this.options.metrics.increment('connections.endedEarly', 1, {ending, code: code ?? 'none'});
 	}
 
-	private handleClientError(error: NodeJS.ErrnoException, socket: Socket): void {
-		const {code} = error;
+	private handleClientError({code, message}: NodeJS.ErrnoException, socket: Duplex): void {
 		const connection = this.connections.get(socket);
-		if (connection && !socket.destroyed) {
-			connection.cause ??= {ending: code === timeoutCode ? connectionEndings.headerTimeout : connectionEndings.clientError, code};
+		if (connection?.failureStatus !== undefined) {
+			// Bytes that follow after the first error are discarded.
+			return;
+		}
+
+		this.options.log.debug('A caller sent bytes that are not a valid HTTP request.', {reason: message, code});
+		if (!connection || !socket.writable) {
+			socket.destroy();
+			return;
+		}
+
+		if (code === endWithinRequestCode) {
+			// The caller has left, as when it closes its connection after whole requests.
+			socket.destroy();
+			return;
 		}
 
-		// The bytes are not a valid HTTP request: nothing was run, and other connections are not affected.
-		this.options.log.debug('A caller sent bytes that are not a valid HTTP request.', {reason: error.message, code});
-		socket.destroy();
+		connection.cause ??= {ending: code === timeoutCode ? connectionEndings.headerTimeout : connectionEndings.clientError, code};
+		this.fail(connection, failureStatuses.get(code ?? '') ?? badRequest);
+	}
+
+	private handleConnect(socket: Duplex): void {
+		const connection = this.connections.get(socket);
+		// The server has removed its own listeners.
+		socket.on('error', () => {
+			socket.destroy();
+		});
+		socket.on('end', () => {
+			socket.destroy();
+		});
+		if (!connection) {
+			socket.destroy();
+			return;
+		}
+
+		socket.on('drain', () => {
+			connection.exchanges.at(0)?.response.emit('drain');
+		});
+		socket.resume();
+		connection.cause ??= {ending: connectionEndings.clientError, code: 'CONNECT'};
+		this.fail(connection, badRequest);
+	}
+
+	/** Answers what a caller sent behind its valid requests, once these have their responses, and closes the connection. */
+	private fail(connection: Connection, status: number): void {
+		connection.failureStatus = status;
+		const last = connection.exchanges.at(-1);
+		if (last && !last.request.complete) {
+			last.isRejected = true;
+		}
+
+		this.sendFailure(connection);
+	}
+
+	private sendFailure(connection: Connection): void {
+		const {socket, exchanges, failureStatus} = connection;
+		const isOwed = exchanges.some(({isRejected, response}) => !isRejected || response.headersSent);
+		if (failureStatus === undefined || isOwed || connection.isFailureSent || !socket.writable) {
+			return;
+		}
+
+		connection.isFailureSent = true;
+		// A connection on which nothing was ever sent has no request to answer.
+		socket.end(socket.bytesRead === 0 ? '' : failureText(failureStatus), () => {
+			for (const exchange of exchanges) {
+				exchange.isWritten = true;
+			}
+		});
+		const timer = this.options.clock.setTimer(lingerMs, () => {
+			socket.destroy();
+		});
+		socket.once('close', () => {
+			timer.dispose();
+		});
 	}
 
 	private exchangeOf(response: ServerResponse): Exchange | undefined {
 		return this.connections.get(response.req.socket)?.exchanges.find(exchange => exchange.response === response);
 	}
 }
+
+/** Returns the bytes of the response to what is no valid request. */
+function failureText(status: number): string {
+	const body = 'Not run: this is not a valid HTTP request.\n';
+	return `HTTP/1.1 ${status} ${STATUS_CODES[status]}\r\nContent-Type: text/plain; charset=utf-8\r\nConnection: close\r\nContent-Length: ${Buffer.byteLength(body)}\r\n\r\n${body}`;
+}
