Answer a request that fails because of an error of this host

An exception while a request was admitted or started destroyed its connection: the caller got no answer, not even that its request had not run, and the requests behind it on a kept connection were lost with it. If the runner threw, the request also stayed open for ever, so that a planned stop waited out its time. Now the caller gets 503 with Retry-After if the request was not handed to the runner, otherwise 500, and the connection stays; only a response that has begun is cut. What the request held (its place among the open ones, its reservation, registration and preparation) is released, and late callbacks of its run are ignored.

Evidence: seven new tests inject an exception (prediction, origin of a stream, quotes, preparation, runner; with and without steps). On the former code the first runs into the time limit without a response, behind which the others were not run; now all pass, and the next request is served on the same connection.

--- a/src/direct/node/ingress.test.ts
+++ b/src/direct/node/ingress.test.ts
@@ -1,5 +1,5 @@
 import {
-	request as httpRequest, type ClientRequest, type IncomingMessage, type Server, type ServerResponse,
+	Agent, request as httpRequest, type ClientRequest, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
 import {setImmediate} from 'node:timers/promises';
 import t, {type Test} from 'tap';
@@ -57,16 +57,28 @@
 	readonly prepared: PreparationRequest[] = [];
 	readonly tracker = DeploymentTracker.create(log);
 	reservedCount = 0;
+	/** Number of calls that fail from now on, by the name of the call. */
+	readonly failing = new Map<string, number>();
 	readonly ingress: Ingress;
 	/** Number of responses whose connection was closed. */
 	closedCount = 0;
+	connectionCount = 0;
 	private port = 0;
 
 	private constructor() {
 		const links: Pick<DirectLinks, 'register'> = {register: () => ({dispose: () => undefined})};
+		const failIfAsked = (name: string) => {
+			const count = this.failing.get(name) ?? 0;
+			this.failing.set(name, count - 1);
+			if (count > 0) {
+				throw new Error(`${name} failed`);
+			}
+		};
+
 		const preparer: Pick<Preparer, 'end'> = {end: () => undefined};
 		const runner: Pick<RequestRunner, 'start' | 'refuseUnstarted'> = {
 			start: (plan, hooks) => {
+				failIfAsked('run');
 				this.started.push({plan, hooks});
 				return () => undefined;
 			},
@@ -86,13 +98,18 @@
 				}),
 			},
 			makePreparer: request => {
+				failIfAsked('prepare');
 				this.prepared.push(request);
 				return preparer as Preparer;
 			},
-			predictRun: () => ({hall: '', firstTokenMs: 10}),
+			predictRun() {
+				failIfAsked('predict');
+				return {hall: '', firstTokenMs: 10};
+			},
 			waits: {waitMs: () => 0},
 			quotes: {
 				ask: async ([{requestId}]) => new Promise(resolve => {
+					failIfAsked('ask');
 					this.askedIds.push(requestId);
 					this.answers.push(resolve);
 				}),
@@ -104,7 +121,14 @@
 			},
 			standingOf: () => ({type: 'clear'}),
 			unavailabilityOf: () => undefined,
-			resumption: {isResumed: () => false, originOf: async () => ({pool: '', softwareVersion: ''}), recordBegun: () => undefined},
+			resumption: {
+				isResumed: () => this.failing.has('resume'),
+				async originOf() {
+					failIfAsked('resume');
+					return {pool: 'model', softwareVersion: ''};
+				},
+				recordBegun: () => undefined,
+			},
 			isOpen: () => true,
 			admission: {
 				admit: () => undefined,
@@ -125,6 +149,9 @@
 			isLeaving: () => false,
 		});
 		const {callers} = this.ingress as unknown as {readonly callers: Server};
+		callers.on('connection', () => {
+			this.connectionCount++;
+		});
 		callers.on('request', (_request, response: ServerResponse) => {
 			response.on('close', () => {
 				this.closedCount++;
@@ -141,9 +168,9 @@
 	}
 
 	/** Sends a request with the given headers. */
-	send(headers: Readonly<Record<string, string>>): {readonly call: ClientRequest; readonly response: Promise<IncomingMessage>} {
+	send(headers: Readonly<Record<string, string>>, agent: Agent | false = false): {readonly call: ClientRequest; readonly response: Promise<IncomingMessage>} {
 		const call = httpRequest({
-			host: anyPort.address, port: this.port, path: '/', headers: {host: 'h', ...headers}, agent: false,
+			host: anyPort.address, port: this.port, path: '/', headers: {host: 'h', ...headers}, agent,
 		});
 		const response = new Promise<IncomingMessage>(resolve => {
 			call.on('response', received => {
@@ -313,3 +340,42 @@
 	await response;
 	t.equal(harness.ingress.openCount, 0);
 });
+
+const failures: Array<readonly [name: string, status: number, isPlain: boolean]> = [
+	['predict', 503, true], ['predict', 503, false], ['resume', 503, false], ['ask', 503, false], ['prepare', 503, false], ['run', 500, false], ['run', 500, true],
+];
+for (const [name, status, isPlain] of failures) {
+	/* Guards against an error of this host that ends a connection without a response, or keeps what the request had reserved. */
+	t.test(`a request${isPlain ? '' : ' with steps'} gets ${status} when "${name}" throws, and the next is served on the same connection`, async t => {
+		const harness = await IngressHarness.create(t);
+		const agent = new Agent({keepAlive: true, maxSockets: 1});
+		t.teardown(() => {
+			agent.destroy();
+		});
+		const send = async () => {
+			const {response} = harness.send({'x-id': 'r', ...(isPlain && {'x-plain': '1'})}, agent);
+			return response;
+		};
+
+		harness.failing.set(name, 1);
+		const failed = send();
+		if (name === 'prepare' || (name === 'run' && !isPlain)) {
+			await harness.waitUntil(() => harness.answers.length === 1);
+			harness.answers[0](new Map([['a', idle]]));
+		}
+
+		const {statusCode, headers} = await failed;
+		t.equal(statusCode, status);
+		t.equal(headers['retry-after'] !== undefined, status === 503, 'only what has not run may be sent again');
+		await harness.waitUntil(() => harness.ingress.openCount === 0);
+		t.equal(harness.reservedCount, 0);
+		const askedCount = harness.answers.length;
+		const next = send();
+		await harness.waitUntil(() => harness.answers.length > askedCount || harness.started.length > 0);
+		harness.answers.at(askedCount)?.(undefined);
+		await harness.waitUntil(() => harness.started.length === 1);
+		harness.finish(0);
+		t.equal((await next).statusCode, 503, 'as its result says');
+		t.equal(harness.connectionCount, 1);
+	});
+}
--- a/src/direct/node/ingress.ts
+++ b/src/direct/node/ingress.ts
@@ -25,7 +25,7 @@
 import type {RunPrediction} from '../common/direct-router.js';
 import type {DirectLinks} from './direct-links.js';
 import {admissionRefusal, type AdmissionChecks} from './admission-checks.js';
-import {responseEndings, sendHostResponse} from './pass-through-writer.js';
+import {notRunText, responseEndings, sendHostResponse} from './pass-through-writer.js';
 import {OpenRequests} from './open-requests.js';
 import {readBody} from './read-request.js';
 import {
@@ -96,6 +96,8 @@
 	private readonly openRequests = OpenRequests.create();
 	private readonly firstTryEstimator = FirstTryEstimator.create();
 	private readonly stepAdmission: StepAdmission;
+	/** Responses to requests that were handed to the runner. */
+	private readonly mayHaveRun = new WeakSet<ServerResponse>();
 	private hasStoppedAccepting = false;
 	private isRefusingUnstarted = false;
 	/** Number of requests that are being received or checked. */
@@ -181,10 +183,19 @@
 		}
 	}
 
+	/** Answers a request that failed because of an error of this host, unless its response has begun. */
 	private fail(response: ServerResponse, error: unknown): void {
-		this.options.log.error('Could not serve a request.', {request: this.connections.requestIdOf(response), reason: messageOf(error)});
-		this.connections.attribute(response, connectionEndings.exception);
-		response.destroy();
+		const requestId = this.connections.requestIdOf(response);
+		const mayHaveRun = this.mayHaveRun.has(response);
+		this.options.log.error('Could not serve a request.', {request: requestId, mayHaveRun, reason: messageOf(error)});
+		if (response.headersSent) {
+			this.connections.attribute(response, connectionEndings.exception);
+			response.destroy();
+		} else if (mayHaveRun) {
+			sendHostResponse(response, hostStatuses.internalError, 'This host could not complete the request');
+		} else {
+			sendHostResponse(response, hostStatuses.unavailable, notRunText('this host could not start the request'), otherHostRetryAfterMs);
+		}
 	}
 
 	private async serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
@@ -306,7 +317,8 @@
 		} catch (error) {
 			this.fail(response, error);
 		} finally {
-			if (!isStarted) {
+			// A request that failed while it was started has released both.
+			if (!isStarted && !this.mayHaveRun.has(response)) {
 				reservation.dispose();
 				this.openRequests.delete(requestId);
 			}
@@ -328,13 +340,15 @@
 		const {received, plan, scheduling, reservation} = admitted;
 		const {request, response, callerRequest} = received;
 		const {links, runner, clock, log, metrics} = this.options;
+		const preparer = plan.needsPreparation ? this.preparerFor(admitted) : undefined;
 		this.openRequests.add(plan.requestId);
+		this.mayHaveRun.add(response);
 		ServedRequest.create({
 			plan,
 			callerRequest,
 			response,
 			links,
-			preparer: plan.needsPreparation ? this.preparerFor(admitted) : undefined,
+			preparer,
 			reservation: reservation ?? (plan.needsPreparation ? this.options.admission.reserve(plan.stages[0].pool) : undefined),
 			clock,
 			log,
--- a/src/direct/node/resolve-request.ts
+++ b/src/direct/node/resolve-request.ts
@@ -11,7 +11,7 @@
 const noDeclarationRetryMs = 500;
 /** HTTP statuses of responses that come from the host and not from an upstream. */
 export const hostStatuses = {
-	badRequest: 400, unauthorized: 401, notFound: 404, bodyTooLarge: 413, headTooLarge: 431, unavailable: 503,
+	badRequest: 400, unauthorized: 401, notFound: 404, bodyTooLarge: 413, headTooLarge: 431, internalError: 500, unavailable: 503,
 } as const;
 
 /** A request that the current declaration allows. */
--- a/src/direct/node/served-request.ts
+++ b/src/direct/node/served-request.ts
@@ -54,15 +54,34 @@
 	private firstDeliveryMs = 0;
 	private deliveredUnits = 0;
 	private isFinished = false;
+	private registration: Disposable | undefined;
 
 	private constructor(private readonly options: ServedRequestOptions) {
 		this.events = EventSequence.create(options.callerRequest.resumeAfter);
 		this.writer = PassThroughWriter.create(options.response, options.isHead);
 	}
 
+	/**
+	Starts the request.
+	@param runner - runs it.
+	@throws what the runner throws; the request has then ended, and the response is left to the caller of this method.
+	*/
 	start(runner: RequestRunner): void {
+		try {
+			this.startWith(runner);
+		} catch (error) {
+			this.isFinished = true;
+			this.registration?.dispose();
+			this.options.reservation?.dispose();
+			this.options.preparer?.end();
+			this.options.onEnded(responseEndings.whole);
+			throw error;
+		}
+	}
+
+	private startWith(runner: RequestRunner): void {
 		const {plan, callerRequest, response, links, preparer, reservation, clock} = this.options;
-		const registration = links.register(plan.requestId, {
+		this.registration = links.register(plan.requestId, {
 			callerRequestId: callerRequest.requestId, deadlineMs: plan.deadlineMs, isStreaming: plan.isStreaming, sharedParts: plan.sharedParts ?? [], events: this.events,
 			onWrite() {
 				reservation?.dispose();
@@ -78,6 +97,10 @@
 				return prepared;
 			},
 			deliver: (units, data, http, origin): Promise<void> | undefined => {
+				if (this.isFinished) {
+					return undefined;
+				}
+
 				this.deliveredUnits += units;
 				if (plan.isStreaming) {
 					this.events.append(data);
@@ -96,8 +119,12 @@
 				return this.writer.deliver(units, data, http);
 			},
 			finish: result => {
+				if (this.isFinished) {
+					return;
+				}
+
 				this.isFinished = true;
-				registration.dispose();
+				this.registration?.dispose();
 				reservation?.dispose();
 				preparer?.end();
 				const ending = this.writer.finish(result);
