Test plain responses whose servers fall silent for 1.5 s

The stand-in of a server can now fall silent within a response, and within those to calls of stage work and releases.

--- a/test/platform/server-standin.ts
+++ b/test/platform/server-standin.ts
@@ -47,6 +47,35 @@
 	/** Reports that a result it needs is lost. */
 		| 'inputsGone';
 
+/** Where a server falls silent within a response. */
+export type PausePoint = 'beforeHead' | 'withinHead' | 'withinBody' | 'beforeClose';
+
+/** A silence within a response, after which the server goes on. */
+export type ResponsePause = {readonly at: PausePoint; readonly ms: number};
+
+/**
+Writes a response and falls silent within it.
+@param socket - of the request.
+@param head - status line and headers, without the empty line.
+@param body - the body.
+@param pause - the silence.
+*/
+export async function writePaused(socket: Socket, head: string, body: string, {at, ms}: ResponsePause): Promise<void> {
+	const text = `${head}\r\n\r\n${body}`;
+	const bodyStart = text.length - body.length;
+	const sentBefore = {
+		beforeHead: 0, withinHead: 20, withinBody: bodyStart + Math.floor(body.length / 2), beforeClose: text.length,
+	}[at];
+	if (sentBefore > 0) {
+		socket.write(text.slice(0, sentBefore));
+	}
+
+	await sleep(ms);
+	if (!socket.destroyed) {
+		socket.write(text.slice(sentBefore));
+	}
+}
+
 const freeSchema = z.object({sessions: z.array(z.string())});
 const runSchema = z.object({entries: z.array(z.record(z.string(), z.unknown()))});
 const defaultEventCount = 5;
@@ -129,6 +158,8 @@
 	leavingReportedMs: number | undefined;
 	/** Calls of stage work get a response only after this promise is resolved. */
 	stageGate: Promise<void> | undefined;
+	/** A silence within the responses to calls of stage work and to releases. */
+	stagePause: ResponsePause | undefined;
 	/** The last event of each stream is sent only after this promise is resolved. */
 	lastEventGate: Promise<void> | undefined;
 	/** Version of its software according to its entry. */
@@ -266,7 +297,7 @@
 		} else if (path === '/v1/stage-free') {
 			this.sendSurplus(request.socket);
 			this.releasedResults.push(...freeSchema.parse(JSON.parse(body)).sessions);
-			sendJson(response, 200, {});
+			await this.sendStageResponse(request, response, {});
 		} else {
 			await this.serve(request, response, body);
 		}
@@ -476,6 +507,18 @@
 			this.surplus.set(request.socket, `HTTP/1.1 200 OK\r\nAttempt-Id: ${id}\r\nContent-Type: application/json\r\nContent-Length: ${text.length}\r\n\r\n${text}`);
 		}
 
-		sendJson(response, 200, {entries: answer});
+		await this.sendStageResponse(request, response, {entries: answer});
+	}
+
+	private async sendStageResponse({socket, headers}: IncomingMessage, response: ServerResponse, value: unknown): Promise<void> {
+		if (!this.stagePause) {
+			sendJson(response, 200, value);
+			return;
+		}
+
+		const text = JSON.stringify(value);
+		const id = String(headers['attempt-id'] ?? '');
+		await writePaused(socket, `HTTP/1.1 200 OK\r\nAttempt-Id: ${id}\r\nConnection: close\r\nContent-Type: application/json\r\nContent-Length: ${text.length}`, text, this.stagePause);
+		socket.end();
 	}
 }
