Keep a silent attempt, and let whichever attempt continues first go on

What callers saw: a stream that may be resumed was cut, or failed before its first event, although its server only paused for longer than 1.2 s and would have gone on. The same with several servers that all pause, with steps before the stream, and where no repeat, attempt or other server was left.

Cause: `StageRun.tick` ended an attempt at the end of its silence limit, before it was known whether another one could follow. Whatever prevented that (budget, number of attempts, no server, a refusal, an error, results that had to be computed again) then ended the response.

Now silence only marks an attempt. While all live attempts are silent, another one is made beside them under the limits of any retry, at a server at which none is live; if the budget or the servers allow none, that is tried again each 100 ms, and nothing is taken from the budget before a server was found. The first units that follow those of the answer make their attempt the accepted one; all others are canceled at once. One that is silent then ends as `timeout`, which counts against its server as before, any other as `lostRace`. An attempt that is refused, fails or is no continuation no longer ends a request with a live attempt. Results that were released or are lost are prepared again while the silent attempt goes on (the run of the stage stays); if it continues meanwhile, the preparation is given up (`stopPreparing`), and if the preparation fails, the request waits for the silent attempt. Data without units, such as comments, is no progress and does not begin or continue an answer; what an attempt sent before its first unit is delivered together with that.

--- a/src/direct/common/direct-plan.ts
+++ b/src/direct/common/direct-plan.ts
@@ -10,7 +10,7 @@
 
 /** Share of the target for which a request may wait while no upstream can be chosen. A caller that is refused early can still retry in time. */
 const holdTargetShare = 0.2;
-/** Time without data after which a resumable stream is resumed on another upstream: callers abandon a stream after two seconds. */
+/** Time without an event after which a resumable stream is sent to another upstream, too: callers may abandon a stream after two seconds. */
 const streamSilenceTimeoutMs = 1200;
 const unlimitedTimeoutMs = 600_000;
 /** Subtracted from the caller's own time limit, so that a final response still reaches it. */
--- a/src/direct/node/served-request.ts
+++ b/src/direct/node/served-request.ts
@@ -96,6 +96,9 @@
 				this.preparedMs = clock.nowMs() - plan.startMs;
 				return prepared;
 			},
+			stopPreparing() {
+				preparer?.end();
+			},
 			deliver: (units, data, http, origin): Promise<void> | undefined => {
 				if (this.isFinished) {
 					return undefined;
--- a/src/request/common/attempt-list.ts
+++ b/src/request/common/attempt-list.ts
@@ -24,6 +24,17 @@
 		return this.all.some(attempt => attempt.isLive);
 	}
 
+	/** Whether attempts are live, and all of them are silent. */
+	get areLiveSilent(): boolean {
+		const {live} = this;
+		return live.length > 0 && live.every(attempt => attempt.isSilent);
+	}
+
+	/** Upstreams at which an attempt is live. */
+	get liveUpstreamIds(): Set<string> {
+		return new Set(this.live.map(attempt => attempt.options.upstreamId));
+	}
+
 	/** Whether any attempt may have run. */
 	get mayHaveRun(): boolean {
 		return this.all.some(attempt => attempt.mayHaveRun);
--- a/src/request/common/attempt.ts
+++ b/src/request/common/attempt.ts
@@ -33,8 +33,10 @@
 	reason = '';
 	queueMs = 0;
 	runMs = 0;
-	/** When the upstream was last known to be working: the last `started` message or chunk, at first the time of sending. */
+	/** When the upstream was last known to be working: the last `started` message or unit, at first the time of sending. */
 	lastReceivedMs: number;
+	/** Whether its upstream has sent no unit for longer than it may; the attempt stays live. */
+	isSilent = false;
 	isCancelled = false;
 	/** Whether its units are part of the answer of the stage. */
 	isPartOfAnswer = false;
@@ -62,6 +64,15 @@
 		return this.options.offset + this.answer.units;
 	}
 
+	/**
+	Records that the upstream is working.
+	@param nowMs - the current time.
+	*/
+	didProgress(nowMs: number): void {
+		this.lastReceivedMs = nowMs;
+		this.isSilent = false;
+	}
+
 	/**
 	Accepts a chunk if it is the next one in order.
 	@param chunk - the received chunk.
--- a/src/request/common/request-events.ts
+++ b/src/request/common/request-events.ts
@@ -39,6 +39,8 @@
 export type RequestAction
 	= | {readonly type: 'claim'}
 		| {readonly type: 'prepare'; readonly isAgain: boolean}
+	/** Gives up a repeated preparation whose results are no longer needed. */
+		| {readonly type: 'stopPreparing'}
 		| {readonly type: 'dispatch'; readonly upstreamId: string; readonly message: DispatchMessage}
 		| {readonly type: 'cancel'; readonly upstreamId: string; readonly dispatchId: string}
 		| {readonly type: 'query'; readonly upstreamId: string; readonly dispatchId: string}
--- a/src/request/common/request-state-machine.ts
+++ b/src/request/common/request-state-machine.ts
@@ -2,7 +2,7 @@
 import {barredTextOf} from '../../quarantine/common/quarantine.js';
 import type {RequestAction, RequestEvent} from './request-events.js';
 import {
-	failureCodes, noInputs, otherHostRetryAfterMs, outcomes, type FailureCode, type PreparedInputs, type RequestOutcome, type RequestPlan, type RequestResult, type StagePlan,
+	failureCodes, noInputs, otherHostRetryAfterMs, outcomes, type FailureCode, type PreparationFailure, type PreparedInputs, type RequestOutcome, type RequestPlan, type RequestResult, type StagePlan,
 } from './request-plan.js';
 import type {RequestRouter} from './request-router.js';
 import {makeResult} from './request-result.js';
@@ -41,6 +41,8 @@
 	private preparationCount = 0;
 	/** Number of times that an upstream has reported lost results. */
 	private lossCount = 0;
+	/** Whether the preparation is repeated while silent attempts at the first stage go on. */
+	private isPreparingBeside = false;
 
 	private constructor(readonly plan: RequestPlan, private readonly router: RequestRouter) {}
 
@@ -115,20 +117,12 @@
 			}
 
 			case 'prepared': {
-				if (this.phase === 'preparing') {
-					this.inputs = event.inputs;
-					this.beginFirst(nowMs);
-				}
-
+				this.prepared(event.inputs, nowMs);
 				break;
 			}
 
 			case 'preparationFailed': {
-				if (this.phase === 'preparing') {
-					const {code, message, retryAfterMs} = event.failure;
-					this.finishFailed(code, message, nowMs, retryAfterMs);
-				}
-
+				this.preparationFailed(event.failure, nowMs);
 				break;
 			}
 
@@ -179,13 +173,37 @@
 	private prepareOrBegin(nowMs: number): void {
 		if (this.plan.needsPreparation) {
 			this.phase = 'preparing';
-			this.actions.push({type: 'prepare', isAgain: this.preparationCount > 0});
-			this.preparationCount++;
+			this.prepare();
 		} else {
 			this.beginFirst(nowMs);
 		}
 	}
 
+	private prepare(): void {
+		this.actions.push({type: 'prepare', isAgain: this.preparationCount > 0});
+		this.preparationCount++;
+	}
+
+	private prepared(inputs: PreparedInputs, nowMs: number): void {
+		if (this.phase === 'preparing') {
+			this.inputs = inputs;
+			this.beginFirst(nowMs);
+		} else if (this.isPreparingBeside) {
+			this.isPreparingBeside = false;
+			this.inputs = inputs;
+			this.runs.current!.inputsPrepared(inputs, nowMs);
+		}
+	}
+
+	private preparationFailed({code, message, retryAfterMs}: PreparationFailure, nowMs: number): void {
+		if (this.phase === 'preparing') {
+			this.finishFailed(code, message, nowMs, retryAfterMs);
+		} else if (this.isPreparingBeside) {
+			this.isPreparingBeside = false;
+			this.runs.current!.inputsUnavailable();
+		}
+	}
+
 	private beginFirst(nowMs: number): void {
 		this.phase = 'running';
 		this.beginStage(0, this.plan.input, nowMs);
@@ -277,6 +295,8 @@
 				return;
 			}
 
+			this.prepareBeside(run, nowMs);
+
 			if (run.status.type === 'failed') {
 				this.finishFailed(run.status.code, run.status.message, nowMs, run.status.retryAfterMs);
 			} else if (run.status.type !== 'done') {
@@ -301,17 +321,54 @@
 	@param nowMs - the current time.
 	*/
 	private prepareAgain(run: StageRun, hasBudget: boolean, nowMs: number): void {
-		this.lossCount += hasBudget ? 0 : 1;
-		if (this.lossCount >= maxLosses) {
-			this.finishFailed(failureCodes.preparationFailed, 'results of the work before the request were lost again and again', nowMs);
-		} else if (!hasBudget && this.plan.rules.chargesRefusalsToRetryBudget && !this.router.mayRetry(this.plan.stages[0], nowMs)) {
-			this.finishFailed(failureCodes.overloaded, 'results of the work before the request were lost; the retry budget is spent', nowMs);
+		if (this.isPreparingBeside) {
+			this.isPreparingBeside = false;
+			this.runs.removeForRestart(run);
+			this.phase = 'preparing';
+			return;
+		}
+
+		const refusal = this.preparationRefusal(hasBudget, nowMs);
+		if (refusal) {
+			this.finishFailed(refusal.code, refusal.message, nowMs);
 		} else {
 			this.runs.removeForRestart(run);
 			this.prepareOrBegin(nowMs);
 		}
 	}
 
+	/**
+	Prepares the request again while silent attempts go on, and gives that up once one of them has gone on.
+	@param run - the run of the current stage.
+	@param nowMs - the current time.
+	*/
+	private prepareBeside(run: StageRun, nowMs: number): void {
+		const {wantedInputs} = run;
+		if (this.isPreparingBeside && !wantedInputs) {
+			this.isPreparingBeside = false;
+			this.actions.push({type: 'stopPreparing'});
+		} else if (wantedInputs && !this.isPreparingBeside) {
+			if (this.preparationRefusal(wantedInputs.hasBudget, nowMs)) {
+				run.inputsUnavailable();
+			} else {
+				this.isPreparingBeside = true;
+				this.prepare();
+			}
+		}
+	}
+
+	/** Counts a loss of results, and returns why they are not computed again, if they are not. */
+	private preparationRefusal(hasBudget: boolean, nowMs: number): {readonly code: FailureCode; readonly message: string} | undefined {
+		this.lossCount += hasBudget ? 0 : 1;
+		if (this.lossCount >= maxLosses) {
+			return {code: failureCodes.preparationFailed, message: 'results of the work before the request were lost again and again'};
+		}
+
+		return !hasBudget && this.plan.rules.chargesRefusalsToRetryBudget && !this.router.mayRetry(this.plan.stages[0], nowMs)
+			? {code: failureCodes.overloaded, message: 'results of the work before the request were lost; the retry budget is spent'}
+			: undefined;
+	}
+
 	private complete(run: StageRun, nowMs: number): void {
 		this.finish(makeResult(this.plan, this.runs.traced, {
 			outcome: outcomes.completed, message: 'completed', nowMs, last: run,
--- /dev/null
+++ b/src/request/common/silence-recovery.ts
@@ -0,0 +1,30 @@
+/** What a stage does while all of its live attempts are silent: it keeps them, and looks for another attempt beside them. */
+
+/** Interval at which another attempt is looked for while the budget or the upstreams allow none. */
+const retryIntervalMs = 100;
+
+/** Tracks the search for another attempt beside silent ones. */
+export class SilenceRecovery {
+	static create(): SilenceRecovery {
+		return new SilenceRecovery();
+	}
+
+	/** When another attempt is looked for again; `Infinity` if nothing is waited for. */
+	retryAtMs = Infinity;
+	/** Whether the retry budget has granted an attempt that was not sent yet. */
+	hasGrant = false;
+	/** Whether an upstream reported that the inputs of the stage are lost. */
+	areInputsLost = false;
+	/** Set while the inputs of the stage must be prepared again before another attempt; `hasBudget` tells whether the attempt was taken from the retry budget. */
+	wantedInputs: {readonly hasBudget: boolean} | undefined;
+	/** Whether no further attempt is made beside silent ones. */
+	isStopped = false;
+
+	/**
+	Looks for another attempt again after a while.
+	@param nowMs - the current time.
+	*/
+	retryLater(nowMs: number): void {
+		this.retryAtMs = nowMs + retryIntervalMs;
+	}
+}
--- a/src/request/common/stage-recovery.ts
+++ b/src/request/common/stage-recovery.ts
@@ -1,4 +1,4 @@
-/** Decides what follows when an attempt at a stage has ended without a result and no other attempt is live. */
+/** Decides whether another attempt at a stage is made when no live one is known to be working. */
 import {failureCodes, type FailureCode} from './request-plan.js';
 
 /** The facts on which the decision depends. */
@@ -26,7 +26,7 @@
 /** Another attempt, or the reason why there is none. */
 export type Recovery
 	= | {readonly type: 'again'}
-		| {readonly type: 'failed'; readonly code: FailureCode; readonly message: string};
+		| {readonly type: 'failed'; readonly code: FailureCode; readonly message: string; /** Whether the budget may allow another attempt later. */ readonly isTemporary: boolean};
 
 /**
 Decides whether another attempt is made.
@@ -55,9 +55,11 @@
 	const isFree = isNotRun && facts.areRefusalsFree;
 	return isFree || facts.mayRetry()
 		? {type: 'again'}
-		: failed(exhaustedCode, `${message}; the retry budget is spent`);
+		: failed(exhaustedCode, `${message}; the retry budget is spent`, true);
 }
 
-function failed(code: FailureCode, message: string): Recovery {
-	return {type: 'failed', code, message};
+function failed(code: FailureCode, message: string, isTemporary = false): Recovery {
+	return {
+		type: 'failed', code, message, isTemporary,
+	};
 }
--- a/src/request/common/stage-run.ts
+++ b/src/request/common/stage-run.ts
@@ -2,19 +2,21 @@
 import {
 	refusalReasons, type ChunkMessage, type EndMessage, type RefusedMessage, type StartedMessage,
 } from '../../wire/common/messages.js';
+import type {Choice} from '../../routing/common/chooser.js';
 import {barredTextOf, type Standing} from '../../quarantine/common/quarantine.js';
 import {Attempt} from './attempt.js';
 import {AttemptList} from './attempt-list.js';
 import {continuationProblem, isSuccess} from './continuation.js';
 import type {RequestAction} from './request-events.js';
 import {
-	attemptStates, failureCodes, type AttemptState, type AttemptTrace, type FailureCode, type PreparedInputs, type RequestPlan, type StagePlan, type StageTrace,
+	attemptStates, failureCodes, noInputs, type AttemptState, type AttemptTrace, type FailureCode, type PreparedInputs, type RequestPlan, type StagePlan, type StageTrace,
 } from './request-plan.js';
 import type {RequestRouter} from './request-router.js';
 import {isTooLarge, StageAnswer} from './stage-answer.js';
 import {makeDispatch} from './stage-dispatch.js';
+import {SilenceRecovery} from './silence-recovery.js';
 import {StageHold} from './stage-hold.js';
-import {decideRecovery} from './stage-recovery.js';
+import {decideRecovery, type Recovery} from './stage-recovery.js';
 import {versionGoneText} from './stream-origin.js';
 import {makeStageTrace} from './stage-trace.js';
 
@@ -65,22 +67,30 @@
 	private endMs = 0;
 	private isRecoveryStopped = false;
 	private isHedgeDecided = false;
-	/** The stage with the origin of its stream; set once the stream has begun. */
-	private begunStage: StagePlan | undefined;
+	/** The stage as it is sent: with its latest inputs and, once its stream has begun, with the origin of that. */
+	private currentStage: StagePlan;
+	private inputs: PreparedInputs;
+	private readonly silence = SilenceRecovery.create();
 	/** An attempt whose complete answer reports an error. */
 	private errorAttempt: Attempt | undefined;
 
 	private constructor(private readonly options: StageRunOptions) {
 		this.holding = StageHold.create(options.startMs);
 		this.answer = options.begunAnswer ?? StageAnswer.create();
+		this.currentStage = options.stage;
+		this.inputs = options.inputs ?? noInputs;
 		for (const attempt of options.earlierAttempts ?? []) {
 			this.attempts.add(attempt);
 		}
 	}
 
-	/** The stage as it is sent; a begun stream has its origin. */
 	get stage(): StagePlan {
-		return this.begunStage ?? this.options.stage;
+		return this.currentStage;
+	}
+
+	/** Set while inputs must be prepared again for another attempt, although attempts are live; all of them are silent. */
+	get wantedInputs(): SilenceRecovery['wantedInputs'] {
+		return this.silence.wantedInputs;
 	}
 
 	get body(): Uint8Array {
@@ -106,9 +116,9 @@
 			return Math.min(this.holding.retryAtMs, this.holdUntilMs);
 		}
 
-		let wakeMs = Infinity;
+		let wakeMs = this.silence.retryAtMs;
 		for (const attempt of this.attempts.live) {
-			wakeMs = Math.min(wakeMs, this.timeoutAtMs(attempt), this.hedgeAtMs(attempt));
+			wakeMs = Math.min(wakeMs, this.silentAtMs(attempt), this.hedgeAtMs(attempt));
 		}
 
 		return wakeMs;
@@ -119,7 +129,7 @@
 	}
 
 	/**
-	Ends attempts whose upstream has fallen silent, sends a hedge that is due, or looks for an upstream again.
+	Sends another attempt if all upstreams have fallen silent, sends a hedge that is due, or looks for an upstream again.
 	@param nowMs - the current time.
 	@param callerBehindUntilMs - until when the caller did not take what was delivered. Reading from upstreams pauses then, so that this is no silence.
 	*/
@@ -131,14 +141,36 @@
 
 		for (const attempt of this.attempts.live) {
 			attempt.lastReceivedMs = Math.max(attempt.lastReceivedMs, Math.min(callerBehindUntilMs, nowMs));
-			if (nowMs >= this.timeoutAtMs(attempt)) {
-				this.cancel(attempt);
-				this.endAttempt(attempt, attemptStates.unknown, 'timeout', nowMs);
-				this.recover(failureCodes.upstreamFailed, 'the upstream fell silent', nowMs);
+			if (nowMs >= this.silentAtMs(attempt)) {
+				attempt.isSilent = true;
+				this.silence.retryAtMs = nowMs;
 			} else if (nowMs >= this.hedgeAtMs(attempt)) {
 				this.hedge(nowMs);
 			}
 		}
+
+		if (nowMs >= this.silence.retryAtMs) {
+			this.tryBesideSilent(nowMs);
+		}
+	}
+
+	/**
+	Continues with inputs that were prepared again.
+	@param inputs - the inputs of all further attempts.
+	@param nowMs - the current time.
+	*/
+	inputsPrepared(inputs: PreparedInputs, nowMs: number): void {
+		this.inputs = inputs;
+		this.currentStage = {...this.currentStage, inputBytesByHall: inputs.bytesByHall};
+		this.silence.areInputsLost = false;
+		this.silence.wantedInputs = undefined;
+		this.tryBesideSilent(nowMs);
+	}
+
+	/** Makes no further attempt beside silent ones, because its inputs could not be prepared again. */
+	inputsUnavailable(): void {
+		this.silence.wantedInputs = undefined;
+		this.silence.isStopped = true;
 	}
 
 	candidatesChanged(nowMs: number): void {
@@ -162,8 +194,9 @@
 		}
 
 		this.endAttempt(attempt, attemptStates.notRun, message.reason, nowMs);
-		if (message.reason === refusalReasons.inputsGone && this.options.plan.needsPreparation && !this.attempts.hasLive) {
-			this.status = {type: 'inputsGone', hasBudget: false};
+		if (message.reason === refusalReasons.inputsGone && this.options.plan.needsPreparation && (this.attempts.areLiveSilent || !this.attempts.hasLive)) {
+			this.silence.areInputsLost = true;
+			this.wantInputs(false);
 		} else if (message.reason === refusalReasons.outOfTime && nowMs >= this.options.startByMs) {
 			this.failUnlessLive(failureCodes.deadlineExceeded, 'no upstream could start the work in time');
 		} else {
@@ -175,7 +208,7 @@
 		const attempt = this.attempts.findLive(message.dispatchId);
 		if (attempt) {
 			attempt.state = attemptStates.started;
-			attempt.lastReceivedMs = nowMs;
+			attempt.didProgress(nowMs);
 			attempt.queueMs = message.queueMs;
 			attempt.http = message.http ?? attempt.http;
 			this.rejectUnlessContinuation(attempt, nowMs);
@@ -184,13 +217,16 @@
 
 	chunk(message: ChunkMessage, nowMs: number): void {
 		const attempt = this.attempts.findLive(message.dispatchId);
-		if (!attempt || this.isSuperseded(attempt) || !attempt.acceptChunk(message)) {
+		if (!attempt?.acceptChunk(message)) {
 			return;
 		}
 
-		attempt.lastReceivedMs = nowMs;
-		if (attempt.answer.units === message.units) {
-			this.options.router.didBegin(this.stage, attempt, nowMs);
+		// Data without units, such as comments in a stream, does not show that the upstream is working.
+		if (message.units > 0) {
+			attempt.didProgress(nowMs);
+			if (attempt.answer.units === message.units) {
+				this.options.router.didBegin(this.stage, attempt, nowMs);
+			}
 		}
 
 		const chunks = attempt.takeCreditGrant();
@@ -201,12 +237,17 @@
 			});
 		}
 
-		if (this.isPart(attempt)) {
-			this.accept(attempt, nowMs);
-			this.answer.add(message.units, message.data);
+		if (this.isPart(attempt, message.units)) {
+			// What an attempt sent before its first unit is part of the answer, too.
+			const data = attempt === this.acceptedAttempt ? message.data : attempt.answer.body;
+			if (message.units > 0) {
+				this.accept(attempt, nowMs);
+			}
+
+			this.answer.add(message.units, data);
 			if (this.options.isLast && this.options.plan.isStreaming) {
 				this.options.emit({
-					type: 'deliver', units: message.units, data: message.data, ...(attempt.http && {http: attempt.http}), ...(this.stage.origin && {origin: this.stage.origin}),
+					type: 'deliver', units: message.units, data, ...(attempt.http && {http: attempt.http}), ...(this.stage.origin && {origin: this.stage.origin}),
 				});
 			}
 		}
@@ -263,8 +304,7 @@
 	*/
 	abandon(nowMs: number): void {
 		for (const attempt of this.attempts.live) {
-			this.cancel(attempt);
-			this.endAttempt(attempt, attemptStates.unknown, 'abandoned', nowMs);
+			this.drop(attempt, 'abandoned', nowMs);
 		}
 	}
 
@@ -304,9 +344,9 @@
 		return this.stage.kind === 'generate' || (this.stage.kind === 'http' && this.options.plan.isStreaming);
 	}
 
-	/** Whether another upstream would find inputs gone: they are released once an upstream must have read them. */
-	private get areInputsReleased(): boolean {
-		return this.options.plan.needsPreparation && (this.options.inputs?.areReleased() ?? false);
+	/** Whether another upstream would find inputs gone: they are lost, or were released since an upstream must have read them. */
+	private get areInputsGone(): boolean {
+		return this.options.plan.needsPreparation && (this.silence.areInputsLost || this.inputs.areReleased());
 	}
 
 	private get holdUntilMs(): number {
@@ -317,9 +357,14 @@
 		return this.status.type === 'done' && (attempt === this.acceptedAttempt || attempt.isPartOfAnswer);
 	}
 
-	/** Whether the units of an attempt count as they are received: those of an error do not, as another attempt may follow it. */
-	private isPart(attempt: Attempt): boolean {
-		return this.isIncremental && (attempt === this.acceptedAttempt || (this.isBegun ? this.continuationProblemOf(attempt) === undefined : isSuccess(attempt.http)));
+	/** Whether received units count: those of an error do not, as another attempt may follow it. The first units that follow those of the answer make their attempt the accepted one. */
+	private isPart(attempt: Attempt, units: number): boolean {
+		if (!this.isIncremental || attempt === this.acceptedAttempt) {
+			return this.isIncremental;
+		}
+
+		const follows = units > 0 && attempt.units - units === this.answer.units;
+		return follows && (this.isBegun ? this.continuationProblemOf(attempt) === undefined : isSuccess(attempt.http));
 	}
 
 	/** Returns why the response to an attempt is not the rest of the answer that the caller has begun to receive, or undefined if it is, or if there is none. */
@@ -327,19 +372,15 @@
 		return this.isBegun && attempt !== this.acceptedAttempt ? continuationProblem(this.answer.head, attempt.http) : undefined;
 	}
 
-	/** Whether the units of another attempt already count. */
-	private isSuperseded(attempt: Attempt): boolean {
-		return this.isIncremental && this.acceptedAttempt !== undefined && this.acceptedAttempt !== attempt;
-	}
-
-	private timeoutAtMs(attempt: Attempt): number {
+	/** When an attempt counts as silent; `Infinity` if it does already. */
+	private silentAtMs(attempt: Attempt): number {
 		const {isRepeatable, rules} = this.options.plan;
-		const isTimed = isRepeatable && (rules.startsTimeoutAtSend || attempt.state === attemptStates.started);
+		const isTimed = isRepeatable && !attempt.isSilent && (rules.startsTimeoutAtSend || attempt.state === attemptStates.started);
 		return isTimed ? attempt.lastReceivedMs + this.stage.policy.timeoutMs : Infinity;
 	}
 
 	private hedgeAtMs(attempt: Attempt): number {
-		const mayHedge = this.attempts.hasNoOtherLive(attempt) && !this.isHedgeDecided && !this.acceptedAttempt && this.options.plan.isRepeatable
+		const mayHedge = !attempt.isSilent && this.attempts.hasNoOtherLive(attempt) && !this.isHedgeDecided && !this.acceptedAttempt && this.options.plan.isRepeatable
 			&& this.attempts.countAgainstLimit(this.options.plan.rules) < this.stage.policy.maxAttempts;
 		const delayMs = mayHedge ? this.options.router.hedgeDelayMs(this.stage) : undefined;
 		return delayMs === undefined ? Infinity : attempt.options.sentAtMs + delayMs;
@@ -348,7 +389,7 @@
 	/** Sends a hedge if the budget allows it. The budget is asked only once for a stage, even if it declines. */
 	private hedge(nowMs: number): void {
 		this.isHedgeDecided = true;
-		if (!this.areInputsReleased && this.options.router.mayHedge(this.stage, nowMs)) {
+		if (!this.areInputsGone && this.options.router.mayHedge(this.stage, nowMs)) {
 			this.dispatch('hedge', nowMs);
 		}
 	}
@@ -358,15 +399,16 @@
 		return this.isBegun && attempt !== this.acceptedAttempt && attempt.http ? 'a response without events does not show that the stream is complete' : undefined;
 	}
 
+	/** Lets the answer go on with an attempt: no other one is kept, not even one that it has overtaken while that was silent. */
 	private accept(attempt: Attempt, nowMs: number): void {
-		if (this.acceptedAttempt === attempt) {
-			return;
+		this.silence.wantedInputs = undefined;
+		if (this.acceptedAttempt !== attempt) {
+			this.acceptedAttempt = attempt;
+			attempt.isPartOfAnswer = true;
+			this.answer.head ??= attempt.http;
+			this.pinOrigin(attempt);
 		}
 
-		this.acceptedAttempt = attempt;
-		attempt.isPartOfAnswer = true;
-		this.answer.head ??= attempt.http;
-		this.pinOrigin(attempt);
 		this.cancelOthers(attempt, nowMs);
 	}
 
@@ -375,19 +417,24 @@
 		const {stage, options: {router}} = this;
 		const origin = stage.origin ?? router.originOf(stage, attempt);
 		if (origin !== stage.origin) {
-			this.begunStage = {...stage, origin};
+			this.currentStage = {...stage, origin};
 		}
 	}
 
 	private cancelOthers(kept: Attempt, nowMs: number): void {
 		for (const other of this.attempts.live) {
 			if (other !== kept) {
-				this.cancel(other);
-				this.endAttempt(other, attemptStates.unknown, 'lostRace', nowMs);
+				this.drop(other, 'lostRace', nowMs);
 			}
 		}
 	}
 
+	/** Cancels an attempt that is no longer needed. One that was silent until now counts as a failure of its upstream. */
+	private drop(attempt: Attempt, reason: string, nowMs: number): void {
+		this.cancel(attempt);
+		this.endAttempt(attempt, attemptStates.unknown, attempt.isSilent ? 'timeout' : reason, nowMs);
+	}
+
 	/** Handles a complete answer. An answer that reports an error is kept in `errorAttempt` while another attempt may succeed. */
 	private completeAnswerReceived(attempt: Attempt, nowMs: number): void {
 		const problem = this.emptyContinuationProblemOf(attempt);
@@ -445,9 +492,9 @@
 		}
 	}
 
-	/** Makes another attempt after one ended without a result, if that is allowed; otherwise the stage fails. */
+	/** Makes another attempt after one ended without a result, if that is allowed; otherwise the stage fails, unless an attempt is live. */
 	private recover(code: FailureCode, message: string, nowMs: number): void {
-		if (this.status.type !== 'running' || this.attempts.hasLive) {
+		if (this.status.type !== 'running') {
 			return;
 		}
 
@@ -455,8 +502,28 @@
 			this.acceptedAttempt = undefined;
 		}
 
-		const {plan, router, startByMs} = this.options;
-		const recovery = decideRecovery({
+		if (this.attempts.hasLive) {
+			this.tryBesideSilent(nowMs);
+			return;
+		}
+
+		if (this.silence.wantedInputs) {
+			this.wantInputs(this.silence.wantedInputs.hasBudget);
+			return;
+		}
+
+		const {router} = this.options;
+		const recovery = this.decideNext(code, message, nowMs, () => this.takeRetry(nowMs));
+		if (recovery.type === 'again') {
+			this.dispatch(this.nextAttemptKind, nowMs);
+		} else {
+			this.fail(recovery.code, recovery.message, recovery.code === failureCodes.overloaded ? router.retryAfterMs(this.stage, nowMs) : undefined);
+		}
+	}
+
+	private decideNext(code: FailureCode, message: string, nowMs: number, mayRetry: () => boolean): Recovery {
+		const {plan, startByMs} = this.options;
+		return decideRecovery({
 			code,
 			message,
 			isNotRun: this.attempts.all.at(-1)?.state === attemptStates.notRun,
@@ -466,12 +533,67 @@
 			hasUnknown: this.attempts.hasUnknown,
 			areAttemptsExhausted: this.attempts.isExhausted(plan.rules, this.stage.policy.maxAttempts),
 			isTooLate: nowMs >= startByMs,
-			mayRetry: () => router.mayRetry(this.stage, nowMs),
+			mayRetry,
 		});
-		if (recovery.type === 'again') {
-			this.dispatch(this.nextAttemptKind, nowMs);
+	}
+
+	/** Takes a retry from the budget, unless one is left that was taken and not used. */
+	private takeRetry(nowMs: number): boolean {
+		const {silence, options: {router}} = this;
+		if (!silence.hasGrant && !router.mayRetry(this.stage, nowMs)) {
+			return false;
+		}
+
+		silence.hasGrant = true;
+		return true;
+	}
+
+	/** Makes another attempt if all live ones are silent, under the limits of any retry. The silent ones go on: whichever continues first is kept. */
+	private tryBesideSilent(nowMs: number): void {
+		const {silence} = this;
+		silence.retryAtMs = Infinity;
+		const isWaiting = silence.isStopped || silence.wantedInputs !== undefined;
+		if (this.status.type !== 'running' || isWaiting || !this.attempts.areLiveSilent) {
+			return;
+		}
+
+		let choice: Choice | undefined;
+		const recovery = this.decideNext(failureCodes.upstreamFailed, 'the upstream fell silent', nowMs, () => {
+			choice = this.chooseBesideSilent(nowMs);
+			return choice !== undefined && this.takeRetry(nowMs);
+		});
+		if (recovery.type === 'failed') {
+			if (recovery.isTemporary) {
+				silence.retryLater(nowMs);
+			}
+
+			return;
+		}
+
+		choice ??= this.chooseBesideSilent(nowMs);
+		if (!choice) {
+			silence.retryLater(nowMs);
+		} else if (this.areInputsGone) {
+			this.wantInputs(true);
 		} else {
-			this.fail(recovery.code, recovery.message, recovery.code === failureCodes.overloaded ? router.retryAfterMs(this.stage, nowMs) : undefined);
+			this.send(choice, this.nextAttemptKind, nowMs);
+		}
+	}
+
+	/** Chooses an upstream at which no attempt is live, if possible one that was not tried. */
+	private chooseBesideSilent(nowMs: number): Choice | undefined {
+		const {options: {plan, router}, attempts} = this;
+		return router.standingOf(plan).type === 'clear'
+			? router.choose(this.stage, attempts.upstreamIds, plan.prefixHash, nowMs) ?? router.choose(this.stage, attempts.liveUpstreamIds, plan.prefixHash, nowMs)
+			: undefined;
+	}
+
+	/** Asks for inputs to be prepared again. Silent attempts go on meanwhile. */
+	private wantInputs(hasBudget: boolean): void {
+		if (this.attempts.hasLive) {
+			this.silence.wantedInputs = {hasBudget};
+		} else {
+			this.status = {type: 'inputsGone', hasBudget};
 		}
 	}
 
@@ -503,12 +625,17 @@
 		}
 
 		this.endHold(nowMs);
-		if (this.areInputsReleased) {
+		if (this.areInputsGone) {
 			// What allowed this attempt allows the one after the inputs were prepared again.
 			this.status = {type: 'inputsGone', hasBudget: true};
 			return;
 		}
 
+		this.send(choice, kind, nowMs);
+	}
+
+	private send(choice: Choice, kind: AttemptTrace['kind'], nowMs: number): void {
+		const {plan, router} = this.options;
 		const {upstreamId} = choice.chosen;
 		const softwareVersion = router.softwareVersionOf(upstreamId);
 		const attempt = Attempt.create({
@@ -521,8 +648,9 @@
 			candidates: choice.scored.map(({candidate, scoreMs}) => ({upstreamId: candidate.upstreamId, scoreMs})),
 		});
 		this.attempts.add(attempt);
+		this.silence.hasGrant = false;
 		router.didDispatch(this.stage, attempt, plan.prefixHash, nowMs);
-		this.options.emit({type: 'dispatch', upstreamId, message: makeDispatch(this.options, attempt, nowMs)});
+		this.options.emit({type: 'dispatch', upstreamId, message: makeDispatch({...this.options, stage: this.stage, inputs: this.inputs}, attempt, nowMs)});
 	}
 
 	/**
--- a/src/request/node/request-runner.ts
+++ b/src/request/node/request-runner.ts
@@ -29,6 +29,8 @@
 	@returns the prepared inputs, or why the preparation failed.
 	*/
 	prepare?(isAgain: boolean): Promise<Outcome<PreparedInputs, PreparationFailure>>;
+	/** Gives up a repeated preparation whose results are no longer needed; its promise need not resolve. */
+	stopPreparing?(): void;
 	/**
 	Delivers units of the answer to a streaming caller.
 	@param units - the number of units.
@@ -179,6 +181,11 @@
 				break;
 			}
 
+			case 'stopPreparing': {
+				running.hooks.stopPreparing?.();
+				break;
+			}
+
 			case 'dispatch': {
 				const {dispatchId} = action.message;
 				this.byDispatchId.set(dispatchId, running);
--- a/src/settings/common/schema.ts
+++ b/src/settings/common/schema.ts
@@ -18,7 +18,7 @@
 	hedgeShare: shareSchema.describe('Second attempts sent early against slow upstreams, as a share of first attempts; 0 sends none.'),
 	attainmentWeight: shareSchema.describe('Worth of an answer in time against its cost: 1 looks at attainment only, 0 at cost only.'),
 	fairShare: z.number().positive().max(1000).describe('Share of a busy upstream this workspace gets against others.'),
-	timeoutMs: z.number().int().min(1).max(600_000).describe('Longest silence of one attempt before it is given up.'),
+	timeoutMs: z.number().int().min(1).max(600_000).describe('Longest silence of one attempt before another one is made beside it.'),
 	isRepeatable: z.boolean().describe('Whether work may run again after its result was lost.'),
 	isEnabled: z.boolean().describe('Whether requests are taken.'),
 	pool: nameSchema.describe('The pool whose upstreams run this.'),
--- a/test/platform/server-standin.ts
+++ b/test/platform/server-standin.ts
@@ -174,6 +174,8 @@
 	closesCutStreams = false;
 	/** Returns the id of the first event of a call that resumes a stream after the given one, or undefined if its events have no ids; absent: the next one. */
 	resumesAt: ((lastId: number) => number | undefined) | undefined;
+	/** Pause of each of its streams: after this number of events of the call, or before the head if it is -1. */
+	streamPause: {readonly afterEvents: number; readonly ms: number} | undefined;
 	/** What ends the lines of its streams. */
 	lineEnd = '\n';
 	/** Whether a comment follows the events of a stream before it is cut. */
@@ -416,6 +418,7 @@
 			response.shouldKeepAlive = false;
 		}
 
+		await this.pauseStream(-1);
 		response.writeHead(200, {...headers, 'content-type': 'text/event-stream'});
 		response.flushHeaders();
 		const lastBeforeCrash = this.crashesAfterEvents ?? (this.hasFatalPart(request) ? this.eventsBeforeCrash : Infinity);
@@ -427,6 +430,7 @@
 		const isCut = this.fault === 'cutStream' || (first === 1 && this.cutsStream?.(headers['attempt-id']) === true);
 		for (let index = first; index <= this.eventCount; index++) {
 			await sleep(this.stepMs);
+			await this.pauseStream(index - first);
 			if (index === this.eventCount) {
 				await this.lastEventGate;
 			}
@@ -464,6 +468,12 @@
 		response.end();
 	}
 
+	private async pauseStream(sentCount: number): Promise<void> {
+		if (this.streamPause?.afterEvents === sentCount) {
+			await sleep(this.streamPause.ms);
+		}
+	}
+
 	private sendSurplus(socket: Socket): void {
 		const text = this.surplus.get(socket);
 		if (text !== undefined) {
