Write responses out before a planned stop closes their connections

Large responses to slow readers were cut by a planned stop. A host counted a request as ended once its response had been handed to the socket, and then closed all connections and exited; and each half second it closed the connections that Node counts as idle, which includes those whose response is complete but still waits in the process. Server.close() does the same. Now a stopping host counts the responses that are not written out and waits for them within the grace time (an entry with agents: up to 5 s), stops listening without closing any connection, and closes one only if it has no open request, nothing to write, and nothing arrived after it was read once more.

--- a/src/daemon/node/direct-entry.ts
+++ b/src/daemon/node/direct-entry.ts
@@ -102,11 +102,12 @@
 		await this.waitUntil(() => clock.nowMs() >= startMs + acceptWhileStoppingMs);
 		// Requests accepted later might not finish in time; the load balancer was notified well before.
 		ingress.stopAccepting();
-		await this.waitUntil(() => clock.nowMs() >= latestMs || (ingress.openCount === 0 && batchHandler.isIdle));
+		const hasAnswered = () => ingress.openCount === 0 && ingress.unwrittenCount === 0;
+		await this.waitUntil(() => clock.nowMs() >= latestMs || (hasAnswered() && batchHandler.isIdle));
 		// If a connection closes without a response, its caller receives no information, not even that it may retry.
 		ingress.refuseUnstarted();
-		await this.waitUntil(() => clock.nowMs() >= latestMs + lastResponsesMs || ingress.openCount === 0);
-		log.info('The entry has stopped.', {open: ingress.openCount, tookMs: Math.round(clock.nowMs() - startMs)});
+		await this.waitUntil(() => clock.nowMs() >= latestMs + lastResponsesMs || hasAnswered());
+		log.info('The entry has stopped.', {open: ingress.openCount, unwritten: ingress.unwrittenCount, tookMs: Math.round(clock.nowMs() - startMs)});
 	}
 
 	private async waitUntil(condition: () => boolean): Promise<void> {
--- a/src/direct/node/ingress.ts
+++ b/src/direct/node/ingress.ts
@@ -128,6 +128,11 @@
 		return this.openRequests.size + this.receivingCount;
 	}
 
+	/** Number of requests whose response has not been written out to the caller's connection. */
+	get unwrittenCount(): number {
+		return this.connections.openCount;
+	}
+
 	/**
 	Starts listening for requests.
 	@param callers - endpoint for callers.
@@ -145,9 +150,9 @@
 	*/
 	stopAccepting(): void {
 		this.hasStoppedAccepting = true;
-		this.callers.close();
+		this.connections.stopAccepting();
 		this.disposables.add(setRepeating(this.options.clock, () => connectionCheckMs / 2, () => {
-			this.callers.closeIdleConnections();
+			this.connections.closeIdle();
 		}));
 	}
 
--- a/src/entry/node/entry-service.ts
+++ b/src/entry/node/entry-service.ts
@@ -27,6 +27,8 @@
 const drainCheckIntervalMs = 20;
 /** Maximum time for which a stopping entry tries to store the outcomes of requests that run at most once. */
 const settleTimeoutMs = 5000;
+/** Maximum time for which a stopping entry writes the last responses to callers that read slowly. */
+const writeTimeoutMs = 5000;
 
 /** Endpoints that an entry listens on. */
 export type EntryEndpoints = {readonly wire: Endpoint; readonly callers: Endpoint; readonly operators: Endpoint};
@@ -188,9 +190,13 @@
 			await this.wait(drainCheckIntervalMs);
 		}
 
-		// The last responses may still be in transit to their callers.
-		this.callersServer.close();
-		this.callersServer.closeIdleConnections();
+		this.connections.stopAccepting();
+		const writtenByMs = this.options.clock.nowMs() + writeTimeoutMs;
+		while (this.connections.openCount > 0 && this.options.clock.nowMs() < writtenByMs) {
+			await this.wait(drainCheckIntervalMs);
+		}
+
+		this.connections.closeIdle();
 		await this.wait(drainCheckIntervalMs);
 	}
 
--- a/src/wire/node/caller-connections.test.ts
+++ b/src/wire/node/caller-connections.test.ts
@@ -233,3 +233,26 @@
 	t.same(patient.statuses, [200]);
 	t.same(harness.ends, []);
 });
+
+/* Guards against a planned stop that takes a complete response for a written one: large responses to slow readers were cut. */
+t.test('a stop closes idle connections, and leaves those whose response is not written out', async t => {
+	const harness = await Harness.create(t);
+	const idle = await harness.send(requestOf('idle'), 1);
+	harness.seen[0].response.end('x');
+	const slow = await harness.send(requestOf('slow'), 2);
+	slow.socket.pause();
+	harness.seen[1].response.end(Buffer.alloc(largeBytes));
+	await waitUntil(() => idle.text.endsWith('x') && harness.connections.openCount === 1);
+	harness.connections.stopAccepting();
+	harness.connections.closeIdle();
+	await waitUntil(() => idle.isClosed);
+	harness.connections.closeIdle();
+	await sleep(50);
+	slow.socket.resume();
+	await waitUntil(() => slow.isClosed || harness.connections.openCount === 0);
+	t.equal(harness.connections.openCount, 0);
+	harness.connections.closeIdle();
+	await waitUntil(() => slow.isClosed);
+	t.ok(slow.text.length > largeBytes);
+	t.same(harness.ends, []);
+});
--- a/src/wire/node/caller-connections.ts
+++ b/src/wire/node/caller-connections.ts
@@ -7,7 +7,7 @@
 	STATUS_CODES, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
 import type {Duplex} from 'node:stream';
-import type {Socket} from 'node:net';
+import {Server as TcpServer, type Socket} from 'node:net';
 import type {Clock} from '../../base/common/clock.js';
 import type {Logger} from '../../base/common/logger.js';
 import type {Metrics} from '../../base/common/metrics.js';
@@ -47,6 +47,7 @@
 	/** Status for what the caller sent behind its valid requests; the connection closes after it. */
 	failureStatus?: number;
 	isFailureSent: boolean;
+	hasHadRequest: boolean;
 };
 
 /** Dependencies of the observation. */
@@ -129,6 +130,31 @@
 		}
 	}
 
+	/** Number of requests whose response has not been written out, on connections that are open. */
+	get openCount(): number {
+		let count = 0;
+		for (const {exchanges} of this.connections.values()) {
+			count += exchanges.length;
+		}
+
+		return count;
+	}
+
+	/** Accepts no more connections. Open ones stay, also idle ones: a request may have arrived on them. */
+	stopAccepting(): void {
+		// The method of HTTP servers also destroys connections whose last response is complete but not written out.
+		TcpServer.prototype.close.call(this.options.server);
+	}
+
+	/** Closes the connections that have had a request and have none open, unless more has arrived on them. */
+	closeIdle(): void {
+		for (const connection of this.connections.values()) {
+			if (connection.exchanges.length === 0 && connection.hasHadRequest) {
+				this.closeUnlessRead(connection);
+			}
+		}
+	}
+
 	/** Records that a planned stop is about to end all connections. */
 	attributeAllToStop(): void {
 		for (const connection of this.connections.values()) {
@@ -145,7 +171,9 @@
 	}
 
 	private open(socket: Socket): Connection {
-		const connection: Connection = {socket, exchanges: [], isFailureSent: false};
+		const connection: Connection = {
+			socket, exchanges: [], isFailureSent: false, hasHadRequest: false,
+		};
 		this.connections.set(socket, connection);
 		socket.on('close', () => {
 			this.connections.delete(socket);
@@ -164,6 +192,7 @@
 			request, response, requestId: '', isWritten: false, isRejected: connection.failureStatus !== undefined,
 		};
 		connection.exchanges.push(exchange);
+		connection.hasHadRequest = true;
 		response.once('finish', () => {
 			// The event also occurs when a connection ends whose last bytes still wait in this process.
 			exchange.isWritten = !socket.destroyed;
@@ -274,6 +303,16 @@
 		});
 	}
 
+	/** Closes an idle connection after it was read once more. */
+	private closeUnlessRead({socket, exchanges}: Connection): void {
+		const {bytesRead} = socket;
+		afterReading(() => {
+			if (exchanges.length === 0 && socket.bytesRead === bytesRead && socket.writableLength === 0) {
+				socket.destroy();
+			}
+		});
+	}
+
 	private exchangeOf(response: ServerResponse): Exchange | undefined {
 		return this.connections.get(response.req.socket)?.exchanges.find(exchange => exchange.response === response);
 	}
@@ -284,3 +323,10 @@
 	const body = 'Not run: this is not a valid HTTP request.\n';
 	return `HTTP/1.1 ${status} ${STATUS_CODES[status]}\r\nContent-Type: text/plain; charset=utf-8\r\nConnection: close\r\nContent-Length: ${Buffer.byteLength(body)}\r\n\r\n${body}`;
 }
+
+/** Calls a function once all connections were read: in a process that stood still, timers run before what has arrived meanwhile is read. */
+function afterReading(run: () => void): void {
+	setImmediate(() => {
+		setImmediate(run);
+	});
+}
