Let a call of steps go on while its server is silent

Callers saw steps computed twice, and requests refused or failed, because the server of a step was silent for a second or so. A call ended at six times its usual duration plus 0.5 s (0.65 s in the tests), and its pieces waited to be sent again as repeats: charged to the budget, computed again by the same server, and, where the budget was spent, by nobody.

An overdue call now goes on. Its pieces may be sent to another server as well, within the budget as before; the first answer to a piece counts, a copy that still waits is dropped, and a result that comes second is released. Copies of a piece whose call goes on are not reported as late, moved or failed from the queue. The call ends once none of its pieces is needed: all are answered by others, or their requests have ended. Its server gets no other call until 2 s after it was overdue, the longest time for which a failing server was avoided, as the response to a call may also be lost. A call that was answered late teaches no durations and counts for at most the slowness of one that had timed out: silence is not speed.

Cost: with one server only, a call whose response was lost is repeated after 2 s instead of 0.25 s.

--- a/src/preparation/common/batch-call.ts
+++ b/src/preparation/common/batch-call.ts
@@ -19,7 +19,7 @@
 	readonly pieces: readonly BatchPiece[];
 	readonly sentMs: number;
 	readonly expectedMs: number;
-	/** Time at which the call times out. */
+	/** Time at which the response is overdue. */
 	readonly deadlineMs: number;
 	/** Work that the call counts for in the measured throughput, in the unit of the pool's `CallTimes`; the sum of its pieces if absent. */
 	readonly amount?: number | undefined;
--- a/src/preparation/common/batch-scheduler.test.ts
+++ b/src/preparation/common/batch-scheduler.test.ts
@@ -378,3 +378,65 @@
 	scheduler.failCall(unreachable, 'unreachable', 10);
 	t.equal(namesOf(scheduler.nextCalls([server('t')], capacity, 20)[0]), 'a0 a1');
 });
+
+// Guards against an overdue call that is counted twice or forgotten: its pieces are sent elsewhere too, and each is reported once.
+t.test('the first answer to a piece of an overdue call counts, whichever call brings it', async t => {
+	for (const isSilentFirst of [true, false]) {
+		const scheduler = BatchScheduler.create();
+		scheduler.add(workOf('w', 2), 0);
+		const [silent] = scheduler.nextCalls([server('s')], capacity, 0);
+		scheduler.callOverdue(silent, silent.deadlineMs);
+		const nowMs = silent.deadlineMs + 1;
+		t.same(scheduler.nextCalls([server('s')], capacity, nowMs), [], 'its server gets nothing meanwhile');
+		const [copy] = scheduler.nextCalls([server('s'), server('t')], capacity, nowMs);
+		t.equal(namesOf(copy), 'w0 w1');
+		const [first, second] = isSilentFirst ? [silent, copy] : [copy, silent];
+		t.equal(scheduler.completeCall(first, allDone(first), capacity, nowMs + 50).length, 2);
+		t.same(scheduler.unneededCalls, isSilentFirst ? [] : [silent]);
+		t.same(scheduler.completeCall(second, allDone(second), capacity, nowMs + 60), []);
+		t.same(scheduler.takeSurplus(), allDone(second).map(outcome => outcome.ok && outcome.ref), 'results that nothing reads');
+		t.equal(scheduler.callCount + scheduler.waitingCount, 0);
+	}
+});
+
+// Guards against pieces that are sent again although the silent server has answered them, or that fail while it may still answer them.
+t.test('queued pieces of an overdue call end with its answer, and do not fail before it', async t => {
+	const scheduler = BatchScheduler.create({repeats: {available: () => 0, take: () => undefined}});
+	scheduler.add(workOf('w', 2, {deadlineMs: 1500}), 0);
+	const [silent] = scheduler.nextCalls([server('s')], capacity, 0);
+	scheduler.callOverdue(silent, silent.deadlineMs);
+	t.equal(scheduler.waitingCount, 2);
+	t.same(scheduler.nextCalls([server('t')], capacity, silent.deadlineMs), [], 'the budget allows no repeat');
+	t.same([...scheduler.sweep(() => true, 2000), ...scheduler.failWaiting(), ...scheduler.takeWaiting()], []);
+	t.equal(scheduler.completeCall(silent, allDone(silent), capacity, 2100).filter(({outcome}) => outcome.ok).length, 2);
+	t.equal(scheduler.callCount + scheduler.waitingCount, 0);
+});
+
+t.test('pieces of an overdue call that breaks off are sent again once, and fail if their time is over', async t => {
+	for (const [deadlineMs, failedCount, waitingCount] of [[5000, 0, 2], [1500, 2, 0]]) {
+		const scheduler = BatchScheduler.create();
+		scheduler.add(workOf('w', 2, {deadlineMs}), 0);
+		const [silent] = scheduler.nextCalls([server('s')], capacity, 0);
+		scheduler.callOverdue(silent, silent.deadlineMs);
+		t.same(scheduler.sweep(() => true, 1600), []);
+		t.equal(scheduler.failCall(silent, 'broken', 1600).length, failedCount);
+		t.equal(scheduler.waitingCount, waitingCount);
+	}
+});
+
+// Guards against a pool with one server that does nothing more because the response to one call was lost.
+t.test('a server whose response was lost gets work again after a time, and the overdue call ends with its work', async t => {
+	const scheduler = BatchScheduler.create();
+	scheduler.add(workOf('w', 2, {deadlineMs: 60_000}), 0);
+	const [lost] = scheduler.nextCalls([server('s')], capacity, 0);
+	scheduler.callOverdue(lost, lost.deadlineMs);
+	t.same(scheduler.nextCalls([server('s')], capacity, lost.deadlineMs + 1500), [], 'it may only be silent');
+	const [copy] = scheduler.nextCalls([server('s')], capacity, lost.deadlineMs + 2500);
+	t.equal(namesOf(copy), 'w0 w1');
+	t.equal(scheduler.callCount, 2);
+	scheduler.cancel('w');
+	t.same(scheduler.unneededCalls, [lost]);
+	t.same(scheduler.failCall(lost, 'broken', lost.deadlineMs + 2510), []);
+	t.equal(scheduler.completeCall(copy, allDone(copy), capacity, lost.deadlineMs + 2600).length, 2);
+	t.equal(scheduler.callCount + scheduler.waitingCount, 0);
+});
--- a/src/preparation/common/batch-scheduler.ts
+++ b/src/preparation/common/batch-scheduler.ts
@@ -9,6 +9,7 @@
 	fetchTimeOf, type BatchCall, type BatchPiece, type CallFailure, type FinishedPiece,
 } from './batch-call.js';
 import {CanceledWorks} from './canceled-works.js';
+import {OverdueCalls} from './overdue-calls.js';
 import {PieceQueue, type HandlingSource} from './piece-queue.js';
 import {unlimitedRepeats, type PieceRepeats} from './piece-repeats.js';
 import {selectPieces} from './piece-selection.js';
@@ -18,12 +19,12 @@
 import {PolicySwitch, type ScheduledOptions} from './scheduling-policy.js';
 import {spaceReportOf} from './space-report.js';
 import {
-	pieceFailures, type BatchWork, type PieceOutcome,
+	pieceFailures, type BatchWork, type PieceOutcome, type ResultRef,
 } from './work.js';
 
 /** Attempts at one piece before it fails. */
 const maxAttempts = 4;
-/** A call times out after this multiple of the typical duration of the pool's calls, plus a margin for the network. */
+/** A call is overdue after this multiple of the typical duration of the pool's calls, plus a margin for the network. */
 const timeoutFactor = 6;
 const timeoutMarginMs = 500;
 
@@ -71,6 +72,9 @@
 	private readonly policies: PolicySwitch;
 	private readonly estimates: PoolEstimates;
 	private readonly canceled = CanceledWorks.create();
+	private readonly overdue = OverdueCalls.create();
+	/** Results of pieces that another call had answered before. */
+	private surplus: ResultRef[] = [];
 	private lastCallId = 0;
 	/** Last call made before another host scheduled the pool; 0 if none did. */
 	private lastCallIdBeforeOthers = 0;
@@ -92,7 +96,7 @@
 
 	/** Number of calls in progress. */
 	get callCount(): number {
-		return this.upstreams.callCount;
+		return this.openCalls.length;
 	}
 
 	add(work: BatchWork, nowMs: number): void {
@@ -113,24 +117,52 @@
 	*/
 	cancel(workId: string): void {
 		this.queue.removeWork(workId);
-		this.canceled.add(workId, this.upstreams.calls);
+		this.canceled.add(workId, this.openCalls);
+	}
+
+	/**
+	Handles a call whose response is overdue. Its server may only be silent for a moment, so the call goes on; its pieces wait to be sent to another one as well.
+	@param call - the call.
+	@param nowMs - the current time.
+	*/
+	callOverdue(call: BatchCall, nowMs: number): void {
+		this.upstreams.of(call.server).callOverdue(call, nowMs);
+		this.overdue.add(call);
+		for (const item of call.pieces) {
+			const isNeeded = nowMs < item.work.deadlineMs && !this.overdue.isAnswered(item) && !this.canceled.has(item.work.workId);
+			if (isNeeded && item.attempts < maxAttempts) {
+				this.queueAgain({...item, isRepeat: true});
+			}
+		}
+	}
+
+	/** Overdue calls in progress of whose pieces none is needed any more: others have answered them, or their requests have ended. */
+	get unneededCalls(): BatchCall[] {
+		return [...this.overdue.calls].filter(({pieces}) => pieces.every(item => this.overdue.isAnswered(item) || this.canceled.has(item.work.workId)));
+	}
+
+	/** Returns results that nothing reads, because another call had answered their pieces before, and forgets them. */
+	takeSurplus(): readonly ResultRef[] {
+		const {surplus} = this;
+		this.surplus = [];
+		return surplus;
 	}
 
 	/**
 	Removes everything queued, as when another host takes over batching for the pool.
-	@returns the pieces, none of which is in progress.
+	@returns the pieces, without those that are in progress.
 	*/
 	takeWaiting(): FinishedPiece[] {
 		this.lastCallIdBeforeOthers = this.lastCallId;
-		return this.queue.takeAll(({isRepeat}) => isRepeat ? pieceFailures.movedRepeat : pieceFailures.moved);
+		return this.withoutOpen(this.queue.takeAll(({isRepeat}) => isRepeat ? pieceFailures.movedRepeat : pieceFailures.moved));
 	}
 
 	/**
 	Fails everything queued, as when no upstream accepts work for some time.
-	@returns the pieces, none of which has been started.
+	@returns the pieces, without those that are in progress.
 	*/
 	failWaiting(): FinishedPiece[] {
-		return this.queue.takeAll(() => pieceFailures.noUpstream);
+		return this.withoutOpen(this.queue.takeAll(() => pieceFailures.noUpstream));
 	}
 
 	/**
@@ -142,7 +174,7 @@
 	*/
 	failLate(servers: readonly UpstreamServer[], capacity: BatchCapacity, nowMs: number): FinishedPiece[] {
 		const rates = this.estimates.queueRates(servers, capacity, nowMs);
-		return rates ? this.queue.takeUnservable(this.policies.at(nowMs).orderOf(capacity), rates, nowMs) : [];
+		return rates ? this.withoutOpen(this.queue.takeUnservable(this.policies.at(nowMs).orderOf(capacity), rates, nowMs)) : [];
 	}
 
 	/**
@@ -217,17 +249,25 @@
 				state.space.add(outcome.ref.handle, work.resultBytes, call.sentMs, nowMs + capacity.resultTtlMs);
 			}
 
+			if (this.overdue.isAnswered(item)) {
+				this.surplus.push(...(outcome.ok ? [outcome.ref] : []));
+				continue;
+			}
+
 			const hadNoSpace = !outcome.ok && outcome.reason === pieceFailures.noRoom;
 			const mayRetry = hadNoSpace || (!outcome.ok && outcome.reason === pieceFailures.failed);
 			if (mayRetry && attempts < maxAttempts && !(policy.dropsCanceled && this.canceled.has(work.workId))) {
 				// An attempt that found no space cost only a round trip, so it does not count.
-				this.queue.add({...item, attempts: attempts - (hadNoSpace ? 1 : 0), isRepeat: true});
-			} else {
+				this.queueAgain({...item, attempts: attempts - (hadNoSpace ? 1 : 0), isRepeat: true});
+			} else if (!mayRetry || !this.isOpenElsewhere(item, call)) {
+				this.overdue.answered(item);
+				this.queue.removePiece(item);
 				finished.push({work, piece, outcome});
 			}
 		}
 
-		this.canceled.sweep(this.upstreams.calls);
+		this.overdue.ended(call);
+		this.canceled.sweep(this.openCalls);
 		return finished;
 	}
 
@@ -243,16 +283,21 @@
 		const policy = this.policies.at(nowMs);
 		const finished: FinishedPiece[] = [];
 		for (const item of call.pieces) {
+			if (this.overdue.isAnswered(item)) {
+				continue;
+			}
+
 			// A refused call cost the upstream nothing, so it does not count as an attempt.
 			const attempts = item.attempts - (reason === 'refused' ? 1 : 0);
 			if (attempts >= maxAttempts || nowMs >= item.work.deadlineMs || (policy.dropsCanceled && this.canceled.has(item.work.workId))) {
-				finished.push({work: item.work, piece: item.piece, outcome: {ok: false, reason: pieceFailures.failed}});
+				finished.push(...(this.isOpenElsewhere(item, call) ? [] : [{work: item.work, piece: item.piece, outcome: {ok: false, reason: pieceFailures.failed}} as const]));
 			} else {
-				this.queue.add({...item, attempts, isRepeat: item.isRepeat === true || reason !== 'unreachable'});
+				this.queueAgain({...item, attempts, isRepeat: item.isRepeat === true || reason !== 'unreachable'});
 			}
 		}
 
-		this.canceled.sweep(this.upstreams.calls);
+		this.overdue.ended(call);
+		this.canceled.sweep(this.openCalls);
 		return finished;
 	}
 
@@ -277,7 +322,7 @@
 	*/
 	sweep(isKnown: (serverId: string) => boolean, nowMs: number): FinishedPiece[] {
 		this.upstreams.sweep(isKnown);
-		return this.queue.sweep(nowMs);
+		return this.withoutOpen(this.queue.sweep(nowMs));
 	}
 
 	/**
@@ -330,6 +375,11 @@
 		return this.upstreams.typicalSlowness(servers, nowMs);
 	}
 
+	/** Calls in progress. An upstream may have an overdue one beside its latest. */
+	private get openCalls(): BatchCall[] {
+		return [...new Set([...this.upstreams.calls, ...this.overdue.calls])];
+	}
+
 	private startCall(server: UpstreamServer, capacity: BatchCapacity, conditions: PoolConditions, nowMs: number): BatchCall | undefined {
 		const {pieces, isShortened} = this.takePieces(server, capacity, conditions, nowMs);
 		if (pieces.length === 0) {
@@ -351,9 +401,27 @@
 			...(isShortened && {amount: usualMs}),
 		};
 		this.upstreams.of(server).call = call;
+		this.overdue.sent(call);
 		return call;
 	}
 
+	/** Queues a piece that was sent, unless it is queued already, as one of an overdue call is. */
+	private queueAgain(item: BatchPiece): void {
+		if (!this.queue.hasPiece(item)) {
+			this.queue.add(item);
+		}
+	}
+
+	/** Whether a piece of a call may still be answered by another one. */
+	private isOpenElsewhere(item: BatchPiece, call: BatchCall): boolean {
+		return this.queue.hasPiece(item) || this.overdue.isInProgress(item, call);
+	}
+
+	/** Leaves out pieces of overdue calls: these calls may still answer them, or report their failure. */
+	private withoutOpen(finished: FinishedPiece[]): FinishedPiece[] {
+		return finished.filter(item => !this.overdue.isInProgress(item));
+	}
+
 	/** Leaves out pieces that would exceed the budget of repeats; they stay queued until it allows them or their time is over. */
 	private affordable(items: readonly BatchPiece[], nowMs: number): readonly BatchPiece[] {
 		const repeatCount = items.filter(({isRepeat}) => isRepeat).length;
--- a/src/preparation/common/batch-upstream.ts
+++ b/src/preparation/common/batch-upstream.ts
@@ -7,10 +7,9 @@
 /** Time without a call after which the excess slowness of an upstream is halved: it may have recovered. */
 const slownessHalfLifeMs = 2500;
 /**
-Bound on the slowness derived from a call that timed out: it shows that the call would have taken longer, not how much
-longer, and an upstream that hangs must not count as infinitely slow.
+Bound on the slowness derived from a call that was overdue: an upstream that hangs, or falls silent for a moment, must not count as that slow.
 */
-const maxTimedOutSlowness = 20;
+const maxOverdueSlowness = 20;
 /** Time without work after a failed call; it doubles with each further failure. */
 const firstAvoidMs = 250;
 const maxAvoidMs = 2000;
@@ -47,8 +46,12 @@
 
 	private constructor(private readonly reportedSlowness: ReportedSlowness) {}
 
+	/**
+	Whether it may receive a call. A server with an overdue call is left alone for a time in which a silent one goes on; then the response may have been lost.
+	@param nowMs - the current time.
+	*/
 	isFree(nowMs: number): boolean {
-		return this.call === undefined && !this.isAvoided(nowMs);
+		return (this.call === undefined || nowMs >= this.call.deadlineMs + maxAvoidMs) && !this.isAvoided(nowMs);
 	}
 
 	/** Whether it receives no work for now because calls to it have failed. */
@@ -94,20 +97,33 @@
 		this.clearCall(call);
 		this.failures = 0;
 		this.avoidedUntilMs = -Infinity;
-		const ratio = (nowMs - call.sentMs) / call.expectedMs;
+		const ratio = Math.min(nowMs < call.deadlineMs ? Infinity : maxOverdueSlowness, (nowMs - call.sentMs) / call.expectedMs);
 		this.slowness = (this.measuredSlownessAt(nowMs) * (1 - slownessWeight)) + (ratio * slownessWeight);
 		this.measuredMs = nowMs;
 	}
 
+	/**
+	Handles a call whose response is overdue.
+	@param call - the call, which is in progress.
+	@param nowMs - the current time.
+	*/
+	callOverdue(call: BatchCall, nowMs: number): void {
+		// It may still be running the call when the next one arrives.
+		this.answeredCallId = 0;
+		const ratio = Math.min(maxOverdueSlowness, (nowMs - call.sentMs) / call.expectedMs);
+		if (ratio > this.measuredSlownessAt(nowMs)) {
+			// If all upstreams are that slow, the next call is given more time.
+			this.slowness = ratio;
+			this.measuredMs = nowMs;
+		}
+	}
+
 	failCall(call: BatchCall, nowMs: number): void {
 		this.clearCall(call);
 		// The upstream may still be running it.
 		this.answeredCallId = 0;
-		const ratio = Math.min(maxTimedOutSlowness, (nowMs - call.sentMs) / call.expectedMs);
-		if (nowMs >= call.deadlineMs && ratio > this.measuredSlownessAt(nowMs)) {
-			// The call timed out. If all upstreams are that slow, the next call is given more time.
-			this.slowness = ratio;
-			this.measuredMs = nowMs;
+		if (nowMs >= call.deadlineMs) {
+			this.callOverdue(call, nowMs);
 		}
 
 		this.avoidedUntilMs = nowMs + Math.min(maxAvoidMs, firstAvoidMs * (2 ** this.failures));
--- a/src/preparation/common/piece-queue.ts
+++ b/src/preparation/common/piece-queue.ts
@@ -60,6 +60,21 @@
 		this.replaceAll(this.pieces.filter(item => !taken.has(item)));
 	}
 
+	/** Whether a piece is queued. */
+	hasPiece({work: {workId}, piece}: Pick<BatchPiece, 'work' | 'piece'>): boolean {
+		return this.pieces.some(item => item.work.workId === workId && item.piece === piece);
+	}
+
+	/**
+	Removes a piece that is no longer needed, if it is queued.
+	@param item - the piece.
+	*/
+	removePiece(item: Pick<BatchPiece, 'work' | 'piece'>): void {
+		if (this.hasPiece(item)) {
+			this.replaceAll(this.pieces.filter(({work, piece}) => work.workId !== item.work.workId || piece !== item.piece));
+		}
+	}
+
 	/**
 	Removes the queued pieces of one work.
 	@param workId - ID of the work.
--- a/src/preparation/common/pool-estimates.ts
+++ b/src/preparation/common/pool-estimates.ts
@@ -65,8 +65,8 @@
 			? done.reduce((sum, item) => sum + times.amountOf(item, capacity), 0)
 			: call.amount * done.length / call.pieces.length;
 		this.throughput.record(amount, nowMs);
-		// Pieces that found no space took no time; how long others that failed took is unknown.
-		if (done.length > 0 && outcomes.every(outcome => outcome.ok || outcome.reason === pieceFailures.noRoom)) {
+		// Pieces that found no space took no time; how long others that failed took is unknown. An overdue call was silent for part of its time.
+		if (nowMs < call.deadlineMs && done.length > 0 && outcomes.every(outcome => outcome.ok || outcome.reason === pieceFailures.noRoom)) {
 			times.record(done, nowMs - call.sentMs, call.slowness ?? 1, capacity);
 		}
 	}
--- a/src/preparation/node/batch-pool.ts
+++ b/src/preparation/node/batch-pool.ts
@@ -74,6 +74,8 @@
 	private readonly connectionPools = new Map<string, ConnectionPool>();
 	private readonly releases: ResultReleases;
 	private readonly calls: IdentifiedCalls;
+	/** Ends a call in progress, by its ID. */
+	private readonly callEnds = new Map<number, AbortController>();
 	private readonly disposables = DisposableStore.create();
 	private readonly controller = new AbortController();
 	private timer: Disposable | undefined;
@@ -202,6 +204,7 @@
 
 	cancel(workId: string): void {
 		this.scheduler.cancel(workId);
+		this.endUnneededCalls();
 	}
 
 	/** Removes all queued pieces; each is reported as moved. */
@@ -217,6 +220,10 @@
 		this.disposables.dispose();
 		this.timer?.dispose();
 		this.controller.abort();
+		for (const callEnd of this.callEnds.values()) {
+			callEnd.abort();
+		}
+
 		for (const pool of this.connectionPools.values()) {
 			pool.dispose();
 		}
@@ -252,6 +259,24 @@
 		}
 	}
 
+	/** Ends overdue calls of whose pieces none is needed any more. */
+	private endUnneededCalls(): void {
+		for (const {callId} of this.scheduler.unneededCalls) {
+			this.callEnds.get(callId)?.abort();
+		}
+	}
+
+	private handleOverdue(call: BatchCall): void {
+		const {clock, log, metrics, pool} = this.options;
+		const nowMs = clock.nowMs();
+		log.info('The response to a batch is overdue; its pieces may be sent to another upstream as well.', {
+			pool, server: call.server.serverId, pieces: call.pieces.length, tookMs: Math.round(nowMs - call.sentMs),
+		});
+		metrics.increment('batch.overdue', 1, {pool});
+		this.scheduler.callOverdue(call, nowMs);
+		this.schedule();
+	}
+
 	private async runCall(call: BatchCall, capacity: BatchCapacity): Promise<void> {
 		const {clock, protocol, registry, notices, bounds, log, metrics, pool} = this.options;
 		const {server} = call;
@@ -267,10 +292,14 @@
 		}
 
 		bounds.sent(server, call.sentMs);
-		const timeLimit = TimeLimit.create(clock, call.deadlineMs - clock.nowMs(), this.controller.signal);
+		const callEnd = new AbortController();
+		this.callEnds.set(call.callId, callEnd);
+		const overdueTimer = clock.setTimer(call.deadlineMs - clock.nowMs(), () => {
+			this.handleOverdue(call);
+		});
 		const fetchTimeMs = this.scheduler.fetchTimeMs(call, capacity, clock.nowMs());
 		let fetchTimer: Disposable | undefined;
-		const response = await this.calls.make({server, connection}, requestId => protocol.encodeRun(call, requestId, clock.nowMs()), timeLimit.signal, {
+		const response = await this.calls.make({server, connection}, requestId => protocol.encodeRun(call, requestId, clock.nowMs()), callEnd.signal, {
 			onSent: () => {
 				fetchTimer = fetchTimeMs === undefined
 					? undefined
@@ -285,13 +314,13 @@
 			},
 		});
 		fetchTimer?.dispose();
-		const hasTimedOut = timeLimit.signal.aborted;
-		timeLimit.dispose();
+		overdueTimer.dispose();
+		this.callEnds.delete(call.callId);
 		if (this.controller.signal.aborted) {
 			return;
 		}
 
-		if (!response.ok && response.error.wasWritten && !response.error.isForeign && !hasTimedOut) {
+		if (!response.ok && response.error.wasWritten && !response.error.isForeign && !callEnd.signal.aborted) {
 			this.reportInterrupted(call);
 		}
 
@@ -302,6 +331,8 @@
 			metrics.increment('batch.pieces', call.pieces.length, {pool});
 			this.log.logNoSpace(call, decoded.value, this.scheduler.usedBytesAt(server.serverId, nowMs), capacity);
 			this.notifyFinished(this.scheduler.completeCall(call, decoded.value, capacity, nowMs));
+			this.releases.add(this.scheduler.takeSurplus());
+			this.endUnneededCalls();
 		} else {
 			const reason = decoded?.error ?? (response.ok || response.error.wasWritten ? 'broken' : 'unreachable');
 			const detail = response.ok ? `status ${response.value.status}` : response.error.message;
--- a/test/platform/server-standin.ts
+++ b/test/platform/server-standin.ts
@@ -158,7 +158,7 @@
 	leavingReportedMs: number | undefined;
 	/** Calls of stage work get a response only after this promise is resolved. */
 	stageGate: Promise<void> | undefined;
-	/** A silence within the responses to calls of stage work and to releases. */
+	/** A silence within its next response to a call of stage work or to a release. */
 	stagePause: ResponsePause | undefined;
 	/** The last event of each stream is sent only after this promise is resolved. */
 	lastEventGate: Promise<void> | undefined;
@@ -352,9 +352,7 @@
 		this.seen.push({
 			id, method: request.method ?? '', path: request.url ?? '', headers: request.headers, body,
 		});
-		response.on('close', () => {
-			this.closedEarlyCount += response.writableFinished ? 0 : 1;
-		});
+		this.countEarlyClose(response);
 		if (this.responder) {
 			await this.responder(request, response);
 			return;
@@ -370,6 +368,12 @@
 		}
 	}
 
+	private countEarlyClose(response: ServerResponse): void {
+		response.on('close', () => {
+			this.closedEarlyCount += response.writableFinished ? 0 : 1;
+		});
+	}
+
 	private hasFatalPart(request: IncomingMessage): boolean {
 		const parts = String(request.headers['prompt-prefix'] ?? '').split(',').map(part => part.split(':')[0]);
 		return this.crashesOnPart !== undefined && parts.includes(this.crashesOnPart);
@@ -491,6 +495,7 @@
 		}
 
 		this.stageCalls.push(entries);
+		this.countEarlyClose(response);
 		await this.stageGate;
 		await sleep(this.stepMs);
 		if (this.crashesOnPieceKey !== undefined && entries.some(({tlsKey}) => tlsKey === this.crashesOnPieceKey)) {
@@ -521,14 +526,16 @@
 	}
 
 	private async sendStageResponse({socket, headers}: IncomingMessage, response: ServerResponse, value: unknown): Promise<void> {
-		if (!this.stagePause) {
+		const pause = this.stagePause;
+		this.stagePause = undefined;
+		if (!pause) {
 			sendJson(response, 200, value);
 			return;
 		}
 
 		const text = JSON.stringify(value);
 		const id = String(headers['attempt-id'] ?? '');
-		await writePaused(socket, `HTTP/1.1 200 OK\r\nAttempt-Id: ${id}\r\nConnection: close\r\nContent-Type: application/json\r\nContent-Length: ${text.length}`, text, this.stagePause);
+		await writePaused(socket, `HTTP/1.1 200 OK\r\nAttempt-Id: ${id}\r\nConnection: close\r\nContent-Type: application/json\r\nContent-Length: ${text.length}`, text, pause);
 		socket.end();
 	}
 }
