Tell pieces that were added again from those of overdue calls

A piece whose work had been added a second time under the same ID was taken for one of an overdue call and dropped when its call failed: contention-policy.test, *pieces of canceled work in a call that fails ...*, had 4 pieces waiting where 5 are due. Only pieces of overdue calls in progress are compared now.

--- a/src/preparation/common/batch-scheduler.ts
+++ b/src/preparation/common/batch-scheduler.ts
@@ -260,8 +260,11 @@
 				// An attempt that found no space cost only a round trip, so it does not count.
 				this.queueAgain({...item, attempts: attempts - (hadNoSpace ? 1 : 0), isRepeat: true});
 			} else if (!mayRetry || !this.isOpenElsewhere(item, call)) {
-				this.overdue.answered(item);
-				this.queue.removePiece(item);
+				if (this.overdue.isTracked(item)) {
+					this.overdue.answered(item);
+					this.queue.removePiece(item);
+				}
+
 				finished.push({work, piece, outcome});
 			}
 		}
@@ -407,14 +410,14 @@
 
 	/** Queues a piece that was sent, unless it is queued already, as one of an overdue call is. */
 	private queueAgain(item: BatchPiece): void {
-		if (!this.queue.hasPiece(item)) {
+		if (!this.overdue.isTracked(item) || !this.queue.hasPiece(item)) {
 			this.queue.add(item);
 		}
 	}
 
 	/** Whether a piece of a call may still be answered by another one. */
 	private isOpenElsewhere(item: BatchPiece, call: BatchCall): boolean {
-		return this.queue.hasPiece(item) || this.overdue.isInProgress(item, call);
+		return this.overdue.isTracked(item) && (this.queue.hasPiece(item) || this.overdue.isInProgress(item, call));
 	}
 
 	/** Leaves out pieces of overdue calls: these calls may still answer them, or report their failure. */
--- a/src/preparation/common/overdue-calls.ts
+++ b/src/preparation/common/overdue-calls.ts
@@ -77,6 +77,11 @@
 		}
 	}
 
+	/** Whether an overdue call has carried a piece that is still in progress. */
+	isTracked(item: PieceIdentity): boolean {
+		return this.states.has(keyOf(item));
+	}
+
 	/** Whether a piece was answered by a call while another one with it goes on. */
 	isAnswered(item: PieceIdentity): boolean {
 		return this.states.get(keyOf(item))?.isAnswered === true;
