Serve requests that arrived while the process stood still

A process that stood still for longer than the idle limit, or the limit for heads, runs its timers before it reads: a connection on which a whole request had arrived was destroyed, or got 408. Both limits now take effect only after the connection was read once more. A raised idle limit also holds for connections that are idle already, plus the margin of a second that Node adds: callers may take up a connection up to the limit that the declaration gives.

Evidence: three new tests of caller-connections.test (a busy loop of 1.6 s beside limits of 0.2 s, 0.6 s beside 0.3 s, a limit that is raised).

--- a/src/wire/node/caller-connections.test.ts
+++ b/src/wire/node/caller-connections.test.ts
@@ -256,3 +256,55 @@
 	t.ok(slow.text.length > largeBytes);
 	t.same(harness.ends, []);
 });
+
+/** Keeps this process busy, so that its timers run late and before anything is read. */
+function standStill(durationMs: number): void {
+	const endMs = performance.now() + durationMs;
+	while (performance.now() < endMs) {
+		// Nothing else runs meanwhile.
+	}
+}
+
+/* Guards against a host that stood still and closes a connection on which a whole request waits to be read. */
+t.test('a request that arrived while the process stood still for longer than the idle limit is served', async t => {
+	const harness = await Harness.create(t);
+	harness.server.keepAliveTimeout = 200;
+	const caller = await harness.send(requestOf('first'), 1);
+	harness.seen[0].response.end('x');
+	await waitUntil(() => caller.text.endsWith('x'));
+	caller.socket.write(requestOf('second'));
+	standStill(1600);
+	await waitUntil(() => caller.isClosed || harness.seen.length === 2);
+	t.equal(harness.seen.length, 2);
+	harness.seen.at(1)?.response.end('y');
+	await waitUntil(() => caller.isClosed);
+	t.same(caller.statuses, [200, 200], 'and the connection is closed when it is idle again');
+});
+
+t.test('a request whose head was completed while the process stood still for longer than its limit is served', async t => {
+	const harness = await Harness.create(t, 300);
+	const caller = harness.call();
+	const [before, after] = ['GET /whole HTTP/1.1\r\nHo', 'st: h\r\n\r\n'];
+	caller.socket.write(before);
+	await sleep(50);
+	await setImmediate();
+	caller.socket.write(after);
+	standStill(600);
+	await waitUntil(() => caller.isClosed || harness.seen.length === 1);
+	harness.seen.at(0)?.response.end('x');
+	await waitUntil(() => caller.isClosed || caller.statuses.length > 0);
+	t.same(caller.statuses, [200]);
+});
+
+/* Guards against a connection that is closed before the idle limit that its caller may rely on: the limit was raised while it was idle. */
+t.test('an idle connection stays open for the limit that holds now', async t => {
+	const harness = await Harness.create(t);
+	harness.server.keepAliveTimeout = 100;
+	const caller = await harness.send(requestOf('first'), 1);
+	harness.seen[0].response.end('x');
+	const startMs = performance.now();
+	await waitUntil(() => caller.text.endsWith('x'));
+	harness.server.keepAliveTimeout = 1500;
+	await waitUntil(() => caller.isClosed);
+	t.ok(performance.now() - startMs >= 1490, String(performance.now() - startMs));
+});
--- a/src/wire/node/caller-connections.ts
+++ b/src/wire/node/caller-connections.ts
@@ -47,7 +47,10 @@
 	/** Status for what the caller sent behind its valid requests; the connection closes after it. */
 	failureStatus?: number;
 	isFailureSent: boolean;
-	hasHadRequest: boolean;
+	/** Number of requests so far. */
+	requestCount: number;
+	/** When the last response was written out. */
+	idleSinceMs: number;
 };
 
 /** Dependencies of the observation. */
@@ -55,9 +58,10 @@
 
 const timeoutCode = 'ERR_HTTP_REQUEST_TIMEOUT';
 const badRequest = 400;
+const requestTimeout = 408;
 const expectationFailed = 417;
 /** Statuses for what is no valid request, by the code of the error; others get 400. */
-const failureStatuses: ReadonlyMap<string, number> = new Map([[timeoutCode, 408], ['HPE_HEADER_OVERFLOW', 431], ['HPE_CHUNK_EXTENSIONS_OVERFLOW', 413]]);
+const failureStatuses: ReadonlyMap<string, number> = new Map([['HPE_HEADER_OVERFLOW', 431], ['HPE_CHUNK_EXTENSIONS_OVERFLOW', 413]]);
 /** Code of the error when a caller closes its side within a request. */
 const endWithinRequestCode = 'HPE_INVALID_EOF_STATE';
 /**
@@ -65,6 +69,8 @@
 be reset and might discard the response.
 */
 const lingerMs = 1000;
+/** Time for which an idle connection stays open beyond its limit: a caller counts from when it received the response. */
+const idleMarginMs = 1000;
 
 /** Keeps the open connections of one HTTP server. */
 export class CallerConnections {
@@ -90,6 +96,10 @@
 		server.on('request', (request: IncomingMessage, response: ServerResponse) => {
 			this.begin(request, response);
 		});
+		// Without a listener the connection would be destroyed, also if a request has arrived that was not read yet.
+		server.on('timeout', (socket: Socket) => {
+			this.handleIdle(socket);
+		});
 		server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
 			this.handleClientError(error, socket);
 		});
@@ -149,7 +159,7 @@
 	/** Closes the connections that have had a request and have none open, unless more has arrived on them. */
 	closeIdle(): void {
 		for (const connection of this.connections.values()) {
-			if (connection.exchanges.length === 0 && connection.hasHadRequest) {
+			if (connection.exchanges.length === 0 && connection.requestCount > 0) {
 				this.closeUnlessRead(connection);
 			}
 		}
@@ -172,7 +182,7 @@
 
 	private open(socket: Socket): Connection {
 		const connection: Connection = {
-			socket, exchanges: [], isFailureSent: false, hasHadRequest: false,
+			socket, exchanges: [], isFailureSent: false, requestCount: 0, idleSinceMs: this.options.clock.nowMs(),
 		};
 		this.connections.set(socket, connection);
 		socket.on('close', () => {
@@ -192,7 +202,7 @@
 			request, response, requestId: '', isWritten: false, isRejected: connection.failureStatus !== undefined,
 		};
 		connection.exchanges.push(exchange);
-		connection.hasHadRequest = true;
+		connection.requestCount++;
 		response.once('finish', () => {
 			// The event also occurs when a connection ends whose last bytes still wait in this process.
 			exchange.isWritten = !socket.destroyed;
@@ -209,6 +219,7 @@
 		}
 
 		connection.exchanges.splice(index, 1);
+		connection.idleSinceMs = this.options.clock.nowMs();
 		if (!exchange.isWritten) {
 			this.report(exchange, connection);
 		}
@@ -244,10 +255,44 @@
 			return;
 		}
 
-		connection.cause ??= {ending: code === timeoutCode ? connectionEndings.headerTimeout : connectionEndings.clientError, code};
+		if (code === timeoutCode) {
+			this.handleExpiry(connection);
+			return;
+		}
+
+		connection.cause ??= {ending: connectionEndings.clientError, code};
 		this.fail(connection, failureStatuses.get(code ?? '') ?? badRequest);
 	}
 
+	/** Ends a connection whose next request did not arrive in time, unless the rest of it is there to be read. */
+	private handleExpiry(connection: Connection): void {
+		const {requestCount, exchanges} = connection;
+		const incomplete = exchanges.at(-1)?.request;
+		const wasComplete = incomplete?.complete ?? true;
+		afterReading(() => {
+			const hasArrived = connection.requestCount > requestCount || (!wasComplete && incomplete?.complete);
+			if (!hasArrived && connection.failureStatus === undefined) {
+				connection.cause ??= {ending: connectionEndings.headerTimeout, code: timeoutCode};
+				this.fail(connection, requestTimeout);
+			}
+		});
+	}
+
+	/** Closes a connection that was idle for the time limit, by the limit that holds now. */
+	private handleIdle(socket: Socket): void {
+		const connection = this.connections.get(socket);
+		if (!connection || connection.exchanges.length > 0) {
+			return;
+		}
+
+		const remainingMs = Math.ceil(connection.idleSinceMs + this.options.server.keepAliveTimeout + idleMarginMs - this.options.clock.nowMs());
+		if (remainingMs > 0) {
+			socket.setTimeout(remainingMs);
+		} else {
+			this.closeUnlessRead(connection);
+		}
+	}
+
 	private handleConnect(socket: Duplex): void {
 		const connection = this.connections.get(socket);
 		// The server has removed its own listeners.
