Pass on a request once the response before it is written out

Requests that a caller sent behind each other on one connection were all passed on at once. A response that has to end the connection (cut off because of its upstream, or with Connection: close on a host that leaves) took those behind it along: they had run, and got no answer. If the caller left, the requests behind the first also went on, as a response that waits for another one gets no event when its connection ends. Now each waits for its turn and is passed on only if its connection lasts; time that it waits counts against its own limit. HTTP asks for the same unless all methods are safe.

Evidence: new tests in caller-connections.test and ingress.test; on the former code all three requests are passed on at once.

--- a/src/direct/node/ingress.test.ts
+++ b/src/direct/node/ingress.test.ts
@@ -1,6 +1,7 @@
 import {
 	Agent, request as httpRequest, type ClientRequest, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
+import {connect, type Socket} from 'node:net';
 import {setImmediate} from 'node:timers/promises';
 import t, {type Test} from 'tap';
 import {silentLoggers} from '../../base/common/logger.js';
@@ -167,6 +168,11 @@
 		return sent;
 	}
 
+	/** Opens a connection on which the test writes. */
+	connect(): Socket {
+		return connect({host: anyPort.address, port: this.port});
+	}
+
 	/** Sends a request with the given headers. */
 	send(headers: Readonly<Record<string, string>>, agent: Agent | false = false): {readonly call: ClientRequest; readonly response: Promise<IncomingMessage>} {
 		const call = httpRequest({
@@ -379,3 +385,19 @@
 		t.equal(harness.connectionCount, 1);
 	});
 }
+
+/* Guards against requests of one connection that are passed on and lost, because a response before theirs ended it. */
+t.test('a request is passed on once the response before it on its connection is complete, also if it waits for long', async t => {
+	const harness = await IngressHarness.create(t);
+	const socket = harness.connect();
+	socket.write(['first', 'second', 'third'].map(id => `GET / HTTP/1.1\r\nHost: h\r\nx-id: ${id}\r\nx-plain: 1\r\n\r\n`).join(''));
+	await harness.waitUntil(() => harness.started.length > 0 && harness.ingress.unwrittenCount === 3);
+	t.same(harness.started.map(({plan}) => plan.requestId), ['first']);
+	harness.finish(0);
+	await harness.waitUntil(() => harness.started.length > 1);
+	t.same(harness.started.map(({plan}) => plan.requestId), ['first', 'second']);
+	socket.destroy();
+	await harness.waitUntil(() => harness.ingress.unwrittenCount === 0);
+	await setImmediate();
+	t.equal(harness.started.length, 2, 'the third is not passed on');
+});
--- a/src/direct/node/ingress.ts
+++ b/src/direct/node/ingress.ts
@@ -232,6 +232,16 @@
 			return;
 		}
 
+		const turn = this.connections.turnOf(response);
+		if (turn !== true && !await turn) {
+			return;
+		}
+
+		if (this.isRefusingUnstarted) {
+			this.refuse(response, stoppingRefusal(resolved.callerRequest.requestId));
+			return;
+		}
+
 		const {route, callerRequest} = resolved;
 		const sinceFirstTryMs = this.firstTryEstimator.sinceFirstTryMs(route, callerRequest.remainingMs, receivedMs);
 		const received: ReceivedRequest = {
--- a/src/wire/node/caller-connections.test.ts
+++ b/src/wire/node/caller-connections.test.ts
@@ -308,3 +308,25 @@
 	await waitUntil(() => caller.isClosed);
 	t.ok(performance.now() - startMs >= 1490, String(performance.now() - startMs));
 });
+
+/* Guards against requests that are passed on and lost with their connection, because a response before theirs ended it. */
+t.test('a request has its turn once the responses before it are written out, and none if its connection ends', async t => {
+	const harness = await Harness.create(t);
+	const turnOf = async (index: number) => harness.connections.turnOf(harness.seen[index].response);
+	await harness.send(requestOf('a') + requestOf('b') + requestOf('c'), 3);
+	const turns = [turnOf(0), turnOf(1), turnOf(2)];
+	t.equal(await turns[0], true);
+	harness.seen[0].response.end('x');
+	t.equal(await turns[1], true);
+	harness.seen[1].response.shouldKeepAlive = false;
+	harness.seen[1].response.end('y');
+	t.equal(await turns[2], false, 'its connection closes after the response before it');
+	const gone = await harness.send(requestOf('d') + requestOf('e'), 5);
+	const cut = await harness.send(requestOf('f') + requestOf('g'), 7);
+	const others = [turnOf(4), turnOf(6)];
+	gone.socket.destroy();
+	harness.seen[5].response.write('part');
+	harness.seen[5].response.destroy();
+	t.same(await Promise.all(others), [false, false]);
+	await waitUntil(() => cut.isClosed);
+});
--- a/src/wire/node/caller-connections.ts
+++ b/src/wire/node/caller-connections.ts
@@ -37,6 +37,8 @@
 	readonly request: IncomingMessage; readonly response: ServerResponse; requestId: string; isWritten: boolean; cause?: Cause;
 	/** Whether the rest of the request is invalid, so that it does not run. */
 	isRejected: boolean;
+	/** Called when the request may run, or never will. */
+	onTurn?: (mayRun: boolean) => void;
 };
 
 /** One connection, with its open exchanges in the order of their requests. */
@@ -140,6 +142,24 @@
 		}
 	}
 
+	/**
+	Waits until the responses to all earlier requests of a connection are written out. Requests that run beside each other could be
+	lost together: each response may have to end the connection.
+	@param response - the response of the request that is to run.
+	@returns whether the request may run; if not, its connection ends without a response to it. A promise only if it has to wait.
+	*/
+	turnOf(response: ServerResponse): boolean | Promise<boolean> {
+		const connection = this.connections.get(response.req.socket);
+		const exchange = this.exchangeOf(response);
+		if (!connection || !exchange || exchange.isRejected || !connection.socket.writable) {
+			return false;
+		}
+
+		return connection.exchanges[0] === exchange || new Promise(resolve => {
+			exchange.onTurn = resolve;
+		});
+	}
+
 	/** Number of requests whose response has not been written out, on connections that are open. */
 	get openCount(): number {
 		let count = 0;
@@ -224,6 +244,9 @@
 			this.report(exchange, connection);
 		}
 
+		exchange.onTurn?.(false);
+		const next = connection.exchanges.at(0);
+		next?.onTurn?.(!next.isRejected && connection.socket.writable);
 		this.sendFailure(connection);
 	}
 
