Stop reading what a server sends without an end

What callers saw: with one of three model servers sending comments, blank lines or fields without data for ever (as fast as it could, or one each 50 ms), streams with the same prompt were cut at their deadline, nearly all new streams went to that server, and the process grew. A request that was refused as not run, with a body without an end, waited for its deadline. Blank lines before a status line, a status line, a chunk extension and blank lines behind a response were read until the deadline, some at full speed.

Cause: a block of comments counted as a unit, so it was progress of the attempt and life of the server. The HTTP client limits headers and nothing else that frames a response. The body of a refusal was ignored until its end.

The head of a stream shows no life: a server whose streams have had no event for the attempt's timeout, with no other progress, is suspect, and it is avoided like an unreachable one when such an attempt ends in whatever way, or when a call to it was ended for bytes without an end; the first event ends that. The body of a refusal, and of an error in a call of steps, is read for 100 ms and 64 KB at most, then its connection is closed: the head alone decides.

--- a/src/daemon/node/compose-direct-entry.ts
+++ b/src/daemon/node/compose-direct-entry.ts
@@ -202,6 +202,9 @@
 		onActivity(serverId, dispatchId) {
 			get(routerToken).recordActivity(serverId, dispatchId, clock.nowMs());
 		},
+		onStreamHead(serverId, dispatchId) {
+			get(routerToken).recordStreamHead(serverId, dispatchId, clock.nowMs());
+		},
 		quarantine: get(quarantineToken),
 	})));
 }
--- a/src/deployment/node/collect-response.ts
+++ b/src/deployment/node/collect-response.ts
@@ -1,15 +1,18 @@
 /** Makes one call on a pooled connection and reads the complete response. */
 import type {Dispatcher} from 'undici';
 import {joinBytes} from '../../base/common/bytes.js';
+import type {Disposable} from '../../base/common/disposable.js';
 import {messageOf, UnavailableError} from '../../base/common/errors.js';
 import {fail, ok, type Outcome} from '../../base/common/outcome.js';
 import type {Header} from '../../wire/common/messages.js';
 import {hasUndecodedCoding} from '../common/hop-headers.js';
-import {headersOf, isFinalStatus} from './response-head.js';
+import {headersOf, isFinalStatus, unneededBody} from './response-head.js';
 import type {PooledConnection} from './connection-pool.js';
 
 /** Largest response body that is accepted; the response to a batch names results and is far smaller. */
 const maxResponseBytes = 16 * 1024 * 1024;
+/** Responses from this status on are known by their head alone. */
+const firstErrorStatus = 300;
 
 /** Status and headers of a response. */
 export type ResponseHead = {
@@ -18,7 +21,7 @@
 	readonly headers: readonly Header[];
 };
 
-/** A response with its complete body. */
+/** A response with its complete body; that of an error may be cut off. */
 export type CompleteResponse = ResponseHead & {readonly body: Uint8Array};
 
 /** Listeners during a call. */
@@ -60,6 +63,8 @@
 		let headers: CompleteResponse['headers'] = [];
 		let sizeBytes = 0;
 		let isForeign = false;
+		let hasUnneededBody = false;
+		let bodyTimer: Disposable | undefined;
 		const chunks: Uint8Array[] = [];
 		const abort = () => {
 			if (controller) {
@@ -76,13 +81,14 @@
 
 		const settle = (outcome: Outcome<CompleteResponse, ResponseFailure>) => {
 			signal.removeEventListener('abort', abort);
+			bodyTimer?.dispose();
 			if (outcome.ok) {
 				connection.release();
 			} else {
 				connection.discard();
 			}
 
-			resolve(outcome);
+			resolve(outcome.ok || !hasUnneededBody ? outcome : ok({status, headers, body: joinBytes(chunks)}));
 		};
 
 		signal.addEventListener('abort', abort, {once: true});
@@ -106,13 +112,19 @@
 						onHead?.({status, headers});
 						if (hasUndecodedCoding({headers})) {
 							started.abort(new UnavailableError('the response body has a transfer coding that is not decoded'));
+						} else if (status >= firstErrorStatus) {
+							bodyTimer = connection.setTimer(unneededBody.timeoutMs, () => {
+								hasUnneededBody = true;
+								started.abort(new UnavailableError('the body of an error has no end'));
+							});
 						}
 					}
 				},
 				onResponseData(reading, bytes) {
 					chunks.push(bytes);
 					sizeBytes += bytes.byteLength;
-					if (sizeBytes > maxResponseBytes) {
+					hasUnneededBody ||= status >= firstErrorStatus && sizeBytes > unneededBody.maxBytes;
+					if (sizeBytes > maxResponseBytes || hasUnneededBody) {
 						reading.abort(new UnavailableError('the response body exceeds the size limit'));
 					}
 				},
--- a/src/deployment/node/connection-pool.ts
+++ b/src/deployment/node/connection-pool.ts
@@ -6,6 +6,7 @@
 import type {Header} from '../../wire/common/messages.js';
 import {isUnframed} from '../common/hop-headers.js';
 import type {UpstreamServer} from '../common/upstream-server.js';
+import {FramingLimit} from './framing-limit.js';
 import {crashSettleMs, isListening} from './server-liveness.js';
 
 /** Maximum time for opening a connection: hosts are a few milliseconds apart, and a lost first packet is resent only after a second. */
@@ -42,6 +43,7 @@
 	private isDisposed = false;
 	private idleSinceMs = 0;
 	private socket: Socket | undefined;
+	private readonly framing = FramingLimit.create();
 	private readonly client: Client;
 
 	private constructor(private readonly server: UpstreamServer, private readonly clock: Clock) {
@@ -114,7 +116,7 @@
 	*/
 	dispatch(options: Dispatcher.DispatchOptions, handler: Dispatcher.DispatchHandler): void {
 		this.isBusy = true;
-		this.client.dispatch(options, handler);
+		this.client.dispatch(options, this.framing.limit(handler));
 	}
 
 	/** Marks the connection as idle after a call that ended normally; the upstream may still close it after the response. */
@@ -135,6 +137,16 @@
 		this.dispose();
 	}
 
+	/**
+	Calls back after a time, as measured by the clock of the connection's host.
+	@param delayMs - the time.
+	@param callback - what is called.
+	@returns a disposable that prevents the call.
+	*/
+	setTimer(delayMs: number, callback: () => void): Disposable {
+		return this.clock.setTimer(delayMs, callback);
+	}
+
 	/** Closes the connection so that bytes of a call that were not received yet are discarded, instead of arriving when the network lets them through. */
 	reset(): void {
 		this.socket?.resetAndDestroy();
@@ -153,6 +165,7 @@
 	private watchSocket(socket: Socket): void {
 		this.socket = socket;
 		socket.setNoDelay(true);
+		this.framing.watch(socket);
 		/*
 		Both run before undici's own listeners. To undici the end of the connection, and also a reset with this code, ends a response without a framing; it then
 		throws out of the listener if the response's reader is paused. A reset is no such end, and a paused reader can't be resumed after it.
--- a/src/deployment/node/response-head.ts
+++ b/src/deployment/node/response-head.ts
@@ -22,3 +22,6 @@
 	return (Array.isArray(rawHeaders) ? pairHeaders(rawHeaders) : [])
 		.map(({name, value}) => ({name: name.toLowerCase(), value}));
 }
+
+/** How long, and up to which size, a body that nobody needs is read so that its connection can be used again; it usually arrives with the head. */
+export const unneededBody = {timeoutMs: 100, maxBytes: 64 * 1024} as const;
--- a/src/direct/common/direct-router.ts
+++ b/src/direct/common/direct-router.ts
@@ -1,4 +1,5 @@
 /** Routing for upstreams without an agent: combines the server list, liveness, statistics and retry budgets. */
+import {isEndless} from '../../deployment/common/endless-response.js';
 import type {ServerRegistry} from '../../deployment/common/server-registry.js';
 import type {UpstreamServer} from '../../deployment/common/upstream-server.js';
 import type {Attempt} from '../../request/common/attempt.js';
@@ -226,6 +227,10 @@
 		const {candidate, liveness} = known;
 		candidate.stats.inFlight--;
 		liveness.forget(dispatchId);
+		if (isEndless(attempt.reason) || isStalled(stage, attempt, liveness, nowMs)) {
+			liveness.connectionFailed(nowMs, initialUnreachableBackoffMs, maxUnreachableBackoffMs);
+		}
+
 		if (neutralReasons.has(attempt.reason)) {
 			return;
 		}
@@ -300,6 +305,16 @@
 		this.knownServers.get(serverId)?.liveness.received(dispatchId, nowMs);
 	}
 
+	/**
+	Records that the head of a stream was received from a server.
+	@param serverId - id of the server.
+	@param dispatchId - id of the attempt to which the head belongs.
+	@param nowMs - the current time.
+	*/
+	recordStreamHead(serverId: string, dispatchId: string, nowMs: number): void {
+		this.knownServers.get(serverId)?.liveness.streamBegan(dispatchId, nowMs);
+	}
+
 	/** Servers of the pool that may be chosen now. Suspect servers are included only if there is no other, and cold servers only if no warm one remains. */
 	private usable(stage: StagePlan, excluded: ReadonlySet<string>, nowMs: number): readonly Candidate[] {
 		const {availability} = this.options;
@@ -311,7 +326,8 @@
 	private isSuspect(candidate: Candidate, stage: StagePlan, nowMs: number): boolean {
 		const {liveness} = this.knownServers.get(candidate.upstreamId)!;
 		const typicalMs = this.responseTimes.typicalMs(stage.key) ?? defaultResponseMs;
-		return liveness.isAvoided(nowMs) || this.options.refusals.isAvoided(candidate.upstreamId, nowMs) || liveness.silentMs(nowMs) > Math.max(minSilentMs, typicalMs * silentResponseTimes);
+		const isStalled = liveness.silentMs(nowMs) > Math.max(minSilentMs, typicalMs * silentResponseTimes) || liveness.eventlessMs(nowMs) > stage.policy.timeoutMs;
+		return isStalled || liveness.isAvoided(nowMs) || this.options.refusals.isAvoided(candidate.upstreamId, nowMs);
 	}
 
 	private chooseByPrompt(stage: StagePlan, candidates: readonly Candidate[], nowMs: number): Candidate | undefined {
@@ -351,6 +367,11 @@
 	}
 }
 
+/** Returns whether an attempt has ended, in whatever way, after a silence in which its server made no progress in any other response either. */
+function isStalled({policy}: StagePlan, {lastReceivedMs}: Attempt, liveness: ServerLiveness, nowMs: number): boolean {
+	return nowMs - lastReceivedMs >= policy.timeoutMs && liveness.hasStalledSince(lastReceivedMs);
+}
+
 /** Returns what a stage requires of an engine, or undefined if it has no prompt. */
 function promptWorkOf({pool, prompt, inputBytesByHall}: StagePlan): PromptWork | undefined {
 	return prompt && {pool, prompt, ...(inputBytesByHall && {inputBytesByHall})};
--- a/src/direct/node/direct-call.test.ts
+++ b/src/direct/node/direct-call.test.ts
@@ -39,9 +39,9 @@
 	onUnproven: () => undefined,
 };
 
-type FakeConnection = Pick<PooledConnection, 'mayBeTruncated' | 'release' | 'discard' | 'reset' | 'isServerListening'>;
+type FakeConnection = Pick<PooledConnection, 'mayBeTruncated' | 'release' | 'discard' | 'reset' | 'isServerListening' | 'setTimer'>;
 const fakeConnection: FakeConnection = {
-	mayBeTruncated: () => false, release: () => undefined, discard: () => undefined, reset: () => undefined, isServerListening: async () => true,
+	mayBeTruncated: () => false, release: () => undefined, discard: () => undefined, reset: () => undefined, isServerListening: async () => true, setTimer: () => ({dispose: () => undefined}),
 };
 
 /*
--- a/src/direct/node/direct-call.ts
+++ b/src/direct/node/direct-call.ts
@@ -2,8 +2,10 @@
 import type {Dispatcher} from 'undici';
 import {messageOf, UnavailableError} from '../../base/common/errors.js';
 import {extendDigest} from '../../base/common/hash.js';
+import type {Disposable} from '../../base/common/disposable.js';
+import {isEndless} from '../../deployment/common/endless-response.js';
 import {endsWithConnection, hasUndecodedCoding} from '../../deployment/common/hop-headers.js';
-import {headersOf, isFinalStatus} from '../../deployment/node/response-head.js';
+import {headersOf, isFinalStatus, unneededBody} from '../../deployment/node/response-head.js';
 import type {PooledConnection} from '../../deployment/node/connection-pool.js';
 import type {HttpResponseHead} from '../../request/common/request-plan.js';
 import {
@@ -57,7 +59,9 @@
 	private splitter: EventSplitter | undefined;
 	/** Why the upstream did not run the call, once the head of the response has reported it. */
 	private refusal: RefusalReason | undefined;
-	/** Why the response does not belong to this call, or does not follow what the caller has. */
+	private refusalBodyBytes = 0;
+	private refusalTimer: Disposable | undefined;
+	/** Why the response does not belong to this call, does not follow what the caller has, or is read no further. */
 	private foreignReason: string | undefined;
 	/** Whether an event of the response has been compared with what the caller has. */
 	private hasJoined = false;
@@ -128,6 +132,9 @@
 		const classification = protocol.classifyHead(this.head, callerRequestId);
 		if (classification.kind === 'notRun') {
 			this.refusal = classification.reason;
+			this.refusalTimer = this.options.connection.setTimer(unneededBody.timeoutMs, () => {
+				controller.abort(new UnavailableError('the body of the refusal has no end'));
+			});
 			return;
 		}
 
@@ -149,8 +156,17 @@
 
 	/** Called for bytes of the response. Forwards complete events of a stream, and any bytes of another response. */
 	onResponseData(controller: Dispatcher.DispatchController, bytes: Uint8Array): void {
+		if (this.refusal !== undefined) {
+			this.refusalBodyBytes += bytes.byteLength;
+			if (this.refusalBodyBytes > unneededBody.maxBytes) {
+				controller.abort(new UnavailableError('the body of the refusal is too long'));
+			}
+
+			return;
+		}
+
 		// Resuming the reader can report empty data.
-		if (bytes.byteLength === 0 || this.refusal !== undefined || this.foreignReason !== undefined || this.isFinished || this.isCancelled) {
+		if (bytes.byteLength === 0 || this.foreignReason !== undefined || this.isFinished || this.isCancelled) {
 			return;
 		}
 
@@ -160,15 +176,15 @@
 		}
 
 		const events = this.splitter.push(bytes);
-		if (this.splitter.isEventTooLarge) {
-			controller.abort(new UnavailableError('an event is larger than is taken'));
-		} else if (events) {
+		if (events) {
 			this.checkJoin(events.data);
-			if (this.foreignReason === undefined) {
-				this.forward(events.data, events.units);
-			} else {
-				controller.abort(new UnavailableError(this.foreignReason));
-			}
+		}
+
+		this.foreignReason ??= this.splitter.problem;
+		if (this.foreignReason !== undefined) {
+			controller.abort(new UnavailableError(this.foreignReason));
+		} else if (events) {
+			this.forward(events.data, events.units);
 		}
 	}
 
@@ -189,7 +205,7 @@
 		} else if (this.endsWithConnection) {
 			void this.endIfProven();
 		} else {
-			this.end('completed');
+			this.complete();
 		}
 	}
 
@@ -203,10 +219,13 @@
 			this.refuse(this.isCancelled ? refusalReasons.cancelled : refusalReasons.unreachable);
 		} else if (this.isCancelled) {
 			this.end('unknown', 'cancelled');
-		} else if (this.foreignReason === undefined) {
-			this.endAsLost(messageOf(error));
-		} else {
+		} else if (this.foreignReason !== undefined) {
 			this.end('unknown', this.foreignReason);
+		} else if (isEndless(messageOf(error))) {
+			// This host has closed the connection, so that it shows nothing of the server's process.
+			this.end('unknown', messageOf(error));
+		} else {
+			this.endAsLost(messageOf(error));
 		}
 	}
 
@@ -224,7 +243,7 @@
 	/** Ends a call whose response ended with its connection: the response is complete only if the server goes on listening. */
 	private async endIfProven(): Promise<void> {
 		if (await this.options.connection.isServerListening()) {
-			this.end('completed');
+			this.complete();
 		} else {
 			this.options.onUnproven();
 			this.endAsLost('the server ended as it closed the connection');
@@ -250,7 +269,7 @@
 		this.units += units;
 		this.digest = extendDigest(this.digest, data);
 		this.remainingCredit--;
-		if (this.remainingCredit <= 0 && !this.isConnectionEnding) {
+		if (this.remainingCredit <= 0 && !this.isConnectionEnding && !this.hasResponseEnded) {
 			this.controller?.pause();
 		}
 
@@ -265,6 +284,16 @@
 		return call.kind === 'http' ? call.resumeOffset ?? 0 : 0;
 	}
 
+	/** Forwards the comments behind the last event of a complete response, and ends the call. */
+	private complete(): void {
+		const rest = this.splitter?.takeRest();
+		if (rest) {
+			this.forward(rest.data, rest.units);
+		}
+
+		this.end('completed');
+	}
+
 	private refuse(reason: RefusalReason): void {
 		this.finish({type: 'refused', dispatchId: this.options.dispatch.dispatchId, reason});
 	}
@@ -284,6 +313,7 @@
 	private finish(message: Message): void {
 		if (!this.isFinished) {
 			this.isFinished = true;
+			this.refusalTimer?.dispose();
 			this.options.onEnded();
 			this.options.emit(message);
 		}
--- a/src/direct/node/direct-links.ts
+++ b/src/direct/node/direct-links.ts
@@ -6,6 +6,7 @@
 import {messageOf} from '../../base/common/errors.js';
 import type {Logger} from '../../base/common/logger.js';
 import type {Metrics} from '../../base/common/metrics.js';
+import {isEndless} from '../../deployment/common/endless-response.js';
 import {isUnframed} from '../../deployment/common/hop-headers.js';
 import type {ServerNotices} from '../../deployment/common/server-notices.js';
 import type {ServerRegistry} from '../../deployment/common/server-registry.js';
@@ -50,8 +51,10 @@
 	readonly metrics: Metrics;
 	/** Returns the maximum number of connections of this host to one upstream of a pool. */
 	readonly maxConnections: (pool: string) => number;
-	/** Called when data was received from a server. */
+	/** Called when a server has responded, has continued a response or has ended one; what is no event does not continue a stream. */
 	readonly onActivity: (serverId: string, dispatchId: string) => void;
+	/** Called when the head of a stream was received, which shows no event yet. */
+	readonly onStreamHead: (serverId: string, dispatchId: string) => void;
 	/** Records which requests crash the servers that run them, and which don't. */
 	readonly quarantine: Pick<Quarantine, 'sent' | 'connectionLost' | 'completed'>;
 };
@@ -65,6 +68,23 @@
 	readonly connection: PooledConnection;
 };
 
+/** Whether a message shows that its server works. */
+function isProgress(message: Message): boolean {
+	switch (message.type) {
+		case 'refused': {
+			return message.reason !== refusalReasons.unreachable;
+		}
+
+		case 'end': {
+			return !isEndless(message.reason ?? '');
+		}
+
+		default: {
+			return true;
+		}
+	}
+}
+
 /** Manages the calls and connections of one host. */
 export class DirectLinks implements UpstreamTransport, Disposable {
 	static create(options: DirectLinksOptions): DirectLinks {
@@ -232,7 +252,7 @@
 					});
 				}
 
-				this.receive(server, event);
+				this.receive(server, event, context.isStreaming);
 			},
 			onConnectionLost() {
 				quarantine.connectionLost(contentIdOf(source), server, context.callerRequestId, {parts: context.sharedParts, sentMs});
@@ -267,12 +287,14 @@
 		};
 	}
 
-	private receive(server: UpstreamServer, message: Message): void {
+	private receive(server: UpstreamServer, message: Message, isStreaming: boolean): void {
 		if (message.type === 'refused' && message.reason === refusalReasons.replaced) {
 			this.options.registry.handleAddressTaken(server.serverId);
 		}
 
-		if ('dispatchId' in message && !(message.type === 'refused' && message.reason === refusalReasons.unreachable)) {
+		if (message.type === 'started' && isStreaming) {
+			this.options.onStreamHead(server.serverId, message.dispatchId);
+		} else if ('dispatchId' in message && isProgress(message)) {
 			this.options.onActivity(server.serverId, message.dispatchId);
 		}
 
--- a/src/routing/common/server-liveness.ts
+++ b/src/routing/common/server-liveness.ts
@@ -7,7 +7,10 @@
 	}
 
 	private readonly unanswered = new Map<string, number>();
+	/** Streams whose head was received, and no event, with the time of the head. */
+	private readonly eventless = new Map<string, number>();
 	private lastReceivedMs = -Infinity;
+	private lastProgressMs = -Infinity;
 	private avoidedUntilMs = -Infinity;
 	private failures = 0;
 
@@ -20,9 +23,17 @@
 		this.unanswered.set(id, nowMs);
 	}
 
+	/** Records that the head of a stream was received. It ends the silence, but does not show yet that the upstream works. */
+	streamBegan(id: string, nowMs: number): void {
+		this.unanswered.delete(id);
+		this.eventless.set(id, nowMs);
+		this.lastReceivedMs = nowMs;
+	}
+
 	/** Records that an answer started, continued or ended. */
 	received(id: string, nowMs: number): void {
-		this.unanswered.delete(id);
+		this.forget(id);
+		this.lastProgressMs = nowMs;
 		this.lastReceivedMs = nowMs;
 		this.failures = 0;
 		this.avoidedUntilMs = -Infinity;
@@ -31,10 +42,11 @@
 	/** Removes a send that ended without an answer. */
 	forget(id: string): void {
 		this.unanswered.delete(id);
+		this.eventless.delete(id);
 	}
 
 	/**
-	Records that a connection could not be established or was lost: the upstream is avoided for a time that doubles
+	Records that a connection could not be established or was lost, or that the upstream sends nothing of use: the upstream is avoided for a time that doubles
 	with each failure. Failures while the upstream is already avoided do not count.
 	@param nowMs - the current time.
 	@param initialMs - the duration of the first avoidance.
@@ -69,4 +81,22 @@
 		const [oldestMs] = this.unanswered.values();
 		return oldestMs === undefined ? 0 : Math.max(0, nowMs - Math.max(oldestMs, this.lastReceivedMs));
 	}
+
+	/**
+	Computes for how long a stream has had no event after its head, without any other progress of the upstream.
+	@param nowMs - the current time.
+	@returns the time in milliseconds; 0 if each stream has begun.
+	*/
+	eventlessMs(nowMs: number): number {
+		const [oldestMs] = this.eventless.values();
+		return oldestMs === undefined ? 0 : Math.max(0, nowMs - Math.max(oldestMs, this.lastProgressMs));
+	}
+
+	/**
+	Returns whether the upstream has made no progress in any response for a time.
+	@param sinceMs - the start of that time.
+	*/
+	hasStalledSince(sinceMs: number): boolean {
+		return this.lastProgressMs <= sinceMs;
+	}
 }
