Test requests with agents whose engines pause

Callers of pipelines got an error, or a stream that ended with one, although the engines only paused: each attempt was ended after the silence limit of its stage (0.8 s), until no attempt was left.

--- a/src/standins/node/engine-server.ts
+++ b/src/standins/node/engine-server.ts
@@ -23,6 +23,8 @@
 	slowFactor: number;
 	/** Whether every generation fails immediately. */
 	isFailing: boolean;
+	/** Whether the engine generates nothing for now; its streams stay open. */
+	isPaused: boolean;
 	/** Number of tokens after which streams are closed without an end marker. */
 	cutAfterTokens: number;
 	/** Age of the reported load. */
@@ -48,7 +50,7 @@
 	}
 
 	readonly faults: EngineFaults = {
-		slowFactor: 1, isFailing: false, cutAfterTokens: Infinity, reportLagMs: 0,
+		slowFactor: 1, isFailing: false, isPaused: false, cutAfterTokens: Infinity, reportLagMs: 0,
 	};
 
 	readonly state: EngineState;
@@ -126,7 +128,7 @@
 		this.nextStepAtMs = Math.max(this.nextStepAtMs, now - stepMs) + stepMs;
 		this.timer = setTimeout(() => {
 			this.timer = undefined;
-			for (const sequence of this.state.step()) {
+			for (const sequence of this.faults.isPaused ? [] : this.state.step()) {
 				this.emit(sequence);
 			}
 
