Keep results that are reported lost while the upstreams that store them still run

What callers saw: streams with preparation steps were cut although servers could continue them. A server that was to continue one reported a result lost (409, not run); all of its results, which had just been computed again for that very call, were computed once more. Each such stream took twice as many repeats of pieces, the budget of the steps' pool was spent, and the pieces of other streams waited for it until their callers' time was over.

Cause: the report does not say which result is lost. If all servers that store some were listed, all results were taken for lost, and with them the released results of the steps before.

Change: the servers that store results are checked first (a connection that carries nothing, 300 ms at most). Only the results of those that no longer listen are computed again. If all listen, the results are sent to another server once; a second report has all of them computed again, as before. Both sends are charged as before.

Two tests of the preparer failed before: all three results were computed again where one had to be, and results that all servers stored were computed at each report.

What it does not change: where the answer takes longer than the 20 ms after which a server is taken to have read its results, these were released, and are computed again.

--- a/src/daemon/node/compose-direct-entry.ts
+++ b/src/daemon/node/compose-direct-entry.ts
@@ -23,6 +23,7 @@
 import {DirectLinks} from '../../direct/node/direct-links.js';
 import {Ingress, ingressToken} from '../../direct/node/ingress.js';
 import {PromptUpdates} from '../../direct/node/prompt-updates.js';
+import {isListening} from '../../deployment/node/server-liveness.js';
 import {VersionArchiver} from '../../deployment/node/version-archiver.js';
 import {StreamContinuity} from '../../direct/common/stream-continuity.js';
 import {StreamDirectory} from '../../direct/node/stream-directory.js';
@@ -81,6 +82,8 @@
 const minConnections = 4;
 /** Interval of the check for servers that are missing from the list and can no longer come back. */
 const sweepIntervalMs = 200;
+/** Time limit of the check whether an upstream that stores results still runs: about what computing them again takes. */
+const resultStoreCheckTimeoutMs = 300;
 
 /**
 Composes an entry.
@@ -267,6 +270,7 @@
 	const stepTimes = StepTimes.create();
 	const preparerOptions = () => ({
 		stepTimes, quotes: get(admissionAsksToken), handler: get(batchHandlerToken), tracker: get(deploymentTrackerToken), registry: get(serverRegistryToken), clock, log: logOf('preparation'),
+		isListening: async ({address, port}: {readonly address: string; readonly port: number}) => isListening(address, port, resultStoreCheckTimeoutMs),
 	});
 	const makeRunner = () => {
 		const runner = lifecycle.register(RequestRunner.create(get(linksToken), get(routerToken), clock));
--- a/src/preparation/common/preparation.ts
+++ b/src/preparation/common/preparation.ts
@@ -257,11 +257,12 @@
 
 	/**
 	Discards lost results that the request itself was to read.
-	@param isListed - as for the inputs of a step.
+	@param isStored - whether a server still stores its results, as far as is known.
+	@param isDoubted - whether none are discarded if all of them seem to be stored; otherwise all are computed again then.
 	@returns the discarded results.
 	*/
-	discardFinals(isListed: (serverId: string) => boolean): ResultRef[] {
-		return this.discard([...this.steps.keys()].filter(index => this.isFinal(index) && !this.steps[index].isReleased), isListed);
+	discardFinals(isStored: (serverId: string) => boolean, isDoubted = false): ResultRef[] {
+		return this.discard([...this.steps.keys()].filter(index => this.isFinal(index) && !this.steps[index].isReleased), isStored, isDoubted);
 	}
 
 	/** Requests released results again if they are needed once more: a result computed from them is lost, or a call that had fetched them failed. */
--- a/src/preparation/node/preparer.test.ts
+++ b/src/preparation/node/preparer.test.ts
@@ -43,12 +43,14 @@
 type Overrides = {
 	readonly released?: ResultRef[]; readonly clock?: Clock; readonly stepTimes?: StepTimes; readonly request?: Partial<PreparationRequest>;
 	readonly forgo?: QuoteSource['forgo']; readonly onSubmitted?: QuoteSource['submitted']; readonly tracker?: DeploymentTracker;
+	/** Whether the upstream of a pool still runs; none does if absent. */
+	readonly isListening?: (serverId: string) => Promise<boolean>;
 };
 
 function makePreparer(submit: WorkHandler['submit'], changes: Overrides = {}): Preparer {
 	const {
 		released = [], clock = ManualClock.create(), stepTimes = StepTimes.create(), request = {}, forgo = () => undefined, onSubmitted = () => undefined,
-		tracker = DeploymentTracker.create(log),
+		tracker = DeploymentTracker.create(log), isListening = async () => false,
 	} = changes;
 	const handler: WorkHandler = {
 		submit,
@@ -66,7 +68,7 @@
 		})),
 	}, 0);
 	return Preparer.create({
-		handler, tracker, registry, clock, log, stepTimes, quotes: {forgo, submitted: onSubmitted},
+		handler, tracker, registry, clock, log, stepTimes, quotes: {forgo, submitted: onSubmitted}, isListening: async ({serverId}) => isListening(serverId),
 	}, {
 		requestId: 'r', callerRequestId: 'r', contentId: 'c', route, pieceCounts: [2, 1], pieceKey: 'k', rank: 0,
 		receivedMs: 0, targetMs: 1000, deadlineMs: 5000, hall: '', firstTokenMs: 100, ...request,
@@ -125,6 +127,64 @@
 	t.same(works, ['a:0,1', 'b:0', 'a:0,1', 'b:0']);
 });
 
+/** Steps that read no results: the request itself reads those of both. */
+const separateSteps: Route = {...route, steps: [{pool: 'a', after: [], resultBytes: 10}, {pool: 'b', after: [], resultBytes: 10}]};
+
+/** Completes all work at once, and notes it; the results name the work that made them. */
+function completeAll(works: string[]): WorkHandler['submit'] {
+	return (work, listener) => {
+		works.push(`${work.pool}:${work.pieces.join(',')}`);
+		for (const piece of work.pieces) {
+			listener(piece, {ok: true, ref: {handle: `${work.pool}${piece}#${works.length}`, serverId: work.pool}});
+		}
+	};
+}
+
+/* Guards against results that are all computed again, out of the budget of repeats, although only the upstream of some of them is gone. */
+t.test('of results that are reported lost, those of upstreams that still run are kept', async t => {
+	const released: ResultRef[] = [];
+	const works: string[] = [];
+	const preparer = makePreparer(completeAll(works), {released, request: {route: separateSteps}, isListening: async serverId => serverId === 'a'});
+	await preparer.run(false);
+	t.match(await resultOf(preparer.run(true)), {value: {handles: ['a0#1', 'a1#1', 'b0#3']}});
+	t.same(works, ['a:0,1', 'b:0', 'b:0']);
+	t.same(released.map(({handle}) => handle), ['b0#2']);
+});
+
+/* Guards against results that are computed again because a server could not read them that others can read. */
+t.test('results that are reported lost while all upstreams that store them run are computed again once they are reported again', async t => {
+	const works: string[] = [];
+	const preparer = makePreparer(completeAll(works), {isListening: async () => true});
+	await preparer.run(false);
+	t.same(await resultOf(preparer.run(true)), inputsOf('b0#2'), 'kept');
+	t.same(await resultOf(preparer.run(true)), inputsOf('b0#4'), 'computed again');
+	t.same(await resultOf(preparer.run(true)), inputsOf('b0#4'), 'the new ones are kept');
+	t.same(await resultOf(preparer.run(true)), inputsOf('b0#6'));
+});
+
+/* Guards against work that is submitted, and results that stay stored, for a request that ended while its upstreams were checked. */
+t.test('a request that ends while the upstreams that store its results are checked submits nothing more', async t => {
+	const works: string[] = [];
+	const released: ResultRef[] = [];
+	let answer: (isListening: boolean) => void = () => undefined;
+	const preparer = makePreparer(completeAll(works), {
+		released, isListening: async () => new Promise(resolve => {
+			answer = resolve;
+		}),
+	});
+	await preparer.run(false);
+	void preparer.run(true);
+	preparer.end();
+	const again = preparer.run(true);
+	answer(false);
+	t.same(await resultOf(again), inputsOf('b0#4'));
+	await new Promise(resolve => {
+		setImmediate(resolve);
+	});
+	t.same(works, ['a:0,1', 'b:0', 'a:0,1', 'b:0']);
+	t.same(released.map(({handle}) => handle), ['a0#1', 'a1#1', 'b0#2', 'a0#3', 'a1#3']);
+});
+
 t.test('results are released soon after the request was sent, and computed again if it had not read them', async t => {
 	const released: ResultRef[] = [];
 	const clock = ManualClock.create();
--- a/src/preparation/node/preparer.ts
+++ b/src/preparation/node/preparer.ts
@@ -6,6 +6,7 @@
 import {routeKinds, type Route} from '../../deployment/common/declaration.js';
 import type {DeploymentTracker} from '../../deployment/common/deployment-tracker.js';
 import type {ServerRegistry} from '../../deployment/common/server-registry.js';
+import type {UpstreamServer} from '../../deployment/common/upstream-server.js';
 import {failureCodes, type PreparationFailure, type PreparedInputs} from '../../request/common/request-plan.js';
 import {maxWaitTargets} from '../common/chain-admission.js';
 import {fetchTimeMs, inputFetchTimeMs} from '../common/fetch-time.js';
@@ -74,6 +75,8 @@
 	readonly stepTimes: StepTimes;
 	/** Receives the steps that are submitted, and the reservations of requests that end before that. */
 	readonly quotes: Pick<QuoteSource, 'forgo' | 'submitted'>;
+	/** Returns whether a process listens at the address of an upstream. */
+	readonly isListening: (server: UpstreamServer) => Promise<boolean>;
 };
 
 type Result = Outcome<PreparedInputs, PreparationFailure>;
@@ -102,6 +105,8 @@
 	private hasEnded = false;
 	/** Runs while the upstream fetches the results it reads. */
 	private fetchTimer: Disposable | undefined;
+	/** Handles of results that were reported lost once although all of them seemed to be stored. */
+	private doubtedHandles: readonly string[] = [];
 
 	private constructor(private readonly options: PreparerOptions, private readonly request: PreparationRequest) {
 		const {route: {steps}, pieceCounts, scheduling} = request;
@@ -123,8 +128,10 @@
 			const {route, pieceCounts} = this.request;
 			this.preparation = Preparation.create(route.steps, pieceCounts, true);
 			this.hasEnded = false;
-		} else if (isRetry) {
-			this.release(this.preparation.discardFinals(serverId => this.isListed(serverId)));
+		} else if (isRetry && !this.preparation.areFinalsReleased && !await this.discardLost()) {
+			return new Promise(() => {
+				// Never settled, like a run that is ended later.
+			});
 		}
 
 		return new Promise(resolve => {
@@ -164,6 +171,37 @@
 		this.forgoReservations();
 	}
 
+	/**
+	Discards results that an upstream reported lost. The report does not say which, and results are rarely lost without the upstream that stores them, so those of upstreams that
+	still run are kept. If that holds for all of them, another upstream may be able to read them; a second report discards them.
+	@returns whether the preparation goes on; false if it was ended meanwhile.
+	*/
+	private async discardLost(): Promise<boolean> {
+		const {preparation} = this;
+		const refs = preparation.finalRefs;
+		const isReportedAgain = refs.some(({handle}) => this.doubtedHandles.includes(handle));
+		const running = isReportedAgain ? undefined : await this.runningUpstreams(refs);
+		if (this.hasEnded || this.preparation !== preparation) {
+			return false;
+		}
+
+		const discarded = preparation.discardFinals(serverId => running?.has(serverId) ?? this.isListed(serverId), running !== undefined);
+		this.doubtedHandles = preparation.finalRefs.map(({handle}) => handle);
+		this.options.log.info('Results that a request was to read were reported lost.', {
+			request: this.request.callerRequestId, results: refs.length, discarded: discarded.length,
+		});
+		this.release(discarded);
+		return true;
+	}
+
+	/** Returns the listed upstreams that store results and still run. */
+	private async runningUpstreams(refs: readonly ResultRef[]): Promise<ReadonlySet<string>> {
+		const {registry, isListening} = this.options;
+		const servers = [...new Set(refs.map(({serverId}) => serverId))].map(serverId => registry.get(serverId)).filter(server => server !== undefined);
+		const areRunning = await Promise.all(servers.map(async server => isListening(server)));
+		return new Set(servers.filter((_, index) => areRunning[index]).map(({serverId}) => serverId));
+	}
+
 	private forgoReservations(): void {
 		if (this.reservedSteps.size > 0) {
 			const {requestId, route: {steps}} = this.request;
--- a/test/platform/stream-continuations.test.ts
+++ b/test/platform/stream-continuations.test.ts
@@ -1,12 +1,22 @@
 /** Tests how streams are continued at servers whose events do not follow those that the caller has, with real hosts. */
 import t from 'tap';
 import {
-	completeStream, sendRequest, streamCall, type CallerResponse,
+	completeStream, longTimeoutConfig, sendRequest, streamCall, waitUntil, type CallerResponse,
 } from './direct-harness.js';
 import {addHosts, makeLongTimeoutFleet, stepsCall} from './direct-load.js';
 
 const streamCount = 20;
 
+/** Returns a config by which results take seconds to fetch, so that they are not released before a server has responded. */
+function slowLinkConfig(version: number) {
+	const config = longTimeoutConfig(version);
+	return {
+		...config,
+		routes: config.routes.map(route => 'phases' in route ? {...route, phases: (route.phases as Array<Record<string, unknown>>).map(phase => ({...phase, byteCount: 100_000}))} : route),
+		backends: config.backends.map(pool => 'segments' in pool ? {...pool, segments: {...pool.segments, headroomMb: 100, linkMbps: 1}} : pool),
+	};
+}
+
 /*
 Guards against streams that have events twice, or lack some, and look complete: the first event of the call that continued them was not compared with the last one
 that the caller had received.
@@ -89,3 +99,34 @@
 	t.equal(models.flatMap(({arrivedRequests}) => arrivedRequests).length, 2 * streamCount, 'each was sent to two servers');
 	t.equal(stages.flatMap(({stageCalls}) => stageCalls).length, 4 * streamCount, 'and its results were computed twice');
 });
+
+/*
+Guards against streams that are cut because a server reported a result lost that was stored: all results of the stream were computed once more, out of the budget of
+repeats.
+*/
+t.test('results that a server reports lost are sent to another server if all that store them still run', async t => {
+	const fleet = await makeLongTimeoutFleet(t);
+	fleet.store.put('op', 'config', slowLinkConfig(3));
+	const models = await fleet.addServers('model', 4, 5);
+	const stages = await fleet.addServers('stage', 2, 5);
+	const reported = new Set<string>();
+	for (const model of models) {
+		model.cutsStream = () => true;
+		model.isResultLost = handle => {
+			const owner = stages.map(({resultOwners}) => resultOwners.get(handle)).find(id => id !== undefined)!;
+			const isLost = !reported.has(owner) && models.some(({seen}) => seen.some(({id}) => id === owner));
+			if (isLost) {
+				reported.add(owner);
+			}
+
+			return isLost;
+		};
+	}
+
+	const [host] = await addHosts(fleet, 1, () => ({repeats: {ratio: 0, slack: 5 * streamCount, windowMs: 60_000}}));
+	await waitUntil(() => host.lines.some(line => line.includes('"version":3')));
+	const responses = await Promise.all(Array.from({length: streamCount}, async (_, index) => sendRequest(host, stepsCall(`s${index}`))));
+	t.equal(reported.size, streamCount, 'each continuation was rejected');
+	t.equal(responses.filter(({isWhole, text}) => isWhole && text === completeStream).length, streamCount, 'all streams are whole');
+	t.equal(stages.flatMap(({stageCalls}) => stageCalls.flat()).length, 2 * 3 * streamCount, 'the results were computed twice: before the streams began, and for their continuation');
+});
