Keep results for the continuation of a stream until a server sends an event of it

What callers saw: streams with preparation steps were cut after they had broken off, for want of repeats, more often than before, where the server that was to continue them refused.

Cause: results are released 20 ms and a transfer after a request was written, when its server is taken to have read them. Since results that were released are computed again before the request is sent to the next server. A refusal that takes longer, as on a busy machine, finds them released; each such continuation has its results computed once more, out of the budget of the steps' pool, and the pieces of other streams wait for it until their time is over.

Change: results that were computed to continue a response that has begun are kept until an event of it arrives, or the request ends. Continuations are few, so that the space that this takes is small against what a recomputation costs: a caller that loses a response it has begun to read. First sends release their results as before.

The end of "results of a second preparation are released only after the request was sent again" asserted the release 100 ms after that send, the behaviour that is changed. It now asserts that the result is kept for a minute after it, and released, once, at the next event.

--- a/src/direct/node/served-request.ts
+++ b/src/direct/node/served-request.ts
@@ -114,11 +114,11 @@
 					if (origin) {
 						this.options.onStreamBegun?.(origin);
 					}
-
-					// The upstream has read the prepared results before it sends its first event.
-					preparer?.end();
 				}
 
+				// The upstream has read the prepared results before it sends its first event, also where it continues a response.
+				preparer?.end();
+
 				return this.writer.deliver(units, data, http);
 			},
 			finish: result => {
--- a/src/preparation/node/preparer.test.ts
+++ b/src/preparation/node/preparer.test.ts
@@ -215,7 +215,7 @@
 Guards against results of a second preparation that are released as soon as they are computed, and computed again: the stream had begun, was sent to another
 server, and the time for that server to fetch the first results ended during the second preparation.
 */
-t.test('results of a second preparation are released only after the request was sent again', async t => {
+t.test('results of a second preparation are released only after the request was sent again, and has read them', async t => {
 	const clock = ManualClock.create();
 	const released: ResultRef[] = [];
 	const works: Array<{readonly work: BatchWork; readonly listener: PieceListener}> = [];
@@ -253,8 +253,12 @@
 	t.equal(await areReleased(second), false);
 	t.equal(await areReleased(first), true, 'those of the first preparation are not');
 	preparer.handleSent();
-	clock.advance(100);
-	t.same(released.at(-1)?.handle, 'b0#4');
+	clock.advance(60_000);
+	t.equal(released.length, 5, 'kept until an event shows that it was read');
+	t.equal(await areReleased(second), false);
+	preparer.end();
+	t.same(released.slice(5).map(({handle}) => handle), ['b0#4']);
+	t.equal(await areReleased(second), true);
 });
 
 t.test('a step is due early enough for the measured duration of the steps that depend on it', async t => {
--- a/src/preparation/node/preparer.ts
+++ b/src/preparation/node/preparer.ts
@@ -103,6 +103,8 @@
 	/** Whether a failure was counted since the last advance. */
 	private hasFailed = false;
 	private hasEnded = false;
+	/** Whether the results are read to continue a response that has begun. */
+	private isContinuation = false;
 	/** Runs while the upstream fetches the results it reads. */
 	private fetchTimer: Disposable | undefined;
 	/** Handles of results that were reported lost once although all of them seemed to be stored. */
@@ -128,6 +130,7 @@
 			const {route, pieceCounts} = this.request;
 			this.preparation = Preparation.create(route.steps, pieceCounts, true);
 			this.hasEnded = false;
+			this.isContinuation = true;
 		} else if (isRetry && !this.preparation.areFinalsReleased && !await this.discardLost()) {
 			return new Promise(() => {
 				// Never settled, like a run that is ended later.
@@ -144,9 +147,15 @@
 	Called when the request was written to the upstream that reads its results. The upstream fetches them before anything
 	else, long before its first event, and the space for results limits what a pool can do, so they are released once they
 	must have been fetched. If a result is released too early, the upstream reports that nothing ran, and the results are computed again.
+	Results for the continuation of a response that has begun are kept until the upstream responds with an event: if it does not, computing them
+	once more could cost the caller the response.
 	*/
 	handleSent(): void {
 		this.fetchTimer?.dispose();
+		if (this.isContinuation) {
+			return;
+		}
+
 		const {tracker, clock} = this.options;
 		this.fetchTimer = clock.setTimer(fetchTimeMs(this.request.route.steps, tracker.current), () => {
 			if (!this.hasEnded) {
@@ -155,7 +164,7 @@
 		});
 	}
 
-	/** Called when the request has ended or has read its results: cancels its work and releases all results. */
+	/** Called when the request has ended, or an event shows that its upstream has read the results: cancels its work and releases all results. */
 	end(): void {
 		if (this.hasEnded) {
 			return;
--- a/test/platform/stream-continuations.test.ts
+++ b/test/platform/stream-continuations.test.ts
@@ -1,4 +1,5 @@
 /** Tests how streams are continued at servers whose events do not follow those that the caller has, with real hosts. */
+import {setTimeout as sleep} from 'node:timers/promises';
 import t from 'tap';
 import {
 	completeStream, longTimeoutConfig, sendRequest, streamCall, waitUntil, type CallerResponse,
@@ -6,6 +7,8 @@
 import {addHosts, makeLongTimeoutFleet, stepsCall} from './direct-load.js';
 
 const streamCount = 20;
+/** Long after a server is taken to have read its results. */
+const fetchedMs = 150;
 
 /** Returns a config by which results take seconds to fetch, so that they are not released before a server has responded. */
 function slowLinkConfig(version: number) {
@@ -130,3 +133,51 @@
 	t.equal(responses.filter(({isWhole, text}) => isWhole && text === completeStream).length, streamCount, 'all streams are whole');
 	t.equal(stages.flatMap(({stageCalls}) => stageCalls.flat()).length, 2 * 3 * streamCount, 'the results were computed twice: before the streams began, and for their continuation');
 });
+
+/*
+Guards against streams that are cut because their results were computed once more after a server had refused, not at once, to continue them: a moment after the send these were
+released as read.
+*/
+t.test('results for the continuation of a stream are kept until a server sends an event of it', async t => {
+	const fleet = await makeLongTimeoutFleet(t);
+	const models = await fleet.addServers('model', 4, 5);
+	const stages = await fleet.addServers('stage', 2, 5);
+	const callCounts = new Map<string, number>();
+	let endStreams: () => void = () => undefined;
+	const mayEnd = new Promise<void>(resolve => {
+		endStreams = resolve;
+	});
+	for (const model of models) {
+		model.responder = async (request, response) => {
+			const id = String(request.headers['attempt-id']);
+			const call = (callCounts.get(id) ?? 0) + 1;
+			callCounts.set(id, call);
+			if (call === 2) {
+				await sleep(fetchedMs);
+				response.writeHead(503, {'not-executed': '1', 'attempt-id': id}).end();
+				return;
+			}
+
+			response.writeHead(200, {'attempt-id': id, 'server-stamp': 's', 'content-type': 'text/event-stream'});
+			if (call === 1) {
+				response.write('id: 1\ndata: event 1\n\nid: 2\ndata: event 2\n\n');
+				await sleep(fetchedMs);
+				request.socket.resetAndDestroy();
+				return;
+			}
+
+			response.write('id: 3\ndata: event 3\n\nid: 4\ndata: event 4\n\n');
+			await mayEnd;
+			response.end('id: 5\ndata: event 5\n\n');
+		};
+	}
+
+	const [host] = await addHosts(fleet, 1, () => ({repeats: {ratio: 0, slack: 10 * streamCount, windowMs: 60_000}}));
+	const pending = Array.from({length: streamCount}, async (_, index) => sendRequest(host, {...stepsCall(`s${index}`), deadlineMs: 60_000}));
+	await waitUntil(() => stages.flatMap(({releasedResults}) => releasedResults).length >= 2 * 3 * streamCount);
+	endStreams();
+	const responses: CallerResponse[] = await Promise.all(pending);
+	t.equal(responses.filter(({isWhole, text}) => isWhole && text === completeStream).length, streamCount, 'all streams are whole');
+	t.same([...callCounts.values()], responses.map(() => 3), 'each was refused once');
+	t.equal(stages.flatMap(({stageCalls}) => stageCalls.flat()).length, 2 * 3 * streamCount, 'the results were computed twice: before the streams began, and for their continuation');
+});
--- a/test/platform/stream-versions.test.ts
+++ b/test/platform/stream-versions.test.ts
@@ -100,7 +100,7 @@
 another server never ended.
 */
 t.test('a stream with preparation steps is continued within the response at the same software version after its results were computed again', async t => {
-	// The budget is not what limits these streams: each of the twelve that are cut has its results computed three times.
+	// The budget is not what limits these streams: the results of each of the twelve that are cut are computed again, some of them twice.
 	const {fleet, hosts} = await makeVersionedFleet(t, 2, {repeats: {ratio: 1, slack: 1000, windowMs: 10_000}});
 	for (const server of fleet.servers) {
 		server.cutsStream = id => Number(id.split('-')[1]) % 5 === 0;
