Wait for the call and for its end instead of fixed times in a test of canceled calls

The test canceled its call 40 ms after it had been made and looked at the connection 150 ms later. Once, at a load of about 21, it failed: the call had not reached the server by then, so that there was nothing to reset.

--- a/src/direct/node/direct-call.test.ts
+++ b/src/direct/node/direct-call.test.ts
@@ -80,6 +80,14 @@
 */
 t.test('a call that is canceled before its response resets its connection', async t => {
 	const ends: string[] = [];
+	let onReceived: () => void = () => undefined;
+	let onClosed: () => void = () => undefined;
+	const received = new Promise<void>(resolve => {
+		onReceived = resolve;
+	});
+	const closed = new Promise<void>(resolve => {
+		onClosed = resolve;
+	});
 	const server = createServer(socket => {
 		socket.on('error', error => {
 			ends.push('code' in error ? String(error.code) : error.message);
@@ -87,7 +95,12 @@
 		socket.on('end', () => {
 			ends.push('end');
 		});
-		socket.resume();
+		socket.on('close', () => {
+			onClosed();
+		});
+		socket.on('data', () => {
+			onReceived();
+		});
 	});
 	await new Promise<void>(resolve => {
 		server.listen(0, '127.0.0.1', resolve);
@@ -101,9 +114,9 @@
 	}, SystemClock.create());
 	const call = DirectCall.create({...callOptions, connection});
 	connection.dispatch({method: 'POST', path: '/', body: 'x'}, call);
-	await sleep(40);
+	await received;
 	call.cancel();
-	await sleep(150);
+	await closed;
 	t.same(ends, ['ECONNRESET']);
 });
 
