Limit what an agent reads of an upstream that sends without an end

What would be seen: an agent whose upstream answers with a line, an error's body or a state without an end keeps all of it until the call's deadline (of a state: two seconds), and blank lines before a status line, a status line or a chunk extension are read until then at full speed.

Now: connections of agents have the limit of 512 KB on what is in no body (FramingLimit), engines included; JSON bodies are read up to 1 MB; a stream of tokens ends as failed after 1 MB without a token. Engines end their streams with a mark, so their connections need no proof of the end, as before.

--- a/src/agent/node/engine-driver.ts
+++ b/src/agent/node/engine-driver.ts
@@ -1,5 +1,5 @@
 /** Driver for model engines: starts, streams, cancels and resumes generations, and forwards orders. */
-import {Pool} from 'undici';
+import type {Pool} from 'undici';
 import {z} from 'zod';
 import {messageOf} from '../../base/common/errors.js';
 import type {CallEnd} from '../../request/common/gate-actions.js';
@@ -8,11 +8,14 @@
 	CallSink, OrderResult, UpstreamDriver, UpstreamState,
 } from '../common/upstream-driver.js';
 import {callEndOfError} from './http-errors.js';
+import {makeUpstreamPool, readJsonBody} from './upstream-client.js';
 
 const callTimeoutMs = 2000;
 const statusOk = 200;
 const inTimePriority = 2;
 const statusConflict = 409;
+/** Maximum number of bytes without a token; lines have one token each. */
+const maxTokenlessBytes = 1024 * 1024;
 
 const lineSchema = z.union([
 	z.object({index: z.number(), text: z.string()}),
@@ -29,6 +32,7 @@
 	count: number;
 	isEnded = false;
 	private partialLine = '';
+	private tokenlessBytes = 0;
 	private readonly decoder = new TextDecoder();
 	private readonly encoder = new TextEncoder();
 
@@ -40,6 +44,7 @@
 	read(bytes: Uint8Array, sink: CallSink): string | undefined {
 		const lines = `${this.partialLine}${this.decoder.decode(bytes, {stream: true})}`.split('\n');
 		this.partialLine = lines.pop() ?? '';
+		this.tokenlessBytes += bytes.byteLength;
 		let text = '';
 		let units = 0;
 		let problem: string | undefined;
@@ -64,10 +69,11 @@
 
 		if (units > 0) {
 			this.count += units;
+			this.tokenlessBytes = 0;
 			sink.chunk(units, this.encoder.encode(text));
 		}
 
-		return problem;
+		return problem ?? (this.tokenlessBytes > maxTokenlessBytes ? 'too many bytes without a token' : undefined);
 	}
 }
 
@@ -82,7 +88,7 @@
 /** Calls a model engine on the host of the agent. */
 export class EngineDriver implements UpstreamDriver {
 	static create(origin: string): EngineDriver {
-		return new EngineDriver(new Pool(origin, {bodyTimeout: 0, headersTimeout: 0}));
+		return new EngineDriver(makeUpstreamPool(origin, false));
 	}
 
 	private constructor(private readonly pool: Pool) {}
@@ -113,7 +119,7 @@
 				signal,
 			});
 			if (response.statusCode !== statusOk) {
-				const refusal = refusalSchema.safeParse(await response.body.json()).data;
+				const refusal = refusalSchema.safeParse(await readJsonBody(response.body)).data;
 				return {state: refusal?.isNotRun ? 'notRun' : 'failed', reason: refusal?.message ?? `status ${response.statusCode}`};
 			}
 
@@ -127,7 +133,7 @@
 	async readState(): Promise<UpstreamState | undefined> {
 		try {
 			const response = await this.pool.request({method: 'GET', path: '/v1/state', signal: AbortSignal.timeout(callTimeoutMs)});
-			return stateSchema.safeParse(await response.body.json()).data;
+			return stateSchema.safeParse(await readJsonBody(response.body)).data;
 		} catch {
 			return undefined;
 		}
@@ -135,7 +141,7 @@
 
 	async cancelOrphans(): Promise<void> {
 		const response = await this.pool.request({method: 'GET', path: '/v1/generations', signal: AbortSignal.timeout(callTimeoutMs)});
-		const {ids} = idsSchema.parse(await response.body.json());
+		const {ids} = idsSchema.parse(await readJsonBody(response.body));
 		await Promise.all(ids.map(async id => {
 			const path = `/v1/generations/${encodeURIComponent(id)}`;
 			const cancelled = await this.pool.request({method: 'DELETE', path, signal: AbortSignal.timeout(callTimeoutMs)});
@@ -155,7 +161,7 @@
 				}),
 				signal: AbortSignal.timeout(Math.max(1, order.timeLeftMs)),
 			});
-			const refusal = refusalSchema.safeParse(await response.body.json()).data;
+			const refusal = refusalSchema.safeParse(await readJsonBody(response.body)).data;
 			if (response.statusCode === statusOk) {
 				return {isAccepted: true};
 			}
--- a/src/agent/node/http-driver.ts
+++ b/src/agent/node/http-driver.ts
@@ -8,7 +8,7 @@
 	CallSink, OrderResult, UpstreamDriver, UpstreamState,
 } from '../common/upstream-driver.js';
 import {callEndOfError} from './http-errors.js';
-import {makeUpstreamPool} from './upstream-client.js';
+import {makeUpstreamPool, readJsonBody} from './upstream-client.js';
 
 const callTimeoutMs = 2000;
 const statusOk = 200;
@@ -67,7 +67,7 @@
 	async readState(): Promise<UpstreamState | undefined> {
 		try {
 			const response = await this.pool.request({method: 'GET', path: '/v1/state', signal: AbortSignal.timeout(callTimeoutMs)});
-			const state = stateSchema.safeParse(await response.body.json()).data;
+			const state = stateSchema.safeParse(await readJsonBody(response.body)).data;
 			return response.statusCode === statusOk && state ? {slots: state.slots, models: []} : undefined;
 		} catch {
 			return undefined;
--- a/src/agent/node/upstream-client.ts
+++ b/src/agent/node/upstream-client.ts
@@ -3,8 +3,10 @@
 import {
 	buildConnector, Client, DecoratorHandler, Pool, type Dispatcher,
 } from 'undici';
+import {joinBytes} from '../../base/common/bytes.js';
 import {UnavailableError} from '../../base/common/errors.js';
 import {endsWithConnection} from '../../deployment/common/hop-headers.js';
+import {FramingLimit} from '../../deployment/node/framing-limit.js';
 import {crashSettleMs, isListening} from '../../deployment/node/server-liveness.js';
 
 /** Time in which an upstream on the agent's own host accepts a connection if its process is there. */
@@ -60,16 +62,22 @@
 class UpstreamClient extends Client {
 	/** Whether the other side has closed the current connection in order. */
 	private wasClosedInOrder = false;
+	private readonly framing: FramingLimit;
 	private readonly url: URL;
 
-	constructor(origin: string | URL, options: Client.Options) {
+	constructor(origin: string | URL, options: Client.Options, private readonly needsProof: boolean) {
 		const connect = buildConnector({});
+		const framing = FramingLimit.create();
 		super(origin, {
 			...options,
 			connect: (target, done) => {
 				connect(target, (...result) => {
 					const [, socket] = result;
 					this.wasClosedInOrder = false;
+					if (socket) {
+						framing.watch(socket);
+					}
+
 					// Runs before the client's own listener, which takes what was received so far for the complete response.
 					socket?.prependListener('end', () => {
 						// Node reports a reset that arrives together with data as an orderly end. Only a socket that was reset has no peer any more.
@@ -79,11 +87,13 @@
 				});
 			},
 		});
+		this.framing = framing;
 		this.url = new URL(origin);
 	}
 
 	override dispatch(options: Dispatcher.DispatchOptions, handler: Dispatcher.DispatchHandler): boolean {
-		return super.dispatch(options, requireProvenEnd(handler, options.method, async () => this.isProvenComplete()));
+		const proving = this.needsProof ? requireProvenEnd(handler, options.method, async () => this.isProvenComplete()) : handler;
+		return super.dispatch(options, this.framing.limit(new DecoratorHandler(proving)));
 	}
 
 	/** A process that crashes closes its connections in order as well, so it must still be there directly after. */
@@ -101,9 +111,33 @@
 /**
 Creates a pool of connections to an upstream. Its calls have no time limits of their own.
 @param origin - of the upstream.
+@param needsProof - whether the end of a connection must be proven to be that of a response without a length; not if responses have an end mark.
 */
-export function makeUpstreamPool(origin: string): Pool {
+export function makeUpstreamPool(origin: string, needsProof = true): Pool {
 	return new Pool(origin, {
-		bodyTimeout: 0, headersTimeout: 0, factory: (clientOrigin, options) => new UpstreamClient(clientOrigin, options),
+		bodyTimeout: 0, headersTimeout: 0, factory: (clientOrigin, options) => new UpstreamClient(clientOrigin, options, needsProof),
 	});
 }
+
+/** Largest JSON body that is read: a state, a list of calls or a refusal. */
+const maxJsonBytes = 1024 * 1024;
+
+/**
+Reads the JSON body of a response.
+@param body - the body.
+@returns the parsed value.
+@throws UnavailableError if the body is larger than is read, SyntaxError if it is no JSON.
+*/
+export async function readJsonBody(body: AsyncIterable<Uint8Array>): Promise<unknown> {
+	const pieces: Uint8Array[] = [];
+	let sizeBytes = 0;
+	for await (const piece of body) {
+		pieces.push(piece);
+		sizeBytes += piece.byteLength;
+		if (sizeBytes > maxJsonBytes) {
+			throw new UnavailableError('the body is larger than is read');
+		}
+	}
+
+	return JSON.parse(new TextDecoder().decode(joinBytes(pieces)));
+}
