Answer exceptions of handlers with 500 on entries with agents, and log them

An exception while an entry with agents handled a request was answered as a fault of the caller (400, with the text of the exception) and left no line in the log. Now it is logged with the ID that the caller gave, and answered with 500 (code internal); a begun response is cut. Requests behind each other on one connection run one after the other there too, as on direct entries.

The order of requests has no test of its own on entries with agents.

--- a/src/entry/node/callers-api.ts
+++ b/src/entry/node/callers-api.ts
@@ -1,5 +1,6 @@
 /** The HTTP interface for callers, described in docs/API.md. */
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
+import type {App} from '@tinyhttp/app';
 import type {Clock} from '../../base/common/clock.js';
 import {hashText} from '../../base/common/hash.js';
 import type {Logger} from '../../base/common/logger.js';
@@ -53,11 +54,12 @@
 		return new CallersApi(options);
 	}
 
-	private readonly app = makeApp();
+	private readonly app: App;
 	private readonly planner: Planner;
 	private readonly limiters = new Map<string, WorkspaceLimiter>();
 
 	private constructor(private readonly options: CallersApiOptions) {
+		this.app = makeApp(options.log);
 		this.planner = Planner.create(options.settings.tree);
 		this.app.get('/healthz', (_request, response) => {
 			sendJson(response, 200, {status: 'ok'});
@@ -97,6 +99,11 @@
 
 		const {headers, body, requestId} = parsed;
 		this.options.connections.identify(response, requestId);
+		const turn = this.options.connections.turnOf(response);
+		if (turn !== true && !await turn) {
+			return;
+		}
+
 		const http = httpCallOf(request, parsed);
 		const invalidField = http && httpCallSchema.safeParse(http).error?.issues.at(0)?.path.at(0);
 		if (invalidField !== undefined) {
--- a/src/entry/node/entry-service.ts
+++ b/src/entry/node/entry-service.ts
@@ -82,6 +82,7 @@
 			isStopAnnounced: () => options.lifecycle.phase !== lifecyclePhases.running,
 		}).attachTo(this.callersServer);
 		OperatorsApi.create({
+			log: options.log,
 			settings: options.settings,
 			bootstrapTokenHash: options.bootstrapTokenHash,
 			status: () => this.status(),
--- a/src/entry/node/http-common.ts
+++ b/src/entry/node/http-common.ts
@@ -7,6 +7,7 @@
 import {createServer as createTlsServer} from 'node:https';
 import {App} from '@tinyhttp/app';
 import {messageOf} from '../../base/common/errors.js';
+import type {Logger} from '../../base/common/logger.js';
 import {fail, ok, type Outcome} from '../../base/common/outcome.js';
 import {endResponse} from '../../base/node/closing-response.js';
 import type {TlsMaterial} from '../../wire/node/wire-server.js';
@@ -66,16 +67,19 @@
 
 /**
 Creates an application that also returns its own errors (unknown routes, failed handlers) as problems.
+@param log - receives the errors of handlers.
 @returns the application.
 */
-export function makeApp(): App {
+export function makeApp(log: Logger): App {
 	return new App({
 		settings: {xPoweredBy: false},
 		noMatchHandler(request, response) {
 			sendProblem(response, problemOf('notFound', `nothing answers ${request.method} ${request.path}`));
 		},
-		onError(error, _request, response) {
-			sendProblem(response, problemOf('badRequest', messageOf(error)));
+		onError(error, request, response) {
+			// What callers get wrong is answered by the handlers; their exceptions are faults of this host.
+			log.error('Could not serve a request.', {path: request.path, request: headerOf(request, 'x-request-id'), reason: messageOf(error)});
+			sendProblem(response, problemOf('internal', 'this host could not serve the request'));
 		},
 	});
 }
--- a/src/entry/node/operators-api.ts
+++ b/src/entry/node/operators-api.ts
@@ -1,6 +1,8 @@
 /** The HTTP interface for operators, described in docs/API.md: settings, status, drain, report. */
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
+import type {App} from '@tinyhttp/app';
 import type {z} from 'zod';
+import type {Logger} from '../../base/common/logger.js';
 import {formatProblem} from '../../base/common/errors.js';
 import {checkDocument, readJsonc} from '../../base/common/jsonc.js';
 import {fail, ok, type Outcome} from '../../base/common/outcome.js';
@@ -22,6 +24,7 @@
 /** Dependencies of the interface. */
 export type OperatorsApiOptions = {
 	readonly settings: SettingsService;
+	readonly log: Logger;
 	/** Hash of a token that has all rights while no operator is declared. */
 	readonly bootstrapTokenHash: string | undefined;
 	readonly status: () => EntryStatus;
@@ -38,9 +41,10 @@
 		return new OperatorsApi(options);
 	}
 
-	private readonly app = makeApp();
+	private readonly app: App;
 
 	private constructor(private readonly options: OperatorsApiOptions) {
+		this.app = makeApp(options.log);
 		this.route('get', '/v1/status', operatorRights.read, async (_request, response) => {
 			sendJson(response, 200, options.status());
 		});
