Wait longer for a silent server to show that it listens

A whole response that only the close of its connection ends was cut off when its server did not accept the connection of the liveness check in time: within 1.2 s of a host, within 0.4 s of an agent. A server that is silent for a second or so accepts late. A host answered 502 ("No whole answer: the server ended as it closed the connection") for a request that may run only once; an agent reported the call as unknown.

Only a refused connection proves that a process is gone, and it still ends the check at once, so a truncated response looks no more complete than before. The check stays bounded: once an address may belong to another process, that one would vouch for a truncated response. A silence beyond the bound still counts as a loss.

--- a/src/agent/node/upstream-client.ts
+++ b/src/agent/node/upstream-client.ts
@@ -7,10 +7,8 @@
 import {UnavailableError} from '../../base/common/errors.js';
 import {endsWithConnection} from '../../deployment/common/hop-headers.js';
 import {FramingLimit} from '../../deployment/node/framing-limit.js';
-import {crashSettleMs, isListening} from '../../deployment/node/server-liveness.js';
+import {crashSettleMs, isListening, livenessCheckTimeoutMs} from '../../deployment/node/server-liveness.js';
 
-/** Time in which an upstream on the agent's own host accepts a connection if its process is there. */
-const livenessTimeoutMs = 400;
 const defaultHttpPort = 80;
 
 /**
@@ -104,7 +102,7 @@
 
 		await sleep(crashSettleMs);
 		const {hostname, port} = this.url;
-		return isListening(hostname.replaceAll(/^\[|\]$/gv, ''), Number(port || defaultHttpPort), livenessTimeoutMs);
+		return isListening(hostname.replaceAll(/^\[|\]$/gv, ''), Number(port || defaultHttpPort), livenessCheckTimeoutMs);
 	}
 }
 
--- a/src/deployment/node/connection-pool.ts
+++ b/src/deployment/node/connection-pool.ts
@@ -7,7 +7,7 @@
 import {isUnframed} from '../common/hop-headers.js';
 import type {UpstreamServer} from '../common/upstream-server.js';
 import {FramingLimit} from './framing-limit.js';
-import {crashSettleMs, isListening} from './server-liveness.js';
+import {crashSettleMs, isListening, livenessCheckTimeoutMs} from './server-liveness.js';
 
 /** Maximum time for opening a connection: hosts are a few milliseconds apart, and a lost first packet is resent only after a second. */
 const connectTimeoutMs = 400;
@@ -21,9 +21,6 @@
 /** Code of the error of a connection that was lost; one that undici doesn't know. */
 const resetCode = 'UPSTREAM_CONNECTION_LOST';
 
-/** Time limit of the check whether a server still listens: a lost first packet is resent after a second. */
-const livenessCheckTimeoutMs = 1200;
-
 /** A keep-alive connection that carries one call at a time. */
 export class PooledConnection implements Disposable {
 	static create(server: UpstreamServer, clock: Clock): PooledConnection {
--- a/src/standins/node/standin-server.ts
+++ b/src/standins/node/standin-server.ts
@@ -29,6 +29,11 @@
 		this.origin = `http://127.0.0.1:${endpointOf(server).port}`;
 	}
 
+	/** Stops listening; open connections go on. */
+	stopListening(): void {
+		this.server.close();
+	}
+
 	dispose(): void {
 		this.server.close();
 		this.server.closeAllConnections();
--- a/test/platform/server-standin.ts
+++ b/test/platform/server-standin.ts
@@ -254,6 +254,11 @@
 		this.server.dispose();
 	}
 
+	/** Stops listening; open connections go on. */
+	stopListening(): void {
+		this.server.stopListening();
+	}
+
 	/** Ends the server as a process that crashes does: its connections are cut and nothing listens at its address. */
 	crash(): void {
 		if (!this.hasCrashed) {
