--- a/src/deployment/node/collect-response.ts
+++ b/src/deployment/node/collect-response.ts
@@ -21,7 +21,7 @@
 	readonly headers: readonly Header[];
 };
 
-/** A response with its complete body; that of an error may be cut off. */
+/** A response with its complete body. */
 export type CompleteResponse = ResponseHead & {readonly body: Uint8Array};
 
 /** Listeners during a call. */
@@ -40,6 +40,8 @@
 	readonly wasWritten: boolean;
 	/** Whether another response than that of this call arrived. */
 	readonly isForeign: boolean;
+	/** Head of the call's own response if it reports an error whose body was not read to its end. */
+	readonly errorHead?: ResponseHead;
 	readonly message: string;
 };
 
@@ -88,7 +90,7 @@
 				connection.discard();
 			}
 
-			resolve(outcome.ok || !hasUnneededBody ? outcome : ok({status, headers, body: joinBytes(chunks)}));
+			resolve(outcome.ok || !hasUnneededBody ? outcome : fail({...outcome.error, errorHead: {status, headers}}));
 		};
 
 		signal.addEventListener('abort', abort, {once: true});
@@ -123,8 +125,8 @@
 				onResponseData(reading, bytes) {
 					chunks.push(bytes);
 					sizeBytes += bytes.byteLength;
-					hasUnneededBody ||= status >= firstErrorStatus && sizeBytes > unneededBody.maxBytes;
-					if (sizeBytes > maxResponseBytes || hasUnneededBody) {
+					if (sizeBytes > maxResponseBytes) {
+						hasUnneededBody = status >= firstErrorStatus;
 						reading.abort(new UnavailableError('the response body exceeds the size limit'));
 					}
 				},
--- a/src/deployment/node/response-head.ts
+++ b/src/deployment/node/response-head.ts
@@ -24,4 +24,4 @@
 }
 
 /** How long, and up to which size, a body that nobody needs is read so that its connection can be used again; it usually arrives with the head. */
-export const unneededBody = {timeoutMs: 100, maxBytes: 64 * 1024} as const;
+export const unneededBody = {timeoutMs: 500, maxBytes: 64 * 1024} as const;
--- a/src/preparation/node/batch-pool.ts
+++ b/src/preparation/node/batch-pool.ts
@@ -4,12 +4,14 @@
 import {DisposableStore, type Disposable} from '../../base/common/disposable.js';
 import type {Logger} from '../../base/common/logger.js';
 import type {Metrics} from '../../base/common/metrics.js';
+import type {Outcome} from '../../base/common/outcome.js';
 import {TimeLimit} from '../../base/common/time-limit.js';
 import type {BatchCapacity} from '../../deployment/common/declaration.js';
 import type {DeploymentTracker} from '../../deployment/common/deployment-tracker.js';
 import type {ServerNotices} from '../../deployment/common/server-notices.js';
 import type {ServerRegistry} from '../../deployment/common/server-registry.js';
 import type {UpstreamServer} from '../../deployment/common/upstream-server.js';
+import type {CompleteResponse, ResponseFailure} from '../../deployment/node/collect-response.js';
 import {ConnectionPool} from '../../deployment/node/connection-pool.js';
 import type {Quarantine} from '../../quarantine/common/quarantine.js';
 import type {RepeatBudgets} from '../../routing/common/repeat-budgets.js';
@@ -320,12 +322,13 @@
 			return;
 		}
 
-		if (!response.ok && response.error.wasWritten && !response.error.isForeign && !callEnd.signal.aborted) {
+		const answer = answerOf(response);
+		if (!answer && !response.ok && response.error.wasWritten && !response.error.isForeign && !callEnd.signal.aborted) {
 			this.reportInterrupted(call);
 		}
 
 		const nowMs = clock.nowMs();
-		const decoded = response.ok ? protocol.decodeRun(response.value, call) : undefined;
+		const decoded = answer && protocol.decodeRun(answer, call);
 		if (decoded?.ok) {
 			metrics.timing('batch.call', nowMs - call.sentMs, {pool});
 			metrics.increment('batch.pieces', call.pieces.length, {pool});
@@ -429,3 +432,13 @@
 		return connectionPool;
 	}
 }
+
+/** Returns what a server has answered to a call; the head of an error decides alone. */
+function answerOf(response: Outcome<CompleteResponse, ResponseFailure>): CompleteResponse | undefined {
+	if (response.ok) {
+		return response.value;
+	}
+
+	const {errorHead} = response.error;
+	return errorHead && {...errorHead, body: new Uint8Array(0)};
+}
