Test that a request refused as late does not run, and handle the new action in the simulation

A header timeout does not stop the parser: a head that is completed after 408 was sent still arrives as a request. Its turn never comes, so that it is not passed on. A review showed the order of events; the test asserts 408 alone and no turn.

--- a/src/wire/node/caller-connections.test.ts
+++ b/src/wire/node/caller-connections.test.ts
@@ -330,3 +330,15 @@
 	t.same(await Promise.all(others), [false, false]);
 	await waitUntil(() => cut.isClosed);
 });
+
+/* Guards against a request that runs although its caller was told that it did not arrive in time. */
+t.test('a request whose head arrives after the time limit was reported has no turn', async t => {
+	const harness = await Harness.create(t, 200);
+	const caller = harness.call();
+	caller.socket.write('GET /late HTTP/1.1\r\nHo');
+	await waitUntil(() => caller.statuses.length > 0);
+	caller.socket.write('st: h\r\n\r\n');
+	await waitUntil(() => caller.isClosed || harness.seen.length === 1);
+	t.same(caller.statuses, [408]);
+	t.ok(harness.seen.every(({response}) => harness.connections.turnOf(response) === false));
+});
--- a/test/simulated-entry.ts
+++ b/test/simulated-entry.ts
@@ -147,7 +147,8 @@
 				break;
 			}
 
-			case 'prepare': {
+			case 'prepare':
+			case 'stopPreparing': {
 				throw new Error('Plans of this simulation need no preparation.');
 			}
 
