Show that a fatal request is never found out if its caller leaves first

Cause: only calls whose connection is lost while the host waits for them make their request a suspect; cancelled ones are forgotten.

--- a/review/lib-2/server.js
+++ b/review/lib-2/server.js
@@ -21,6 +21,9 @@
 	headers: {},
 	/** Part of a prompt that ends the process when it begins to answer a request with it. */
 	fatalPart: undefined,
+	/** Body of a request that ends the process some time after it has begun to run, whether or not its caller still waits. */
+	fatalBody: undefined,
+	fatalMs: 0,
 };
 
 let running = 0;
@@ -88,6 +91,11 @@
 	tell({
 		type: 'run', id, path: request.url, headers: request.headers, body,
 	});
+	if (behaviour.fatalBody !== undefined && body === behaviour.fatalBody) {
+		await sleep(behaviour.fatalMs);
+		process.exit(1); // eslint-disable-line unicorn/no-process-exit
+	}
+
 	if (behaviour.endless !== undefined) {
 		await sendWithoutEnd(id, request.socket, kind === 'model' ? 'text/event-stream' : 'application/json');
 	} else if (kind === 'stage') {
