--- a/review/lib-2/server.js
+++ b/review/lib-2/server.js
@@ -17,6 +17,8 @@
 	eventMs: 30,
 	/** What an answer has instead of its body, again and again until the caller closes the connection. */
 	endless: undefined,
+	/** Status of such answers. */
+	endlessStatus: '200 OK',
 	/** Headers that all answers carry. */
 	headers: {},
 	/** Part of a prompt that ends the process when it begins to answer a request with it. */
@@ -57,7 +59,7 @@
 /** Sends the same bytes until the caller closes the connection, as fast as it takes them. */
 async function sendWithoutEnd(id, socket, type) {
 	const flood = Buffer.from(behaviour.endless.repeat(Math.ceil(65_536 / behaviour.endless.length)));
-	socket.write(`HTTP/1.1 200 OK\r\nAttempt-Id: ${id}\r\nServer-Stamp: stamp.${instanceId}.${id}\r\nContent-Type: ${type}\r\nTransfer-Encoding: chunked\r\n\r\n`);
+	socket.write(`HTTP/1.1 ${behaviour.endlessStatus}\r\nAttempt-Id: ${id}\r\nServer-Stamp: stamp.${instanceId}.${id}\r\nContent-Type: ${type}\r\nTransfer-Encoding: chunked\r\n\r\n`);
 	while (!socket.destroyed) {
 		if (socket.write(flood)) {
 			await sleep(0);
