Show that a silence before the end of a stream loses it

Cause: a second server that has nothing to add replaces the silent one 200 ms after its head, and its empty answer is then rejected.

--- a/review/7/run.js
+++ b/review/7/run.js
@@ -1,6 +1,4 @@
-/** A request that crashes the servers that begin to run it comes again and again, and its caller leaves before the crash. */
-import process from 'node:process';
-import {performance} from 'node:perf_hooks';
+/** Servers are silent for a moment between the last event of a stream and its end, while hosts are stopped as planned. */
 import {setTimeout as sleep} from 'node:timers/promises';
 import {
 	configOf, note, routeOf, send,
@@ -10,26 +8,26 @@
 import {startServer} from '../lib-2/servers.js';
 import {startStore} from '../lib-2/store.js';
 
-const hostCount = 2;
-const serverCount = 13;
-const goalMs = 1600;
-/** Callers leave within half of the objective. With STAYS=1 the caller stays, which shows that the request is found out then. */
-const leaveMs = process.env.STAYS === '1' ? undefined : 300;
-const crashMs = 500;
-const fatalBody = 'a prompt that no server survives';
-const contactMs = 3000;
-const backAfterMs = 3000;
-const soundEveryMs = 150;
-const fatalEveryMs = 700;
-const calmMs = 3000;
-const troubleMs = 30_000;
-/** BUDGET allows this many retries later than `contactMs` after this many crashes. */
-const allowedRequests = 3;
-const crashesToCount = 3;
+const hostCount = 3;
+const serverCount = 6;
+const eventCount = 24;
+const eventMs = 30;
+/** How long a server is silent before the end of a stream. */
+const endPauseMs = hasTrouble ? 1500 : 0;
+/** Time in which a server reads the prompt of a request that goes on behind the last event, after its head: 17,020 tokens at 61.2 a millisecond. */
+const emptyMs = 280;
+const streamEveryMs = 100;
+const calmMs = 4000;
+const stopEveryMs = 11_000;
+/** Requests sent until then are to be answered in full: the balancer has taken the host out by then. */
+const sentForMs = 2500;
+const graceMs = 8000;
+/** A stream whose server is at work in the last sixth of the grace doesn't count; those of the judged requests end before. */
+const judgedMs = graceMs * 5 / 6;
 
 const config = configOf(1, [
-	routeOf('draft', 'streaming', 'scieur-llm', {
-		timeoutMs: 8000, goalMs, maxAttempts: 1, isSticky: true,
+	routeOf('quote', 'streaming', 'scieur-llm', {
+		timeoutMs: 8000, goalMs: 1600, maxAttempts: 2, isSticky: true, canResume: true,
 	}),
 ], [{name: 'scieur-llm', maxConns: 370, runtime: {slotCount: 64, kvCapacity: 614_608}}]);
 
@@ -39,89 +37,83 @@
 		store.close();
 	});
 	store.put('op', 'config', config);
-	const crashesMs = [];
-	const arrivalsMs = [];
-	let isOver = false;
-	const servers = new Map();
-	const start = async index => {
-		const server = await startServer(store, {
-			kind: 'model', pool: 'scieur-llm', id: `llm-${index}`, address: addressOf(20 + index), behaviour: {fatalBody: hasTrouble ? fatalBody : undefined, fatalMs: crashMs},
-		});
-		servers.set(index, server);
-		server.onRun = ({body}) => {
-			if (body === fatalBody) {
-				arrivalsMs.push(performance.now());
-			}
-		};
-
-		server.onExit = async () => {
-			if (!isOver) {
-				crashesMs.push(performance.now());
-				await sleep(backAfterMs);
-				if (!isOver) {
-					await start(index);
-				}
-			}
-		};
-	};
+	const servers = [];
+	for (let index = 0; index < serverCount; index++) {
+		servers.push(await startServer(store, {
+			kind: 'model',
+			pool: 'scieur-llm',
+			id: `llm-${index}`,
+			address: addressOf(20 + index),
+			behaviour: {
+				eventCount, eventMs, endPauseMs, emptyMs,
+			},
+		}));
+	}
 
 	atEnd(() => {
-		isOver = true;
-		for (const {child, hasExited} of servers.values()) {
-			if (!hasExited) {
-				child.disconnect();
-			}
+		for (const {child} of servers) {
+			child.disconnect();
 		}
 	});
-	for (let index = 0; index < serverCount; index++) {
-		await start(index);
-	}
-
 	const fleet = await startFleet(hostCount, store.port);
 	atEnd(async () => fleet.stop());
 	await fleet.waitUntilReady();
 	note('all hosts are ready');
 
-	const answers = new Map();
+	/** When each host was told to stop, and whether it still gets requests. */
+	const stopsMs = Array.from({length: hostCount}, () => Infinity);
+	const isIn = Array.from({length: hostCount}, () => true);
+	const requests = [];
 	const pending = [];
 	let count = 0;
-	const take = isFatal => {
+	const timer = setInterval(() => {
 		count++;
-		const id = `${isFatal ? 'f' : 's'}${count}`;
-		const host = fleet.hosts[count % hostCount];
-		note(`caller sends ${id} to host ${host.index}`);
+		const open = fleet.hosts.filter(({index}) => isIn[index]);
+		const host = open[count % open.length];
+		const request = {id: `s${count}`, host: host.index, sentMs: performance.now()};
+		requests.push(request);
+		note(`caller sends ${request.id} to host ${host.index}`);
 		pending.push((async () => {
 			const answer = await send(host, {
 				method: 'POST',
-				path: isFatal ? '/draft/f' : `/draft/${count}`,
-				body: isFatal ? fatalBody : `prompt ${count}`,
-				id,
+				path: `/quote/${count}`,
+				body: `prompt ${count}`,
+				id: request.id,
 				deadlineMs: 8000,
-				signal: isFatal && leaveMs !== undefined ? AbortSignal.timeout(leaveMs) : undefined,
-				headers: {'model-name': 'm', 'token-count': '2890,100', 'prompt-prefix': `${(0x10_00_00 + count).toString(16)}:2890`},
+				headers: {'model-name': 'm', 'token-count': '17020,120', 'prompt-prefix': `${(4096 + count).toString(16)}:17020`},
 			});
-			const text = `${isFatal ? 'fatal' : 'sound'}: ${answer.status} ${answer.isWhole ? 'whole' : 'not whole'}`;
-			note(`caller of ${id} gets ${text} ${answer.error}`);
-			answers.set(text, (answers.get(text) ?? 0) + 1);
+			Object.assign(request, {endMs: performance.now(), answer, events: [...answer.text.matchAll(/^id: /gmv)].length});
+			note(`caller of ${request.id} gets ${answer.status} ${answer.isWhole ? 'whole' : `not whole: ${answer.error}`}, ${request.events} events, after ${answer.tookMs.toFixed(0)} ms`);
 		})());
-	};
+	}, streamEveryMs);
 
-	const soundTimer = setInterval(() => {
-		take(false);
-	}, soundEveryMs);
 	await sleep(calmMs);
-	const fatalTimer = setInterval(() => {
-		take(true);
-	}, fatalEveryMs);
-	await sleep(troubleMs);
-	clearInterval(soundTimer);
-	clearInterval(fatalTimer);
+	for (let stop = 0; stop < hostCount; stop++) {
+		const host = fleet.hosts[stop];
+		stopsMs[stop] = performance.now();
+		host.child.kill('SIGTERM');
+		note(`host ${stop} gets SIGTERM`);
+		await sleep(sentForMs);
+		isIn[stop] = false;
+		await sleep(stopEveryMs - sentForMs);
+		fleet.restart(stop);
+		await sleep(2500);
+		isIn[stop] = true;
+	}
+
+	clearInterval(timer);
 	await Promise.race([Promise.all(pending), sleep(9000)]);
-	const fromMs = (crashesMs[crashesToCount - 1] ?? Infinity) + contactMs;
-	const late = arrivalsMs.filter(atMs => atMs > fromMs).length;
+	const judged = requests.filter(({host, sentMs, endMs, answer}) => answer && endMs > stopsMs[host] && sentMs < stopsMs[host] + sentForMs && endMs < stopsMs[host] + judgedMs);
+	const cut = judged.filter(({answer}) => answer.status === 200 && !answer.isWhole && answer.tookMs < 7500);
+	const ranOf = ({id}) => servers.filter(server => server.runs.some(run => run.id === id)).map(server => server.id);
+	for (const request of cut) {
+		note(`LOST ${request.id} at host ${request.host}: ended after ${request.answer.tookMs.toFixed(0)} ms with ${request.events} of ${eventCount} events, ${(request.endMs - stopsMs[request.host]).toFixed(0)} ms after SIGTERM; run by ${ranOf(request).join(', ')}`);
+	}
+
+	const all = requests.filter(({answer}) => answer);
 	return {
-		isBroken: late > allowedRequests,
-		found: `${crashesMs.length} crashes; the request reached servers ${late} times later than ${contactMs} ms after crash ${crashesToCount}, ${allowedRequests} are allowed; answers ${JSON.stringify(Object.fromEntries(answers))}`,
+		isBroken: cut.length > 0,
+		found: `of ${judged.length} streams around the stops of their hosts ${cut.length} ended without a complete answer, long before any time limit; of all ${all.length} streams ${all.filter(({answer}) => !answer.isWhole).length}`,
 	};
 }
 
--- a/review/lib-2/server.js
+++ b/review/lib-2/server.js
@@ -15,6 +15,9 @@
 	workMs: kind === 'stage' ? 150 : 60,
 	eventCount: 20,
 	eventMs: 30,
+	/** Pause of a stream between its last event and its end, and between its head and its end if no event is left. */
+	endPauseMs: 0,
+	emptyMs: 0,
 	/** What an answer has instead of its body, again and again until the caller closes the connection. */
 	endless: undefined,
 	/** Status of such answers. */
@@ -75,11 +78,13 @@
 async function stream(request, response, headers) {
 	const first = Number(request.headers['last-event-id'] ?? 0) + 1;
 	response.writeHead(200, {...headers, 'content-type': 'text/event-stream'});
+	response.flushHeaders();
 	for (let index = first; index <= behaviour.eventCount && !response.destroyed; index++) {
 		await sleep(behaviour.eventMs);
 		response.write(`id: ${index}\ndata: ${version} ${instanceId} ${index}\n\n`);
 	}
 
+	await sleep(first > behaviour.eventCount ? behaviour.emptyMs : behaviour.endPauseMs);
 	response.end();
 }
 
