End stand-in servers that are started while their script ends

Cause: a server whose parent had ended before it listened to the end of the channel stayed. Change: it looks for its parent at its start, and the scripts end it.

--- a/review/8/run.js
+++ b/review/8/run.js
@@ -59,6 +59,10 @@
 			kind: 'model', pool: 'scieur-llm', id: `llm-${index}`, address: addressOf(20 + index), behaviour: {eventCount, fatalPart: hasTrouble ? fatalPart : undefined},
 		});
 		servers.set(index, server);
+		if (isOver) {
+			server.child.disconnect();
+		}
+
 		server.onRun = ({headers}) => {
 			if (headers['prompt-prefix'].includes(`${fatalPart}:`)) {
 				fatalArrivalsMs.push(performance.now());
--- a/review/lib-2/server.js
+++ b/review/lib-2/server.js
@@ -164,3 +164,7 @@
 process.on('disconnect', () => {
 	process.exit();
 });
+// The parent may have ended while this program was loaded.
+if (!process.connected) {
+	process.exit(); // eslint-disable-line unicorn/no-process-exit
+}
