Let a silent server end its stream where another one has nothing to add

Cause: of two servers at work on one stream, StageRun always ended the silent one, and with it the only one that could end the stream. Change: the one without an event ends, unless the silent one has been silent for twice the timeout; it is asked again then. A proper end without events keeps the silent server.

--- a/src/direct/common/direct-router.ts
+++ b/src/direct/common/direct-router.ts
@@ -43,7 +43,7 @@
 };
 
 /** Reasons for which an attempt ends without any indication about its upstream. */
-const neutralReasons = new Set(['lostRace', 'abandoned', 'cancelled']);
+const neutralReasons = new Set(['lostRace', 'yielded', 'abandoned', 'cancelled']);
 
 /** Dependencies of the router. */
 export type DirectRouterOptions = {
@@ -121,6 +121,11 @@
 		}, nowMs);
 	}
 
+	chooseAgain(stage: StagePlan, upstreamId: string, nowMs: number): Choice | undefined {
+		const chosen = this.usable(stage, new Set(), nowMs).find(candidate => candidate.upstreamId === upstreamId);
+		return chosen && {chosen, scored: []};
+	}
+
 	canContinue({origin}: StagePlan): boolean {
 		return origin === undefined || this.options.continuity.serversFor(origin).length > 0;
 	}
--- a/src/entry/common/fleet-router.ts
+++ b/src/entry/common/fleet-router.ts
@@ -20,7 +20,7 @@
 /** Time for which the cached candidates of a pool are used while no member changes. */
 const viewCacheMs = 100;
 /** Reasons for the end of an attempt that are no evidence about the upstream, so that the attempt is not counted in its statistics. */
-const neutralReasons = new Set(['lostRace', 'abandoned']);
+const neutralReasons = new Set(['lostRace', 'yielded', 'abandoned']);
 
 /** Dependencies of the router; the policies can be replaced by baselines. */
 export type FleetRouterOptions = {
@@ -125,6 +125,11 @@
 		}, nowMs);
 	}
 
+	chooseAgain(stage: StagePlan, upstreamId: string, nowMs: number): Choice | undefined {
+		const chosen = this.viewOf(stage.pool, nowMs).usable.list.find(candidate => candidate.upstreamId === upstreamId);
+		return chosen && {chosen, scored: []};
+	}
+
 	mayRetry(stage: StagePlan, nowMs: number): boolean {
 		return this.budgetOf(this.retryBudgets, stage, nowMs).tryWithdraw(nowMs);
 	}
--- a/src/request/common/attempt-list.ts
+++ b/src/request/common/attempt-list.ts
@@ -59,6 +59,12 @@
 		return new Set(this.all.map(attempt => attempt.options.upstreamId));
 	}
 
+	/** Upstream of an attempt that has yielded and was not followed by another one there. It is asked again before any other one, as it has prepared the work. */
+	get yieldedUpstreamId(): string | undefined {
+		const last = new Map(this.all.map(attempt => [attempt.options.upstreamId, attempt]));
+		return [...last.values()].findLast(attempt => attempt.hasYielded)?.options.upstreamId;
+	}
+
 	get dispatchIds(): string[] {
 		return this.all.map(attempt => attempt.options.dispatchId);
 	}
@@ -88,11 +94,23 @@
 	}
 
 	/**
-	Returns the number of attempts that count against the maximum for a stage.
+	Returns the number of attempts that count against the maximum for a stage. One that has yielded and the next one at its upstream count once.
 	@param rules - determines whether refusals count.
 	*/
 	countAgainstLimit({countsRefusals}: AttemptRules): number {
-		return countsRefusals ? this.count : this.all.filter(attempt => attempt.mayHaveRun).length;
+		const counted = countsRefusals ? this.all : this.all.filter(attempt => attempt.mayHaveRun);
+		const kept = counted.filter(attempt => !attempt.hasYielded);
+		const keptIds = new Set(kept.map(({options}) => options.upstreamId));
+		const yieldedIds = new Set(counted.filter(attempt => attempt.hasYielded).map(({options}) => options.upstreamId));
+		return kept.length + [...yieldedIds].filter(upstreamId => !keptIds.has(upstreamId)).length;
+	}
+
+	/**
+	Returns the started attempts that were sent before another one and are live.
+	@param attempt - the later attempt.
+	*/
+	startedBefore(attempt: Attempt): Attempt[] {
+		return this.all.slice(0, this.all.indexOf(attempt)).filter(({state}) => state === attemptStates.started);
 	}
 
 	/**
--- a/src/request/common/attempt.ts
+++ b/src/request/common/attempt.ts
@@ -42,6 +42,8 @@
 	/** Whether that time was reached once. */
 	isReplacementDue = false;
 	isCancelled = false;
+	/** Whether it has ended before its first unit in favor of a silent attempt. */
+	hasYielded = false;
 	/** Whether its units are part of the answer of the stage. */
 	isPartOfAnswer = false;
 	http: HttpResponseHead | undefined;
--- a/src/request/common/request-router.ts
+++ b/src/request/common/request-router.ts
@@ -21,6 +21,14 @@
 	@returns the choice, or `undefined` if no upstream may be chosen.
 	*/
 	choose(stage: StagePlan, excluded: ReadonlySet<string>, prefixHash: number, nowMs: number): Choice | undefined;
+	/**
+	Chooses an upstream that was chosen before for the same stage.
+	@param stage - the stage to run.
+	@param upstreamId - id of the upstream.
+	@param nowMs - the current time.
+	@returns the choice, or `undefined` if the upstream may not be chosen now.
+	*/
+	chooseAgain(stage: StagePlan, upstreamId: string, nowMs: number): Choice | undefined;
 	/** @returns why a stage without an available upstream is to be refused immediately, or `undefined` if it may wait for one. */
 	unavailability(stage: StagePlan, nowMs: number): Unavailability | undefined;
 	/** @returns whether an upstream that accepts work may continue the stream that the stage continues; true if the stage continues none. */
--- a/src/request/common/silence-recovery.ts
+++ b/src/request/common/silence-recovery.ts
@@ -1,4 +1,8 @@
-/** What a stage does while all of its live attempts are silent: it keeps them, and looks for another attempt beside them, which may replace them. */
+/**
+What a stage does while all of its live attempts are silent: it keeps them, and looks for another attempt beside them. That one goes on with the
+answer as soon as it has a unit. If it has none in the time for which two upstreams may work on one stream, either it or the silent one ends.
+*/
+import type {Attempt} from './attempt.js';
 
 /** Interval at which another attempt is looked for while the budget or the upstreams allow none. */
 const retryIntervalMs = 100;
@@ -7,6 +11,11 @@
 both; the rest is for late timers and for the way of the cancel to the upstream.
 */
 export const replacementDelayMs = 180;
+/**
+Time without a unit after which a silent attempt may be replaced before another one has a unit, as a multiple of the time after which it is silent.
+Until then its upstream may only be late to end a complete stream, which no other upstream can do in its place.
+*/
+const replaceableSilenceTimeouts = 2;
 /** Time between the end of that delay and the replacement, in which the sockets are read. */
 export const replacementCheckMs = 20;
 
@@ -28,6 +37,26 @@
 	isReplacing = false;
 	/** Whether no further attempt is made beside silent ones. */
 	isStopped = false;
+	/** Whether an upstream had no unit to add, so that the silent one may only have to end the answer. */
+	hasEmptyContinuation = false;
+
+	/**
+	Returns from when on a silent attempt may be replaced by one that has not sent a unit yet.
+	@param silent - the silent attempt.
+	@param timeoutMs - the time without a unit after which an attempt is silent.
+	*/
+	replaceableAtMs({lastReceivedMs}: Attempt, timeoutMs: number): number {
+		return this.hasEmptyContinuation ? Infinity : lastReceivedMs + (replaceableSilenceTimeouts * timeoutMs);
+	}
+
+	/**
+	Makes no further attempt beside the silent ones before a given time.
+	@param atMs - that time; `Infinity` if none is made anymore.
+	*/
+	waitUntil(atMs: number): void {
+		this.retryAtMs = atMs;
+		this.isStopped ||= atMs === Infinity;
+	}
 
 	/**
 	Looks for another attempt again after a while.
--- a/src/request/common/stage-run.ts
+++ b/src/request/common/stage-run.ts
@@ -407,7 +407,7 @@
 		return this.silence.isReplacing && this.isIncremental && attempt.isLive && isSuccess(attempt.http) && !this.attempts.hasNoOtherLive(attempt);
 	}
 
-	/** Ends silent attempts at the second call after another attempt may replace them: a late timer runs before the sockets are read, and a silent upstream may have gone on. */
+	/** Ends silent attempts, or the one beside them, at the second call after that is due: a late timer runs before the sockets are read, and a silent upstream may have gone on. */
 	private replaceSilent(nowMs: number): void {
 		for (const attempt of this.attempts.live) {
 			if (!attempt.isLive || nowMs < attempt.replacesOthersAtMs) {
@@ -415,7 +415,7 @@
 			}
 
 			if (attempt.isReplacementDue) {
-				this.replaceOthers(attempt, nowMs);
+				this.replaceOrYield(attempt, nowMs);
 			} else {
 				attempt.isReplacementDue = true;
 				attempt.replacesOthersAtMs = nowMs + replacementCheckMs;
@@ -423,6 +423,20 @@
 		}
 	}
 
+	/** Ends either an attempt that has sent no unit or the silent ones before it: only for a short time may two upstreams work on one stream. */
+	private replaceOrYield(attempt: Attempt, nowMs: number): void {
+		const {silence, stage: {policy: {timeoutMs}}} = this;
+		const replaceableAtMs = Math.max(...this.attempts.startedBefore(attempt).map(silent => silence.replaceableAtMs(silent, timeoutMs)));
+		if (nowMs >= replaceableAtMs) {
+			this.replaceOthers(attempt, nowMs);
+			return;
+		}
+
+		attempt.hasYielded = true;
+		silence.waitUntil(replaceableAtMs);
+		this.drop(attempt, 'yielded', nowMs);
+	}
+
 	/** Leaves a stream to an upstream that has taken it up, even before its first unit: only for a short time may two upstreams work on one stream. */
 	private replaceOthers(attempt: Attempt, nowMs: number): void {
 		attempt.replacesOthersAtMs = Infinity;
@@ -448,6 +462,7 @@
 	private completeAnswerReceived(attempt: Attempt, nowMs: number): void {
 		const problem = this.answer.emptyContinuationProblemOf(attempt);
 		if (problem !== undefined) {
+			this.silence.hasEmptyContinuation = true;
 			this.rejectContinuation(attempt, problem, nowMs);
 			return;
 		}
@@ -533,12 +548,17 @@
 			isRepeatable: plan.isRepeatable,
 			isRecoveryStopped: this.isRecoveryStopped,
 			hasUnknown: this.attempts.hasUnknown,
-			areAttemptsExhausted: this.attempts.isExhausted(plan.rules, this.stage.policy.maxAttempts),
+			areAttemptsExhausted: this.areAttemptsExhausted && this.attempts.yieldedUpstreamId === undefined,
 			isTooLate: nowMs >= startByMs,
 			mayRetry,
 		});
 	}
 
+	/** Whether the stage may be sent to no further upstream. */
+	private get areAttemptsExhausted(): boolean {
+		return this.attempts.isExhausted(this.options.plan.rules, this.stage.policy.maxAttempts);
+	}
+
 	/** Takes a retry from the budget, unless one is left that was taken and not used. */
 	private takeRetry(nowMs: number): boolean {
 		const {silence, options: {router}} = this;
@@ -583,14 +603,38 @@
 		}
 	}
 
-	/** Chooses an upstream at which no attempt is live, if possible one that was not tried. */
+	/** Chooses an upstream at which no attempt is live: one that has yielded, or else one that was not tried if possible. */
 	private chooseBesideSilent(nowMs: number): Choice | undefined {
 		const {options: {plan, router}, attempts} = this;
 		return router.standingOf(plan).type === 'clear'
-			? router.choose(this.stage, attempts.upstreamIds, plan.prefixHash, nowMs) ?? router.choose(this.stage, attempts.liveUpstreamIds, plan.prefixHash, nowMs)
+			? this.chooseNext([attempts.upstreamIds, attempts.liveUpstreamIds], nowMs)
 			: undefined;
 	}
 
+	/**
+	Chooses an upstream: one that has yielded, or else another one.
+	@param exclusions - sets of upstreams that may not be chosen; a later set counts if an earlier one leaves none.
+	@param nowMs - the current time.
+	*/
+	private chooseNext(exclusions: ReadonlyArray<ReadonlySet<string>>, nowMs: number): Choice | undefined {
+		const {options: {plan, router}, attempts: {yieldedUpstreamId}} = this;
+		if (yieldedUpstreamId !== undefined) {
+			const again = router.chooseAgain(this.stage, yieldedUpstreamId, nowMs);
+			if (again !== undefined || this.areAttemptsExhausted) {
+				return again;
+			}
+		}
+
+		for (const excluded of exclusions) {
+			const choice = router.choose(this.stage, excluded, plan.prefixHash, nowMs);
+			if (choice) {
+				return choice;
+			}
+		}
+
+		return undefined;
+	}
+
 	/** Asks for inputs to be prepared again. Silent attempts go on meanwhile. */
 	private wantInputs(hasBudget: boolean): void {
 		if (this.attempts.hasLive) {
@@ -619,9 +663,8 @@
 		}
 
 		const tried = this.attempts.upstreamIds;
-		const choice = router.choose(this.stage, tried, plan.prefixHash, nowMs)
-			// If every upstream was tried, one is tried again rather than none, except for a hedge.
-			?? (kind === 'hedge' || tried.size === 0 ? undefined : router.choose(this.stage, new Set(), plan.prefixHash, nowMs));
+		// If every upstream was tried, one is tried again rather than none, except for a hedge.
+		const choice = this.chooseNext(kind === 'hedge' || tried.size === 0 ? [tried] : [tried, new Set()], nowMs);
 		if (!choice) {
 			this.hold(kind, nowMs);
 			return;
