Bound received bodies by the memory that they take

Cause: seven places kept an object for each received piece, some hundred bytes of heap for each byte of the body, and bounded only the sum of the bytes. Change: ByteQueue copies small pieces into blocks, in all of these places.

--- a/src/agent/node/upstream-client.ts
+++ b/src/agent/node/upstream-client.ts
@@ -3,7 +3,7 @@
 import {
 	buildConnector, Client, DecoratorHandler, Pool, type Dispatcher,
 } from 'undici';
-import {joinBytes} from '../../base/common/bytes.js';
+import {ByteQueue} from '../../base/common/byte-queue.js';
 import {UnavailableError} from '../../base/common/errors.js';
 import {endsWithConnection} from '../../deployment/common/hop-headers.js';
 import {FramingLimit} from '../../deployment/node/framing-limit.js';
@@ -127,15 +127,13 @@
 @throws UnavailableError if the body is larger than is read, SyntaxError if it is no JSON.
 */
 export async function readJsonBody(body: AsyncIterable<Uint8Array>): Promise<unknown> {
-	const pieces: Uint8Array[] = [];
-	let sizeBytes = 0;
+	const received = ByteQueue.create();
 	for await (const piece of body) {
-		pieces.push(piece);
-		sizeBytes += piece.byteLength;
-		if (sizeBytes > maxJsonBytes) {
+		received.append(piece);
+		if (received.sizeBytes > maxJsonBytes) {
 			throw new UnavailableError('the body is larger than is read');
 		}
 	}
 
-	return JSON.parse(new TextDecoder().decode(joinBytes(pieces)));
+	return JSON.parse(new TextDecoder().decode(received.copy()));
 }
--- a/src/deployment/node/collect-response.ts
+++ b/src/deployment/node/collect-response.ts
@@ -1,6 +1,6 @@
 /** Makes one call on a pooled connection and reads the complete response. */
 import type {Dispatcher} from 'undici';
-import {joinBytes} from '../../base/common/bytes.js';
+import {ByteQueue} from '../../base/common/byte-queue.js';
 import type {Disposable} from '../../base/common/disposable.js';
 import {messageOf, UnavailableError} from '../../base/common/errors.js';
 import {fail, ok, type Outcome} from '../../base/common/outcome.js';
@@ -63,11 +63,10 @@
 		let controller: Dispatcher.DispatchController | undefined;
 		let status = 0;
 		let headers: CompleteResponse['headers'] = [];
-		let sizeBytes = 0;
 		let isForeign = false;
 		let hasUnneededBody = false;
 		let bodyTimer: Disposable | undefined;
-		const chunks: Uint8Array[] = [];
+		const received = ByteQueue.create();
 		const abort = () => {
 			if (controller) {
 				if (status === 0) {
@@ -123,9 +122,8 @@
 					}
 				},
 				onResponseData(reading, bytes) {
-					chunks.push(bytes);
-					sizeBytes += bytes.byteLength;
-					if (sizeBytes > maxResponseBytes) {
+					received.append(bytes);
+					if (received.sizeBytes > maxResponseBytes) {
 						hasUnneededBody = status >= firstErrorStatus;
 						reading.abort(new UnavailableError('the response body exceeds the size limit'));
 					}
@@ -134,7 +132,7 @@
 					if (connection.mayBeTruncated(headers)) {
 						settle(fail({wasWritten: true, isForeign, message: 'the connection was lost before the response was complete'}));
 					} else {
-						settle(ok({status, headers, body: joinBytes(chunks)}));
+						settle(ok({status, headers, body: received.copy()}));
 					}
 				},
 				onResponseError(_controller, error) {
--- a/src/direct/node/ingress.ts
+++ b/src/direct/node/ingress.ts
@@ -19,6 +19,7 @@
 import type {Endpoint} from '../../wire/common/endpoint.js';
 import {CallerConnections, connectionEndings} from '../../wire/node/caller-connections.js';
 import {listenOn} from '../../wire/node/listen.js';
+import {BodyBudget} from '../common/body-budget.js';
 import type {CallerProtocol} from '../common/caller-protocol.js';
 import {choosePool, makeDirectPlan} from '../common/direct-plan.js';
 import {FirstTryEstimator} from '../common/first-try-estimator.js';
@@ -39,6 +40,10 @@
 
 /** Maximum size of a head that is read at all; the declaration's own limit is checked in addition. */
 const maxHeadBytes = 64 * 1024;
+/** Maximum size of all large bodies together, on hosts of a few hundred megabytes. */
+const maxBodiesBytes = 64 * 1024 * 1024;
+/** Retry delay given to callers whose body has no space; other bodies of that size take about as long to be served. */
+const noMemoryRetryAfterMs = 500;
 /** Interval at which connections are checked for exceeded time limits. */
 const connectionCheckMs = 1000;
 
@@ -93,6 +98,7 @@
 	private readonly readiness: Server;
 	private readonly connections: CallerConnections;
 	private readonly disposables = DisposableStore.create();
+	private readonly bodyBudget = BodyBudget.create(maxBodiesBytes);
 	private readonly openRequests = OpenRequests.create();
 	private readonly firstTryEstimator = FirstTryEstimator.create();
 	private readonly stepAdmission: StepAdmission;
@@ -225,7 +231,11 @@
 		}
 
 		this.connections.identify(response, resolved.callerRequest.requestId);
-		const body = await readBody(request, resolved.index.deployment.limits.maxBodyBytes);
+		const share = this.bodyBudget.open();
+		response.once('close', () => {
+			share.dispose();
+		});
+		const body = await readBody(request, resolved.index.deployment.limits.maxBodyBytes, share);
 		if (body === 'gone') {
 			return;
 		}
@@ -236,6 +246,17 @@
 			return;
 		}
 
+		if (body === 'noMemory') {
+			share.dispose();
+			response.shouldKeepAlive = false;
+			const {requestId} = resolved.callerRequest;
+			const reason = notRunText('the bodies of other requests take the memory of this host');
+			this.refuse(response, {
+				requestId, status: hostStatuses.unavailable, reason, retryAfterMs: noMemoryRetryAfterMs,
+			});
+			return;
+		}
+
 		const turn = this.connections.turnOf(response);
 		if (turn !== true && !await turn) {
 			return;
--- a/src/direct/node/pass-through-writer.ts
+++ b/src/direct/node/pass-through-writer.ts
@@ -1,7 +1,7 @@
 /** Writes an upstream's response to the caller unchanged, or a response of the host where the upstream gave none. */
 import {Buffer} from 'node:buffer';
 import type {ServerResponse} from 'node:http';
-import {joinBytes} from '../../base/common/bytes.js';
+import {ByteQueue} from '../../base/common/byte-queue.js';
 import {endResponse} from '../../base/node/closing-response.js';
 import {ResponseSpace} from '../../base/node/response-space.js';
 import {endToEndHeaders} from '../../deployment/common/hop-headers.js';
@@ -68,7 +68,7 @@
 	/** Whether the caller's version of HTTP has chunks; a response without them would have to end with its connection, and look complete if this process ends. */
 	private readonly canReceiveChunks: boolean;
 	/** What has arrived of a response that is sent with its length, once it is complete. */
-	private readonly collected: Uint8Array[] = [];
+	private readonly collected = ByteQueue.create();
 	private readonly space: ResponseSpace;
 	private collectedHead: HttpResponseHead | undefined;
 
@@ -99,7 +99,7 @@
 		this.deliveredUnits += units;
 		if (!this.canReceiveChunks) {
 			this.collectedHead ??= http;
-			this.collected.push(data);
+			this.collected.append(data);
 			return undefined;
 		}
 
@@ -134,7 +134,7 @@
 		}
 
 		if (this.collectedHead) {
-			this.sendWhole(this.collectedHead, joinBytes(this.collected));
+			this.sendWhole(this.collectedHead, this.collected.copy());
 		} else if (result.http) {
 			this.sendWhole(result.http, result.body);
 		}
@@ -160,7 +160,7 @@
 		}
 
 		// A request of which something has arrived has run.
-		if (result.outcome === outcomes.refused && this.collected.length === 0) {
+		if (result.outcome === outcomes.refused && this.collected.sizeBytes === 0) {
 			this.writtenStatus = unavailable;
 			sendHostResponse(this.response, unavailable, notRunText(result.message), result.retryAfterMs ?? defaultRetryAfterMs);
 		} else {
--- a/src/direct/node/read-request.ts
+++ b/src/direct/node/read-request.ts
@@ -1,6 +1,7 @@
 /** Reads a caller's request: the size of its head, and its body. */
 import type {IncomingMessage} from 'node:http';
-import {joinBytes} from '../../base/common/bytes.js';
+import {ByteQueue} from '../../base/common/byte-queue.js';
+import type {BodyShare} from '../common/body-budget.js';
 
 /**
 Computes the approximate size of a request's head as received, in bytes.
@@ -20,24 +21,30 @@
 Reads the complete body of a request.
 @param request - the request.
 @param maxBytes - maximum size of the body.
-@returns the body, `'gone'` if the caller has disconnected, or `'tooLarge'` if the body exceeds the maximum.
+@param share - the memory that the body takes.
+@returns the body, `'gone'` if the caller has disconnected, `'tooLarge'` if the body exceeds the maximum, or `'noMemory'` if other bodies take the memory.
 */
-export async function readBody(request: IncomingMessage, maxBytes: number): Promise<Uint8Array | 'gone' | 'tooLarge'> {
+export async function readBody(request: IncomingMessage, maxBytes: number, share: Pick<BodyShare, 'growTo'>): Promise<Uint8Array | 'gone' | 'tooLarge' | 'noMemory'> {
 	return new Promise(resolve => {
-		const chunks: Uint8Array[] = [];
-		let sizeBytes = 0;
+		const received = ByteQueue.create();
+		const discard = (reason: 'tooLarge' | 'noMemory') => {
+			request.removeAllListeners('data');
+			request.resume();
+			resolve(reason);
+		};
+
 		request.on('data', (chunk: Uint8Array) => {
-			sizeBytes += chunk.byteLength;
+			const sizeBytes = received.sizeBytes + chunk.byteLength;
 			if (sizeBytes > maxBytes) {
-				request.removeAllListeners('data');
-				request.resume();
-				resolve('tooLarge');
+				discard('tooLarge');
+			} else if (share.growTo(sizeBytes)) {
+				received.append(chunk);
 			} else {
-				chunks.push(chunk);
+				discard('noMemory');
 			}
 		});
 		request.on('end', () => {
-			resolve(chunks.length === 1 ? chunks[0] : joinBytes(chunks));
+			resolve(received.copy());
 		});
 		request.on('close', () => {
 			resolve('gone');
--- a/src/entry/node/http-common.ts
+++ b/src/entry/node/http-common.ts
@@ -6,6 +6,7 @@
 } from 'node:http';
 import {createServer as createTlsServer} from 'node:https';
 import {App} from '@tinyhttp/app';
+import {ByteQueue} from '../../base/common/byte-queue.js';
 import {messageOf} from '../../base/common/errors.js';
 import type {Logger} from '../../base/common/logger.js';
 import {fail, ok, type Outcome} from '../../base/common/outcome.js';
@@ -91,17 +92,15 @@
 @returns its bytes, or a problem if the body is too large or incomplete.
 */
 export async function readBody(request: IncomingMessage, maxBytes = httpLimits.maxBodyBytes): Promise<Outcome<Uint8Array, Problem>> {
-	const chunks: Uint8Array[] = [];
-	let sizeBytes = 0;
+	const received = ByteQueue.create();
 	try {
 		// When reading stops early, the connection must stay open, because the response is still to be sent on it.
 		for await (const chunk of request.iterator({destroyOnReturn: false})) {
 			if (chunk instanceof Uint8Array) {
-				chunks.push(chunk);
-				sizeBytes += chunk.byteLength;
+				received.append(chunk);
 			}
 
-			if (sizeBytes > maxBytes) {
+			if (received.sizeBytes > maxBytes) {
 				return fail(problemOf('bodyTooLarge', `the body is larger than ${maxBytes} bytes`, {place: 'body'}));
 			}
 		}
@@ -109,14 +108,7 @@
 		return fail(problemOf('badRequest', 'the body ended early', {place: 'body'}));
 	}
 
-	const body = new Uint8Array(sizeBytes);
-	let offset = 0;
-	for (const chunk of chunks) {
-		body.set(chunk, offset);
-		offset += chunk.byteLength;
-	}
-
-	return ok(body);
+	return ok(received.copy());
 }
 
 /**
--- a/src/request/common/stage-answer.ts
+++ b/src/request/common/stage-answer.ts
@@ -1,5 +1,5 @@
 /** The answer of one stage as it is received: its chunks in order, and their number of units. */
-import {joinBytes} from '../../base/common/bytes.js';
+import {ByteQueue} from '../../base/common/byte-queue.js';
 import type {HttpResponseHead} from './request-plan.js';
 
 const maxAnswerBytes = 32 * 1024 * 1024;
@@ -12,7 +12,7 @@
 
 	/** Head of the response that began the answer, if it has one. */
 	head: HttpResponseHead | undefined;
-	private readonly chunks: Uint8Array[] = [];
+	private readonly received = ByteQueue.create();
 	private unitCount = 0;
 
 	get units(): number {
@@ -21,7 +21,7 @@
 
 	/** A copy of all bytes received so far. */
 	get body(): Uint8Array {
-		return joinBytes(this.chunks);
+		return this.received.copy();
 	}
 
 	/**
@@ -30,7 +30,7 @@
 	@param data - the chunk.
 	*/
 	add(units: number, data: Uint8Array): void {
-		this.chunks.push(data);
+		this.received.append(data);
 		this.unitCount += units;
 	}
 }
--- a/src/wire/common/frame-codec.ts
+++ b/src/wire/common/frame-codec.ts
@@ -1,5 +1,6 @@
 /** Framing: each frame is a big-endian length of four bytes, followed by one CBOR value. */
 import {Encoder} from 'cbor-x';
+import {ByteQueue} from '../../base/common/byte-queue.js';
 import type {InputProblem} from '../../base/common/errors.js';
 import {fail, ok, type Outcome} from '../../base/common/outcome.js';
 import {parseMessage, type Message} from './messages.js';
@@ -34,8 +35,9 @@
 		return new FrameDecoder(maxFrameBytes);
 	}
 
-	private pieces: Uint8Array[] = [];
-	private sizeBytes = 0;
+	private readonly received = ByteQueue.create();
+	/** Length of the frame that is being received, once it is known. */
+	private lengthBytes: number | undefined;
 
 	private constructor(private readonly maxFrameBytes: number) {}
 
@@ -45,60 +47,34 @@
 	@returns the messages that are complete now, or the problem; after a problem decoding can't continue.
 	*/
 	push(piece: Uint8Array): Outcome<Message[], InputProblem> {
-		this.pieces.push(piece);
-		this.sizeBytes += piece.byteLength;
+		this.received.append(piece);
 		const messages: Message[] = [];
-		while (this.sizeBytes >= headerBytes) {
-			const lengthBytes = this.peekLength();
-			if (lengthBytes > this.maxFrameBytes) {
-				return fail(problem('frameTooLarge', `frame of ${lengthBytes} bytes, at most ${this.maxFrameBytes}`));
+		for (;;) {
+			this.lengthBytes ??= this.takeLength();
+			if (this.lengthBytes === undefined) {
+				return ok(messages);
 			}
 
-			if (this.sizeBytes < headerBytes + lengthBytes) {
-				break;
+			if (this.lengthBytes > this.maxFrameBytes) {
+				return fail(problem('frameTooLarge', `frame of ${this.lengthBytes} bytes, at most ${this.maxFrameBytes}`));
 			}
 
-			const message = decodeBody(this.take(headerBytes + lengthBytes).subarray(headerBytes));
+			if (this.received.sizeBytes < this.lengthBytes) {
+				return ok(messages);
+			}
+
+			const message = decodeBody(this.received.take(this.lengthBytes));
+			this.lengthBytes = undefined;
 			if (!message.ok) {
 				return message;
 			}
 
 			messages.push(message.value);
 		}
-
-		return ok(messages);
-	}
-
-	private peekLength(): number {
-		if (this.pieces[0].byteLength < headerBytes) {
-			this.pieces = [this.take(this.sizeBytes)];
-			this.sizeBytes = this.pieces[0].byteLength;
-		}
-
-		const [first] = this.pieces;
-		return new DataView(first.buffer, first.byteOffset, headerBytes).getUint32(0);
 	}
 
-	/** Removes bytes from the buffer and copies them to a new array, so that no two messages share memory. */
-	private take(wantedBytes: number): Uint8Array {
-		const taken = new Uint8Array(wantedBytes);
-		let filledBytes = 0;
-		let used = 0;
-		while (filledBytes < wantedBytes) {
-			const piece = this.pieces[used];
-			const partBytes = Math.min(piece.byteLength, wantedBytes - filledBytes);
-			taken.set(piece.subarray(0, partBytes), filledBytes);
-			filledBytes += partBytes;
-			if (partBytes === piece.byteLength) {
-				used++;
-			} else {
-				this.pieces[used] = piece.subarray(partBytes);
-			}
-		}
-
-		this.pieces.splice(0, used);
-		this.sizeBytes -= wantedBytes;
-		return taken;
+	private takeLength(): number | undefined {
+		return this.received.sizeBytes < headerBytes ? undefined : new DataView(this.received.take(headerBytes).buffer).getUint32(0);
 	}
 }
 
