--- a/src/direct/node/prompt-updates.test.ts
+++ b/src/direct/node/prompt-updates.test.ts
@@ -7,7 +7,8 @@
 import {ManualClock} from '../../base/common/clock.js';
 import {Emitter} from '../../base/common/emitter.js';
 import type {PeerMessage} from '../../peers/node/peer-mesh.js';
-import type {Message} from '../../wire/common/messages.js';
+import {makePrompt} from '../../routing/common/engine-loads.js';
+import {parseMessage, type Message} from '../../wire/common/messages.js';
 import {PromptUpdates} from './prompt-updates.js';
 
 /** Hosts that notify each other of sends; messages arrive immediately. */
@@ -90,3 +91,29 @@
 		t.same(hosts.reported.get(name), ['engine'], name);
 	}
 });
+
+// Guards against prompts with many parts, on which peers close the connection because the message is not valid.
+t.test('the update about a prompt is valid however many parts it has, and names all of its tokens', async t => {
+	for (const count of [1, 63, 64, 65, 70, 4000]) {
+		const clock = ManualClock.create();
+		const sent: Message[] = [];
+		const updates = PromptUpdates.create({
+			hostId: 'a', capacity: 1, clock, onPeerPrompt: () => undefined,
+			mesh: {
+				onDidReceive: Emitter.create<PeerMessage>().event, liveCapacities: new Map([['b', 1]]), send: () => false,
+				broadcast(message) {
+					sent.push(message);
+				},
+			},
+		});
+		const prompt = makePrompt(Array.from({length: count}, (_, index) => ({id: String(index), tokens: 2})));
+		updates.add('engine', prompt);
+		clock.advance(1000);
+		t.match(sent.map(message => parseMessage(message)), [{message: {type: 'promptsSent'}}], `${count} parts`);
+		const [message] = sent;
+		const parts = message.type === 'promptsSent' ? message.prompts[0].parts : [];
+		t.same(parts.slice(0, 63), prompt.slice(0, 63));
+		t.same([parts.at(-1)?.key, parts.reduce((sum, {tokens}) => sum + tokens, 0)], [prompt.at(-1)?.key, 2 * count]);
+		updates.dispose();
+	}
+});
--- a/src/direct/node/prompt-updates.ts
+++ b/src/direct/node/prompt-updates.ts
@@ -3,6 +3,7 @@
 import type {Disposable} from '../../base/common/disposable.js';
 import type {PeerMesh} from '../../peers/node/peer-mesh.js';
 import type {PromptPart} from '../../routing/common/engine-loads.js';
+import {maxSentParts} from '../../wire/common/messages.js';
 import {PromptUpdateBuffer, electRelay, type SentPrompts} from '../common/prompt-update-buffer.js';
 
 /** How long a host collects its own updates before it sends them: short compared with the time in which an engine prefills a prompt. */
@@ -58,7 +59,7 @@
 	@param prompt - parts of the prompt.
 	*/
 	add(serverId: string, prompt: readonly PromptPart[]): void {
-		this.prompts.push({serverId, parts: [...prompt]});
+		this.prompts.push({serverId, parts: joinLastParts(prompt)});
 		this.timer ??= this.options.clock.setTimer(sendDelayMs, () => {
 			this.timer = undefined;
 			const {prompts} = this;
@@ -98,3 +99,12 @@
 		}
 	}
 }
+
+/** Joins the last parts of a prompt, so that it has no more than a message may hold. The key of a part covers the parts before it as well. */
+function joinLastParts(prompt: readonly PromptPart[]): PromptPart[] {
+	const joined = prompt.slice(maxSentParts - 1);
+	const last = joined.at(-1);
+	return last
+		? [...prompt.slice(0, maxSentParts - 1), {key: last.key, tokens: joined.reduce((tokens, part) => tokens + part.tokens, 0)}]
+		: [...prompt];
+}
--- a/src/wire/common/messages.ts
+++ b/src/wire/common/messages.ts
@@ -268,8 +268,10 @@
 	type: z.literal('stateReply'), deployment: packedDeploymentSchema.optional(), servers: bytes.optional(),
 });
 
+/** Maximum number of parts of a prompt in a message; a sender joins the parts behind them. */
+export const maxSentParts = 64;
 /** Prompts that the sender has sent to model engines. The receiver derives from them what the engines have yet to prefill and what they will cache. */
-const sentPromptsSchema = z.array(z.strictObject({serverId, parts: z.array(z.strictObject({key: count, tokens: count})).max(64)})).max(10_000);
+const sentPromptsSchema = z.array(z.strictObject({serverId, parts: z.array(z.strictObject({key: count, tokens: count})).max(maxSentParts)})).max(10_000);
 const promptsSentSchema = z.strictObject({
 	type: z.literal('promptsSent'),
 	prompts: sentPromptsSchema,
--- a/test/platform/crashing-part.test.ts
+++ b/test/platform/crashing-part.test.ts
@@ -32,6 +32,8 @@
 
 type Scene = {
 	readonly path: string; readonly eventsBeforeCrash: number; readonly everyMs: number; readonly isUnframed?: boolean;
+	/** Number of parts that stand before all others in each prompt. */
+	readonly leadingParts?: number;
 	/** Minimum share of sound requests that are whole once the part is barred. */
 	readonly minWholeShare: number;
 };
@@ -99,10 +101,11 @@
 	return Promise.all(sent);
 }
 
-const sendFatal = async (hosts: readonly RunningEntry[], {path, everyMs}: Scene, isOver: () => boolean, prefix = 'fatal') =>
-	sendEvery(hosts, everyMs, isOver, index => requestOf(path, fatalPrompts[index % fatalPrompts.length], `${prefix}-${index}`));
-const sendSound = async (hosts: readonly RunningEntry[], {path}: Pick<Scene, 'path'>, isOver: () => boolean) =>
-	sendEvery(hosts, 1000 / soundPerS, isOver, index => requestOf(path, soundPrompts[index % soundPrompts.length], `sound-${index}`));
+const leadingPartsOf = ({leadingParts = 0}: Pick<Scene, 'leadingParts'>) => Array.from({length: leadingParts}, (_, index) => `c${index}`);
+const sendFatal = async (hosts: readonly RunningEntry[], scene: Scene, isOver: () => boolean, prefix = 'fatal') =>
+	sendEvery(hosts, scene.everyMs, isOver, index => requestOf(scene.path, [...leadingPartsOf(scene), ...fatalPrompts[index % fatalPrompts.length]], `${prefix}-${index}`));
+const sendSound = async (hosts: readonly RunningEntry[], scene: Pick<Scene, 'path' | 'leadingParts'>, isOver: () => boolean) =>
+	sendEvery(hosts, 1000 / soundPerS, isOver, index => requestOf(scene.path, [...leadingPartsOf(scene), ...soundPrompts[index % soundPrompts.length]], `sound-${index}`));
 
 function checkSound(t: Test, sound: readonly Sound[], fromMs: number, minShare: number): void {
 	const counted = sound.filter(({sentMs}) => sentMs >= fromMs);
@@ -118,6 +121,9 @@
 	{
 		what: 'after two events', path: '/draft/1', eventsBeforeCrash: 2, everyMs: 250, minWholeShare: 0.95,
 	},
+	{
+		what: 'behind 66 others', path: '/draft/1', eventsBeforeCrash: 0, everyMs: 250, leadingParts: 66, minWholeShare: 0.95,
+	},
 	{
 		what: 'in streams that can\'t be continued', path: '/chat/1', eventsBeforeCrash: 0, everyMs: 250, minWholeShare: 0.95,
 	},
