Take the age of a stream that nobody remembers as unknown

Cause: a stream that no host remembers was resumed if its pool had had a single version since the stream could have begun. That time came from the route's limit and from what the caller states as its remaining time, which do not bound it: callers may wait for longer, and state another time at each try or none. Change: the pool must have had a single version for as long as versions are remembered. Hosts that start together with the whole system and find no archive know that there is no earlier version; the archive tells later hosts.

--- a/src/daemon/node/compose-direct-entry.ts
+++ b/src/daemon/node/compose-direct-entry.ts
@@ -331,6 +331,7 @@
 	const archiver = lifecycle.register(VersionArchiver.create({
 		row: ports.versionArchive,
 		history: get(versionHistoryToken),
+		isFirstStart: settings.isFirstStart,
 		isWriter: () => get(peerMeshToken).liveHosts.every(hostId => settings.hostId < hostId),
 		clock,
 		log: logOf('servers'),
--- a/src/deployment/common/version-history.test.ts
+++ b/src/deployment/common/version-history.test.ts
@@ -1,7 +1,7 @@
 import t from 'tap';
 import {Emitter} from '../../base/common/emitter.js';
 import type {ServerChange} from './server-change.js';
-import {VersionHistory} from './version-history.js';
+import {historyMs, VersionHistory} from './version-history.js';
 
 /** A history whose time and list the test controls. */
 class HistoryHarness {
@@ -76,3 +76,14 @@
 	harness.isListCurrent = false;
 	t.equal(harness.history.report(), undefined, 'a host with an outdated list reports none');
 });
+
+t.test('a host that starts together with the whole system knows that there was no earlier version', async t => {
+	const harness = new HistoryHarness();
+	harness.history.handleFirstStart();
+	t.equal(harness.history.soleVersion('p', historyMs), undefined, 'nothing was observed yet');
+	harness.fire('a', 'v1');
+	t.equal(harness.history.soleVersion('p', historyMs), 'v1');
+	t.match(harness.history.report(), {observedForMs: historyMs}, 'and tells others');
+	harness.fire('b', 'v2');
+	t.equal(harness.history.soleVersion('p', historyMs), undefined);
+});
--- a/src/deployment/common/version-history.ts
+++ b/src/deployment/common/version-history.ts
@@ -104,6 +104,11 @@
 		return {observedForMs: Math.min(historyMs, nowMs - this.observedSinceMs), versions};
 	}
 
+	/** To be called where no server was in use before this host observes them, so that there is no earlier version. */
+	handleFirstStart(): void {
+		this.observedSinceMs = -Infinity;
+	}
+
 	/**
 	Adds what another host has observed.
 	@param report - its report.
--- a/src/deployment/node/version-archiver.test.ts
+++ b/src/deployment/node/version-archiver.test.ts
@@ -52,7 +52,9 @@
 	isWriter = true;
 	readonly archiver: VersionArchiver;
 
-	constructor(row: Row) {
+	firstStarts = 0;
+
+	constructor(row: Row, isFirstStart = false) {
 		this.archiver = VersionArchiver.create({
 			row: row.open(this.clock),
 			history: {
@@ -60,8 +62,12 @@
 				handlePeerReport: report => {
 					this.received.push(report);
 				},
+				handleFirstStart: () => {
+					this.firstStarts++;
+				},
 				onDidChange: this.didChange.event,
 			},
+			isFirstStart,
 			isWriter: () => this.isWriter,
 			clock: this.clock,
 			log: silentLoggers.for('test'),
@@ -138,3 +144,22 @@
 	await host.pass(6000);
 	t.same(versionsOf(row), ['v0', 'v1']);
 });
+
+t.test('there is no earlier version where the hosts start for the first time and the store has no archive', async t => {
+	const row = new Row();
+	row.isAvailable = false;
+	const first = new Host(row, true);
+	await first.pass(100);
+	t.equal(first.firstStarts, 0, 'the store has not answered');
+	row.isAvailable = true;
+	await first.pass(2000);
+	t.equal(first.firstStarts, 1);
+	const [second, later] = [new Host(row, true), new Host(new Row())];
+	await Promise.all([second.pass(100), later.pass(100)]);
+	t.same([second.firstStarts, later.firstStarts], [0, 0], 'with an archive, or at a later start');
+	const malformed = new Row();
+	malformed.text = '{';
+	const replacing = new Host(malformed, true);
+	await replacing.pass(100);
+	t.equal(replacing.firstStarts, 0, 'a malformed archive shows that there is a past');
+});
--- a/src/deployment/node/version-archiver.ts
+++ b/src/deployment/node/version-archiver.ts
@@ -17,7 +17,9 @@
 /** Dependencies of `VersionArchiver`. */
 export type VersionArchiverOptions = {
 	readonly row: SharedRow;
-	readonly history: Pick<VersionHistory, 'report' | 'handlePeerReport' | 'onDidChange'>;
+	readonly history: Pick<VersionHistory, 'report' | 'handlePeerReport' | 'handleFirstStart' | 'onDidChange'>;
+	/** Whether the hosts start for the first time, so that there is no past if there is no archive. */
+	readonly isFirstStart: boolean;
 	/** Whether this host is the one that writes. */
 	readonly isWriter: () => boolean;
 	readonly clock: Clock;
@@ -109,6 +111,8 @@
 			this.hasRead = true;
 			if (known) {
 				this.options.history.handlePeerReport(reportOfArchive(known, content.value.storeMs));
+			} else if (this.options.isFirstStart && content.value.text === undefined) {
+				this.options.history.handleFirstStart();
 			}
 		}
 
--- a/src/direct/node/stream-resumption.test.ts
+++ b/src/direct/node/stream-resumption.test.ts
@@ -3,6 +3,7 @@
 import {silentLoggers} from '../../base/common/logger.js';
 import {noMetrics} from '../../base/common/metrics.js';
 import {routeKinds, type Route} from '../../deployment/common/declaration.js';
+import {historyMs} from '../../deployment/common/version-history.js';
 import type {UpstreamServer} from '../../deployment/common/upstream-server.js';
 import type {CallerRequest} from '../common/caller-protocol.js';
 import {streamIdOf, type StreamRecord} from '../common/stream-origins.js';
@@ -72,3 +73,14 @@
 		t.match(await resumptionOf({soleVersion: 'v1'}).originOf(withTwoPools), {status: 503}, 'it may have begun in another pool');
 	}
 });
+
+// Guards against streams that are continued at another version than they began at, as they are older than their callers' time limits show.
+t.test('a stream of which nothing is recorded is resumed only if its pool has had a single version for as long as versions are remembered, whatever its caller states', async t => {
+	for (const remaining of [undefined, 0, 1, remainingMs, timeoutMs, 15_000, 600_000]) {
+		for (const routeTimeoutMs of [1, timeoutMs, 60_000]) {
+			const request = requestOf({route: {timeoutMs: routeTimeoutMs}, callerRequest: {remainingMs: remaining}});
+			t.match(await resumptionOf({soleVersion: 'v1', observedMs: historyMs - 1}).originOf(request), {status: 503}, `${remaining} of ${routeTimeoutMs} ms`);
+			t.same(await resumptionOf({soleVersion: 'v1', observedMs: historyMs}).originOf(request), v1);
+		}
+	}
+});
--- a/src/direct/node/stream-resumption.ts
+++ b/src/direct/node/stream-resumption.ts
@@ -2,8 +2,8 @@
 import type {Metrics} from '../../base/common/metrics.js';
 import type {Logger} from '../../base/common/logger.js';
 import type {Clock} from '../../base/common/clock.js';
-import {routeKinds, type Route} from '../../deployment/common/declaration.js';
-import type {VersionHistory} from '../../deployment/common/version-history.js';
+import {routeKinds} from '../../deployment/common/declaration.js';
+import {historyMs, type VersionHistory} from '../../deployment/common/version-history.js';
 import {
 	maxStreamLifeMs, streamIdOf, type KnownOrigin, type StreamRecord,
 } from '../common/stream-origins.js';
@@ -16,8 +16,6 @@
 
 /** Added to a caller's time limit, so that a stream is still known to a request that is sent just before it. */
 const lifeMarginMs = 1000;
-/** Added to the age of a stream, as hosts learn of the versions of servers at different times, and callers' time limits differ. */
-const versionChangeMarginMs = 5000;
 /** Why a stream is not resumed; the keys are outcomes in logs and metrics. */
 const refusals = {
 	notResumable: 'the streams of this route can\'t be resumed',
@@ -94,14 +92,17 @@
 		}
 	}
 
-	/** Returns the only origin that a stream can have of which nothing is recorded, or undefined if there may be several. */
-	private soleOriginOf({route, callerRequest: {remainingMs}}: StreamRequest): KnownOrigin | undefined {
+	/**
+	Returns the only origin that a stream can have of which nothing is recorded, or undefined if there may be several. Its age is not known: callers
+	may wait for longer than the route's limit, which may have changed, and may state another time limit at each try.
+	*/
+	private soleOriginOf({route}: StreamRequest): KnownOrigin | undefined {
 		if (route.targets.length !== 1) {
 			return undefined;
 		}
 
 		const [{pool}] = route.targets;
-		const softwareVersion = this.options.history.soleVersion(pool, maxStreamAgeMs(route, remainingMs));
+		const softwareVersion = this.options.history.soleVersion(pool, historyMs);
 		return softwareVersion === undefined ? undefined : {pool, softwareVersion};
 	}
 
@@ -128,8 +129,3 @@
 		});
 	}
 }
-
-/** Returns how long ago a stream can have begun whose caller waits for its whole time limit; it is assumed to be that of the route. */
-function maxStreamAgeMs({timeoutMs}: Route, remainingMs = 0): number {
-	return Math.max(0, timeoutMs - remainingMs) + versionChangeMarginMs;
-}
--- a/test/platform/resumed-streams.test.ts
+++ b/test/platform/resumed-streams.test.ts
@@ -12,7 +12,7 @@
 	checkAllWhole, checkNotMixed, countLines, countOf, eventCount, leaveOneOfEach, makeVersionedFleet, readStreams, stepMs, waitUntilLogged,
 } from './versioned-fleet.js';
 
-/** Longer than the margin of 5 s and the time of the route's limit that has passed for callers which state 4.5 s of 5 s. */
+/** Longer than a caller may wait that states 4.5 s of the route's limit of 5 s, and a margin of 5 s. */
 const observationMs = 6500;
 
 /** A host that is started when the first caller needs it. */
@@ -218,3 +218,59 @@
 	checkNotMixed(t, replaced.outcomes);
 	t.ok(replaced.outcomes.every(({statuses}) => statuses.at(-1) === 503), 'the version that began them is gone');
 });
+
+/*
+Guards against answers joined of two versions after the loss of all hosts: streams were taken for younger than they were, as their callers wait for longer than the route's
+limit or state another time limit at each try, so that only the newer version seemed to have served since they began.
+*/
+t.test('streams are not continued at another version after the loss of all hosts, whatever their callers state of their time', async t => {
+	const fleet = await makeFleet(t);
+	const old = await fleet.addModels('v1.1', 3, stepMs);
+	t.teardown(() => {
+		for (const server of old) {
+			server.dispose();
+		}
+	});
+	for (const server of old) {
+		server.eventCount = eventCount;
+	}
+
+	const hosts = await addHosts(fleet, 2);
+	let begunCount = 0;
+	const started = new LateHost(async () => {
+		const [fresh] = await fleet.addModels('v1.2', 1, stepMs);
+		fresh.eventCount = eventCount;
+		await waitUntilLogged(hosts, `"${fresh.serverId}"`);
+		for (const {serverId} of old) {
+			fleet.store.remove('servers', serverId);
+		}
+
+		fleet.servers.splice(0, old.length);
+		await waitUntil(() => fleet.store.textOf('versions', 'history').includes('"lastMs"'));
+		for (const {entry} of hosts) {
+			entry.lifecycle.stopNow();
+		}
+
+		const host = await fleet.addReadyEntry({isFirstStart: false});
+		await sleep(observationMs);
+		return host;
+	});
+	const statedMs = ['60000', '4500', ''];
+	const count = 40;
+	const outcomes = await Promise.all(Array.from({length: count}, async (_, index) => readStream({
+		id: `older-${index}`,
+		hosts: [hosts[index % 2], started],
+		isUnnamed: index % 3 === 0,
+		headers: {'deadline-ms': statedMs[index % statedMs.length]},
+		breaksOffAfter: 2,
+		onFirstEvent() {
+			begunCount++;
+		},
+		async beforeResuming() {
+			await waitUntil(() => begunCount === count);
+			await started.start();
+		},
+	})));
+	checkNotMixed(t, outcomes);
+	t.ok(outcomes.every(({statuses}) => statuses.at(-1) === 503), 'they are refused as not run');
+});
