Count attempts against their limit in one pass

Cause: the count built three collections for each call, also where no attempt had yielded; a getter of the budget for bodies was not used. Change: an attempt that has yielded counts unless a later one at its upstream does.

--- a/src/direct/common/body-budget.ts
+++ b/src/direct/common/body-budget.ts
@@ -20,15 +20,11 @@
 		return new BodyBudget(maxBytes);
 	}
 
+	/** Number of bytes that requests take. */
 	private takenBytes = 0;
 
 	private constructor(private readonly maxBytes: number) {}
 
-	/** Number of bytes that requests take. */
-	get usedBytes(): number {
-		return this.takenBytes;
-	}
-
 	/** @returns the share of a new request, to be disposed once the request has ended. */
 	open(): BodyShare {
 		let shareBytes = 0;
--- a/src/direct/node/ingress.ts
+++ b/src/direct/node/ingress.ts
@@ -42,7 +42,7 @@
 const maxHeadBytes = 64 * 1024;
 /** Maximum size of all large bodies together, on hosts of a few hundred megabytes. */
 const maxBodiesBytes = 64 * 1024 * 1024;
-/** Retry delay given to callers whose body has no space; other bodies of that size take about as long to be served. */
+/** Retry delay given to callers whose body does not fit; most requests that hold memory have ended by then. */
 const noMemoryRetryAfterMs = 500;
 /** Interval at which connections are checked for exceeded time limits. */
 const connectionCheckMs = 1000;
--- a/src/request/common/attempt-list.ts
+++ b/src/request/common/attempt-list.ts
@@ -99,10 +99,7 @@
 	*/
 	countAgainstLimit({countsRefusals}: AttemptRules): number {
 		const counted = countsRefusals ? this.all : this.all.filter(attempt => attempt.mayHaveRun);
-		const kept = counted.filter(attempt => !attempt.hasYielded);
-		const keptIds = new Set(kept.map(({options}) => options.upstreamId));
-		const yieldedIds = new Set(counted.filter(attempt => attempt.hasYielded).map(({options}) => options.upstreamId));
-		return kept.length + [...yieldedIds].filter(upstreamId => !keptIds.has(upstreamId)).length;
+		return counted.filter(({hasYielded, options: {upstreamId}}, index) => !hasYielded || counted.slice(index + 1).every(({options}) => options.upstreamId !== upstreamId)).length;
 	}
 
 	/**
